--- /dev/null
+++ b/crates/nickellead_core/src/error.rs
@@ -0,0 +1,107 @@
+//! The closed list of error kinds, and the table from kind to answer.
+
+use serde::{Deserialize, Serialize};
+
+/// What a caller may conclude from an answer that is not "done".
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OutcomeClass {
+    /// It was proved that the operation did not run; repeating it is safe.
+    NotRun,
+    /// The operation may have run.
+    Unknown,
+}
+
+impl OutcomeClass {
+    /// The value of the `nickellead-outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// How loud an error is in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorLevel {
+    /// The caller's mistake; counted, not logged by default.
+    Debug,
+    /// Expected under load or during a move.
+    Info,
+    /// Somebody should look.
+    Warn,
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ErrorAnswer {
+    /// The kind this row answers for.
+    pub kind: ErrorKind,
+    /// Value of the `nickellead-error` header.
+    pub code: &'static str,
+    /// HTTP status.
+    pub status: u16,
+    /// What the caller may conclude.
+    pub outcome: OutcomeClass,
+    /// When to come back, in milliseconds; `None` where repeating can't help.
+    pub retry_after_ms: Option<u32>,
+    /// Loudness in the log.
+    pub level: ErrorLevel,
+    /// What it means and how to mend it.
+    pub help: &'static str,
+}
+
+macro_rules! error_table {
+    ($($kind:ident, $code:literal, $status:literal, $outcome:ident, $retry:expr, $level:ident, $help:literal;)*) => {
+        /// Every way a request can fail.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+        pub enum ErrorKind {
+            $(#[doc = $help] #[error($help)] $kind,)*
+        }
+
+        impl ErrorKind {
+            /// Every kind, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// The row of the table for this kind.
+            #[must_use]
+            pub const fn answer(self) -> ErrorAnswer {
+                match self {
+                    $(Self::$kind => ErrorAnswer {
+                        kind: self,
+                        code: $code,
+                        status: $status,
+                        outcome: OutcomeClass::$outcome,
+                        retry_after_ms: $retry,
+                        level: ErrorLevel::$level,
+                        help: $help,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_table! {
+    UnknownService, "unknown-service", 404, NotRun, None, Debug, "no service of this name is declared: check the first part of the path";
+    UnknownOperation, "unknown-operation", 404, NotRun, None, Debug, "the service declares no operation for this method and path";
+    KeyMissing, "key-missing", 400, NotRun, None, Debug, "the request names no key where the service looks for it";
+    KeyTooLong, "key-too-long", 400, NotRun, None, Debug, "the key has more than 512 bytes";
+    RequestMalformed, "request-malformed", 400, NotRun, None, Debug, "a header of the request can't be read: check deadline and length";
+    BodyTooLarge, "body-too-large", 413, NotRun, None, Debug, "the body is larger than the service allows";
+    BodyTruncated, "body-truncated", 400, NotRun, None, Debug, "the body ended before its declared length";
+    OwnerUnknown, "owner-unknown", 503, NotRun, Some(500), Warn, "no target owns the key now: its target was lost or its zone is silent";
+    MoveTooLong, "move-too-long", 503, NotRun, Some(200), Info, "the key is moving and the bounded wait for its new owner ended";
+    QueueFull, "queue-full", 503, NotRun, Some(250), Info, "too many requests wait for this target already";
+    TargetBusy, "target-busy", 503, NotRun, Some(250), Info, "the target shed the request before running it";
+    TargetRefused, "target-refused", 503, NotRun, Some(100), Info, "the target refused the request before running it: ownership changed";
+    TargetUnreachable, "target-unreachable", 503, NotRun, Some(500), Warn, "no connection to the owning target could be made";
+    DeadlineTooShort, "deadline-too-short", 504, NotRun, None, Info, "the deadline passed before the request was sent to a target";
+    RouterStopping, "router-stopping", 503, NotRun, Some(100), Info, "this VM is stopping: repeat through another";
+    AnswerLate, "answer-late", 504, Unknown, None, Warn, "the target did not answer before the deadline";
+    AnswerLost, "answer-lost", 502, Unknown, None, Warn, "the connection to the target broke after the request was sent";
+    AnswerMalformed, "answer-malformed", 502, Unknown, None, Warn, "the target's answer could not be read";
+    Internal, "internal", 500, Unknown, None, Warn, "a fault of the router itself: report it with the log line";
+}
--- /dev/null
+++ b/crates/nickellead_core/src/key.rs
@@ -0,0 +1,44 @@
+//! From a caller's key to its shard.
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Longest key that callers may name, in bytes.
+pub const KEY_LENGTH_MAX: usize = 512;
+
+/// How many shards a service has; never zero.
+pub type ShardCount = std::num::NonZeroU32;
+
+/// One fixed hash partition of a service's keys.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Encode,
+    Decode,
+)]
+#[serde(transparent)]
+pub struct ShardIndex(pub u32);
+
+/// The shard of a key: XXH3-64, scaled to the count without a division.
+///
+/// ```
+/// use nickellead_core::{ShardCount, shard_of};
+/// let count = ShardCount::new(1024).unwrap();
+/// assert!(shard_of(b"clinic-7", count).0 < 1024);
+/// ```
+#[must_use]
+pub fn shard_of(key: &[u8], count: ShardCount) -> ShardIndex {
+    let hash = u128::from(xxh3_64(key));
+    let scaled = (hash * u128::from(count.get())) >> 64;
+    ShardIndex(scaled as u32)
+}
--- /dev/null
+++ b/crates/nickellead_core/src/lib.rs
@@ -0,0 +1,24 @@
+//! Identifiers, epochs, keys, time and the closed list of error kinds.
+//!
+//! Every other crate builds on these small `Copy` types. Nothing here does
+//! input or output, reads a clock or starts a thread.
+
+mod error;
+mod ident;
+mod key;
+mod number;
+mod time;
+
+pub use error::{ErrorAnswer, ErrorKind, ErrorLevel, OutcomeClass};
+pub use ident::{Name, NameError, ServiceKey, TargetKey, VmKey, ZoneKey};
+pub use key::{KEY_LENGTH_MAX, ShardCount, ShardIndex, shard_of};
+pub use number::{Epoch, Incarnation, Nonce, Sequence, Term, Version};
+pub use time::{DriftBound, Timestamp};
+
+/// The types that nearly every module needs.
+pub mod prelude {
+    pub use crate::{
+        Epoch, ErrorKind, Incarnation, Name, Nonce, Sequence, ServiceKey, ShardIndex, TargetKey,
+        Term, Timestamp, Version, VmKey, ZoneKey,
+    };
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/coordinator/loading.rs
@@ -0,0 +1,243 @@
+//! Reading the zone's placements and writing this coordinator's term into them.
+
+use nickellead_core::{Name, ServiceKey, ShardIndex, TargetKey, Version};
+
+use super::{CallId, PlacementCall, ZoneAction, ZoneCoordinator, ZoneNotice};
+use crate::charts::{MandateEvent, MandatePhase, ShardEvent, ShardPhase};
+use crate::object::{PlacementObject, ReadAnswer};
+use crate::rules::enforced;
+use crate::session::TargetSession;
+use crate::shard::{LoadState, PendingWrite, ServicePlacement};
+
+impl ZoneCoordinator {
+    /// Starts a term: nothing of an earlier one is kept but the records.
+    pub(super) fn begin_loading(&mut self) {
+        self.sessions.clear();
+        self.placements.clear();
+        self.calls.clear();
+        self.round = None;
+        self.log.restart(self.term);
+        self.reconcile_config();
+    }
+
+    /// Brings sessions and placements in line with what is declared.
+    pub(super) fn reconcile_config(&mut self) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let zone = self.settings.zone.clone();
+        for service in &config.services {
+            let range = service.spec.shards_in(&zone);
+            let key = ServiceKey::from(&service.name);
+            if !range.is_empty() && !self.placements.contains_key(&key) {
+                let placement = ServicePlacement::new(service.name.clone(), range);
+                self.placements.insert(key, placement);
+            }
+        }
+        for target in config.targets_in(&zone) {
+            let key = TargetKey::from(&target.name);
+            let service = ServiceKey::from(&target.spec.service);
+            let session = self.sessions.entry(key).or_insert_with(|| {
+                TargetSession::new(
+                    target.name.clone(),
+                    service,
+                    target.spec.slots,
+                    target.spec.state,
+                )
+            });
+            session.declared = target.spec.state;
+            session.slots = target.spec.slots;
+            self.names.insert(key, target.name.clone());
+        }
+        self.retire_undeclared(&config);
+    }
+
+    /// Reads every placement that is not loaded yet, and notes when all are.
+    pub(super) fn load_placements(&mut self) {
+        let unread = |placement: &&ServicePlacement| placement.load == LoadState::Unread;
+        let wanted: Vec<(ServiceKey, Name)> = self
+            .placements
+            .values()
+            .filter(unread)
+            .map(|placement| (placement.service, placement.name.clone()))
+            .collect();
+        for (service, name) in wanted {
+            if !self.calls.contains_key(&service) {
+                self.read_placement(service, name);
+            }
+        }
+        let claimed = |placement: &ServicePlacement| placement.load == LoadState::Claimed;
+        if self.phase == MandatePhase::Loading && self.placements.values().all(claimed) {
+            self.advance_mandate(MandateEvent::Loaded);
+            self.notify(ZoneNotice::Leading(self.term));
+        }
+    }
+
+    pub(super) fn note_placement_read(
+        &mut self,
+        call: CallId,
+        service: ServiceKey,
+        answer: ReadAnswer<PlacementObject>,
+    ) {
+        if self
+            .calls
+            .get(&service)
+            .is_none_or(|known| known.id != call)
+        {
+            return;
+        }
+        self.calls.remove(&service);
+        match answer {
+            ReadAnswer::Failed => {}
+            ReadAnswer::Absent => {
+                self.take_placement(service, &PlacementObject::default(), Version::ZERO)
+            }
+            ReadAnswer::Found(object, version) if object.term > self.term => {
+                debug_assert!(version > Version::ZERO);
+                self.see_term(object.term);
+            }
+            ReadAnswer::Found(object, version) => self.take_placement(service, &object, version),
+        }
+    }
+
+    /// Uses an object that was read: as the state to start from, or to learn a write's fate.
+    fn take_placement(&mut self, service: ServiceKey, object: &PlacementObject, version: Version) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        if version < placement.version && enforced!("version_monotonic") {
+            return;
+        }
+        if placement.load == LoadState::Claimed {
+            self.settle_placement(service, object, version);
+            return;
+        }
+        placement.load_object(object, version);
+        placement.pending = None;
+        let entries: Vec<_> = self
+            .records
+            .range(record_range(service))
+            .map(|(k, v)| (*k, *v))
+            .collect();
+        for ((_, shard), (target, epoch)) in entries {
+            if placement
+                .get(shard)
+                .is_some_and(|record| record.epoch < epoch)
+            {
+                placement.load_owner(shard, Some(target), epoch);
+            }
+        }
+        placement.load = LoadState::Claiming;
+        placement.dirty = true;
+        self.recount_owned();
+    }
+
+    /// Learns from a read what became of the pending write.
+    fn settle_placement(
+        &mut self,
+        service: ServiceKey,
+        object: &PlacementObject,
+        version: Version,
+    ) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        placement.version = version;
+        let done = placement
+            .pending
+            .as_ref()
+            .is_some_and(|write| write.object == *object);
+        if done {
+            self.commit_write(service, false);
+        }
+    }
+
+    /// Writes what is planned or dirty, one write at a time for each placement.
+    pub(super) fn write_placements(&mut self) {
+        let services: Vec<ServiceKey> = self.placements.keys().copied().collect();
+        for service in services {
+            self.prepare_write(service);
+            if !self.calls.contains_key(&service) {
+                self.write_placement(service);
+            }
+        }
+    }
+
+    fn write_placement(&mut self, service: ServiceKey) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        if placement.load == LoadState::Unread {
+            return;
+        }
+        if std::mem::take(&mut placement.reread) {
+            let name = placement.name.clone();
+            self.read_placement(service, name);
+            return;
+        }
+        let Some(write) = &placement.pending else {
+            return;
+        };
+        let (name, version) = (placement.name.clone(), placement.version);
+        let object = write.object.clone();
+        let id = self.next_call();
+        self.calls.insert(
+            service,
+            PlacementCall {
+                id,
+                write_id: object.write_id,
+            },
+        );
+        self.actions.push(ZoneAction::WritePlacement(
+            id, service, name, version, object,
+        ));
+    }
+
+    fn read_placement(&mut self, service: ServiceKey, name: Name) {
+        let id = self.next_call();
+        self.calls
+            .insert(service, PlacementCall { id, write_id: 0 });
+        self.actions
+            .push(ZoneAction::ReadPlacement(id, service, name));
+    }
+
+    /// Makes the next write of a placement from the shards whose next owner is chosen.
+    fn prepare_write(&mut self, service: ServiceKey) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let undecided = placement
+            .pending
+            .as_ref()
+            .is_some_and(|write| !write.planned.is_empty());
+        if undecided || placement.load == LoadState::Unread {
+            return;
+        }
+        let planned = choose_planned(placement);
+        if planned.is_empty() && (!placement.dirty || placement.pending.is_some()) {
+            return;
+        }
+        for shard in &planned {
+            placement.advance(*shard, ShardEvent::Planned);
+        }
+        placement.write_id += 1;
+        placement.dirty = false;
+        let object = placement.to_object(self.term, &self.names);
+        placement.pending = Some(PendingWrite { object, planned });
+        if !enforced!("write_before_grant") {
+            self.commit_write(service, true);
+        }
+    }
+}
+
+/// The free shards that may be written: none before this term stands in the object.
+fn choose_planned(placement: &ServicePlacement) -> Vec<ShardIndex> {
+    if placement.load != LoadState::Claimed || placement.count(ShardPhase::Free) == 0 {
+        return Vec::new();
+    }
+    placement.select(|record| record.phase == ShardPhase::Free && record.next.is_some())
+}
+
+fn record_range(service: ServiceKey) -> std::ops::RangeInclusive<(ServiceKey, ShardIndex)> {
+    (service, ShardIndex(0))..=(service, ShardIndex(u32::MAX))
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -0,0 +1,406 @@
+//! Taking, renewing, losing and handing over the mandate.
+
+use std::time::Duration;
+
+use nickellead_core::{Name, Timestamp, Version};
+
+use super::{CallId, Predecessor, ZoneAction, ZoneCoordinator, ZoneNotice};
+use crate::charts::{MandateEvent, MandatePhase, charts};
+use crate::mandate::{MandateObject, StandbyVm};
+use crate::object::{ReadAnswer, WriteAnswer};
+use crate::rules::enforced;
+use crate::shard::{LoadState, ServicePlacement};
+
+/// Between two reads of the mandate by a VM that hears no coordinator.
+const READ_PERIOD: Duration = Duration::from_millis(200);
+/// How long a VM stays eligible as a standby after it was last heard.
+const PEER_FRESH: Duration = Duration::from_millis(1_500);
+
+/// What this VM knows of the mandate object.
+#[derive(Clone, Debug)]
+pub(super) struct MandateWatch {
+    version: Version,
+    object: Option<MandateObject>,
+    /// Since when this VM sees this version.
+    since: Timestamp,
+    call: Option<CallId>,
+    /// A write whose fate is not known yet.
+    unsure: Option<MandateObject>,
+    /// The version that the unsure write builds on.
+    base: Version,
+    /// Whether a read showed that the unsure write has not taken effect.
+    retry: bool,
+    next_due: Timestamp,
+    /// When the write that last succeeded was sent.
+    last_done: Timestamp,
+    sent_at: Timestamp,
+}
+
+impl MandateWatch {
+    pub(super) const fn new(now: Timestamp) -> Self {
+        Self {
+            version: Version::ZERO,
+            object: None,
+            since: now,
+            call: None,
+            unsure: None,
+            base: Version::ZERO,
+            retry: false,
+            next_due: now,
+            last_done: now,
+            sent_at: now,
+        }
+    }
+
+    /// Forgets what is under way, so that late answers change nothing.
+    pub(super) fn forget_calls(&mut self) {
+        self.call = None;
+        self.unsure = None;
+    }
+
+    fn see(&mut self, version: Version, object: Option<MandateObject>, now: Timestamp) {
+        if version != self.version || self.object.is_none() {
+            self.since = now;
+        }
+        self.version = version;
+        self.object = object;
+    }
+}
+
+/// Whether an answer shows an older state than one seen before.
+fn is_older(version: Version, known: Version) -> bool {
+    enforced!("version_monotonic") && version < known
+}
+
+impl ZoneCoordinator {
+    /// Standbys that must keep a record: of the mandate as it stands and as it may stand.
+    pub(super) fn standbys(&self) -> Vec<StandbyVm> {
+        let known = self.watch.object.iter().chain(&self.watch.unsure);
+        let mut standbys: Vec<_> = known.flat_map(|object| object.standbys.clone()).collect();
+        standbys.sort();
+        standbys.dedup();
+        standbys
+    }
+
+    pub(super) fn keep_mandate(&mut self, now: Timestamp) {
+        match self.phase {
+            MandatePhase::Follower if self.stop_wanted => {
+                self.advance_mandate(MandateEvent::StopAsked);
+            }
+            MandatePhase::Follower => self.watch_mandate(now),
+            MandatePhase::Taking => self.settle_write(now),
+            MandatePhase::Loading | MandatePhase::Leading | MandatePhase::Detached => {
+                self.hold_mandate(now);
+            }
+            MandatePhase::Stopping => self.give_up_mandate(now),
+            MandatePhase::Stopped => {}
+        }
+    }
+
+    pub(super) fn note_mandate_read(
+        &mut self,
+        call: CallId,
+        answer: ReadAnswer<MandateObject>,
+        now: Timestamp,
+    ) {
+        if self.watch.call.take_if(|known| *known == call).is_none() {
+            return;
+        }
+        match answer {
+            ReadAnswer::Failed => {}
+            // A stale read: an object once seen is never deleted.
+            ReadAnswer::Absent if self.watch.version > Version::ZERO => {}
+            ReadAnswer::Absent => self.after_mandate_read(now),
+            ReadAnswer::Found(_, version) if is_older(version, self.watch.version) => {}
+            ReadAnswer::Found(object, version) => {
+                let term = object.term;
+                let mine = object.holder == self.settings.vm;
+                self.watch.see(version, Some(object), now);
+                if !mine {
+                    self.see_term(term);
+                }
+                self.after_mandate_read(now);
+            }
+        }
+    }
+
+    pub(super) fn note_mandate_written(
+        &mut self,
+        call: CallId,
+        answer: WriteAnswer,
+        now: Timestamp,
+    ) {
+        if self.watch.call.take_if(|known| *known == call).is_none() {
+            return;
+        }
+        match answer {
+            WriteAnswer::Done(version) => self.mandate_done(version, now),
+            // The read that follows tells whose write it was.
+            WriteAnswer::Conflict | WriteAnswer::Failed => self.watch.next_due = now,
+        }
+    }
+
+    /// A follower that hears no coordinator reads the mandate, and takes it when it may.
+    fn watch_mandate(&mut self, now: Timestamp) {
+        let silent = now.since(self.last_heard) >= self.settings.times.renewal;
+        if !silent || self.watch.call.is_some() || now < self.watch.next_due {
+            return;
+        }
+        let jitter = Duration::from_millis(self.rng.u64(0..READ_PERIOD.as_millis() as u64));
+        self.watch.next_due = now + READ_PERIOD + jitter / 2;
+        self.read_mandate();
+    }
+
+    fn read_mandate(&mut self) {
+        let call = self.next_call();
+        self.watch.call = Some(call);
+        self.actions.push(ZoneAction::ReadMandate(call));
+    }
+
+    fn after_mandate_read(&mut self, now: Timestamp) {
+        if self.phase == MandatePhase::Follower {
+            if let Some(predecessor) = self.may_take(now) {
+                self.take_mandate(predecessor, now);
+            }
+            return;
+        }
+        if let Some(unsure) = self.watch.unsure.clone() {
+            self.settle_read(&unsure, now);
+        }
+    }
+
+    /// Compares what was read with the write whose fate is not known.
+    fn settle_read(&mut self, unsure: &MandateObject, now: Timestamp) {
+        let found = self.watch.object.as_ref();
+        if found == Some(unsure) {
+            self.mandate_done(self.watch.version, now);
+            return;
+        }
+        let mine = found.is_some_and(|object| object.holder == self.settings.vm);
+        if mine || self.watch.version == self.watch.base {
+            self.watch.retry = true;
+            self.watch.next_due = now;
+            return;
+        }
+        // Another VM wrote since, so that this write can never take effect.
+        let term = found.map_or(self.highest_term, |object| object.term);
+        self.highest_term = self.highest_term.max(term);
+        self.step_down(term);
+    }
+
+    /// Whether this VM may take the mandate, and what it then knows of the one before.
+    fn may_take(&self, now: Timestamp) -> Option<Predecessor> {
+        if self.config.is_none() || !self.is_listed(&self.settings.vm.vm) {
+            return None;
+        }
+        let Some(object) = &self.watch.object else {
+            return Some(Predecessor {
+                stopped_at: Some(now),
+                records_known: true,
+                ..Predecessor::default()
+            });
+        };
+        if object.stopped {
+            return Some(Predecessor {
+                stopped_at: Some(now),
+                records_known: true,
+                ..Predecessor::default()
+            });
+        }
+        let times = &self.settings.times;
+        let still = now.since(self.watch.since) >= times.standstill;
+        let silent = now.since(self.last_heard) >= times.standstill;
+        if !still || !silent {
+            return None;
+        }
+        let gone = self.is_gone(&object.holder);
+        let stopped_at = gone.then_some(now);
+        let holder = Some(object.holder.clone());
+        if object.standbys.contains(&self.settings.vm) {
+            return Some(Predecessor {
+                stopped_at,
+                records_known: true,
+                holder,
+                ..Predecessor::default()
+            });
+        }
+        let all_gone = gone && object.standbys.iter().all(|standby| self.is_gone(standby));
+        all_gone.then(|| Predecessor {
+            stopped_at,
+            records_known: false,
+            holder,
+            ..Predecessor::default()
+        })
+    }
+
+    fn take_mandate(&mut self, predecessor: Predecessor, now: Timestamp) {
+        let old = self.watch.object.as_ref();
+        let old_term = old.map(|object| object.term).unwrap_or_default();
+        let knows_records = old.is_some() && predecessor.records_known;
+        let standbys = match old {
+            Some(object) if knows_records && !object.stopped => {
+                let others = object.standbys.iter().filter(|vm| **vm != self.settings.vm);
+                others.cloned().collect()
+            }
+            _ => Vec::new(),
+        };
+        self.predecessor = predecessor;
+        self.term = old_term.max(self.highest_term).next();
+        let object = MandateObject {
+            term: self.term,
+            holder: self.settings.vm.clone(),
+            standbys,
+            renewal: 0,
+            stopped: false,
+        };
+        self.advance_mandate(MandateEvent::MayTake);
+        self.write_mandate(object, now);
+    }
+
+    fn write_mandate(&mut self, object: MandateObject, now: Timestamp) {
+        let call = self.next_call();
+        self.watch.call = Some(call);
+        self.watch.unsure = Some(object.clone());
+        self.watch.base = self.watch.version;
+        self.watch.retry = false;
+        self.watch.sent_at = now;
+        self.watch.next_due = now + self.settings.times.renewal;
+        self.actions
+            .push(ZoneAction::WriteMandate(call, self.watch.version, object));
+    }
+
+    /// Finds out what became of a write: read back, then write the same again.
+    fn settle_write(&mut self, now: Timestamp) {
+        if self.watch.call.is_some() || now < self.watch.next_due {
+            return;
+        }
+        if let (true, Some(object)) = (self.watch.retry, self.watch.unsure.clone()) {
+            self.write_mandate(object, now);
+            return;
+        }
+        self.watch.next_due = now + READ_PERIOD;
+        self.read_mandate();
+    }
+
+    fn mandate_done(&mut self, version: Version, now: Timestamp) {
+        let Some(object) = self.watch.unsure.take() else {
+            return;
+        };
+        let stopped = object.stopped;
+        self.watch.see(version, Some(object), now);
+        self.watch.last_done = self.watch.sent_at;
+        match self.phase {
+            MandatePhase::Taking => {
+                self.highest_term = self.highest_term.max(self.term);
+                self.advance_mandate(MandateEvent::Taken);
+                self.notify(ZoneNotice::MandateTaken(self.term));
+                self.begin_loading();
+            }
+            MandatePhase::Detached => {
+                self.advance_mandate(MandateEvent::PlatformBack);
+                self.notify(ZoneNotice::Attached(self.term));
+            }
+            MandatePhase::Stopping if stopped => {
+                self.advance_mandate(MandateEvent::HandedOver);
+                self.notify(ZoneNotice::HandedOver(self.term));
+            }
+            _ => {}
+        }
+    }
+
+    fn hold_mandate(&mut self, now: Timestamp) {
+        let silent = now.since(self.watch.last_done) >= self.settings.times.detach_after;
+        if silent && self.advance_mandate(MandateEvent::PlatformSilent) {
+            self.notify(ZoneNotice::Detached(self.term));
+        }
+        if self.stop_wanted && self.phase != MandatePhase::Detached && self.is_clean() {
+            self.advance_mandate(MandateEvent::StopAsked);
+            return;
+        }
+        if self.watch.call.is_some() || now < self.watch.next_due {
+            return;
+        }
+        if self.watch.unsure.is_some() {
+            self.settle_write(now);
+            return;
+        }
+        let Some(mut object) = self.watch.object.clone() else {
+            return;
+        };
+        object.renewal += 1;
+        if self.is_clean() {
+            object.standbys = self.choose_standbys(now);
+        }
+        self.write_mandate(object, now);
+    }
+
+    fn give_up_mandate(&mut self, now: Timestamp) {
+        if self.watch.call.is_some() {
+            return;
+        }
+        if self.watch.unsure.is_some() {
+            self.settle_write(now);
+            return;
+        }
+        let Some(mut object) = self.watch.object.clone() else {
+            return;
+        };
+        object.renewal += 1;
+        object.stopped = true;
+        self.write_mandate(object, now);
+    }
+
+    /// Whether the platform's placements say all that this coordinator decided.
+    fn is_clean(&self) -> bool {
+        let clean = |placement: &ServicePlacement| {
+            placement.load == LoadState::Claimed && !placement.dirty && placement.pending.is_none()
+        };
+        self.publishes() && self.placements.values().all(clean)
+    }
+
+    /// Keeps the standbys that are heard and fills up with others that are.
+    fn choose_standbys(&self, now: Timestamp) -> Vec<StandbyVm> {
+        let current = self.watch.object.iter().flat_map(|object| &object.standbys);
+        let heard = self
+            .peers
+            .values()
+            .filter(|(_, at)| now.since(*at) < PEER_FRESH);
+        let fresh: Vec<&StandbyVm> = heard
+            .map(|(vm, _)| vm)
+            .filter(|vm| **vm != self.settings.vm && self.is_listed(&vm.vm))
+            .collect();
+        let mut chosen: Vec<StandbyVm> = current.filter(|vm| fresh.contains(vm)).cloned().collect();
+        for vm in fresh {
+            if chosen.len() < self.settings.standbys && !chosen.contains(vm) {
+                chosen.push(vm.clone());
+            }
+        }
+        chosen
+    }
+
+    pub(super) fn is_listed(&self, vm: &Name) -> bool {
+        self.listed
+            .as_ref()
+            .is_some_and(|listed| listed.contains(vm))
+    }
+
+    /// Whether a process surely runs no more.
+    ///
+    /// Coordinators and standbys were listed before the mandate named them, so
+    /// that absence from the lagging list means gone, not "not there yet". A VM
+    /// heard under another incarnation has started anew.
+    pub(super) fn is_gone(&self, vm: &StandbyVm) -> bool {
+        let unlisted = self
+            .listed
+            .as_ref()
+            .is_some_and(|listed| !listed.contains(&vm.vm));
+        let heard = self.peers.get(&vm.vm);
+        let restarted = heard.is_some_and(|(known, _)| known.incarnation != vm.incarnation);
+        let own = vm.vm == self.settings.vm.vm && vm.incarnation != self.settings.vm.incarnation;
+        unlisted || restarted || own
+    }
+
+    pub(super) fn advance_mandate(&mut self, event: MandateEvent) -> bool {
+        charts().mandate.advance(&mut self.phase, event)
+    }
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -0,0 +1,310 @@
+//! The VM's side of ownership: follow, or hold the mandate and decide.
+//!
+//! One schedule, [`ZoneCoordinator::handle`], states the order of work for
+//! each event: note the event, then keep the mandate, load placements, look
+//! after sessions, plan, write, and send orders.
+
+mod event;
+mod loading;
+mod mandate_keeper;
+mod moves;
+mod records;
+mod targets;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use nickellead_api::DeclaredConfig;
+use nickellead_core::{
+    Epoch, Name, ServiceKey, ShardIndex, TargetKey, Term, Timestamp, Version, ZoneKey,
+};
+
+pub use event::{
+    CallId, CoordinatorSettings, RecordAnswer, RecordBatch, ShardRecordEntry, TargetStatus,
+    ZoneAction, ZoneEvent, ZoneNotice,
+};
+
+use crate::charts::{MandateEvent, MandatePhase, charts};
+use crate::mandate::StandbyVm;
+use crate::session::TargetSession;
+use crate::shard::ServicePlacement;
+use crate::view::{ZoneDelta, ZoneLog};
+use mandate_keeper::MandateWatch;
+use records::RecordRound;
+
+/// What is known of the coordinator before this one.
+#[derive(Clone, Debug, Default)]
+struct Predecessor {
+    /// Since when it surely sends no more orders; `None` while it may.
+    stopped_at: Option<Timestamp>,
+    /// Whether this VM has every record the predecessor may have made.
+    records_known: bool,
+    /// Who it was, to be asked to step down.
+    holder: Option<StandbyVm>,
+    /// When it was last asked.
+    asked_at: Timestamp,
+}
+
+/// A call of the platform under way for one placement.
+#[derive(Clone, Copy, Debug)]
+struct PlacementCall {
+    id: CallId,
+    /// The write it carries; 0 for a read.
+    write_id: u64,
+}
+
+/// One VM's part in the coordination of its zone.
+#[derive(Clone, Debug)]
+pub struct ZoneCoordinator {
+    settings: CoordinatorSettings,
+    phase: MandatePhase,
+    /// Own term while this VM holds the mandate.
+    term: Term,
+    /// Highest term seen anywhere.
+    highest_term: Term,
+    watch: MandateWatch,
+    predecessor: Predecessor,
+    config: Option<Arc<DeclaredConfig>>,
+    sessions: BTreeMap<TargetKey, TargetSession>,
+    names: BTreeMap<TargetKey, Name>,
+    placements: BTreeMap<ServiceKey, ServicePlacement>,
+    calls: BTreeMap<ServiceKey, PlacementCall>,
+    last_call: CallId,
+    peers: BTreeMap<Name, (StandbyVm, Timestamp)>,
+    listed: Option<BTreeSet<Name>>,
+    last_heard: Timestamp,
+    stop_wanted: bool,
+    /// New owners kept for a detached coordinator, by shard.
+    records: BTreeMap<(ServiceKey, ShardIndex), (TargetKey, Epoch)>,
+    round: Option<RecordRound>,
+    last_batch: u64,
+    next_rebalance: Timestamp,
+    log: ZoneLog,
+    rng: fastrand::Rng,
+    actions: Vec<ZoneAction>,
+}
+
+impl ZoneCoordinator {
+    /// A VM that has just started.
+    #[must_use]
+    pub fn new(settings: CoordinatorSettings, now: Timestamp) -> Self {
+        let rng = fastrand::Rng::with_seed(settings.seed);
+        Self {
+            phase: charts().mandate.initial(),
+            term: Term::ZERO,
+            highest_term: Term::ZERO,
+            watch: MandateWatch::new(now),
+            predecessor: Predecessor::default(),
+            config: None,
+            sessions: BTreeMap::new(),
+            names: BTreeMap::new(),
+            placements: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            last_call: CallId(0),
+            peers: BTreeMap::new(),
+            listed: None,
+            last_heard: now,
+            stop_wanted: false,
+            records: BTreeMap::new(),
+            round: None,
+            last_batch: 0,
+            next_rebalance: now,
+            log: ZoneLog::default(),
+            rng,
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes in one event and returns what is to be done.
+    pub fn handle(&mut self, event: ZoneEvent, now: Timestamp) -> Vec<ZoneAction> {
+        self.note(event, now);
+        self.keep_mandate(now);
+        if self.coordinates() {
+            self.load_placements();
+            self.look_after_sessions(now);
+            self.plan(now);
+            self.write_placements();
+            self.ask_records(now);
+            self.send_orders(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Phase of this VM's part in the mandate.
+    #[must_use]
+    pub const fn phase(&self) -> MandatePhase {
+        self.phase
+    }
+
+    /// The term: this VM's own while it coordinates, else the highest seen.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        if self.coordinates() {
+            self.term
+        } else {
+            self.highest_term
+        }
+    }
+
+    /// Whether this VM coordinates its zone now.
+    #[must_use]
+    pub const fn coordinates(&self) -> bool {
+        matches!(
+            self.phase,
+            MandatePhase::Loading | MandatePhase::Leading | MandatePhase::Detached
+        )
+    }
+
+    /// Whether no coordinator of the zone was heard for a renewal's length.
+    #[must_use]
+    pub fn hears_nobody(&self, now: Timestamp) -> bool {
+        now.since(self.last_heard) >= self.settings.times.renewal
+    }
+
+    /// Whether routers may be told of this VM's placements.
+    #[must_use]
+    pub const fn publishes(&self) -> bool {
+        matches!(self.phase, MandatePhase::Leading | MandatePhase::Detached)
+    }
+
+    /// The published version.
+    #[must_use]
+    pub const fn published(&self) -> (Term, Version) {
+        (self.log.term, self.log.version)
+    }
+
+    /// What changed for a subscriber that knows `known`.
+    #[must_use]
+    pub fn delta(&self, known: Option<(Term, Version)>) -> ZoneDelta {
+        let changes = self.log.since(known);
+        let base = changes.as_ref().and(known).map(|(_, version)| version);
+        ZoneDelta {
+            zone: ZoneKey::from(&self.settings.zone),
+            term: self.log.term,
+            base,
+            version: self.log.version,
+            changes: changes.unwrap_or_else(|| self.all_routes()),
+        }
+    }
+
+    /// State of every target of the zone, for operators.
+    #[must_use]
+    pub fn target_statuses(&self) -> Vec<TargetStatus> {
+        let status = |session: &TargetSession| TargetStatus {
+            name: session.name.clone(),
+            phase: session.phase,
+            shards: session.owned,
+            leaving: session.leaving,
+        };
+        self.sessions.values().map(status).collect()
+    }
+
+    fn all_routes(&self) -> Vec<crate::RouteChange> {
+        let routes = |placement: &ServicePlacement| {
+            placement
+                .iter()
+                .map(|(shard, _)| placement.route(shard))
+                .collect::<Vec<_>>()
+        };
+        self.placements.values().flat_map(routes).collect()
+    }
+
+    fn note(&mut self, event: ZoneEvent, now: Timestamp) {
+        match event {
+            ZoneEvent::Tick => {}
+            ZoneEvent::ConfigChanged(config) => self.note_config(config),
+            ZoneEvent::MandateRead(call, answer) => self.note_mandate_read(call, answer, now),
+            ZoneEvent::MandateWritten(call, answer) => self.note_mandate_written(call, answer, now),
+            ZoneEvent::PlacementRead(call, service, answer) => {
+                self.note_placement_read(call, service, answer);
+            }
+            ZoneEvent::PlacementWritten(call, service, answer) => {
+                self.note_placement_written(call, service, answer);
+            }
+            ZoneEvent::VmsListed(names) => self.listed = Some(names.into_iter().collect()),
+            ZoneEvent::TargetAnswered(reply) => self.note_reply(&reply, now),
+            ZoneEvent::TargetFailed(target, sequence) => {
+                if let Some(session) = self.sessions.get_mut(&target) {
+                    session.fail(sequence, now, &self.settings.times);
+                }
+            }
+            ZoneEvent::PeerSeen(vm) => {
+                self.peers.insert(vm.vm.clone(), (vm, now));
+            }
+            ZoneEvent::CoordinatorHeard(term) => self.note_coordinator(term, now),
+            ZoneEvent::RecordAsked(batch) => self.note_record_asked(&batch, now),
+            ZoneEvent::RecordAnswered(answer) => self.note_record_answer(&answer, now),
+            ZoneEvent::StepDownAsked(term) => self.note_step_down(term),
+            ZoneEvent::StepDownAnswered(term) => {
+                self.see_term(term);
+                if self.coordinates() && term == self.term {
+                    self.predecessor.stopped_at.get_or_insert(now);
+                }
+            }
+            ZoneEvent::StopAsked => self.stop_wanted = true,
+        }
+    }
+
+    fn note_config(&mut self, config: Arc<DeclaredConfig>) {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|known| known.revision <= config.revision);
+        if newer || !crate::rules::enforced!("config_monotonic") {
+            self.config = Some(config);
+            if self.coordinates() {
+                self.reconcile_config();
+            }
+        }
+    }
+
+    fn note_coordinator(&mut self, term: Term, now: Timestamp) {
+        if term < self.highest_term {
+            return;
+        }
+        self.last_heard = now;
+        self.see_term(term);
+    }
+
+    fn note_step_down(&mut self, term: Term) {
+        self.see_term(term);
+        self.actions
+            .push(ZoneAction::AnswerStepDown(self.highest_term));
+    }
+
+    /// Takes note of a term; a higher one than this VM's ends its coordination.
+    fn see_term(&mut self, term: Term) {
+        if term <= self.highest_term {
+            return;
+        }
+        self.highest_term = term;
+        if self.phase != MandatePhase::Follower && term > self.term {
+            self.step_down(term);
+        }
+    }
+
+    fn step_down(&mut self, term: Term) {
+        if !charts()
+            .mandate
+            .advance(&mut self.phase, MandateEvent::Superseded)
+        {
+            return;
+        }
+        self.notify(ZoneNotice::Superseded(term));
+        self.sessions.clear();
+        self.placements.clear();
+        self.calls.clear();
+        self.round = None;
+        self.watch.forget_calls();
+    }
+
+    fn next_call(&mut self) -> CallId {
+        self.last_call = CallId(self.last_call.0 + 1);
+        self.last_call
+    }
+
+    fn notify(&mut self, notice: ZoneNotice) {
+        self.actions.push(ZoneAction::Notify(notice));
+    }
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -0,0 +1,255 @@
+//! Planning owners and moves, and putting them in force once they are kept.
+
+use std::time::Duration;
+
+use nickellead_core::{ServiceKey, ShardIndex, TargetKey, Timestamp};
+use nickellead_placement::{MovePlan, RebalanceLimits, TargetLoad, assign, plan_moves};
+
+use super::{CallId, ZoneCoordinator, ZoneNotice};
+use crate::charts::{MandatePhase, ShardEvent, ShardPhase};
+use crate::object::WriteAnswer;
+use crate::order::ShardGrant;
+use crate::session::TargetSession;
+use crate::shard::{LoadState, PendingWrite};
+
+/// Between two looks at the balance of load.
+const REBALANCE_PERIOD: Duration = Duration::from_millis(100);
+
+impl ZoneCoordinator {
+    pub(super) fn plan(&mut self, now: Timestamp) {
+        if !self.may_plan() {
+            return;
+        }
+        self.ask_predecessor(now);
+        let services: Vec<ServiceKey> = self.placements.keys().copied().collect();
+        for service in &services {
+            self.plan_owners(*service);
+        }
+        if now >= self.next_rebalance && !self.stop_wanted {
+            self.next_rebalance = now + REBALANCE_PERIOD;
+            for service in services {
+                self.plan_service_moves(service, now);
+            }
+        }
+    }
+
+    /// Chooses an owner for each free shard that has none in view.
+    fn plan_owners(&mut self, service: ServiceKey) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let idle = placement.count(ShardPhase::Free) == 0 || !placement.attention;
+        if placement.load != LoadState::Claimed || idle {
+            return;
+        }
+        placement.attention = false;
+        let planned = placement.planned_for();
+        let mut loads = self.loads(service, TargetSession::takes_shards);
+        for load in &mut loads {
+            load.shards += planned.get(&load.target).copied().unwrap_or(0);
+        }
+        let sessions = &self.sessions;
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let takes = |target: TargetKey| {
+            sessions
+                .get(&target)
+                .is_some_and(TargetSession::takes_shards)
+        };
+        let wanting = placement.select(|record| {
+            record.phase == ShardPhase::Free && record.next.is_none_or(|next| !takes(next))
+        });
+        if wanting.is_empty() {
+            return;
+        }
+        let owners = assign(&mut loads, wanting.len());
+        let none = std::iter::repeat(None);
+        for (shard, owner) in wanting
+            .into_iter()
+            .zip(owners.into_iter().map(Some).chain(none))
+        {
+            let Some(record) = placement.get_mut(shard) else {
+                continue;
+            };
+            let before = record.route();
+            record.next = owner;
+            if record.route() != before {
+                let route = placement.route(shard);
+                self.log.push(route);
+            }
+        }
+    }
+
+    /// Begins planned moves, when those before are over.
+    fn plan_service_moves(&mut self, service: ServiceKey, now: Timestamp) {
+        // A detached coordinator moves shards only where targets leave.
+        let rebalances = self.phase == MandatePhase::Leading;
+        let leaving = self.loads(service, TargetSession::gives_shards);
+        if leaving.iter().all(|load| load.shards == 0) && !rebalances {
+            return;
+        }
+        let Some(placement) = self.placements.get(&service) else {
+            return;
+        };
+        if placement.load != LoadState::Claimed || !placement.is_settled() {
+            return;
+        }
+        let mut staying = self.loads(service, TargetSession::takes_shards);
+        if staying.is_empty() {
+            return;
+        }
+        let gap_percent = if rebalances {
+            RebalanceLimits::default().gap_percent
+        } else {
+            100
+        };
+        let limits = RebalanceLimits {
+            moves: self.settings.moves,
+            gap_percent,
+        };
+        let plans = plan_moves(&leaving, &mut staying, limits);
+        self.begin_moves(service, &plans, now);
+    }
+
+    fn begin_moves(&mut self, service: ServiceKey, plans: &[MovePlan], now: Timestamp) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let name = placement.name.clone();
+        let mut started = 0;
+        let mut by_owner: std::collections::BTreeMap<TargetKey, Vec<ShardIndex>> =
+            std::collections::BTreeMap::new();
+        for plan in plans {
+            let from = plan.from;
+            let shards = by_owner
+                .entry(from)
+                .or_insert_with(|| placement.select(|record| record.owner == Some(from)));
+            let Some(shard) = shards.pop() else { continue };
+            if !placement.advance(shard, ShardEvent::ReleaseAsked) {
+                continue;
+            }
+            let Some(record) = placement.get_mut(shard) else {
+                continue;
+            };
+            record.next = Some(plan.to);
+            let grant = ShardGrant {
+                shard,
+                epoch: record.epoch,
+            };
+            let route = placement.route(shard);
+            self.log.push(route);
+            if let Some(session) = self.sessions.get_mut(&from) {
+                session.ask_release(grant);
+                session.hurry(now);
+            }
+            started += 1;
+        }
+        if started > 0 {
+            self.notify(ZoneNotice::MovesStarted(name, started));
+        }
+    }
+
+    fn loads(&self, service: ServiceKey, wanted: fn(&TargetSession) -> bool) -> Vec<TargetLoad> {
+        let load = |session: &TargetSession| TargetLoad {
+            target: session.key,
+            slots: session.slots,
+            shards: session.owned,
+        };
+        let of_service = |session: &&TargetSession| session.service == service && wanted(session);
+        self.sessions
+            .values()
+            .filter(of_service)
+            .map(load)
+            .collect()
+    }
+
+    pub(super) fn note_placement_written(
+        &mut self,
+        call: CallId,
+        service: ServiceKey,
+        answer: WriteAnswer,
+    ) {
+        let Some(known) = self
+            .calls
+            .get(&service)
+            .copied()
+            .filter(|known| known.id == call)
+        else {
+            return;
+        };
+        self.calls.remove(&service);
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        match answer {
+            WriteAnswer::Done(version) => {
+                placement.version = version;
+                placement.load = LoadState::Claimed;
+                placement.attention = true;
+                let current = |write: &PendingWrite| write.object.write_id == known.write_id;
+                if placement.pending.as_ref().is_some_and(current) {
+                    self.commit_write(service, false);
+                }
+            }
+            WriteAnswer::Conflict if placement.load == LoadState::Claiming => {
+                // The predecessor wrote once more before this term stood: start from that.
+                placement.load = LoadState::Unread;
+                placement.pending = None;
+            }
+            WriteAnswer::Conflict | WriteAnswer::Failed => placement.reread = true,
+        }
+    }
+
+    /// Puts the owners of the pending write in force: they are kept where they
+    /// outlast this VM, in the platform or at every standby.
+    pub(super) fn commit_write(&mut self, service: ServiceKey, by_records: bool) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let Some(write) = &mut placement.pending else {
+            return;
+        };
+        let planned = std::mem::take(&mut write.planned);
+        if !by_records {
+            placement.pending = None;
+        }
+        let name = placement.name.clone();
+        for shard in &planned {
+            self.commit_owner(service, *shard);
+        }
+        if !planned.is_empty() {
+            let count = planned.len() as u32;
+            self.notify(ZoneNotice::OwnersCommitted(name, count, by_records));
+        }
+    }
+
+    fn commit_owner(&mut self, service: ServiceKey, shard: ShardIndex) {
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        if !placement.advance(shard, ShardEvent::Written) {
+            return;
+        }
+        let Some(record) = placement.get_mut(shard) else {
+            return;
+        };
+        record.epoch = record.epoch.next();
+        record.owner = record.next.take();
+        let grant = ShardGrant {
+            shard,
+            epoch: record.epoch,
+        };
+        let owner = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
+        match owner.filter(|session| session.takes_grants()) {
+            Some(session) => {
+                session.owned += 1;
+                session.offer(grant);
+            }
+            // Lost meanwhile, and never told: free at once.
+            None => {
+                placement.advance(shard, ShardEvent::OwnerLost);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -0,0 +1,306 @@
+//! Looking after the sessions with the zone's targets.
+
+use nickellead_api::{DeclaredConfig, TargetState};
+use nickellead_core::{TargetKey, Timestamp};
+
+use super::{ZoneAction, ZoneCoordinator, ZoneNotice};
+use crate::charts::{MandatePhase, SessionPhase, ShardEvent, ShardPhase};
+use crate::order::{ShardGrant, TargetReply};
+use crate::rules::enforced;
+use crate::session::{SessionNews, TargetSession};
+use crate::shard::{LoadState, ServicePlacement};
+
+impl ZoneCoordinator {
+    pub(super) fn note_reply(&mut self, reply: &TargetReply, now: Timestamp) {
+        if !self.coordinates() {
+            return;
+        }
+        let Some(session) = self.sessions.get_mut(&reply.target) else {
+            return;
+        };
+        let before = session.phase;
+        let news = session.answer(reply, self.term, &self.settings.times, now);
+        if before != session.phase && session.phase == SessionPhase::Lapsing {
+            let name = session.name.clone();
+            self.notify(ZoneNotice::TargetRestarted(name));
+        }
+        match news.superseded_by {
+            Some(term) => self.see_term(term),
+            None => self.apply_news(reply.target, news),
+        }
+    }
+
+    fn apply_news(&mut self, target: TargetKey, news: SessionNews) {
+        if let Some(held) = news.fenced_with {
+            self.notice_of(target, ZoneNotice::TargetFenced);
+            self.compare_held(target, &held);
+        }
+        if news.synced {
+            self.notice_of(target, ZoneNotice::TargetLive);
+            self.call_attention(target);
+        }
+        for grant in news.granted {
+            self.change_shard(target, grant, ShardEvent::Granted);
+        }
+        for grant in news.refused.into_iter().chain(news.released) {
+            self.free_shard(target, grant);
+        }
+    }
+
+    fn notice_of(&mut self, target: TargetKey, notice: fn(nickellead_core::Name) -> ZoneNotice) {
+        if let Some(session) = self.sessions.get(&target) {
+            let name = session.name.clone();
+            self.notify(notice(name));
+        }
+    }
+
+    /// Compares what a fenced target holds with what the placement gives it.
+    ///
+    /// A shard that the placement gives it and that it does not hold is freed:
+    /// no lower term can grant it any more. A higher epoch than the placement's
+    /// was granted by a detached coordinator, and stands.
+    fn compare_held(&mut self, target: TargetKey, held: &[ShardGrant]) {
+        let Some(session) = self.sessions.get(&target) else {
+            return;
+        };
+        let service = session.service;
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        let mut changed = Vec::new();
+        for grant in held {
+            let Some(record) = placement.get_mut(grant.shard) else {
+                continue;
+            };
+            let owner_live = record
+                .owner
+                .and_then(|owner| self.sessions.get(&owner))
+                .is_some_and(TargetSession::takes_grants);
+            let higher = record.epoch < grant.epoch;
+            let adopts = higher && !owner_live && !self.predecessor.records_known;
+            if adopts {
+                placement.load_owner(grant.shard, Some(target), grant.epoch);
+                placement.dirty = true;
+                changed.push(grant.shard);
+            }
+        }
+        let mut holds: std::collections::BTreeMap<_, _> = std::collections::BTreeMap::new();
+        holds.extend(held.iter().map(|grant| (grant.shard, grant.epoch)));
+        let owned = placement.select(|record| record.owner == Some(target));
+        for shard in owned {
+            let Some(record) = placement.get_mut(shard) else {
+                continue;
+            };
+            if holds.get(&shard) != Some(&record.epoch) {
+                placement.advance(shard, ShardEvent::OwnerLost);
+                changed.push(shard);
+            }
+        }
+        let routes: Vec<_> = changed
+            .iter()
+            .map(|shard| placement.route(*shard))
+            .collect();
+        routes.into_iter().for_each(|route| self.log.push(route));
+        self.recount_owned();
+    }
+
+    /// Has owners chosen anew for the free shards of a target's service.
+    fn call_attention(&mut self, target: TargetKey) {
+        let service = self.sessions.get(&target).map(|session| session.service);
+        if let Some(placement) = service.and_then(|service| self.placements.get_mut(&service)) {
+            placement.attention = true;
+        }
+    }
+
+    fn change_shard(&mut self, target: TargetKey, grant: ShardGrant, event: ShardEvent) {
+        let Some(session) = self.sessions.get(&target) else {
+            return;
+        };
+        let Some(placement) = self.placements.get_mut(&session.service) else {
+            return;
+        };
+        let Some(record) = placement.get(grant.shard) else {
+            return;
+        };
+        let meant = record.owner == Some(target) && record.epoch == grant.epoch;
+        if meant && placement.advance(grant.shard, event) {
+            let route = placement.route(grant.shard);
+            self.log.push(route);
+        }
+    }
+
+    /// Frees a shard that a target gave up or refused.
+    fn free_shard(&mut self, target: TargetKey, grant: ShardGrant) {
+        let Some(session) = self.sessions.get_mut(&target) else {
+            return;
+        };
+        let Some(placement) = self.placements.get_mut(&session.service) else {
+            return;
+        };
+        let Some(record) = placement.get(grant.shard) else {
+            return;
+        };
+        if record.owner != Some(target) || record.epoch != grant.epoch {
+            return;
+        }
+        let event = match record.phase {
+            ShardPhase::Releasing => ShardEvent::Released,
+            _ => ShardEvent::OwnerLost,
+        };
+        placement.advance(grant.shard, event);
+        session.owned = session.owned.saturating_sub(1);
+        let route = placement.route(grant.shard);
+        self.log.push(route);
+    }
+
+    /// Ends the sessions whose lease has surely lapsed.
+    pub(super) fn look_after_sessions(&mut self, now: Timestamp) {
+        let lapsed: Vec<TargetKey> = self
+            .sessions
+            .values()
+            .filter(|session| self.has_lapsed(session, now))
+            .map(|session| session.key)
+            .collect();
+        for target in lapsed {
+            self.lose_target(target);
+        }
+    }
+
+    fn has_lapsed(&self, session: &TargetSession, now: Timestamp) -> bool {
+        if session.phase == SessionPhase::Lost {
+            return false;
+        }
+        if session.declared == TargetState::Gone {
+            return true;
+        }
+        let times = &self.settings.times;
+        let own = now >= session.extended_until || !enforced!("lapse_wait");
+        match session.phase {
+            // The predecessor may go on extending it until it is known to be stopped.
+            SessionPhase::New => {
+                let stopped_at = self.predecessor.stopped_at;
+                stopped_at.map_or(!enforced!("successor_wait"), |at| now >= times.bound(at))
+            }
+            _ => own,
+        }
+    }
+
+    fn lose_target(&mut self, target: TargetKey) {
+        let Some(session) = self.sessions.get_mut(&target) else {
+            return;
+        };
+        session.lapse();
+        session.owned = 0;
+        let (name, service) = (session.name.clone(), session.service);
+        let Some(placement) = self.placements.get_mut(&service) else {
+            return;
+        };
+        placement.attention = true;
+        let owned = placement.select(|record| record.owner == Some(target));
+        for shard in &owned {
+            placement.advance(*shard, ShardEvent::OwnerLost);
+            let route = placement.route(*shard);
+            self.log.push(route);
+        }
+        self.notify(ZoneNotice::TargetLost(name, owned.len() as u32));
+    }
+
+    pub(super) fn send_orders(&mut self, now: Timestamp) {
+        let targets: Vec<TargetKey> = self.sessions.keys().copied().collect();
+        for target in targets {
+            self.send_order(target, now);
+        }
+    }
+
+    fn send_order(&mut self, target: TargetKey, now: Timestamp) {
+        let may_sync = self.may_sync(now);
+        let times = self.settings.times;
+        let Some(session) = self.sessions.get_mut(&target) else {
+            return;
+        };
+        let placement = self.placements.get(&session.service);
+        let ready = placement.is_some_and(|placement| placement.load == LoadState::Claimed);
+        if session.declared == TargetState::Gone || !ready {
+            return;
+        }
+        let standing = if may_sync && session.wants_standing(now, &times) {
+            Some(placement.map_or_else(Vec::new, |placement| placement.standing_of(target)))
+        } else {
+            None
+        };
+        if let Some(order) = session.poll(self.term, standing, &times, now) {
+            self.actions.push(ZoneAction::SendOrder(order));
+        }
+    }
+
+    /// Whether lists of standing grants may be sent.
+    ///
+    /// A coordinator that may lack records of its predecessor first waits until
+    /// every target is fenced, or every lease of the predecessor is over.
+    fn may_sync(&self, now: Timestamp) -> bool {
+        if !self.publishes() {
+            return false;
+        }
+        if self.predecessor.records_known || !enforced!("records_wait") {
+            return true;
+        }
+        let unheard = |session: &TargetSession| session.phase == SessionPhase::New;
+        let all_fenced = !self.sessions.values().any(unheard);
+        let stopped_at = self.predecessor.stopped_at;
+        all_fenced || stopped_at.is_some_and(|at| now >= self.settings.times.bound(at))
+    }
+
+    /// Asks the predecessor to step down while a target is out of this VM's reach.
+    pub(super) fn ask_predecessor(&mut self, now: Timestamp) {
+        let unheard =
+            |session: &TargetSession| session.phase == SessionPhase::New && session.owned > 0;
+        let due = now.since(self.predecessor.asked_at) >= self.settings.times.renewal;
+        if self.predecessor.stopped_at.is_some() || !due || !self.sessions.values().any(unheard) {
+            return;
+        }
+        let Some(holder) = self.predecessor.holder.clone() else {
+            return;
+        };
+        if self.is_gone(&holder) {
+            self.predecessor.stopped_at = Some(now);
+            return;
+        }
+        self.predecessor.asked_at = now;
+        self.actions
+            .push(ZoneAction::AskStepDown(holder, self.term));
+    }
+
+    /// Forgets targets that are declared no more and hold nothing.
+    pub(super) fn retire_undeclared(&mut self, config: &DeclaredConfig) {
+        let zone = &self.settings.zone;
+        let declared: std::collections::BTreeSet<TargetKey> = config
+            .targets_in(zone)
+            .map(|target| TargetKey::from(&target.name))
+            .collect();
+        for session in self.sessions.values_mut() {
+            if !declared.contains(&session.key) {
+                session.declared = TargetState::Draining;
+            }
+        }
+        self.sessions
+            .retain(|key, session| declared.contains(key) || session.owned > 0);
+    }
+
+    /// Counts anew how many shards each target owns.
+    pub(super) fn recount_owned(&mut self) {
+        let counts: Vec<_> = self
+            .placements
+            .values()
+            .map(ServicePlacement::owned_by)
+            .collect();
+        for session in self.sessions.values_mut() {
+            let owned = counts.iter().filter_map(|count| count.get(&session.key));
+            session.owned = owned.sum();
+        }
+    }
+
+    /// Whether planned changes may be made now.
+    pub(super) const fn may_plan(&self) -> bool {
+        matches!(self.phase, MandatePhase::Leading | MandatePhase::Detached)
+    }
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/guard.rs
@@ -0,0 +1,329 @@
+//! The target's side of ownership: what it may run, and until when.
+//!
+//! A target embeds a [`GrantGuard`] and asks it twice for each request: when
+//! it admits the request, and once more just before the effect.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use nickellead_core::{
+    Epoch, Incarnation, Nonce, Sequence, ShardIndex, TargetKey, Term, Timestamp,
+};
+
+use crate::order::{OrderOutcome, ShardGrant, TargetOrder, TargetReply};
+use crate::rules::enforced;
+
+/// Nonces whose time of issue is remembered.
+const NONCES_KEPT: usize = 16;
+
+/// Why a request may not run; each of these proves that it did not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunRefusal {
+    /// The session has lapsed.
+    NoSession,
+    /// The shard is not held.
+    NotHeld,
+    /// The shard is being released.
+    Releasing,
+    /// The request names another epoch than the grant.
+    WrongEpoch,
+}
+
+/// Proof that a request was admitted; hand it back when the request is done.
+#[derive(Debug, PartialEq, Eq)]
+pub struct RequestTicket {
+    grant: ShardGrant,
+}
+
+#[derive(Clone, Debug)]
+struct HeldGrant {
+    epoch: Epoch,
+    releasing: bool,
+    running: u32,
+}
+
+/// The grants that a target holds, under one session.
+#[derive(Clone, Debug)]
+pub struct GrantGuard {
+    target: TargetKey,
+    incarnation: Incarnation,
+    term: Term,
+    sequence: Sequence,
+    synced: bool,
+    lease_until: Timestamp,
+    nonces: VecDeque<(Nonce, Timestamp)>,
+    next_nonce: Nonce,
+    held: BTreeMap<ShardIndex, HeldGrant>,
+    floors: BTreeMap<ShardIndex, Epoch>,
+    leaving: bool,
+}
+
+impl GrantGuard {
+    /// A target that has just started and holds nothing.
+    #[must_use]
+    pub fn new(target: TargetKey, incarnation: Incarnation) -> Self {
+        Self {
+            target,
+            incarnation,
+            term: Term::ZERO,
+            sequence: Sequence::ZERO,
+            synced: false,
+            lease_until: Timestamp::ZERO,
+            nonces: VecDeque::with_capacity(NONCES_KEPT),
+            next_nonce: Nonce(1),
+            held: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// Says with the next answer that this target wants to leave.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Carries out an order and answers it.
+    pub fn apply(&mut self, order: &TargetOrder, now: Timestamp) -> TargetReply {
+        if let Some(outcome) = self.check_order(order) {
+            return self.reply(order, outcome, now);
+        }
+        if order.term > self.term {
+            self.term = order.term;
+            self.synced = false;
+        }
+        if order.incarnation.is_none() {
+            self.synced = false;
+        }
+        self.sequence = order.sequence;
+        let held = (!self.synced).then(|| self.held_grants());
+        if let Some(standing) = &order.standing {
+            self.keep_only(standing);
+            self.synced = true;
+        }
+        if !self.synced {
+            let reply = self.reply(order, OrderOutcome::Unsynced, now);
+            return TargetReply { held, ..reply };
+        }
+        self.start_releases(&order.releases);
+        let refused = self.take_grants(&order.grants);
+        self.extend(order);
+        let released = self.released_of(&order.releases);
+        let reply = self.reply(order, OrderOutcome::Accepted, now);
+        TargetReply {
+            held,
+            released,
+            refused,
+            ..reply
+        }
+    }
+
+    /// Admits a request when its shard is held at its epoch under a live session.
+    ///
+    /// # Errors
+    /// Returns the refusal, which proves that the request did not run.
+    pub fn admit(
+        &mut self,
+        grant: ShardGrant,
+        now: Timestamp,
+    ) -> Result<RequestTicket, RunRefusal> {
+        self.check_run(grant, now)?;
+        let held = self.held.get_mut(&grant.shard).ok_or(RunRefusal::NotHeld)?;
+        if held.releasing {
+            return Err(RunRefusal::Releasing);
+        }
+        held.running += 1;
+        Ok(RequestTicket { grant })
+    }
+
+    /// Whether an admitted request may have its effect now.
+    ///
+    /// # Errors
+    /// Returns the refusal, which proves that the request did not run.
+    pub fn check_effect(&self, ticket: &RequestTicket, now: Timestamp) -> Result<(), RunRefusal> {
+        if enforced!("effect_check") {
+            self.check_run(ticket.grant, now)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Notes the end of an admitted request.
+    pub fn finish(&mut self, ticket: RequestTicket) {
+        let shard = ticket.grant.shard;
+        let Some(held) = self.held.get_mut(&shard) else {
+            return;
+        };
+        if held.epoch != ticket.grant.epoch {
+            return;
+        }
+        held.running -= 1;
+        if held.releasing && held.running == 0 {
+            self.drop_grant(shard);
+        }
+    }
+
+    /// Whether this target may run requests for a shard now, at whatever epoch.
+    #[must_use]
+    pub fn owns(&self, shard: ShardIndex, now: Timestamp) -> bool {
+        now < self.lease_until && self.held.contains_key(&shard)
+    }
+
+    /// The grants held, live or not.
+    #[must_use]
+    pub fn held_grants(&self) -> Vec<ShardGrant> {
+        let grant = |(shard, held): (&ShardIndex, &HeldGrant)| ShardGrant {
+            shard: *shard,
+            epoch: held.epoch,
+        };
+        self.held.iter().map(grant).collect()
+    }
+
+    /// Until when the session lasts, on this target's clock.
+    #[must_use]
+    pub const fn lease_until(&self) -> Timestamp {
+        self.lease_until
+    }
+
+    /// Highest term this target has seen.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.term
+    }
+
+    fn check_order(&self, order: &TargetOrder) -> Option<OrderOutcome> {
+        if order.target != self.target {
+            return Some(OrderOutcome::WrongTarget);
+        }
+        if enforced!("term_check") && order.term < self.term {
+            return Some(OrderOutcome::StaleTerm);
+        }
+        let other_life = order
+            .incarnation
+            .is_some_and(|life| life != self.incarnation);
+        if enforced!("incarnation_check") && other_life {
+            return Some(OrderOutcome::WrongIncarnation);
+        }
+        let same_term = order.term == self.term;
+        if enforced!("sequence_check") && same_term && order.sequence <= self.sequence {
+            return Some(OrderOutcome::StaleSequence);
+        }
+        None
+    }
+
+    fn check_run(&self, grant: ShardGrant, now: Timestamp) -> Result<(), RunRefusal> {
+        if now >= self.lease_until {
+            return Err(RunRefusal::NoSession);
+        }
+        let held = self.held.get(&grant.shard).ok_or(RunRefusal::NotHeld)?;
+        if enforced!("epoch_check") && held.epoch != grant.epoch {
+            return Err(RunRefusal::WrongEpoch);
+        }
+        Ok(())
+    }
+
+    /// Drops every grant that is not in the list, and un-releases those that are.
+    fn keep_only(&mut self, standing: &[ShardGrant]) {
+        let stands: BTreeMap<_, _> = standing
+            .iter()
+            .map(|grant| (grant.shard, grant.epoch))
+            .collect();
+        let floors = &mut self.floors;
+        self.held.retain(|shard, held| {
+            let stays = stands.get(shard) == Some(&held.epoch) || !enforced!("standing_list");
+            if stays {
+                held.releasing = false;
+            } else {
+                raise_floor(floors, *shard, held.epoch);
+            }
+            stays
+        });
+    }
+
+    fn start_releases(&mut self, releases: &[ShardGrant]) {
+        for release in releases {
+            match self.held.get_mut(&release.shard) {
+                Some(held) if held.epoch <= release.epoch => {
+                    held.releasing = true;
+                    if held.running == 0 {
+                        self.drop_grant(release.shard);
+                    }
+                }
+                Some(_) => {}
+                None => raise_floor(&mut self.floors, release.shard, release.epoch),
+            }
+        }
+    }
+
+    fn released_of(&self, releases: &[ShardGrant]) -> Vec<ShardGrant> {
+        let is_released = |release: &&ShardGrant| {
+            let held = self.held.get(&release.shard);
+            held.is_none_or(|held| held.epoch > release.epoch) || !enforced!("release_wait")
+        };
+        releases.iter().filter(is_released).copied().collect()
+    }
+
+    fn take_grants(&mut self, grants: &[ShardGrant]) -> Vec<ShardGrant> {
+        let mut refused = Vec::new();
+        for grant in grants {
+            let floor = self.floors.get(&grant.shard).copied().unwrap_or_default();
+            let held_epoch = self.held.get(&grant.shard).map(|held| held.epoch);
+            if grant.epoch <= floor {
+                refused.push(*grant);
+            } else if held_epoch.is_none_or(|epoch| epoch < grant.epoch) {
+                let held = HeldGrant {
+                    epoch: grant.epoch,
+                    releasing: false,
+                    running: 0,
+                };
+                self.held.insert(grant.shard, held);
+            }
+        }
+        refused
+    }
+
+    /// Extends the session from when the echoed nonce was issued.
+    fn extend(&mut self, order: &TargetOrder) {
+        let Some(echo) = order.echo else { return };
+        let Some((_, issued)) = self.nonces.iter().find(|(nonce, _)| *nonce == echo) else {
+            return;
+        };
+        let until = *issued + Duration::from_millis(order.lease_ms);
+        self.lease_until = self.lease_until.max(until);
+    }
+
+    fn drop_grant(&mut self, shard: ShardIndex) {
+        if let Some(held) = self.held.remove(&shard) {
+            raise_floor(&mut self.floors, shard, held.epoch);
+        }
+    }
+
+    fn reply(&mut self, order: &TargetOrder, outcome: OrderOutcome, now: Timestamp) -> TargetReply {
+        TargetReply {
+            outcome,
+            target: self.target,
+            term: self.term,
+            incarnation: self.incarnation,
+            sequence: order.sequence,
+            nonce: self.issue_nonce(now),
+            held: None,
+            released: Vec::new(),
+            refused: Vec::new(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn issue_nonce(&mut self, now: Timestamp) -> Nonce {
+        let nonce = self.next_nonce;
+        self.next_nonce = nonce.next();
+        if self.nonces.len() == NONCES_KEPT {
+            self.nonces.pop_front();
+        }
+        self.nonces.push_back((nonce, now));
+        nonce
+    }
+}
+
+fn raise_floor(floors: &mut BTreeMap<ShardIndex, Epoch>, shard: ShardIndex, epoch: Epoch) {
+    let floor = floors.entry(shard).or_default();
+    *floor = (*floor).max(epoch);
+}
--- /dev/null
+++ b/crates/nickellead_lease/src/session.rs
@@ -0,0 +1,318 @@
+//! A coordinator's session with one target.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nickellead_api::TargetState;
+use nickellead_core::{
+    Epoch, Incarnation, Name, Nonce, Sequence, ServiceKey, ShardIndex, TargetKey, Term, Timestamp,
+};
+
+use crate::charts::{SessionEvent, SessionPhase, charts};
+use crate::order::{OrderOutcome, ShardGrant, TargetOrder, TargetReply};
+use crate::times::LeaseTimes;
+
+/// How soon a target is asked again whether a release is done.
+const RELEASE_POLL: Duration = Duration::from_millis(5);
+
+#[derive(Clone, Debug)]
+struct SentOrder {
+    sequence: Sequence,
+    at: Timestamp,
+    grants: Vec<ShardGrant>,
+    standing: bool,
+}
+
+/// What an answer changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SessionNews {
+    /// The target has seen this higher term.
+    pub(crate) superseded_by: Option<Term>,
+    /// The target answered its first contact and holds these grants.
+    pub(crate) fenced_with: Option<Vec<ShardGrant>>,
+    /// The target took its list of standing grants.
+    pub(crate) synced: bool,
+    /// Grants that the target took.
+    pub(crate) granted: Vec<ShardGrant>,
+    /// Grants that the target refused for a higher epoch.
+    pub(crate) refused: Vec<ShardGrant>,
+    /// Shards that the target gave up.
+    pub(crate) released: Vec<ShardGrant>,
+}
+
+/// The lease between this coordinator and one target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetSession {
+    pub(crate) name: Name,
+    pub(crate) key: TargetKey,
+    pub(crate) service: ServiceKey,
+    pub(crate) slots: u16,
+    pub(crate) declared: TargetState,
+    pub(crate) phase: SessionPhase,
+    pub(crate) leaving: bool,
+    /// Shards that count as this target's, in whatever phase.
+    pub(crate) owned: u32,
+    /// No lease that this coordinator extended lasts longer, on this clock.
+    pub(crate) extended_until: Timestamp,
+    incarnation: Option<Incarnation>,
+    nonce: Option<(Nonce, Timestamp)>,
+    sequence: Sequence,
+    sent: Option<SentOrder>,
+    next_due: Timestamp,
+    grants: BTreeMap<ShardIndex, Epoch>,
+    releases: BTreeMap<ShardIndex, Epoch>,
+}
+
+impl TargetSession {
+    pub(crate) fn new(name: Name, service: ServiceKey, slots: u16, declared: TargetState) -> Self {
+        let key = TargetKey::from(&name);
+        Self {
+            name,
+            key,
+            service,
+            slots,
+            declared,
+            phase: charts().session.initial(),
+            leaving: false,
+            owned: 0,
+            extended_until: Timestamp::ZERO,
+            incarnation: None,
+            nonce: None,
+            sequence: Sequence::ZERO,
+            sent: None,
+            next_due: Timestamp::ZERO,
+            grants: BTreeMap::new(),
+            releases: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the target may get new shards.
+    pub(crate) fn takes_shards(&self) -> bool {
+        self.phase == SessionPhase::Live && self.declared == TargetState::Active && !self.leaving
+    }
+
+    /// Whether a grant that is kept may be offered: the session is live.
+    pub(crate) fn takes_grants(&self) -> bool {
+        self.phase == SessionPhase::Live
+    }
+
+    /// Whether the target is to lose its shards by planned moves.
+    pub(crate) fn gives_shards(&self) -> bool {
+        self.phase == SessionPhase::Live && (self.declared != TargetState::Active || self.leaving)
+    }
+
+    pub(crate) fn advance(&mut self, event: SessionEvent) -> bool {
+        charts().session.advance(&mut self.phase, event)
+    }
+
+    /// Offers a grant with the next order.
+    pub(crate) fn offer(&mut self, grant: ShardGrant) {
+        self.releases.remove(&grant.shard);
+        self.grants.insert(grant.shard, grant.epoch);
+    }
+
+    /// Asks for a release with the next order.
+    pub(crate) fn ask_release(&mut self, grant: ShardGrant) {
+        self.grants.remove(&grant.shard);
+        self.releases.insert(grant.shard, grant.epoch);
+    }
+
+    /// Notes that the lease is over: nothing is pending any more.
+    pub(crate) fn lapse(&mut self) {
+        self.advance(SessionEvent::Lapsed);
+        self.incarnation = None;
+        self.nonce = None;
+        self.sent = None;
+        self.grants.clear();
+        self.releases.clear();
+    }
+
+    /// Whether the list of standing grants is wanted for the next order.
+    pub(crate) fn wants_standing(&self, now: Timestamp, times: &LeaseTimes) -> bool {
+        self.phase == SessionPhase::Fenced && !self.is_waiting(now, times)
+    }
+
+    /// The next order, when one is due.
+    pub(crate) fn poll(
+        &mut self,
+        term: Term,
+        standing: Option<Vec<ShardGrant>>,
+        times: &LeaseTimes,
+        now: Timestamp,
+    ) -> Option<TargetOrder> {
+        if self.is_waiting(now, times) {
+            return None;
+        }
+        self.sent = None;
+        let changed = !self.grants.is_empty() || !self.releases.is_empty();
+        match self.phase {
+            SessionPhase::Lapsing => None,
+            SessionPhase::New | SessionPhase::Lost if now >= self.next_due => {
+                Some(self.make_order(term, None, times, now))
+            }
+            SessionPhase::Fenced if standing.is_some() => {
+                Some(self.make_order(term, standing, times, now))
+            }
+            SessionPhase::Live if now >= self.next_due || (changed && self.releases.is_empty()) => {
+                Some(self.make_order(term, None, times, now))
+            }
+            _ => None,
+        }
+    }
+
+    /// Brings the next order forward.
+    pub(crate) fn hurry(&mut self, now: Timestamp) {
+        self.next_due = self.next_due.min(now);
+    }
+
+    /// Takes in an answer.
+    pub(crate) fn answer(
+        &mut self,
+        reply: &TargetReply,
+        term: Term,
+        times: &LeaseTimes,
+        now: Timestamp,
+    ) -> SessionNews {
+        let mut news = SessionNews::default();
+        if reply.term > term {
+            news.superseded_by = Some(reply.term);
+            return news;
+        }
+        let sent = self.sent.take_if(|sent| sent.sequence == reply.sequence);
+        self.leaving = reply.leaving;
+        match reply.outcome {
+            OrderOutcome::WrongTarget | OrderOutcome::StaleTerm | OrderOutcome::StaleSequence => {
+                news
+            }
+            OrderOutcome::WrongIncarnation => {
+                self.advance(SessionEvent::Restarted);
+                news
+            }
+            OrderOutcome::Accepted | OrderOutcome::Unsynced => {
+                self.accept(reply, sent, times, now, &mut news);
+                news
+            }
+        }
+    }
+
+    /// Notes that an order got no answer.
+    pub(crate) fn fail(&mut self, sequence: Sequence, now: Timestamp, times: &LeaseTimes) {
+        if self
+            .sent
+            .take_if(|sent| sent.sequence == sequence)
+            .is_some()
+        {
+            self.next_due = now + times.heartbeat / 4;
+        }
+    }
+
+    fn accept(
+        &mut self,
+        reply: &TargetReply,
+        sent: Option<SentOrder>,
+        times: &LeaseTimes,
+        now: Timestamp,
+        news: &mut SessionNews,
+    ) {
+        if self
+            .incarnation
+            .is_some_and(|known| known != reply.incarnation)
+        {
+            self.advance(SessionEvent::Restarted);
+            return;
+        }
+        if matches!(self.phase, SessionPhase::New | SessionPhase::Lost) {
+            let Some(held) = reply.held.clone().filter(|_| sent.is_some()) else {
+                return;
+            };
+            self.incarnation = Some(reply.incarnation);
+            self.extended_until = self.extended_until.max(times.bound(now));
+            self.advance(SessionEvent::Answered);
+            news.fenced_with = Some(held);
+        }
+        self.note_nonce(reply.nonce, now);
+        for release in &reply.released {
+            if self.releases.get(&release.shard) == Some(&release.epoch) {
+                self.releases.remove(&release.shard);
+            }
+            news.released.push(*release);
+        }
+        if !self.releases.is_empty() {
+            self.next_due = now + RELEASE_POLL;
+        }
+        if let Some(sent) = sent.filter(|_| reply.outcome == OrderOutcome::Accepted) {
+            self.acknowledge(&sent, reply, news);
+        }
+    }
+
+    fn acknowledge(&mut self, sent: &SentOrder, reply: &TargetReply, news: &mut SessionNews) {
+        if sent.standing && self.advance(SessionEvent::Synced) {
+            news.synced = true;
+        }
+        for grant in &sent.grants {
+            if self.grants.get(&grant.shard) == Some(&grant.epoch) {
+                self.grants.remove(&grant.shard);
+            }
+            if reply.refused.contains(grant) {
+                news.refused.push(*grant);
+            } else {
+                news.granted.push(*grant);
+            }
+        }
+    }
+
+    fn note_nonce(&mut self, nonce: Nonce, now: Timestamp) {
+        if self.nonce.is_none_or(|(known, _)| known < nonce) {
+            self.nonce = Some((nonce, now));
+        }
+    }
+
+    fn is_waiting(&self, now: Timestamp, times: &LeaseTimes) -> bool {
+        self.sent
+            .as_ref()
+            .is_some_and(|sent| now < sent.at + times.order_timeout)
+    }
+
+    fn make_order(
+        &mut self,
+        term: Term,
+        standing: Option<Vec<ShardGrant>>,
+        times: &LeaseTimes,
+        now: Timestamp,
+    ) -> TargetOrder {
+        self.sequence = self.sequence.next();
+        self.next_due = now + times.heartbeat;
+        let contact = matches!(self.phase, SessionPhase::New | SessionPhase::Lost);
+        let echo = if contact { None } else { self.nonce };
+        if let Some((_, received)) = echo {
+            self.extended_until = self.extended_until.max(times.bound(received));
+        }
+        let order = TargetOrder {
+            target: self.key,
+            term,
+            incarnation: if contact { None } else { self.incarnation },
+            sequence: self.sequence,
+            echo: echo.map(|(nonce, _)| nonce),
+            lease_ms: times.lease.as_millis() as u64,
+            standing,
+            grants: to_grants(&self.grants),
+            releases: to_grants(&self.releases),
+        };
+        self.sent = Some(SentOrder {
+            sequence: self.sequence,
+            at: now,
+            grants: order.grants.clone(),
+            standing: order.standing.is_some(),
+        });
+        order
+    }
+}
+
+fn to_grants(map: &BTreeMap<ShardIndex, Epoch>) -> Vec<ShardGrant> {
+    map.iter()
+        .map(|(shard, epoch)| ShardGrant {
+            shard: *shard,
+            epoch: *epoch,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/nickellead_peer/src/client.rs
@@ -0,0 +1,129 @@
+//! Sending messages to one VM.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use http::Request;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::codec::{FRAME_LIMIT, PeerError, decode, encode};
+use crate::message::{PeerReply, PeerRequest};
+
+/// Path of messages in this version of the protocol.
+pub(crate) const MESSAGE_PATH: &str = "/peer/1";
+/// How long a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Flow-control windows, in bytes: a whole table must not wait for acknowledgements.
+pub(crate) const WINDOW: u32 = 4 * 1024 * 1024;
+
+/// One connection to one VM, made when first needed and again after a failure.
+#[derive(Debug)]
+pub struct PeerClient {
+    address: SocketAddr,
+    connection: Option<SendRequest<Bytes>>,
+}
+
+impl PeerClient {
+    /// A client of the VM at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Where the VM listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a message and waits for the answer, `limit` at most.
+    ///
+    /// # Errors
+    /// A [`PeerError`]; the connection is then made anew by the next call.
+    pub async fn call(
+        &mut self,
+        message: &PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let answer = match timeout(limit, self.exchange(message)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(PeerError::Timeout),
+        };
+        if answer.is_err() {
+            self.connection = None;
+        }
+        answer
+    }
+
+    async fn exchange(&mut self, message: &PeerRequest) -> Result<PeerReply, PeerError> {
+        let body = encode(message)?;
+        let sender = self.connect().await?;
+        let mut sender = sender.ready().await.map_err(connection_error)?;
+        let request = Request::post(format!("http://{}{MESSAGE_PATH}", self.address))
+            .body(())
+            .map_err(connection_error)?;
+        let (response, mut stream) = sender
+            .send_request(request, false)
+            .map_err(connection_error)?;
+        stream
+            .send_data(body.into(), true)
+            .map_err(connection_error)?;
+        let response = response.await.map_err(connection_error)?;
+        if !response.status().is_success() {
+            return Err(PeerError::Malformed(format!(
+                "status {}",
+                response.status()
+            )));
+        }
+        let body = read_body(response.into_body()).await?;
+        decode(&body)
+    }
+
+    async fn connect(&mut self) -> Result<SendRequest<Bytes>, PeerError> {
+        if let Some(connection) = &self.connection {
+            return Ok(connection.clone());
+        }
+        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
+            Ok(stream) => stream.map_err(connection_error)?,
+            Err(_) => return Err(PeerError::Timeout),
+        };
+        stream.set_nodelay(true).map_err(connection_error)?;
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW)
+            .handshake::<_, Bytes>(stream)
+            .await
+            .map_err(connection_error)?;
+        actix_rt::spawn(async move {
+            // Errors of the connection reach the calls that use it.
+            let _ = connection.await;
+        });
+        self.connection = Some(sender.clone());
+        Ok(sender)
+    }
+}
+
+/// Reads a body whole, within [`FRAME_LIMIT`].
+pub(crate) async fn read_body(mut body: h2::RecvStream) -> Result<Bytes, PeerError> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(connection_error)?;
+        if whole.len() + part.len() > FRAME_LIMIT {
+            return Err(PeerError::TooLarge);
+        }
+        // A failed release only means that the stream is over.
+        let _ = body.flow_control().release_capacity(part.len());
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+pub(crate) fn connection_error(error: impl std::fmt::Display) -> PeerError {
+    PeerError::Connection(error.to_string())
+}
--- /dev/null
+++ b/crates/nickellead_peer/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages between VMs: h2 streams with bincode bodies.
+//!
+//! One message is one h2 stream: a POST with a [`PeerRequest`], answered by a
+//! [`PeerReply`]. The path carries the protocol's version.
+
+mod client;
+mod codec;
+mod message;
+mod server;
+
+pub use client::PeerClient;
+pub use codec::{FRAME_LIMIT, PeerError, decode, encode};
+pub use message::{FollowReply, FollowRequest, KnownZone, PeerReply, PeerRequest, PeerVm};
+pub use server::{PeerHandler, serve_peers};
--- /dev/null
+++ b/crates/nickellead_peer/src/message.rs
@@ -0,0 +1,84 @@
+//! What VMs say to each other.
+
+use std::net::SocketAddr;
+
+use bincode::{Decode, Encode};
+use nickellead_api::DeclaredConfig;
+use nickellead_core::{Incarnation, Name, Term, Version, ZoneKey};
+use nickellead_lease::{RecordAnswer, RecordBatch, ZoneDelta};
+
+/// A VM as others reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PeerVm {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// The life of its process.
+    pub incarnation: Incarnation,
+}
+
+/// What a follower knows of one zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct KnownZone {
+    /// The zone.
+    pub zone: ZoneKey,
+    /// Term known.
+    pub term: Term,
+    /// Version known.
+    pub version: Version,
+}
+
+/// "Tell me what I don't know; wait a little when there is nothing."
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FollowRequest {
+    /// Who asks.
+    pub from: PeerVm,
+    /// What it knows of each zone.
+    pub zones: Vec<KnownZone>,
+    /// The revision of the declarations it knows, if any.
+    pub config: Option<Version>,
+    /// How long the answer may be held back while there is nothing to tell.
+    pub wait_ms: u32,
+}
+
+/// What a follower did not know.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct FollowReply {
+    /// Who answers.
+    pub from: PeerVm,
+    /// Term of the coordinator of the answering VM's zone, as far as it knows.
+    pub term: Term,
+    /// That coordinator, when it is known.
+    pub coordinator: Option<PeerVm>,
+    /// Newer declarations.
+    pub config: Option<DeclaredConfig>,
+    /// Changes by zone.
+    pub zones: Vec<ZoneDelta>,
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerRequest {
+    /// Follow declarations and owners.
+    Follow(FollowRequest),
+    /// A detached coordinator asks a standby to keep new owners.
+    Record(RecordBatch),
+    /// A coordinator with this term asks the former one to step down.
+    StepDown(Term),
+}
+
+/// The answer to a message.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerReply {
+    /// Answer to [`PeerRequest::Follow`].
+    Follow(Box<FollowReply>),
+    /// Answer to [`PeerRequest::Record`].
+    Record(RecordAnswer),
+    /// Answer to [`PeerRequest::StepDown`]: the highest term known.
+    SteppedDown(Term),
+    /// The VM is stopping or too busy.
+    Refused,
+}
--- /dev/null
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -0,0 +1,91 @@
+//! One exchange with a target: exactly one request, at most one answer.
+
+use std::time::Duration;
+
+use actix_http::RequestHead;
+use awc::error::SendRequestError;
+use awc::http::header::HeaderName;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
+use nickellead_core::{Epoch, ErrorKind, ShardIndex};
+use nickellead_route::TargetRoute;
+
+use crate::deadline::Deadline;
+use crate::headers::{DEADLINE_HEADER, EPOCH_HEADER, REQUEST_ID_HEADER, SHARD_HEADER, is_passed};
+
+/// A target's word that it did not run a request, and why.
+pub const REFUSAL_HEADER: &str = "nickellead-refused";
+/// Value of [`REFUSAL_HEADER`] when the target has no free slot.
+const REFUSAL_BUSY: &str = "busy";
+
+/// Where and as what a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangePlan<'a> {
+    pub(crate) target: &'a TargetRoute,
+    pub(crate) shard: ShardIndex,
+    pub(crate) epoch: Epoch,
+    pub(crate) request_id: u64,
+    pub(crate) deadline: Deadline,
+}
+
+/// Sends a request once and waits for the head of the answer.
+///
+/// The error's outcome is "not run" only where that is proved: no connection
+/// was made, or the target itself refused.
+pub(crate) async fn exchange(
+    client: &Client,
+    head: &RequestHead,
+    body: Bytes,
+    plan: ExchangePlan<'_>,
+) -> Result<ClientResponse, ErrorKind> {
+    let left = plan.deadline.left();
+    if left < Duration::from_millis(1) {
+        return Err(ErrorKind::DeadlineTooShort);
+    }
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = format!("http://{}{path}", plan.target.address);
+    let mut request = client
+        .request(head.method.clone(), uri)
+        .timeout(left)
+        .no_decompress();
+    for (name, value) in head.headers.iter().filter(|(name, _)| is_passed(name)) {
+        request = request.append_header((name.clone(), value.clone()));
+    }
+    let request = request
+        .insert_header((SHARD_HEADER, plan.shard.0))
+        .insert_header((EPOCH_HEADER, plan.epoch.0))
+        .insert_header((DEADLINE_HEADER, left.as_millis() as u64))
+        .insert_header((REQUEST_ID_HEADER, plan.request_id));
+    let response = request
+        .send_body(body)
+        .await
+        .map_err(|error| kind_of(&error))?;
+    check_answer(response, plan.request_id)
+}
+
+fn kind_of(error: &SendRequestError) -> ErrorKind {
+    match error {
+        // No connection was made, so that no byte was sent.
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => ErrorKind::TargetUnreachable,
+        SendRequestError::Timeout => ErrorKind::AnswerLate,
+        SendRequestError::Response(_) => ErrorKind::AnswerMalformed,
+        _ => ErrorKind::AnswerLost,
+    }
+}
+
+/// Checks that the answer belongs to this request and is no refusal.
+fn check_answer(response: ClientResponse, request_id: u64) -> Result<ClientResponse, ErrorKind> {
+    let header = |name: &str| {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        response.headers().get(name)?.to_str().ok()
+    };
+    let returned = header(REQUEST_ID_HEADER).and_then(|value| value.parse::<u64>().ok());
+    if returned != Some(request_id) {
+        return Err(ErrorKind::AnswerMalformed);
+    }
+    match header(REFUSAL_HEADER) {
+        Some(REFUSAL_BUSY) => Err(ErrorKind::TargetBusy),
+        Some(_) => Err(ErrorKind::TargetRefused),
+        None => Ok(response),
+    }
+}
--- /dev/null
+++ b/crates/nickellead_proxy/src/incoming.rs
@@ -0,0 +1,113 @@
+//! Reading a caller's request: service, operation, key, deadline, body.
+
+use std::time::Duration;
+
+use actix_http::{HttpMessage, Payload, Request};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use nickellead_api::{KeySource, OperationSpec, RepeatRule, UrgencyClass};
+use nickellead_core::{ErrorKind, KEY_LENGTH_MAX};
+use nickellead_route::{RouteDecision, RoutingTable, ServiceRoute};
+
+use crate::headers::{DEADLINE_HEADER, number};
+
+/// What is asked, as far as routing needs it.
+#[derive(Clone, Debug)]
+pub(crate) struct PlannedCall {
+    pub(crate) service: String,
+    pub(crate) key: Vec<u8>,
+    pub(crate) repeat: RepeatRule,
+    pub(crate) urgency: UrgencyClass,
+    pub(crate) deadline: Duration,
+    pub(crate) body_limit: usize,
+}
+
+impl PlannedCall {
+    /// Reads the head of a request.
+    pub(crate) fn read(request: &Request, table: &RoutingTable) -> Result<Self, ErrorKind> {
+        let path = request.path();
+        let mut segments = path.split('/').skip(1);
+        let name = segments.next().unwrap_or_default();
+        let service = table.service(name).ok_or(ErrorKind::UnknownService)?;
+        let operation = segments.next().unwrap_or_default();
+        let method = request.method().as_str();
+        let operation = find_operation(service, method, operation)?;
+        let key = read_key(request, &service.spec.key)?;
+        if key.len() > KEY_LENGTH_MAX {
+            return Err(ErrorKind::KeyTooLong);
+        }
+        Ok(Self {
+            service: name.to_owned(),
+            key,
+            repeat: operation.repeat,
+            urgency: operation.urgency,
+            deadline: read_deadline(request, operation.deadline_ms)?,
+            body_limit: service.spec.body_limit as usize,
+        })
+    }
+
+    /// Where the request goes now.
+    pub(crate) fn decide(&self, table: &RoutingTable) -> Result<RouteDecision, ErrorKind> {
+        let service = table
+            .service(&self.service)
+            .ok_or(ErrorKind::UnknownService)?;
+        Ok(service.decide(&self.key))
+    }
+}
+
+fn find_operation<'a>(
+    service: &'a ServiceRoute,
+    method: &str,
+    name: &str,
+) -> Result<&'a OperationSpec, ErrorKind> {
+    let mut operations = service.spec.operations.iter();
+    let fits =
+        |operation: &&OperationSpec| operation.name.as_str() == name && operation.method == method;
+    operations.find(fits).ok_or(ErrorKind::UnknownOperation)
+}
+
+fn read_key(request: &Request, source: &KeySource) -> Result<Vec<u8>, ErrorKind> {
+    let key = match source {
+        KeySource::Path { segment } => request.path().split('/').nth(usize::from(*segment) + 1),
+        KeySource::Header { name } => request
+            .headers()
+            .get(name.as_str())
+            .and_then(|value| value.to_str().ok()),
+        KeySource::Query { name } => query_value(request.uri().query().unwrap_or_default(), name),
+    };
+    match key {
+        Some(key) if !key.is_empty() => Ok(key.as_bytes().to_vec()),
+        _ => Err(ErrorKind::KeyMissing),
+    }
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .into_iter()
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// The caller's deadline, if it is shorter than the operation's.
+fn read_deadline(request: &Request, operation_ms: u32) -> Result<Duration, ErrorKind> {
+    let longest = u64::from(operation_ms);
+    let wanted = match request.headers().get(DEADLINE_HEADER) {
+        Some(value) => number(value).ok_or(ErrorKind::RequestMalformed)?,
+        None => longest,
+    };
+    Ok(Duration::from_millis(wanted.min(longest)))
+}
+
+/// Reads a body whole, so that a try that is proved not run can be repeated.
+pub(crate) async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ErrorKind> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| ErrorKind::BodyTruncated)?;
+        if body.len() + part.len() > limit {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -0,0 +1,117 @@
+//! Listening for HTTP/1.1 and HTTP/2 on one thread.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::net::TcpListener;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// How long a request's head may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Why an address can't be listened on.
+pub type ListenError = std::io::Error;
+
+/// What a process's listeners share with whoever stops them.
+#[derive(Debug, Default)]
+pub struct ServeState {
+    /// Set when connections are to be closed after their current answer.
+    pub stopping: AtomicBool,
+    /// Requests under way.
+    pub running: AtomicUsize,
+}
+
+/// Opens a listener that several threads may share.
+///
+/// # Errors
+/// The system's error, such as an address that is in use.
+pub fn bind_listener(address: SocketAddr) -> Result<TcpListener, ListenError> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Answers requests on a listener until the process is stopping.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    connections_max: usize,
+    state: Arc<ServeState>,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let shared = Arc::clone(&state);
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
+        .client_request_timeout(HEAD_TIMEOUT)
+        .finish(fn_service(move |request: Request| {
+            let answering = handler(request);
+            let state = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(answer(answering, &state).await) }
+        }))
+        .tcp_auto_h2c();
+    // Only a listener outside a runtime fails here, and this function runs inside one.
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0_usize));
+    while !state.stopping.load(Ordering::Relaxed) {
+        let accepted = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
+        let Ok(Ok((stream, _))) = accepted else {
+            continue;
+        };
+        if open.get() >= connections_max {
+            continue;
+        }
+        // Without it small answers wait for acknowledgements; a failure only costs time.
+        let _ = stream.set_nodelay(true);
+        let (service, open) = (Rc::clone(&service), Rc::clone(&open));
+        open.set(open.get() + 1);
+        actix_rt::spawn(async move {
+            // A broken connection ends here; the caller sees it as such.
+            let _ = service.call(stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn answer<F>(answering: F, state: &ServeState) -> Response<BoxBody>
+where
+    F: Future<Output = Response<BoxBody>>,
+{
+    state.running.fetch_add(1, Ordering::Relaxed);
+    let mut response = answering.await;
+    state.running.fetch_sub(1, Ordering::Relaxed);
+    if state.stopping.load(Ordering::Relaxed) {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/nickellead_route/src/lib.rs
@@ -0,0 +1,18 @@
+//! The request path's decisions: routing table, limits, retries and queues.
+//!
+//! - [`ZoneTable`] is what a VM knows of one zone's owners; it takes deltas
+//!   and never goes back to an older version.
+//! - [`RoutingTable`] is what a request worker reads: from service and key to
+//!   target and epoch, with no allocation.
+//! - [`TargetGate`] bounds what one worker has under way at one target.
+//! - [`RetryBudget`] bounds how much retries may add to the load.
+
+mod gate;
+mod retry;
+mod table;
+mod zone_table;
+
+pub use gate::{GatePermit, TargetGate};
+pub use retry::{RetryBudget, backoff};
+pub use table::{OwnerRoute, RouteDecision, RoutingTable, ServiceRoute, TargetRoute};
+pub use zone_table::{DeltaOutcome, ZoneTable};
--- /dev/null
+++ b/crates/nickellead_run/src/coordination.rs
@@ -0,0 +1,250 @@
+//! The coordination thread: runs the zone's state machine and hands out its actions.
+
+use std::thread::JoinHandle;
+
+use nickellead_core::{Name, Term, Version};
+use nickellead_lease::{
+    CoordinatorSettings, MandatePhase, RecordAnswer, RecordBatch, TargetStatus, ZoneAction,
+    ZoneCoordinator, ZoneDelta, ZoneEvent, ZoneNotice,
+};
+use nickellead_time::BootClock;
+use tokio::sync::oneshot;
+
+use crate::event_log::{EventName, log_event};
+use crate::orders::OrderMessage;
+use crate::peers::PeerMessage;
+use crate::platform::PlatformMessage;
+use crate::ring::{RingReceiver, RingSender, offer};
+
+/// What reaches the coordination thread.
+#[derive(Debug)]
+pub(crate) enum CoordinationMessage {
+    /// An event for the state machine.
+    Event(ZoneEvent),
+    /// A detached coordinator's batch, to be answered.
+    Record(RecordBatch, oneshot::Sender<RecordAnswer>),
+    /// A successor's wish, to be answered with the highest term known.
+    StepDown(Term, oneshot::Sender<Term>),
+    /// An operator's question.
+    Status(oneshot::Sender<CoordinationStatus>),
+}
+
+/// What operators may ask of the coordination.
+#[derive(Clone, Debug)]
+pub(crate) struct CoordinationStatus {
+    pub(crate) phase: MandatePhase,
+    pub(crate) term: Term,
+    pub(crate) published: (Term, Version),
+    pub(crate) targets: Vec<TargetStatus>,
+}
+
+/// Rings from coordination to the other duties.
+pub(crate) struct CoordinationRings {
+    pub(crate) platform: RingSender<PlatformMessage>,
+    pub(crate) peers: RingSender<PeerMessage>,
+    pub(crate) orders: RingSender<OrderMessage>,
+}
+
+struct Coordination {
+    coordinator: ZoneCoordinator,
+    rings: CoordinationRings,
+    zone: Name,
+    /// What was last told to the peers' thread.
+    published: Option<(Term, Version)>,
+    led: Option<bool>,
+    silent: Option<bool>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(
+    settings: CoordinatorSettings,
+    receiver: RingReceiver<CoordinationMessage>,
+    rings: CoordinationRings,
+) -> std::io::Result<JoinHandle<()>> {
+    let zone = settings.zone.clone();
+    let coordinator = ZoneCoordinator::new(settings, BootClock.now());
+    let duty = Coordination {
+        coordinator,
+        rings,
+        zone,
+        published: None,
+        led: None,
+        silent: None,
+    };
+    std::thread::Builder::new()
+        .name("coordination".to_owned())
+        .spawn(move || run(duty, receiver))
+}
+
+fn run(mut duty: Coordination, mut receiver: RingReceiver<CoordinationMessage>) {
+    while let Some(message) = receiver.blocking_recv() {
+        duty.handle(message);
+        duty.publish();
+        if duty.coordinator.phase() == MandatePhase::Stopped {
+            return;
+        }
+    }
+}
+
+impl Coordination {
+    fn handle(&mut self, message: CoordinationMessage) {
+        match message {
+            CoordinationMessage::Event(event) => {
+                let actions = self.step(event);
+                actions.into_iter().for_each(|action| self.act(action));
+            }
+            CoordinationMessage::Record(batch, answer) => {
+                for action in self.step(ZoneEvent::RecordAsked(batch)) {
+                    if let ZoneAction::AnswerRecord(reply) = action {
+                        // The asker may be gone by now.
+                        let _ = answer.send(reply);
+                        break;
+                    }
+                    self.act(action);
+                }
+            }
+            CoordinationMessage::StepDown(term, answer) => {
+                self.step(ZoneEvent::StepDownAsked(term))
+                    .into_iter()
+                    .for_each(|action| {
+                        if !matches!(action, ZoneAction::AnswerStepDown(_)) {
+                            self.act(action);
+                        }
+                    });
+                let _ = answer.send(self.coordinator.term());
+            }
+            CoordinationMessage::Status(answer) => {
+                let _ = answer.send(self.status());
+            }
+        }
+    }
+
+    fn step(&mut self, event: ZoneEvent) -> Vec<ZoneAction> {
+        self.coordinator.handle(event, BootClock.now())
+    }
+
+    fn act(&self, action: ZoneAction) {
+        match action {
+            ZoneAction::SendOrder(order) => {
+                offer(&self.rings.orders, OrderMessage::Send(Box::new(order)));
+            }
+            ZoneAction::AskRecord(vm, batch) => {
+                offer(&self.rings.peers, PeerMessage::AskRecord(vm, batch));
+            }
+            ZoneAction::AskStepDown(vm, term) => {
+                offer(&self.rings.peers, PeerMessage::AskStepDown(vm, term));
+            }
+            ZoneAction::Notify(notice) => self.log(&notice),
+            ZoneAction::AnswerRecord(_) | ZoneAction::AnswerStepDown(_) => {}
+            call @ (ZoneAction::ReadMandate(..)
+            | ZoneAction::WriteMandate(..)
+            | ZoneAction::ReadPlacement(..)
+            | ZoneAction::WritePlacement(..)) => {
+                offer(&self.rings.platform, PlatformMessage::Call(Box::new(call)));
+            }
+        }
+    }
+
+    /// Tells the other duties what changed: owners, and whether this VM coordinates.
+    fn publish(&mut self) {
+        let leads = self.coordinator.publishes();
+        let silent = self.coordinator.hears_nobody(BootClock.now());
+        if self.led.replace(leads) != Some(leads) {
+            offer(
+                &self.rings.peers,
+                PeerMessage::Lead(self.coordinator.term(), leads),
+            );
+        }
+        let needs = leads || self.coordinator.coordinates() || silent;
+        if self.silent.replace(needs) != Some(needs) {
+            offer(&self.rings.platform, PlatformMessage::Follow(needs));
+        }
+        if leads && self.published != Some(self.coordinator.published()) {
+            let delta: ZoneDelta = self.coordinator.delta(self.published);
+            self.published = Some((delta.term, delta.version));
+            offer(&self.rings.peers, PeerMessage::Publish(Box::new(delta)));
+        }
+    }
+
+    fn status(&self) -> CoordinationStatus {
+        CoordinationStatus {
+            phase: self.coordinator.phase(),
+            term: self.coordinator.term(),
+            published: self.coordinator.published(),
+            targets: self.coordinator.target_statuses(),
+        }
+    }
+
+    fn log(&self, notice: &ZoneNotice) {
+        let zone = &self.zone;
+        match notice {
+            ZoneNotice::MandateTaken(term) => {
+                log_event(EventName::MandateTaken, &[("zone", zone), ("term", term)]);
+            }
+            ZoneNotice::Leading(term) => {
+                log_event(
+                    EventName::CoordinatorLeading,
+                    &[("zone", zone), ("term", term)],
+                );
+            }
+            ZoneNotice::Superseded(term) => {
+                log_event(
+                    EventName::CoordinatorSuperseded,
+                    &[("zone", zone), ("term", term)],
+                );
+            }
+            ZoneNotice::Detached(term) => {
+                log_event(
+                    EventName::CoordinatorDetached,
+                    &[("zone", zone), ("term", term)],
+                );
+            }
+            ZoneNotice::Attached(term) => {
+                log_event(
+                    EventName::CoordinatorAttached,
+                    &[("zone", zone), ("term", term)],
+                );
+            }
+            ZoneNotice::HandedOver(term) => {
+                log_event(
+                    EventName::MandateHandedOver,
+                    &[("zone", zone), ("term", term)],
+                );
+            }
+            ZoneNotice::TargetFenced(name) => {
+                log_event(EventName::TargetFenced, &[("zone", zone), ("target", name)]);
+            }
+            ZoneNotice::TargetLive(name) => {
+                log_event(EventName::TargetLive, &[("zone", zone), ("target", name)]);
+            }
+            ZoneNotice::TargetRestarted(name) => {
+                log_event(
+                    EventName::TargetRestarted,
+                    &[("zone", zone), ("target", name)],
+                );
+            }
+            ZoneNotice::TargetLost(name, shards) => {
+                let pairs: [(&str, &dyn std::fmt::Display); 3] =
+                    [("zone", zone), ("target", name), ("shards", shards)];
+                log_event(EventName::TargetLost, &pairs);
+            }
+            ZoneNotice::MovesStarted(service, shards) => {
+                let pairs: [(&str, &dyn std::fmt::Display); 3] =
+                    [("zone", zone), ("service", service), ("shards", shards)];
+                log_event(EventName::MovesStarted, &pairs);
+            }
+            ZoneNotice::OwnersCommitted(service, shards, by_records) => {
+                let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+                    ("zone", zone),
+                    ("service", service),
+                    ("shards", shards),
+                    ("by_records", by_records),
+                ];
+                log_event(EventName::OwnersCommitted, &pairs);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickellead_run/src/event_log.rs
@@ -0,0 +1,86 @@
+//! The closed list of log events: one line of key=value pairs each.
+
+use std::fmt::Display;
+
+use log::Level;
+
+/// What a log line is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventName {
+    /// The process started.
+    NodeStarted,
+    /// The process is stopping.
+    NodeStopping,
+    /// The process has stopped.
+    NodeStopped,
+    /// This VM took the mandate.
+    MandateTaken,
+    /// This VM coordinates its zone.
+    CoordinatorLeading,
+    /// A higher term was seen.
+    CoordinatorSuperseded,
+    /// The platform is silent; coordination goes on without it.
+    CoordinatorDetached,
+    /// The platform answered again.
+    CoordinatorAttached,
+    /// The mandate was handed over.
+    MandateHandedOver,
+    /// A target answered a first contact.
+    TargetFenced,
+    /// A target's session is live.
+    TargetLive,
+    /// A target came back as another process.
+    TargetRestarted,
+    /// A target's lease has surely lapsed.
+    TargetLost,
+    /// Planned moves began.
+    MovesStarted,
+    /// New owners are in force.
+    OwnersCommitted,
+    /// New declarations arrived.
+    ConfigInForce,
+}
+
+impl EventName {
+    /// The event's name in the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NodeStarted => "node-started",
+            Self::NodeStopping => "node-stopping",
+            Self::NodeStopped => "node-stopped",
+            Self::MandateTaken => "mandate-taken",
+            Self::CoordinatorLeading => "coordinator-leading",
+            Self::CoordinatorSuperseded => "coordinator-superseded",
+            Self::CoordinatorDetached => "coordinator-detached",
+            Self::CoordinatorAttached => "coordinator-attached",
+            Self::MandateHandedOver => "mandate-handed-over",
+            Self::TargetFenced => "target-fenced",
+            Self::TargetLive => "target-live",
+            Self::TargetRestarted => "target-restarted",
+            Self::TargetLost => "target-lost",
+            Self::MovesStarted => "moves-started",
+            Self::OwnersCommitted => "owners-committed",
+            Self::ConfigInForce => "config-in-force",
+        }
+    }
+
+    const fn level(self) -> Level {
+        match self {
+            Self::CoordinatorSuperseded
+            | Self::CoordinatorDetached
+            | Self::TargetRestarted
+            | Self::TargetLost => Level::Warn,
+            _ => Level::Info,
+        }
+    }
+}
+
+/// Logs one event with its pairs.
+pub fn log_event(name: EventName, pairs: &[(&str, &dyn Display)]) {
+    let mut line = format!("event={}", name.as_str());
+    for (key, value) in pairs {
+        line.push_str(&format!(" {key}={value}"));
+    }
+    log::log!(target: "nickellead", name.level(), "{line}");
+}
--- /dev/null
+++ b/crates/nickellead_run/src/lib.rs
@@ -0,0 +1,20 @@
+//! One entry VM: its threads, joined by bounded rings.
+//!
+//! [`start_node`] builds every duty in one schedule: timer, coordination,
+//! orders to targets, platform, peers, request workers and the operators' API.
+//! Each duty has one module with one `build` function that starts its thread.
+
+mod coordination;
+mod event_log;
+mod node;
+mod operators;
+mod orders;
+mod peers;
+mod platform;
+mod requests;
+mod ring;
+mod settings;
+
+pub use event_log::{EventName, log_event};
+pub use node::{NodeError, NodeHandle, start_node};
+pub use settings::{LeaseSettings, LimitSettings, NodeSettings, PeerSettings};
--- /dev/null
+++ b/crates/nickellead_run/src/node.rs
@@ -0,0 +1,288 @@
+//! Building one VM out of its duties, and stopping it.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use nickellead_core::Incarnation;
+use nickellead_lease::{CoordinatorSettings, LeaseCharts, StandbyVm, ZoneEvent};
+use nickellead_peer::PeerVm;
+use nickellead_platform::CallCounter;
+use nickellead_proxy::{ProxyMetrics, ServeState, bind_listener};
+use nickellead_time::TimerService;
+use prometheus_client::registry::Registry;
+use thiserror::Error;
+
+use crate::coordination::{CoordinationMessage, CoordinationRings};
+use crate::event_log::{EventName, log_event};
+use crate::operators::OperatorDuty;
+use crate::peers::PeerRings;
+use crate::platform::PlatformRings;
+use crate::ring::{RingSender, offer, ring};
+use crate::settings::NodeSettings;
+use crate::{coordination, operators, orders, peers, platform, requests};
+
+/// Between two ticks of the coordination.
+const TICK_PERIOD: Duration = Duration::from_millis(10);
+/// Most standbys that a mandate names.
+const STANDBYS: usize = 2;
+/// Most shards of one service in planned moves at a time.
+const MOVES: usize = 64;
+
+/// Why a VM can't start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address can't be listened on.
+    #[error("{field} {address} can't be listened on: {reason}")]
+    Address {
+        /// The setting at fault.
+        field: &'static str,
+        /// The address.
+        address: std::net::SocketAddr,
+        /// The system's word.
+        reason: std::io::Error,
+    },
+    /// A chart of this build is faulty.
+    #[error("{0}")]
+    Chart(#[from] nickellead_chart::ChartError),
+    /// The system refused a thread.
+    #[error("a thread can't be started: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// A running VM.
+#[derive(Debug)]
+pub struct NodeHandle {
+    settings: NodeSettings,
+    coordination: RingSender<CoordinationMessage>,
+    ready: Arc<AtomicBool>,
+    callers: Arc<ServeState>,
+    operators: Arc<ServeState>,
+    counter: CallCounter,
+    workers: Vec<JoinHandle<()>>,
+    coordinator: JoinHandle<()>,
+}
+
+/// Starts every duty of one VM.
+///
+/// # Errors
+/// A [`NodeError`]; nothing is left running that serves callers.
+pub fn start_node(settings: NodeSettings) -> Result<NodeHandle, NodeError> {
+    LeaseCharts::load()?;
+    check_addresses(&settings)?;
+    let peers_listener = listen("peers_address", settings.peers_address)?;
+    let operators_listener = listen("operators_address", settings.operators_address)?;
+    let incarnation = Incarnation(fastrand::u64(1..));
+    let (to_coordination, coordination_ring) = ring();
+    let (to_platform, platform_ring) = ring();
+    let (to_peers, peers_ring) = ring();
+    let (to_orders, orders_ring) = ring();
+    let counter = CallCounter::default();
+    let metrics = ProxyMetrics::default();
+    let mut registry = Registry::with_prefix("nickellead");
+    metrics.register(&mut registry);
+    let callers = Arc::new(ServeState::default());
+    let operators = Arc::new(ServeState::default());
+    let ready = Arc::new(AtomicBool::new(true));
+
+    let mut workers = Vec::new();
+    let mut to_workers = Vec::new();
+    for place in 0..settings.workers {
+        let (to_worker, worker_ring) = ring();
+        to_workers.push(to_worker);
+        workers.push(requests::build(
+            place,
+            listen("callers_address", settings.callers_address)?,
+            settings.limits.to_limits(settings.workers),
+            incarnation.0.wrapping_add(u64::from(place)),
+            worker_ring,
+            metrics.clone(),
+            Arc::clone(&callers),
+        )?);
+    }
+    let rings = PeerRings {
+        coordination: to_coordination.clone(),
+        orders: to_orders.clone(),
+        workers: to_workers,
+    };
+    peers::build(
+        own_vm(&settings, incarnation),
+        peers_listener,
+        known_vms(&settings),
+        peers_ring,
+        rings,
+    )?;
+    let rings = PlatformRings {
+        coordination: to_coordination.clone(),
+        peers: to_peers.clone(),
+    };
+    let zone = settings.zone.clone();
+    platform::build(
+        settings.platform_address,
+        zone,
+        counter.clone(),
+        platform_ring,
+        rings,
+    )?;
+    let timeout = settings.lease.to_times().order_timeout;
+    orders::build(orders_ring, to_coordination.clone(), timeout)?;
+    let rings = CoordinationRings {
+        platform: to_platform,
+        peers: to_peers,
+        orders: to_orders,
+    };
+    let coordinator = coordination::build(
+        coordinator_settings(&settings, incarnation),
+        coordination_ring,
+        rings,
+    )?;
+    operators::build(OperatorDuty {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        listener: operators_listener,
+        platform: settings.platform_address,
+        counter: counter.clone(),
+        registry,
+        coordination: to_coordination.clone(),
+        ready: Arc::clone(&ready),
+        state: Arc::clone(&operators),
+    })?;
+    start_ticks(to_coordination.clone())?;
+    log_event(
+        EventName::NodeStarted,
+        &[("vm", &settings.vm), ("zone", &settings.zone)],
+    );
+    Ok(NodeHandle {
+        settings,
+        coordination: to_coordination,
+        ready,
+        callers,
+        operators,
+        counter,
+        workers,
+        coordinator,
+    })
+}
+
+impl NodeHandle {
+    /// Calls of the platform that this VM made.
+    #[must_use]
+    pub fn platform_calls(&self) -> u64 {
+        self.counter.count()
+    }
+
+    /// Stops as planned: readiness off, mandate handed over, requests finished.
+    ///
+    /// Returns whether all of it was done within the bound of the settings.
+    pub fn stop(self) -> bool {
+        let limit = Duration::from_millis(u64::from(self.settings.stop_limit_ms));
+        let end = Instant::now() + limit;
+        log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
+        self.ready.store(false, Ordering::Relaxed);
+        offer(
+            &self.coordination,
+            CoordinationMessage::Event(ZoneEvent::StopAsked),
+        );
+        std::thread::sleep(Duration::from_millis(u64::from(
+            self.settings.stop_linger_ms,
+        )));
+        self.callers.stopping.store(true, Ordering::Relaxed);
+        let workers_done = self
+            .workers
+            .into_iter()
+            .all(|worker| join_until(worker, end));
+        let handed_over = join_until(self.coordinator, end);
+        self.operators.stopping.store(true, Ordering::Relaxed);
+        let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+            ("vm", &self.settings.vm),
+            ("requests_finished", &workers_done),
+            ("mandate_settled", &handed_over),
+        ];
+        log_event(EventName::NodeStopped, &pairs);
+        workers_done && handed_over
+    }
+}
+
+fn join_until(thread: JoinHandle<()>, end: Instant) -> bool {
+    const POLL: Duration = Duration::from_millis(5);
+    while !thread.is_finished() {
+        if Instant::now() >= end {
+            return false;
+        }
+        std::thread::sleep(POLL);
+    }
+    thread.join().is_ok()
+}
+
+/// Finds out before anything starts whether the addresses are free.
+fn check_addresses(settings: &NodeSettings) -> Result<(), NodeError> {
+    let addresses = [
+        ("callers_address", settings.callers_address),
+        ("operators_address", settings.operators_address),
+        ("peers_address", settings.peers_address),
+    ];
+    for (field, address) in addresses {
+        TcpListener::bind(address).map_err(|reason| NodeError::Address {
+            field,
+            address,
+            reason,
+        })?;
+    }
+    Ok(())
+}
+
+fn listen(field: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeError> {
+    bind_listener(address).map_err(|reason| NodeError::Address {
+        field,
+        address,
+        reason,
+    })
+}
+
+fn own_vm(settings: &NodeSettings, incarnation: Incarnation) -> PeerVm {
+    PeerVm {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peers_address,
+        incarnation,
+    }
+}
+
+fn known_vms(settings: &NodeSettings) -> Vec<PeerVm> {
+    let known = |peer: &crate::settings::PeerSettings| PeerVm {
+        vm: peer.vm.clone(),
+        zone: peer.zone.clone(),
+        address: peer.address,
+        incarnation: Incarnation::ZERO,
+    };
+    settings.peers.iter().map(known).collect()
+}
+
+fn coordinator_settings(settings: &NodeSettings, incarnation: Incarnation) -> CoordinatorSettings {
+    CoordinatorSettings {
+        zone: settings.zone.clone(),
+        vm: StandbyVm {
+            vm: settings.vm.clone(),
+            incarnation,
+        },
+        times: settings.lease.to_times(),
+        standbys: STANDBYS,
+        moves: MOVES,
+        seed: incarnation.0,
+    }
+}
+
+/// Subscribes the coordination to the timer for as long as its thread lives.
+fn start_ticks(coordination: RingSender<CoordinationMessage>) -> std::io::Result<()> {
+    let timer = TimerService::start()?;
+    let sink = move |_| {
+        offer(&coordination, CoordinationMessage::Event(ZoneEvent::Tick));
+        !coordination.is_closed()
+    };
+    timer.subscribe(TICK_PERIOD, Box::new(sink));
+    // The timer's thread ends with the process: its only subscriber does.
+    std::mem::forget(timer);
+    Ok(())
+}
--- /dev/null
+++ b/crates/nickellead_run/src/operators.rs
@@ -0,0 +1,383 @@
+//! The operators' thread: resource API, status, metrics, liveness and readiness.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use nickellead_api::{FieldError, ObjectKind, ResourceObject, ServiceSpec, TargetSpec, read_json};
+use nickellead_core::{Name, Version};
+use nickellead_platform::{CallCounter, PlatformClient, PlatformError};
+use nickellead_proxy::{ServeState, serve_http};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::coordination::{CoordinationMessage, CoordinationStatus};
+use crate::ring::{RingSender, offer};
+
+/// Connections of operators.
+const CONNECTIONS_MAX: usize = 256;
+/// Largest object that may be written, in bytes.
+const BODY_LIMIT: usize = 1024 * 1024;
+/// Longest time a watch is held.
+const WATCH_MAX: Duration = Duration::from_secs(30);
+/// How long the coordination's answer is waited for.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the operators' thread needs.
+pub(crate) struct OperatorDuty {
+    pub(crate) vm: Name,
+    pub(crate) zone: Name,
+    pub(crate) listener: TcpListener,
+    pub(crate) platform: SocketAddr,
+    pub(crate) counter: CallCounter,
+    pub(crate) registry: Registry,
+    pub(crate) coordination: RingSender<CoordinationMessage>,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) state: Arc<ServeState>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(duty: OperatorDuty) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("operators".to_owned())
+        .spawn(move || {
+            if let Ok(runtime) = actix_rt::Runtime::new() {
+                runtime.block_on(run(duty));
+            }
+        })
+}
+
+async fn run(duty: OperatorDuty) {
+    let state = Arc::clone(&duty.state);
+    let client = PlatformClient::new(duty.platform, duty.counter.clone());
+    let Ok(listener) = duty.listener.try_clone() else {
+        return;
+    };
+    let api = Rc::new(OperatorApi { duty, client });
+    let handler = move |request| {
+        let api = Rc::clone(&api);
+        async move {
+            api.answer(request)
+                .await
+                .unwrap_or_else(ApiError::into_response)
+        }
+    };
+    serve_http(listener, CONNECTIONS_MAX, state, handler).await;
+}
+
+/// Why the API refuses.
+#[derive(Debug)]
+enum ApiError {
+    NotFound,
+    MethodNotAllowed,
+    Field(FieldError),
+    Platform(PlatformError),
+    TooLarge,
+}
+
+impl ApiError {
+    fn into_response(self) -> Response<BoxBody> {
+        match self {
+            Self::NotFound => error(StatusCode::NOT_FOUND, "not-found", "no such path or object"),
+            Self::MethodNotAllowed => {
+                let reason = "this kind or path does not take the method";
+                error(StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed", reason)
+            }
+            Self::TooLarge => error(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too-large",
+                "at most 1 MiB may be sent",
+            ),
+            Self::Field(field) => reply(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                &json!({"error": "invalid", "field": field.field, "reason": field.reason}),
+            ),
+            Self::Platform(PlatformError::NotFound) => Self::NotFound.into_response(),
+            Self::Platform(PlatformError::Conflict(version)) => reply(
+                StatusCode::CONFLICT,
+                &json!({"error": "conflict", "version": version,
+                    "reason": "the object changed: read it, decide anew, write with its version"}),
+            ),
+            Self::Platform(PlatformError::Compacted) => error(
+                StatusCode::GONE,
+                "compacted",
+                "list anew, then watch from its revision",
+            ),
+            Self::Platform(other) => error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "platform",
+                &other.to_string(),
+            ),
+        }
+    }
+}
+
+impl From<PlatformError> for ApiError {
+    fn from(error: PlatformError) -> Self {
+        Self::Platform(error)
+    }
+}
+
+impl From<FieldError> for ApiError {
+    fn from(error: FieldError) -> Self {
+        Self::Field(error)
+    }
+}
+
+struct OperatorApi {
+    duty: OperatorDuty,
+    client: PlatformClient,
+}
+
+impl OperatorApi {
+    async fn answer(&self, mut request: Request) -> Result<Response<BoxBody>, ApiError> {
+        let path = request.path().to_owned();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        let method = request.method().clone();
+        match (method.clone(), parts.as_slice()) {
+            (Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "live\n")),
+            (Method::GET, ["readyz"]) => Ok(self.readiness()),
+            (Method::GET, ["metrics"]) => Ok(self.metrics()),
+            (Method::GET, ["v1", "status"]) => Ok(self.status().await),
+            (Method::GET, ["v1", "watch"]) => self.watch(&request).await,
+            (Method::GET, ["v1", "objects"]) => {
+                Ok(reply(StatusCode::OK, &self.client.list_declared().await?))
+            }
+            (method, ["v1", "objects", kind, name]) => {
+                let kind = ObjectKind::from_name(kind).ok_or(ApiError::NotFound)?;
+                let name =
+                    Name::new(name).map_err(|error| FieldError::new("name", error.to_string()))?;
+                let body = read_body(&mut request).await?;
+                let query = request.uri().query().unwrap_or_default().to_owned();
+                self.object(method, kind, &name, &query, &body).await
+            }
+            (Method::GET, _) => Err(ApiError::NotFound),
+            _ => Err(ApiError::MethodNotAllowed),
+        }
+    }
+
+    async fn object(
+        &self,
+        method: Method,
+        kind: ObjectKind,
+        name: &Name,
+        query: &str,
+        body: &[u8],
+    ) -> Result<Response<BoxBody>, ApiError> {
+        if method == Method::GET {
+            return Ok(reply(StatusCode::OK, &self.client.get(kind, name).await?));
+        }
+        if !kind.is_declared() {
+            return Err(ApiError::MethodNotAllowed);
+        }
+        let expected = query_number(query, "version")
+            .ok_or_else(|| FieldError::new("version", "must be given: 0 to create"))?;
+        let expected = Version(expected);
+        let version = match method {
+            Method::PUT => self.put(kind, name, expected, body).await?,
+            Method::DELETE => self.delete(kind, name, expected).await?,
+            _ => return Err(ApiError::MethodNotAllowed),
+        };
+        Ok(reply(
+            StatusCode::OK,
+            &json!({"kind": kind, "name": name, "version": version}),
+        ))
+    }
+
+    async fn put(
+        &self,
+        kind: ObjectKind,
+        name: &Name,
+        expected: Version,
+        body: &[u8],
+    ) -> Result<Version, ApiError> {
+        let old = match self.client.get(kind, name).await {
+            Ok(object) => Some(object),
+            Err(PlatformError::NotFound) => None,
+            Err(error) => return Err(error.into()),
+        };
+        let spec = match kind {
+            ObjectKind::Service => check_service(body, old.as_ref())?,
+            ObjectKind::Target => self.check_target(body, old.as_ref()).await?,
+            ObjectKind::Mandate | ObjectKind::Placement => return Err(ApiError::MethodNotAllowed),
+        };
+        match self.client.put(kind, name, expected, &spec).await {
+            // The answer may be lost after the write took effect: read back.
+            Err(PlatformError::Unavailable(reason)) => match self.client.get(kind, name).await {
+                Ok(object) if object.spec == spec && object.version > expected => {
+                    Ok(object.version)
+                }
+                _ => Err(PlatformError::Unavailable(reason).into()),
+            },
+            other => Ok(other?),
+        }
+    }
+
+    async fn check_target(
+        &self,
+        body: &[u8],
+        old: Option<&ResourceObject>,
+    ) -> Result<serde_json::Value, ApiError> {
+        let spec: TargetSpec = read_json(body)?;
+        spec.check()?;
+        if let Some(old) = old.and_then(|old| serde_json::from_value(old.spec.clone()).ok()) {
+            spec.check_change(&old)?;
+        }
+        let service = match self.client.get(ObjectKind::Service, &spec.service).await {
+            Ok(object) => object,
+            Err(PlatformError::NotFound) => {
+                return Err(FieldError::new("service", "is not declared: declare it first").into());
+            }
+            Err(error) => return Err(error.into()),
+        };
+        let service: Option<ServiceSpec> = serde_json::from_value(service.spec).ok();
+        if service.is_some_and(|service| !service.zones.contains(&spec.zone)) {
+            return Err(FieldError::new("zone", "is not among the service's zones").into());
+        }
+        Ok(to_value(&spec))
+    }
+
+    async fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &Name,
+        expected: Version,
+    ) -> Result<Version, ApiError> {
+        if kind == ObjectKind::Service {
+            let list = self.client.list_declared().await?;
+            let uses = |item: &ResourceObject| {
+                item.kind == ObjectKind::Target && item.spec["service"] == name.as_str()
+            };
+            if list.items.iter().any(uses) {
+                let reason = "has targets still: drain and delete them first";
+                return Err(FieldError::new("name", reason).into());
+            }
+        }
+        Ok(self.client.delete(kind, name, expected).await?)
+    }
+
+    async fn watch(&self, request: &Request) -> Result<Response<BoxBody>, ApiError> {
+        let query = request.uri().query().unwrap_or_default();
+        let from = query_number(query, "from")
+            .ok_or_else(|| FieldError::new("from", "must be a revision"))?;
+        let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(10_000));
+        let page = self
+            .client
+            .watch(Version(from), wait.min(WATCH_MAX))
+            .await?;
+        Ok(reply(StatusCode::OK, &page))
+    }
+
+    fn readiness(&self) -> Response<BoxBody> {
+        if self.duty.ready.load(Ordering::Relaxed) {
+            text(StatusCode::OK, "ready\n")
+        } else {
+            text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+
+    fn metrics(&self) -> Response<BoxBody> {
+        let mut body = String::new();
+        match encode(&mut body, &self.duty.registry) {
+            Ok(()) => text(StatusCode::OK, &body),
+            Err(_) => text(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "metrics can't be written\n",
+            ),
+        }
+    }
+
+    async fn status(&self) -> Response<BoxBody> {
+        let (sender, receiver) = oneshot::channel();
+        offer(&self.duty.coordination, CoordinationMessage::Status(sender));
+        let status = tokio::time::timeout(STATUS_TIMEOUT, receiver).await;
+        let coordination = match status {
+            Ok(Ok(status)) => to_status(&status),
+            _ => serde_json::Value::Null,
+        };
+        let body = json!({
+            "vm": self.duty.vm,
+            "zone": self.duty.zone,
+            "ready": self.duty.ready.load(Ordering::Relaxed),
+            "platform_calls": self.duty.counter.count(),
+            "coordination": coordination,
+        });
+        reply(StatusCode::OK, &body)
+    }
+}
+
+fn to_status(status: &CoordinationStatus) -> serde_json::Value {
+    let target = |target: &nickellead_lease::TargetStatus| {
+        json!({
+            "name": target.name,
+            "phase": target.phase.as_str(),
+            "shards": target.shards,
+            "leaving": target.leaving,
+        })
+    };
+    json!({
+        "phase": status.phase.as_str(),
+        "term": status.term,
+        "published": [status.published.0, status.published.1],
+        "targets": status.targets.iter().map(target).collect::<Vec<_>>(),
+    })
+}
+
+fn check_service(body: &[u8], old: Option<&ResourceObject>) -> Result<serde_json::Value, ApiError> {
+    let spec: ServiceSpec = read_json(body)?;
+    spec.check()?;
+    if let Some(old) = old.and_then(|old| serde_json::from_value(old.spec.clone()).ok()) {
+        spec.check_change(&old)?;
+    }
+    Ok(to_value(&spec))
+}
+
+fn to_value<T: Serialize>(spec: &T) -> serde_json::Value {
+    serde_json::to_value(spec).unwrap_or_default()
+}
+
+async fn read_body(request: &mut Request) -> Result<Vec<u8>, ApiError> {
+    use futures_util::StreamExt;
+    let mut payload = request.take_payload();
+    let mut body = Vec::new();
+    while let Some(Ok(part)) = payload.next().await {
+        if body.len() + part.len() > BODY_LIMIT {
+            return Err(ApiError::TooLarge);
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body)
+}
+
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+fn reply<T: Serialize>(status: StatusCode, body: &T) -> Response<BoxBody> {
+    let body = serde_json::to_string(body).unwrap_or_default();
+    let mut builder = Response::build(status);
+    builder.insert_header(("content-type", "application/json"));
+    builder.body(body).map_into_boxed_body()
+}
+
+fn text(status: StatusCode, body: &str) -> Response<BoxBody> {
+    Response::build(status)
+        .body(body.to_owned())
+        .map_into_boxed_body()
+}
+
+fn error(status: StatusCode, code: &str, reason: &str) -> Response<BoxBody> {
+    reply(status, &json!({"error": code, "reason": reason}))
+}
--- /dev/null
+++ b/crates/nickellead_run/src/orders.rs
@@ -0,0 +1,94 @@
+//! The orders thread: carries orders to targets and their answers back.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use nickellead_api::DeclaredConfig;
+use nickellead_core::TargetKey;
+use nickellead_lease::{TargetOrder, TargetReply, ZoneEvent};
+
+use crate::coordination::CoordinationMessage;
+use crate::ring::{RingReceiver, RingSender, offer};
+
+/// Path of orders at a target.
+const ORDER_PATH: &str = "/nickellead/order";
+/// Largest answer of a target to an order, in bytes.
+const REPLY_LIMIT: usize = 8 * 1024 * 1024;
+
+/// What reaches the orders thread.
+#[derive(Debug)]
+pub(crate) enum OrderMessage {
+    /// Where targets listen.
+    Config(Arc<DeclaredConfig>),
+    /// Send an order.
+    Send(Box<TargetOrder>),
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(
+    receiver: RingReceiver<OrderMessage>,
+    coordination: RingSender<CoordinationMessage>,
+    timeout: Duration,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("orders".to_owned())
+        .spawn(move || {
+            if let Ok(runtime) = actix_rt::Runtime::new() {
+                runtime.block_on(run(receiver, coordination, timeout));
+            }
+        })
+}
+
+async fn run(
+    mut receiver: RingReceiver<OrderMessage>,
+    coordination: RingSender<CoordinationMessage>,
+    timeout: Duration,
+) {
+    let client = Rc::new(awc::Client::builder().timeout(timeout).finish());
+    let mut addresses: HashMap<TargetKey, SocketAddr> = HashMap::new();
+    while let Some(message) = receiver.recv().await {
+        match message {
+            OrderMessage::Config(config) => {
+                let address = |target: &nickellead_api::DeclaredTarget| {
+                    (TargetKey::from(&target.name), target.spec.address)
+                };
+                addresses.extend(config.targets.iter().map(address));
+            }
+            OrderMessage::Send(order) => {
+                let Some(address) = addresses.get(&order.target).copied() else {
+                    continue;
+                };
+                let (client, coordination) = (Rc::clone(&client), coordination.clone());
+                actix_rt::spawn(async move {
+                    let event = match send(&client, address, &order).await {
+                        Some(reply) => ZoneEvent::TargetAnswered(reply),
+                        None => ZoneEvent::TargetFailed(order.target, order.sequence),
+                    };
+                    offer(&coordination, CoordinationMessage::Event(event));
+                });
+            }
+        }
+    }
+}
+
+/// Sends an order; `None` when no readable answer of the meant target came.
+async fn send(
+    client: &awc::Client,
+    address: SocketAddr,
+    order: &TargetOrder,
+) -> Option<TargetReply> {
+    let request = client.post(format!("http://{address}{ORDER_PATH}"));
+    let mut response = request.send_json(order).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let reply: TargetReply = response.json().limit(REPLY_LIMIT).await.ok()?;
+    (reply.target == order.target).then_some(reply)
+}
--- /dev/null
+++ b/crates/nickellead_run/src/peers/follow.rs
@@ -0,0 +1,126 @@
+//! Following coordinators: this zone's by every VM, the others' by the coordinator.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nickellead_core::Name;
+use nickellead_lease::ZoneEvent;
+use nickellead_peer::{FollowReply, PeerClient, PeerReply, PeerRequest};
+
+use super::hub::PeerHub;
+use crate::coordination::CoordinationMessage;
+use crate::ring::offer;
+
+/// How long a coordinator may hold an answer back.
+const FOLLOW_WAIT_MS: u32 = 250;
+/// How long an answer is waited for beyond that.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause after an answer of a VM that does not coordinate, or after none.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Between two looks for zones that are not followed yet.
+const ZONES_PERIOD: Duration = Duration::from_millis(500);
+
+/// Follows the coordinator of this VM's zone for as long as the thread runs.
+pub(super) async fn follow_own_zone(hub: Rc<PeerHub>) {
+    let mut search = PeerSearch::new(hub.own.zone.clone());
+    loop {
+        if hub.leads() {
+            tokio::time::sleep(SEARCH_PAUSE).await;
+            continue;
+        }
+        let Some(reply) = search.ask(&hub).await else {
+            tokio::time::sleep(SEARCH_PAUSE).await;
+            continue;
+        };
+        let term = reply.term;
+        if hub.take_reply(reply) {
+            let event = ZoneEvent::CoordinatorHeard(term);
+            offer(hub.coordination(), CoordinationMessage::Event(event));
+        } else {
+            tokio::time::sleep(SEARCH_PAUSE).await;
+        }
+    }
+}
+
+/// While this VM coordinates, follows the coordinators of the other zones.
+pub(super) async fn follow_other_zones(hub: Rc<PeerHub>) {
+    let mut followed = BTreeSet::new();
+    loop {
+        for zone in hub.other_zones() {
+            if followed.insert(zone.clone()) {
+                actix_rt::spawn(follow_zone(Rc::clone(&hub), zone));
+            }
+        }
+        tokio::time::sleep(ZONES_PERIOD).await;
+    }
+}
+
+async fn follow_zone(hub: Rc<PeerHub>, zone: Name) {
+    let mut search = PeerSearch::new(zone);
+    loop {
+        if !hub.leads() {
+            tokio::time::sleep(ZONES_PERIOD).await;
+            continue;
+        }
+        let from_coordinator = match search.ask(&hub).await {
+            Some(reply) => hub.take_reply(reply),
+            None => false,
+        };
+        if !from_coordinator {
+            tokio::time::sleep(SEARCH_PAUSE).await;
+        }
+    }
+}
+
+/// Looks for a zone's coordinator: the known one first, then any VM of the zone.
+struct PeerSearch {
+    zone: Name,
+    next: usize,
+    client: Option<PeerClient>,
+}
+
+impl PeerSearch {
+    const fn new(zone: Name) -> Self {
+        Self {
+            zone,
+            next: 0,
+            client: None,
+        }
+    }
+
+    async fn ask(&mut self, hub: &PeerHub) -> Option<FollowReply> {
+        let address = self.choose(hub)?;
+        let mut client = match self
+            .client
+            .take()
+            .filter(|client| client.address() == address)
+        {
+            Some(client) => client,
+            None => PeerClient::new(address),
+        };
+        let request = PeerRequest::Follow(hub.follow_request(FOLLOW_WAIT_MS));
+        let answer = client.call(&request, FOLLOW_TIMEOUT).await;
+        match answer {
+            Ok(PeerReply::Follow(reply)) => {
+                self.client = Some(client);
+                Some(*reply)
+            }
+            _ => {
+                hub.forget_coordinator(&self.zone);
+                None
+            }
+        }
+    }
+
+    fn choose(&mut self, hub: &PeerHub) -> Option<SocketAddr> {
+        let coordinator = hub.coordinator_of(&self.zone);
+        if let Some(coordinator) = coordinator.filter(|vm| vm.vm != hub.own.vm) {
+            return Some(coordinator.address);
+        }
+        let vms = hub.vms_of(&self.zone);
+        self.next = self.next.wrapping_add(1);
+        vms.get(self.next % vms.len().max(1)).copied()
+    }
+}
--- /dev/null
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -0,0 +1,265 @@
+//! What this VM knows of the others, and who is told when it changes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use nickellead_api::DeclaredConfig;
+use nickellead_core::{Name, Term, ZoneKey};
+use nickellead_lease::{RouteChange, ZoneDelta, ZoneEvent};
+use nickellead_peer::{FollowReply, FollowRequest, KnownZone, PeerVm};
+use nickellead_platform::ListedVm;
+use nickellead_proxy::WorkerUpdate;
+use nickellead_route::{DeltaOutcome, ZoneTable};
+use tokio::sync::watch;
+
+use super::PeerRings;
+use crate::coordination::CoordinationMessage;
+use crate::event_log::{EventName, log_event};
+use crate::orders::OrderMessage;
+use crate::ring::{RingSender, offer};
+
+/// Another VM's place.
+#[derive(Clone, Debug)]
+struct KnownVm {
+    zone: Name,
+    address: SocketAddr,
+}
+
+/// State of the peers thread.
+pub(super) struct PeerHub {
+    pub(super) own: PeerVm,
+    rings: PeerRings,
+    vms: RefCell<BTreeMap<Name, KnownVm>>,
+    zones: RefCell<BTreeMap<ZoneKey, ZoneTable>>,
+    coordinators: RefCell<BTreeMap<Name, (Term, PeerVm)>>,
+    config: RefCell<Option<Arc<DeclaredConfig>>>,
+    leads: Cell<bool>,
+    changes: watch::Sender<u64>,
+    /// Workers whose ring was full: they get everything anew.
+    lagging: RefCell<Vec<bool>>,
+}
+
+impl PeerHub {
+    pub(super) fn new(own: PeerVm, known: Vec<PeerVm>, rings: PeerRings) -> Self {
+        let vms = known.into_iter().map(|vm| {
+            let place = KnownVm {
+                zone: vm.zone,
+                address: vm.address,
+            };
+            (vm.vm, place)
+        });
+        let lagging = vec![false; rings.workers.len()];
+        Self {
+            own,
+            rings,
+            vms: RefCell::new(vms.collect()),
+            zones: RefCell::default(),
+            coordinators: RefCell::default(),
+            config: RefCell::default(),
+            leads: Cell::new(false),
+            changes: watch::channel(0).0,
+            lagging: RefCell::new(lagging),
+        }
+    }
+
+    pub(super) fn coordination(&self) -> &RingSender<CoordinationMessage> {
+        &self.rings.coordination
+    }
+
+    pub(super) fn leads(&self) -> bool {
+        self.leads.get()
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    pub(super) fn set_lead(&self, term: Term, leads: bool) {
+        self.leads.set(leads);
+        if leads {
+            self.note_coordinator(term, self.own.clone());
+        }
+        self.notify();
+    }
+
+    pub(super) fn address_of(&self, vm: &Name) -> Option<SocketAddr> {
+        self.vms.borrow().get(vm).map(|known| known.address)
+    }
+
+    /// The other VMs of a zone.
+    pub(super) fn vms_of(&self, zone: &Name) -> Vec<SocketAddr> {
+        let vms = self.vms.borrow();
+        let others = vms
+            .iter()
+            .filter(|(vm, known)| **vm != self.own.vm && known.zone == *zone);
+        others.map(|(_, known)| known.address).collect()
+    }
+
+    /// The zones other than this VM's own.
+    pub(super) fn other_zones(&self) -> Vec<Name> {
+        let vms = self.vms.borrow();
+        let mut zones: Vec<Name> = vms.values().map(|known| known.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones.retain(|zone| *zone != self.own.zone);
+        zones
+    }
+
+    pub(super) fn coordinator_of(&self, zone: &Name) -> Option<PeerVm> {
+        self.coordinators
+            .borrow()
+            .get(zone)
+            .map(|(_, vm)| vm.clone())
+    }
+
+    /// Forgets a coordinator that did not answer.
+    pub(super) fn forget_coordinator(&self, zone: &Name) {
+        self.coordinators.borrow_mut().remove(zone);
+    }
+
+    fn note_coordinator(&self, term: Term, vm: PeerVm) {
+        let mut coordinators = self.coordinators.borrow_mut();
+        let newer = coordinators
+            .get(&vm.zone)
+            .is_none_or(|(known, _)| *known <= term);
+        if newer {
+            coordinators.insert(vm.zone.clone(), (term, vm));
+        }
+    }
+
+    pub(super) fn take_listed(&self, listed: Vec<ListedVm>) {
+        let mut vms = self.vms.borrow_mut();
+        for vm in listed {
+            vms.insert(
+                vm.vm,
+                KnownVm {
+                    zone: vm.zone,
+                    address: vm.address,
+                },
+            );
+        }
+    }
+
+    /// Takes over declarations, unless they are older than those known.
+    pub(super) fn take_config(&self, config: Arc<DeclaredConfig>) {
+        let known = self.config.borrow().as_ref().map(|known| known.revision);
+        if known.is_some_and(|known| known >= config.revision) {
+            return;
+        }
+        log_event(EventName::ConfigInForce, &[("revision", &config.revision)]);
+        *self.config.borrow_mut() = Some(Arc::clone(&config));
+        offer(
+            &self.rings.orders,
+            OrderMessage::Config(Arc::clone(&config)),
+        );
+        self.tell_workers(&WorkerUpdate::Config(config));
+        self.notify();
+    }
+
+    /// Takes over owners; tells what became of them.
+    pub(super) fn take_delta(&self, delta: &ZoneDelta) -> DeltaOutcome {
+        let outcome = {
+            let mut zones = self.zones.borrow_mut();
+            let table = zones
+                .entry(delta.zone)
+                .or_insert_with(|| ZoneTable::new(delta.zone));
+            table.apply(delta)
+        };
+        if outcome == DeltaOutcome::Applied {
+            let changes: Arc<[RouteChange]> = delta.changes.clone().into();
+            self.tell_workers(&WorkerUpdate::Routes(changes));
+            self.notify();
+        }
+        outcome
+    }
+
+    /// What this VM asks a coordinator.
+    pub(super) fn follow_request(&self, wait_ms: u32) -> FollowRequest {
+        let zones = self.zones.borrow();
+        let known = zones.iter().filter_map(|(zone, table)| {
+            let (term, version) = table.known()?;
+            Some(KnownZone {
+                zone: *zone,
+                term,
+                version,
+            })
+        });
+        FollowRequest {
+            from: self.own.clone(),
+            zones: known.collect(),
+            config: self.config.borrow().as_ref().map(|config| config.revision),
+            wait_ms,
+        }
+    }
+
+    /// What this VM answers a follower.
+    pub(super) fn follow_reply(&self, request: &FollowRequest) -> FollowReply {
+        let zones = self.zones.borrow();
+        let known = |zone: ZoneKey| {
+            let mut zones = request.zones.iter();
+            zones
+                .find(|known| known.zone == zone)
+                .map(|known| (known.term, known.version))
+        };
+        let deltas = zones
+            .iter()
+            .filter_map(|(zone, table)| table.delta(known(*zone)));
+        let config = self.config.borrow();
+        let newer = config
+            .as_ref()
+            .filter(|config| request.config.is_none_or(|r| r < config.revision));
+        let coordinator = self.coordinators.borrow().get(&self.own.zone).cloned();
+        FollowReply {
+            from: self.own.clone(),
+            term: coordinator
+                .as_ref()
+                .map(|(term, _)| *term)
+                .unwrap_or_default(),
+            coordinator: coordinator.map(|(_, vm)| vm),
+            config: newer.map(|config| (**config).clone()),
+            zones: deltas.collect(),
+        }
+    }
+
+    /// Takes over an answer; tells whether it came from its zone's coordinator.
+    pub(super) fn take_reply(&self, reply: FollowReply) -> bool {
+        let from_coordinator = reply.coordinator.as_ref() == Some(&reply.from);
+        if let Some(coordinator) = reply.coordinator {
+            self.note_coordinator(reply.term, coordinator);
+        }
+        if let Some(config) = reply.config {
+            let config = Arc::new(config);
+            let event = ZoneEvent::ConfigChanged(Arc::clone(&config));
+            offer(&self.rings.coordination, CoordinationMessage::Event(event));
+            self.take_config(config);
+        }
+        for delta in &reply.zones {
+            self.take_delta(delta);
+        }
+        from_coordinator
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn tell_workers(&self, update: &WorkerUpdate) {
+        let mut lagging = self.lagging.borrow_mut();
+        for (place, worker) in self.rings.workers.iter().enumerate() {
+            if lagging[place] || !offer(worker, update.clone()) {
+                lagging[place] = !self.tell_all(worker);
+            }
+        }
+    }
+
+    /// Tells a worker everything; tells whether it all went in.
+    fn tell_all(&self, worker: &RingSender<WorkerUpdate>) -> bool {
+        let config = self.config.borrow().clone();
+        let config_in = config.is_none_or(|config| offer(worker, WorkerUpdate::Config(config)));
+        let zones = self.zones.borrow();
+        let mut deltas = zones.values().filter_map(|table| table.delta(None));
+        config_in && deltas.all(|delta| offer(worker, WorkerUpdate::Routes(delta.changes.into())))
+    }
+}
--- /dev/null
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -0,0 +1,120 @@
+//! The peers thread: follows coordinators, answers followers, feeds the workers.
+
+mod answer;
+mod follow;
+mod hub;
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use nickellead_api::DeclaredConfig;
+use nickellead_core::Term;
+use nickellead_lease::{RecordBatch, StandbyVm, ZoneDelta, ZoneEvent};
+use nickellead_peer::{PeerClient, PeerReply, PeerRequest, PeerVm, serve_peers};
+use nickellead_platform::ListedVm;
+use nickellead_proxy::WorkerUpdate;
+
+use crate::coordination::CoordinationMessage;
+use crate::orders::OrderMessage;
+use crate::ring::{RingReceiver, RingSender, offer};
+use hub::PeerHub;
+
+/// How long an answer to an ask is waited for.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What reaches the peers thread.
+#[derive(Debug)]
+pub(crate) enum PeerMessage {
+    /// This VM's zone has new owners.
+    Publish(Box<ZoneDelta>),
+    /// Whether this VM coordinates its zone, and in which term.
+    Lead(Term, bool),
+    /// New declarations from the platform.
+    Config(Arc<DeclaredConfig>),
+    /// The platform's list of VMs.
+    Listed(Vec<ListedVm>),
+    /// Ask a standby to keep new owners.
+    AskRecord(StandbyVm, RecordBatch),
+    /// Ask the former coordinator to step down.
+    AskStepDown(StandbyVm, Term),
+}
+
+/// Rings from peers to the other duties.
+pub(crate) struct PeerRings {
+    pub(crate) coordination: RingSender<CoordinationMessage>,
+    pub(crate) orders: RingSender<OrderMessage>,
+    pub(crate) workers: Vec<RingSender<WorkerUpdate>>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(
+    own: PeerVm,
+    listener: TcpListener,
+    known: Vec<PeerVm>,
+    receiver: RingReceiver<PeerMessage>,
+    rings: PeerRings,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("peers".to_owned())
+        .spawn(move || {
+            if let Ok(runtime) = actix_rt::Runtime::new() {
+                runtime.block_on(run(own, listener, known, receiver, rings));
+            }
+        })
+}
+
+async fn run(
+    own: PeerVm,
+    listener: TcpListener,
+    known: Vec<PeerVm>,
+    mut receiver: RingReceiver<PeerMessage>,
+    rings: PeerRings,
+) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    let hub = Rc::new(PeerHub::new(own, known, rings));
+    actix_rt::spawn(serve_peers(listener, answer::handler(Rc::clone(&hub))));
+    actix_rt::spawn(follow::follow_own_zone(Rc::clone(&hub)));
+    actix_rt::spawn(follow::follow_other_zones(Rc::clone(&hub)));
+    while let Some(message) = receiver.recv().await {
+        take(&hub, message);
+    }
+}
+
+fn take(hub: &Rc<PeerHub>, message: PeerMessage) {
+    match message {
+        PeerMessage::Publish(delta) => {
+            hub.take_delta(&delta);
+        }
+        PeerMessage::Lead(term, leads) => hub.set_lead(term, leads),
+        PeerMessage::Config(config) => hub.take_config(config),
+        PeerMessage::Listed(vms) => hub.take_listed(vms),
+        PeerMessage::AskRecord(vm, batch) => ask(hub, &vm, PeerRequest::Record(batch)),
+        PeerMessage::AskStepDown(vm, term) => ask(hub, &vm, PeerRequest::StepDown(term)),
+    }
+}
+
+/// Asks one VM something and hands the answer to the coordination.
+fn ask(hub: &Rc<PeerHub>, vm: &StandbyVm, request: PeerRequest) {
+    let Some(address) = hub.address_of(&vm.vm) else {
+        return;
+    };
+    let coordination = hub.coordination().clone();
+    actix_rt::spawn(async move {
+        let mut client = PeerClient::new(address);
+        let event = match client.call(&request, ASK_TIMEOUT).await {
+            Ok(PeerReply::Record(answer)) => ZoneEvent::RecordAnswered(answer),
+            Ok(PeerReply::SteppedDown(term)) => ZoneEvent::StepDownAnswered(term),
+            // Asked again by a later tick.
+            _ => return,
+        };
+        offer(&coordination, CoordinationMessage::Event(event));
+    });
+}
--- /dev/null
+++ b/crates/nickellead_run/src/platform.rs
@@ -0,0 +1,264 @@
+//! The platform thread: calls for the coordination, declarations and the list of VMs.
+//!
+//! Only a VM that coordinates, or that hears no coordinator, follows the
+//! platform; the others get everything from their coordinator.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use nickellead_api::{DeclaredConfig, DeclaredService, DeclaredTarget, ObjectKind, ResourceObject};
+use nickellead_core::{Name, Version};
+use nickellead_lease::{ZoneAction, ZoneEvent};
+use nickellead_platform::{CallCounter, PlatformClient, PlatformError};
+use tokio::sync::watch;
+
+use crate::coordination::CoordinationMessage;
+use crate::peers::PeerMessage;
+use crate::ring::{RingReceiver, RingSender, offer};
+
+/// How long one watch waits for changes.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Between two reads of the list of VMs.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// What reaches the platform thread.
+#[derive(Debug)]
+pub(crate) enum PlatformMessage {
+    /// A call of the coordination.
+    Call(Box<ZoneAction>),
+    /// Whether this VM is to follow the platform itself.
+    Follow(bool),
+}
+
+/// Who is told what the platform says.
+#[derive(Clone)]
+pub(crate) struct PlatformRings {
+    pub(crate) coordination: RingSender<CoordinationMessage>,
+    pub(crate) peers: RingSender<PeerMessage>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(
+    address: SocketAddr,
+    zone: Name,
+    counter: CallCounter,
+    receiver: RingReceiver<PlatformMessage>,
+    rings: PlatformRings,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("platform".to_owned())
+        .spawn(move || {
+            if let Ok(runtime) = actix_rt::Runtime::new() {
+                runtime.block_on(run(address, zone, counter, receiver, rings));
+            }
+        })
+}
+
+async fn run(
+    address: SocketAddr,
+    zone: Name,
+    counter: CallCounter,
+    mut receiver: RingReceiver<PlatformMessage>,
+    rings: PlatformRings,
+) {
+    let client = Rc::new(PlatformClient::new(address, counter));
+    let zone = Rc::new(zone);
+    let (follow, followed) = watch::channel(false);
+    actix_rt::spawn(follow_config(
+        Rc::clone(&client),
+        followed.clone(),
+        rings.clone(),
+    ));
+    actix_rt::spawn(follow_vms(
+        Rc::clone(&client),
+        Rc::clone(&zone),
+        followed,
+        rings.clone(),
+    ));
+    while let Some(message) = receiver.recv().await {
+        match message {
+            PlatformMessage::Follow(wanted) => {
+                follow.send_replace(wanted);
+            }
+            PlatformMessage::Call(action) => {
+                let (client, zone) = (Rc::clone(&client), Rc::clone(&zone));
+                let coordination = rings.coordination.clone();
+                actix_rt::spawn(async move {
+                    if let Some(event) = call(&client, &zone, *action).await {
+                        offer(&coordination, CoordinationMessage::Event(event));
+                    }
+                });
+            }
+        }
+    }
+}
+
+async fn call(client: &PlatformClient, zone: &Name, action: ZoneAction) -> Option<ZoneEvent> {
+    match action {
+        ZoneAction::ReadMandate(id) => {
+            let answer = client.read(ObjectKind::Mandate, zone).await;
+            Some(ZoneEvent::MandateRead(id, answer))
+        }
+        ZoneAction::WriteMandate(id, expected, object) => {
+            let answer = client
+                .write(ObjectKind::Mandate, zone, expected, &object)
+                .await;
+            Some(ZoneEvent::MandateWritten(id, answer))
+        }
+        ZoneAction::ReadPlacement(id, service, name) => {
+            let answer = client
+                .read(ObjectKind::Placement, &placement_name(&name, zone)?)
+                .await;
+            Some(ZoneEvent::PlacementRead(id, service, answer))
+        }
+        ZoneAction::WritePlacement(id, service, name, expected, object) => {
+            let name = placement_name(&name, zone)?;
+            let answer = client
+                .write(ObjectKind::Placement, &name, expected, &object)
+                .await;
+            Some(ZoneEvent::PlacementWritten(id, service, answer))
+        }
+        _ => None,
+    }
+}
+
+/// Name of the placement of a service in a zone.
+fn placement_name(service: &Name, zone: &Name) -> Option<Name> {
+    Name::new(&format!("{service}.{zone}")).ok()
+}
+
+async fn follow_config(
+    client: Rc<PlatformClient>,
+    mut followed: watch::Receiver<bool>,
+    rings: PlatformRings,
+) {
+    let mut objects = ConfigObjects::default();
+    loop {
+        if followed.wait_for(|wanted| *wanted).await.is_err() {
+            return;
+        }
+        match objects.refresh(&client).await {
+            Ok(true) => tell_config(&objects, &rings),
+            Ok(false) => {}
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+fn tell_config(objects: &ConfigObjects, rings: &PlatformRings) {
+    let config = Arc::new(objects.to_config());
+    let event = ZoneEvent::ConfigChanged(Arc::clone(&config));
+    offer(&rings.coordination, CoordinationMessage::Event(event));
+    offer(&rings.peers, PeerMessage::Config(config));
+}
+
+/// The declared objects, kept up to date by list and watch.
+#[derive(Default)]
+struct ConfigObjects {
+    revision: Option<Version>,
+    items: BTreeMap<(ObjectKind, Name), ResourceObject>,
+}
+
+impl ConfigObjects {
+    /// Lists once, then waits for changes; tells whether anything changed.
+    async fn refresh(&mut self, client: &PlatformClient) -> Result<bool, PlatformError> {
+        let Some(revision) = self.revision else {
+            return self.list(client).await;
+        };
+        match client.watch(revision, WATCH_WAIT).await {
+            Ok(page) if page.revision < revision => {
+                // The platform went back: a stale replica. What is known stays in force.
+                Ok(false)
+            }
+            Ok(page) => {
+                self.revision = Some(page.revision);
+                let changed = !page.events.is_empty();
+                for event in page.events {
+                    let key = (event.kind, event.name);
+                    match event.object {
+                        Some(object) => drop(self.items.insert(key, object)),
+                        None => drop(self.items.remove(&key)),
+                    }
+                }
+                Ok(changed)
+            }
+            Err(PlatformError::Compacted) => self.list(client).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn list(&mut self, client: &PlatformClient) -> Result<bool, PlatformError> {
+        let list = client.list_declared().await?;
+        if self.revision.is_some_and(|known| list.revision < known) {
+            return Ok(false);
+        }
+        self.revision = Some(list.revision);
+        let keyed = |item: ResourceObject| ((item.kind, item.name.clone()), item);
+        self.items = list.items.into_iter().map(keyed).collect();
+        Ok(true)
+    }
+
+    /// The declarations that can be read; one that can't is left out.
+    fn to_config(&self) -> DeclaredConfig {
+        let revision = self.revision.unwrap_or_default();
+        let mut config = DeclaredConfig {
+            revision,
+            ..DeclaredConfig::default()
+        };
+        for ((kind, name), object) in &self.items {
+            let (name, version, spec) = (name.clone(), object.version, object.spec.clone());
+            match kind {
+                ObjectKind::Service => {
+                    if let Ok(spec) = serde_json::from_value(spec) {
+                        config.services.push(DeclaredService {
+                            name,
+                            version,
+                            spec,
+                        });
+                    }
+                }
+                ObjectKind::Target => {
+                    if let Ok(spec) = serde_json::from_value(spec) {
+                        config.targets.push(DeclaredTarget {
+                            name,
+                            version,
+                            spec,
+                        });
+                    }
+                }
+                ObjectKind::Mandate | ObjectKind::Placement => {}
+            }
+        }
+        config
+    }
+}
+
+async fn follow_vms(
+    client: Rc<PlatformClient>,
+    zone: Rc<Name>,
+    mut followed: watch::Receiver<bool>,
+    rings: PlatformRings,
+) {
+    loop {
+        if followed.wait_for(|wanted| *wanted).await.is_err() {
+            return;
+        }
+        if let Ok(vms) = client.vms().await {
+            let local = vms.iter().filter(|vm| vm.zone == *zone);
+            let names = local.map(|vm| vm.vm.clone()).collect();
+            let event = ZoneEvent::VmsListed(names);
+            offer(&rings.coordination, CoordinationMessage::Event(event));
+            offer(&rings.peers, PeerMessage::Listed(vms));
+        }
+        tokio::time::sleep(LIST_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/nickellead_run/src/settings.rs
@@ -0,0 +1,251 @@
+//! Settings of one VM: a JSON file, checked whole before anything starts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nickellead_api::{FieldError, read_json};
+use nickellead_core::Name;
+use nickellead_lease::LeaseTimes;
+use nickellead_proxy::ProxyLimits;
+use serde::{Deserialize, Serialize};
+
+/// Most request workers of one VM.
+const WORKERS_MAX: u16 = 64;
+
+/// Settings of one entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where callers reach it.
+    pub callers_address: SocketAddr,
+    /// Where operators reach it.
+    pub operators_address: SocketAddr,
+    /// Where other VMs reach it.
+    pub peers_address: SocketAddr,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
+    /// VMs known from the start, beside those of the platform's list.
+    #[serde(default)]
+    pub peers: Vec<PeerSettings>,
+    /// Threads that answer callers.
+    #[serde(default = "default_workers")]
+    pub workers: u16,
+    /// Times of leases.
+    #[serde(default)]
+    pub lease: LeaseSettings,
+    /// Bounds of the request path.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Longest time a planned stop may take, in milliseconds.
+    #[serde(default = "default_stop")]
+    pub stop_limit_ms: u32,
+    /// How long the VM serves on after its readiness went off, in milliseconds.
+    #[serde(default = "default_linger")]
+    pub stop_linger_ms: u32,
+}
+
+const fn default_workers() -> u16 {
+    1
+}
+
+const fn default_stop() -> u32 {
+    10_000
+}
+
+const fn default_linger() -> u32 {
+    500
+}
+
+/// Another VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+}
+
+/// Times of leases, in milliseconds; see [`LeaseTimes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LeaseSettings {
+    /// Between two heartbeats to a target.
+    pub heartbeat_ms: u32,
+    /// How long a target may serve without a heartbeat.
+    pub lease_ms: u32,
+    /// Added to every bound on a lease.
+    pub margin_ms: u32,
+    /// How long a target's answer is waited for.
+    pub order_timeout_ms: u32,
+    /// Between two renewals of the mandate.
+    pub renewal_ms: u32,
+    /// How long the mandate must stand still before a standby takes it.
+    pub standstill_ms: u32,
+    /// How long the platform must be silent before a coordinator is detached.
+    pub detach_after_ms: u32,
+    /// Bound on the difference of clock rates, in parts per million.
+    pub drift_ppm: u32,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        let times = LeaseTimes::default();
+        let millis = |length: Duration| length.as_millis() as u32;
+        Self {
+            heartbeat_ms: millis(times.heartbeat),
+            lease_ms: millis(times.lease),
+            margin_ms: millis(times.margin),
+            order_timeout_ms: millis(times.order_timeout),
+            renewal_ms: millis(times.renewal),
+            standstill_ms: millis(times.standstill),
+            detach_after_ms: millis(times.detach_after),
+            drift_ppm: times.drift.parts_per_million,
+        }
+    }
+}
+
+impl LeaseSettings {
+    /// The times as the state machines take them.
+    #[must_use]
+    pub fn to_times(self) -> LeaseTimes {
+        let length = |millis: u32| Duration::from_millis(u64::from(millis));
+        LeaseTimes {
+            heartbeat: length(self.heartbeat_ms),
+            lease: length(self.lease_ms),
+            margin: length(self.margin_ms),
+            order_timeout: length(self.order_timeout_ms),
+            renewal: length(self.renewal_ms),
+            standstill: length(self.standstill_ms),
+            detach_after: length(self.detach_after_ms),
+            drift: nickellead_core::DriftBound {
+                parts_per_million: self.drift_ppm,
+            },
+        }
+    }
+}
+
+/// Bounds of the request path; see [`ProxyLimits`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// VMs that share the targets' connections.
+    pub vms: u32,
+    /// Requests that may wait for a turn at one target, per worker.
+    pub queue: u32,
+    /// Requests that may wait for moves, per worker.
+    pub movers: u32,
+    /// Longest wait for a move, in milliseconds.
+    pub move_wait_ms: u32,
+    /// Connections from callers, per worker.
+    pub connections: u32,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        let limits = ProxyLimits::default();
+        Self {
+            vms: limits.sharers,
+            queue: limits.queue,
+            movers: limits.movers,
+            move_wait_ms: limits.move_wait.as_millis() as u32,
+            connections: limits.connections as u32,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// The bounds as a worker takes them.
+    #[must_use]
+    pub fn to_limits(self, workers: u16) -> ProxyLimits {
+        ProxyLimits {
+            sharers: self.vms * u32::from(workers),
+            queue: self.queue,
+            movers: self.movers,
+            move_wait: Duration::from_millis(u64::from(self.move_wait_ms)),
+            connections: self.connections as usize,
+        }
+    }
+}
+
+impl NodeSettings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// Returns the first field that is wrong, and why.
+    pub fn read(text: &[u8]) -> Result<Self, FieldError> {
+        let settings: Self = read_json(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks what the types can't say.
+    ///
+    /// # Errors
+    /// Returns the first field that is wrong, and why.
+    pub fn check(&self) -> Result<(), FieldError> {
+        if self.workers == 0 || self.workers > WORKERS_MAX {
+            let reason = format!("must be from 1 to {WORKERS_MAX}");
+            return Err(FieldError::new("workers", reason));
+        }
+        self.check_addresses()?;
+        self.check_limits()?;
+        if self.stop_limit_ms <= self.stop_linger_ms {
+            return Err(FieldError::new(
+                "stop_limit_ms",
+                "must be more than stop_linger_ms",
+            ));
+        }
+        let times = self.lease.to_times();
+        times
+            .check()
+            .map_err(|(field, reason)| FieldError::new(format!("lease.{field}"), reason))
+    }
+
+    fn check_addresses(&self) -> Result<(), FieldError> {
+        let own = [
+            ("callers_address", self.callers_address),
+            ("operators_address", self.operators_address),
+            ("peers_address", self.peers_address),
+        ];
+        for (place, (field, address)) in own.iter().enumerate() {
+            if address.port() == 0 {
+                return Err(FieldError::new(*field, "must have a port"));
+            }
+            if own[..place].iter().any(|(_, other)| other == address) {
+                return Err(FieldError::new(
+                    *field,
+                    "is used for something else already",
+                ));
+            }
+        }
+        for (place, peer) in self.peers.iter().enumerate() {
+            if peer.vm == self.vm && peer.address != self.peers_address {
+                let field = format!("peers[{place}].address");
+                return Err(FieldError::new(
+                    field,
+                    "differs from this VM's peers_address",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self) -> Result<(), FieldError> {
+        let positive = [
+            ("limits.vms", self.limits.vms),
+            ("limits.connections", self.limits.connections),
+            ("limits.movers", self.limits.movers),
+        ];
+        match positive.iter().find(|(_, value)| *value == 0) {
+            Some((field, _)) => Err(FieldError::new(*field, "must be at least 1")),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickellead_standin/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for platform, targets and callers, for tests, trials and benches.
+//!
+//! They speak the same protocols as the real ones over real sockets, and can
+//! be told to fail in the ways that the real ones fail.
+
+mod load;
+mod platform;
+mod serve;
+mod store;
+mod target;
+
+pub use load::{CallerSettings, LoadReport, LoadSettings, run_load};
+pub use platform::{PlatformFaults, PlatformSettings, StandinPlatform};
+pub use store::{ObjectStore, StoreError};
+pub use target::{EffectRecord, SharedState, StandinTarget, TargetSettings};
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,56 @@
+//! The command line: one module for each family of subcommands.
+
+mod resources;
+mod run;
+mod standin;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Exit code when settings or arguments are wrong.
+const EXIT_USAGE: u8 = 2;
+
+/// nickellead: a router for servers that own keys exclusively.
+#[derive(FromArgs)]
+pub struct TopCommand {
+    #[argh(subcommand)]
+    command: SubCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SubCommand {
+    Run(run::RunCommand),
+    Check(run::CheckCommand),
+    Get(resources::GetCommand),
+    Apply(resources::ApplyCommand),
+    Delete(resources::DeleteCommand),
+    Watch(resources::WatchCommand),
+    Standin(standin::StandinCommand),
+}
+
+/// Runs what the command line asks for.
+pub fn run(command: TopCommand) -> ExitCode {
+    match command.command {
+        SubCommand::Run(command) => command.run(),
+        SubCommand::Check(command) => command.run(),
+        SubCommand::Get(command) => command.run(),
+        SubCommand::Apply(command) => command.run(),
+        SubCommand::Delete(command) => command.run(),
+        SubCommand::Watch(command) => command.run(),
+        SubCommand::Standin(command) => command.run(),
+    }
+}
+
+/// Reports a fault on standard error and gives the exit code for it.
+fn fail(code: u8, message: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("nickellead: {message}");
+    ExitCode::from(code)
+}
+
+/// Prints one line of a command's result; a closed pipe ends the output quietly.
+fn print_line(line: &str) {
+    use std::io::Write;
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
--- /dev/null
+++ b/src/command/run.rs
@@ -0,0 +1,86 @@
+//! `run` and `check`: one entry VM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use argh::FromArgs;
+use log::LevelFilter;
+use nickellead_run::{NodeSettings, start_node};
+
+use super::{EXIT_USAGE, fail};
+use crate::logging::start_logging;
+
+/// run one entry VM until SIGTERM or SIGINT
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+pub(super) struct RunCommand {
+    /// settings, a JSON file
+    #[argh(option)]
+    settings: PathBuf,
+    /// loudness of the log: error, warn, info or debug
+    #[argh(option, default = "LevelFilter::Info")]
+    log: LevelFilter,
+}
+
+/// check settings and start nothing
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(super) struct CheckCommand {
+    /// settings, a JSON file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn read_settings(path: &PathBuf) -> Result<NodeSettings, String> {
+    let shown = path.display();
+    let text = std::fs::read(path).map_err(|error| format!("{shown} can't be read: {error}"))?;
+    NodeSettings::read(&text).map_err(|error| format!("{shown}: {error}"))
+}
+
+impl CheckCommand {
+    pub(super) fn run(self) -> ExitCode {
+        match read_settings(&self.settings) {
+            Ok(settings) => {
+                eprintln!("settings of VM {} are fine", settings.vm);
+                ExitCode::SUCCESS
+            }
+            Err(message) => fail(EXIT_USAGE, &message),
+        }
+    }
+}
+
+impl RunCommand {
+    pub(super) fn run(self) -> ExitCode {
+        let settings = match read_settings(&self.settings) {
+            Ok(settings) => settings,
+            Err(message) => return fail(EXIT_USAGE, &message),
+        };
+        start_logging(self.log);
+        let node = match start_node(settings) {
+            Ok(node) => node,
+            Err(error) => return fail(EXIT_USAGE, &error),
+        };
+        if let Err(error) = wait_for_signal() {
+            return fail(1, &error);
+        }
+        if node.stop() {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Blocks until SIGTERM or SIGINT.
+pub(super) fn wait_for_signal() -> std::io::Result<()> {
+    actix_rt::Runtime::new()?.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,10 @@
+//! The `nickellead` program: a thin front that joins the crates.
+
+mod command;
+mod logging;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run(argh::from_env())
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,132 @@
+//! Processes of the program under test, ended when dropped.
+#![allow(dead_code, clippy::unwrap_used, clippy::panic)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+/// How long an event is waited for before a test fails instead of hanging.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One process, whose events are read from standard error.
+pub struct Process {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Process {
+    /// Starts the program with these arguments.
+    pub fn start(arguments: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_nickellead"))
+            .args(arguments)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let errors = BufReader::new(child.stderr.take().unwrap());
+        let (sender, lines) = channel();
+        std::thread::spawn(move || {
+            for line in errors.lines().map_while(Result::ok) {
+                // The test may have ended.
+                let _ = sender.send(line);
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// Reads events until one holds all the words; panics when the process ends before.
+    pub fn wait_for(&mut self, words: &[&str]) -> String {
+        let mut seen = String::new();
+        loop {
+            let line = match self.lines.recv_timeout(EVENT_TIMEOUT) {
+                Ok(line) => line,
+                Err(error) => panic!("no {words:?} ({error}); it said:\n{seen}"),
+            };
+            if words.iter().all(|word| line.contains(word)) {
+                return line;
+            }
+            seen.push_str(&line);
+            seen.push('\n');
+        }
+    }
+
+    /// Number of the process, for signals.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args(["-s", name, &self.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the end and returns the exit code.
+    pub fn exit_code(mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs a command of the program to its end: exit code, standard output, standard error.
+pub fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_nickellead"))
+        .args(arguments)
+        .output()
+        .unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (
+        output.status.code(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+/// An address on the loopback that nobody listens on.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// A file in a folder of this test process's own.
+pub fn write_file(name: &str, text: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(std::process::id().to_string());
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Sends raw bytes and returns all that comes back until the other side closes.
+pub fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// One request with no body, on a connection of its own.
+pub fn request(address: SocketAddr, method: &str, path: &str) -> String {
+    exchange(
+        address,
+        &format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n"),
+    )
+}
