--- a/crates/nickellead_api/src/config.rs
+++ b/crates/nickellead_api/src/config.rs
@@ -47,8 +47,6 @@
 
     /// The targets that stand in a zone.
     pub fn targets_in<'a>(&'a self, zone: &'a Name) -> impl Iterator<Item = &'a DeclaredTarget> {
-        self.targets
-            .iter()
-            .filter(move |target| target.spec.zone == *zone)
+        self.targets.iter().filter(move |target| target.spec.zone == *zone)
     }
 }
--- a/crates/nickellead_api/src/read.rs
+++ b/crates/nickellead_api/src/read.rs
@@ -17,10 +17,7 @@
 impl FieldError {
     /// Makes an error of its two parts.
     pub fn new(field: impl Into<String>, reason: impl Into<String>) -> Self {
-        Self {
-            field: field.into(),
-            reason: reason.into(),
-        }
+        Self { field: field.into(), reason: reason.into() }
     }
 }
 
@@ -31,9 +28,7 @@
 pub fn read_json<T: DeserializeOwned>(text: &[u8]) -> Result<T, FieldError> {
     let mut deserializer = serde_json::Deserializer::from_slice(text);
     let value = serde_path_to_error::deserialize(&mut deserializer).map_err(to_field_error)?;
-    deserializer
-        .end()
-        .map_err(|error| FieldError::new(".", error.to_string()))?;
+    deserializer.end().map_err(|error| FieldError::new(".", error.to_string()))?;
     Ok(value)
 }
 
--- a/crates/nickellead_api/src/service.rs
+++ b/crates/nickellead_api/src/service.rs
@@ -148,11 +148,7 @@
 
 impl Default for PolicyWeights {
     fn default() -> Self {
-        Self {
-            unavailable: 10,
-            churn: 10,
-            imbalance: 10,
-        }
+        Self { unavailable: 10, churn: 10, imbalance: 10 }
     }
 }
 
@@ -167,10 +163,7 @@
             return Err(range_error("shards", 1, u64::from(SHARDS_MAX)));
         }
         if (self.shards as usize) < self.zones.len() {
-            return Err(FieldError::new(
-                "shards",
-                "must be at least the number of zones",
-            ));
+            return Err(FieldError::new("shards", "must be at least the number of zones"));
         }
         if self.body_limit > BODY_LIMIT_MAX {
             return Err(range_error("body_limit", 0, u64::from(BODY_LIMIT_MAX)));
@@ -228,17 +221,11 @@
 
 fn check_zones(zones: &[Name]) -> Result<(), FieldError> {
     if zones.is_empty() || zones.len() > ZONES_MAX {
-        return Err(FieldError::new(
-            "zones",
-            format!("must name 1 to {ZONES_MAX} zones"),
-        ));
+        return Err(FieldError::new("zones", format!("must name 1 to {ZONES_MAX} zones")));
     }
     for (place, zone) in zones.iter().enumerate() {
         if zones[..place].contains(zone) {
-            return Err(FieldError::new(
-                format!("zones[{place}]"),
-                "names a zone twice",
-            ));
+            return Err(FieldError::new(format!("zones[{place}]"), "names a zone twice"));
         }
     }
     Ok(())
@@ -246,10 +233,9 @@
 
 fn check_key(key: &KeySource) -> Result<(), FieldError> {
     match key {
-        KeySource::Path { segment: 0 } => Err(FieldError::new(
-            "key.segment",
-            "is 0, the service's own name: use 1 or more",
-        )),
+        KeySource::Path { segment: 0 } => {
+            Err(FieldError::new("key.segment", "is 0, the service's own name: use 1 or more"))
+        }
         KeySource::Path { .. } => Ok(()),
         KeySource::Header { name } if is_token(name) => Ok(()),
         KeySource::Query { name } if !name.is_empty() => Ok(()),
@@ -270,27 +256,17 @@
     for (place, operation) in operations.iter().enumerate() {
         let field = |name: &str| format!("operations[{place}].{name}");
         if operation.deadline_ms == 0 || operation.deadline_ms > DEADLINE_MAX_MS {
-            return Err(range_error(
-                field("deadline_ms"),
-                1,
-                u64::from(DEADLINE_MAX_MS),
-            ));
+            return Err(range_error(field("deadline_ms"), 1, u64::from(DEADLINE_MAX_MS)));
         }
         let known = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
         if !known.contains(&operation.method.as_str()) {
-            return Err(FieldError::new(
-                field("method"),
-                format!("must be one of {known:?}"),
-            ));
+            return Err(FieldError::new(field("method"), format!("must be one of {known:?}")));
         }
         let same = |other: &OperationSpec| {
             other.name == operation.name && other.method == operation.method
         };
         if operations[..place].iter().any(same) {
-            return Err(FieldError::new(
-                field("name"),
-                "is declared twice for this method",
-            ));
+            return Err(FieldError::new(field("name"), "is declared twice for this method"));
         }
     }
     Ok(())
@@ -313,8 +289,5 @@
 }
 
 fn fixed_error(field: &str) -> FieldError {
-    FieldError::new(
-        field,
-        "can't change: declare a new service and move the callers",
-    )
+    FieldError::new(field, "can't change: declare a new service and move the callers")
 }
--- a/crates/nickellead_api/src/target.rs
+++ b/crates/nickellead_api/src/target.rs
@@ -50,10 +50,7 @@
             return Err(FieldError::new("slots", "must be at least 1"));
         }
         if self.connections < self.slots {
-            return Err(FieldError::new(
-                "connections",
-                "must be at least the number of slots",
-            ));
+            return Err(FieldError::new("connections", "must be at least the number of slots"));
         }
         if self.address.port() == 0 {
             return Err(FieldError::new("address", "must have a port"));
@@ -77,10 +74,7 @@
             return Err(FieldError::new("address", reason));
         }
         if old.state == TargetState::Gone && self.state != TargetState::Gone {
-            return Err(FieldError::new(
-                "state",
-                "was gone: declare a new target instead",
-            ));
+            return Err(FieldError::new("state", "was gone: declare a new target instead"));
         }
         Ok(())
     }
--- a/crates/nickellead_chart/src/chart.rs
+++ b/crates/nickellead_chart/src/chart.rs
@@ -38,11 +38,7 @@
             }
         }
         check_events::<E>(&source)?;
-        let chart = Self {
-            initial,
-            table,
-            events: PhantomData,
-        };
+        let chart = Self { initial, table, events: PhantomData };
         chart.check_reachable(&source)?;
         Ok(chart)
     }
@@ -77,11 +73,7 @@
             if std::mem::replace(&mut reached[state.index()], true) {
                 continue;
             }
-            open.extend(
-                E::ALL
-                    .iter()
-                    .filter_map(|(event, _)| self.next(state, *event)),
-            );
+            open.extend(E::ALL.iter().filter_map(|(event, _)| self.next(state, *event)));
         }
         match S::ALL.iter().find(|(state, _)| !reached[state.index()]) {
             None => Ok(()),
@@ -99,27 +91,21 @@
 
 fn find_state<S: ChartSymbol>(source: &ChartSource, name: &str) -> Result<S, ChartError> {
     let found = S::ALL.iter().find(|(_, known)| *known == name);
-    found
-        .map(|(state, _)| *state)
-        .ok_or_else(|| ChartError::UnknownState {
-            chart: source.name.clone(),
-            state: name.to_owned(),
-        })
+    found.map(|(state, _)| *state).ok_or_else(|| ChartError::UnknownState {
+        chart: source.name.clone(),
+        state: name.to_owned(),
+    })
 }
 
 fn check_states<S: ChartSymbol>(source: &ChartSource) -> Result<(), ChartError> {
     for name in source.states.keys() {
         find_state::<S>(source, name)?;
     }
-    match S::ALL
-        .iter()
-        .find(|(_, name)| !source.states.contains_key(*name))
-    {
+    match S::ALL.iter().find(|(_, name)| !source.states.contains_key(*name)) {
         None => Ok(()),
-        Some((_, name)) => Err(ChartError::UnknownState {
-            chart: source.name.clone(),
-            state: (*name).to_owned(),
-        }),
+        Some((_, name)) => {
+            Err(ChartError::UnknownState { chart: source.name.clone(), state: (*name).to_owned() })
+        }
     }
 }
 
--- a/crates/nickellead_core/src/ident.rs
+++ b/crates/nickellead_core/src/ident.rs
@@ -39,10 +39,7 @@
         if text.len() > NAME_LENGTH_MAX {
             return Err(NameError::TooLong(text.len()));
         }
-        match text
-            .chars()
-            .find(|character| !is_name_character(*character))
-        {
+        match text.chars().find(|character| !is_name_character(*character)) {
             Some(character) => Err(NameError::BadCharacter(character)),
             None => Ok(Self(text.to_owned())),
         }
--- a/crates/nickellead_core/src/time.rs
+++ b/crates/nickellead_core/src/time.rs
@@ -47,8 +47,6 @@
 impl Default for DriftBound {
     /// 1%: far above what any working clock shows.
     fn default() -> Self {
-        Self {
-            parts_per_million: 10_000,
-        }
+        Self { parts_per_million: 10_000 }
     }
 }
--- a/crates/nickellead_lease/src/coordinator/loading.rs
+++ b/crates/nickellead_lease/src/coordinator/loading.rs
@@ -1,7 +1,10 @@
 //! Reading the zone's placements and writing this coordinator's term into them.
 
-use nickellead_core::{Name, ServiceKey, ShardIndex, TargetKey, Version};
+use std::time::Duration;
 
+use nickellead_core::{Name, ServiceKey, ShardIndex, TargetKey, Timestamp, Version};
+
+use super::mandate_keeper::CALL_LIMIT;
 use super::{CallId, PlacementCall, ZoneAction, ZoneCoordinator, ZoneNotice};
 use crate::charts::{MandateEvent, MandatePhase, ShardEvent, ShardPhase};
 use crate::object::{PlacementObject, ReadAnswer};
@@ -9,6 +12,9 @@
 use crate::session::TargetSession;
 use crate::shard::{LoadState, PendingWrite, ServicePlacement};
 
+/// Pause of the calls for one placement after one of them failed.
+const CALL_PAUSE: Duration = Duration::from_millis(200);
+
 impl ZoneCoordinator {
     /// Starts a term: nothing of an earlier one is kept but the records.
     pub(super) fn begin_loading(&mut self) {
@@ -53,8 +59,10 @@
     }
 
     /// Reads every placement that is not loaded yet, and notes when all are.
-    pub(super) fn load_placements(&mut self) {
-        let unread = |placement: &&ServicePlacement| placement.load == LoadState::Unread;
+    pub(super) fn load_placements(&mut self, now: Timestamp) {
+        let unread = |placement: &&ServicePlacement| {
+            placement.load == LoadState::Unread && now >= placement.not_before
+        };
         let wanted: Vec<(ServiceKey, Name)> = self
             .placements
             .values()
@@ -63,7 +71,7 @@
             .collect();
         for (service, name) in wanted {
             if !self.calls.contains_key(&service) {
-                self.read_placement(service, name);
+                self.read_placement(service, name, now);
             }
         }
         let claimed = |placement: &ServicePlacement| placement.load == LoadState::Claimed;
@@ -78,17 +86,14 @@
         call: CallId,
         service: ServiceKey,
         answer: ReadAnswer<PlacementObject>,
+        now: Timestamp,
     ) {
-        if self
-            .calls
-            .get(&service)
-            .is_none_or(|known| known.id != call)
-        {
+        if self.calls.get(&service).is_none_or(|known| known.id != call) {
             return;
         }
         self.calls.remove(&service);
         match answer {
-            ReadAnswer::Failed => {}
+            ReadAnswer::Failed => self.pause_calls(service, now),
             ReadAnswer::Absent => {
                 self.take_placement(service, &PlacementObject::default(), Version::ZERO)
             }
@@ -100,6 +105,24 @@
         }
     }
 
+    /// Gives up calls that were never answered, as if they had failed.
+    pub(super) fn end_late_calls(&mut self, now: Timestamp) {
+        let late = self.calls.iter().filter(|(_, call)| now >= call.ends);
+        let late: Vec<ServiceKey> = late.map(|(service, _)| *service).collect();
+        for service in late {
+            self.calls.remove(&service);
+            self.pause_calls(service, now);
+        }
+    }
+
+    /// Leaves the platform alone for a while after a call that failed.
+    pub(super) fn pause_calls(&mut self, service: ServiceKey, now: Timestamp) {
+        if let Some(placement) = self.placements.get_mut(&service) {
+            placement.not_before = now + CALL_PAUSE;
+            placement.reread |= placement.pending.is_some();
+        }
+    }
+
     /// Uses an object that was read: as the state to start from, or to learn a write's fate.
     fn take_placement(&mut self, service: ServiceKey, object: &PlacementObject, version: Version) {
         let Some(placement) = self.placements.get_mut(&service) else {
@@ -114,16 +137,10 @@
         }
         placement.load_object(object, version);
         placement.pending = None;
-        let entries: Vec<_> = self
-            .records
-            .range(record_range(service))
-            .map(|(k, v)| (*k, *v))
-            .collect();
+        let entries: Vec<_> =
+            self.records.range(record_range(service)).map(|(k, v)| (*k, *v)).collect();
         for ((_, shard), (target, epoch)) in entries {
-            if placement
-                .get(shard)
-                .is_some_and(|record| record.epoch < epoch)
-            {
+            if placement.get(shard).is_some_and(|record| record.epoch < epoch) {
                 placement.load_owner(shard, Some(target), epoch);
             }
         }
@@ -143,36 +160,33 @@
             return;
         };
         placement.version = version;
-        let done = placement
-            .pending
-            .as_ref()
-            .is_some_and(|write| write.object == *object);
+        let done = placement.pending.as_ref().is_some_and(|write| write.object == *object);
         if done {
             self.commit_write(service, false);
         }
     }
 
     /// Writes what is planned or dirty, one write at a time for each placement.
-    pub(super) fn write_placements(&mut self) {
+    pub(super) fn write_placements(&mut self, now: Timestamp) {
         let services: Vec<ServiceKey> = self.placements.keys().copied().collect();
         for service in services {
             self.prepare_write(service);
             if !self.calls.contains_key(&service) {
-                self.write_placement(service);
+                self.write_placement(service, now);
             }
         }
     }
 
-    fn write_placement(&mut self, service: ServiceKey) {
+    fn write_placement(&mut self, service: ServiceKey, now: Timestamp) {
         let Some(placement) = self.placements.get_mut(&service) else {
             return;
         };
-        if placement.load == LoadState::Unread {
+        if placement.load == LoadState::Unread || now < placement.not_before {
             return;
         }
         if std::mem::take(&mut placement.reread) {
             let name = placement.name.clone();
-            self.read_placement(service, name);
+            self.read_placement(service, name, now);
             return;
         }
         let Some(write) = &placement.pending else {
@@ -183,22 +197,15 @@
         let id = self.next_call();
         self.calls.insert(
             service,
-            PlacementCall {
-                id,
-                write_id: object.write_id,
-            },
+            PlacementCall { id, write_id: object.write_id, ends: now + CALL_LIMIT },
         );
-        self.actions.push(ZoneAction::WritePlacement(
-            id, service, name, version, object,
-        ));
+        self.actions.push(ZoneAction::WritePlacement(id, service, name, version, object));
     }
 
-    fn read_placement(&mut self, service: ServiceKey, name: Name) {
+    fn read_placement(&mut self, service: ServiceKey, name: Name, now: Timestamp) {
         let id = self.next_call();
-        self.calls
-            .insert(service, PlacementCall { id, write_id: 0 });
-        self.actions
-            .push(ZoneAction::ReadPlacement(id, service, name));
+        self.calls.insert(service, PlacementCall { id, write_id: 0, ends: now + CALL_LIMIT });
+        self.actions.push(ZoneAction::ReadPlacement(id, service, name));
     }
 
     /// Makes the next write of a placement from the shards whose next owner is chosen.
@@ -206,10 +213,7 @@
         let Some(placement) = self.placements.get_mut(&service) else {
             return;
         };
-        let undecided = placement
-            .pending
-            .as_ref()
-            .is_some_and(|write| !write.planned.is_empty());
+        let undecided = placement.pending.as_ref().is_some_and(|write| !write.planned.is_empty());
         if undecided || placement.load == LoadState::Unread {
             return;
         }
--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -11,6 +11,8 @@
 use crate::rules::enforced;
 use crate::shard::{LoadState, ServicePlacement};
 
+/// How long a call may take before it counts as failed; the client's own limit is shorter.
+pub(super) const CALL_LIMIT: Duration = Duration::from_secs(3);
 /// Between two reads of the mandate by a VM that hears no coordinator.
 const READ_PERIOD: Duration = Duration::from_millis(200);
 /// How long a VM stays eligible as a standby after it was last heard.
@@ -24,6 +26,8 @@
     /// Since when this VM sees this version.
     since: Timestamp,
     call: Option<CallId>,
+    /// When the call under way counts as failed, should no answer ever come.
+    call_ends: Timestamp,
     /// A write whose fate is not known yet.
     unsure: Option<MandateObject>,
     /// The version that the unsure write builds on.
@@ -43,6 +47,7 @@
             object: None,
             since: now,
             call: None,
+            call_ends: now,
             unsure: None,
             base: Version::ZERO,
             retry: false,
@@ -58,6 +63,11 @@
         self.unsure = None;
     }
 
+    fn begin_call(&mut self, call: CallId, now: Timestamp) {
+        self.call = Some(call);
+        self.call_ends = now + CALL_LIMIT;
+    }
+
     fn see(&mut self, version: Version, object: Option<MandateObject>, now: Timestamp) {
         if version != self.version || self.object.is_none() {
             self.since = now;
@@ -83,6 +93,7 @@
     }
 
     pub(super) fn keep_mandate(&mut self, now: Timestamp) {
+        self.watch.call.take_if(|_| now >= self.watch.call_ends);
         match self.phase {
             MandatePhase::Follower if self.stop_wanted => {
                 self.advance_mandate(MandateEvent::StopAsked);
@@ -148,12 +159,12 @@
         }
         let jitter = Duration::from_millis(self.rng.u64(0..READ_PERIOD.as_millis() as u64));
         self.watch.next_due = now + READ_PERIOD + jitter / 2;
-        self.read_mandate();
+        self.read_mandate(now);
     }
 
-    fn read_mandate(&mut self) {
+    fn read_mandate(&mut self, now: Timestamp) {
         let call = self.next_call();
-        self.watch.call = Some(call);
+        self.watch.begin_call(call, now);
         self.actions.push(ZoneAction::ReadMandate(call));
     }
 
@@ -259,14 +270,13 @@
 
     fn write_mandate(&mut self, object: MandateObject, now: Timestamp) {
         let call = self.next_call();
-        self.watch.call = Some(call);
+        self.watch.begin_call(call, now);
         self.watch.unsure = Some(object.clone());
         self.watch.base = self.watch.version;
         self.watch.retry = false;
         self.watch.sent_at = now;
         self.watch.next_due = now + self.settings.times.renewal;
-        self.actions
-            .push(ZoneAction::WriteMandate(call, self.watch.version, object));
+        self.actions.push(ZoneAction::WriteMandate(call, self.watch.version, object));
     }
 
     /// Finds out what became of a write: read back, then write the same again.
@@ -279,7 +289,7 @@
             return;
         }
         self.watch.next_due = now + READ_PERIOD;
-        self.read_mandate();
+        self.read_mandate(now);
     }
 
     fn mandate_done(&mut self, version: Version, now: Timestamp) {
@@ -361,10 +371,7 @@
     /// Keeps the standbys that are heard and fills up with others that are.
     fn choose_standbys(&self, now: Timestamp) -> Vec<StandbyVm> {
         let current = self.watch.object.iter().flat_map(|object| &object.standbys);
-        let heard = self
-            .peers
-            .values()
-            .filter(|(_, at)| now.since(*at) < PEER_FRESH);
+        let heard = self.peers.values().filter(|(_, at)| now.since(*at) < PEER_FRESH);
         let fresh: Vec<&StandbyVm> = heard
             .map(|(vm, _)| vm)
             .filter(|vm| **vm != self.settings.vm && self.is_listed(&vm.vm))
@@ -379,9 +386,7 @@
     }
 
     pub(super) fn is_listed(&self, vm: &Name) -> bool {
-        self.listed
-            .as_ref()
-            .is_some_and(|listed| listed.contains(vm))
+        self.listed.as_ref().is_some_and(|listed| listed.contains(vm))
     }
 
     /// Whether a process surely runs no more.
@@ -390,10 +395,7 @@
     /// that absence from the lagging list means gone, not "not there yet". A VM
     /// heard under another incarnation has started anew.
     pub(super) fn is_gone(&self, vm: &StandbyVm) -> bool {
-        let unlisted = self
-            .listed
-            .as_ref()
-            .is_some_and(|listed| !listed.contains(&vm.vm));
+        let unlisted = self.listed.as_ref().is_some_and(|listed| !listed.contains(&vm.vm));
         let heard = self.peers.get(&vm.vm);
         let restarted = heard.is_some_and(|(known, _)| known.incarnation != vm.incarnation);
         let own = vm.vm == self.settings.vm.vm && vm.incarnation != self.settings.vm.incarnation;
--- a/crates/nickellead_lease/src/coordinator/mod.rs
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -51,6 +51,8 @@
     id: CallId,
     /// The write it carries; 0 for a read.
     write_id: u64,
+    /// When it counts as failed, should no answer ever come.
+    ends: Timestamp,
 }
 
 /// One VM's part in the coordination of its zone.
@@ -121,10 +123,11 @@
         self.note(event, now);
         self.keep_mandate(now);
         if self.coordinates() {
-            self.load_placements();
+            self.end_late_calls(now);
+            self.load_placements(now);
             self.look_after_sessions(now);
             self.plan(now);
-            self.write_placements();
+            self.write_placements(now);
             self.ask_records(now);
             self.send_orders(now);
         }
@@ -140,20 +143,19 @@
     /// The term: this VM's own while it coordinates, else the highest seen.
     #[must_use]
     pub fn term(&self) -> Term {
-        if self.coordinates() {
-            self.term
-        } else {
-            self.highest_term
-        }
+        if self.coordinates() { self.term } else { self.highest_term }
     }
 
     /// Whether this VM coordinates its zone now.
     #[must_use]
     pub const fn coordinates(&self) -> bool {
-        matches!(
-            self.phase,
-            MandatePhase::Loading | MandatePhase::Leading | MandatePhase::Detached
-        )
+        matches!(self.phase, MandatePhase::Loading | MandatePhase::Leading | MandatePhase::Detached)
+    }
+
+    /// The coordinator before this one, as far as it is known.
+    #[must_use]
+    pub fn former_holder(&self) -> Option<StandbyVm> {
+        self.predecessor.holder.clone()
     }
 
     /// Whether no coordinator of the zone was heard for a renewal's length.
@@ -202,10 +204,7 @@
 
     fn all_routes(&self) -> Vec<crate::RouteChange> {
         let routes = |placement: &ServicePlacement| {
-            placement
-                .iter()
-                .map(|(shard, _)| placement.route(shard))
-                .collect::<Vec<_>>()
+            placement.iter().map(|(shard, _)| placement.route(shard)).collect::<Vec<_>>()
         };
         self.placements.values().flat_map(routes).collect()
     }
@@ -217,10 +216,10 @@
             ZoneEvent::MandateRead(call, answer) => self.note_mandate_read(call, answer, now),
             ZoneEvent::MandateWritten(call, answer) => self.note_mandate_written(call, answer, now),
             ZoneEvent::PlacementRead(call, service, answer) => {
-                self.note_placement_read(call, service, answer);
+                self.note_placement_read(call, service, answer, now);
             }
             ZoneEvent::PlacementWritten(call, service, answer) => {
-                self.note_placement_written(call, service, answer);
+                self.note_placement_written(call, service, answer, now);
             }
             ZoneEvent::VmsListed(names) => self.listed = Some(names.into_iter().collect()),
             ZoneEvent::TargetAnswered(reply) => self.note_reply(&reply, now),
@@ -247,10 +246,7 @@
     }
 
     fn note_config(&mut self, config: Arc<DeclaredConfig>) {
-        let newer = self
-            .config
-            .as_ref()
-            .is_none_or(|known| known.revision <= config.revision);
+        let newer = self.config.as_ref().is_none_or(|known| known.revision <= config.revision);
         if newer || !crate::rules::enforced!("config_monotonic") {
             self.config = Some(config);
             if self.coordinates() {
@@ -269,8 +265,7 @@
 
     fn note_step_down(&mut self, term: Term) {
         self.see_term(term);
-        self.actions
-            .push(ZoneAction::AnswerStepDown(self.highest_term));
+        self.actions.push(ZoneAction::AnswerStepDown(self.highest_term));
     }
 
     /// Takes note of a term; a higher one than this VM's ends its coordination.
@@ -285,10 +280,7 @@
     }
 
     fn step_down(&mut self, term: Term) {
-        if !charts()
-            .mandate
-            .advance(&mut self.phase, MandateEvent::Superseded)
-        {
+        if !charts().mandate.advance(&mut self.phase, MandateEvent::Superseded) {
             return;
         }
         self.notify(ZoneNotice::Superseded(term));
--- a/crates/nickellead_lease/src/coordinator/moves.rs
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -52,11 +52,8 @@
         let Some(placement) = self.placements.get_mut(&service) else {
             return;
         };
-        let takes = |target: TargetKey| {
-            sessions
-                .get(&target)
-                .is_some_and(TargetSession::takes_shards)
-        };
+        let takes =
+            |target: TargetKey| sessions.get(&target).is_some_and(TargetSession::takes_shards);
         let wanting = placement.select(|record| {
             record.phase == ShardPhase::Free && record.next.is_none_or(|next| !takes(next))
         });
@@ -65,10 +62,7 @@
         }
         let owners = assign(&mut loads, wanting.len());
         let none = std::iter::repeat(None);
-        for (shard, owner) in wanting
-            .into_iter()
-            .zip(owners.into_iter().map(Some).chain(none))
-        {
+        for (shard, owner) in wanting.into_iter().zip(owners.into_iter().map(Some).chain(none)) {
             let Some(record) = placement.get_mut(shard) else {
                 continue;
             };
@@ -99,15 +93,8 @@
         if staying.is_empty() {
             return;
         }
-        let gap_percent = if rebalances {
-            RebalanceLimits::default().gap_percent
-        } else {
-            100
-        };
-        let limits = RebalanceLimits {
-            moves: self.settings.moves,
-            gap_percent,
-        };
+        let gap_percent = if rebalances { RebalanceLimits::default().gap_percent } else { 100 };
+        let limits = RebalanceLimits { moves: self.settings.moves, gap_percent };
         let plans = plan_moves(&leaving, &mut staying, limits);
         self.begin_moves(service, &plans, now);
     }
@@ -133,10 +120,7 @@
                 continue;
             };
             record.next = Some(plan.to);
-            let grant = ShardGrant {
-                shard,
-                epoch: record.epoch,
-            };
+            let grant = ShardGrant { shard, epoch: record.epoch };
             let route = placement.route(shard);
             self.log.push(route);
             if let Some(session) = self.sessions.get_mut(&from) {
@@ -157,11 +141,7 @@
             shards: session.owned,
         };
         let of_service = |session: &&TargetSession| session.service == service && wanted(session);
-        self.sessions
-            .values()
-            .filter(of_service)
-            .map(load)
-            .collect()
+        self.sessions.values().filter(of_service).map(load).collect()
     }
 
     pub(super) fn note_placement_written(
@@ -169,13 +149,9 @@
         call: CallId,
         service: ServiceKey,
         answer: WriteAnswer,
+        now: Timestamp,
     ) {
-        let Some(known) = self
-            .calls
-            .get(&service)
-            .copied()
-            .filter(|known| known.id == call)
-        else {
+        let Some(known) = self.calls.get(&service).copied().filter(|known| known.id == call) else {
             return;
         };
         self.calls.remove(&service);
@@ -197,7 +173,8 @@
                 placement.load = LoadState::Unread;
                 placement.pending = None;
             }
-            WriteAnswer::Conflict | WriteAnswer::Failed => placement.reread = true,
+            WriteAnswer::Conflict => placement.reread = true,
+            WriteAnswer::Failed => self.pause_calls(service, now),
         }
     }
 
@@ -236,10 +213,7 @@
         };
         record.epoch = record.epoch.next();
         record.owner = record.next.take();
-        let grant = ShardGrant {
-            shard,
-            epoch: record.epoch,
-        };
+        let grant = ShardGrant { shard, epoch: record.epoch };
         let owner = record.owner.and_then(|owner| self.sessions.get_mut(&owner));
         match owner.filter(|session| session.takes_grants()) {
             Some(session) => {
--- a/crates/nickellead_lease/src/coordinator/records.rs
+++ b/crates/nickellead_lease/src/coordinator/records.rs
@@ -38,12 +38,7 @@
             self.begin_round(now);
         }
         let gone: Vec<StandbyVm> = match &self.round {
-            Some(round) => round
-                .missing
-                .iter()
-                .filter(|vm| self.is_gone(vm))
-                .cloned()
-                .collect(),
+            Some(round) => round.missing.iter().filter(|vm| self.is_gone(vm)).cloned().collect(),
             None => return,
         };
         let Some(round) = &mut self.round else { return };
@@ -74,30 +69,16 @@
                 };
                 let Some(target) = record.next else { continue };
                 let (service, shard, epoch) = (placement.service, *shard, record.epoch.next());
-                entries.push(ShardRecordEntry {
-                    service,
-                    shard,
-                    target,
-                    epoch,
-                });
+                entries.push(ShardRecordEntry { service, shard, target, epoch });
             }
         }
         if entries.is_empty() {
             return;
         }
         self.last_batch += 1;
-        let batch = RecordBatch {
-            term: self.term,
-            number: self.last_batch,
-            entries,
-        };
+        let batch = RecordBatch { term: self.term, number: self.last_batch, entries };
         let missing = self.standbys().into_iter().collect();
-        self.round = Some(RecordRound {
-            batch,
-            services,
-            missing,
-            next_ask: now,
-        });
+        self.round = Some(RecordRound { batch, services, missing, next_ask: now });
     }
 
     fn finish_round(&mut self) {
@@ -122,10 +103,7 @@
         if answer.number != round.batch.number || answer.term > round.batch.term || !answer.kept {
             return;
         }
-        let vm = StandbyVm {
-            vm: answer.vm.clone(),
-            incarnation: answer.incarnation,
-        };
+        let vm = StandbyVm { vm: answer.vm.clone(), incarnation: answer.incarnation };
         round.missing.remove(&vm);
         let _ = now;
     }
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -96,10 +96,7 @@
                 changed.push(shard);
             }
         }
-        let routes: Vec<_> = changed
-            .iter()
-            .map(|shard| placement.route(*shard))
-            .collect();
+        let routes: Vec<_> = changed.iter().map(|shard| placement.route(*shard)).collect();
         routes.into_iter().for_each(|route| self.log.push(route));
         self.recount_owned();
     }
@@ -266,33 +263,25 @@
             return;
         }
         self.predecessor.asked_at = now;
-        self.actions
-            .push(ZoneAction::AskStepDown(holder, self.term));
+        self.actions.push(ZoneAction::AskStepDown(holder, self.term));
     }
 
     /// Forgets targets that are declared no more and hold nothing.
     pub(super) fn retire_undeclared(&mut self, config: &DeclaredConfig) {
         let zone = &self.settings.zone;
-        let declared: std::collections::BTreeSet<TargetKey> = config
-            .targets_in(zone)
-            .map(|target| TargetKey::from(&target.name))
-            .collect();
+        let declared: std::collections::BTreeSet<TargetKey> =
+            config.targets_in(zone).map(|target| TargetKey::from(&target.name)).collect();
         for session in self.sessions.values_mut() {
             if !declared.contains(&session.key) {
                 session.declared = TargetState::Draining;
             }
         }
-        self.sessions
-            .retain(|key, session| declared.contains(key) || session.owned > 0);
+        self.sessions.retain(|key, session| declared.contains(key) || session.owned > 0);
     }
 
     /// Counts anew how many shards each target owns.
     pub(super) fn recount_owned(&mut self) {
-        let counts: Vec<_> = self
-            .placements
-            .values()
-            .map(ServicePlacement::owned_by)
-            .collect();
+        let counts: Vec<_> = self.placements.values().map(ServicePlacement::owned_by).collect();
         for session in self.sessions.values_mut() {
             let owned = counts.iter().filter_map(|count| count.get(&session.key));
             session.owned = owned.sum();
--- a/crates/nickellead_lease/src/guard.rs
+++ b/crates/nickellead_lease/src/guard.rs
@@ -109,12 +109,7 @@
         self.extend(order);
         let released = self.released_of(&order.releases);
         let reply = self.reply(order, OrderOutcome::Accepted, now);
-        TargetReply {
-            held,
-            released,
-            refused,
-            ..reply
-        }
+        TargetReply { held, released, refused, ..reply }
     }
 
     /// Admits a request when its shard is held at its epoch under a live session.
@@ -140,11 +135,7 @@
     /// # Errors
     /// Returns the refusal, which proves that the request did not run.
     pub fn check_effect(&self, ticket: &RequestTicket, now: Timestamp) -> Result<(), RunRefusal> {
-        if enforced!("effect_check") {
-            self.check_run(ticket.grant, now)
-        } else {
-            Ok(())
-        }
+        if enforced!("effect_check") { self.check_run(ticket.grant, now) } else { Ok(()) }
     }
 
     /// Notes the end of an admitted request.
@@ -197,9 +188,7 @@
         if enforced!("term_check") && order.term < self.term {
             return Some(OrderOutcome::StaleTerm);
         }
-        let other_life = order
-            .incarnation
-            .is_some_and(|life| life != self.incarnation);
+        let other_life = order.incarnation.is_some_and(|life| life != self.incarnation);
         if enforced!("incarnation_check") && other_life {
             return Some(OrderOutcome::WrongIncarnation);
         }
@@ -223,10 +212,8 @@
 
     /// Drops every grant that is not in the list, and un-releases those that are.
     fn keep_only(&mut self, standing: &[ShardGrant]) {
-        let stands: BTreeMap<_, _> = standing
-            .iter()
-            .map(|grant| (grant.shard, grant.epoch))
-            .collect();
+        let stands: BTreeMap<_, _> =
+            standing.iter().map(|grant| (grant.shard, grant.epoch)).collect();
         let floors = &mut self.floors;
         self.held.retain(|shard, held| {
             let stays = stands.get(shard) == Some(&held.epoch) || !enforced!("standing_list");
@@ -270,11 +257,7 @@
             if grant.epoch <= floor {
                 refused.push(*grant);
             } else if held_epoch.is_none_or(|epoch| epoch < grant.epoch) {
-                let held = HeldGrant {
-                    epoch: grant.epoch,
-                    releasing: false,
-                    running: 0,
-                };
+                let held = HeldGrant { epoch: grant.epoch, releasing: false, running: 0 };
                 self.held.insert(grant.shard, held);
             }
         }
--- a/crates/nickellead_lease/src/session.rs
+++ b/crates/nickellead_lease/src/session.rs
@@ -59,6 +59,8 @@
     sequence: Sequence,
     sent: Option<SentOrder>,
     next_due: Timestamp,
+    /// No order goes out before this, whatever is pending: the last one failed.
+    not_before: Timestamp,
     grants: BTreeMap<ShardIndex, Epoch>,
     releases: BTreeMap<ShardIndex, Epoch>,
 }
@@ -81,6 +83,7 @@
             sequence: Sequence::ZERO,
             sent: None,
             next_due: Timestamp::ZERO,
+            not_before: Timestamp::ZERO,
             grants: BTreeMap::new(),
             releases: BTreeMap::new(),
         }
@@ -197,12 +200,9 @@
 
     /// Notes that an order got no answer.
     pub(crate) fn fail(&mut self, sequence: Sequence, now: Timestamp, times: &LeaseTimes) {
-        if self
-            .sent
-            .take_if(|sent| sent.sequence == sequence)
-            .is_some()
-        {
-            self.next_due = now + times.heartbeat / 4;
+        if self.sent.take_if(|sent| sent.sequence == sequence).is_some() {
+            self.not_before = now + times.heartbeat / 4;
+            self.next_due = self.not_before;
         }
     }
 
@@ -214,10 +214,7 @@
         now: Timestamp,
         news: &mut SessionNews,
     ) {
-        if self
-            .incarnation
-            .is_some_and(|known| known != reply.incarnation)
-        {
+        if self.incarnation.is_some_and(|known| known != reply.incarnation) {
             self.advance(SessionEvent::Restarted);
             return;
         }
@@ -268,9 +265,8 @@
     }
 
     fn is_waiting(&self, now: Timestamp, times: &LeaseTimes) -> bool {
-        self.sent
-            .as_ref()
-            .is_some_and(|sent| now < sent.at + times.order_timeout)
+        let late = |sent: &SentOrder| now >= sent.at + times.order_timeout;
+        now < self.not_before || self.sent.as_ref().is_some_and(|sent| !late(sent))
     }
 
     fn make_order(
@@ -309,10 +305,5 @@
 }
 
 fn to_grants(map: &BTreeMap<ShardIndex, Epoch>) -> Vec<ShardGrant> {
-    map.iter()
-        .map(|(shard, epoch)| ShardGrant {
-            shard: *shard,
-            epoch: *epoch,
-        })
-        .collect()
+    map.iter().map(|(shard, epoch)| ShardGrant { shard: *shard, epoch: *epoch }).collect()
 }
--- a/crates/nickellead_lease/src/shard.rs
+++ b/crates/nickellead_lease/src/shard.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use nickellead_chart::ChartSymbol;
-use nickellead_core::{Epoch, Name, ServiceKey, ShardIndex, TargetKey, Term, Version};
+use nickellead_core::{Epoch, Name, ServiceKey, ShardIndex, TargetKey, Term, Timestamp, Version};
 
 use crate::charts::{ShardEvent, ShardPhase, charts};
 use crate::object::{PlacementObject, PlacementOwner};
@@ -32,21 +32,13 @@
 
 impl ShardRecord {
     fn free(epoch: Epoch) -> Self {
-        Self {
-            phase: charts().shard.initial(),
-            owner: None,
-            epoch,
-            next: None,
-        }
+        Self { phase: charts().shard.initial(), owner: None, epoch, next: None }
     }
 
     /// What routers are told of it.
     pub(crate) fn route(&self) -> ShardOwner {
         match (self.phase, self.owner) {
-            (ShardPhase::Serving, Some(target)) => ShardOwner::Target {
-                target,
-                epoch: self.epoch,
-            },
+            (ShardPhase::Serving, Some(target)) => ShardOwner::Target { target, epoch: self.epoch },
             (ShardPhase::Free, _) if self.next.is_none() => ShardOwner::Nobody,
             _ => ShardOwner::Moving,
         }
@@ -93,6 +85,8 @@
     pub(crate) dirty: bool,
     /// Whether the object must be read to learn a write's fate.
     pub(crate) reread: bool,
+    /// No call of the platform for it before this: the last one failed.
+    pub(crate) not_before: Timestamp,
 }
 
 impl ServicePlacement {
@@ -110,6 +104,7 @@
             pending: None,
             dirty: false,
             reread: false,
+            not_before: Timestamp::ZERO,
         }
     }
 
@@ -176,18 +171,12 @@
     pub(crate) fn iter(&self) -> impl Iterator<Item = (ShardIndex, &ShardRecord)> {
         let first = self.first;
         let number = move |place: usize| ShardIndex(first + place as u32);
-        self.shards
-            .iter()
-            .enumerate()
-            .map(move |(place, record)| (number(place), record))
+        self.shards.iter().enumerate().map(move |(place, record)| (number(place), record))
     }
 
     /// The shards of which `wanted` holds.
     pub(crate) fn select(&self, wanted: impl Fn(&ShardRecord) -> bool) -> Vec<ShardIndex> {
-        self.iter()
-            .filter(|(_, record)| wanted(record))
-            .map(|(shard, _)| shard)
-            .collect()
+        self.iter().filter(|(_, record)| wanted(record)).map(|(shard, _)| shard).collect()
     }
 
     /// What a target may keep: its shards whose owner it surely is.
@@ -205,14 +194,8 @@
 
     /// What routers are told of one shard.
     pub(crate) fn route(&self, shard: ShardIndex) -> RouteChange {
-        let owner = self
-            .get(shard)
-            .map_or(ShardOwner::Nobody, ShardRecord::route);
-        RouteChange {
-            service: self.service,
-            shard,
-            owner,
-        }
+        let owner = self.get(shard).map_or(ShardOwner::Nobody, ShardRecord::route);
+        RouteChange { service: self.service, shard, owner }
     }
 
     /// Takes over what the platform's object says.
@@ -265,12 +248,6 @@
             });
             owners.push(PlacementOwner(number.unwrap_or(0), epoch));
         }
-        PlacementObject {
-            term,
-            write_id: self.write_id,
-            first_shard: self.first,
-            targets,
-            owners,
-        }
+        PlacementObject { term, write_id: self.write_id, first_shard: self.first, targets, owners }
     }
 }
--- a/crates/nickellead_lease/src/times.rs
+++ b/crates/nickellead_lease/src/times.rs
@@ -62,16 +62,10 @@
             return Err(("heartbeat_ms", "must be at least 1".to_owned()));
         }
         if self.lease < self.heartbeat * 4 {
-            return Err((
-                "lease_ms",
-                "must be at least 4 heartbeats: two may be lost".to_owned(),
-            ));
+            return Err(("lease_ms", "must be at least 4 heartbeats: two may be lost".to_owned()));
         }
         if self.order_timeout > self.heartbeat {
-            return Err((
-                "order_timeout_ms",
-                "must not exceed heartbeat_ms".to_owned(),
-            ));
+            return Err(("order_timeout_ms", "must not exceed heartbeat_ms".to_owned()));
         }
         if self.standstill < self.renewal * 2 {
             return Err(("standstill_ms", "must be at least 2 renewals".to_owned()));
--- a/crates/nickellead_lease/src/view.rs
+++ b/crates/nickellead_lease/src/view.rs
@@ -64,10 +64,7 @@
 impl ZoneLog {
     /// Starts a new term with an empty log.
     pub fn restart(&mut self, term: Term) {
-        *self = Self {
-            term,
-            ..Self::default()
-        };
+        *self = Self { term, ..Self::default() };
     }
 
     /// Adds a change.
--- /dev/null
+++ b/crates/nickellead_lease/tests/schedules.rs
@@ -0,0 +1,38 @@
+//! Random schedules of losses, delays, pauses, cuts and restarts.
+//!
+//! The number of schedules is set by `NICKELLEAD_SCHEDULES`; the seed is fixed.
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use quickcheck::{Gen, QuickCheck, TestResult};
+use world::Schedule;
+
+/// Schedules of one ordinary test run.
+const SCHEDULES: u64 = 1_500;
+/// Steps of one schedule.
+const STEPS: usize = 40;
+const SEED: u64 = 20_261_202;
+
+fn wanted() -> u64 {
+    let wanted = std::env::var("NICKELLEAD_SCHEDULES").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+fn quickcheck() -> QuickCheck {
+    let random = Gen::from_size_and_seed(STEPS, SEED);
+    QuickCheck::new().rng(random).tests(wanted()).max_tests(wanted())
+}
+
+#[test]
+fn no_schedule_gives_a_shard_two_owners_and_healing_gives_every_shard_one() {
+    fn holds(schedule: Schedule) -> TestResult {
+        let mut world = schedule.play();
+        world.heal();
+        world.declare(&[]);
+        world.run(20_000);
+        assert!(world.all_owned(), "not every shard has an owner:\n{}", world.describe());
+        TestResult::passed()
+    }
+    quickcheck().quickcheck(holds as fn(Schedule) -> TestResult);
+}
--- /dev/null
+++ b/crates/nickellead_lease/tests/world/mod.rs
@@ -0,0 +1,588 @@
+//! Small fakes at the interfaces of the decision code: a platform, links, clocks.
+//!
+//! The world holds the real `ZoneCoordinator`s of some VMs and the real
+//! `GrantGuard`s of some targets, and carries their actions as messages that a
+//! schedule may lose, delay, double or reorder. It has no model of load,
+//! processing time or bandwidth.
+#![allow(dead_code, clippy::unwrap_used, clippy::panic)]
+
+mod fake_platform;
+mod schedule;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nickellead_api::{
+    DeclaredConfig, DeclaredService, DeclaredTarget, ServiceSpec, TargetSpec, TargetState,
+};
+use nickellead_core::{Incarnation, Name, ShardIndex, TargetKey, Timestamp, Version};
+use nickellead_lease::{
+    CoordinatorSettings, GrantGuard, LeaseTimes, MandatePhase, RequestTicket, ShardGrant,
+    StandbyVm, TargetOrder, TargetReply, ZoneAction, ZoneCoordinator, ZoneEvent,
+};
+
+use fake_platform::FakePlatform;
+pub use schedule::{Schedule, Step};
+
+/// Shards of the one service.
+pub const SHARDS: u32 = 4;
+/// How long a message takes when nothing disturbs it.
+const LATENCY: u64 = 1;
+/// Most messages under way; older ones are lost beyond it.
+const MESSAGES_MAX: usize = 200;
+
+/// A clock with a rate of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct DriftClock {
+    offset: u64,
+    rate_ppm: i64,
+}
+
+impl DriftClock {
+    fn read(self, global: u64) -> Timestamp {
+        let drift = global as i64 * self.rate_ppm / 1_000_000;
+        Timestamp((self.offset + global).wrapping_add_signed(drift))
+    }
+}
+
+/// One VM of the zone.
+pub struct VmNode {
+    pub name: Name,
+    pub coordinator: ZoneCoordinator,
+    pub clock: DriftClock,
+    pub paused: bool,
+    pub alive: bool,
+    incarnation: u64,
+}
+
+/// One target of the zone.
+pub struct TargetNode {
+    pub name: Name,
+    pub guard: GrantGuard,
+    pub clock: DriftClock,
+    pub paused: bool,
+    pub alive: bool,
+    incarnation: u64,
+    running: Vec<(ShardGrant, RequestTicket)>,
+}
+
+#[derive(Clone, Debug)]
+enum Payload {
+    Event(usize, ZoneEvent),
+    Order(usize, usize, TargetOrder),
+    Reply(usize, usize, TargetReply),
+    Platform(usize, ZoneAction),
+    Peer(usize, usize, ZoneEvent),
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    due: u64,
+    payload: Payload,
+}
+
+/// Everything, at one moment of global time.
+pub struct World {
+    pub now: u64,
+    pub vms: Vec<VmNode>,
+    pub targets: Vec<TargetNode>,
+    pub platform: FakePlatform,
+    pub times: LeaseTimes,
+    config: Arc<DeclaredConfig>,
+    messages: Vec<Message>,
+    /// Links that carry nothing: VM to target, and VM to VM.
+    pub cut_targets: Vec<(usize, usize)>,
+    pub cut_vms: Vec<(usize, usize)>,
+    /// VMs that can't reach the platform.
+    pub cut_platform: Vec<usize>,
+    /// VMs that the platform's list shows.
+    pub listed: Vec<usize>,
+    lives: u64,
+    last_heard: BTreeMap<usize, u64>,
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+impl World {
+    pub fn new(vms: usize, targets: usize) -> Self {
+        let mut world = Self {
+            now: 0,
+            vms: Vec::new(),
+            targets: Vec::new(),
+            platform: FakePlatform::default(),
+            times: LeaseTimes::default(),
+            config: Arc::new(declare(targets, &[])),
+            messages: Vec::new(),
+            cut_targets: Vec::new(),
+            cut_vms: Vec::new(),
+            cut_platform: Vec::new(),
+            listed: (0..vms).collect(),
+            lives: 0,
+            last_heard: BTreeMap::new(),
+        };
+        for number in 0..vms {
+            let node = world.make_vm(number);
+            world.vms.push(node);
+        }
+        for number in 0..targets {
+            let node = world.make_target(number);
+            world.targets.push(node);
+        }
+        (0..vms).for_each(|vm| world.introduce(vm));
+        world
+    }
+
+    fn make_vm(&mut self, number: usize) -> VmNode {
+        self.lives += 1;
+        let clock = drift_clock(number as u64 * 3 + 1);
+        let vm =
+            StandbyVm { vm: name(&format!("vm-{number}")), incarnation: Incarnation(self.lives) };
+        let settings = CoordinatorSettings {
+            zone: name("zone-a"),
+            vm: vm.clone(),
+            times: self.times,
+            standbys: 2,
+            moves: 64,
+            seed: self.lives,
+        };
+        VmNode {
+            name: vm.vm,
+            coordinator: ZoneCoordinator::new(settings, clock.read(self.now)),
+            clock,
+            paused: false,
+            alive: true,
+            incarnation: self.lives,
+        }
+    }
+
+    fn make_target(&mut self, number: usize) -> TargetNode {
+        self.lives += 1;
+        let target_name = name(&format!("target-{number}"));
+        TargetNode {
+            guard: GrantGuard::new(TargetKey::from(&target_name), Incarnation(self.lives)),
+            name: target_name,
+            clock: drift_clock(number as u64 * 5 + 2),
+            paused: false,
+            alive: true,
+            incarnation: self.lives,
+            running: Vec::new(),
+        }
+    }
+
+    /// Tells a VM that has just started what it would read first.
+    fn introduce(&mut self, vm: usize) {
+        let config = Arc::clone(&self.config);
+        self.give(vm, ZoneEvent::ConfigChanged(config));
+        self.tell_list(vm);
+    }
+
+    fn tell_list(&mut self, vm: usize) {
+        let names = self.listed.iter().map(|number| self.vms[*number].name.clone()).collect();
+        self.give(vm, ZoneEvent::VmsListed(names));
+    }
+
+    /// Takes a VM's process away; the list shows it for as long as it likes.
+    pub fn kill_vm(&mut self, vm: usize) {
+        self.vms[vm].alive = false;
+    }
+
+    /// Starts a VM's process anew, with an empty memory.
+    pub fn restart_vm(&mut self, vm: usize) {
+        self.vms[vm] = self.make_vm(vm);
+        if !self.listed.contains(&vm) {
+            self.listed.push(vm);
+        }
+        self.introduce(vm);
+    }
+
+    /// Starts a target's process anew, holding nothing.
+    pub fn restart_target(&mut self, target: usize) {
+        self.targets[target] = self.make_target(target);
+    }
+
+    /// Declares which targets drain or are gone.
+    pub fn declare(&mut self, states: &[(usize, TargetState)]) {
+        let revision = self.config.revision.next();
+        let mut config = declare(self.targets.len(), states);
+        config.revision = revision;
+        self.config = Arc::new(config);
+        for vm in 0..self.vms.len() {
+            let config = Arc::clone(&self.config);
+            self.give(vm, ZoneEvent::ConfigChanged(config));
+        }
+    }
+
+    /// Goes on for a while, with everything that is not disturbed working.
+    pub fn run(&mut self, millis: u64) {
+        const STEP: u64 = 10;
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP.min(end - self.now);
+            self.peers_meet();
+            (0..self.vms.len()).for_each(|vm| self.give(vm, ZoneEvent::Tick));
+            self.deliver_due();
+            self.check();
+        }
+    }
+
+    /// Lets time pass with nothing delivered and nobody ticking.
+    pub fn stall(&mut self, millis: u64) {
+        self.now += millis;
+        self.check();
+    }
+
+    /// One tick of one VM, whatever the time.
+    pub fn tick(&mut self, vm: usize) {
+        self.give(vm, ZoneEvent::Tick);
+        self.check();
+    }
+
+    /// Delivers one message out of order.
+    pub fn deliver_one(&mut self, place: usize) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let place = place % self.messages.len();
+        let message = self.messages.remove(place);
+        self.deliver(message.payload);
+        self.check();
+    }
+
+    /// Loses one message.
+    pub fn lose_one(&mut self, place: usize) {
+        if !self.messages.is_empty() {
+            let place = place % self.messages.len();
+            self.messages.remove(place);
+        }
+    }
+
+    /// Doubles one message; the copy comes later.
+    pub fn double_one(&mut self, place: usize, later: u64) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let place = place % self.messages.len();
+        let mut copy = self.messages[place].clone();
+        copy.due = self.now + later;
+        self.messages.push(copy);
+    }
+
+    /// Delays one message.
+    pub fn delay_one(&mut self, place: usize, later: u64) {
+        if !self.messages.is_empty() {
+            let place = place % self.messages.len();
+            self.messages[place].due = self.now + later;
+        }
+    }
+
+    /// A request arrives at a target under the epoch it holds, and takes a while.
+    pub fn begin_request(&mut self, target: usize, shard: u32) {
+        let node = &mut self.targets[target];
+        let held = node.guard.held_grants();
+        let Some(grant) = held.into_iter().find(|grant| grant.shard == ShardIndex(shard)) else {
+            return;
+        };
+        if let Ok(ticket) = node.guard.admit(grant, node.clock.read(self.now)) {
+            node.running.push((grant, ticket));
+        }
+    }
+
+    /// The oldest request of a target has its effect now, if it may.
+    pub fn finish_request(&mut self, target: usize) {
+        let node = &mut self.targets[target];
+        if node.running.is_empty() {
+            return;
+        }
+        let (grant, ticket) = node.running.remove(0);
+        let effect = node.guard.check_effect(&ticket, node.clock.read(self.now)).is_ok();
+        node.guard.finish(ticket);
+        if effect {
+            let others = self.owners(grant.shard).into_iter().filter(|other| *other != target);
+            let others: Vec<_> = others.collect();
+            assert!(others.is_empty(), "effect at {target} while {others:?} own {grant:?}");
+        }
+    }
+
+    /// The targets that may run requests for a shard now, by their own clocks.
+    pub fn owners(&self, shard: ShardIndex) -> Vec<usize> {
+        let owns = |target: &TargetNode| {
+            target.alive && target.guard.owns(shard, target.clock.read(self.now))
+        };
+        let numbered = self.targets.iter().enumerate();
+        numbered.filter(|(_, target)| owns(target)).map(|(number, _)| number).collect()
+    }
+
+    /// The first promise: at most one owner, at every moment.
+    pub fn check(&self) {
+        for shard in (0..SHARDS).map(ShardIndex) {
+            let owners = self.owners(shard);
+            assert!(owners.len() <= 1, "owners of {shard:?} at {}: {owners:?}", self.now);
+        }
+    }
+
+    /// Whether every shard has an owner that its coordinator serves.
+    pub fn all_owned(&self) -> bool {
+        (0..SHARDS).all(|shard| self.owners(ShardIndex(shard)).len() == 1)
+    }
+
+    /// The VM that coordinates, if exactly one thinks so.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |vm: &VmNode| vm.alive && vm.coordinator.publishes();
+        let mut leaders = (0..self.vms.len()).filter(|number| leads(&self.vms[*number]));
+        leaders.next().filter(|_| leaders.next().is_none())
+    }
+
+    /// Asks the coordinator to stop as planned.
+    pub fn stop_leader(&mut self) {
+        if let Some(vm) = self.leader() {
+            self.give(vm, ZoneEvent::StopAsked);
+        }
+    }
+
+    /// Undoes every disturbance.
+    pub fn heal(&mut self) {
+        self.cut_targets.clear();
+        self.cut_vms.clear();
+        self.cut_platform.clear();
+        self.platform.down = false;
+        self.platform.lose_answers = false;
+        for vm in 0..self.vms.len() {
+            self.vms[vm].paused = false;
+            let stopped = matches!(
+                self.vms[vm].coordinator.phase(),
+                MandatePhase::Stopped | MandatePhase::Stopping
+            );
+            if !self.vms[vm].alive || stopped {
+                self.restart_vm(vm);
+            }
+        }
+        for target in 0..self.targets.len() {
+            self.targets[target].paused = false;
+            if !self.targets[target].alive {
+                self.restart_target(target);
+            }
+        }
+        self.listed = (0..self.vms.len()).collect();
+        (0..self.vms.len()).for_each(|vm| self.tell_list(vm));
+    }
+
+    /// VMs that can reach each other hear each other, as their streams do.
+    fn peers_meet(&mut self) {
+        const PERIOD: u64 = 250;
+        for vm in 0..self.vms.len() {
+            let due = self.last_heard.get(&vm).is_none_or(|last| self.now >= last + PERIOD);
+            if !due || !self.runs(vm) {
+                continue;
+            }
+            self.last_heard.insert(vm, self.now);
+            if self.now % 1_000 < PERIOD {
+                self.tell_list(vm);
+            }
+            for other in 0..self.vms.len() {
+                if other != vm && self.runs(other) && !self.vms_cut(vm, other) {
+                    self.hear(vm, other);
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, vm: usize, other: usize) {
+        let node = &self.vms[other];
+        let seen = StandbyVm { vm: node.name.clone(), incarnation: Incarnation(node.incarnation) };
+        let leads = node.coordinator.publishes();
+        let term = node.coordinator.term();
+        self.send(Payload::Peer(other, vm, ZoneEvent::PeerSeen(seen)));
+        if leads {
+            self.send(Payload::Peer(other, vm, ZoneEvent::CoordinatorHeard(term)));
+        }
+    }
+
+    fn runs(&self, vm: usize) -> bool {
+        self.vms[vm].alive && !self.vms[vm].paused
+    }
+
+    fn vms_cut(&self, one: usize, other: usize) -> bool {
+        self.cut_vms.contains(&(one, other)) || self.cut_vms.contains(&(other, one))
+    }
+
+    fn send(&mut self, payload: Payload) {
+        if self.messages.len() == MESSAGES_MAX {
+            self.messages.remove(0);
+        }
+        self.messages.push(Message { due: self.now + LATENCY, payload });
+    }
+
+    fn deliver_due(&mut self) {
+        let mut rounds = 0;
+        while let Some(place) = self.messages.iter().position(|message| message.due <= self.now + 9)
+        {
+            let message = self.messages.remove(place);
+            self.deliver(message.payload);
+            rounds += 1;
+
+            assert!(rounds < 10_000, "messages never come to rest");
+        }
+    }
+
+    fn deliver(&mut self, payload: Payload) {
+        match payload {
+            Payload::Event(vm, event) => self.give(vm, event),
+            Payload::Peer(from, to, event) => {
+                if !self.vms_cut(from, to) {
+                    self.give(to, event);
+                }
+            }
+            Payload::Order(vm, target, order) => self.deliver_order(vm, target, &order),
+            Payload::Reply(vm, target, reply) => {
+                if !self.cut_targets.contains(&(vm, target)) {
+                    self.give(vm, ZoneEvent::TargetAnswered(reply));
+                }
+            }
+            Payload::Platform(vm, action) => {
+                let reachable = !self.cut_platform.contains(&vm);
+                let answer = self.platform.call(&action, reachable);
+                self.send(Payload::Event(vm, answer));
+            }
+        }
+    }
+
+    fn deliver_order(&mut self, vm: usize, target: usize, order: &TargetOrder) {
+        let node = &mut self.targets[target];
+        if self.cut_targets.contains(&(vm, target)) || !node.alive {
+            let failed = ZoneEvent::TargetFailed(order.target, order.sequence);
+            self.send(Payload::Event(vm, failed));
+            return;
+        }
+        if node.paused {
+            // The bytes wait in its socket until it goes on.
+            let due = self.now + 50;
+            let payload = Payload::Order(vm, target, order.clone());
+            self.messages.push(Message { due, payload });
+            return;
+        }
+        let reply = node.guard.apply(order, node.clock.read(self.now));
+        self.send(Payload::Reply(vm, target, reply));
+    }
+
+    fn give(&mut self, vm: usize, event: ZoneEvent) {
+        if !self.runs(vm) {
+            return;
+        }
+        let node = &mut self.vms[vm];
+        let actions = node.coordinator.handle(event, node.clock.read(self.now));
+        let from = StandbyVm { vm: node.name.clone(), incarnation: Incarnation(node.incarnation) };
+        for action in actions {
+            self.act(vm, &from, action);
+        }
+    }
+
+    fn act(&mut self, vm: usize, from: &StandbyVm, action: ZoneAction) {
+        match action {
+            ZoneAction::SendOrder(order) => {
+                let target = self.target_of(order.target);
+                self.send(Payload::Order(vm, target, order));
+            }
+            ZoneAction::AskRecord(to, batch) => {
+                if let Some(other) = self.vm_of(&to) {
+                    self.send(Payload::Peer(vm, other, ZoneEvent::RecordAsked(batch)));
+                }
+            }
+            ZoneAction::AnswerRecord(answer) => {
+                for other in (0..self.vms.len()).filter(|other| *other != vm) {
+                    let event = ZoneEvent::RecordAnswered(answer.clone());
+                    self.send(Payload::Peer(vm, other, event));
+                }
+            }
+            ZoneAction::AskStepDown(to, term) => {
+                if let Some(other) = self.vm_of(&to) {
+                    self.send(Payload::Peer(vm, other, ZoneEvent::StepDownAsked(term)));
+                }
+            }
+            ZoneAction::AnswerStepDown(term) => {
+                for other in (0..self.vms.len()).filter(|other| *other != vm) {
+                    let holder = self.vms[other].coordinator.former_holder();
+                    if holder.as_ref() == Some(from) {
+                        let event = ZoneEvent::StepDownAnswered(term);
+                        self.send(Payload::Peer(vm, other, event));
+                    }
+                }
+            }
+            ZoneAction::Notify(_) => {}
+            call => self.send(Payload::Platform(vm, call)),
+        }
+    }
+
+    fn target_of(&self, key: TargetKey) -> usize {
+        self.targets.iter().position(|target| TargetKey::from(&target.name) == key).unwrap()
+    }
+
+    fn vm_of(&self, vm: &StandbyVm) -> Option<usize> {
+        let same =
+            |node: &VmNode| node.name == vm.vm && Incarnation(node.incarnation) == vm.incarnation;
+        self.vms.iter().position(same)
+    }
+
+    /// What went wrong at the end, for a failing schedule.
+    pub fn describe(&self) -> String {
+        let mut text = format!("now={} listed={:?}\n", self.now, self.listed);
+        for vm in &self.vms {
+            let coordinator = &vm.coordinator;
+            let (phase, term) = (coordinator.phase(), coordinator.term());
+            text.push_str(&format!("{} alive={} {phase:?} {term:?}", vm.name, vm.alive));
+            if coordinator.phase() != MandatePhase::Follower {
+                text.push_str(&format!(" {:?}", coordinator.target_statuses()));
+            }
+            text.push('\n');
+        }
+        for target in &self.targets {
+            let held = target.guard.held_grants();
+            let until = target.guard.lease_until();
+            let now = target.clock.read(self.now);
+            text.push_str(&format!("{} now={now:?} until={until:?} {held:?}\n", target.name));
+        }
+        text
+    }
+}
+
+fn drift_clock(seed: u64) -> DriftClock {
+    // Rates differ by up to 0.9%, within the bound of 1% that the times assume.
+    let rate_ppm = (seed * 1_237 % 9_000) as i64 - 4_500;
+    DriftClock { offset: seed * 1_000, rate_ppm }
+}
+
+fn declare(targets: usize, states: &[(usize, TargetState)]) -> DeclaredConfig {
+    let spec: ServiceSpec = serde_json::from_str(
+        r#"{"zones": ["zone-a"], "shards": 4, "key": {"from": "path", "segment": 2},
+            "operations": [{"name": "book", "method": "POST", "repeat": "once"}]}"#,
+    )
+    .unwrap();
+    let service = DeclaredService { name: name("boards"), version: Version(1), spec };
+    let target = |number: usize| DeclaredTarget {
+        name: name(&format!("target-{number}")),
+        version: Version(1),
+        spec: TargetSpec {
+            service: name("boards"),
+            zone: name("zone-a"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: 4,
+            connections: 130,
+            state: states
+                .iter()
+                .find(|(target, _)| *target == number)
+                .map_or(TargetState::Active, |(_, state)| *state),
+        },
+    };
+    DeclaredConfig {
+        revision: Version(1),
+        services: vec![service],
+        targets: (0..targets).map(target).collect(),
+    }
+}
+
+/// The longest that a lease can matter, for tests that wait it out.
+pub fn full_lease(times: &LeaseTimes) -> Duration {
+    times.lease + times.margin + Duration::from_millis(100)
+}
--- /dev/null
+++ b/crates/nickellead_lease/tests/world/schedule.rs
@@ -0,0 +1,181 @@
+//! Random schedules of disturbances, with shrinking.
+
+use nickellead_api::TargetState;
+use quickcheck::{Arbitrary, Gen};
+
+use super::World;
+
+/// VMs of a random world.
+const VMS: usize = 3;
+/// Targets of a random world.
+const TARGETS: usize = 3;
+
+/// One disturbance, or a while without any.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    Run(u16),
+    Stall(u16),
+    Tick(u8),
+    Deliver(u8),
+    Lose(u8),
+    Double(u8, u16),
+    Delay(u8, u16),
+    PauseVm(u8),
+    PauseTarget(u8),
+    KillVm(u8),
+    UnlistVm(u8),
+    RestartVm(u8),
+    KillTarget(u8),
+    RestartTarget(u8),
+    CutTarget(u8, u8),
+    CutVms(u8, u8),
+    CutPlatform(u8),
+    PlatformDown(bool),
+    LoseAnswers(bool),
+    Drain(u8),
+    Undrain,
+    Begin(u8, u8),
+    Finish(u8),
+    StopLeader,
+    Heal,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let small = u8::arbitrary(g);
+        let other = u8::arbitrary(g);
+        let flag = bool::arbitrary(g);
+        let long = u16::arbitrary(g) % 4_000;
+        match u8::arbitrary(g) % 40 {
+            0..=9 => Self::Run(long % 1_500 + 10),
+            10 => Self::Run(long + 1_000),
+            11 => Self::Stall(long),
+            12 => Self::Stall(long % 200),
+            13 => Self::Tick(small),
+            14 | 15 => Self::Deliver(small),
+            16 => Self::Lose(small),
+            17 => Self::Double(small, long),
+            18 => Self::Delay(small, long),
+            19 | 20 => Self::PauseVm(small),
+            21 | 22 => Self::PauseTarget(small),
+            23 => Self::KillVm(small),
+            24 => Self::UnlistVm(small),
+            25 => Self::RestartVm(small),
+            26 => Self::KillTarget(small),
+            27 => Self::RestartTarget(small),
+            28 | 29 => Self::CutTarget(small, other),
+            30 => Self::CutVms(small, other),
+            31 => Self::CutPlatform(small),
+            32 | 33 => Self::PlatformDown(flag),
+            34 => Self::LoseAnswers(flag),
+            35 => Self::Drain(small),
+            36 => Self::Undrain,
+            37 => Self::Begin(small, other),
+            38 => Self::Finish(small),
+            _ if flag => Self::Heal,
+            _ => Self::StopLeader,
+        }
+    }
+}
+
+/// A schedule: what happens, in order.
+#[derive(Clone, Debug)]
+pub struct Schedule(pub Vec<Step>);
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut steps = vec![Step::Run(1_500)];
+        steps.extend((0..g.size()).map(|_| Step::arbitrary(g)));
+        Self(steps)
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let steps = self.0.clone();
+        let length = steps.len();
+        let mut sizes = vec![];
+        let mut size = length / 2;
+        while size > 0 {
+            sizes.push(size);
+            size /= 2;
+        }
+        let cuts = sizes
+            .into_iter()
+            .flat_map(move |size| (0..length.div_ceil(size)).map(move |part| (part * size, size)));
+        Box::new(cuts.map(move |(start, size)| {
+            let mut rest = steps.clone();
+            rest.drain(start..(start + size).min(rest.len()));
+            Self(rest)
+        }))
+    }
+}
+
+impl Schedule {
+    /// Plays the schedule in a new world; panics when an invariant breaks.
+    pub fn play(&self) -> World {
+        let mut world = World::new(VMS, TARGETS);
+        for step in &self.0 {
+            apply(&mut world, *step);
+        }
+        world
+    }
+}
+
+fn toggle<T: PartialEq>(list: &mut Vec<T>, item: T) {
+    match list.iter().position(|known| *known == item) {
+        Some(place) => drop(list.remove(place)),
+        None => list.push(item),
+    }
+}
+
+fn apply(world: &mut World, step: Step) {
+    let vm = |number: u8| usize::from(number) % VMS;
+    let target = |number: u8| usize::from(number) % TARGETS;
+    match step {
+        Step::Run(millis) => world.run(u64::from(millis)),
+        Step::Stall(millis) => world.stall(u64::from(millis)),
+        Step::Tick(number) => world.tick(vm(number)),
+        Step::Deliver(place) => world.deliver_one(usize::from(place)),
+        Step::Lose(place) => world.lose_one(usize::from(place)),
+        Step::Double(place, later) => world.double_one(usize::from(place), u64::from(later)),
+        Step::Delay(place, later) => world.delay_one(usize::from(place), u64::from(later)),
+        Step::PauseVm(number) => {
+            let node = &mut world.vms[vm(number)];
+            node.paused = !node.paused;
+        }
+        Step::PauseTarget(number) => {
+            let node = &mut world.targets[target(number)];
+            node.paused = !node.paused;
+        }
+        Step::KillVm(number) => world.kill_vm(vm(number)),
+        Step::UnlistVm(number) => {
+            let number = vm(number);
+            if !world.vms[number].alive {
+                world.listed.retain(|listed| *listed != number);
+            }
+        }
+        Step::RestartVm(number) => {
+            if !world.vms[vm(number)].alive {
+                world.restart_vm(vm(number));
+            }
+        }
+        Step::KillTarget(number) => world.targets[target(number)].alive = false,
+        Step::RestartTarget(number) => {
+            if !world.targets[target(number)].alive {
+                world.restart_target(target(number));
+            }
+        }
+        Step::CutTarget(one, other) => toggle(&mut world.cut_targets, (vm(one), target(other))),
+        Step::CutVms(one, other) => toggle(&mut world.cut_vms, (vm(one), vm(other))),
+        Step::CutPlatform(number) => toggle(&mut world.cut_platform, vm(number)),
+        Step::PlatformDown(down) => world.platform.down = down,
+        Step::LoseAnswers(lose) => world.platform.lose_answers = lose,
+        Step::Drain(number) => world.declare(&[(target(number), TargetState::Draining)]),
+        Step::Undrain => world.declare(&[]),
+        Step::Begin(number, shard) => {
+            world.begin_request(target(number), u32::from(shard) % super::SHARDS);
+        }
+        Step::Finish(number) => world.finish_request(target(number)),
+        Step::StopLeader => world.stop_leader(),
+        Step::Heal => world.heal(),
+    }
+}
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -30,10 +30,7 @@
     /// A client of the VM at `address`.
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            connection: None,
-        }
+        Self { address, connection: None }
     }
 
     /// Where the VM listens.
@@ -68,18 +65,12 @@
         let request = Request::post(format!("http://{}{MESSAGE_PATH}", self.address))
             .body(())
             .map_err(connection_error)?;
-        let (response, mut stream) = sender
-            .send_request(request, false)
-            .map_err(connection_error)?;
-        stream
-            .send_data(body.into(), true)
-            .map_err(connection_error)?;
+        let (response, mut stream) =
+            sender.send_request(request, false).map_err(connection_error)?;
+        stream.send_data(body.into(), true).map_err(connection_error)?;
         let response = response.await.map_err(connection_error)?;
         if !response.status().is_success() {
-            return Err(PeerError::Malformed(format!(
-                "status {}",
-                response.status()
-            )));
+            return Err(PeerError::Malformed(format!("status {}", response.status())));
         }
         let body = read_body(response.into_body()).await?;
         decode(&body)
--- a/crates/nickellead_peer/src/codec.rs
+++ b/crates/nickellead_peer/src/codec.rs
@@ -35,11 +35,7 @@
 pub fn encode<T: Encode>(message: &T) -> Result<Vec<u8>, PeerError> {
     let bytes = bincode::encode_to_vec(message, config())
         .map_err(|error| PeerError::Malformed(error.to_string()))?;
-    if bytes.len() > FRAME_LIMIT {
-        Err(PeerError::TooLarge)
-    } else {
-        Ok(bytes)
-    }
+    if bytes.len() > FRAME_LIMIT { Err(PeerError::TooLarge) } else { Ok(bytes) }
 }
 
 /// The message of these bytes, all of which must be used.
@@ -52,9 +48,6 @@
     if used == bytes.len() {
         Ok(message)
     } else {
-        Err(PeerError::Malformed(format!(
-            "{} bytes too many",
-            bytes.len() - used
-        )))
+        Err(PeerError::Malformed(format!("{} bytes too many", bytes.len() - used)))
     }
 }
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -87,19 +87,13 @@
         return refuse(&mut respond, StatusCode::BAD_REQUEST);
     };
     let reply = encode(&handler(message, from).await)?;
-    let mut stream = respond
-        .send_response(Response::new(()), false)
-        .map_err(connection_error)?;
-    stream
-        .send_data(reply.into(), true)
-        .map_err(connection_error)
+    let mut stream = respond.send_response(Response::new(()), false).map_err(connection_error)?;
+    stream.send_data(reply.into(), true).map_err(connection_error)
 }
 
 fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), PeerError> {
     let mut response = Response::new(());
     *response.status_mut() = status;
-    respond
-        .send_response(response, true)
-        .map_err(connection_error)?;
+    respond.send_response(response, true).map_err(connection_error)?;
     Ok(())
 }
--- a/crates/nickellead_placement/src/rebalance.rs
+++ b/crates/nickellead_placement/src/rebalance.rs
@@ -24,10 +24,7 @@
 
 impl Default for RebalanceLimits {
     fn default() -> Self {
-        Self {
-            moves: 64,
-            gap_percent: 5,
-        }
+        Self { moves: 64, gap_percent: 5 }
     }
 }
 
@@ -56,10 +53,7 @@
     for load in leaving {
         let count = (load.shards as usize).min(most - plans.len());
         let owners = crate::assign(staying, count);
-        plans.extend(owners.into_iter().map(|to| MovePlan {
-            from: load.target,
-            to,
-        }));
+        plans.extend(owners.into_iter().map(|to| MovePlan { from: load.target, to }));
     }
     plans
 }
@@ -77,10 +71,7 @@
     }
     loads[fullest].shards -= 1;
     loads[emptiest].shards += 1;
-    Some(MovePlan {
-        from: from.target,
-        to: to.target,
-    })
+    Some(MovePlan { from: from.target, to: to.target })
 }
 
 fn position_of(loads: &[TargetLoad], better: impl Fn(u64, u64) -> bool) -> Option<usize> {
--- a/crates/nickellead_platform/src/client.rs
+++ b/crates/nickellead_platform/src/client.rs
@@ -70,11 +70,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, counter: CallCounter) -> Self {
         let http = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
-        Self {
-            http,
-            base: format!("http://{address}/v1"),
-            counter,
-        }
+        Self { http, base: format!("http://{address}/v1"), counter }
     }
 
     /// Reads one object's spec.
@@ -132,9 +128,8 @@
         let body = serde_json::to_vec(spec)
             .map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let path = format!("/objects/{}/{name}?version={expected}", kind.as_str());
-        let receipt: WriteReceipt = self
-            .call(Method::PUT, &path, Some(body.into()), CALL_TIMEOUT)
-            .await?;
+        let receipt: WriteReceipt =
+            self.call(Method::PUT, &path, Some(body.into()), CALL_TIMEOUT).await?;
         Ok(receipt.version)
     }
 
@@ -167,8 +162,7 @@
     /// [`PlatformError::Compacted`] when a list is needed first.
     pub async fn watch(&self, from: Version, wait: Duration) -> Result<WatchPage, PlatformError> {
         let path = format!("/watch?from={from}&wait_ms={}", wait.as_millis());
-        self.call(Method::GET, &path, None, wait + CALL_TIMEOUT)
-            .await
+        self.call(Method::GET, &path, None, wait + CALL_TIMEOUT).await
     }
 
     /// The platform's lagging list of VMs.
@@ -187,10 +181,7 @@
         timeout: Duration,
     ) -> Result<T, PlatformError> {
         self.counter.add();
-        let request = self
-            .http
-            .request(method, format!("{}{path}", self.base))
-            .timeout(timeout);
+        let request = self.http.request(method, format!("{}{path}", self.base)).timeout(timeout);
         let sent = match body {
             Some(body) => request.send_body(body).await,
             None => request.send().await,
@@ -203,9 +194,9 @@
             StatusCode::OK => read_body(&body),
             StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
             StatusCode::GONE => Err(PlatformError::Compacted),
-            StatusCode::CONFLICT => Err(PlatformError::Conflict(
-                read_body::<WriteReceipt>(&body)?.version,
-            )),
+            StatusCode::CONFLICT => {
+                Err(PlatformError::Conflict(read_body::<WriteReceipt>(&body)?.version))
+            }
             status => Err(PlatformError::Unavailable(status.to_string())),
         }
     }
--- a/crates/nickellead_proxy/src/answer.rs
+++ b/crates/nickellead_proxy/src/answer.rs
@@ -22,7 +22,5 @@
             .insert_header(("retry-after", millis.div_ceil(1_000).to_string()))
             .insert_header(("nickellead-retry-after-ms", millis.to_string()));
     }
-    builder
-        .body(format!("{}: {}\n", answer.code, answer.help))
-        .map_into_boxed_body()
+    builder.body(format!("{}: {}\n", answer.code, answer.help)).map_into_boxed_body()
 }
--- a/crates/nickellead_proxy/src/exchange.rs
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -44,10 +44,7 @@
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = format!("http://{}{path}", plan.target.address);
-    let mut request = client
-        .request(head.method.clone(), uri)
-        .timeout(left)
-        .no_decompress();
+    let mut request = client.request(head.method.clone(), uri).timeout(left).no_decompress();
     for (name, value) in head.headers.iter().filter(|(name, _)| is_passed(name)) {
         request = request.append_header((name.clone(), value.clone()));
     }
@@ -56,10 +53,7 @@
         .insert_header((EPOCH_HEADER, plan.epoch.0))
         .insert_header((DEADLINE_HEADER, left.as_millis() as u64))
         .insert_header((REQUEST_ID_HEADER, plan.request_id));
-    let response = request
-        .send_body(body)
-        .await
-        .map_err(|error| kind_of(&error))?;
+    let response = request.send_body(body).await.map_err(|error| kind_of(&error))?;
     check_answer(response, plan.request_id)
 }
 
--- a/crates/nickellead_proxy/src/incoming.rs
+++ b/crates/nickellead_proxy/src/incoming.rs
@@ -48,9 +48,7 @@
 
     /// Where the request goes now.
     pub(crate) fn decide(&self, table: &RoutingTable) -> Result<RouteDecision, ErrorKind> {
-        let service = table
-            .service(&self.service)
-            .ok_or(ErrorKind::UnknownService)?;
+        let service = table.service(&self.service).ok_or(ErrorKind::UnknownService)?;
         Ok(service.decide(&self.key))
     }
 }
@@ -69,10 +67,9 @@
 fn read_key(request: &Request, source: &KeySource) -> Result<Vec<u8>, ErrorKind> {
     let key = match source {
         KeySource::Path { segment } => request.path().split('/').nth(usize::from(*segment) + 1),
-        KeySource::Header { name } => request
-            .headers()
-            .get(name.as_str())
-            .and_then(|value| value.to_str().ok()),
+        KeySource::Header { name } => {
+            request.headers().get(name.as_str()).and_then(|value| value.to_str().ok())
+        }
         KeySource::Query { name } => query_value(request.uri().query().unwrap_or_default(), name),
     };
     match key {
@@ -83,10 +80,7 @@
 
 fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
 /// The caller's deadline, if it is shorter than the operation's.
--- a/crates/nickellead_proxy/src/metrics.rs
+++ b/crates/nickellead_proxy/src/metrics.rs
@@ -34,31 +34,17 @@
 impl ProxyMetrics {
     /// Counts an answer of the router itself.
     pub fn count_error(&self, kind: ErrorKind) {
-        let label = KindLabel {
-            kind: kind.answer().code,
-        };
+        let label = KindLabel { kind: kind.answer().code };
         self.errors.get_or_create(&label).inc();
     }
 
     /// Registers every counter.
     pub fn register(&self, registry: &mut Registry) {
         registry.register("requests", "Requests from callers", self.requests.clone());
-        registry.register(
-            "answered",
-            "Answers of targets passed on",
-            self.answered.clone(),
-        );
+        registry.register("answered", "Answers of targets passed on", self.answered.clone());
         registry.register("running", "Requests under way", self.running.clone());
         registry.register("retries", "Tries after the first", self.retries.clone());
-        registry.register(
-            "waited",
-            "Requests that waited for a new owner",
-            self.waited.clone(),
-        );
-        registry.register(
-            "errors",
-            "Answers of the router itself",
-            (*self.errors).clone(),
-        );
+        registry.register("waited", "Requests that waited for a new owner", self.waited.clone());
+        registry.register("errors", "Answers of the router itself", (*self.errors).clone());
     }
 }
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -39,11 +39,7 @@
 /// # Errors
 /// The system's error, such as an address that is in use.
 pub fn bind_listener(address: SocketAddr) -> Result<TcpListener, ListenError> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
@@ -109,9 +105,7 @@
     let mut response = answering.await;
     state.running.fetch_sub(1, Ordering::Relaxed);
     if state.stopping.load(Ordering::Relaxed) {
-        response
-            .head_mut()
-            .set_connection_type(ConnectionType::Close);
+        response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
 }
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -96,13 +96,9 @@
     /// A worker that knows no service yet.
     #[must_use]
     pub fn new(limits: ProxyLimits, seed: u64, metrics: ProxyMetrics) -> Rc<Self> {
-        let connector = awc::Connector::new()
-            .limit(0)
-            .timeout(Duration::from_millis(500));
-        let client = Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .no_default_headers();
+        let connector = awc::Connector::new().limit(0).timeout(Duration::from_millis(500));
+        let client =
+            Client::builder().connector(connector).disable_redirects().no_default_headers();
         Rc::new(Self {
             limits,
             table: RefCell::default(),
@@ -125,9 +121,7 @@
                 table.apply_config(config);
             }
             WorkerUpdate::Routes(changes) => {
-                changes
-                    .iter()
-                    .for_each(|change| table.apply_change(*change));
+                changes.iter().for_each(|change| table.apply_change(*change));
             }
         }
         self.changed.notify_waiters();
@@ -152,19 +146,10 @@
     async fn serve(&self, mut request: Request) -> Result<ClientResponse, ErrorKind> {
         let call = PlannedCall::read(&request, &self.table.borrow())?;
         let deadline = Deadline::after(call.deadline);
-        let reading = timeout(
-            deadline.left(),
-            read_body(request.take_payload(), call.body_limit),
-        );
+        let reading = timeout(deadline.left(), read_body(request.take_payload(), call.body_limit));
         let body = reading.await.unwrap_or(Err(ErrorKind::BodyTruncated))?;
         let move_deadline = deadline.or_after(self.limits.move_wait);
-        let state = CallState {
-            call,
-            head: request.head(),
-            body,
-            deadline,
-            move_deadline,
-        };
+        let state = CallState { call, head: request.head(), body, deadline, move_deadline };
         self.budget.borrow_mut().note_request();
         self.try_until_done(&state).await
     }
@@ -196,10 +181,7 @@
         let entering = timeout(state.deadline.left(), gate.enter(state.call.urgency)).await;
         let _permit = entering.unwrap_or(Err(ErrorKind::DeadlineTooShort))?;
         // The owner may have changed while this request waited for its turn.
-        if self
-            .owner_now(&state.call)?
-            .is_none_or(|now| now.epoch != choice.epoch)
-        {
+        if self.owner_now(&state.call)?.is_none_or(|now| now.epoch != choice.epoch) {
             return Err(ErrorKind::TargetRefused);
         }
         let plan = ExchangePlan {
@@ -272,11 +254,7 @@
             OwnerRoute::Moving => Ok(None),
             OwnerRoute::Target { place, epoch } => {
                 let target = table.target(place).ok_or(ErrorKind::Internal)?.clone();
-                Ok(Some(OwnerChoice {
-                    shard: decision.shard,
-                    epoch,
-                    target,
-                }))
+                Ok(Some(OwnerChoice { shard: decision.shard, epoch, target }))
             }
         }
     }
@@ -285,8 +263,7 @@
         let share = u32::from(target.connections).div_ceil(self.limits.sharers.max(1));
         let mut gates = self.gates.borrow_mut();
         let gate = gates.entry(target.key);
-        gate.or_insert_with(|| TargetGate::new(share, self.limits.queue))
-            .clone()
+        gate.or_insert_with(|| TargetGate::new(share, self.limits.queue)).clone()
     }
 
     fn take_id(&self) -> u64 {
@@ -299,20 +276,14 @@
 /// Passes a target's answer on, streaming its body; a truncated body stays truncated.
 fn pass_on(response: ClientResponse) -> Response<BoxBody> {
     let mut builder = Response::build(response.status());
-    for (name, value) in response
-        .headers()
-        .iter()
-        .filter(|(name, _)| is_passed(name))
-    {
+    for (name, value) in response.headers().iter().filter(|(name, _)| is_passed(name)) {
         builder.append_header((name.clone(), value.clone()));
     }
     match declared_size(&response) {
-        BodySize::Sized(size) => builder
-            .body(SizedStream::new(size, response))
-            .map_into_boxed_body(),
-        _ => builder
-            .body(BodyStream::new(response))
-            .map_into_boxed_body(),
+        BodySize::Sized(size) => {
+            builder.body(SizedStream::new(size, response)).map_into_boxed_body()
+        }
+        _ => builder.body(BodyStream::new(response)).map_into_boxed_body(),
     }
 }
 
--- a/crates/nickellead_route/src/gate.rs
+++ b/crates/nickellead_route/src/gate.rs
@@ -24,11 +24,7 @@
     #[must_use]
     pub fn new(width: u32, queue: u32) -> Self {
         let turns = std::sync::Arc::new(Semaphore::new(width.max(1) as usize));
-        Self {
-            turns,
-            waiting: Rc::default(),
-            queue,
-        }
+        Self { turns, waiting: Rc::default(), queue }
     }
 
     /// Waits for a turn.
--- a/crates/nickellead_route/src/table.rs
+++ b/crates/nickellead_route/src/table.rs
@@ -69,11 +69,7 @@
     #[must_use]
     pub fn decide(&self, key: &[u8]) -> RouteDecision {
         let shard = shard_of(key, self.count);
-        let owner = self
-            .owners
-            .get(shard.0 as usize)
-            .copied()
-            .unwrap_or_default();
+        let owner = self.owners.get(shard.0 as usize).copied().unwrap_or_default();
         RouteDecision { shard, owner }
     }
 }
@@ -127,18 +123,13 @@
             };
             self.place_target(route);
         }
-        self.services
-            .retain(|_, known| config.service(&known.name).is_some());
+        self.services.retain(|_, known| config.service(&known.name).is_some());
         for service in &config.services {
             self.place_service(service);
         }
         let early = std::mem::take(&mut self.early);
         for ((service, shard), owner) in early {
-            self.apply_change(RouteChange {
-                service,
-                shard,
-                owner,
-            });
+            self.apply_change(RouteChange { service, shard, owner });
         }
         true
     }
@@ -159,12 +150,10 @@
             (Some(cell), Some(owner)) => *cell = owner,
             (Some(cell), None) => {
                 *cell = OwnerRoute::Moving;
-                self.early
-                    .insert((change.service, change.shard), change.owner);
+                self.early.insert((change.service, change.shard), change.owner);
             }
             (None, _) => {
-                self.early
-                    .insert((change.service, change.shard), change.owner);
+                self.early.insert((change.service, change.shard), change.owner);
             }
         }
     }
--- a/crates/nickellead_route/src/zone_table.rs
+++ b/crates/nickellead_route/src/zone_table.rs
@@ -28,11 +28,7 @@
     /// A zone of which nothing is known.
     #[must_use]
     pub fn new(zone: ZoneKey) -> Self {
-        Self {
-            zone,
-            owners: BTreeMap::new(),
-            log: ZoneLog::default(),
-        }
+        Self { zone, owners: BTreeMap::new(), log: ZoneLog::default() }
     }
 
     /// Term and version known; `None` before the first delta.
@@ -81,18 +77,12 @@
         self.owners.clear();
         self.log.restart(delta.term);
         for change in &delta.changes {
-            self.owners
-                .entry(change.service)
-                .or_default()
-                .insert(change.shard, change.owner);
+            self.owners.entry(change.service).or_default().insert(change.shard, change.owner);
         }
     }
 
     fn change(&mut self, change: RouteChange) {
-        self.owners
-            .entry(change.service)
-            .or_default()
-            .insert(change.shard, change.owner);
+        self.owners.entry(change.service).or_default().insert(change.shard, change.owner);
         self.log.push(change);
     }
 
--- a/crates/nickellead_run/src/coordination.rs
+++ b/crates/nickellead_run/src/coordination.rs
@@ -66,17 +66,8 @@
 ) -> std::io::Result<JoinHandle<()>> {
     let zone = settings.zone.clone();
     let coordinator = ZoneCoordinator::new(settings, BootClock.now());
-    let duty = Coordination {
-        coordinator,
-        rings,
-        zone,
-        published: None,
-        led: None,
-        silent: None,
-    };
-    std::thread::Builder::new()
-        .name("coordination".to_owned())
-        .spawn(move || run(duty, receiver))
+    let duty = Coordination { coordinator, rings, zone, published: None, led: None, silent: None };
+    std::thread::Builder::new().name("coordination".to_owned()).spawn(move || run(duty, receiver))
 }
 
 fn run(mut duty: Coordination, mut receiver: RingReceiver<CoordinationMessage>) {
@@ -107,13 +98,11 @@
                 }
             }
             CoordinationMessage::StepDown(term, answer) => {
-                self.step(ZoneEvent::StepDownAsked(term))
-                    .into_iter()
-                    .for_each(|action| {
-                        if !matches!(action, ZoneAction::AnswerStepDown(_)) {
-                            self.act(action);
-                        }
-                    });
+                self.step(ZoneEvent::StepDownAsked(term)).into_iter().for_each(|action| {
+                    if !matches!(action, ZoneAction::AnswerStepDown(_)) {
+                        self.act(action);
+                    }
+                });
                 let _ = answer.send(self.coordinator.term());
             }
             CoordinationMessage::Status(answer) => {
@@ -153,10 +142,7 @@
         let leads = self.coordinator.publishes();
         let silent = self.coordinator.hears_nobody(BootClock.now());
         if self.led.replace(leads) != Some(leads) {
-            offer(
-                &self.rings.peers,
-                PeerMessage::Lead(self.coordinator.term(), leads),
-            );
+            offer(&self.rings.peers, PeerMessage::Lead(self.coordinator.term(), leads));
         }
         let needs = leads || self.coordinator.coordinates() || silent;
         if self.silent.replace(needs) != Some(needs) {
@@ -185,34 +171,19 @@
                 log_event(EventName::MandateTaken, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::Leading(term) => {
-                log_event(
-                    EventName::CoordinatorLeading,
-                    &[("zone", zone), ("term", term)],
-                );
+                log_event(EventName::CoordinatorLeading, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::Superseded(term) => {
-                log_event(
-                    EventName::CoordinatorSuperseded,
-                    &[("zone", zone), ("term", term)],
-                );
+                log_event(EventName::CoordinatorSuperseded, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::Detached(term) => {
-                log_event(
-                    EventName::CoordinatorDetached,
-                    &[("zone", zone), ("term", term)],
-                );
+                log_event(EventName::CoordinatorDetached, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::Attached(term) => {
-                log_event(
-                    EventName::CoordinatorAttached,
-                    &[("zone", zone), ("term", term)],
-                );
+                log_event(EventName::CoordinatorAttached, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::HandedOver(term) => {
-                log_event(
-                    EventName::MandateHandedOver,
-                    &[("zone", zone), ("term", term)],
-                );
+                log_event(EventName::MandateHandedOver, &[("zone", zone), ("term", term)]);
             }
             ZoneNotice::TargetFenced(name) => {
                 log_event(EventName::TargetFenced, &[("zone", zone), ("target", name)]);
@@ -221,10 +192,7 @@
                 log_event(EventName::TargetLive, &[("zone", zone), ("target", name)]);
             }
             ZoneNotice::TargetRestarted(name) => {
-                log_event(
-                    EventName::TargetRestarted,
-                    &[("zone", zone), ("target", name)],
-                );
+                log_event(EventName::TargetRestarted, &[("zone", zone), ("target", name)]);
             }
             ZoneNotice::TargetLost(name, shards) => {
                 let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -114,25 +114,12 @@
         peers_ring,
         rings,
     )?;
-    let rings = PlatformRings {
-        coordination: to_coordination.clone(),
-        peers: to_peers.clone(),
-    };
+    let rings = PlatformRings { coordination: to_coordination.clone(), peers: to_peers.clone() };
     let zone = settings.zone.clone();
-    platform::build(
-        settings.platform_address,
-        zone,
-        counter.clone(),
-        platform_ring,
-        rings,
-    )?;
+    platform::build(settings.platform_address, zone, counter.clone(), platform_ring, rings)?;
     let timeout = settings.lease.to_times().order_timeout;
     orders::build(orders_ring, to_coordination.clone(), timeout)?;
-    let rings = CoordinationRings {
-        platform: to_platform,
-        peers: to_peers,
-        orders: to_orders,
-    };
+    let rings = CoordinationRings { platform: to_platform, peers: to_peers, orders: to_orders };
     let coordinator = coordination::build(
         coordinator_settings(&settings, incarnation),
         coordination_ring,
@@ -150,10 +137,7 @@
         state: Arc::clone(&operators),
     })?;
     start_ticks(to_coordination.clone())?;
-    log_event(
-        EventName::NodeStarted,
-        &[("vm", &settings.vm), ("zone", &settings.zone)],
-    );
+    log_event(EventName::NodeStarted, &[("vm", &settings.vm), ("zone", &settings.zone)]);
     Ok(NodeHandle {
         settings,
         coordination: to_coordination,
@@ -181,18 +165,10 @@
         let end = Instant::now() + limit;
         log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
         self.ready.store(false, Ordering::Relaxed);
-        offer(
-            &self.coordination,
-            CoordinationMessage::Event(ZoneEvent::StopAsked),
-        );
-        std::thread::sleep(Duration::from_millis(u64::from(
-            self.settings.stop_linger_ms,
-        )));
+        offer(&self.coordination, CoordinationMessage::Event(ZoneEvent::StopAsked));
+        std::thread::sleep(Duration::from_millis(u64::from(self.settings.stop_linger_ms)));
         self.callers.stopping.store(true, Ordering::Relaxed);
-        let workers_done = self
-            .workers
-            .into_iter()
-            .all(|worker| join_until(worker, end));
+        let workers_done = self.workers.into_iter().all(|worker| join_until(worker, end));
         let handed_over = join_until(self.coordinator, end);
         self.operators.stopping.store(true, Ordering::Relaxed);
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
@@ -234,11 +210,7 @@
 }
 
 fn listen(field: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeError> {
-    bind_listener(address).map_err(|reason| NodeError::Address {
-        field,
-        address,
-        reason,
-    })
+    bind_listener(address).map_err(|reason| NodeError::Address { field, address, reason })
 }
 
 fn own_vm(settings: &NodeSettings, incarnation: Incarnation) -> PeerVm {
@@ -263,10 +235,7 @@
 fn coordinator_settings(settings: &NodeSettings, incarnation: Incarnation) -> CoordinatorSettings {
     CoordinatorSettings {
         zone: settings.zone.clone(),
-        vm: StandbyVm {
-            vm: settings.vm.clone(),
-            incarnation,
-        },
+        vm: StandbyVm { vm: settings.vm.clone(), incarnation },
         times: settings.lease.to_times(),
         standbys: STANDBYS,
         moves: MOVES,
--- a/crates/nickellead_run/src/operators.rs
+++ b/crates/nickellead_run/src/operators.rs
@@ -49,13 +49,11 @@
 /// # Errors
 /// The system's error when it refuses a thread.
 pub(crate) fn build(duty: OperatorDuty) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("operators".to_owned())
-        .spawn(move || {
-            if let Ok(runtime) = actix_rt::Runtime::new() {
-                runtime.block_on(run(duty));
-            }
-        })
+    std::thread::Builder::new().name("operators".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(run(duty));
+        }
+    })
 }
 
 async fn run(duty: OperatorDuty) {
@@ -67,11 +65,7 @@
     let api = Rc::new(OperatorApi { duty, client });
     let handler = move |request| {
         let api = Rc::clone(&api);
-        async move {
-            api.answer(request)
-                .await
-                .unwrap_or_else(ApiError::into_response)
-        }
+        async move { api.answer(request).await.unwrap_or_else(ApiError::into_response) }
     };
     serve_http(listener, CONNECTIONS_MAX, state, handler).await;
 }
@@ -94,11 +88,9 @@
                 let reason = "this kind or path does not take the method";
                 error(StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed", reason)
             }
-            Self::TooLarge => error(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "too-large",
-                "at most 1 MiB may be sent",
-            ),
+            Self::TooLarge => {
+                error(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "at most 1 MiB may be sent")
+            }
             Self::Field(field) => reply(
                 StatusCode::UNPROCESSABLE_ENTITY,
                 &json!({"error": "invalid", "field": field.field, "reason": field.reason}),
@@ -109,16 +101,12 @@
                 &json!({"error": "conflict", "version": version,
                     "reason": "the object changed: read it, decide anew, write with its version"}),
             ),
-            Self::Platform(PlatformError::Compacted) => error(
-                StatusCode::GONE,
-                "compacted",
-                "list anew, then watch from its revision",
-            ),
-            Self::Platform(other) => error(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "platform",
-                &other.to_string(),
-            ),
+            Self::Platform(PlatformError::Compacted) => {
+                error(StatusCode::GONE, "compacted", "list anew, then watch from its revision")
+            }
+            Self::Platform(other) => {
+                error(StatusCode::SERVICE_UNAVAILABLE, "platform", &other.to_string())
+            }
         }
     }
 }
@@ -189,10 +177,7 @@
             Method::DELETE => self.delete(kind, name, expected).await?,
             _ => return Err(ApiError::MethodNotAllowed),
         };
-        Ok(reply(
-            StatusCode::OK,
-            &json!({"kind": kind, "name": name, "version": version}),
-        ))
+        Ok(reply(StatusCode::OK, &json!({"kind": kind, "name": name, "version": version})))
     }
 
     async fn put(
@@ -272,10 +257,7 @@
         let from = query_number(query, "from")
             .ok_or_else(|| FieldError::new("from", "must be a revision"))?;
         let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(10_000));
-        let page = self
-            .client
-            .watch(Version(from), wait.min(WATCH_MAX))
-            .await?;
+        let page = self.client.watch(Version(from), wait.min(WATCH_MAX)).await?;
         Ok(reply(StatusCode::OK, &page))
     }
 
@@ -291,10 +273,7 @@
         let mut body = String::new();
         match encode(&mut body, &self.duty.registry) {
             Ok(()) => text(StatusCode::OK, &body),
-            Err(_) => text(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "metrics can't be written\n",
-            ),
+            Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written\n"),
         }
     }
 
@@ -373,9 +352,7 @@
 }
 
 fn text(status: StatusCode, body: &str) -> Response<BoxBody> {
-    Response::build(status)
-        .body(body.to_owned())
-        .map_into_boxed_body()
+    Response::build(status).body(body.to_owned()).map_into_boxed_body()
 }
 
 fn error(status: StatusCode, code: &str, reason: &str) -> Response<BoxBody> {
--- a/crates/nickellead_run/src/orders.rs
+++ b/crates/nickellead_run/src/orders.rs
@@ -37,13 +37,11 @@
     coordination: RingSender<CoordinationMessage>,
     timeout: Duration,
 ) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("orders".to_owned())
-        .spawn(move || {
-            if let Ok(runtime) = actix_rt::Runtime::new() {
-                runtime.block_on(run(receiver, coordination, timeout));
-            }
-        })
+    std::thread::Builder::new().name("orders".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(run(receiver, coordination, timeout));
+        }
+    })
 }
 
 async fn run(
--- a/crates/nickellead_run/src/peers/answer.rs
+++ b/crates/nickellead_run/src/peers/answer.rs
@@ -27,35 +27,21 @@
         PeerRequest::Follow(request) => answer_follow(hub, &request).await,
         PeerRequest::Record(batch) => {
             let (sender, receiver) = oneshot::channel();
-            offer(
-                hub.coordination(),
-                CoordinationMessage::Record(batch, sender),
-            );
+            offer(hub.coordination(), CoordinationMessage::Record(batch, sender));
             receiver.await.map_or(PeerReply::Refused, PeerReply::Record)
         }
         PeerRequest::StepDown(term) => {
             let (sender, receiver) = oneshot::channel();
-            offer(
-                hub.coordination(),
-                CoordinationMessage::StepDown(term, sender),
-            );
-            receiver
-                .await
-                .map_or(PeerReply::Refused, PeerReply::SteppedDown)
+            offer(hub.coordination(), CoordinationMessage::StepDown(term, sender));
+            receiver.await.map_or(PeerReply::Refused, PeerReply::SteppedDown)
         }
     }
 }
 
 async fn answer_follow(hub: &PeerHub, request: &FollowRequest) -> PeerReply {
     if request.from.zone == hub.own.zone {
-        let vm = StandbyVm {
-            vm: request.from.vm.clone(),
-            incarnation: request.from.incarnation,
-        };
-        offer(
-            hub.coordination(),
-            CoordinationMessage::Event(ZoneEvent::PeerSeen(vm)),
-        );
+        let vm = StandbyVm { vm: request.from.vm.clone(), incarnation: request.from.incarnation };
+        offer(hub.coordination(), CoordinationMessage::Event(ZoneEvent::PeerSeen(vm)));
     }
     let mut changes = hub.subscribe();
     let wait = Duration::from_millis(u64::from(request.wait_ms)).min(WAIT_MAX);
--- a/crates/nickellead_run/src/peers/follow.rs
+++ b/crates/nickellead_run/src/peers/follow.rs
@@ -83,20 +83,12 @@
 
 impl PeerSearch {
     const fn new(zone: Name) -> Self {
-        Self {
-            zone,
-            next: 0,
-            client: None,
-        }
+        Self { zone, next: 0, client: None }
     }
 
     async fn ask(&mut self, hub: &PeerHub) -> Option<FollowReply> {
         let address = self.choose(hub)?;
-        let mut client = match self
-            .client
-            .take()
-            .filter(|client| client.address() == address)
-        {
+        let mut client = match self.client.take().filter(|client| client.address() == address) {
             Some(client) => client,
             None => PeerClient::new(address),
         };
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -44,10 +44,7 @@
 impl PeerHub {
     pub(super) fn new(own: PeerVm, known: Vec<PeerVm>, rings: PeerRings) -> Self {
         let vms = known.into_iter().map(|vm| {
-            let place = KnownVm {
-                zone: vm.zone,
-                address: vm.address,
-            };
+            let place = KnownVm { zone: vm.zone, address: vm.address };
             (vm.vm, place)
         });
         let lagging = vec![false; rings.workers.len()];
@@ -91,9 +88,7 @@
     /// The other VMs of a zone.
     pub(super) fn vms_of(&self, zone: &Name) -> Vec<SocketAddr> {
         let vms = self.vms.borrow();
-        let others = vms
-            .iter()
-            .filter(|(vm, known)| **vm != self.own.vm && known.zone == *zone);
+        let others = vms.iter().filter(|(vm, known)| **vm != self.own.vm && known.zone == *zone);
         others.map(|(_, known)| known.address).collect()
     }
 
@@ -108,10 +103,7 @@
     }
 
     pub(super) fn coordinator_of(&self, zone: &Name) -> Option<PeerVm> {
-        self.coordinators
-            .borrow()
-            .get(zone)
-            .map(|(_, vm)| vm.clone())
+        self.coordinators.borrow().get(zone).map(|(_, vm)| vm.clone())
     }
 
     /// Forgets a coordinator that did not answer.
@@ -121,9 +113,7 @@
 
     fn note_coordinator(&self, term: Term, vm: PeerVm) {
         let mut coordinators = self.coordinators.borrow_mut();
-        let newer = coordinators
-            .get(&vm.zone)
-            .is_none_or(|(known, _)| *known <= term);
+        let newer = coordinators.get(&vm.zone).is_none_or(|(known, _)| *known <= term);
         if newer {
             coordinators.insert(vm.zone.clone(), (term, vm));
         }
@@ -132,13 +122,7 @@
     pub(super) fn take_listed(&self, listed: Vec<ListedVm>) {
         let mut vms = self.vms.borrow_mut();
         for vm in listed {
-            vms.insert(
-                vm.vm,
-                KnownVm {
-                    zone: vm.zone,
-                    address: vm.address,
-                },
-            );
+            vms.insert(vm.vm, KnownVm { zone: vm.zone, address: vm.address });
         }
     }
 
@@ -150,10 +134,7 @@
         }
         log_event(EventName::ConfigInForce, &[("revision", &config.revision)]);
         *self.config.borrow_mut() = Some(Arc::clone(&config));
-        offer(
-            &self.rings.orders,
-            OrderMessage::Config(Arc::clone(&config)),
-        );
+        offer(&self.rings.orders, OrderMessage::Config(Arc::clone(&config)));
         self.tell_workers(&WorkerUpdate::Config(config));
         self.notify();
     }
@@ -162,9 +143,7 @@
     pub(super) fn take_delta(&self, delta: &ZoneDelta) -> DeltaOutcome {
         let outcome = {
             let mut zones = self.zones.borrow_mut();
-            let table = zones
-                .entry(delta.zone)
-                .or_insert_with(|| ZoneTable::new(delta.zone));
+            let table = zones.entry(delta.zone).or_insert_with(|| ZoneTable::new(delta.zone));
             table.apply(delta)
         };
         if outcome == DeltaOutcome::Applied {
@@ -180,11 +159,7 @@
         let zones = self.zones.borrow();
         let known = zones.iter().filter_map(|(zone, table)| {
             let (term, version) = table.known()?;
-            Some(KnownZone {
-                zone: *zone,
-                term,
-                version,
-            })
+            Some(KnownZone { zone: *zone, term, version })
         });
         FollowRequest {
             from: self.own.clone(),
@@ -199,24 +174,16 @@
         let zones = self.zones.borrow();
         let known = |zone: ZoneKey| {
             let mut zones = request.zones.iter();
-            zones
-                .find(|known| known.zone == zone)
-                .map(|known| (known.term, known.version))
+            zones.find(|known| known.zone == zone).map(|known| (known.term, known.version))
         };
-        let deltas = zones
-            .iter()
-            .filter_map(|(zone, table)| table.delta(known(*zone)));
+        let deltas = zones.iter().filter_map(|(zone, table)| table.delta(known(*zone)));
         let config = self.config.borrow();
-        let newer = config
-            .as_ref()
-            .filter(|config| request.config.is_none_or(|r| r < config.revision));
+        let newer =
+            config.as_ref().filter(|config| request.config.is_none_or(|r| r < config.revision));
         let coordinator = self.coordinators.borrow().get(&self.own.zone).cloned();
         FollowReply {
             from: self.own.clone(),
-            term: coordinator
-                .as_ref()
-                .map(|(term, _)| *term)
-                .unwrap_or_default(),
+            term: coordinator.as_ref().map(|(term, _)| *term).unwrap_or_default(),
             coordinator: coordinator.map(|(_, vm)| vm),
             config: newer.map(|config| (**config).clone()),
             zones: deltas.collect(),
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -60,13 +60,11 @@
     receiver: RingReceiver<PeerMessage>,
     rings: PeerRings,
 ) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("peers".to_owned())
-        .spawn(move || {
-            if let Ok(runtime) = actix_rt::Runtime::new() {
-                runtime.block_on(run(own, listener, known, receiver, rings));
-            }
-        })
+    std::thread::Builder::new().name("peers".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(run(own, listener, known, receiver, rings));
+        }
+    })
 }
 
 async fn run(
--- a/crates/nickellead_run/src/platform.rs
+++ b/crates/nickellead_run/src/platform.rs
@@ -54,13 +54,11 @@
     receiver: RingReceiver<PlatformMessage>,
     rings: PlatformRings,
 ) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("platform".to_owned())
-        .spawn(move || {
-            if let Ok(runtime) = actix_rt::Runtime::new() {
-                runtime.block_on(run(address, zone, counter, receiver, rings));
-            }
-        })
+    std::thread::Builder::new().name("platform".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(run(address, zone, counter, receiver, rings));
+        }
+    })
 }
 
 async fn run(
@@ -73,17 +71,8 @@
     let client = Rc::new(PlatformClient::new(address, counter));
     let zone = Rc::new(zone);
     let (follow, followed) = watch::channel(false);
-    actix_rt::spawn(follow_config(
-        Rc::clone(&client),
-        followed.clone(),
-        rings.clone(),
-    ));
-    actix_rt::spawn(follow_vms(
-        Rc::clone(&client),
-        Rc::clone(&zone),
-        followed,
-        rings.clone(),
-    ));
+    actix_rt::spawn(follow_config(Rc::clone(&client), followed.clone(), rings.clone()));
+    actix_rt::spawn(follow_vms(Rc::clone(&client), Rc::clone(&zone), followed, rings.clone()));
     while let Some(message) = receiver.recv().await {
         match message {
             PlatformMessage::Follow(wanted) => {
@@ -109,22 +98,16 @@
             Some(ZoneEvent::MandateRead(id, answer))
         }
         ZoneAction::WriteMandate(id, expected, object) => {
-            let answer = client
-                .write(ObjectKind::Mandate, zone, expected, &object)
-                .await;
+            let answer = client.write(ObjectKind::Mandate, zone, expected, &object).await;
             Some(ZoneEvent::MandateWritten(id, answer))
         }
         ZoneAction::ReadPlacement(id, service, name) => {
-            let answer = client
-                .read(ObjectKind::Placement, &placement_name(&name, zone)?)
-                .await;
+            let answer = client.read(ObjectKind::Placement, &placement_name(&name, zone)?).await;
             Some(ZoneEvent::PlacementRead(id, service, answer))
         }
         ZoneAction::WritePlacement(id, service, name, expected, object) => {
             let name = placement_name(&name, zone)?;
-            let answer = client
-                .write(ObjectKind::Placement, &name, expected, &object)
-                .await;
+            let answer = client.write(ObjectKind::Placement, &name, expected, &object).await;
             Some(ZoneEvent::PlacementWritten(id, service, answer))
         }
         _ => None,
@@ -210,29 +193,18 @@
     /// The declarations that can be read; one that can't is left out.
     fn to_config(&self) -> DeclaredConfig {
         let revision = self.revision.unwrap_or_default();
-        let mut config = DeclaredConfig {
-            revision,
-            ..DeclaredConfig::default()
-        };
+        let mut config = DeclaredConfig { revision, ..DeclaredConfig::default() };
         for ((kind, name), object) in &self.items {
             let (name, version, spec) = (name.clone(), object.version, object.spec.clone());
             match kind {
                 ObjectKind::Service => {
                     if let Ok(spec) = serde_json::from_value(spec) {
-                        config.services.push(DeclaredService {
-                            name,
-                            version,
-                            spec,
-                        });
+                        config.services.push(DeclaredService { name, version, spec });
                     }
                 }
                 ObjectKind::Target => {
                     if let Ok(spec) = serde_json::from_value(spec) {
-                        config.targets.push(DeclaredTarget {
-                            name,
-                            version,
-                            spec,
-                        });
+                        config.targets.push(DeclaredTarget { name, version, spec });
                     }
                 }
                 ObjectKind::Mandate | ObjectKind::Placement => {}
--- a/crates/nickellead_run/src/requests.rs
+++ b/crates/nickellead_run/src/requests.rs
@@ -24,14 +24,12 @@
     metrics: ProxyMetrics,
     state: Arc<ServeState>,
 ) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name(format!("requests-{place}"))
-        .spawn(move || {
-            if let Ok(runtime) = actix_rt::Runtime::new() {
-                let worker = ProxyWorker::new(limits, seed, metrics);
-                runtime.block_on(run(worker, listener, limits, receiver, state));
-            }
-        })
+    std::thread::Builder::new().name(format!("requests-{place}")).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            let worker = ProxyWorker::new(limits, seed, metrics);
+            runtime.block_on(run(worker, listener, limits, receiver, state));
+        }
+    })
 }
 
 async fn run(
--- a/crates/nickellead_run/src/settings.rs
+++ b/crates/nickellead_run/src/settings.rs
@@ -124,9 +124,7 @@
             renewal: length(self.renewal_ms),
             standstill: length(self.standstill_ms),
             detach_after: length(self.detach_after_ms),
-            drift: nickellead_core::DriftBound {
-                parts_per_million: self.drift_ppm,
-            },
+            drift: nickellead_core::DriftBound { parts_per_million: self.drift_ppm },
         }
     }
 }
@@ -197,15 +195,10 @@
         self.check_addresses()?;
         self.check_limits()?;
         if self.stop_limit_ms <= self.stop_linger_ms {
-            return Err(FieldError::new(
-                "stop_limit_ms",
-                "must be more than stop_linger_ms",
-            ));
+            return Err(FieldError::new("stop_limit_ms", "must be more than stop_linger_ms"));
         }
         let times = self.lease.to_times();
-        times
-            .check()
-            .map_err(|(field, reason)| FieldError::new(format!("lease.{field}"), reason))
+        times.check().map_err(|(field, reason)| FieldError::new(format!("lease.{field}"), reason))
     }
 
     fn check_addresses(&self) -> Result<(), FieldError> {
@@ -219,19 +212,13 @@
                 return Err(FieldError::new(*field, "must have a port"));
             }
             if own[..place].iter().any(|(_, other)| other == address) {
-                return Err(FieldError::new(
-                    *field,
-                    "is used for something else already",
-                ));
+                return Err(FieldError::new(*field, "is used for something else already"));
             }
         }
         for (place, peer) in self.peers.iter().enumerate() {
             if peer.vm == self.vm && peer.address != self.peers_address {
                 let field = format!("peers[{place}].address");
-                return Err(FieldError::new(
-                    field,
-                    "differs from this VM's peers_address",
-                ));
+                return Err(FieldError::new(field, "differs from this VM's peers_address"));
             }
         }
         Ok(())
--- a/crates/nickellead_standin/src/load.rs
+++ b/crates/nickellead_standin/src/load.rs
@@ -92,12 +92,8 @@
     for group in &settings.groups {
         for _ in 0..group.callers {
             number += 1;
-            let caller = run_caller(
-                number,
-                group.clone(),
-                settings.clone(),
-                std::rc::Rc::clone(&recorder),
-            );
+            let caller =
+                run_caller(number, group.clone(), settings.clone(), std::rc::Rc::clone(&recorder));
             callers.push(actix_rt::spawn(caller));
         }
     }
@@ -120,19 +116,13 @@
     settings: LoadSettings,
     recorder: std::rc::Rc<std::cell::RefCell<Recorder>>,
 ) {
-    let client = awc::Client::builder()
-        .timeout(Duration::from_secs(10))
-        .finish();
+    let client = awc::Client::builder().timeout(Duration::from_secs(10)).finish();
     let mut rng = fastrand::Rng::with_seed(settings.seed.wrapping_mul(31).wrapping_add(number));
     let end = Instant::now() + settings.length;
     let mut count = 0_u64;
     while Instant::now() < end {
         count += 1;
-        let operation = if group.once {
-            (number << 32) | count
-        } else {
-            0
-        };
+        let operation = if group.once { (number << 32) | count } else { 0 };
         let place = (number + count) as usize % settings.entries.len().max(1);
         let Some(entry) = settings.entries.get(place) else {
             return;
@@ -218,9 +208,7 @@
                 code
             }
         };
-        report
-            .failures_ms
-            .push(self.start.elapsed().as_millis() as u64);
+        report.failures_ms.push(self.start.elapsed().as_millis() as u64);
         *report.errors.entry(code).or_default() += 1;
     }
 }
--- a/crates/nickellead_standin/src/platform.rs
+++ b/crates/nickellead_standin/src/platform.rs
@@ -61,10 +61,7 @@
     /// # Errors
     /// The system's error when the address can't be listened on.
     pub fn start(settings: PlatformSettings) -> std::io::Result<Self> {
-        let state = PlatformState {
-            vms: settings.vms,
-            ..PlatformState::default()
-        };
+        let state = PlatformState { vms: settings.vms, ..PlatformState::default() };
         let state = Arc::new(Mutex::new(state));
         let shared = Arc::clone(&state);
         let server = StandinServer::start(settings.address, move || {
@@ -74,10 +71,7 @@
                 async move { service.answer(request).await }
             }
         })?;
-        Ok(Self {
-            state,
-            _server: Arc::new(server),
-        })
+        Ok(Self { state, _server: Arc::new(server) })
     }
 
     /// Changes the faults.
--- a/crates/nickellead_standin/src/serve.rs
+++ b/crates/nickellead_standin/src/serve.rs
@@ -35,19 +35,14 @@
         let listener = bind_listener(address)?;
         let state = Arc::new(ServeState::default());
         let shared = Arc::clone(&state);
-        let thread = std::thread::Builder::new()
-            .name("standin".to_owned())
-            .spawn(move || {
-                if let Ok(runtime) = actix_rt::Runtime::new() {
-                    runtime.block_on(async move {
-                        serve_http(listener, CONNECTIONS_MAX, shared, make()).await;
-                    });
-                }
-            })?;
-        Ok(Self {
-            state,
-            thread: Some(thread),
-        })
+        let thread = std::thread::Builder::new().name("standin".to_owned()).spawn(move || {
+            if let Ok(runtime) = actix_rt::Runtime::new() {
+                runtime.block_on(async move {
+                    serve_http(listener, CONNECTIONS_MAX, shared, make()).await;
+                });
+            }
+        })?;
+        Ok(Self { state, thread: Some(thread) })
     }
 }
 
--- a/crates/nickellead_standin/src/store.rs
+++ b/crates/nickellead_standin/src/store.rs
@@ -48,14 +48,8 @@
     /// Every declared object.
     #[must_use]
     pub fn list_declared(&self) -> ObjectList {
-        let declared = self
-            .objects
-            .values()
-            .filter(|object| object.kind.is_declared());
-        ObjectList {
-            revision: self.revision,
-            items: declared.cloned().collect(),
-        }
+        let declared = self.objects.values().filter(|object| object.kind.is_declared());
+        ObjectList { revision: self.revision, items: declared.cloned().collect() }
     }
 
     /// Writes one object if it has the expected version; 0 means absent.
@@ -71,13 +65,8 @@
     ) -> Result<Version, StoreError> {
         self.check_version(kind, name, expected)?;
         self.revision = self.revision.next();
-        let object = ResourceObject {
-            kind,
-            name: name.clone(),
-            version: self.revision,
-            spec,
-            status: None,
-        };
+        let object =
+            ResourceObject { kind, name: name.clone(), version: self.revision, spec, status: None };
         self.objects.insert((kind, name.clone()), object.clone());
         self.record(kind, name, Some(object));
         Ok(self.revision)
@@ -110,14 +99,8 @@
             return Err(StoreError::Compacted);
         }
         let after = self.history.iter().filter(|event| event.revision > from);
-        let events = after
-            .filter(|event| event.kind.is_declared())
-            .cloned()
-            .collect();
-        Ok(WatchPage {
-            revision: self.revision,
-            events,
-        })
+        let events = after.filter(|event| event.kind.is_declared()).cloned().collect();
+        Ok(WatchPage { revision: self.revision, events })
     }
 
     /// Forgets the history, as a compaction does.
@@ -132,14 +115,8 @@
         name: &Name,
         expected: Version,
     ) -> Result<(), StoreError> {
-        let current = self
-            .get(kind, name)
-            .map_or(Version::ZERO, |object| object.version);
-        if current == expected {
-            Ok(())
-        } else {
-            Err(StoreError::Conflict(current))
-        }
+        let current = self.get(kind, name).map_or(Version::ZERO, |object| object.version);
+        if current == expected { Ok(()) } else { Err(StoreError::Conflict(current)) }
     }
 
     fn record(&mut self, kind: ObjectKind, name: &Name, object: Option<ResourceObject>) {
@@ -149,11 +126,6 @@
             self.compacted = oldest.revision;
         }
         let (name, revision) = (name.clone(), self.revision);
-        self.history.push_back(WatchEvent {
-            kind,
-            name,
-            object,
-            revision,
-        });
+        self.history.push_back(WatchEvent { kind, name, object, revision });
     }
 }
--- a/crates/nickellead_standin/src/target.rs
+++ b/crates/nickellead_standin/src/target.rs
@@ -106,11 +106,7 @@
                 async move { service.answer(request).await }
             }
         })?;
-        Ok(Self {
-            guard,
-            frozen,
-            _server: Arc::new(server),
-        })
+        Ok(Self { guard, frozen, _server: Arc::new(server) })
     }
 
     /// Whether it may run requests for a shard now.
@@ -125,10 +121,7 @@
         let guard = lock(&self.guard);
         let now = BootClock.now();
         let grants = guard.held_grants().into_iter();
-        grants
-            .map(|grant| grant.shard)
-            .filter(|shard| guard.owns(*shard, now))
-            .collect()
+        grants.map(|grant| grant.shard).filter(|shard| guard.owns(*shard, now)).collect()
     }
 
     /// Until when its session lasts.
@@ -167,10 +160,9 @@
         self.thaw().await;
         if request.path() == "/nickellead/order" {
             return match serde_json::from_slice::<TargetOrder>(&body) {
-                Ok(order) => json(
-                    StatusCode::OK,
-                    &lock(&self.guard).apply(&order, BootClock.now()),
-                ),
+                Ok(order) => {
+                    json(StatusCode::OK, &lock(&self.guard).apply(&order, BootClock.now()))
+                }
                 Err(_) => empty(StatusCode::BAD_REQUEST),
             };
         }
@@ -198,15 +190,10 @@
         let shard = header_number(headers, SHARD_HEADER).ok_or("no-shard")?;
         let epoch = header_number(headers, EPOCH_HEADER).ok_or("no-epoch")?;
         let operation = header_number(headers, OPERATION_HEADER).unwrap_or(0);
-        let grant = ShardGrant {
-            shard: ShardIndex(shard as u32),
-            epoch: Epoch(epoch),
-        };
+        let grant = ShardGrant { shard: ShardIndex(shard as u32), epoch: Epoch(epoch) };
         let admitted = lock(&self.guard).admit(grant, BootClock.now());
-        let admitted = AdmittedRequest {
-            guard: &self.guard,
-            ticket: Some(admitted.map_err(refusal_name)?),
-        };
+        let admitted =
+            AdmittedRequest { guard: &self.guard, ticket: Some(admitted.map_err(refusal_name)?) };
         self.work(request.path(), operation, grant, &admitted).await
     }
 
@@ -243,11 +230,7 @@
                 epoch: grant.epoch.0,
             });
         }
-        TargetAnswer {
-            path: path.to_owned(),
-            operation,
-            count,
-        }
+        TargetAnswer { path: path.to_owned(), operation, count }
     }
 
     async fn thaw(&self) {
@@ -266,9 +249,7 @@
 impl AdmittedRequest<'_> {
     fn check_effect(&self) -> Result<(), &'static str> {
         let ticket = self.ticket.as_ref().ok_or("finished")?;
-        lock(self.guard)
-            .check_effect(ticket, BootClock.now())
-            .map_err(refusal_name)
+        lock(self.guard).check_effect(ticket, BootClock.now()).map_err(refusal_name)
     }
 }
 
--- a/crates/nickellead_time/src/timer.rs
+++ b/crates/nickellead_time/src/timer.rs
@@ -36,9 +36,8 @@
     /// Returns the system's error when it refuses a thread.
     pub fn start() -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel(SUBSCRIBE_RING);
-        let thread = std::thread::Builder::new()
-            .name("timer".to_owned())
-            .spawn(move || run(&receiver))?;
+        let thread =
+            std::thread::Builder::new().name("timer".to_owned()).spawn(move || run(&receiver))?;
         Ok(Self { sender, thread })
     }
 
@@ -74,10 +73,7 @@
 /// How long until the next tick is due; a second when nobody subscribed.
 fn wait_length(subscriptions: &[Subscription], now: Timestamp) -> Duration {
     const IDLE: Duration = Duration::from_secs(1);
-    let next = subscriptions
-        .iter()
-        .map(|subscription| subscription.due)
-        .min();
+    let next = subscriptions.iter().map(|subscription| subscription.due).min();
     next.map_or(IDLE, |due| due.since(now))
 }
 
--- a/src/command/resources.rs
+++ b/src/command/resources.rs
@@ -94,17 +94,8 @@
         }
         let kind = parse_kind(&self.kind)?;
         let objects = match &self.name {
-            Some(name) => vec![
-                api.get(kind, name)
-                    .await?
-                    .ok_or("there is no such object")?,
-            ],
-            None => api
-                .list()
-                .await?
-                .into_iter()
-                .filter(|object| object.kind == kind)
-                .collect(),
+            Some(name) => vec![api.get(kind, name).await?.ok_or("there is no such object")?],
+            None => api.list().await?.into_iter().filter(|object| object.kind == kind).collect(),
         };
         for object in objects {
             if self.output == "json" {
@@ -159,11 +150,8 @@
             print_line(&format!("{label} would be {verb}"));
             return Ok(());
         }
-        let path = format!(
-            "/v1/objects/{}/{}?version={version}",
-            object.kind.as_str(),
-            object.name
-        );
+        let path =
+            format!("/v1/objects/{}/{}?version={version}", object.kind.as_str(), object.name);
         let answer = api.call(Method::PUT, &path, Some(&wanted)).await;
         let answer = answer.map_err(|error| format!("{label}: {error}"))?;
         print_line(&format!("{label} {verb}, version {}", answer["version"]));
@@ -180,10 +168,8 @@
                 print_line(&format!("{}/{} is not there", self.kind, self.name));
                 return Ok(());
             };
-            let path = format!(
-                "/v1/objects/{}/{}?version={}",
-                self.kind, self.name, object.version
-            );
+            let path =
+                format!("/v1/objects/{}/{}?version={}", self.kind, self.name, object.version);
             api.call(Method::DELETE, &path, None).await?;
             print_line(&format!("{}/{} deleted", self.kind, self.name));
             Ok(())
@@ -236,11 +222,7 @@
         body: Option<&Value>,
     ) -> Result<Value, String> {
         let (status, answer) = self.exchange(method, path, body).await?;
-        if status.is_success() {
-            Ok(answer)
-        } else {
-            Err(explain(status, &answer))
-        }
+        if status.is_success() { Ok(answer) } else { Err(explain(status, &answer)) }
     }
 
     async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<ResourceObject>, String> {
@@ -252,9 +234,7 @@
         if !status.is_success() {
             return Err(explain(status, &answer));
         }
-        serde_json::from_value(answer)
-            .map(Some)
-            .map_err(|error| error.to_string())
+        serde_json::from_value(answer).map(Some).map_err(|error| error.to_string())
     }
 
     async fn list(&self) -> Result<Vec<ResourceObject>, String> {
@@ -268,23 +248,14 @@
         path: &str,
         body: Option<&Value>,
     ) -> Result<(StatusCode, Value), String> {
-        let request = self
-            .http
-            .request(method, format!("http://{}{path}", self.vm));
+        let request = self.http.request(method, format!("http://{}{path}", self.vm));
         let sent = match body {
             Some(body) => request.send_json(body).await,
             None => request.send().await,
         };
         let mut response = sent.map_err(|error| format!("VM {}: {error}", self.vm))?;
-        let body = response
-            .body()
-            .limit(32 << 20)
-            .await
-            .map_err(|error| error.to_string())?;
-        Ok((
-            response.status(),
-            serde_json::from_slice(&body).unwrap_or(Value::Null),
-        ))
+        let body = response.body().limit(32 << 20).await.map_err(|error| error.to_string())?;
+        Ok((response.status(), serde_json::from_slice(&body).unwrap_or(Value::Null)))
     }
 }
 
@@ -311,10 +282,7 @@
         ObjectKind::Target => read_json::<nickellead_api::TargetSpec>(text.as_bytes())
             .map(|spec| serde_json::to_value(spec).unwrap_or_default()),
         ObjectKind::Mandate | ObjectKind::Placement => {
-            return Err(format!(
-                "{} is written by the system only",
-                object.kind.as_str()
-            ));
+            return Err(format!("{} is written by the system only", object.kind.as_str()));
         }
     };
     normal.map_err(|error| format!("{}/{}: {error}", object.kind.as_str(), object.name))
@@ -327,10 +295,7 @@
     let entries =
         std::fs::read_dir(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let mut files: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
-    files.retain(|file| {
-        file.extension()
-            .is_some_and(|extension| extension == "json")
-    });
+    files.retain(|file| file.extension().is_some_and(|extension| extension == "json"));
     files.sort();
     Ok(files)
 }
@@ -349,10 +314,9 @@
 
 fn summary(object: &ResourceObject) -> String {
     match object.kind {
-        ObjectKind::Service => format!(
-            "zones={} shards={}",
-            object.spec["zones"], object.spec["shards"]
-        ),
+        ObjectKind::Service => {
+            format!("zones={} shards={}", object.spec["zones"], object.spec["shards"])
+        }
         ObjectKind::Target => format!(
             "service={} zone={} state={}",
             object.spec["service"], object.spec["zone"], object.spec["state"]
@@ -366,9 +330,7 @@
 }
 
 fn block_on<F: Future<Output = Result<(), String>>>(work: F) -> Result<(), String> {
-    actix_rt::Runtime::new()
-        .map_err(|error| error.to_string())?
-        .block_on(work)
+    actix_rt::Runtime::new().map_err(|error| error.to_string())?.block_on(work)
 }
 
 fn finish(outcome: Result<(), String>) -> ExitCode {
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -64,11 +64,7 @@
         if let Err(error) = wait_for_signal() {
             return fail(1, &error);
         }
-        if node.stop() {
-            ExitCode::SUCCESS
-        } else {
-            ExitCode::FAILURE
-        }
+        if node.stop() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
     }
 }
 
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -115,10 +115,7 @@
     fn run(self) -> Result<(), String> {
         let text = std::fs::read(&self.vms).map_err(|error| format!("--vms: {error}"))?;
         let vms = nickellead_api::read_json(&text).map_err(|error| format!("--vms: {error}"))?;
-        let settings = PlatformSettings {
-            address: self.listen,
-            vms,
-        };
+        let settings = PlatformSettings { address: self.listen, vms };
         let _platform = StandinPlatform::start(settings).map_err(|error| error.to_string())?;
         announce(self.listen);
         wait_for_signal().map_err(|error| error.to_string())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,10 +60,8 @@
 
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args(["-s", name, &self.id().to_string()])
-            .status()
-            .unwrap();
+        let status =
+            Command::new("kill").args(["-s", name, &self.id().to_string()]).status().unwrap();
         assert!(status.success());
     }
 
@@ -82,24 +80,14 @@
 
 /// Runs a command of the program to its end: exit code, standard output, standard error.
 pub fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_nickellead"))
-        .args(arguments)
-        .output()
-        .unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_nickellead")).args(arguments).output().unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    (
-        output.status.code(),
-        text(output.stdout),
-        text(output.stderr),
-    )
+    (output.status.code(), text(output.stdout), text(output.stderr))
 }
 
 /// An address on the loopback that nobody listens on.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
 /// A file in a folder of this test process's own.
@@ -114,9 +102,7 @@
 /// Sends raw bytes and returns all that comes back until the other side closes.
 pub fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
-    stream
-        .set_read_timeout(Some(Duration::from_secs(20)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     stream.write_all(request.as_bytes()).unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -29,9 +29,8 @@
             Process::start(&["standin", "platform", "--listen", &listen, "--vms", vms]);
         platform.wait_for(&["standin-started"]);
         let listen = target_address.to_string();
-        let mut target = Process::start(&[
-            "standin", "target", "--name", "board-0", "--listen", &listen,
-        ]);
+        let mut target =
+            Process::start(&["standin", "target", "--name", "board-0", "--listen", &listen]);
         target.wait_for(&["standin-started"]);
         let settings = format!(
             r#"{{"vm": "vm-0", "zone": "zone-a", "callers_address": "{callers}",
@@ -51,29 +50,14 @@
         );
         let declared = write_file("declared.json", &declared);
         let operators_text = operators.to_string();
-        let apply = [
-            "apply",
-            "--vm",
-            &operators_text,
-            "-f",
-            declared.to_str().unwrap(),
-        ];
+        let apply = ["apply", "--vm", &operators_text, "-f", declared.to_str().unwrap()];
         let (code, _, errors) = run(&apply);
         assert_eq!(code, Some(0), "{errors}");
         let (code, again, _) = run(&apply);
         assert_eq!(code, Some(0));
-        assert_eq!(
-            again,
-            "service/boards unchanged\ntarget/board-0 unchanged\n"
-        );
+        assert_eq!(again, "service/boards unchanged\ntarget/board-0 unchanged\n");
         vm.wait_for(&["owners-committed", "service=boards", "shards=8"]);
-        Self {
-            platform,
-            vm,
-            target,
-            callers,
-            operators,
-        }
+        Self { platform, vm, target, callers, operators }
     }
 }
 
@@ -82,14 +66,8 @@
     let deployment = Deployment::start();
     let answer = request(deployment.callers, "POST", "/boards/book/clinic-7");
     assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
-    assert!(
-        answer.contains(r#""path":"/boards/book/clinic-7""#),
-        "{answer}"
-    );
-    assert!(
-        !answer.contains("nickellead-"),
-        "internal headers reach a caller: {answer}"
-    );
+    assert!(answer.contains(r#""path":"/boards/book/clinic-7""#), "{answer}");
+    assert!(!answer.contains("nickellead-"), "internal headers reach a caller: {answer}");
 
     let unknown = request(deployment.callers, "POST", "/nothing/book/clinic-7");
     assert!(unknown.starts_with("HTTP/1.1 404"), "{unknown}");
@@ -104,10 +82,7 @@
 
 #[test]
 fn wrong_settings_name_the_field_and_start_nothing() {
-    let path = write_file(
-        "wrong.json",
-        r#"{"vm": "vm-0", "zone": "zone-a", "colour": 3}"#,
-    );
+    let path = write_file("wrong.json", r#"{"vm": "vm-0", "zone": "zone-a", "colour": 3}"#);
     let (code, _, errors) = run(&["run", "--settings", path.to_str().unwrap()]);
     assert_eq!(code, Some(2));
     assert!(errors.contains("colour"), "{errors}");
