--- a/crates/nickellead_lease/src/coordinator/loading.rs
+++ b/crates/nickellead_lease/src/coordinator/loading.rs
@@ -140,12 +140,14 @@
         let entries: Vec<_> =
             self.records.range(record_range(service)).map(|(k, v)| (*k, *v)).collect();
         for ((_, shard), (target, epoch)) in entries {
-            if placement.get(shard).is_some_and(|record| record.epoch < epoch) {
+            let newer = placement.get(shard).is_some_and(|record| record.epoch < epoch);
+            if newer && enforced!("record_merge") {
                 placement.load_owner(shard, Some(target), epoch);
             }
         }
-        placement.load = LoadState::Claiming;
-        placement.dirty = true;
+        placement.load =
+            if enforced!("claim_first") { LoadState::Claiming } else { LoadState::Claimed };
+        placement.dirty = enforced!("claim_first");
         self.recount_owned();
     }
 
--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -368,16 +368,24 @@
         self.publishes() && self.placements.values().all(clean)
     }
 
-    /// Keeps the standbys that are heard and fills up with others that are.
+    /// Keeps the standbys that are heard, fills up with others that are, and
+    /// only then with those not heard: a silent standby may still take over.
     fn choose_standbys(&self, now: Timestamp) -> Vec<StandbyVm> {
+        let fresh = |vm: &StandbyVm| {
+            let heard = self.peers.get(&vm.vm);
+            heard.is_some_and(|(known, at)| known == vm && now.since(*at) < PEER_FRESH)
+        };
+        let eligible = |vm: &&StandbyVm| {
+            **vm != self.settings.vm && self.is_listed(&vm.vm) && !self.is_gone(vm)
+        };
         let current = self.watch.object.iter().flat_map(|object| &object.standbys);
-        let heard = self.peers.values().filter(|(_, at)| now.since(*at) < PEER_FRESH);
-        let fresh: Vec<&StandbyVm> = heard
-            .map(|(vm, _)| vm)
-            .filter(|vm| **vm != self.settings.vm && self.is_listed(&vm.vm))
-            .collect();
-        let mut chosen: Vec<StandbyVm> = current.filter(|vm| fresh.contains(vm)).cloned().collect();
-        for vm in fresh {
+        let current: Vec<&StandbyVm> = current.filter(eligible).collect();
+        let heard = self.peers.values().map(|(vm, _)| vm);
+        let heard = heard.filter(eligible).filter(|vm| fresh(vm));
+        let first = current.iter().copied().filter(|vm| fresh(vm)).chain(heard);
+        let last = current.iter().copied().filter(|vm| !fresh(vm));
+        let mut chosen: Vec<StandbyVm> = Vec::new();
+        for vm in first.chain(last) {
             if chosen.len() < self.settings.standbys && !chosen.contains(vm) {
                 chosen.push(vm.clone());
             }
--- a/crates/nickellead_lease/src/guard.rs
+++ b/crates/nickellead_lease/src/guard.rs
@@ -185,7 +185,7 @@
         if order.target != self.target {
             return Some(OrderOutcome::WrongTarget);
         }
-        if enforced!("term_check") && order.term < self.term {
+        if order.term < self.term && enforced!("term_check") {
             return Some(OrderOutcome::StaleTerm);
         }
         let other_life = order.incarnation.is_some_and(|life| life != self.incarnation);
--- a/crates/nickellead_lease/src/rules.rs
+++ b/crates/nickellead_lease/src/rules.rs
@@ -1,15 +1,32 @@
 //! The safety rules by name, so that a test build can take one out.
 //!
-//! `tools/mutations` builds the tests with `--cfg mutation="NAME"` and expects
-//! a test to fail. A release build with a mutation does not compile.
+//! With the feature `mutations`, the environment variable
+//! `NICKELLEAD_MUTATION` names one rule that is not enforced; `tools/mutations`
+//! expects a test to fail for each. A release build with the feature does not
+//! compile, and without it the check is a constant.
 
-#[cfg(all(not(debug_assertions), mutation))]
-compile_error!("a safety rule is taken out: build without --cfg mutation");
+#[cfg(all(feature = "mutations", not(debug_assertions)))]
+compile_error!("feature mutations takes safety rules out: it is for test builds only");
 
-/// `true` unless this build takes the named safety rule out.
+/// Whether the rule of this name is taken out in this run.
+#[cfg(feature = "mutations")]
+pub(crate) fn is_taken_out(name: &str) -> bool {
+    use std::sync::LazyLock;
+    static TAKEN_OUT: LazyLock<String> =
+        LazyLock::new(|| std::env::var("NICKELLEAD_MUTATION").unwrap_or_default());
+    *TAKEN_OUT == name
+}
+
+/// Whether the rule of this name is taken out in this run: never.
+#[cfg(not(feature = "mutations"))]
+pub(crate) const fn is_taken_out(_name: &str) -> bool {
+    false
+}
+
+/// `true` unless this test run takes the named safety rule out.
 macro_rules! enforced {
     ($name:literal) => {
-        !cfg!(mutation = $name)
+        !crate::rules::is_taken_out($name)
     };
 }
 
--- a/crates/nickellead_lease/tests/found.rs
+++ b/crates/nickellead_lease/tests/found.rs
@@ -3,7 +3,8 @@
 
 mod world;
 
-use world::{Schedule, Step, World};
+use world::World;
+use world::schedule::{Schedule, Step};
 
 /// Plays the steps, heals, and expects every shard to have one owner again.
 fn play(steps: &[Step]) -> World {
--- a/crates/nickellead_lease/tests/schedules.rs
+++ b/crates/nickellead_lease/tests/schedules.rs
@@ -6,7 +6,7 @@
 mod world;
 
 use quickcheck::{Gen, QuickCheck, TestResult};
-use world::Schedule;
+use world::schedule::Schedule;
 
 /// Schedules of one ordinary test run.
 const SCHEDULES: u64 = 1_500;
--- a/crates/nickellead_lease/tests/world/fake_platform.rs
+++ b/crates/nickellead_lease/tests/world/fake_platform.rs
@@ -8,7 +8,7 @@
 };
 
 /// Objects with versions, and ways to fail.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct FakePlatform {
     pub down: bool,
     /// Writes take effect and their answers are lost.
--- a/crates/nickellead_lease/tests/world/mod.rs
+++ b/crates/nickellead_lease/tests/world/mod.rs
@@ -7,7 +7,7 @@
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
 mod fake_platform;
-mod schedule;
+pub mod schedule;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,7 +23,6 @@
 };
 
 use fake_platform::FakePlatform;
-pub use schedule::{Schedule, Step};
 
 /// Shards of the one service.
 pub const SHARDS: u32 = 4;
@@ -47,6 +46,7 @@
 }
 
 /// One VM of the zone.
+#[derive(Clone)]
 pub struct VmNode {
     pub name: Name,
     pub coordinator: ZoneCoordinator,
@@ -67,6 +67,14 @@
     running: Vec<(ShardGrant, RequestTicket)>,
 }
 
+impl Clone for TargetNode {
+    /// A copy in which no request runs: a ticket stands for one request only.
+    fn clone(&self) -> Self {
+        let guard = self.guard.clone();
+        Self { name: self.name.clone(), guard, running: Vec::new(), ..*self }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Payload {
     Event(usize, ZoneEvent),
@@ -83,6 +91,7 @@
 }
 
 /// Everything, at one moment of global time.
+#[derive(Clone)]
 pub struct World {
     pub now: u64,
     pub vms: Vec<VmNode>,
@@ -179,7 +188,7 @@
         self.tell_list(vm);
     }
 
-    fn tell_list(&mut self, vm: usize) {
+    pub fn tell_list(&mut self, vm: usize) {
         let names = self.listed.iter().map(|number| self.vms[*number].name.clone()).collect();
         self.give(vm, ZoneEvent::VmsListed(names));
     }
@@ -335,6 +344,36 @@
         leaders.next().filter(|_| leaders.next().is_none())
     }
 
+    /// Delays a write of a placement that is under way; tells whether there is one.
+    pub fn hold_placement_write(&mut self, later: u64) -> bool {
+        let is_write = |message: &Message| {
+            matches!(message.payload, Payload::Platform(_, ZoneAction::WritePlacement(..)))
+        };
+        let due = self.now + later;
+        let write = self.messages.iter_mut().find(|message| is_write(message));
+        write.map(|message| message.due = due).is_some()
+    }
+
+    /// Delivers the answer to a placement's write, and what follows from it to targets.
+    pub fn deliver_placement_answer(&mut self) {
+        let is_answer = |message: &Message| {
+            matches!(message.payload, Payload::Event(_, ZoneEvent::PlacementWritten(..)))
+        };
+        let is_order = |message: &Message| matches!(message.payload, Payload::Order(..));
+        for wanted in [&is_answer as &dyn Fn(&Message) -> bool, &is_order] {
+            while let Some(place) = self.messages.iter().position(wanted) {
+                let message = self.messages.remove(place);
+                self.deliver(message.payload);
+            }
+        }
+        self.check();
+    }
+
+    /// Tells a VM something out of turn.
+    pub fn tell(&mut self, vm: usize, event: ZoneEvent) {
+        self.give(vm, event);
+    }
+
     /// Asks the coordinator to stop as planned.
     pub fn stop_leader(&mut self) {
         if let Some(vm) = self.leader() {
@@ -428,6 +467,13 @@
     }
 
     fn deliver(&mut self, payload: Payload) {
+        if let Payload::Event(vm, _) | Payload::Reply(vm, ..) | Payload::Peer(_, vm, _) = &payload
+            && self.vms[*vm].paused
+        {
+            // The bytes wait in its sockets until it goes on.
+            self.messages.push(Message { due: self.now + 50, payload });
+            return;
+        }
         match payload {
             Payload::Event(vm, event) => self.give(vm, event),
             Payload::Peer(from, to, event) => {
@@ -553,7 +599,7 @@
     DriftClock { offset: seed * 1_000, rate_ppm }
 }
 
-fn declare(targets: usize, states: &[(usize, TargetState)]) -> DeclaredConfig {
+pub fn declare(targets: usize, states: &[(usize, TargetState)]) -> DeclaredConfig {
     let spec: ServiceSpec = serde_json::from_str(
         r#"{"zones": ["zone-a"], "shards": 4, "key": {"from": "path", "segment": 2},
             "operations": [{"name": "book", "method": "POST", "repeat": "once"}]}"#,
