Failures on real sockets, and a once operation that was sent twice

Cause: the HTTP client's word for a connection that broke while the answer was awaited is Connect(Disconnected); the table took every Connect error as proof that nothing was sent. So a caller was told 'not run' of an operation that ran, and a once operation was sent again. Seen as ran_though_refused=1 in one of two runs of tests/failures.rs (a target killed under load). Ruled out: the target's own refusals (none in that run), a late order of the coordinator (epochs of all shards were in order). Change: that error is AnswerLost, unknown. Expect is not passed on.

--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -92,6 +92,12 @@
         standbys
     }
 
+    /// The zone's mandate, as this VM last saw it.
+    #[must_use]
+    pub const fn mandate(&self) -> Option<&MandateObject> {
+        self.watch.object.as_ref()
+    }
+
     pub(super) fn keep_mandate(&mut self, now: Timestamp) {
         self.watch.call.take_if(|_| now >= self.watch.call_ends);
         match self.phase {
--- a/crates/nickellead_lease/src/coordinator/moves.rs
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use nickellead_core::{ServiceKey, ShardIndex, TargetKey, Timestamp};
+use nickellead_api::TargetState;
+use nickellead_core::{Epoch, ServiceKey, ShardIndex, TargetKey, Timestamp};
 use nickellead_placement::{MovePlan, RebalanceLimits, TargetLoad, assign, plan_moves};
 
 use super::{CallId, ZoneCoordinator, ZoneNotice};
-use crate::charts::{MandatePhase, ShardEvent, ShardPhase};
+use crate::charts::{MandatePhase, SessionPhase, ShardEvent, ShardPhase};
 use crate::object::WriteAnswer;
 use crate::order::ShardGrant;
 use crate::session::TargetSession;
@@ -15,6 +16,9 @@
 /// Between two looks at the balance of load.
 const REBALANCE_PERIOD: Duration = Duration::from_millis(100);
 
+/// How long first owners wait for targets that were not heard yet.
+const GATHER_WAIT: Duration = Duration::from_millis(500);
+
 impl ZoneCoordinator {
     pub(super) fn plan(&mut self, now: Timestamp) {
         if !self.may_plan() {
@@ -23,7 +27,7 @@
         self.ask_predecessor(now);
         let services: Vec<ServiceKey> = self.placements.keys().copied().collect();
         for service in &services {
-            self.plan_owners(*service);
+            self.plan_owners(*service, now);
         }
         if now >= self.next_rebalance && !self.stop_wanted {
             self.next_rebalance = now + REBALANCE_PERIOD;
@@ -34,7 +38,8 @@
     }
 
     /// Chooses an owner for each free shard that has none in view.
-    fn plan_owners(&mut self, service: ServiceKey) {
+    fn plan_owners(&mut self, service: ServiceKey, now: Timestamp) {
+        let gathers = self.gathers_targets(service, now);
         let Some(placement) = self.placements.get_mut(&service) else {
             return;
         };
@@ -42,7 +47,7 @@
         if placement.load != LoadState::Claimed || idle {
             return;
         }
-        placement.attention = false;
+        placement.attention = gathers;
         let planned = placement.planned_for();
         let mut loads = self.loads(service, TargetSession::takes_shards);
         for load in &mut loads {
@@ -55,7 +60,10 @@
         let takes =
             |target: TargetKey| sessions.get(&target).is_some_and(TargetSession::takes_shards);
         let wanting = placement.select(|record| {
-            record.phase == ShardPhase::Free && record.next.is_none_or(|next| !takes(next))
+            let first = record.epoch == Epoch::ZERO;
+            record.phase == ShardPhase::Free
+                && !(first && gathers)
+                && record.next.is_none_or(|next| !takes(next))
         });
         if wanting.is_empty() {
             return;
@@ -75,6 +83,18 @@
         }
     }
 
+    /// Whether shards that never had an owner wait for targets that were not heard yet.
+    ///
+    /// Else the first target to answer would get them all, and give most away again.
+    fn gathers_targets(&self, service: ServiceKey, now: Timestamp) -> bool {
+        let early = self.placements.get(&service).is_some_and(|known| now < known.gather_until);
+        let expected = |session: &TargetSession| {
+            let unheard = matches!(session.phase, SessionPhase::New | SessionPhase::Fenced);
+            session.service == service && session.declared == TargetState::Active && unheard
+        };
+        early && self.sessions.values().any(expected)
+    }
+
     /// Begins planned moves, when those before are over.
     fn plan_service_moves(&mut self, service: ServiceKey, now: Timestamp) {
         // A detached coordinator moves shards only where targets leave.
@@ -161,6 +181,9 @@
         match answer {
             WriteAnswer::Done(version) => {
                 placement.version = version;
+                if placement.load == LoadState::Claiming {
+                    placement.gather_until = now + GATHER_WAIT;
+                }
                 placement.load = LoadState::Claimed;
                 placement.attention = true;
                 let current = |write: &PendingWrite| write.object.write_id == known.write_id;
--- a/crates/nickellead_lease/src/shard.rs
+++ b/crates/nickellead_lease/src/shard.rs
@@ -83,6 +83,8 @@
     pub(crate) pending: Option<PendingWrite>,
     /// Whether the platform's object lags behind the records.
     pub(crate) dirty: bool,
+    /// Until when first owners wait for targets that were not heard yet.
+    pub(crate) gather_until: Timestamp,
     /// Whether the object must be read to learn a write's fate.
     pub(crate) reread: bool,
     /// No call of the platform for it before this: the last one failed.
@@ -103,6 +105,7 @@
             write_id: 0,
             pending: None,
             dirty: false,
+            gather_until: Timestamp::ZERO,
             reread: false,
             not_before: Timestamp::ZERO,
         }
--- a/crates/nickellead_lease/tests/exhaustive.rs
+++ b/crates/nickellead_lease/tests/exhaustive.rs
@@ -2,7 +2,7 @@
 //!
 //! The depth is set by `NICKELLEAD_DEPTH`. A sequence that breaks the promise
 //! panics with the moment and the owners; the steps stand in the message.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::print_stdout)]
 
 mod world;
 
--- a/crates/nickellead_proxy/src/exchange.rs
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::RequestHead;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::header::HeaderName;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -59,6 +59,8 @@
 
 fn kind_of(error: &SendRequestError) -> ErrorKind {
     match error {
+        // The library's word for a connection that broke while the answer was awaited.
+        SendRequestError::Connect(ConnectError::Disconnected) => ErrorKind::AnswerLost,
         // No connection was made, so that no byte was sent.
         SendRequestError::Connect(_) | SendRequestError::Url(_) => ErrorKind::TargetUnreachable,
         SendRequestError::Timeout => ErrorKind::AnswerLate,
--- a/crates/nickellead_proxy/src/headers.rs
+++ b/crates/nickellead_proxy/src/headers.rs
@@ -19,8 +19,9 @@
 const INTERNAL_PREFIX: &str = "nickellead-";
 
 /// Headers that belong to one connection and are never passed on.
-const CONNECTION_HEADERS: [&str; 10] = [
+const CONNECTION_HEADERS: [&str; 11] = [
     "connection",
+    "expect",
     "keep-alive",
     "proxy-connection",
     "proxy-authenticate",
--- a/crates/nickellead_run/src/coordination.rs
+++ b/crates/nickellead_run/src/coordination.rs
@@ -36,6 +36,7 @@
     pub(crate) term: Term,
     pub(crate) published: (Term, Version),
     pub(crate) targets: Vec<TargetStatus>,
+    pub(crate) standbys: Vec<Name>,
 }
 
 /// Rings from coordination to the other duties.
@@ -156,11 +157,14 @@
     }
 
     fn status(&self) -> CoordinationStatus {
+        let mandate = self.coordinator.mandate();
+        let standbys = mandate.into_iter().flat_map(|mandate| &mandate.standbys);
         CoordinationStatus {
             phase: self.coordinator.phase(),
             term: self.coordinator.term(),
             published: self.coordinator.published(),
             targets: self.coordinator.target_statuses(),
+            standbys: standbys.map(|standby| standby.vm.clone()).collect(),
         }
     }
 
--- a/crates/nickellead_run/src/lib.rs
+++ b/crates/nickellead_run/src/lib.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod peers;
 mod platform;
+mod readiness;
 mod requests;
 mod ring;
 mod settings;
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 use crate::operators::OperatorDuty;
 use crate::peers::PeerRings;
 use crate::platform::PlatformRings;
+use crate::readiness::Readiness;
 use crate::ring::{RingSender, offer, ring};
 use crate::settings::NodeSettings;
 use crate::{coordination, operators, orders, peers, platform, requests};
@@ -57,7 +58,7 @@
 pub struct NodeHandle {
     settings: NodeSettings,
     coordination: RingSender<CoordinationMessage>,
-    ready: Arc<AtomicBool>,
+    readiness: Arc<Readiness>,
     callers: Arc<ServeState>,
     operators: Arc<ServeState>,
     counter: CallCounter,
@@ -85,7 +86,7 @@
     metrics.register(&mut registry);
     let callers = Arc::new(ServeState::default());
     let operators = Arc::new(ServeState::default());
-    let ready = Arc::new(AtomicBool::new(true));
+    let readiness = Arc::new(Readiness::default());
 
     let mut workers = Vec::new();
     let mut to_workers = Vec::new();
@@ -106,6 +107,7 @@
         coordination: to_coordination.clone(),
         orders: to_orders.clone(),
         workers: to_workers,
+        readiness: Arc::clone(&readiness),
     };
     peers::build(
         own_vm(&settings, incarnation),
@@ -133,7 +135,7 @@
         counter: counter.clone(),
         registry,
         coordination: to_coordination.clone(),
-        ready: Arc::clone(&ready),
+        readiness: Arc::clone(&readiness),
         state: Arc::clone(&operators),
     })?;
     start_ticks(to_coordination.clone())?;
@@ -141,7 +143,7 @@
     Ok(NodeHandle {
         settings,
         coordination: to_coordination,
-        ready,
+        readiness,
         callers,
         operators,
         counter,
@@ -164,7 +166,7 @@
         let limit = Duration::from_millis(u64::from(self.settings.stop_limit_ms));
         let end = Instant::now() + limit;
         log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
-        self.ready.store(false, Ordering::Relaxed);
+        self.readiness.stop();
         offer(&self.coordination, CoordinationMessage::Event(ZoneEvent::StopAsked));
         std::thread::sleep(Duration::from_millis(u64::from(self.settings.stop_linger_ms)));
         self.callers.stopping.store(true, Ordering::Relaxed);
--- a/crates/nickellead_run/src/operators.rs
+++ b/crates/nickellead_run/src/operators.rs
@@ -3,7 +3,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 use tokio::sync::oneshot;
 
 use crate::coordination::{CoordinationMessage, CoordinationStatus};
+use crate::readiness::Readiness;
 use crate::ring::{RingSender, offer};
 
 /// Connections of operators.
@@ -40,7 +40,7 @@
     pub(crate) counter: CallCounter,
     pub(crate) registry: Registry,
     pub(crate) coordination: RingSender<CoordinationMessage>,
-    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) readiness: Arc<Readiness>,
     pub(crate) state: Arc<ServeState>,
 }
 
@@ -262,7 +262,7 @@
     }
 
     fn readiness(&self) -> Response<BoxBody> {
-        if self.duty.ready.load(Ordering::Relaxed) {
+        if self.duty.readiness.is_ready() {
             text(StatusCode::OK, "ready\n")
         } else {
             text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
@@ -288,7 +288,7 @@
         let body = json!({
             "vm": self.duty.vm,
             "zone": self.duty.zone,
-            "ready": self.duty.ready.load(Ordering::Relaxed),
+            "ready": self.duty.readiness.is_ready(),
             "platform_calls": self.duty.counter.count(),
             "coordination": coordination,
         });
@@ -309,6 +309,7 @@
         "phase": status.phase.as_str(),
         "term": status.term,
         "published": [status.published.0, status.published.1],
+        "standbys": status.standbys,
         "targets": status.targets.iter().map(target).collect::<Vec<_>>(),
     })
 }
--- a/crates/nickellead_run/src/peers/follow.rs
+++ b/crates/nickellead_run/src/peers/follow.rs
@@ -53,6 +53,7 @@
                 actix_rt::spawn(follow_zone(Rc::clone(&hub), zone));
             }
         }
+        hub.check_readiness();
         tokio::time::sleep(ZONES_PERIOD).await;
     }
 }
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use nickellead_api::DeclaredConfig;
 use nickellead_core::{Name, Term, ZoneKey};
@@ -20,6 +21,9 @@
 use crate::orders::OrderMessage;
 use crate::ring::{RingSender, offer};
 
+/// How long after its start a VM waits for the owners in other zones.
+const OTHER_ZONES_WAIT: Duration = Duration::from_secs(3);
+
 /// Another VM's place.
 #[derive(Clone, Debug)]
 struct KnownVm {
@@ -37,6 +41,7 @@
     config: RefCell<Option<Arc<DeclaredConfig>>>,
     leads: Cell<bool>,
     changes: watch::Sender<u64>,
+    started: Instant,
     /// Workers whose ring was full: they get everything anew.
     lagging: RefCell<Vec<bool>>,
 }
@@ -57,6 +62,7 @@
             config: RefCell::default(),
             leads: Cell::new(false),
             changes: watch::channel(0).0,
+            started: Instant::now(),
             lagging: RefCell::new(lagging),
         }
     }
@@ -208,7 +214,25 @@
         from_coordinator
     }
 
+    /// Becomes ready once the owners in this zone are known, and those in the
+    /// others too or a while has passed: a zone that is cut off serves what it can.
+    pub(super) fn check_readiness(&self) {
+        let config = self.config.borrow();
+        let Some(config) = config.as_ref() else { return };
+        let zones = self.zones.borrow();
+        let knows =
+            |zone: &Name| zones.get(&ZoneKey::from(zone)).is_some_and(|t| t.known().is_some());
+        if !knows(&self.own.zone) {
+            return;
+        }
+        let mut wanted = config.services.iter().flat_map(|service| &service.spec.zones);
+        if wanted.all(knows) || self.started.elapsed() > OTHER_ZONES_WAIT {
+            self.rings.readiness.inform();
+        }
+    }
+
     fn notify(&self) {
+        self.check_readiness();
         self.changes.send_modify(|count| *count += 1);
     }
 
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::coordination::CoordinationMessage;
 use crate::orders::OrderMessage;
+use crate::readiness::Readiness;
 use crate::ring::{RingReceiver, RingSender, offer};
 use hub::PeerHub;
 
@@ -47,6 +48,7 @@
     pub(crate) coordination: RingSender<CoordinationMessage>,
     pub(crate) orders: RingSender<OrderMessage>,
     pub(crate) workers: Vec<RingSender<WorkerUpdate>>,
+    pub(crate) readiness: Arc<Readiness>,
 }
 
 /// Starts the thread.
--- a/crates/nickellead_standin/src/lib.rs
+++ b/crates/nickellead_standin/src/lib.rs
@@ -3,13 +3,17 @@
 //! They speak the same protocols as the real ones over real sockets, and can
 //! be told to fail in the ways that the real ones fail.
 
+mod effect;
 mod load;
 mod platform;
 mod serve;
 mod store;
 mod target;
+mod verdict;
 
+pub use effect::{EffectRecord, read_effects};
 pub use load::{CallerSettings, LoadReport, LoadSettings, run_load};
 pub use platform::{PlatformFaults, PlatformSettings, StandinPlatform};
 pub use store::{ObjectStore, StoreError};
-pub use target::{EffectRecord, SharedState, StandinTarget, TargetSettings};
+pub use target::{SharedState, StandinTarget, TargetSettings};
+pub use verdict::{Verdict, judge};
--- a/crates/nickellead_standin/src/load.rs
+++ b/crates/nickellead_standin/src/load.rs
@@ -38,7 +38,7 @@
     pub length: Duration,
     /// Pause of a caller between two requests.
     pub pause: Duration,
-    /// Seed of keys and order.
+    /// Seed of keys and order, and part of each operation's number.
     pub seed: u64,
 }
 
@@ -122,7 +122,8 @@
     let mut count = 0_u64;
     while Instant::now() < end {
         count += 1;
-        let operation = if group.once { (number << 32) | count } else { 0 };
+        let unique = (settings.seed << 48) | (number << 32) | count;
+        let operation = if group.once { unique } else { 0 };
         let place = (number + count) as usize % settings.entries.len().max(1);
         let Some(entry) = settings.entries.get(place) else {
             return;
--- a/crates/nickellead_standin/src/target.rs
+++ b/crates/nickellead_standin/src/target.rs
@@ -1,7 +1,10 @@
 //! A stand-in for a target: slots, service time, sheds, and the grant guard.
 
 use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 
+use crate::effect::EffectRecord;
 use crate::serve::{StandinServer, empty, json, read_all};
 
 /// Header with a caller's own number of an operation.
@@ -37,19 +41,6 @@
     pub service_us: u64,
 }
 
-/// One operation that had its effect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EffectRecord {
-    /// The target that ran it.
-    pub target: Name,
-    /// The caller's number of the operation.
-    pub operation: u64,
-    /// Shard and epoch it ran under.
-    pub shard: u32,
-    /// As above.
-    pub epoch: u64,
-}
-
 /// State that all stand-in targets of one process share: the users' own data.
 #[derive(Clone, Debug, Default)]
 pub struct SharedState(Arc<Mutex<SharedTables>>);
@@ -58,9 +49,20 @@
 struct SharedTables {
     counters: HashMap<String, u64>,
     effects: Vec<EffectRecord>,
+    file: Option<File>,
 }
 
 impl SharedState {
+    /// State whose effects are also appended to a file, a line of JSON each.
+    ///
+    /// # Errors
+    /// The system's error when the file can't be opened.
+    pub fn with_file(path: &Path) -> std::io::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        let tables = SharedTables { file: Some(file), ..SharedTables::default() };
+        Ok(Self(Arc::new(Mutex::new(tables))))
+    }
+
     fn lock(&self) -> MutexGuard<'_, SharedTables> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -70,6 +72,24 @@
     pub fn effects(&self) -> Vec<EffectRecord> {
         self.lock().effects.clone()
     }
+
+    /// Lets a request have its effect; returns the path's count after it.
+    ///
+    /// The time is taken under the lock, so that effects are in order of time.
+    fn effect(&self, path: &str, make: impl FnOnce(u64) -> EffectRecord) -> u64 {
+        let mut tables = self.lock();
+        let counter = tables.counters.entry(path.to_owned()).or_default();
+        *counter += 1;
+        let count = *counter;
+        let record = make(BootClock.micros());
+        if let (Some(file), Ok(line)) = (&mut tables.file, serde_json::to_string(&record)) {
+            // A target that can't write its journal must not answer "done".
+            file.write_all(format!("{line}\n").as_bytes())
+                .unwrap_or_else(|_| std::process::abort());
+        }
+        tables.effects.push(record);
+        count
+    }
 }
 
 /// A running stand-in target.
@@ -218,18 +238,14 @@
     }
 
     fn effect(&self, path: &str, operation: u64, grant: ShardGrant) -> TargetAnswer {
-        let mut shared = self.shared.lock();
-        let counter = shared.counters.entry(path.to_owned()).or_default();
-        *counter += 1;
-        let count = *counter;
-        if operation > 0 {
-            shared.effects.push(EffectRecord {
-                target: self.settings.name.clone(),
-                operation,
-                shard: grant.shard.0,
-                epoch: grant.epoch.0,
-            });
-        }
+        let count = self.shared.effect(path, |at_us| EffectRecord {
+            at_us,
+            target: self.settings.name.clone(),
+            service: path.split('/').nth(1).unwrap_or_default().to_owned(),
+            operation,
+            shard: grant.shard.0,
+            epoch: grant.epoch.0,
+        });
         TargetAnswer { path: path.to_owned(), operation, count }
     }
 
--- a/crates/nickellead_time/src/clock.rs
+++ b/crates/nickellead_time/src/clock.rs
@@ -15,4 +15,11 @@
         let millis = time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000;
         Timestamp(millis)
     }
+
+    /// The time now in microseconds; comparable between processes of one machine.
+    #[must_use]
+    pub fn micros(self) -> u64 {
+        let time = clock_gettime(ClockId::Boottime);
+        time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+    }
 }
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -62,6 +62,9 @@
     /// how long a request runs, in microseconds
     #[argh(option, default = "1000")]
     service_us: u64,
+    /// a file that every effect is appended to
+    #[argh(option)]
+    effects: Option<PathBuf>,
 }
 
 /// callers that send a bounded load and print what they recorded as JSON
@@ -136,7 +139,11 @@
             queue: self.queue,
             service_us: self.service_us,
         };
-        let target = StandinTarget::start(settings, SharedState::default());
+        let shared = match &self.effects {
+            Some(path) => SharedState::with_file(path).map_err(|error| error.to_string())?,
+            None => SharedState::default(),
+        };
+        let target = StandinTarget::start(settings, shared);
         let _target = target.map_err(|error| error.to_string())?;
         announce(self.listen);
         wait_for_signal().map_err(|error| error.to_string())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,10 +1,13 @@
 //! Processes of the program under test, ended when dropped.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+pub mod fleet;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
@@ -85,9 +88,21 @@
     (output.status.code(), text(output.stdout), text(output.stderr))
 }
 
-/// An address on the loopback that nobody listens on.
+/// An address on the loopback that nobody listens on, given out once.
+///
+/// Below the range that outgoing connections take their ports from.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(101) % COUNT;
+    loop {
+        let offset = (start + TAKEN.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A file in a folder of this test process's own.
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,153 @@
+//! Kills, freezes and outages, with processes on real sockets.
+//!
+//! Each test judges what callers and targets recorded: one owner at a time, no
+//! operation twice, none run that was said not to run, no answer of another.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::fleet::{Fleet, FleetSpec};
+use nickellead_standin::LoadReport;
+
+fn fleet(label: &'static str) -> Fleet {
+    Fleet::start(FleetSpec { label, ..FleetSpec::default() })
+}
+
+/// Nothing was refused or left unknown.
+fn assert_all_answered(report: &LoadReport) {
+    assert!(report.answered > 100, "{} answered, {:?}", report.answered, report.errors);
+    assert_eq!((report.refused, report.unknown), (0, 0), "{:?}", report.errors);
+}
+
+#[test]
+fn the_keys_of_a_killed_target_are_served_again_by_others() {
+    let mut fleet = fleet("killed-target");
+    let load = fleet.load(6, &[0, 1, 2]);
+    fleet.wait_for_effects(0);
+    fleet.kill_target(0);
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    let last = report.failures_ms.iter().max().copied().unwrap_or(0);
+    assert!(report.refused > 0, "nobody noticed that the target was gone");
+    assert!(last < 4_000, "keys were unavailable for {last} ms");
+    assert!(fleet.moved_shards() > 0, "no shard got a new epoch");
+}
+
+#[test]
+fn a_frozen_target_runs_nothing_that_it_no_longer_owns() {
+    let fleet = fleet("frozen-target");
+    let load = fleet.load(9, &[0, 1, 2]);
+    fleet.signal_target(0, "STOP");
+    let leader = fleet.coordinator("zone-a").unwrap();
+    fleet.wait_until("the target lost its shards", |fleet| {
+        let status = common::request(fleet.vms[leader].operators, "GET", "/v1/status");
+        status.contains(r#""phase":"lost""#)
+    });
+    fleet.signal_target(0, "CONT");
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    fleet.wait_for_zone(0);
+}
+
+#[test]
+fn a_killed_coordinator_makes_no_key_unavailable_and_moves_none() {
+    let mut fleet = fleet("killed-coordinator");
+    let leader = fleet.coordinator("zone-a").unwrap();
+    let others: Vec<usize> = (0..3).filter(|vm| *vm != leader).collect();
+    let load = fleet.load(6, &others);
+    fleet.kill_vm(leader);
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    assert_all_answered(&report);
+    assert_eq!(fleet.moved_shards(), 0);
+    fleet.wait_until("a successor coordinates", |fleet| fleet.coordinator("zone-a").is_some());
+}
+
+#[test]
+fn a_frozen_coordinator_steps_down_when_it_wakes() {
+    let fleet = fleet("frozen-coordinator");
+    let leader = fleet.coordinator("zone-a").unwrap();
+    let others: Vec<usize> = (0..3).filter(|vm| *vm != leader).collect();
+    let load = fleet.load(7, &others);
+    fleet.signal_vm(leader, "STOP");
+    fleet.wait_until("a successor coordinates", |fleet| {
+        others.iter().any(|vm| {
+            let status = common::request(fleet.vms[*vm].operators, "GET", "/v1/status");
+            status.contains(r#""phase":"leading""#)
+        })
+    });
+    fleet.signal_vm(leader, "CONT");
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    assert_all_answered(&report);
+    let status = common::request(fleet.vms[leader].operators, "GET", "/v1/status");
+    assert!(status.contains(r#""phase":"follower""#), "{status}");
+    assert_eq!(fleet.moved_shards(), 0);
+}
+
+#[test]
+fn an_outage_of_the_platform_alone_refuses_nothing() {
+    let fleet = fleet("platform-outage");
+    let load = fleet.load(11, &[0, 1, 2]);
+    fleet.set_platform(r#"{"down": true}"#);
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    assert_all_answered(&report);
+    fleet.set_platform("{}");
+    fleet.wait_until("the coordinator is attached again", |fleet| {
+        fleet.vms.iter().any(|vm| {
+            let status = common::request(vm.operators, "GET", "/v1/status");
+            status.contains(r#""phase":"leading""#)
+        })
+    });
+}
+
+#[test]
+fn a_target_killed_during_an_outage_is_replaced_by_the_detached_coordinator() {
+    let mut fleet = fleet("outage-and-target");
+    fleet.set_platform(r#"{"down": true}"#);
+    fleet.wait_until("the coordinator is detached", |fleet| {
+        fleet.vms.iter().any(|vm| {
+            let status = common::request(vm.operators, "GET", "/v1/status");
+            status.contains(r#""phase":"detached""#)
+        })
+    });
+    let load = fleet.load(7, &[0, 1, 2]);
+    fleet.kill_target(1);
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    let last = report.failures_ms.iter().max().copied().unwrap_or(0);
+    assert!(report.refused > 0 && last < 4_000, "keys were unavailable for {last} ms");
+    fleet.set_platform("{}");
+    fleet.wait_for_zone(0);
+}
+
+#[test]
+fn a_draining_target_gives_its_keys_away_with_nothing_refused() {
+    let fleet = fleet("drain");
+    let load = fleet.load(4, &[0, 1, 2]);
+    fleet.wait_for_effects(2);
+    fleet.declare_target(2, "draining");
+    let report = load.join().unwrap();
+    fleet.judge(&report);
+    assert_all_answered(&report);
+    assert!(fleet.moved_shards() > 0, "nothing moved");
+}
+
+#[test]
+fn planned_stops_of_all_vms_one_after_another_cut_nothing() {
+    let mut fleet = fleet("rolling-stop");
+    for number in 0..3 {
+        let others: Vec<usize> = (0..3).filter(|vm| *vm != number).collect();
+        let load = fleet.load(3, &others);
+        let process = fleet.vms[number].process.take().unwrap();
+        process.signal("TERM");
+        assert_eq!(process.exit_code(), Some(0), "vm-{number}");
+        let report = load.join().unwrap();
+        fleet.judge(&report);
+        assert_all_answered(&report);
+        fleet.start_vm(number);
+        fleet.wait_for_zone(0);
+    }
+    assert_eq!(fleet.moved_shards(), 0);
+}
