A truncated answer in chunks is no longer passed on as a whole one

Cause: the HTTP client ends a body without an error when the connection ends before the last chunk (with a declared length the server side noticed). Ruled out: refusing answers without a length, as price history may stream. Change: connections note when their end is read; a body during whose last poll that happened is an error. The target's turn is now held until the body ends. Test: an_answer_in_chunks_cut_at_any_byte_is_never_whole, failing before at byte 0, passing after.

--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -5,12 +5,14 @@
 //! workers but counters.
 
 mod answer;
+mod answer_body;
 mod deadline;
 mod exchange;
 mod headers;
 mod incoming;
 mod metrics;
 mod serve;
+mod transport;
 mod worker;
 
 pub use answer::error_response;
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -13,16 +13,20 @@
 use nickellead_api::{DeclaredConfig, RepeatRule};
 use nickellead_core::{Epoch, ErrorKind, OutcomeClass, ShardIndex, TargetKey};
 use nickellead_lease::RouteChange;
-use nickellead_route::{OwnerRoute, RetryBudget, RoutingTable, TargetGate, TargetRoute, backoff};
+use nickellead_route::{
+    GatePermit, OwnerRoute, RetryBudget, RoutingTable, TargetGate, TargetRoute, backoff,
+};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::answer::error_response;
+use crate::answer_body::AnswerBody;
 use crate::deadline::Deadline;
 use crate::exchange::{ExchangePlan, exchange};
 use crate::headers::is_passed;
 use crate::incoming::{PlannedCall, read_body};
 use crate::metrics::ProxyMetrics;
+use crate::transport::watched_connector;
 
 /// What reaches a worker over its ring.
 #[derive(Clone, Debug)]
@@ -84,6 +88,12 @@
     move_deadline: Deadline,
 }
 
+/// The head of a target's answer, with the turn that its body goes on to hold.
+struct TargetAnswer {
+    response: ClientResponse,
+    permit: GatePermit,
+}
+
 /// One owner to try.
 #[derive(Clone)]
 struct OwnerChoice {
@@ -96,7 +106,8 @@
     /// A worker that knows no service yet.
     #[must_use]
     pub fn new(limits: ProxyLimits, seed: u64, metrics: ProxyMetrics) -> Rc<Self> {
-        let connector = awc::Connector::new().limit(0).timeout(Duration::from_millis(500));
+        let connector = awc::Connector::new().connector(watched_connector());
+        let connector = connector.limit(0).timeout(Duration::from_millis(500));
         let client =
             Client::builder().connector(connector).disable_redirects().no_default_headers();
         Rc::new(Self {
@@ -143,7 +154,7 @@
         }
     }
 
-    async fn serve(&self, mut request: Request) -> Result<ClientResponse, ErrorKind> {
+    async fn serve(&self, mut request: Request) -> Result<TargetAnswer, ErrorKind> {
         let call = PlannedCall::read(&request, &self.table.borrow())?;
         let deadline = Deadline::after(call.deadline);
         let reading = timeout(deadline.left(), read_body(request.take_payload(), call.body_limit));
@@ -155,7 +166,7 @@
     }
 
     /// Tries owners until one answered, or until another try may not be made.
-    async fn try_until_done(&self, state: &CallState<'_>) -> Result<ClientResponse, ErrorKind> {
+    async fn try_until_done(&self, state: &CallState<'_>) -> Result<TargetAnswer, ErrorKind> {
         let mut attempt = 0;
         loop {
             let choice = self.wait_for_owner(state).await?;
@@ -176,10 +187,10 @@
         &self,
         state: &CallState<'_>,
         choice: &OwnerChoice,
-    ) -> Result<ClientResponse, ErrorKind> {
+    ) -> Result<TargetAnswer, ErrorKind> {
         let gate = self.gate(&choice.target);
         let entering = timeout(state.deadline.left(), gate.enter(state.call.urgency)).await;
-        let _permit = entering.unwrap_or(Err(ErrorKind::DeadlineTooShort))?;
+        let permit = entering.unwrap_or(Err(ErrorKind::DeadlineTooShort))?;
         // The owner may have changed while this request waited for its turn.
         if self.owner_now(&state.call)?.is_none_or(|now| now.epoch != choice.epoch) {
             return Err(ErrorKind::TargetRefused);
@@ -191,7 +202,8 @@
             request_id: self.take_id(),
             deadline: state.deadline,
         };
-        exchange(&self.client, state.head, state.body.clone(), plan).await
+        let response = exchange(&self.client, state.head, state.body.clone(), plan).await?;
+        Ok(TargetAnswer { response, permit })
     }
 
     /// Whether a request may be sent again after this error.
@@ -274,16 +286,17 @@
 }
 
 /// Passes a target's answer on, streaming its body; a truncated body stays truncated.
-fn pass_on(response: ClientResponse) -> Response<BoxBody> {
+fn pass_on(answer: TargetAnswer) -> Response<BoxBody> {
+    let TargetAnswer { response, permit } = answer;
     let mut builder = Response::build(response.status());
     for (name, value) in response.headers().iter().filter(|(name, _)| is_passed(name)) {
         builder.append_header((name.clone(), value.clone()));
     }
-    match declared_size(&response) {
-        BodySize::Sized(size) => {
-            builder.body(SizedStream::new(size, response)).map_into_boxed_body()
-        }
-        _ => builder.body(BodyStream::new(response)).map_into_boxed_body(),
+    let size = declared_size(&response);
+    let body = AnswerBody::new(response, permit);
+    match size {
+        BodySize::Sized(size) => builder.body(SizedStream::new(size, body)).map_into_boxed_body(),
+        _ => builder.body(BodyStream::new(body)).map_into_boxed_body(),
     }
 }
 
--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -146,6 +146,29 @@
     assert!(answer.ends_with("hello"), "{answer}");
 }
 
+/// The same for an answer in chunks, whose end only the last chunk tells.
+#[test]
+fn an_answer_in_chunks_cut_at_any_byte_is_never_whole() {
+    let chunks = "5\r\nhello\r\n0\r\n\r\n";
+    let (sender, cuts) = channel::<usize>();
+    let cuts = std::sync::Mutex::new(cuts);
+    let (target, requests) = raw_target(Box::new(move |stream, request| {
+        let cut = cuts.lock().unwrap().recv().unwrap();
+        let head = whole_answer(request).replace("content-length: 5", "transfer-encoding: chunked");
+        let head = head.strip_suffix("hello").unwrap();
+        let _ = stream.write_all(format!("{head}{}", &chunks[..cut]).as_bytes());
+    }));
+    let router = router(target);
+    for cut in 0..chunks.len() {
+        sender.send(cut).unwrap();
+        let answer = book(router);
+        requests.recv_timeout(Duration::from_secs(5)).unwrap();
+        assert!(!answer.ends_with("0\r\n\r\n"), "cut at {cut}: {answer}");
+    }
+    sender.send(chunks.len()).unwrap();
+    assert!(book(router).ends_with("0\r\n\r\n"));
+}
+
 #[test]
 fn a_connection_that_was_never_made_is_not_run() {
     let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
