An answer that stalls in its body is broken off at the deadline

Cause: the deadline covered only the head of an answer. With the limit set 1,000 times too long the new test fails (the caller waits for ever); with it the connection ends at the deadline.

--- a/crates/nickellead_proxy/src/answer_body.rs
+++ b/crates/nickellead_proxy/src/answer_body.rs
@@ -1,26 +1,32 @@
 //! The body of a target's answer on its way to the caller.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use awc::ClientResponse;
 use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::Stream;
 use nickellead_route::GatePermit;
+use tokio::time::{Sleep, sleep};
 
 use crate::transport::watch_end;
 
-/// Streams an answer's body, whole or with an error; holds the target's turn until its end.
+/// Streams an answer's body, whole or with an error, until the request's deadline.
+///
+/// Holds the target's turn until the body's end.
 pub(crate) struct AnswerBody {
     response: ClientResponse,
     _permit: GatePermit,
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl AnswerBody {
-    pub(crate) const fn new(response: ClientResponse, permit: GatePermit) -> Self {
-        Self { response, _permit: permit }
+    pub(crate) fn new(response: ClientResponse, permit: GatePermit, left: Duration) -> Self {
+        Self { response, _permit: permit, deadline: Box::pin(sleep(left)) }
     }
 }
 
@@ -34,6 +40,10 @@
                 let broke_off = io::Error::from(io::ErrorKind::UnexpectedEof);
                 Poll::Ready(Some(Err(PayloadError::Incomplete(Some(broke_off)))))
             }
+            (Poll::Pending, _) if self.deadline.as_mut().poll(context).is_ready() => {
+                let late = io::Error::from(io::ErrorKind::TimedOut);
+                Poll::Ready(Some(Err(PayloadError::Io(late))))
+            }
             (polled, _) => polled,
         }
     }
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -92,6 +92,7 @@
 struct TargetAnswer {
     response: ClientResponse,
     permit: GatePermit,
+    deadline: Deadline,
 }
 
 /// One owner to try.
@@ -203,7 +204,7 @@
             deadline: state.deadline,
         };
         let response = exchange(&self.client, state.head, state.body.clone(), plan).await?;
-        Ok(TargetAnswer { response, permit })
+        Ok(TargetAnswer { response, permit, deadline: state.deadline })
     }
 
     /// Whether a request may be sent again after this error.
@@ -287,13 +288,13 @@
 
 /// Passes a target's answer on, streaming its body; a truncated body stays truncated.
 fn pass_on(answer: TargetAnswer) -> Response<BoxBody> {
-    let TargetAnswer { response, permit } = answer;
+    let TargetAnswer { response, permit, deadline } = answer;
     let mut builder = Response::build(response.status());
     for (name, value) in response.headers().iter().filter(|(name, _)| is_passed(name)) {
         builder.append_header((name.clone(), value.clone()));
     }
     let size = declared_size(&response);
-    let body = AnswerBody::new(response, permit);
+    let body = AnswerBody::new(response, permit, deadline.left());
     match size {
         BodySize::Sized(size) => builder.body(SizedStream::new(size, body)).map_into_boxed_body(),
         _ => builder.body(BodyStream::new(body)).map_into_boxed_body(),
--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -201,6 +201,19 @@
     drop(held);
 }
 
+#[test]
+fn an_answer_that_stalls_in_its_body_is_broken_off_at_the_deadline() {
+    let (sender, held) = channel::<TcpStream>();
+    let (target, _requests) = raw_target(Box::new(move |stream, request| {
+        let part = whole_answer(request);
+        let _ = stream.write_all(part.strip_suffix("lo").unwrap().as_bytes());
+        sender.send(stream.try_clone().unwrap()).unwrap();
+    }));
+    let answer = book(router(target));
+    assert!(answer.ends_with("hel"), "not broken off: {answer}");
+    drop(held);
+}
+
 #[test]
 fn garbage_from_a_target_is_an_error_kind() {
     let (target, _requests) = raw_target(Box::new(|stream, _| {
--- a/crates/nickellead_standin/src/load.rs
+++ b/crates/nickellead_standin/src/load.rs
@@ -61,6 +61,9 @@
     pub not_run: Vec<u64>,
     /// Operations with a whole answer.
     pub done: Vec<u64>,
+    /// How long a key was unavailable to a caller: first failure to next answer, in
+    /// milliseconds.
+    pub unavailable_ms: Vec<u64>,
     /// When something was refused or unknown: milliseconds since the start.
     pub failures_ms: Vec<u64>,
     /// Latency of answered requests, in microseconds: p50, p99, maximum.
@@ -78,6 +81,8 @@
     report: LoadReport,
     latency: Option<Histogram<u64>>,
     start: Instant,
+    /// Since when a path failed, while it does.
+    failing: HashMap<String, Instant>,
 }
 
 /// Sends a load from the current thread's runtime and returns the record.
@@ -86,6 +91,7 @@
         report: LoadReport::default(),
         latency: Histogram::new_with_max(60_000_000, 3).ok(),
         start: Instant::now(),
+        failing: HashMap::new(),
     }));
     let mut callers = Vec::new();
     let mut number = 0;
@@ -132,7 +138,7 @@
         let path = format!("/{}/{}/key-{key}", group.service, group.operation);
         let begun = Instant::now();
         let outcome = send(&client, *entry, &group.method, &path, operation).await;
-        recorder.borrow_mut().note(outcome, operation, begun);
+        recorder.borrow_mut().note(outcome, operation, &path, begun);
         actix_rt::time::sleep(settings.pause).await;
     }
 }
@@ -178,12 +184,15 @@
 }
 
 impl Recorder {
-    fn note(&mut self, outcome: CallerOutcome, operation: u64, begun: Instant) {
+    fn note(&mut self, outcome: CallerOutcome, operation: u64, path: &str, begun: Instant) {
         let report = &mut self.report;
         report.sent += 1;
         let code = match outcome {
             CallerOutcome::Done => {
                 report.answered += 1;
+                if let Some(since) = self.failing.remove(path) {
+                    report.unavailable_ms.push(since.elapsed().as_millis() as u64);
+                }
                 if operation > 0 {
                     report.done.push(operation);
                 }
@@ -209,6 +218,7 @@
                 code
             }
         };
+        self.failing.entry(path.to_owned()).or_insert(begun);
         report.failures_ms.push(self.start.elapsed().as_millis() as u64);
         *report.errors.entry(code).or_default() += 1;
     }
