--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -159,6 +159,12 @@
         self.counter.count()
     }
 
+    /// Whether callers may be sent to this VM.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.readiness.is_ready()
+    }
+
     /// Stops as planned: readiness off, mandate handed over, requests finished.
     ///
     /// Returns whether all of it was done within the bound of the settings.
--- a/crates/nickellead_standin/src/serve.rs
+++ b/crates/nickellead_standin/src/serve.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 use nickellead_proxy::{ServeState, bind_listener, serve_http};
 use serde::Serialize;
+use tokio::sync::Notify;
 
 /// Connections that a stand-in takes.
 const CONNECTIONS_MAX: usize = 8_192;
@@ -20,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct StandinServer {
     state: Arc<ServeState>,
+    lost: Arc<Notify>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -35,14 +37,26 @@
         let listener = bind_listener(address)?;
         let state = Arc::new(ServeState::default());
         let shared = Arc::clone(&state);
+        let lost = Arc::new(Notify::new());
+        let ended = Arc::clone(&lost);
         let thread = std::thread::Builder::new().name("standin".to_owned()).spawn(move || {
             if let Ok(runtime) = actix_rt::Runtime::new() {
                 runtime.block_on(async move {
-                    serve_http(listener, CONNECTIONS_MAX, shared, make()).await;
+                    // When it is lost, the runtime ends and cuts every connection.
+                    tokio::select! {
+                        () = serve_http(listener, CONNECTIONS_MAX, shared, make()) => {}
+                        () = ended.notified() => {}
+                    }
                 });
             }
         })?;
-        Ok(Self { state, thread: Some(thread) })
+        Ok(Self { state, lost, thread: Some(thread) })
+    }
+
+    /// Ends at once, as a machine that is taken away: every connection breaks.
+    pub(crate) fn lose(&self) {
+        self.state.stopping.store(true, Ordering::Relaxed);
+        self.lost.notify_one();
     }
 }
 
--- a/crates/nickellead_standin/src/store.rs
+++ b/crates/nickellead_standin/src/store.rs
@@ -52,6 +52,13 @@
         ObjectList { revision: self.revision, items: declared.cloned().collect() }
     }
 
+    /// Every object of a kind.
+    #[must_use]
+    pub fn list(&self, kind: ObjectKind) -> Vec<ResourceObject> {
+        let objects = self.objects.values();
+        objects.filter(|object| object.kind == kind).cloned().collect()
+    }
+
     /// Writes one object if it has the expected version; 0 means absent.
     ///
     /// # Errors
--- a/crates/nickellead_standin/src/target.rs
+++ b/crates/nickellead_standin/src/target.rs
@@ -97,7 +97,8 @@
 pub struct StandinTarget {
     guard: Arc<Mutex<GrantGuard>>,
     frozen: Arc<AtomicBool>,
-    _server: Arc<StandinServer>,
+    lost: Arc<AtomicBool>,
+    server: Arc<StandinServer>,
 }
 
 impl StandinTarget {
@@ -126,18 +127,22 @@
                 async move { service.answer(request).await }
             }
         })?;
-        Ok(Self { guard, frozen, _server: Arc::new(server) })
+        Ok(Self { guard, frozen, lost: Arc::default(), server: Arc::new(server) })
     }
 
     /// Whether it may run requests for a shard now.
     #[must_use]
     pub fn owns(&self, shard: ShardIndex) -> bool {
-        lock(&self.guard).owns(shard, BootClock.now())
+        let lost = self.lost.load(Ordering::Relaxed);
+        !lost && lock(&self.guard).owns(shard, BootClock.now())
     }
 
     /// The shards that it may run requests for now.
     #[must_use]
     pub fn owned(&self) -> Vec<ShardIndex> {
+        if self.lost.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
         let guard = lock(&self.guard);
         let now = BootClock.now();
         let grants = guard.held_grants().into_iter();
@@ -155,6 +160,14 @@
         lock(&self.guard).leave();
     }
 
+    /// Ends at once, as a machine that is taken away: every connection breaks.
+    ///
+    /// What it owned it owns no more: nothing of it runs.
+    pub fn lose(&self) {
+        self.lost.store(true, Ordering::Relaxed);
+        self.server.lose();
+    }
+
     /// Answers nothing more, or goes on, as a frozen process does.
     pub fn freeze(&self, frozen: bool) {
         self.frozen.store(frozen, Ordering::Relaxed);
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod resources;
 mod run;
 mod standin;
+mod trial;
 
 use std::process::ExitCode;
 
@@ -28,6 +29,7 @@
     Delete(resources::DeleteCommand),
     Watch(resources::WatchCommand),
     Standin(standin::StandinCommand),
+    Try(trial::TryCommand),
 }
 
 /// Runs what the command line asks for.
@@ -40,6 +42,7 @@
         SubCommand::Delete(command) => command.run(),
         SubCommand::Watch(command) => command.run(),
         SubCommand::Standin(command) => command.run(),
+        SubCommand::Try(command) => command.run(),
     }
 }
 
