--- a/crates/nickellead_run/src/operators.rs
+++ b/crates/nickellead_run/src/operators.rs
@@ -289,6 +289,7 @@
             "vm": self.duty.vm,
             "zone": self.duty.zone,
             "ready": self.duty.readiness.is_ready(),
+            "config_revision": self.duty.readiness.revision(),
             "platform_calls": self.duty.counter.count(),
             "coordination": coordination,
         });
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -141,7 +141,9 @@
         log_event(EventName::ConfigInForce, &[("revision", &config.revision)]);
         *self.config.borrow_mut() = Some(Arc::clone(&config));
         offer(&self.rings.orders, OrderMessage::Config(Arc::clone(&config)));
+        let revision = config.revision;
         self.tell_workers(&WorkerUpdate::Config(config));
+        self.rings.readiness.set_revision(revision);
         self.notify();
     }
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -47,6 +47,7 @@
     pub process: Option<Process>,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
     settings: PathBuf,
 }
 
@@ -156,7 +157,7 @@
                 "stop_linger_ms": 300}}"#
         );
         let settings = write_file(&format!("{}-{name}.json", self.spec.label), &settings);
-        self.vms.push(FleetVm { name, zone, process: None, callers, operators, settings });
+        self.vms.push(FleetVm { name, zone, process: None, callers, operators, peers, settings });
         self.start_vm(number);
     }
 
@@ -245,6 +246,56 @@
         });
     }
 
+    /// The platform's list of VMs as it was at the start.
+    pub fn list_all(&self) -> String {
+        self.list_where(|_| true)
+    }
+
+    /// The list without one VM.
+    pub fn list_without(&self, gone: usize) -> String {
+        self.list_where(|number| number != gone)
+    }
+
+    fn list_where(&self, shown: impl Fn(usize) -> bool) -> String {
+        let numbered = self.vms.iter().enumerate().filter(|(number, _)| shown(*number));
+        let line = |(_, vm): (usize, &FleetVm)| {
+            format!(
+                r#"{{"vm": "{}", "zone": "{}", "address": "{}", "state": "live"}}"#,
+                vm.name, vm.zone, vm.peers
+            )
+        };
+        format!("[{}]", numbered.map(line).collect::<Vec<_>>().join(","))
+    }
+
+    /// Changes the platform's list of VMs.
+    pub fn set_listed(&self, list: &str) {
+        self.administer("vms", list);
+    }
+
+    /// Changes how the platform fails.
+    pub fn set_platform(&self, faults: &str) {
+        self.administer("faults", faults);
+    }
+
+    fn administer(&self, what: &str, body: &str) {
+        let length = body.len();
+        let answer = super::exchange(
+            self.platform_address,
+            &format!(
+                "POST /admin/{what} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            ),
+        );
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+
+    /// The newest version of a declared object.
+    pub fn platform_revision(&self) -> u64 {
+        let list = request(self.platform_address, "GET", "/v1/objects");
+        let versions = list.split("\"version\":").skip(1);
+        versions.filter_map(|rest| rest.split([',', '}']).next()?.parse().ok()).max().unwrap()
+    }
+
     /// Repeats a question until it is answered with yes; fails after half a minute.
     pub fn wait_until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
         let end = std::time::Instant::now() + Duration::from_secs(30);
@@ -281,19 +332,6 @@
         self.vms[number].process.as_ref().unwrap().signal(signal);
     }
 
-    /// Changes how the platform fails.
-    pub fn set_platform(&self, faults: &str) {
-        let length = faults.len();
-        let answer = super::exchange(
-            self.platform_address,
-            &format!(
-                "POST /admin/faults HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
-                 content-length: {length}\r\n\r\n{faults}"
-            ),
-        );
-        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    }
-
     /// Callers that book and look for a bounded time, through these VMs.
     pub fn load(&self, seconds: u64, vms: &[usize]) -> JoinHandle<LoadReport> {
         let entries = vms.iter().map(|vm| self.vms[*vm].callers).collect();
@@ -321,6 +359,21 @@
         self.targets.iter().flat_map(read).collect()
     }
 
+    /// A key that a target owns now, found by asking until its journal grows.
+    pub fn key_of(&self, number: usize) -> String {
+        let path = &self.targets[number].effects;
+        let mut before = read_effects(path).unwrap().len();
+        for key in (0..4_000).map(|key| format!("probe-{key}")) {
+            request(self.vms[0].callers, "GET", &format!("/boards/look/{key}"));
+            let after = read_effects(path).unwrap().len();
+            if after > before {
+                return key;
+            }
+            before = after;
+        }
+        panic!("{} owns none of the keys", self.targets[number].name);
+    }
+
     /// Waits until a target has run something.
     pub fn wait_for_effects(&self, number: usize) {
         let path = &self.targets[number].effects;
@@ -343,3 +396,9 @@
         verdict
     }
 }
+
+/// The number that follows a word in a text.
+pub fn number_after(text: &str, word: &str) -> Option<u64> {
+    let rest = text.split(word).nth(1)?;
+    rest.split(|character: char| !character.is_ascii_digit()).next()?.parse().ok()
+}
