--- /dev/null
+++ b/benches/capacity/driver.rs
@@ -0,0 +1,132 @@
+//! One coordinator with targets that answer at once and a platform that works.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nickellead_core::{Incarnation, Name, TargetKey, Timestamp, Version};
+use nickellead_lease::{
+    CoordinatorSettings, GrantGuard, LeaseTimes, PlacementObject, ReadAnswer, StandbyVm,
+    TargetOrder, WriteAnswer, ZoneAction, ZoneCoordinator, ZoneEvent,
+};
+
+use crate::routes::config;
+
+/// A zone whose coordinator's own processor time is measured.
+pub struct ZoneDriver {
+    pub coordinator: ZoneCoordinator,
+    pub now: Timestamp,
+    /// Time spent in the coordinator's code.
+    pub busy: Duration,
+    /// Answers of targets taken in.
+    pub replies: u64,
+    /// Bytes of the largest placement written, and of orders sent.
+    pub placement_bytes: usize,
+    pub order_bytes: usize,
+    pub orders: u64,
+    pub writes: u64,
+    guards: BTreeMap<TargetKey, GrantGuard>,
+    placements: BTreeMap<Name, (PlacementObject, Version)>,
+    version: Version,
+    pub lost: Option<TargetKey>,
+}
+
+impl ZoneDriver {
+    pub fn new(shards: u32, targets: u32) -> Self {
+        let vm = StandbyVm { vm: Name::new("vm-0").unwrap(), incarnation: Incarnation(1) };
+        let settings = CoordinatorSettings {
+            zone: Name::new("zone-a").unwrap(),
+            vm,
+            times: LeaseTimes::default(),
+            standbys: 2,
+            moves: 64,
+            seed: 1,
+        };
+        let config = config(shards, targets);
+        let guard = |target: &nickellead_api::DeclaredTarget| {
+            let key = TargetKey::from(&target.name);
+            (key, GrantGuard::new(key, Incarnation(2)))
+        };
+        let mut driver = Self {
+            coordinator: ZoneCoordinator::new(settings, Timestamp(1_000)),
+            now: Timestamp(1_000),
+            busy: Duration::ZERO,
+            replies: 0,
+            placement_bytes: 0,
+            order_bytes: 0,
+            orders: 0,
+            writes: 0,
+            guards: config.targets.iter().map(guard).collect(),
+            placements: BTreeMap::new(),
+            version: Version::ZERO,
+            lost: None,
+        };
+        driver.give(ZoneEvent::ConfigChanged(Arc::new(config)));
+        driver.give(ZoneEvent::VmsListed(vec![Name::new("vm-0").unwrap()]));
+        driver
+    }
+
+    /// Lets time pass, with a tick every 10 ms as in the process.
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = Timestamp(self.now.0 + 10);
+            self.give(ZoneEvent::Tick);
+        }
+    }
+
+    /// Any target.
+    pub fn some_target(&self) -> TargetKey {
+        *self.guards.keys().next().unwrap()
+    }
+
+    fn give(&mut self, event: ZoneEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let start = Instant::now();
+            let actions = self.coordinator.handle(event, self.now);
+            self.busy += start.elapsed();
+            events.extend(actions.into_iter().filter_map(|action| self.act(action)));
+        }
+    }
+
+    fn act(&mut self, action: ZoneAction) -> Option<ZoneEvent> {
+        match action {
+            ZoneAction::SendOrder(order) => Some(self.send(&order)),
+            ZoneAction::ReadMandate(call) => Some(ZoneEvent::MandateRead(call, ReadAnswer::Absent)),
+            ZoneAction::WriteMandate(call, _, _) => {
+                self.version = self.version.next();
+                Some(ZoneEvent::MandateWritten(call, WriteAnswer::Done(self.version)))
+            }
+            ZoneAction::ReadPlacement(call, service, name) => {
+                let answer = match self.placements.get(&name) {
+                    Some((object, version)) => ReadAnswer::Found(object.clone(), *version),
+                    None => ReadAnswer::Absent,
+                };
+                Some(ZoneEvent::PlacementRead(call, service, answer))
+            }
+            ZoneAction::WritePlacement(call, service, name, _, object) => {
+                let bytes = serde_json::to_vec(&object).unwrap().len();
+                self.placement_bytes = self.placement_bytes.max(bytes);
+                self.writes += 1;
+                self.version = self.version.next();
+                self.placements.insert(name, (object, self.version));
+                let answer = WriteAnswer::Done(self.version);
+                Some(ZoneEvent::PlacementWritten(call, service, answer))
+            }
+            _ => None,
+        }
+    }
+
+    fn send(&mut self, order: &TargetOrder) -> ZoneEvent {
+        self.orders += 1;
+        self.order_bytes += serde_json::to_vec(order).unwrap().len();
+        let guard = self.guards.get_mut(&order.target);
+        match guard.filter(|_| self.lost != Some(order.target)) {
+            Some(guard) => {
+                self.replies += 1;
+                ZoneEvent::TargetAnswered(guard.apply(order, self.now))
+            }
+            None => ZoneEvent::TargetFailed(order.target, order.sequence),
+        }
+    }
+}
--- /dev/null
+++ b/benches/capacity/main.rs
@@ -0,0 +1,60 @@
+//! Slopes of state, messages, processor time and memory, for docs/CAPACITY.md.
+//!
+//! `cargo bench --bench capacity` rewrites `bench/results/capacity.json`.
+//! Each slope has at least three sizes. Times are of this machine; they are
+//! printed, not judged.
+#![allow(clippy::unwrap_used, clippy::print_stdout, missing_docs)]
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+mod driver;
+mod fleets;
+mod routes;
+mod zones;
+
+use serde::Serialize;
+
+/// One measured point of a slope.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    /// What was measured.
+    pub slope: &'static str,
+    /// What the size counts.
+    pub size_of: &'static str,
+    /// The size.
+    pub size: u64,
+    /// What the value counts.
+    pub unit: &'static str,
+    /// The value.
+    pub value: f64,
+}
+
+impl Point {
+    pub fn new(
+        slope: &'static str,
+        size_of: &'static str,
+        size: u64,
+        unit: &'static str,
+        value: f64,
+    ) -> Self {
+        println!("slope={slope} {size_of}={size} {unit}={value:.3}");
+        Self { slope, size_of, size, unit, value }
+    }
+}
+
+fn main() {
+    let mut points = Vec::new();
+    routes::measure(&mut points);
+    zones::measure(&mut points);
+    fleets::measure(&mut points);
+    let text = serde_json::to_string_pretty(&points).unwrap();
+    std::fs::write("bench/results/capacity.json", text + "\n").unwrap();
+}
+
+/// Resident memory of a process in bytes.
+pub fn resident_bytes(process: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
--- /dev/null
+++ b/benches/capacity/zones.rs
@@ -0,0 +1,58 @@
+//! The coordinator: processor time, memory and messages of one zone.
+
+use std::time::Duration;
+
+use crate::driver::ZoneDriver;
+use crate::{Point, resident_bytes};
+
+/// Shards of a zone, with 250 targets.
+const SHARDS: [u32; 3] = [4_096, 16_384, 65_536];
+/// Targets of a zone, with 16,384 shards.
+const TARGETS: [u32; 3] = [60, 250, 1_000];
+
+pub fn measure(points: &mut Vec<Point>) {
+    for shards in SHARDS {
+        measure_shards(shards, points);
+    }
+    for targets in TARGETS {
+        measure_targets(targets, points);
+    }
+}
+
+fn measure_shards(shards: u32, points: &mut Vec<Point>) {
+    let before = resident_bytes("self");
+    let mut driver = ZoneDriver::new(shards, 250);
+    driver.run(8_000);
+    let memory = resident_bytes("self").saturating_sub(before);
+    let size = u64::from(shards);
+    let delta = driver.coordinator.delta(None);
+    assert_eq!(delta.changes.len(), shards as usize);
+    points.push(Point::new("coordinator-memory", "shards", size, "bytes", memory as f64));
+    let bytes = driver.placement_bytes as f64;
+    points.push(Point::new("placement-object", "shards", size, "bytes", bytes));
+    // A target is lost: from its last answer until its shards are with others.
+    driver.lost = Some(driver.some_target());
+    let busy = driver.busy;
+    let writes = driver.writes;
+    driver.run(4_000);
+    let spent = (driver.busy - busy).as_secs_f64() * 1_000.0;
+    points.push(Point::new("target-lost-4s", "shards", size, "cpu_ms", spent));
+    let writes = (driver.writes - writes) as f64;
+    points.push(Point::new("target-lost-writes", "shards", size, "writes", writes));
+}
+
+fn measure_targets(targets: u32, points: &mut Vec<Point>) {
+    let mut driver = ZoneDriver::new(16_384, targets);
+    driver.run(8_000);
+    let size = u64::from(targets);
+    driver.busy = Duration::ZERO;
+    let (orders, bytes) = (driver.orders, driver.order_bytes);
+    driver.run(10_000);
+    let seconds = 10.0;
+    let core = driver.busy.as_secs_f64() / seconds * 100.0;
+    points.push(Point::new("coordinator-steady", "targets", size, "percent_of_core", core));
+    let rate = (driver.orders - orders) as f64 / seconds;
+    points.push(Point::new("heartbeats", "targets", size, "a_second", rate));
+    let bytes = (driver.order_bytes - bytes) as f64 / seconds;
+    points.push(Point::new("heartbeat-bodies", "targets", size, "bytes_a_second", bytes));
+}
--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -13,8 +13,11 @@
 
 /// How long a call may take before it counts as failed; the client's own limit is shorter.
 pub(super) const CALL_LIMIT: Duration = Duration::from_secs(3);
-/// Between two reads of the mandate by a VM that hears no coordinator.
+/// Between two reads of the mandate by a VM that may have to take it soon.
 const READ_PERIOD: Duration = Duration::from_millis(200);
+/// Between two reads by a VM that is no standby: it takes the mandate only once
+/// the platform's list shows others gone, and the platform has many such VMs.
+const IDLE_READ_PERIOD: Duration = Duration::from_millis(2_000);
 /// How long a VM stays eligible as a standby after it was last heard.
 const PEER_FRESH: Duration = Duration::from_millis(1_500);
 
@@ -163,11 +166,19 @@
         if !silent || self.watch.call.is_some() || now < self.watch.next_due {
             return;
         }
-        let jitter = Duration::from_millis(self.rng.u64(0..READ_PERIOD.as_millis() as u64));
-        self.watch.next_due = now + READ_PERIOD + jitter / 2;
+        let period = if self.may_take_soon() { READ_PERIOD } else { IDLE_READ_PERIOD };
+        let jitter = Duration::from_millis(self.rng.u64(0..period.as_millis() as u64));
+        self.watch.next_due = now + period + jitter / 2;
         self.read_mandate(now);
     }
 
+    /// Whether this VM is a standby, or anyone may take the mandate.
+    fn may_take_soon(&self) -> bool {
+        let Some(object) = &self.watch.object else { return true };
+        let standby = object.standbys.contains(&self.settings.vm);
+        standby || object.stopped || object.standbys.is_empty()
+    }
+
     fn read_mandate(&mut self, now: Timestamp) {
         let call = self.next_call();
         self.watch.begin_call(call, now);
--- a/crates/nickellead_lease/src/coordinator/mod.rs
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -11,7 +11,7 @@
 mod records;
 mod targets;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use nickellead_api::DeclaredConfig;
@@ -32,6 +32,9 @@
 use mandate_keeper::MandateWatch;
 use records::RecordRound;
 
+/// Ended lives of VMs that are remembered.
+const ENDED_LIVES_MAX: usize = 256;
+
 /// What is known of the coordinator before this one.
 #[derive(Clone, Debug, Default)]
 struct Predecessor {
@@ -73,6 +76,8 @@
     calls: BTreeMap<ServiceKey, PlacementCall>,
     last_call: CallId,
     peers: BTreeMap<Name, (StandbyVm, Timestamp)>,
+    /// Lives of VMs that were followed by another; a late word of theirs counts no more.
+    ended_lives: VecDeque<StandbyVm>,
     listed: Option<BTreeSet<Name>>,
     last_heard: Timestamp,
     stop_wanted: bool,
@@ -104,6 +109,7 @@
             calls: BTreeMap::new(),
             last_call: CallId(0),
             peers: BTreeMap::new(),
+            ended_lives: VecDeque::new(),
             listed: None,
             last_heard: now,
             stop_wanted: false,
@@ -228,9 +234,7 @@
                     session.fail(sequence, now, &self.settings.times);
                 }
             }
-            ZoneEvent::PeerSeen(vm) => {
-                self.peers.insert(vm.vm.clone(), (vm, now));
-            }
+            ZoneEvent::PeerSeen(vm) => self.note_peer(vm, now),
             ZoneEvent::CoordinatorHeard(term) => self.note_coordinator(term, now),
             ZoneEvent::RecordAsked(batch) => self.note_record_asked(&batch, now),
             ZoneEvent::RecordAnswered(answer) => self.note_record_answer(&answer, now),
@@ -255,6 +259,20 @@
         }
     }
 
+    /// Notes that a VM was heard; a life that another one followed is over for good.
+    fn note_peer(&mut self, vm: StandbyVm, now: Timestamp) {
+        if self.ended_lives.contains(&vm) {
+            return;
+        }
+        let former = self.peers.insert(vm.vm.clone(), (vm.clone(), now));
+        if let Some((former, _)) = former.filter(|(former, _)| *former != vm) {
+            if self.ended_lives.len() == ENDED_LIVES_MAX {
+                self.ended_lives.pop_front();
+            }
+            self.ended_lives.push_back(former);
+        }
+    }
+
     fn note_coordinator(&mut self, term: Term, now: Timestamp) {
         if term < self.highest_term {
             return;
--- a/crates/nickellead_lease/tests/world/mod.rs
+++ b/crates/nickellead_lease/tests/world/mod.rs
@@ -433,7 +433,11 @@
         let seen = StandbyVm { vm: node.name.clone(), incarnation: Incarnation(node.incarnation) };
         let leads = node.coordinator.publishes();
         let term = node.coordinator.term();
-        self.send(Payload::Peer(other, vm, ZoneEvent::PeerSeen(seen)));
+        // VMs ask coordinators; they ask each other only while they know none.
+        let searches = self.vms.len() <= 4 || self.leader().is_none();
+        if searches || self.vms[vm].coordinator.publishes() {
+            self.send(Payload::Peer(other, vm, ZoneEvent::PeerSeen(seen)));
+        }
         if leads {
             self.send(Payload::Peer(other, vm, ZoneEvent::CoordinatorHeard(term)));
         }
@@ -448,7 +452,7 @@
     }
 
     fn send(&mut self, payload: Payload) {
-        if self.messages.len() == MESSAGES_MAX {
+        if self.messages.len() >= MESSAGES_MAX.max(self.vms.len() * 20) {
             self.messages.remove(0);
         }
         self.messages.push(Message { due: self.now + LATENCY, payload });
