Control cost: no look at all sessions for each answer, followers ask once a second

Change: an answer concerns its own session; VMs that are no standby ask once a second; loops wait for what they wait for; 20 ms between ticks. Found by tests/failures.rs while doing so (45 requests refused in a rolling stop): a VM that had handed the mandate over went on answering as coordinator, so that no standby looked.

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -12,7 +12,13 @@
 mod routes;
 mod zones;
 
+use std::alloc::System;
+
 use serde::Serialize;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// One measured point of a slope.
 #[derive(Clone, Debug, Serialize)]
@@ -51,6 +57,12 @@
     std::fs::write("bench/results/capacity.json", text + "\n").unwrap();
 }
 
+/// Bytes that this process has allocated and not given back.
+pub fn allocated_bytes() -> u64 {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated.saturating_sub(stats.bytes_deallocated) as u64
+}
+
 /// Resident memory of a process in bytes.
 pub fn resident_bytes(process: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
--- a/crates/nickellead_lease/src/coordinator/event.rs
+++ b/crates/nickellead_lease/src/coordinator/event.rs
@@ -96,8 +96,10 @@
     TargetFailed(TargetKey, Sequence),
     /// A VM of this zone was heard.
     PeerSeen(StandbyVm),
-    /// The zone's coordinator was heard.
-    CoordinatorHeard(Term),
+    /// The zone's coordinator was heard, and whether it names this VM as a standby.
+    CoordinatorHeard(Term, bool),
+    /// The coordinator that was followed says that it coordinates no more, or its stream broke.
+    CoordinatorGone,
     /// A detached coordinator asks this VM to keep new owners.
     RecordAsked(RecordBatch),
     /// A standby answered a batch.
--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -66,6 +66,11 @@
         self.unsure = None;
     }
 
+    /// Brings the next read forward.
+    pub(super) fn hurry(&mut self, now: Timestamp) {
+        self.next_due = self.next_due.min(now);
+    }
+
     fn begin_call(&mut self, call: CallId, now: Timestamp) {
         self.call = Some(call);
         self.call_ends = now + CALL_LIMIT;
@@ -162,8 +167,7 @@
 
     /// A follower that hears no coordinator reads the mandate, and takes it when it may.
     fn watch_mandate(&mut self, now: Timestamp) {
-        let silent = now.since(self.last_heard) >= self.settings.times.renewal;
-        if !silent || self.watch.call.is_some() || now < self.watch.next_due {
+        if !self.hears_nobody(now) || self.watch.call.is_some() || now < self.watch.next_due {
             return;
         }
         let period = if self.may_take_soon() { READ_PERIOD } else { IDLE_READ_PERIOD };
--- a/crates/nickellead_lease/src/coordinator/mod.rs
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -80,6 +80,10 @@
     ended_lives: VecDeque<StandbyVm>,
     listed: Option<BTreeSet<Name>>,
     last_heard: Timestamp,
+    /// Whether the coordinator last heard named this VM as its standby.
+    named_standby: bool,
+    /// Whether the coordinator was seen to go since it was last heard.
+    forsaken: bool,
     stop_wanted: bool,
     /// New owners kept for a detached coordinator, by shard.
     records: BTreeMap<(ServiceKey, ShardIndex), (TargetKey, Epoch)>,
@@ -91,6 +95,15 @@
     actions: Vec<ZoneAction>,
 }
 
+/// The target that an event is an answer of.
+fn answering_target(event: &ZoneEvent) -> Option<TargetKey> {
+    match event {
+        ZoneEvent::TargetAnswered(reply) => Some(reply.target),
+        ZoneEvent::TargetFailed(target, _) => Some(*target),
+        _ => None,
+    }
+}
+
 impl ZoneCoordinator {
     /// A VM that has just started.
     #[must_use]
@@ -112,6 +125,8 @@
             ended_lives: VecDeque::new(),
             listed: None,
             last_heard: now,
+            named_standby: false,
+            forsaken: false,
             stop_wanted: false,
             records: BTreeMap::new(),
             round: None,
@@ -126,16 +141,24 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, event: ZoneEvent, now: Timestamp) -> Vec<ZoneAction> {
+        // PERF: an answer of one target concerns that target's session alone. A look at
+        // all sessions for each answer would cost the square of their number.
+        let only = answering_target(&event);
         self.note(event, now);
         self.keep_mandate(now);
         if self.coordinates() {
             self.end_late_calls(now);
             self.load_placements(now);
-            self.look_after_sessions(now);
+            if only.is_none() {
+                self.look_after_sessions(now);
+            }
             self.plan(now);
             self.write_placements(now);
             self.ask_records(now);
-            self.send_orders(now);
+            match only {
+                Some(target) => self.send_order(target, now),
+                None => self.send_orders(now),
+            }
         }
         std::mem::take(&mut self.actions)
     }
@@ -164,10 +187,13 @@
         self.predecessor.holder.clone()
     }
 
-    /// Whether no coordinator of the zone was heard for a renewal's length.
+    /// Whether the zone's coordinator was not heard for longer than it should be.
+    ///
+    /// Standbys hear it several times in a renewal's length, other VMs once a second.
     #[must_use]
     pub fn hears_nobody(&self, now: Timestamp) -> bool {
-        now.since(self.last_heard) >= self.settings.times.renewal
+        let renewals = if self.named_standby { 1 } else { 5 };
+        self.forsaken || now.since(self.last_heard) >= self.settings.times.renewal * renewals
     }
 
     /// Whether routers may be told of this VM's placements.
@@ -235,7 +261,14 @@
                 }
             }
             ZoneEvent::PeerSeen(vm) => self.note_peer(vm, now),
-            ZoneEvent::CoordinatorHeard(term) => self.note_coordinator(term, now),
+            ZoneEvent::CoordinatorHeard(term, standby) => {
+                self.named_standby = standby;
+                self.note_coordinator(term, now);
+            }
+            ZoneEvent::CoordinatorGone => {
+                self.forsaken = true;
+                self.watch.hurry(now);
+            }
             ZoneEvent::RecordAsked(batch) => self.note_record_asked(&batch, now),
             ZoneEvent::RecordAnswered(answer) => self.note_record_answer(&answer, now),
             ZoneEvent::StepDownAsked(term) => self.note_step_down(term),
@@ -278,6 +311,7 @@
             return;
         }
         self.last_heard = now;
+        self.forsaken = false;
         self.see_term(term);
     }
 
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    fn send_order(&mut self, target: TargetKey, now: Timestamp) {
+    pub(super) fn send_order(&mut self, target: TargetKey, now: Timestamp) {
         let may_sync = self.may_sync(now);
         let times = self.settings.times;
         let Some(session) = self.sessions.get_mut(&target) else {
--- a/crates/nickellead_peer/src/message.rs
+++ b/crates/nickellead_peer/src/message.rs
@@ -53,6 +53,8 @@
     pub term: Term,
     /// That coordinator, when it is known.
     pub coordinator: Option<PeerVm>,
+    /// Whether the mandate names the asking VM as a standby.
+    pub standby: bool,
     /// Newer declarations.
     pub config: Option<DeclaredConfig>,
     /// Changes by zone.
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -14,6 +14,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::net::TcpListener;
+use tokio::sync::watch;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -26,12 +27,35 @@
 pub type ListenError = std::io::Error;
 
 /// What a process's listeners share with whoever stops them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServeState {
-    /// Set when connections are to be closed after their current answer.
-    pub stopping: AtomicBool,
+    stopping: watch::Sender<bool>,
+    running: AtomicUsize,
+}
+
+impl Default for ServeState {
+    fn default() -> Self {
+        Self { stopping: watch::channel(false).0, running: AtomicUsize::new(0) }
+    }
+}
+
+impl ServeState {
+    /// Takes no new connections, and closes the others after their current answer.
+    pub fn stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Whether [`ServeState::stop`] was called.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
     /// Requests under way.
-    pub running: AtomicUsize,
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
 }
 
 /// Opens a listener that several threads may share.
@@ -77,9 +101,16 @@
     };
     let service = Rc::new(service);
     let open = Rc::new(Cell::new(0_usize));
-    while !state.stopping.load(Ordering::Relaxed) {
-        let accepted = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
-        let Ok(Ok((stream, _))) = accepted else {
+    let mut stopping = state.stopping.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // An error would mean that the state is gone, and this function holds it.
+            _ = stopping.wait_for(|stopping| *stopping) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of descriptors or alike: give the others time to end.
+            tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         if open.get() >= connections_max {
@@ -104,7 +135,7 @@
     state.running.fetch_add(1, Ordering::Relaxed);
     let mut response = answering.await;
     state.running.fetch_sub(1, Ordering::Relaxed);
-    if state.stopping.load(Ordering::Relaxed) {
+    if state.is_stopping() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/crates/nickellead_run/src/coordination.rs
+++ b/crates/nickellead_run/src/coordination.rs
@@ -4,8 +4,8 @@
 
 use nickellead_core::{Name, Term, Version};
 use nickellead_lease::{
-    CoordinatorSettings, MandatePhase, RecordAnswer, RecordBatch, TargetStatus, ZoneAction,
-    ZoneCoordinator, ZoneDelta, ZoneEvent, ZoneNotice,
+    CoordinatorSettings, MandatePhase, RecordAnswer, RecordBatch, StandbyVm, TargetStatus,
+    ZoneAction, ZoneCoordinator, ZoneDelta, ZoneEvent, ZoneNotice,
 };
 use nickellead_time::BootClock;
 use tokio::sync::oneshot;
@@ -53,6 +53,7 @@
     /// What was last told to the peers' thread.
     published: Option<(Term, Version)>,
     led: Option<bool>,
+    standbys: Vec<StandbyVm>,
     silent: Option<bool>,
 }
 
@@ -67,7 +68,15 @@
 ) -> std::io::Result<JoinHandle<()>> {
     let zone = settings.zone.clone();
     let coordinator = ZoneCoordinator::new(settings, BootClock.now());
-    let duty = Coordination { coordinator, rings, zone, published: None, led: None, silent: None };
+    let duty = Coordination {
+        coordinator,
+        rings,
+        zone,
+        published: None,
+        led: None,
+        standbys: Vec::new(),
+        silent: None,
+    };
     std::thread::Builder::new().name("coordination".to_owned()).spawn(move || run(duty, receiver))
 }
 
@@ -145,6 +154,12 @@
         if self.led.replace(leads) != Some(leads) {
             offer(&self.rings.peers, PeerMessage::Lead(self.coordinator.term(), leads));
         }
+        let mandate = self.coordinator.mandate();
+        let standbys = mandate.map_or(&[][..], |mandate| &mandate.standbys);
+        if leads && self.standbys != standbys {
+            self.standbys = standbys.to_vec();
+            offer(&self.rings.peers, PeerMessage::Standbys(self.standbys.clone()));
+        }
         let needs = leads || self.coordinator.coordinates() || silent;
         if self.silent.replace(needs) != Some(needs) {
             offer(&self.rings.platform, PlatformMessage::Follow(needs));
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -26,7 +25,7 @@
 use crate::{coordination, operators, orders, peers, platform, requests};
 
 /// Between two ticks of the coordination.
-const TICK_PERIOD: Duration = Duration::from_millis(10);
+const TICK_PERIOD: Duration = Duration::from_millis(20);
 /// Most standbys that a mandate names.
 const STANDBYS: usize = 2;
 /// Most shards of one service in planned moves at a time.
@@ -175,10 +174,10 @@
         self.readiness.stop();
         offer(&self.coordination, CoordinationMessage::Event(ZoneEvent::StopAsked));
         std::thread::sleep(Duration::from_millis(u64::from(self.settings.stop_linger_ms)));
-        self.callers.stopping.store(true, Ordering::Relaxed);
+        self.callers.stop();
         let workers_done = self.workers.into_iter().all(|worker| join_until(worker, end));
         let handed_over = join_until(self.coordinator, end);
-        self.operators.stopping.store(true, Ordering::Relaxed);
+        self.operators.stop();
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
             ("vm", &self.settings.vm),
             ("requests_finished", &workers_done),
--- a/crates/nickellead_run/src/peers/follow.rs
+++ b/crates/nickellead_run/src/peers/follow.rs
@@ -13,10 +13,12 @@
 use crate::coordination::CoordinationMessage;
 use crate::ring::offer;
 
-/// How long a coordinator may hold an answer back.
-const FOLLOW_WAIT_MS: u32 = 250;
+/// How long a coordinator may hold an answer to a standby back.
+const STANDBY_WAIT_MS: u32 = 250;
+/// How long a coordinator may hold an answer to another VM back.
+const FOLLOW_WAIT_MS: u32 = 1_000;
 /// How long an answer is waited for beyond that.
-const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(350);
 /// Pause after an answer of a VM that does not coordinate, or after none.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 /// Between two looks for zones that are not followed yet.
@@ -25,25 +27,37 @@
 /// Follows the coordinator of this VM's zone for as long as the thread runs.
 pub(super) async fn follow_own_zone(hub: Rc<PeerHub>) {
     let mut search = PeerSearch::new(hub.own.zone.clone());
+    let mut followed = false;
     loop {
         if hub.leads() {
+            followed = false;
             tokio::time::sleep(SEARCH_PAUSE).await;
             continue;
         }
-        let Some(reply) = search.ask(&hub).await else {
-            tokio::time::sleep(SEARCH_PAUSE).await;
-            continue;
+        let heard = match search.ask(&hub).await {
+            Some(reply) => hear(&hub, &mut search, reply),
+            None => None,
         };
-        let term = reply.term;
-        if hub.take_reply(reply) {
-            let event = ZoneEvent::CoordinatorHeard(term);
+        if let Some(event) = heard {
+            followed = true;
             offer(hub.coordination(), CoordinationMessage::Event(event));
-        } else {
-            tokio::time::sleep(SEARCH_PAUSE).await;
+            continue;
         }
+        if std::mem::take(&mut followed) {
+            let gone = CoordinationMessage::Event(ZoneEvent::CoordinatorGone);
+            offer(hub.coordination(), gone);
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
     }
 }
 
+/// Takes over an answer; the event to tell when it came from the coordinator.
+fn hear(hub: &PeerHub, search: &mut PeerSearch, reply: FollowReply) -> Option<ZoneEvent> {
+    let (term, standby) = (reply.term, reply.standby);
+    search.wait_ms = if standby { STANDBY_WAIT_MS } else { FOLLOW_WAIT_MS };
+    hub.take_reply(reply).then_some(ZoneEvent::CoordinatorHeard(term, standby))
+}
+
 /// While this VM coordinates, follows the coordinators of the other zones.
 pub(super) async fn follow_other_zones(hub: Rc<PeerHub>) {
     let mut followed = BTreeSet::new();
@@ -79,12 +93,14 @@
 struct PeerSearch {
     zone: Name,
     next: usize,
+    /// How long the next answer may be held back.
+    wait_ms: u32,
     client: Option<PeerClient>,
 }
 
 impl PeerSearch {
     const fn new(zone: Name) -> Self {
-        Self { zone, next: 0, client: None }
+        Self { zone, next: 0, wait_ms: STANDBY_WAIT_MS, client: None }
     }
 
     async fn ask(&mut self, hub: &PeerHub) -> Option<FollowReply> {
@@ -93,14 +109,16 @@
             Some(client) => client,
             None => PeerClient::new(address),
         };
-        let request = PeerRequest::Follow(hub.follow_request(FOLLOW_WAIT_MS));
-        let answer = client.call(&request, FOLLOW_TIMEOUT).await;
+        let request = PeerRequest::Follow(hub.follow_request(self.wait_ms));
+        let limit = Duration::from_millis(u64::from(self.wait_ms)) + FOLLOW_TIMEOUT;
+        let answer = client.call(&request, limit).await;
         match answer {
             Ok(PeerReply::Follow(reply)) => {
                 self.client = Some(client);
                 Some(*reply)
             }
             _ => {
+                self.wait_ms = STANDBY_WAIT_MS;
                 hub.forget_coordinator(&self.zone);
                 None
             }
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -8,7 +8,7 @@
 
 use nickellead_api::DeclaredConfig;
 use nickellead_core::{Name, Term, ZoneKey};
-use nickellead_lease::{RouteChange, ZoneDelta, ZoneEvent};
+use nickellead_lease::{RouteChange, StandbyVm, ZoneDelta, ZoneEvent};
 use nickellead_peer::{FollowReply, FollowRequest, KnownZone, PeerVm};
 use nickellead_platform::ListedVm;
 use nickellead_proxy::WorkerUpdate;
@@ -40,6 +40,7 @@
     coordinators: RefCell<BTreeMap<Name, (Term, PeerVm)>>,
     config: RefCell<Option<Arc<DeclaredConfig>>>,
     leads: Cell<bool>,
+    standbys: RefCell<Vec<StandbyVm>>,
     changes: watch::Sender<u64>,
     started: Instant,
     /// Workers whose ring was full: they get everything anew.
@@ -61,6 +62,7 @@
             coordinators: RefCell::default(),
             config: RefCell::default(),
             leads: Cell::new(false),
+            standbys: RefCell::default(),
             changes: watch::channel(0).0,
             started: Instant::now(),
             lagging: RefCell::new(lagging),
@@ -83,10 +85,21 @@
         self.leads.set(leads);
         if leads {
             self.note_coordinator(term, self.own.clone());
+        } else if self.coordinator_of(&self.own.zone).as_ref() == Some(&self.own) {
+            self.forget_coordinator(&self.own.zone);
         }
         self.notify();
     }
 
+    pub(super) fn set_standbys(&self, standbys: Vec<StandbyVm>) {
+        *self.standbys.borrow_mut() = standbys;
+    }
+
+    fn is_standby(&self, vm: &PeerVm) -> bool {
+        let standby = StandbyVm { vm: vm.vm.clone(), incarnation: vm.incarnation };
+        self.leads.get() && self.standbys.borrow().contains(&standby)
+    }
+
     pub(super) fn address_of(&self, vm: &Name) -> Option<SocketAddr> {
         self.vms.borrow().get(vm).map(|known| known.address)
     }
@@ -193,6 +206,7 @@
             from: self.own.clone(),
             term: coordinator.as_ref().map(|(term, _)| *term).unwrap_or_default(),
             coordinator: coordinator.map(|(_, vm)| vm),
+            standby: self.is_standby(&request.from),
             config: newer.map(|config| (**config).clone()),
             zones: deltas.collect(),
         }
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -33,6 +33,8 @@
     Publish(Box<ZoneDelta>),
     /// Whether this VM coordinates its zone, and in which term.
     Lead(Term, bool),
+    /// The standbys that the mandate names.
+    Standbys(Vec<StandbyVm>),
     /// New declarations from the platform.
     Config(Arc<DeclaredConfig>),
     /// The platform's list of VMs.
@@ -94,6 +96,7 @@
             hub.take_delta(&delta);
         }
         PeerMessage::Lead(term, leads) => hub.set_lead(term, leads),
+        PeerMessage::Standbys(standbys) => hub.set_standbys(standbys),
         PeerMessage::Config(config) => hub.take_config(config),
         PeerMessage::Listed(vms) => hub.take_listed(vms),
         PeerMessage::AskRecord(vm, batch) => ask(hub, &vm, PeerRequest::Record(batch)),
--- a/crates/nickellead_run/src/requests.rs
+++ b/crates/nickellead_run/src/requests.rs
@@ -50,7 +50,7 @@
         async move { worker.answer(request).await }
     };
     serve_http(listener, limits.connections, Arc::clone(&state), handler).await;
-    while state.running.load(std::sync::atomic::Ordering::Relaxed) > 0 {
+    while state.running() > 0 {
         tokio::time::sleep(std::time::Duration::from_millis(10)).await;
     }
     // The last answers' bytes leave before the runtime ends.
--- a/crates/nickellead_standin/src/serve.rs
+++ b/crates/nickellead_standin/src/serve.rs
@@ -3,7 +3,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 
 use actix_http::body::BoxBody;
@@ -55,14 +54,14 @@
 
     /// Ends at once, as a machine that is taken away: every connection breaks.
     pub(crate) fn lose(&self) {
-        self.state.stopping.store(true, Ordering::Relaxed);
+        self.state.stop();
         self.lost.notify_one();
     }
 }
 
 impl Drop for StandinServer {
     fn drop(&mut self) {
-        self.state.stopping.store(true, Ordering::Relaxed);
+        self.state.stop();
         if let Some(thread) = self.thread.take() {
             // A panic of the thread was already reported on standard error.
             let _ = thread.join();
