Request worker: fewer allocations on the way

Cause: a request cloned its target's route with its name, hashed the service's name twice, and armed a timer for a body that was already there.

--- a/benches/capacity/fleets.rs
+++ b/benches/capacity/fleets.rs
@@ -15,7 +15,15 @@
 /// Clock ticks of the system in a second, as `/proc` counts processor time.
 const TICKS: f64 = 100.0;
 
+/// Targets of one zone, with three VMs.
+const TARGETS: [usize; 3] = [12, 60, 180];
+
 pub fn measure(points: &mut Vec<Point>) {
+    for (targets, label) in TARGETS.into_iter().zip(["many-12", "many-60", "many-180"]) {
+        let spec =
+            FleetSpec { label, targets_per_zone: targets, shards: 16_384, ..FleetSpec::default() };
+        measure_orders(&Fleet::start(spec), targets as u64, points);
+    }
     for (vms, label) in VMS.into_iter().zip(["rest-3", "rest-12", "rest-25", "rest-50"]) {
         let spec = FleetSpec {
             label,
@@ -56,6 +64,19 @@
     points.push(Point::new("platform-calls-of-followers", "vms", vms, "a_second", others));
 }
 
+/// What heartbeats cost the coordinator's process, sockets and all.
+fn measure_orders(fleet: &Fleet, targets: u64, points: &mut Vec<Point>) {
+    std::thread::sleep(SETTLE);
+    let leader = fleet.coordinator("zone-a").unwrap();
+    let process = fleet.vms[leader].process.as_ref().unwrap().id().to_string();
+    let ticks = processor_ticks(&process);
+    std::thread::sleep(REST);
+    let share = (processor_ticks(&process) - ticks) / TICKS / REST.as_secs_f64() * 100.0;
+    points.push(Point::new("coordinator-orders", "targets", targets, "percent_of_core", share));
+    let memory = resident_bytes(&process) as f64;
+    points.push(Point::new("coordinator-orders-memory", "targets", targets, "bytes", memory));
+}
+
 fn platform_calls(fleet: &Fleet) -> Vec<u64> {
     let calls = fleet.vms.iter().map(|vm| {
         let status = request(vm.operators, "GET", "/v1/status");
--- a/benches/capacity/routes.rs
+++ b/benches/capacity/routes.rs
@@ -82,7 +82,7 @@
     let start = Instant::now();
     for round in 0..DECISIONS {
         let key = &keys[(round % 4_096) as usize];
-        let service = table.service("boards").unwrap();
+        let (_, service) = table.service("boards").unwrap();
         black_box(service.decide(black_box(key.as_bytes())));
     }
     let decide = start.elapsed().as_nanos() as f64 / f64::from(DECISIONS);
--- a/crates/nickellead_proxy/src/answer_body.rs
+++ b/crates/nickellead_proxy/src/answer_body.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use awc::ClientResponse;
 use awc::error::PayloadError;
@@ -13,6 +12,7 @@
 use nickellead_route::GatePermit;
 use tokio::time::{Sleep, sleep};
 
+use crate::deadline::Deadline;
 use crate::transport::watch_end;
 
 /// Streams an answer's body, whole or with an error, until the request's deadline.
@@ -21,12 +21,25 @@
 pub(crate) struct AnswerBody {
     response: ClientResponse,
     _permit: GatePermit,
-    deadline: Pin<Box<Sleep>>,
+    /// When the body is given up.
+    deadline: Deadline,
+    // PERF: made when the body is first waited for, which small answers never are.
+    alarm: Option<Pin<Box<Sleep>>>,
 }
 
 impl AnswerBody {
-    pub(crate) fn new(response: ClientResponse, permit: GatePermit, left: Duration) -> Self {
-        Self { response, _permit: permit, deadline: Box::pin(sleep(left)) }
+    pub(crate) const fn new(
+        response: ClientResponse,
+        permit: GatePermit,
+        deadline: Deadline,
+    ) -> Self {
+        Self { response, _permit: permit, deadline, alarm: None }
+    }
+
+    fn is_late(&mut self, context: &mut Context<'_>) -> bool {
+        let deadline = self.deadline;
+        let alarm = self.alarm.get_or_insert_with(|| Box::pin(sleep(deadline.left())));
+        alarm.as_mut().poll(context).is_ready()
     }
 }
 
@@ -40,7 +53,7 @@
                 let broke_off = io::Error::from(io::ErrorKind::UnexpectedEof);
                 Poll::Ready(Some(Err(PayloadError::Incomplete(Some(broke_off)))))
             }
-            (Poll::Pending, _) if self.deadline.as_mut().poll(context).is_ready() => {
+            (Poll::Pending, _) if self.is_late(context) => {
                 let late = io::Error::from(io::ErrorKind::TimedOut);
                 Poll::Ready(Some(Err(PayloadError::Io(late))))
             }
--- a/crates/nickellead_proxy/src/incoming.rs
+++ b/crates/nickellead_proxy/src/incoming.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use nickellead_api::{KeySource, OperationSpec, RepeatRule, UrgencyClass};
-use nickellead_core::{ErrorKind, KEY_LENGTH_MAX};
+use nickellead_core::{ErrorKind, KEY_LENGTH_MAX, ServiceKey};
 use nickellead_route::{RouteDecision, RoutingTable, ServiceRoute};
 
 use crate::headers::{DEADLINE_HEADER, number};
@@ -14,7 +14,7 @@
 /// What is asked, as far as routing needs it.
 #[derive(Clone, Debug)]
 pub(crate) struct PlannedCall {
-    pub(crate) service: String,
+    pub(crate) service: ServiceKey,
     pub(crate) key: Vec<u8>,
     pub(crate) repeat: RepeatRule,
     pub(crate) urgency: UrgencyClass,
@@ -28,7 +28,7 @@
         let path = request.path();
         let mut segments = path.split('/').skip(1);
         let name = segments.next().unwrap_or_default();
-        let service = table.service(name).ok_or(ErrorKind::UnknownService)?;
+        let (service_key, service) = table.service(name).ok_or(ErrorKind::UnknownService)?;
         let operation = segments.next().unwrap_or_default();
         let method = request.method().as_str();
         let operation = find_operation(service, method, operation)?;
@@ -37,7 +37,7 @@
             return Err(ErrorKind::KeyTooLong);
         }
         Ok(Self {
-            service: name.to_owned(),
+            service: service_key,
             key,
             repeat: operation.repeat,
             urgency: operation.urgency,
@@ -48,7 +48,7 @@
 
     /// Where the request goes now.
     pub(crate) fn decide(&self, table: &RoutingTable) -> Result<RouteDecision, ErrorKind> {
-        let service = table.service(&self.service).ok_or(ErrorKind::UnknownService)?;
+        let service = table.service_by_key(self.service).ok_or(ErrorKind::UnknownService)?;
         Ok(service.decide(&self.key))
     }
 }
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BodySize, BodyStream, BoxBody, SizedStream};
-use actix_http::{Request, RequestHead, Response};
+use actix_http::{Payload, Request, RequestHead, Response};
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
 use nickellead_api::{DeclaredConfig, RepeatRule};
@@ -100,7 +100,7 @@
 struct OwnerChoice {
     shard: ShardIndex,
     epoch: Epoch,
-    target: TargetRoute,
+    target: Rc<TargetRoute>,
 }
 
 impl ProxyWorker {
@@ -158,8 +158,13 @@
     async fn serve(&self, mut request: Request) -> Result<TargetAnswer, ErrorKind> {
         let call = PlannedCall::read(&request, &self.table.borrow())?;
         let deadline = Deadline::after(call.deadline);
-        let reading = timeout(deadline.left(), read_body(request.take_payload(), call.body_limit));
-        let body = reading.await.unwrap_or(Err(ErrorKind::BodyTruncated))?;
+        let body = match request.take_payload() {
+            Payload::None => Bytes::new(),
+            payload => {
+                let reading = timeout(deadline.left(), read_body(payload, call.body_limit));
+                reading.await.unwrap_or(Err(ErrorKind::BodyTruncated))?
+            }
+        };
         let move_deadline = deadline.or_after(self.limits.move_wait);
         let state = CallState { call, head: request.head(), body, deadline, move_deadline };
         self.budget.borrow_mut().note_request();
@@ -190,12 +195,10 @@
         choice: &OwnerChoice,
     ) -> Result<TargetAnswer, ErrorKind> {
         let gate = self.gate(&choice.target);
-        let entering = timeout(state.deadline.left(), gate.enter(state.call.urgency)).await;
-        let permit = entering.unwrap_or(Err(ErrorKind::DeadlineTooShort))?;
-        // The owner may have changed while this request waited for its turn.
-        if self.owner_now(&state.call)?.is_none_or(|now| now.epoch != choice.epoch) {
-            return Err(ErrorKind::TargetRefused);
-        }
+        let permit = match gate.try_enter() {
+            Some(permit) => permit,
+            None => self.wait_for_turn(state, choice, &gate).await?,
+        };
         let plan = ExchangePlan {
             target: &choice.target,
             shard: choice.shard,
@@ -207,6 +210,21 @@
         Ok(TargetAnswer { response, permit, deadline: state.deadline })
     }
 
+    async fn wait_for_turn(
+        &self,
+        state: &CallState<'_>,
+        choice: &OwnerChoice,
+        gate: &TargetGate,
+    ) -> Result<GatePermit, ErrorKind> {
+        let entering = timeout(state.deadline.left(), gate.enter(state.call.urgency)).await;
+        let permit = entering.unwrap_or(Err(ErrorKind::DeadlineTooShort))?;
+        // The owner may have changed while this request waited for its turn.
+        match self.owner_now(&state.call)? {
+            Some(now) if now.epoch == choice.epoch => Ok(permit),
+            _ => Err(ErrorKind::TargetRefused),
+        }
+    }
+
     /// Whether a request may be sent again after this error.
     fn may_repeat(&self, state: &CallState<'_>, kind: ErrorKind, attempt: u32) -> bool {
         const ATTEMPTS_MAX: u32 = 8;
@@ -294,7 +312,7 @@
         builder.append_header((name.clone(), value.clone()));
     }
     let size = declared_size(&response);
-    let body = AnswerBody::new(response, permit, deadline.left());
+    let body = AnswerBody::new(response, permit, deadline);
     match size {
         BodySize::Sized(size) => builder.body(SizedStream::new(size, body)).map_into_boxed_body(),
         _ => builder.body(BodyStream::new(body)).map_into_boxed_body(),
--- a/crates/nickellead_route/src/gate.rs
+++ b/crates/nickellead_route/src/gate.rs
@@ -27,6 +27,12 @@
         Self { turns, waiting: Rc::default(), queue }
     }
 
+    /// Takes a turn, if one is free.
+    #[must_use]
+    pub fn try_enter(&self) -> Option<GatePermit> {
+        self.turns.clone().try_acquire_owned().ok().map(GatePermit)
+    }
+
     /// Waits for a turn.
     ///
     /// Requests that can wait may fill a quarter of the queue, so that urgent
@@ -35,8 +41,8 @@
     /// # Errors
     /// [`ErrorKind::QueueFull`] at once when too many wait already.
     pub async fn enter(&self, urgency: UrgencyClass) -> Result<GatePermit, ErrorKind> {
-        if let Ok(permit) = self.turns.clone().try_acquire_owned() {
-            return Ok(GatePermit(permit));
+        if let Some(permit) = self.try_enter() {
+            return Ok(permit);
         }
         let queue = match urgency {
             UrgencyClass::Urgent => self.queue,
--- a/crates/nickellead_route/src/table.rs
+++ b/crates/nickellead_route/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use nickellead_api::{DeclaredConfig, DeclaredService, ServiceSpec};
 use nickellead_core::{
@@ -78,7 +79,7 @@
 #[derive(Debug, Default)]
 pub struct RoutingTable {
     services: HashMap<ServiceKey, ServiceRoute>,
-    targets: Vec<TargetRoute>,
+    targets: Vec<Rc<TargetRoute>>,
     places: HashMap<TargetKey, u32>,
     /// Owners that named a target before its declaration arrived.
     early: HashMap<(ServiceKey, ShardIndex), ShardOwner>,
@@ -88,14 +89,20 @@
 impl RoutingTable {
     /// The service of this name.
     #[must_use]
-    pub fn service(&self, name: &str) -> Option<&ServiceRoute> {
+    pub fn service(&self, name: &str) -> Option<(ServiceKey, &ServiceRoute)> {
         let key = ServiceKey(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+        self.services.get(&key).map(|service| (key, service))
+    }
+
+    /// The service of this key.
+    #[must_use]
+    pub fn service_by_key(&self, key: ServiceKey) -> Option<&ServiceRoute> {
         self.services.get(&key)
     }
 
     /// The target at a place that an [`OwnerRoute`] names.
     #[must_use]
-    pub fn target(&self, place: u32) -> Option<&TargetRoute> {
+    pub fn target(&self, place: u32) -> Option<&Rc<TargetRoute>> {
         self.targets.get(place as usize)
     }
 
@@ -160,10 +167,10 @@
 
     fn place_target(&mut self, route: TargetRoute) {
         match self.places.get(&route.key) {
-            Some(place) => self.targets[*place as usize] = route,
+            Some(place) => self.targets[*place as usize] = Rc::new(route),
             None => {
                 self.places.insert(route.key, self.targets.len() as u32);
-                self.targets.push(route);
+                self.targets.push(Rc::new(route));
             }
         }
     }
