--- /dev/null
+++ b/tests/resources.rs
@@ -0,0 +1,74 @@
+//! The resource API and its commands, against processes.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::fleet::{Fleet, FleetSpec};
+use common::{exchange, request, run, write_file};
+
+fn put(fleet: &Fleet, path: &str, body: &str) -> String {
+    let length = body.len();
+    exchange(
+        fleet.vms[0].operators,
+        &format!(
+            "PUT {path} HTTP/1.1\r\nhost: t\r\nconnection: close\r\ncontent-length: {length}\r\n\
+             \r\n{body}"
+        ),
+    )
+}
+
+#[test]
+fn objects_are_checked_versioned_and_watched() {
+    let fleet = Fleet::start(FleetSpec {
+        label: "resources",
+        vms_per_zone: 1,
+        targets_per_zone: 1,
+        ..FleetSpec::default()
+    });
+    let operators = fleet.vms[0].operators.to_string();
+    let target = |slots: &str, zone: &str| {
+        format!(
+            r#"{{"service": "boards", "zone": "{zone}", "address": "{}", "slots": {slots},
+                "connections": 130}}"#,
+            fleet.targets[0].address
+        )
+    };
+
+    let wrong = [
+        (target("0", "zone-a"), "slots"),
+        (target("\"many\"", "zone-a"), "slots"),
+        (target("4", "zone-x"), "zone"),
+    ];
+    for (body, field) in wrong {
+        let answer = put(&fleet, "/v1/objects/target/new?version=0", &body);
+        assert!(answer.starts_with("HTTP/1.1 422"), "{answer}");
+        assert!(answer.contains(&format!(r#""field":"{field}""#)), "{answer}");
+    }
+    let stale = put(&fleet, "/v1/objects/target/board-0?version=1", &target("5", "zone-a"));
+    assert!(stale.starts_with("HTTP/1.1 409") && stale.contains(r#""version":"#), "{stale}");
+    let system = put(&fleet, "/v1/objects/mandate/zone-a?version=1", "{}");
+    assert!(system.starts_with("HTTP/1.1 405"), "{system}");
+
+    let before = fleet.platform_revision();
+    fleet.declare_target(0, "draining");
+    let (code, watched, _) =
+        run(&["watch", "--vm", &operators, "--from", &before.to_string(), "--waits", "1"]);
+    assert_eq!(code, Some(0));
+    assert!(watched.contains(r#""name":"board-0""#) && watched.contains("draining"), "{watched}");
+
+    let file =
+        write_file("one.json", r#"{"kind": "target", "name": "board-0", "spec": {"slots": 4}}"#);
+    let (code, _, errors) = run(&["apply", "--vm", &operators, "-f", file.to_str().unwrap()]);
+    assert_eq!(code, Some(2));
+    assert!(errors.contains("target/board-0") && errors.contains("service"), "{errors}");
+
+    let (code, _, errors) = run(&["delete", "--vm", &operators, "service", "boards"]);
+    assert_eq!(code, Some(2), "a service with targets was deleted");
+    assert!(errors.contains("targets"), "{errors}");
+    let (code, table, _) = run(&["get", "--vm", &operators, "target"]);
+    assert_eq!(code, Some(0));
+    assert!(table.contains("board-0") && table.contains("draining"), "{table}");
+
+    let metrics = request(fleet.vms[0].operators, "GET", "/metrics");
+    assert!(metrics.contains("nickellead_requests_total"), "{metrics}");
+}
