--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -282,3 +282,25 @@
     }
     assert!(requests.try_recv().is_err(), "a bad request reached the target");
 }
+
+#[test]
+fn callers_may_speak_http_2() {
+    let (target, _requests) = raw_target(Box::new(|stream, request| {
+        let _ = stream.write_all(whole_answer(request).as_bytes());
+    }));
+    let router = router(target);
+    let (status, body) = actix_rt::Runtime::new().unwrap().block_on(async move {
+        let stream = tokio::net::TcpStream::connect(router).await.unwrap();
+        let (sender, connection) = h2::client::handshake(stream).await.unwrap();
+        actix_rt::spawn(async move {
+            let _ = connection.await;
+        });
+        let mut sender = sender.ready().await.unwrap();
+        let request = http::Request::post(format!("http://{router}/boards/book/key-1"));
+        let (answer, _) = sender.send_request(request.body(()).unwrap(), true).unwrap();
+        let answer = answer.await.unwrap();
+        let status = answer.status();
+        (status, answer.into_body().data().await.unwrap().unwrap())
+    });
+    assert_eq!((status.as_u16(), &body[..]), (200, &b"hello"[..]));
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -151,3 +151,28 @@
     }
     assert_eq!(fleet.moved_shards(), 0);
 }
+
+/// A zone whose VMs are all silent: its keys are refused once its sessions are
+/// over, the other zone's keys are served throughout, and nothing is taken over.
+#[test]
+fn a_silent_zone_keeps_its_keys_and_the_other_zone_serves_on() {
+    let fleet = Fleet::start(FleetSpec { label: "silent-zone", zones: 2, ..FleetSpec::default() });
+    let of_zone = |zone: &str| -> Vec<usize> {
+        (0..fleet.vms.len()).filter(|vm| fleet.vms[*vm].zone == zone).collect()
+    };
+    let (serving, silent) = (of_zone("zone-a"), of_zone("zone-b"));
+    silent.iter().for_each(|vm| fleet.signal_vm(*vm, "STOP"));
+    let report = fleet.load(6, &serving).join().unwrap();
+    fleet.judge(&report);
+    assert!(report.refused > 0, "keys of a silent zone were answered for six seconds");
+    assert_eq!(report.unknown, 0, "{:?}", report.errors);
+    let half = fleet.spec.shards / 2;
+    let late = fleet.effects().into_iter().max_by_key(|effect| effect.at_us).unwrap();
+    assert!(late.shard < half, "the last effect was in the silent zone");
+    assert_eq!(fleet.moved_shards(), 0);
+    silent.iter().for_each(|vm| fleet.signal_vm(*vm, "CONT"));
+    fleet.wait_for_zone(1);
+    let report = fleet.load(2, &serving).join().unwrap();
+    fleet.judge(&report);
+    assert_all_answered(&report);
+}
