--- /dev/null
+++ b/crates/nickellead_platform/tests/answers.rs
@@ -0,0 +1,67 @@
+//! Garbage, huge and stalled answers of the platform become errors within a bound.
+#![allow(clippy::unwrap_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use nickellead_api::ObjectKind;
+use nickellead_core::{Name, Version};
+use nickellead_lease::{MandateObject, ReadAnswer, WriteAnswer};
+use nickellead_platform::{CallCounter, PlatformClient, PlatformError};
+
+/// A platform that reads a request and says what the test wants.
+fn raw_platform(answer: &'static [u8], keep_open: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut open: Vec<TcpStream> = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut bytes = [0; 4_096];
+            let _ = stream.read(&mut bytes);
+            let _ = stream.write_all(answer);
+            if keep_open {
+                open.push(stream);
+            }
+        }
+    });
+    address
+}
+
+type Answers = (ReadAnswer<MandateObject>, WriteAnswer, Result<(), PlatformError>);
+
+fn ask(address: SocketAddr) -> Answers {
+    actix_rt::Runtime::new().unwrap().block_on(async move {
+        let client = PlatformClient::new(address, CallCounter::default());
+        let name = Name::new("zone-a").unwrap();
+        let read = client.read(ObjectKind::Mandate, &name).await;
+        let write = client.write(ObjectKind::Mandate, &name, Version(1), &"x").await;
+        (read, write, client.list_declared().await.map(drop))
+    })
+}
+
+#[test]
+fn answers_that_cannot_be_read_are_failures() {
+    let cases: [(&[u8], bool); 6] = [
+        (b"\x00\xffgarbage\r\n\r\n", false),
+        (b"", false),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{\"a\":", false),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{", false),
+        (b"HTTP/1.1 500 Oh\r\ncontent-length: 0\r\n\r\n", false),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{", true),
+    ];
+    for (answer, keep_open) in cases {
+        let shown = String::from_utf8_lossy(answer);
+        let (read, write, list) = ask(raw_platform(answer, keep_open));
+        assert_eq!(read, ReadAnswer::Failed, "{shown}");
+        assert_eq!(write, WriteAnswer::Failed, "{shown}");
+        assert!(list.is_err(), "{shown}");
+    }
+}
+
+#[test]
+fn a_platform_out_of_reach_is_a_failure_not_an_absence() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (read, write, _) = ask(nobody);
+    assert_eq!((read, write), (ReadAnswer::Failed, WriteAnswer::Failed));
+}
