--- a/crates/nickellead_route/src/lib.rs
+++ b/crates/nickellead_route/src/lib.rs
@@ -15,4 +15,4 @@
 pub use gate::{GatePermit, TargetGate};
 pub use retry::{RetryBudget, backoff};
 pub use table::{OwnerRoute, RouteDecision, RoutingTable, ServiceRoute, TargetRoute};
-pub use zone_table::{DeltaOutcome, ZoneTable};
+pub use zone_table::{DeltaOutcome, OwnerCounts, ZoneSummary, ZoneTable};
--- a/crates/nickellead_route/src/zone_table.rs
+++ b/crates/nickellead_route/src/zone_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use nickellead_core::{ServiceKey, ShardIndex, Term, Version, ZoneKey};
+use nickellead_core::{ServiceKey, ShardIndex, TargetKey, Term, Version, ZoneKey};
 use nickellead_lease::{RouteChange, ShardOwner, ZoneDelta, ZoneLog};
 
 /// What became of a delta.
@@ -16,6 +16,28 @@
     Gap,
 }
 
+/// How many shards of a service are in which state in one zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnerCounts {
+    /// Shards that a target owns.
+    pub served: u32,
+    /// Shards whose new owner is on its way.
+    pub moving: u32,
+    /// Shards that nobody owns.
+    pub nobody: u32,
+}
+
+/// A zone's owners, counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneSummary {
+    /// Term and version that were counted.
+    pub known: Option<(Term, Version)>,
+    /// Shards of each service.
+    pub services: BTreeMap<ServiceKey, OwnerCounts>,
+    /// Shards that each target owns.
+    pub targets: BTreeMap<TargetKey, u32>,
+}
+
 /// The owners in one zone, as of one term and version.
 #[derive(Clone, Debug)]
 pub struct ZoneTable {
@@ -73,6 +95,26 @@
         })
     }
 
+    /// Counts the owners.
+    #[must_use]
+    pub fn summary(&self) -> ZoneSummary {
+        let mut summary = ZoneSummary { known: self.known(), ..ZoneSummary::default() };
+        for (service, owners) in &self.owners {
+            let counts = summary.services.entry(*service).or_default();
+            for owner in owners.values() {
+                match owner {
+                    ShardOwner::Nobody => counts.nobody += 1,
+                    ShardOwner::Moving => counts.moving += 1,
+                    ShardOwner::Target { target, .. } => {
+                        counts.served += 1;
+                        *summary.targets.entry(*target).or_default() += 1;
+                    }
+                }
+            }
+        }
+        summary
+    }
+
     fn replace(&mut self, delta: &ZoneDelta) {
         self.owners.clear();
         self.log.restart(delta.term);
--- a/crates/nickellead_run/src/lib.rs
+++ b/crates/nickellead_run/src/lib.rs
@@ -7,6 +7,7 @@
 mod coordination;
 mod event_log;
 mod node;
+mod object_status;
 mod operators;
 mod orders;
 mod peers;
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -120,6 +120,7 @@
     platform::build(settings.platform_address, zone, counter.clone(), platform_ring, rings)?;
     let timeout = settings.lease.to_times().order_timeout;
     orders::build(orders_ring, to_coordination.clone(), timeout)?;
+    let peers = to_peers.clone();
     let rings = CoordinationRings { platform: to_platform, peers: to_peers, orders: to_orders };
     let coordinator = coordination::build(
         coordinator_settings(&settings, incarnation),
@@ -134,6 +135,7 @@
         counter: counter.clone(),
         registry,
         coordination: to_coordination.clone(),
+        peers,
         readiness: Arc::clone(&readiness),
         state: Arc::clone(&operators),
     })?;
--- /dev/null
+++ b/crates/nickellead_run/src/object_status.rs
@@ -0,0 +1,63 @@
+//! Status of declared objects, as one VM sees it.
+
+use std::collections::BTreeMap;
+
+use nickellead_api::{ObjectKind, ResourceObject, ServiceSpec};
+use nickellead_core::{Name, ServiceKey, TargetKey, Version, ZoneKey};
+use nickellead_route::ZoneSummary;
+use serde_json::{Value, json};
+
+/// What a VM knows when it tells an object's status.
+pub(crate) struct StatusView<'a> {
+    pub(crate) vm: &'a Name,
+    /// Revision of the declarations in force on this VM.
+    pub(crate) revision: Version,
+    pub(crate) zones: &'a BTreeMap<ZoneKey, ZoneSummary>,
+}
+
+impl StatusView<'_> {
+    /// Puts the status beside the spec.
+    pub(crate) fn describe(&self, object: &mut ResourceObject) {
+        let status = match object.kind {
+            ObjectKind::Service => self.service(object),
+            ObjectKind::Target => self.target(object),
+            ObjectKind::Mandate | ObjectKind::Placement => return,
+        };
+        object.status = Some(status);
+    }
+
+    fn service(&self, object: &ResourceObject) -> Value {
+        let spec: Option<ServiceSpec> = serde_json::from_value(object.spec.clone()).ok();
+        let zones = spec.iter().flat_map(|spec| &spec.zones);
+        let zones: Vec<Value> = zones.map(|zone| self.zone(object, zone)).collect();
+        json!({"seen_by": self.vm, "in_force": self.is_in_force(object), "zones": zones})
+    }
+
+    fn zone(&self, object: &ResourceObject, zone: &Name) -> Value {
+        let Some(summary) = self.zones.get(&ZoneKey::from(zone)) else {
+            return json!({"zone": zone, "known": false});
+        };
+        let key = ServiceKey::from(&object.name);
+        let counts = summary.services.get(&key).copied().unwrap_or_default();
+        let (term, version) = summary.known.unwrap_or_default();
+        json!({
+            "zone": zone,
+            "known": true,
+            "term": term,
+            "version": version,
+            "served": counts.served,
+            "moving": counts.moving,
+            "nobody": counts.nobody,
+        })
+    }
+
+    fn target(&self, object: &ResourceObject) -> Value {
+        let key = TargetKey::from(&object.name);
+        let shards: u32 = self.zones.values().filter_map(|zone| zone.targets.get(&key)).sum();
+        json!({"seen_by": self.vm, "in_force": self.is_in_force(object), "shards": shards})
+    }
+
+    fn is_in_force(&self, object: &ResourceObject) -> bool {
+        self.revision >= object.version
+    }
+}
--- a/crates/nickellead_run/src/operators.rs
+++ b/crates/nickellead_run/src/operators.rs
@@ -19,6 +19,8 @@
 use tokio::sync::oneshot;
 
 use crate::coordination::{CoordinationMessage, CoordinationStatus};
+use crate::object_status::StatusView;
+use crate::peers::PeerMessage;
 use crate::readiness::Readiness;
 use crate::ring::{RingSender, offer};
 
@@ -40,6 +42,7 @@
     pub(crate) counter: CallCounter,
     pub(crate) registry: Registry,
     pub(crate) coordination: RingSender<CoordinationMessage>,
+    pub(crate) peers: RingSender<PeerMessage>,
     pub(crate) readiness: Arc<Readiness>,
     pub(crate) state: Arc<ServeState>,
 }
@@ -140,7 +143,9 @@
             (Method::GET, ["v1", "status"]) => Ok(self.status().await),
             (Method::GET, ["v1", "watch"]) => self.watch(&request).await,
             (Method::GET, ["v1", "objects"]) => {
-                Ok(reply(StatusCode::OK, &self.client.list_declared().await?))
+                let mut list = self.client.list_declared().await?;
+                self.describe(&mut list.items).await;
+                Ok(reply(StatusCode::OK, &list))
             }
             (method, ["v1", "objects", kind, name]) => {
                 let kind = ObjectKind::from_name(kind).ok_or(ApiError::NotFound)?;
@@ -164,7 +169,9 @@
         body: &[u8],
     ) -> Result<Response<BoxBody>, ApiError> {
         if method == Method::GET {
-            return Ok(reply(StatusCode::OK, &self.client.get(kind, name).await?));
+            let mut object = self.client.get(kind, name).await?;
+            self.describe(std::slice::from_mut(&mut object)).await;
+            return Ok(reply(StatusCode::OK, &object));
         }
         if !kind.is_declared() {
             return Err(ApiError::MethodNotAllowed);
@@ -180,6 +187,16 @@
         Ok(reply(StatusCode::OK, &json!({"kind": kind, "name": name, "version": version})))
     }
 
+    /// Puts a status beside each spec, as far as this VM knows it.
+    async fn describe(&self, objects: &mut [ResourceObject]) {
+        let (sender, receiver) = oneshot::channel();
+        offer(&self.duty.peers, PeerMessage::Summarize(sender));
+        let Ok(Ok(zones)) = tokio::time::timeout(STATUS_TIMEOUT, receiver).await else { return };
+        let revision = self.duty.readiness.revision();
+        let view = StatusView { vm: &self.duty.vm, revision, zones: &zones };
+        objects.iter_mut().for_each(|object| view.describe(object));
+    }
+
     async fn put(
         &self,
         kind: ObjectKind,
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -12,7 +12,7 @@
 use nickellead_peer::{FollowReply, FollowRequest, KnownZone, PeerVm};
 use nickellead_platform::ListedVm;
 use nickellead_proxy::WorkerUpdate;
-use nickellead_route::{DeltaOutcome, ZoneTable};
+use nickellead_route::{DeltaOutcome, ZoneSummary, ZoneTable};
 use tokio::sync::watch;
 
 use super::PeerRings;
@@ -175,6 +175,12 @@
         outcome
     }
 
+    /// The owners in every zone, as this VM knows them.
+    pub(super) fn summaries(&self) -> BTreeMap<ZoneKey, ZoneSummary> {
+        let zones = self.zones.borrow();
+        zones.iter().map(|(zone, table)| (*zone, table.summary())).collect()
+    }
+
     /// What this VM asks a coordinator.
     pub(super) fn follow_request(&self, wait_ms: u32) -> FollowRequest {
         let zones = self.zones.borrow();
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod hub;
 
+use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,11 +12,13 @@
 use std::time::Duration;
 
 use nickellead_api::DeclaredConfig;
-use nickellead_core::Term;
+use nickellead_core::{Term, ZoneKey};
 use nickellead_lease::{RecordBatch, StandbyVm, ZoneDelta, ZoneEvent};
 use nickellead_peer::{PeerClient, PeerReply, PeerRequest, PeerVm, serve_peers};
 use nickellead_platform::ListedVm;
 use nickellead_proxy::WorkerUpdate;
+use nickellead_route::ZoneSummary;
+use tokio::sync::oneshot;
 
 use crate::coordination::CoordinationMessage;
 use crate::orders::OrderMessage;
@@ -39,6 +42,8 @@
     Config(Arc<DeclaredConfig>),
     /// The platform's list of VMs.
     Listed(Vec<ListedVm>),
+    /// An operator asks for the owners in every zone.
+    Summarize(oneshot::Sender<BTreeMap<ZoneKey, ZoneSummary>>),
     /// Ask a standby to keep new owners.
     AskRecord(StandbyVm, RecordBatch),
     /// Ask the former coordinator to step down.
@@ -99,6 +104,10 @@
         PeerMessage::Standbys(standbys) => hub.set_standbys(standbys),
         PeerMessage::Config(config) => hub.take_config(config),
         PeerMessage::Listed(vms) => hub.take_listed(vms),
+        PeerMessage::Summarize(answer) => {
+            // The operator may have gone.
+            let _ = answer.send(hub.summaries());
+        }
         PeerMessage::AskRecord(vm, batch) => ask(hub, &vm, PeerRequest::Record(batch)),
         PeerMessage::AskStepDown(vm, term) => ask(hub, &vm, PeerRequest::StepDown(term)),
     }
--- a/src/command/resources.rs
+++ b/src/command/resources.rs
@@ -314,17 +314,38 @@
 
 fn summary(object: &ResourceObject) -> String {
     match object.kind {
-        ObjectKind::Service => {
-            format!("zones={} shards={}", object.spec["zones"], object.spec["shards"])
-        }
+        ObjectKind::Service => format!(
+            "zones={} shards={} {}",
+            object.spec["zones"],
+            object.spec["shards"],
+            status_summary(object)
+        ),
         ObjectKind::Target => format!(
-            "service={} zone={} state={}",
-            object.spec["service"], object.spec["zone"], object.spec["state"]
+            "service={} zone={} state={} {}",
+            object.spec["service"],
+            object.spec["zone"],
+            object.spec["state"],
+            status_summary(object)
         ),
         ObjectKind::Mandate | ObjectKind::Placement => String::new(),
     }
 }
 
+/// What the VM that was asked knows of the object.
+fn status_summary(object: &ResourceObject) -> String {
+    let Some(status) = &object.status else { return "status=unknown".to_owned() };
+    let in_force = format!("in_force={}", status["in_force"]);
+    match status["zones"].as_array() {
+        None => format!("{in_force} shards={}", status["shards"]),
+        Some(zones) => {
+            let sum =
+                |field: &str| zones.iter().filter_map(|zone| zone[field].as_u64()).sum::<u64>();
+            let (served, moving, nobody) = (sum("served"), sum("moving"), sum("nobody"));
+            format!("{in_force} served={served} moving={moving} nobody={nobody}")
+        }
+    }
+}
+
 fn pretty(value: &Value) -> String {
     serde_json::to_string_pretty(value).unwrap_or_default()
 }
--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -49,6 +49,11 @@
     let system = put(&fleet, "/v1/objects/mandate/zone-a?version=1", "{}");
     assert!(system.starts_with("HTTP/1.1 405"), "{system}");
 
+    let service = request(fleet.vms[0].operators, "GET", "/v1/objects/service/boards");
+    assert!(
+        service.contains(r#""in_force":true"#) && service.contains(r#""served":64"#),
+        "{service}"
+    );
     let before = fleet.platform_revision();
     fleet.declare_target(0, "draining");
     let (code, watched, _) =
@@ -68,6 +73,10 @@
     let (code, table, _) = run(&["get", "--vm", &operators, "target"]);
     assert_eq!(code, Some(0));
     assert!(table.contains("board-0") && table.contains("draining"), "{table}");
+    assert!(
+        table.contains("in_force=true shards=64"),
+        "a target without others keeps all: {table}"
+    );
 
     let metrics = request(fleet.vms[0].operators, "GET", "/metrics");
     assert!(metrics.contains("nickellead_requests_total"), "{metrics}");
