--- a/tests/resources.rs
+++ b/tests/resources.rs
@@ -3,13 +3,15 @@
 
 mod common;
 
-use common::fleet::{Fleet, FleetSpec};
+use std::net::SocketAddr;
+
+use common::fleet::{Fleet, FleetSpec, number_after};
 use common::{exchange, request, run, write_file};
 
-fn put(fleet: &Fleet, path: &str, body: &str) -> String {
+fn put(operators: SocketAddr, path: &str, body: &str) -> String {
     let length = body.len();
     exchange(
-        fleet.vms[0].operators,
+        operators,
         &format!(
             "PUT {path} HTTP/1.1\r\nhost: t\r\nconnection: close\r\ncontent-length: {length}\r\n\
              \r\n{body}"
@@ -40,13 +42,14 @@
         (target("4", "zone-x"), "zone"),
     ];
     for (body, field) in wrong {
-        let answer = put(&fleet, "/v1/objects/target/new?version=0", &body);
+        let answer = put(fleet.vms[0].operators, "/v1/objects/target/new?version=0", &body);
         assert!(answer.starts_with("HTTP/1.1 422"), "{answer}");
         assert!(answer.contains(&format!(r#""field":"{field}""#)), "{answer}");
     }
-    let stale = put(&fleet, "/v1/objects/target/board-0?version=1", &target("5", "zone-a"));
+    let stale =
+        put(fleet.vms[0].operators, "/v1/objects/target/board-0?version=1", &target("5", "zone-a"));
     assert!(stale.starts_with("HTTP/1.1 409") && stale.contains(r#""version":"#), "{stale}");
-    let system = put(&fleet, "/v1/objects/mandate/zone-a?version=1", "{}");
+    let system = put(fleet.vms[0].operators, "/v1/objects/mandate/zone-a?version=1", "{}");
     assert!(system.starts_with("HTTP/1.1 405"), "{system}");
 
     let service = request(fleet.vms[0].operators, "GET", "/v1/objects/service/boards");
@@ -81,3 +84,45 @@
     let metrics = request(fleet.vms[0].operators, "GET", "/metrics");
     assert!(metrics.contains("nickellead_requests_total"), "{metrics}");
 }
+
+/// Reads a target, adds a slot, writes with the version read; tells whether it was accepted.
+fn raise_once(operators: SocketAddr, address: SocketAddr) -> bool {
+    let object = request(operators, "GET", "/v1/objects/target/board-0");
+    let slots = number_after(&object, r#""slots":"#).unwrap() + 1;
+    let version = number_after(&object, r#""version":"#).unwrap();
+    let spec = format!(
+        r#"{{"service": "boards", "zone": "zone-a", "address": "{address}", "slots": {slots},
+            "connections": 65000}}"#
+    );
+    let answer = put(operators, &format!("/v1/objects/target/board-0?version={version}"), &spec);
+    assert!(answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 409"), "{answer}");
+    answer.starts_with("HTTP/1.1 200")
+}
+
+/// Operators and their automation race: no accepted change is lost or reverted.
+#[test]
+fn racing_writers_lose_no_accepted_change() {
+    let fleet =
+        Fleet::start(FleetSpec { label: "racing", targets_per_zone: 1, ..FleetSpec::default() });
+    let address = fleet.targets[0].address;
+    let raise_slots = |operators: SocketAddr| {
+        let mut conflicts = 0;
+        for _ in 0..20 {
+            while !raise_once(operators, address) {
+                conflicts += 1;
+            }
+        }
+        conflicts
+    };
+    let operators: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.operators).collect();
+    let conflicts: u32 = std::thread::scope(|scope| {
+        let writers: Vec<_> = operators
+            .into_iter()
+            .map(|operators| scope.spawn(move || raise_slots(operators)))
+            .collect();
+        writers.into_iter().map(|writer| writer.join().unwrap()).sum()
+    });
+    let object = request(fleet.vms[0].operators, "GET", "/v1/objects/target/board-0");
+    assert_eq!(number_after(&object, r#""slots":"#), Some(4 + 60));
+    assert!(conflicts > 0, "the writers never met");
+}
