A standby reads the mandate often from its first read on

Cause: a VM chose when to read next before it had read, by a mandate that did not name it yet, and then waited 2 s and more. Ruled out: a reset of the coordinator's loss by another VM's answer (the log showed the list of VMs being read at once, so the loss was noticed). Change: the pause is shortened once the read names this VM; and while keys wait for a VM to be off the platform's list, the list is read five times a second. Test: a_standby_takes_over_within_its_targets_leases, seen failing without the change.

--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -191,6 +191,9 @@
 
     fn after_mandate_read(&mut self, now: Timestamp) {
         if self.phase == MandatePhase::Follower {
+            if self.may_take_soon() {
+                self.watch.hurry(now + READ_PERIOD);
+            }
             if let Some(predecessor) = self.may_take(now) {
                 self.take_mandate(predecessor, now);
             }
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -247,12 +247,19 @@
         all_fenced || stopped_at.is_some_and(|at| now >= self.settings.times.bound(at))
     }
 
-    /// Asks the predecessor to step down while a target is out of this VM's reach.
-    pub(super) fn ask_predecessor(&mut self, now: Timestamp) {
+    /// Whether a target out of reach waits for word that the predecessor is stopped.
+    #[must_use]
+    pub fn awaits_evidence(&self) -> bool {
         let unheard =
             |session: &TargetSession| session.phase == SessionPhase::New && session.owned > 0;
+        let unknown = self.predecessor.stopped_at.is_none() && self.predecessor.holder.is_some();
+        self.coordinates() && unknown && self.sessions.values().any(unheard)
+    }
+
+    /// Asks the predecessor to step down while a target is out of this VM's reach.
+    pub(super) fn ask_predecessor(&mut self, now: Timestamp) {
         let due = now.since(self.predecessor.asked_at) >= self.settings.times.renewal;
-        if self.predecessor.stopped_at.is_some() || !due || !self.sessions.values().any(unheard) {
+        if !due || !self.awaits_evidence() {
             return;
         }
         let Some(holder) = self.predecessor.holder.clone() else {
--- a/crates/nickellead_lease/tests/found.rs
+++ b/crates/nickellead_lease/tests/found.rs
@@ -53,3 +53,27 @@
         Step::KillVm(255),
     ]);
 }
+
+/// A standby that had last read the mandate before it was named waited 2 s and
+/// more for its second read, as if it were none.
+#[test]
+fn a_standby_takes_over_within_its_targets_leases() {
+    let mut world = World::new(3, 3);
+    world.run(6_000);
+    let leader = world.leader().unwrap();
+    let others: Vec<usize> = (0..3).filter(|vm| *vm != leader).collect();
+    let (newcomer, standby) = (others[0], others[1]);
+    world.kill_vm(newcomer);
+    world.run(1_000);
+    // It hears nobody at first, and reads a mandate that does not name it.
+    world.cut_vms.extend([(newcomer, leader), (newcomer, standby)]);
+    world.restart_vm(newcomer);
+    world.run(3_000);
+    world.cut_vms.clear();
+    world.run(4_000);
+    world.kill_vm(leader);
+    world.kill_vm(standby);
+    world.run(1_900);
+    assert_eq!(world.leader(), Some(newcomer), "{}", world.describe());
+    assert!(world.all_owned(), "{}", world.describe());
+}
--- a/crates/nickellead_run/src/coordination.rs
+++ b/crates/nickellead_run/src/coordination.rs
@@ -13,7 +13,7 @@
 use crate::event_log::{EventName, log_event};
 use crate::orders::OrderMessage;
 use crate::peers::PeerMessage;
-use crate::platform::PlatformMessage;
+use crate::platform::{FollowMode, PlatformMessage};
 use crate::ring::{RingReceiver, RingSender, offer};
 
 /// What reaches the coordination thread.
@@ -54,7 +54,7 @@
     published: Option<(Term, Version)>,
     led: Option<bool>,
     standbys: Vec<StandbyVm>,
-    silent: Option<bool>,
+    mode: Option<FollowMode>,
 }
 
 /// Starts the thread.
@@ -75,7 +75,7 @@
         published: None,
         led: None,
         standbys: Vec::new(),
-        silent: None,
+        mode: None,
     };
     std::thread::Builder::new().name("coordination".to_owned()).spawn(move || run(duty, receiver))
 }
@@ -160,9 +160,15 @@
             self.standbys = standbys.to_vec();
             offer(&self.rings.peers, PeerMessage::Standbys(self.standbys.clone()));
         }
-        let needs = leads || self.coordinator.coordinates() || silent;
-        if self.silent.replace(needs) != Some(needs) {
-            offer(&self.rings.platform, PlatformMessage::Follow(needs));
+        let mode = if self.coordinator.awaits_evidence() {
+            FollowMode::Urgent
+        } else if self.coordinator.coordinates() || silent {
+            FollowMode::Calm
+        } else {
+            FollowMode::Off
+        };
+        if self.mode.replace(mode) != Some(mode) {
+            offer(&self.rings.platform, PlatformMessage::Follow(mode));
         }
         if leads && self.published != Some(self.coordinator.published()) {
             let delta: ZoneDelta = self.coordinator.delta(self.published);
--- a/crates/nickellead_run/src/platform.rs
+++ b/crates/nickellead_run/src/platform.rs
@@ -24,6 +24,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Between two reads of the list of VMs.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// The same while keys wait for a VM to be off the list.
+const URGENT_LIST_PERIOD: Duration = Duration::from_millis(200);
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -33,7 +35,19 @@
     /// A call of the coordination.
     Call(Box<ZoneAction>),
     /// Whether this VM is to follow the platform itself.
-    Follow(bool),
+    Follow(FollowMode),
+}
+
+/// How closely a VM follows the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FollowMode {
+    /// Its coordinator tells it everything.
+    #[default]
+    Off,
+    /// It watches declarations and reads the list of VMs.
+    Calm,
+    /// The same, and keys wait for a VM to be off the list.
+    Urgent,
 }
 
 /// Who is told what the platform says.
@@ -70,7 +84,7 @@
 ) {
     let client = Rc::new(PlatformClient::new(address, counter));
     let zone = Rc::new(zone);
-    let (follow, followed) = watch::channel(false);
+    let (follow, followed) = watch::channel(FollowMode::Off);
     actix_rt::spawn(follow_config(Rc::clone(&client), followed.clone(), rings.clone()));
     actix_rt::spawn(follow_vms(Rc::clone(&client), Rc::clone(&zone), followed, rings.clone()));
     while let Some(message) = receiver.recv().await {
@@ -121,12 +135,12 @@
 
 async fn follow_config(
     client: Rc<PlatformClient>,
-    mut followed: watch::Receiver<bool>,
+    mut followed: watch::Receiver<FollowMode>,
     rings: PlatformRings,
 ) {
     let mut objects = ConfigObjects::default();
     loop {
-        if followed.wait_for(|wanted| *wanted).await.is_err() {
+        if followed.wait_for(|mode| *mode != FollowMode::Off).await.is_err() {
             return;
         }
         match objects.refresh(&client).await {
@@ -217,11 +231,11 @@
 async fn follow_vms(
     client: Rc<PlatformClient>,
     zone: Rc<Name>,
-    mut followed: watch::Receiver<bool>,
+    mut followed: watch::Receiver<FollowMode>,
     rings: PlatformRings,
 ) {
     loop {
-        if followed.wait_for(|wanted| *wanted).await.is_err() {
+        if followed.wait_for(|mode| *mode != FollowMode::Off).await.is_err() {
             return;
         }
         if let Ok(vms) = client.vms().await {
@@ -231,6 +245,11 @@
             offer(&rings.coordination, CoordinationMessage::Event(event));
             offer(&rings.peers, PeerMessage::Listed(vms));
         }
-        tokio::time::sleep(LIST_PERIOD).await;
+        let period = match *followed.borrow_and_update() {
+            FollowMode::Urgent => URGENT_LIST_PERIOD,
+            FollowMode::Off | FollowMode::Calm => LIST_PERIOD,
+        };
+        // A change of the mode cuts the pause short.
+        let _ = tokio::time::timeout(period, followed.changed()).await;
     }
 }
