Read as a newcomer: succession apart from the mandate's keeping, the fakes in parts

Moved: who may follow whom into succession.rs; the fakes' messages and parts into files of their own (world/mod.rs 643 to 384 lines). Removed: stand-in switches that nothing used, an error kind that was never answered, a timer that was leaked in place of stopped. No check changed.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -99,7 +99,6 @@
     TargetRefused, "target-refused", 503, NotRun, Some(100), Info, "the target refused the request before running it: ownership changed";
     TargetUnreachable, "target-unreachable", 503, NotRun, Some(500), Warn, "no connection to the owning target could be made";
     DeadlineTooShort, "deadline-too-short", 504, NotRun, None, Info, "the deadline passed before the request was sent to a target";
-    RouterStopping, "router-stopping", 503, NotRun, Some(100), Info, "this VM is stopping: repeat through another";
     AnswerLate, "answer-late", 504, Unknown, None, Warn, "the target did not answer before the deadline";
     AnswerLost, "answer-lost", 502, Unknown, None, Warn, "the connection to the target broke after the request was sent";
     AnswerMalformed, "answer-malformed", 502, Unknown, None, Warn, "the target's answer could not be read";
--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nickellead_core::{Name, Timestamp, Version};
+use nickellead_core::{Timestamp, Version};
 
 use super::{CallId, Predecessor, ZoneAction, ZoneCoordinator, ZoneNotice};
 use crate::charts::{MandateEvent, MandatePhase, charts};
@@ -18,16 +18,14 @@
 /// Between two reads by a VM that is no standby: it takes the mandate only once
 /// the platform's list shows others gone, and the platform has many such VMs.
 const IDLE_READ_PERIOD: Duration = Duration::from_millis(2_000);
-/// How long a VM stays eligible as a standby after it was last heard.
-const PEER_FRESH: Duration = Duration::from_millis(1_500);
 
 /// What this VM knows of the mandate object.
 #[derive(Clone, Debug)]
 pub(super) struct MandateWatch {
     version: Version,
-    object: Option<MandateObject>,
+    pub(super) object: Option<MandateObject>,
     /// Since when this VM sees this version.
-    since: Timestamp,
+    pub(super) since: Timestamp,
     call: Option<CallId>,
     /// When the call under way counts as failed, should no answer ever come.
     call_ends: Timestamp,
@@ -176,13 +174,6 @@
         self.read_mandate(now);
     }
 
-    /// Whether this VM is a standby, or anyone may take the mandate.
-    fn may_take_soon(&self) -> bool {
-        let Some(object) = &self.watch.object else { return true };
-        let standby = object.standbys.contains(&self.settings.vm);
-        standby || object.stopped || object.standbys.is_empty()
-    }
-
     fn read_mandate(&mut self, now: Timestamp) {
         let call = self.next_call();
         self.watch.begin_call(call, now);
@@ -223,51 +214,6 @@
         self.step_down(term);
     }
 
-    /// Whether this VM may take the mandate, and what it then knows of the one before.
-    fn may_take(&self, now: Timestamp) -> Option<Predecessor> {
-        if self.config.is_none() || !self.is_listed(&self.settings.vm.vm) {
-            return None;
-        }
-        let Some(object) = &self.watch.object else {
-            return Some(Predecessor {
-                stopped_at: Some(now),
-                records_known: true,
-                ..Predecessor::default()
-            });
-        };
-        if object.stopped {
-            return Some(Predecessor {
-                stopped_at: Some(now),
-                records_known: true,
-                ..Predecessor::default()
-            });
-        }
-        let times = &self.settings.times;
-        let still = now.since(self.watch.since) >= times.standstill;
-        let silent = now.since(self.last_heard) >= times.standstill;
-        if !still || !silent {
-            return None;
-        }
-        let gone = self.is_gone(&object.holder);
-        let stopped_at = gone.then_some(now);
-        let holder = Some(object.holder.clone());
-        if object.standbys.contains(&self.settings.vm) {
-            return Some(Predecessor {
-                stopped_at,
-                records_known: true,
-                holder,
-                ..Predecessor::default()
-            });
-        }
-        let all_gone = gone && object.standbys.iter().all(|standby| self.is_gone(standby));
-        all_gone.then(|| Predecessor {
-            stopped_at,
-            records_known: false,
-            holder,
-            ..Predecessor::default()
-        })
-    }
-
     fn take_mandate(&mut self, predecessor: Predecessor, now: Timestamp) {
         let old = self.watch.object.as_ref();
         let old_term = old.map(|object| object.term).unwrap_or_default();
@@ -392,48 +338,6 @@
         self.publishes() && self.placements.values().all(clean)
     }
 
-    /// Keeps the standbys that are heard, fills up with others that are, and
-    /// only then with those not heard: a silent standby may still take over.
-    fn choose_standbys(&self, now: Timestamp) -> Vec<StandbyVm> {
-        let fresh = |vm: &StandbyVm| {
-            let heard = self.peers.get(&vm.vm);
-            heard.is_some_and(|(known, at)| known == vm && now.since(*at) < PEER_FRESH)
-        };
-        let eligible = |vm: &&StandbyVm| {
-            **vm != self.settings.vm && self.is_listed(&vm.vm) && !self.is_gone(vm)
-        };
-        let current = self.watch.object.iter().flat_map(|object| &object.standbys);
-        let current: Vec<&StandbyVm> = current.filter(eligible).collect();
-        let heard = self.peers.values().map(|(vm, _)| vm);
-        let heard = heard.filter(eligible).filter(|vm| fresh(vm));
-        let first = current.iter().copied().filter(|vm| fresh(vm)).chain(heard);
-        let last = current.iter().copied().filter(|vm| !fresh(vm));
-        let mut chosen: Vec<StandbyVm> = Vec::new();
-        for vm in first.chain(last) {
-            if chosen.len() < self.settings.standbys && !chosen.contains(vm) {
-                chosen.push(vm.clone());
-            }
-        }
-        chosen
-    }
-
-    pub(super) fn is_listed(&self, vm: &Name) -> bool {
-        self.listed.as_ref().is_some_and(|listed| listed.contains(vm))
-    }
-
-    /// Whether a process surely runs no more.
-    ///
-    /// Coordinators and standbys were listed before the mandate named them, so
-    /// that absence from the lagging list means gone, not "not there yet". A VM
-    /// heard under another incarnation has started anew.
-    pub(super) fn is_gone(&self, vm: &StandbyVm) -> bool {
-        let unlisted = self.listed.as_ref().is_some_and(|listed| !listed.contains(&vm.vm));
-        let heard = self.peers.get(&vm.vm);
-        let restarted = heard.is_some_and(|(known, _)| known.incarnation != vm.incarnation);
-        let own = vm.vm == self.settings.vm.vm && vm.incarnation != self.settings.vm.incarnation;
-        unlisted || restarted || own
-    }
-
     pub(super) fn advance_mandate(&mut self, event: MandateEvent) -> bool {
         charts().mandate.advance(&mut self.phase, event)
     }
--- a/crates/nickellead_lease/src/coordinator/mod.rs
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -9,6 +9,7 @@
 mod mandate_keeper;
 mod moves;
 mod records;
+mod succession;
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/nickellead_lease/tests/world/mod.rs
+++ b/crates/nickellead_lease/tests/world/mod.rs
@@ -6,23 +6,24 @@
 //! processing time or bandwidth.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+mod carry;
 mod fake_platform;
+mod parts;
 pub mod schedule;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
-use nickellead_api::{
-    DeclaredConfig, DeclaredService, DeclaredTarget, ServiceSpec, TargetSpec, TargetState,
-};
-use nickellead_core::{Incarnation, Name, ShardIndex, TargetKey, Timestamp, Version};
+use nickellead_api::{DeclaredConfig, TargetState};
+use nickellead_core::{Incarnation, ShardIndex, TargetKey};
 use nickellead_lease::{
-    CoordinatorSettings, GrantGuard, LeaseTimes, MandatePhase, RequestTicket, ShardGrant,
-    StandbyVm, TargetOrder, TargetReply, ZoneAction, ZoneCoordinator, ZoneEvent,
+    CoordinatorSettings, GrantGuard, LeaseTimes, MandatePhase, StandbyVm, TargetOrder, TargetReply,
+    ZoneAction, ZoneCoordinator, ZoneEvent,
 };
 
 use fake_platform::FakePlatform;
+use parts::drift_clock;
+pub use parts::{TargetNode, VmNode, declare, name};
 
 /// Shards of the one service.
 pub const SHARDS: u32 = 4;
@@ -31,50 +32,6 @@
 /// Most messages under way; older ones are lost beyond it.
 const MESSAGES_MAX: usize = 200;
 
-/// A clock with a rate of its own.
-#[derive(Clone, Copy, Debug)]
-pub struct DriftClock {
-    offset: u64,
-    rate_ppm: i64,
-}
-
-impl DriftClock {
-    fn read(self, global: u64) -> Timestamp {
-        let drift = global as i64 * self.rate_ppm / 1_000_000;
-        Timestamp((self.offset + global).wrapping_add_signed(drift))
-    }
-}
-
-/// One VM of the zone.
-#[derive(Clone)]
-pub struct VmNode {
-    pub name: Name,
-    pub coordinator: ZoneCoordinator,
-    pub clock: DriftClock,
-    pub paused: bool,
-    pub alive: bool,
-    incarnation: u64,
-}
-
-/// One target of the zone.
-pub struct TargetNode {
-    pub name: Name,
-    pub guard: GrantGuard,
-    pub clock: DriftClock,
-    pub paused: bool,
-    pub alive: bool,
-    incarnation: u64,
-    running: Vec<(ShardGrant, RequestTicket)>,
-}
-
-impl Clone for TargetNode {
-    /// A copy in which no request runs: a ticket stands for one request only.
-    fn clone(&self) -> Self {
-        let guard = self.guard.clone();
-        Self { name: self.name.clone(), guard, running: Vec::new(), ..*self }
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Payload {
     Event(usize, ZoneEvent),
@@ -111,10 +68,6 @@
     last_heard: BTreeMap<usize, u64>,
 }
 
-pub fn name(text: &str) -> Name {
-    Name::new(text).unwrap()
-}
-
 impl World {
     pub fn new(vms: usize, targets: usize) -> Self {
         let mut world = Self {
@@ -408,178 +361,6 @@
         (0..self.vms.len()).for_each(|vm| self.tell_list(vm));
     }
 
-    /// VMs that can reach each other hear each other, as their streams do.
-    fn peers_meet(&mut self) {
-        const PERIOD: u64 = 250;
-        for vm in 0..self.vms.len() {
-            let due = self.last_heard.get(&vm).is_none_or(|last| self.now >= last + PERIOD);
-            if !due || !self.runs(vm) {
-                continue;
-            }
-            self.last_heard.insert(vm, self.now);
-            if self.now % 1_000 < PERIOD {
-                self.tell_list(vm);
-            }
-            for other in 0..self.vms.len() {
-                if other != vm && self.runs(other) && !self.vms_cut(vm, other) {
-                    self.hear(vm, other);
-                }
-            }
-        }
-    }
-
-    fn hear(&mut self, vm: usize, other: usize) {
-        let node = &self.vms[other];
-        let seen = StandbyVm { vm: node.name.clone(), incarnation: Incarnation(node.incarnation) };
-        let leads = node.coordinator.publishes();
-        let term = node.coordinator.term();
-        // VMs ask coordinators; they ask each other only while they know none.
-        let searches = self.vms.len() <= 4 || self.leader().is_none();
-        if searches || self.vms[vm].coordinator.publishes() {
-            self.send(Payload::Peer(other, vm, ZoneEvent::PeerSeen(seen)));
-        }
-        if leads {
-            let standbys = self.vms[other].coordinator.mandate().into_iter();
-            let standbys = standbys.flat_map(|mandate| &mandate.standbys);
-            let mut standbys = standbys;
-            let named = standbys.any(|standby| standby.vm == self.vms[vm].name);
-            let heard = ZoneEvent::CoordinatorHeard(term, named);
-            self.send(Payload::Peer(other, vm, heard));
-        }
-    }
-
-    fn runs(&self, vm: usize) -> bool {
-        self.vms[vm].alive && !self.vms[vm].paused
-    }
-
-    fn vms_cut(&self, one: usize, other: usize) -> bool {
-        self.cut_vms.contains(&(one, other)) || self.cut_vms.contains(&(other, one))
-    }
-
-    fn send(&mut self, payload: Payload) {
-        if self.messages.len() >= MESSAGES_MAX.max(self.vms.len() * 20) {
-            self.messages.remove(0);
-        }
-        self.messages.push(Message { due: self.now + LATENCY, payload });
-    }
-
-    fn deliver_due(&mut self) {
-        let mut rounds = 0;
-        while let Some(place) = self.messages.iter().position(|message| message.due <= self.now + 9)
-        {
-            let message = self.messages.remove(place);
-            self.deliver(message.payload);
-            rounds += 1;
-
-            assert!(rounds < 10_000, "messages never come to rest");
-        }
-    }
-
-    fn deliver(&mut self, payload: Payload) {
-        if let Payload::Event(vm, _) | Payload::Reply(vm, ..) | Payload::Peer(_, vm, _) = &payload
-            && self.vms[*vm].paused
-        {
-            // The bytes wait in its sockets until it goes on.
-            self.messages.push(Message { due: self.now + 50, payload });
-            return;
-        }
-        match payload {
-            Payload::Event(vm, event) => self.give(vm, event),
-            Payload::Peer(from, to, event) => {
-                if !self.vms_cut(from, to) {
-                    self.give(to, event);
-                }
-            }
-            Payload::Order(vm, target, order) => self.deliver_order(vm, target, &order),
-            Payload::Reply(vm, target, reply) => {
-                if !self.cut_targets.contains(&(vm, target)) {
-                    self.give(vm, ZoneEvent::TargetAnswered(reply));
-                }
-            }
-            Payload::Platform(vm, action) => {
-                let reachable = !self.cut_platform.contains(&vm);
-                let answer = self.platform.call(&action, reachable);
-                self.send(Payload::Event(vm, answer));
-            }
-        }
-    }
-
-    fn deliver_order(&mut self, vm: usize, target: usize, order: &TargetOrder) {
-        let node = &mut self.targets[target];
-        if self.cut_targets.contains(&(vm, target)) || !node.alive {
-            let failed = ZoneEvent::TargetFailed(order.target, order.sequence);
-            self.send(Payload::Event(vm, failed));
-            return;
-        }
-        if node.paused {
-            // The bytes wait in its socket until it goes on.
-            let due = self.now + 50;
-            let payload = Payload::Order(vm, target, order.clone());
-            self.messages.push(Message { due, payload });
-            return;
-        }
-        let reply = node.guard.apply(order, node.clock.read(self.now));
-        self.send(Payload::Reply(vm, target, reply));
-    }
-
-    fn give(&mut self, vm: usize, event: ZoneEvent) {
-        if !self.runs(vm) {
-            return;
-        }
-        let node = &mut self.vms[vm];
-        let actions = node.coordinator.handle(event, node.clock.read(self.now));
-        let from = StandbyVm { vm: node.name.clone(), incarnation: Incarnation(node.incarnation) };
-        for action in actions {
-            self.act(vm, &from, action);
-        }
-    }
-
-    fn act(&mut self, vm: usize, from: &StandbyVm, action: ZoneAction) {
-        match action {
-            ZoneAction::SendOrder(order) => {
-                let target = self.target_of(order.target);
-                self.send(Payload::Order(vm, target, order));
-            }
-            ZoneAction::AskRecord(to, batch) => {
-                if let Some(other) = self.vm_of(&to) {
-                    self.send(Payload::Peer(vm, other, ZoneEvent::RecordAsked(batch)));
-                }
-            }
-            ZoneAction::AnswerRecord(answer) => {
-                for other in (0..self.vms.len()).filter(|other| *other != vm) {
-                    let event = ZoneEvent::RecordAnswered(answer.clone());
-                    self.send(Payload::Peer(vm, other, event));
-                }
-            }
-            ZoneAction::AskStepDown(to, term) => {
-                if let Some(other) = self.vm_of(&to) {
-                    self.send(Payload::Peer(vm, other, ZoneEvent::StepDownAsked(term)));
-                }
-            }
-            ZoneAction::AnswerStepDown(term) => {
-                for other in (0..self.vms.len()).filter(|other| *other != vm) {
-                    let holder = self.vms[other].coordinator.former_holder();
-                    if holder.as_ref() == Some(from) {
-                        let event = ZoneEvent::StepDownAnswered(term);
-                        self.send(Payload::Peer(vm, other, event));
-                    }
-                }
-            }
-            ZoneAction::Notify(_) => {}
-            call => self.send(Payload::Platform(vm, call)),
-        }
-    }
-
-    fn target_of(&self, key: TargetKey) -> usize {
-        self.targets.iter().position(|target| TargetKey::from(&target.name) == key).unwrap()
-    }
-
-    fn vm_of(&self, vm: &StandbyVm) -> Option<usize> {
-        let same =
-            |node: &VmNode| node.name == vm.vm && Incarnation(node.incarnation) == vm.incarnation;
-        self.vms.iter().position(same)
-    }
-
     /// What went wrong at the end, for a failing schedule.
     pub fn describe(&self) -> String {
         let mut text = format!("now={} listed={:?}\n", self.now, self.listed);
@@ -601,43 +382,3 @@
         text
     }
 }
-
-fn drift_clock(seed: u64) -> DriftClock {
-    // Rates differ by up to 0.9%, within the bound of 1% that the times assume.
-    let rate_ppm = (seed * 1_237 % 9_000) as i64 - 4_500;
-    DriftClock { offset: seed * 1_000, rate_ppm }
-}
-
-pub fn declare(targets: usize, states: &[(usize, TargetState)]) -> DeclaredConfig {
-    let spec: ServiceSpec = serde_json::from_str(
-        r#"{"zones": ["zone-a"], "shards": 4, "key": {"from": "path", "segment": 2},
-            "operations": [{"name": "book", "method": "POST", "repeat": "once"}]}"#,
-    )
-    .unwrap();
-    let service = DeclaredService { name: name("boards"), version: Version(1), spec };
-    let target = |number: usize| DeclaredTarget {
-        name: name(&format!("target-{number}")),
-        version: Version(1),
-        spec: TargetSpec {
-            service: name("boards"),
-            zone: name("zone-a"),
-            address: "127.0.0.1:1".parse().unwrap(),
-            slots: 4,
-            connections: 130,
-            state: states
-                .iter()
-                .find(|(target, _)| *target == number)
-                .map_or(TargetState::Active, |(_, state)| *state),
-        },
-    };
-    DeclaredConfig {
-        revision: Version(1),
-        services: vec![service],
-        targets: (0..targets).map(target).collect(),
-    }
-}
-
-/// The longest that a lease can matter, for tests that wait it out.
-pub fn full_lease(times: &LeaseTimes) -> Duration {
-    times.lease + times.margin + Duration::from_millis(100)
-}
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -63,6 +63,7 @@
     counter: CallCounter,
     workers: Vec<JoinHandle<()>>,
     coordinator: JoinHandle<()>,
+    timer: TimerService,
 }
 
 /// Starts every duty of one VM.
@@ -139,7 +140,7 @@
         readiness: Arc::clone(&readiness),
         state: Arc::clone(&operators),
     })?;
-    start_ticks(to_coordination.clone())?;
+    let timer = start_ticks(to_coordination.clone())?;
     log_event(EventName::NodeStarted, &[("vm", &settings.vm), ("zone", &settings.zone)]);
     Ok(NodeHandle {
         settings,
@@ -150,6 +151,7 @@
         counter,
         workers,
         coordinator,
+        timer,
     })
 }
 
@@ -180,6 +182,7 @@
         let workers_done = self.workers.into_iter().all(|worker| join_until(worker, end));
         let handed_over = join_until(self.coordinator, end);
         self.operators.stop();
+        self.timer.stop();
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
             ("vm", &self.settings.vm),
             ("requests_finished", &workers_done),
@@ -253,14 +256,12 @@
 }
 
 /// Subscribes the coordination to the timer for as long as its thread lives.
-fn start_ticks(coordination: RingSender<CoordinationMessage>) -> std::io::Result<()> {
+fn start_ticks(coordination: RingSender<CoordinationMessage>) -> std::io::Result<TimerService> {
     let timer = TimerService::start()?;
     let sink = move |_| {
         offer(&coordination, CoordinationMessage::Event(ZoneEvent::Tick));
         !coordination.is_closed()
     };
     timer.subscribe(TICK_PERIOD, Box::new(sink));
-    // The timer's thread ends with the process: its only subscriber does.
-    std::mem::forget(timer);
-    Ok(())
+    Ok(timer)
 }
--- a/crates/nickellead_standin/src/platform.rs
+++ b/crates/nickellead_standin/src/platform.rs
@@ -44,8 +44,6 @@
     store: ObjectStore,
     vms: Vec<ListedVm>,
     faults: PlatformFaults,
-    calls: u64,
-    writes: u64,
 }
 
 /// A running stand-in.
@@ -74,33 +72,11 @@
         Ok(Self { state, _server: Arc::new(server) })
     }
 
-    /// Changes the faults.
-    pub fn set_faults(&self, faults: PlatformFaults) {
-        lock(&self.state).faults = faults;
-    }
-
-    /// Changes the list of VMs.
-    pub fn set_vms(&self, vms: Vec<ListedVm>) {
-        lock(&self.state).vms = vms;
-    }
-
     /// The objects as they are now.
     #[must_use]
     pub fn store(&self) -> ObjectStore {
         lock(&self.state).store.clone()
     }
-
-    /// Calls and writes so far.
-    #[must_use]
-    pub fn calls(&self) -> (u64, u64) {
-        let state = lock(&self.state);
-        (state.calls, state.writes)
-    }
-
-    /// Forgets the history of changes.
-    pub fn compact(&self) {
-        lock(&self.state).store.compact();
-    }
 }
 
 fn lock(state: &Mutex<PlatformState>) -> MutexGuard<'_, PlatformState> {
@@ -119,12 +95,7 @@
         if let ["admin", what] = parts.as_slice() {
             return self.administer(what, &body);
         }
-        let faults = {
-            let mut state = lock(&self.state);
-            state.calls += 1;
-            state.writes += u64::from(request.method() != Method::GET);
-            state.faults
-        };
+        let faults = lock(&self.state).faults;
         if faults.slow_ms > 0 {
             actix_rt::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         }
--- a/crates/nickellead_standin/src/target.rs
+++ b/crates/nickellead_standin/src/target.rs
@@ -13,7 +13,7 @@
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderMap;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use nickellead_core::{Epoch, Incarnation, Name, ShardIndex, TargetKey, Timestamp};
+use nickellead_core::{Epoch, Incarnation, Name, ShardIndex, TargetKey};
 use nickellead_lease::{GrantGuard, RequestTicket, RunRefusal, ShardGrant, TargetOrder};
 use nickellead_proxy::{EPOCH_HEADER, REFUSAL_HEADER, REQUEST_ID_HEADER, SHARD_HEADER};
 use nickellead_time::BootClock;
@@ -96,7 +96,6 @@
 #[derive(Clone, Debug)]
 pub struct StandinTarget {
     guard: Arc<Mutex<GrantGuard>>,
-    frozen: Arc<AtomicBool>,
     lost: Arc<AtomicBool>,
     server: Arc<StandinServer>,
 }
@@ -110,14 +109,12 @@
         let key = TargetKey::from(&settings.name);
         let guard = GrantGuard::new(key, Incarnation(fastrand::u64(1..)));
         let guard = Arc::new(Mutex::new(guard));
-        let frozen = Arc::new(AtomicBool::new(false));
-        let (for_service, for_frozen) = (Arc::clone(&guard), Arc::clone(&frozen));
+        let for_service = Arc::clone(&guard);
         let server = StandinServer::start(settings.address, move || {
             let slots = Rc::new(Semaphore::new(usize::from(settings.slots)));
             let service = Rc::new(TargetService {
                 settings,
                 guard: for_service,
-                frozen: for_frozen,
                 shared,
                 slots,
                 waiting: std::cell::Cell::new(0),
@@ -127,7 +124,7 @@
                 async move { service.answer(request).await }
             }
         })?;
-        Ok(Self { guard, frozen, lost: Arc::default(), server: Arc::new(server) })
+        Ok(Self { guard, lost: Arc::default(), server: Arc::new(server) })
     }
 
     /// Whether it may run requests for a shard now.
@@ -149,12 +146,6 @@
         grants.map(|grant| grant.shard).filter(|shard| guard.owns(*shard, now)).collect()
     }
 
-    /// Until when its session lasts.
-    #[must_use]
-    pub fn lease_until(&self) -> Timestamp {
-        lock(&self.guard).lease_until()
-    }
-
     /// Says that it wants to leave.
     pub fn leave(&self) {
         lock(&self.guard).leave();
@@ -167,11 +158,6 @@
         self.lost.store(true, Ordering::Relaxed);
         self.server.lose();
     }
-
-    /// Answers nothing more, or goes on, as a frozen process does.
-    pub fn freeze(&self, frozen: bool) {
-        self.frozen.store(frozen, Ordering::Relaxed);
-    }
 }
 
 fn lock(guard: &Mutex<GrantGuard>) -> MutexGuard<'_, GrantGuard> {
@@ -181,7 +167,6 @@
 struct TargetService {
     settings: TargetSettings,
     guard: Arc<Mutex<GrantGuard>>,
-    frozen: Arc<AtomicBool>,
     shared: SharedState,
     slots: Rc<Semaphore>,
     waiting: std::cell::Cell<u16>,
@@ -190,7 +175,6 @@
 impl TargetService {
     async fn answer(&self, mut request: Request) -> Response<BoxBody> {
         let body = read_all(&mut request).await;
-        self.thaw().await;
         if request.path() == "/nickellead/order" {
             return match serde_json::from_slice::<TargetOrder>(&body) {
                 Ok(order) => {
@@ -245,7 +229,6 @@
         drop(waiting);
         let _slot = slot.map_err(|_| "busy")?;
         actix_rt::time::sleep(Duration::from_micros(self.settings.service_us)).await;
-        self.thaw().await;
         admitted.check_effect()?;
         Ok(self.effect(path, operation, grant))
     }
@@ -261,12 +244,6 @@
         });
         TargetAnswer { path: path.to_owned(), operation, count }
     }
-
-    async fn thaw(&self) {
-        while self.frozen.load(Ordering::Relaxed) {
-            actix_rt::time::sleep(Duration::from_millis(2)).await;
-        }
-    }
 }
 
 /// A request that the guard admitted; given back also when its connection breaks.
