--- /dev/null
+++ b/examples/charts/01_session_life.rs
@@ -0,0 +1,25 @@
+//! State charts are data: the life of a session, as its file in `assets/charts` says.
+//!
+//! `cargo run --example 01_session_life`
+#![allow(clippy::print_stdout)]
+
+use nickellead_lease::{SessionEvent, charts};
+
+fn main() {
+    let chart = &charts().session;
+    let mut phase = chart.initial();
+    println!("a session begins as {}", phase.as_str());
+    let events = [
+        SessionEvent::Answered,
+        SessionEvent::Synced,
+        SessionEvent::Restarted,
+        SessionEvent::Synced,
+        SessionEvent::Lapsed,
+        SessionEvent::Answered,
+    ];
+    for event in events {
+        let changed = chart.advance(&mut phase, event);
+        let word = if changed { "leads to" } else { "is ignored in" };
+        println!("{} {word} {}", event.as_str(), phase.as_str());
+    }
+}
--- /dev/null
+++ b/examples/routing/01_zone_deltas.rs
@@ -0,0 +1,30 @@
+//! What a VM knows of a zone's owners: deltas in order, never an older version.
+//!
+//! `cargo run --example 01_zone_deltas`
+#![allow(clippy::print_stdout)]
+
+use nickellead_core::prelude::*;
+use nickellead_lease::{RouteChange, ShardOwner, ZoneDelta};
+use nickellead_route::ZoneTable;
+
+fn delta(term: u64, base: Option<u64>, version: u64, epoch: u64) -> ZoneDelta {
+    let owner = ShardOwner::Target { target: TargetKey(7), epoch: Epoch(epoch) };
+    let change = RouteChange { service: ServiceKey(1), shard: ShardIndex(0), owner };
+    ZoneDelta {
+        zone: ZoneKey(1),
+        term: Term(term),
+        base: base.map(Version),
+        version: Version(version),
+        changes: vec![change],
+    }
+}
+
+fn main() {
+    let mut table = ZoneTable::new(ZoneKey(1));
+    println!("the whole table:        {:?}", table.apply(&delta(1, None, 4, 1)));
+    println!("the next change:        {:?}", table.apply(&delta(1, Some(4), 5, 2)));
+    println!("a change after a gap:   {:?}", table.apply(&delta(1, Some(9), 10, 3)));
+    println!("a new coordinator:      {:?}", table.apply(&delta(2, None, 1, 3)));
+    println!("the former coordinator: {:?}", table.apply(&delta(1, Some(5), 6, 9)));
+    println!("known: {:?}", table.known());
+}
