A VM that has just started looks for the platform as soon as a standby would

Cause: since VMs that are no standby wait 2.5 s, so did one that never heard anybody; the auction's example met unknown services for 0.7 s (586 of 2,147). The example also waited a fixed time; it now asks each VM whether it is ready.

--- a/crates/nickellead_lease/src/coordinator/mod.rs
+++ b/crates/nickellead_lease/src/coordinator/mod.rs
@@ -81,7 +81,8 @@
     ended_lives: VecDeque<StandbyVm>,
     listed: Option<BTreeSet<Name>>,
     last_heard: Timestamp,
-    /// Whether the coordinator last heard named this VM as its standby.
+    /// Whether the coordinator last heard named this VM as its standby; a VM that has
+    /// just started looks for itself as soon as a standby would.
     named_standby: bool,
     /// Whether the coordinator was seen to go since it was last heard.
     forsaken: bool,
@@ -126,7 +127,7 @@
             ended_lives: VecDeque::new(),
             listed: None,
             last_heard: now,
-            named_standby: false,
+            named_standby: true,
             forsaken: false,
             stop_wanted: false,
             records: BTreeMap::new(),
--- a/examples/deployments/run.sh
+++ b/examples/deployments/run.sh
@@ -34,9 +34,13 @@
   sleep 0.1
 done
 tail -n 1 "$logs/apply.log"
-sleep 2
 entries=()
 for settings in "$folder"/vms/*.json; do
+  vm=$(sed -n 's/.*"operators_address": "\(.*\)".*/\1/p' "$settings")
+  for _ in $(seq 100); do
+    "$program" get status --vm "$vm" 2>/dev/null | grep -q '"ready": true' && break
+    sleep 0.1
+  done
   entries+=(--entry "$(sed -n 's/.*"callers_address": "\(.*\)".*/\1/p' "$settings")")
 done
 while read -r service operation method; do
