--- a/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
+++ b/crates/nickellead_lease/src/coordinator/mandate_keeper.rs
@@ -297,37 +297,39 @@
             self.advance_mandate(MandateEvent::StopAsked);
             return;
         }
-        if self.watch.call.is_some() || now < self.watch.next_due {
-            return;
-        }
-        if self.watch.unsure.is_some() {
-            self.settle_write(now);
+        if now < self.watch.next_due {
             return;
         }
-        let Some(mut object) = self.watch.object.clone() else {
+        let Some(mut object) = self.next_mandate(now) else {
             return;
         };
-        object.renewal += 1;
         if self.is_clean() {
             object.standbys = self.choose_standbys(now);
         }
         self.write_mandate(object, now);
     }
 
+    /// Writes as the last act that this VM coordinates no more; no order follows it.
     fn give_up_mandate(&mut self, now: Timestamp) {
-        if self.watch.call.is_some() {
+        let Some(mut object) = self.next_mandate(now) else {
             return;
+        };
+        object.stopped = true;
+        self.write_mandate(object, now);
+    }
+
+    /// The mandate to write next; `None` while an earlier write is under way or unsure.
+    fn next_mandate(&mut self, now: Timestamp) -> Option<MandateObject> {
+        if self.watch.call.is_some() {
+            return None;
         }
         if self.watch.unsure.is_some() {
             self.settle_write(now);
-            return;
+            return None;
         }
-        let Some(mut object) = self.watch.object.clone() else {
-            return;
-        };
+        let mut object = self.watch.object.clone()?;
         object.renewal += 1;
-        object.stopped = true;
-        self.write_mandate(object, now);
+        Some(object)
     }
 
     /// Whether the platform's placements say all that this coordinator decided.
