Read once more: one answer to who may take the mandate

may_take built the same four-field answer in four places; it now names the two cases, no former holder and a silent one, and derives the rest.

--- a/crates/nickellead_lease/src/coordinator/succession.rs
+++ b/crates/nickellead_lease/src/coordinator/succession.rs
@@ -16,20 +16,15 @@
         if self.config.is_none() || !self.is_listed(&self.settings.vm.vm) {
             return None;
         }
-        let Some(object) = &self.watch.object else {
+        let former = self.watch.object.as_ref().filter(|object| !object.stopped);
+        let Some(object) = former else {
+            // There was none, or it gave the mandate up as its last act.
             return Some(Predecessor {
                 stopped_at: Some(now),
                 records_known: true,
                 ..Predecessor::default()
             });
         };
-        if object.stopped {
-            return Some(Predecessor {
-                stopped_at: Some(now),
-                records_known: true,
-                ..Predecessor::default()
-            });
-        }
         let times = &self.settings.times;
         let still = now.since(self.watch.since) >= times.standstill;
         let silent = now.since(self.last_heard) >= times.standstill;
@@ -37,21 +32,12 @@
             return None;
         }
         let gone = self.is_gone(&object.holder);
-        let stopped_at = gone.then_some(now);
-        let holder = Some(object.holder.clone());
-        if object.standbys.contains(&self.settings.vm) {
-            return Some(Predecessor {
-                stopped_at,
-                records_known: true,
-                holder,
-                ..Predecessor::default()
-            });
-        }
+        let records_known = object.standbys.contains(&self.settings.vm);
         let all_gone = gone && object.standbys.iter().all(|standby| self.is_gone(standby));
-        all_gone.then(|| Predecessor {
-            stopped_at,
-            records_known: false,
-            holder,
+        (records_known || all_gone).then(|| Predecessor {
+            stopped_at: gone.then_some(now),
+            records_known,
+            holder: Some(object.holder.clone()),
             ..Predecessor::default()
         })
     }
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -1,5 +1,7 @@
 //! Looking after the sessions with the zone's targets.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use nickellead_api::{DeclaredConfig, TargetState};
 use nickellead_core::{TargetKey, Timestamp};
 
@@ -84,8 +86,7 @@
                 changed.push(grant.shard);
             }
         }
-        let mut holds: std::collections::BTreeMap<_, _> = std::collections::BTreeMap::new();
-        holds.extend(held.iter().map(|grant| (grant.shard, grant.epoch)));
+        let holds: BTreeMap<_, _> = held.iter().map(|grant| (grant.shard, grant.epoch)).collect();
         let owned = placement.select(|record| record.owner == Some(target));
         for shard in owned {
             let Some(record) = placement.get_mut(shard) else {
@@ -276,7 +277,7 @@
     /// Forgets targets that are declared no more and hold nothing.
     pub(super) fn retire_undeclared(&mut self, config: &DeclaredConfig) {
         let zone = &self.settings.zone;
-        let declared: std::collections::BTreeSet<TargetKey> =
+        let declared: BTreeSet<TargetKey> =
             config.targets_in(zone).map(|target| TargetKey::from(&target.name)).collect();
         for session in self.sessions.values_mut() {
             if !declared.contains(&session.key) {
