--- /dev/null
+++ b/crates/nickellead_balance/src/choose.rs
@@ -0,0 +1,56 @@
+//! The choice among candidates.
+
+use nickellead_core::Timestamp;
+
+use crate::TargetScore;
+
+/// One member that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What this VM has learned about it.
+    pub score: &'a TargetScore,
+    /// Requests it runs side by side.
+    pub slots: u32,
+    /// Whether it is in this VM's availability zone.
+    pub near: bool,
+    /// Whether it started a moment ago and is still slow.
+    pub cold: bool,
+}
+
+/// Members compared for one request.
+///
+/// More would send all VMs to the same best member at the same time.
+const DRAWN: usize = 3;
+/// A target elsewhere must be better by this factor: bytes between zones cost.
+const FAR_FACTOR: f64 = 1.15;
+/// A cold target takes about this many times as long.
+const COLD_FACTOR: f64 = 2.0;
+
+/// Chooses one of the candidates; `None` when there are none.
+///
+/// Members that are left out for their failures are used only when at least
+/// half of all are left out: then the fault is probably elsewhere.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    now: Timestamp,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let sound: Vec<usize> =
+        (0..candidates.len()).filter(|place| !candidates[*place].score.is_ejected(now)).collect();
+    let pool: Vec<usize> =
+        if sound.len() * 2 >= candidates.len() { sound } else { (0..candidates.len()).collect() };
+    let draws = DRAWN.min(pool.len());
+    let drawn = (0..draws).map(|_| pool[rng.usize(..pool.len())]);
+    drawn.min_by(|a, b| cost(&candidates[*a]).total_cmp(&cost(&candidates[*b])))
+}
+
+fn cost(candidate: &Candidate<'_>) -> f64 {
+    let mut cost = candidate.score.cost(candidate.slots);
+    if !candidate.near {
+        cost *= FAR_FACTOR;
+    }
+    if candidate.cold {
+        cost *= COLD_FACTOR;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/nickellead_balance/src/lib.rs
@@ -0,0 +1,11 @@
+//! Choosing a target among members that are unequal, changing, cold, failing or lying.
+//!
+//! A [`TargetScore`] learns from the outcomes of this VM's own requests; traffic
+//! itself is the probe. [`choose`] compares a few members drawn at random and
+//! takes the one that promises the shortest answer.
+
+mod choose;
+mod score;
+
+pub use choose::{Candidate, choose};
+pub use score::{TargetOutcome, TargetScore};
--- /dev/null
+++ b/crates/nickellead_balance/src/score.rs
@@ -0,0 +1,125 @@
+//! What one VM has learned about one target.
+
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
+
+/// How a try at a target ended, as far as balancing is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetOutcome {
+    /// A whole answer, after this long.
+    Answered(Duration),
+    /// An answer that reports a failure of the target.
+    Failed,
+    /// The target shed the request before running it.
+    Shed,
+    /// No connection, a broken one, or no answer in time.
+    Broken,
+    /// The caller left; this long had passed.
+    Abandoned(Duration),
+}
+
+/// Learned figures of one target.
+#[derive(Clone, Debug)]
+pub struct TargetScore {
+    /// Requests of this VM under way at the target.
+    pub running: u32,
+    latency_ms: f64,
+    trouble: f64,
+    answers: u32,
+    ejected_until: Timestamp,
+    ejections: u32,
+}
+
+/// Weight of a new latency in the moving average: about the last five answers count.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Weight of a new outcome in the share of troubled requests.
+const TROUBLE_WEIGHT: f64 = 0.15;
+/// Share of troubled requests from which a target is left out for a while.
+const EJECT_SHARE: f64 = 0.4;
+/// Outcomes needed before a target may be left out.
+const EJECT_LEAST: u32 = 4;
+/// First time that a target is left out; doubles with each further time.
+const EJECT_FIRST: Duration = Duration::from_millis(700);
+/// Most doublings of [`EJECT_FIRST`].
+const EJECT_DOUBLINGS: u32 = 2;
+/// How much a fully troubled target seems slower than it is.
+const TROUBLE_PENALTY: f64 = 8.0;
+
+impl TargetScore {
+    /// A target of which nothing is known but what its service usually takes.
+    #[must_use]
+    pub fn new(usual: Duration) -> Self {
+        Self {
+            running: 0,
+            latency_ms: usual.as_secs_f64() * 1_000.0,
+            trouble: 0.0,
+            answers: 0,
+            ejected_until: Timestamp::ZERO,
+            ejections: 0,
+        }
+    }
+
+    /// Takes in the outcome of one try.
+    pub fn note(&mut self, outcome: TargetOutcome, now: Timestamp) {
+        self.answers = self.answers.saturating_add(1);
+        match outcome {
+            TargetOutcome::Answered(length) => {
+                self.note_latency(length);
+                self.note_trouble(0.0, now);
+            }
+            TargetOutcome::Abandoned(length) => {
+                // The answer would have taken longer than this.
+                if length.as_secs_f64() * 1_000.0 > self.latency_ms {
+                    self.note_latency(length);
+                }
+            }
+            TargetOutcome::Shed => self.note_trouble(0.6, now),
+            TargetOutcome::Failed | TargetOutcome::Broken => self.note_trouble(1.0, now),
+        }
+    }
+
+    fn note_latency(&mut self, length: Duration) {
+        let millis = length.as_secs_f64() * 1_000.0;
+        self.latency_ms += (millis - self.latency_ms) * LATENCY_WEIGHT;
+    }
+
+    fn note_trouble(&mut self, trouble: f64, now: Timestamp) {
+        self.trouble += (trouble - self.trouble) * TROUBLE_WEIGHT;
+        if trouble == 0.0 {
+            if self.trouble < EJECT_SHARE / 4.0 {
+                self.ejections = 0;
+            }
+        } else if self.trouble > EJECT_SHARE && self.answers >= EJECT_LEAST {
+            self.ejected_until = now + EJECT_FIRST * (1 << self.ejections.min(EJECT_DOUBLINGS));
+            self.ejections += 1;
+            // On its return one good answer counts more than the past.
+            self.trouble = EJECT_SHARE * 0.8;
+        }
+    }
+
+    /// Whether the target is left out for now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.ejected_until
+    }
+
+    /// The usual time of an answer, in milliseconds.
+    #[must_use]
+    pub fn latency_ms(&self) -> f64 {
+        self.latency_ms
+    }
+
+    /// Share of troubled requests, from 0 to 1.
+    #[must_use]
+    pub fn trouble(&self) -> f64 {
+        self.trouble
+    }
+
+    /// Expected cost of one more request, in milliseconds.
+    #[must_use]
+    pub fn cost(&self, slots: u32) -> f64 {
+        let queued = f64::from(self.running) / f64::from(slots.max(1));
+        self.latency_ms * (1.0 + queued) * (1.0 + TROUBLE_PENALTY * self.trouble)
+    }
+}
--- a/crates/nickellead_run/src/event_log.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -39,6 +39,30 @@
     OwnersCommitted,
     /// New declarations arrived.
     ConfigInForce,
+    /// A request ended without a target's answer.
+    RequestFailed,
+    /// A request was tried once more.
+    RequestRetried,
+    /// A target was listed, changed its state or is gone.
+    TargetChanged,
+    /// A target's failures led to its being left out for a while.
+    TargetEjected,
+    /// The store stopped answering.
+    StoreLost,
+    /// The store answers again.
+    StoreRegained,
+    /// This VM gave the mandate up or lost it.
+    MandateLost,
+    /// The map of ranges was written.
+    RangesWritten,
+    /// A range goes to another owner.
+    RangeMoved,
+    /// An order to a target was refused or not answered.
+    OrderFailed,
+    /// The settings file was read again.
+    SettingsReloaded,
+    /// The settings file can't be used; the old settings stay in force.
+    SettingsRejected,
 }
 
 impl EventName {
@@ -62,6 +86,18 @@
             Self::MovesStarted => "moves-started",
             Self::OwnersCommitted => "owners-committed",
             Self::ConfigInForce => "config-in-force",
+            Self::RequestFailed => "request-failed",
+            Self::RequestRetried => "request-retried",
+            Self::TargetChanged => "target-changed",
+            Self::TargetEjected => "target-ejected",
+            Self::StoreLost => "store-lost",
+            Self::StoreRegained => "store-regained",
+            Self::MandateLost => "mandate-lost",
+            Self::RangesWritten => "ranges-written",
+            Self::RangeMoved => "range-moved",
+            Self::OrderFailed => "order-failed",
+            Self::SettingsReloaded => "settings-reloaded",
+            Self::SettingsRejected => "settings-rejected",
         }
     }
 
@@ -70,7 +106,10 @@
             Self::CoordinatorSuperseded
             | Self::CoordinatorDetached
             | Self::TargetRestarted
-            | Self::TargetLost => Level::Warn,
+            | Self::TargetLost
+            | Self::StoreLost
+            | Self::MandateLost
+            | Self::SettingsRejected => Level::Warn,
             _ => Level::Info,
         }
     }
--- /dev/null
+++ b/crates/nickellead_gateway/src/beliefs.rs
@@ -0,0 +1,32 @@
+//! What the control duty tells the request duty.
+
+use std::sync::Arc;
+
+use nickellead_range::RangeMap;
+use tokio::sync::watch;
+
+use crate::{Declarations, TargetList};
+
+/// Sending ends; each value replaces the one before it.
+pub(crate) struct BeliefSenders {
+    pub(crate) declarations: watch::Sender<Option<Arc<Declarations>>>,
+    pub(crate) targets: watch::Sender<Arc<TargetList>>,
+    pub(crate) ranges: watch::Sender<Arc<RangeMap>>,
+}
+
+/// Receiving ends.
+#[derive(Clone)]
+pub(crate) struct BeliefReceivers {
+    pub(crate) declarations: watch::Receiver<Option<Arc<Declarations>>>,
+    pub(crate) targets: watch::Receiver<Arc<TargetList>>,
+    pub(crate) ranges: watch::Receiver<Arc<RangeMap>>,
+}
+
+/// Joins the two duties.
+pub(crate) fn join_beliefs() -> (BeliefSenders, BeliefReceivers) {
+    let (declarations, declared) = watch::channel(None);
+    let (targets, listed) = watch::channel(Arc::default());
+    let (ranges, ranged) = watch::channel(Arc::default());
+    let senders = BeliefSenders { declarations, targets, ranges };
+    (senders, BeliefReceivers { declarations: declared, targets: listed, ranges: ranged })
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -0,0 +1,128 @@
+//! Connections to one target: few are opened, and they are used again while sound.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// Sends requests over one connection.
+pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+/// How long a connection may rest when the target does not say.
+///
+/// Targets close idle ones after about ten seconds.
+const REST_MAX: Duration = Duration::from_secs(6);
+/// A connection is not used again this long before the target closes it.
+const REST_MARGIN: Duration = Duration::from_millis(1_200);
+/// Longest time to open a connection: a lost opening packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// The system gives a connection up when the peer is silent for this long.
+const SILENCE_MAX: Duration = Duration::from_secs(3);
+
+/// A connection that is ready for a request.
+pub(crate) struct ReadyConnection {
+    pub(crate) sender: RequestSender,
+    /// Whether it has carried a request before.
+    pub(crate) reused: bool,
+}
+
+struct RestingConnection {
+    sender: RequestSender,
+    since: Instant,
+    rest: Duration,
+}
+
+/// The connections of this VM to one target.
+#[derive(Default)]
+pub(crate) struct ConnectionPool {
+    resting: RefCell<Vec<RestingConnection>>,
+    opened: Cell<u64>,
+}
+
+/// Why no connection could be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    /// The target's machine refused it, or the network has no way there.
+    Refused,
+    /// Nothing answered in time.
+    Silent,
+}
+
+impl ConnectFailure {
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "connection-refused",
+            Self::Silent => "connection-silent",
+        }
+    }
+}
+
+impl ConnectionPool {
+    /// The freshest resting connection, or a new one.
+    pub(crate) async fn take(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> Result<ReadyConnection, ConnectFailure> {
+        if let Some(sender) = self.take_resting() {
+            return Ok(ReadyConnection { sender, reused: true });
+        }
+        self.opened.set(self.opened.get() + 1);
+        let opening = tokio::time::timeout(wait.min(CONNECT_TIMEOUT), open(address));
+        match opening.await {
+            Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
+            Ok(Err(_)) => Err(ConnectFailure::Refused),
+            Err(_) => Err(ConnectFailure::Silent),
+        }
+    }
+
+    fn take_resting(&self) -> Option<RequestSender> {
+        let mut resting = self.resting.borrow_mut();
+        resting.retain(|one| one.since.elapsed() < one.rest && !one.sender.is_closed());
+        // The freshest are at the end; one whose last answer was just read may not be ready yet.
+        let place = resting.iter().rposition(|one| one.sender.is_ready())?;
+        Some(resting.remove(place).sender)
+    }
+
+    /// Puts a connection back whose answer is complete.
+    ///
+    /// `rest` is how long the target keeps an idle connection, if it says so.
+    pub(crate) fn put(&self, sender: RequestSender, rest: Option<Duration>) {
+        let rest = rest.map_or(REST_MAX, |rest| rest.saturating_sub(REST_MARGIN).min(REST_MAX));
+        self.resting.borrow_mut().push(RestingConnection { sender, since: Instant::now(), rest });
+    }
+
+    /// Connections opened so far.
+    pub(crate) fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Closes what rests.
+    pub(crate) fn clear(&self) {
+        self.resting.borrow_mut().clear();
+    }
+}
+
+async fn open(address: SocketAddr) -> std::io::Result<RequestSender> {
+    let stream = TcpStream::connect(address).await?;
+    // Both options only shorten waits; without them the connection works too.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_MAX));
+    let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+    actix_rt::spawn(async move {
+        // Its requests learn of an error; an idle connection just ends.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Shared by the requests to one target.
+pub(crate) type SharedPool = Rc<ConnectionPool>;
--- /dev/null
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -0,0 +1,196 @@
+//! One try of one request at one target.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::HeaderNames;
+use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+
+/// Largest body of an answer, in bytes: it is read whole before the caller gets any of it.
+const ANSWER_MAX: usize = 16 * 1024 * 1024;
+
+/// A request as it is sent, without what differs between tries.
+pub(crate) struct OutgoingRequest {
+    pub(crate) method: http::Method,
+    pub(crate) path_and_query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: HeaderValue,
+}
+
+/// Where and until when a try is made.
+pub(crate) struct TryPlan<'a> {
+    pub(crate) target_id: &'a str,
+    pub(crate) address: SocketAddr,
+    pub(crate) pool: &'a SharedPool,
+    /// When the try is given up.
+    pub(crate) until: Instant,
+}
+
+/// A whole answer of a target.
+#[derive(Debug)]
+pub(crate) struct TargetAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub(crate) enum TryResult {
+    /// A whole answer that belongs to the request.
+    Answered(TargetAnswer),
+    /// The target says it did not run the request.
+    Shed,
+    /// The target is another than the asked one, or does not own the key; it did not run it.
+    Misdirected,
+    /// Nothing was sent: no connection, or it had ended before.
+    NotSent(ConnectFailure),
+    /// It was sent, and what came back is no answer to it, or nothing came.
+    Lost(LossReason),
+}
+
+/// Why the outcome of a try is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LossReason {
+    /// No whole answer in time.
+    Late,
+    /// The connection broke or ended.
+    Broken,
+    /// An answer came that belongs to another request or bears no mark of a target.
+    Foreign,
+}
+
+impl LossReason {
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
+/// Sends a request to one target and reads the whole answer.
+pub(crate) async fn try_target(
+    names: &HeaderNames,
+    outgoing: &OutgoingRequest,
+    plan: &TryPlan<'_>,
+) -> TryResult {
+    let left = |until: Instant| until.saturating_duration_since(Instant::now());
+    let mut connection = match plan.pool.take(plan.address, left(plan.until)).await {
+        Ok(connection) => connection,
+        Err(failure) => return TryResult::NotSent(failure),
+    };
+    loop {
+        let request = build_request(names, outgoing, plan, left(plan.until));
+        let sending = connection.sender.try_send_request(request);
+        let sent = tokio::time::timeout(left(plan.until), sending).await;
+        match sent {
+            Err(_) => return TryResult::Lost(LossReason::Late),
+            Ok(Ok(response)) => {
+                return read_answer(names, outgoing, plan, connection, response).await;
+            }
+            Ok(Err(mut error)) => {
+                if error.take_message().is_none() {
+                    return TryResult::Lost(LossReason::Broken);
+                }
+                // The connection had ended before a byte left: take another.
+                if !connection.reused {
+                    return TryResult::NotSent(ConnectFailure::Refused);
+                }
+                connection = match plan.pool.take(plan.address, left(plan.until)).await {
+                    Ok(connection) => connection,
+                    Err(failure) => return TryResult::NotSent(failure),
+                };
+            }
+        }
+    }
+}
+
+fn build_request(
+    names: &HeaderNames,
+    outgoing: &OutgoingRequest,
+    plan: &TryPlan<'_>,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    // The caller's path was parsed once already; a path that can't be built is sent as the root
+    // and refused by the target, which never happens for a path that passed the first parser.
+    if let Ok(uri) = outgoing.path_and_query.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    *headers = outgoing.headers.clone();
+    let deadline = HeaderValue::from(left.as_millis() as u64);
+    headers.insert(HeaderName::from_static(names.deadline_ms), deadline);
+    if let Ok(id) = HeaderValue::from_str(plan.target_id) {
+        headers.insert(HeaderName::from_static(names.expected_target), id);
+    }
+    request
+}
+
+async fn read_answer(
+    names: &HeaderNames,
+    outgoing: &OutgoingRequest,
+    plan: &TryPlan<'_>,
+    connection: ReadyConnection,
+    response: Response<Incoming>,
+) -> TryResult {
+    let (head, body) = response.into_parts();
+    let owned = head.headers.get(names.request_id) == Some(&outgoing.request_id);
+    let shed = head.headers.contains_key(names.not_run);
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if !owned && !shed && !misdirected {
+        return TryResult::Lost(LossReason::Foreign);
+    }
+    let left = plan.until.saturating_duration_since(Instant::now());
+    let collected = tokio::time::timeout(left, Limited::new(body, ANSWER_MAX).collect()).await;
+    let body = match collected {
+        Err(_) => return unless_refused(shed, misdirected, LossReason::Late),
+        Ok(Err(_)) => return unless_refused(shed, misdirected, LossReason::Broken),
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    put_back(plan.pool, connection, &head.headers);
+    if misdirected {
+        return TryResult::Misdirected;
+    }
+    if shed {
+        return TryResult::Shed;
+    }
+    if head.status.is_success() && !head.headers.contains_key(names.target_proof) {
+        return TryResult::Lost(LossReason::Foreign);
+    }
+    TryResult::Answered(TargetAnswer { status: head.status, headers: head.headers, body })
+}
+
+/// A refusal stands even when its body is cut.
+fn unless_refused(shed: bool, misdirected: bool, reason: LossReason) -> TryResult {
+    match (misdirected, shed) {
+        (true, _) => TryResult::Misdirected,
+        (false, true) => TryResult::Shed,
+        (false, false) => TryResult::Lost(reason),
+    }
+}
+
+fn put_back(pool: &SharedPool, connection: ReadyConnection, headers: &HeaderMap) {
+    let closes = headers.get(http::header::CONNECTION).is_some_and(|value| {
+        value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
+    });
+    if !closes {
+        pool.put(connection.sender, kept_for(headers));
+    }
+}
+
+/// How long the target keeps an idle connection, from its `Keep-Alive` header.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -0,0 +1,149 @@
+//! Reading a caller's request: route, key, deadline, headers, body.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::{HttpMessage, Payload, Request};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use nickellead_core::ErrorKind;
+use nickellead_proxy::is_connection_header;
+
+use crate::exchange::OutgoingRequest;
+use crate::route_table::{RouteEntry, RouteTable};
+use crate::{CallerLimits, HeaderNames};
+
+/// A request that has a route.
+pub(crate) struct PlannedRequest {
+    pub(crate) route: Rc<RouteEntry>,
+    pub(crate) outgoing: OutgoingRequest,
+    /// The caller's key, if it names one.
+    pub(crate) key: Option<u16>,
+    pub(crate) arrived: Instant,
+    /// When the caller, or the route, stops waiting.
+    pub(crate) until: Instant,
+}
+
+impl PlannedRequest {
+    /// Time until nobody waits any more.
+    pub(crate) fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Reads a whole request.
+pub(crate) async fn plan_request(
+    mut request: Request,
+    names: &HeaderNames,
+    limits: CallerLimits,
+    table: &RouteTable,
+) -> Result<PlannedRequest, ErrorKind> {
+    let arrived = Instant::now();
+    check_head(&request, limits)?;
+    let host = read_host(&request)?;
+    let route = table.find(&host, request.path()).ok_or(ErrorKind::UnknownRoute)?;
+    let headers = passed_headers(&request, names, &host)?;
+    let id = HeaderName::from_static(names.request_id);
+    let request_id = headers.get(&id).cloned().ok_or(ErrorKind::RequestMalformed)?;
+    let deadline = number(&headers, names.deadline_ms)?.map(Duration::from_millis);
+    let until = arrived + deadline.unwrap_or(route.rule.timeout).min(route.rule.timeout);
+    let key = match number(&headers, names.shard_key)? {
+        Some(key) => Some(u16::try_from(key).map_err(|_| ErrorKind::RequestMalformed)?),
+        None => None,
+    };
+    let method = http::Method::from_bytes(request.method().as_str().as_bytes())
+        .map_err(|_| ErrorKind::RequestMalformed)?;
+    let path_and_query =
+        request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
+    let body = match request.take_payload() {
+        Payload::None => Bytes::new(),
+        payload => {
+            let left = until.saturating_duration_since(Instant::now());
+            let reading = tokio::time::timeout(left, read_body(payload, limits.body_bytes)).await;
+            reading.unwrap_or(Err(ErrorKind::BodyTruncated))?
+        }
+    };
+    let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
+    Ok(PlannedRequest { route, outgoing, key, arrived, until })
+}
+
+fn check_head(request: &Request, limits: CallerLimits) -> Result<(), ErrorKind> {
+    let headers = request.headers();
+    let size: usize =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if size + request.uri().path().len() > limits.header_bytes {
+        return Err(ErrorKind::HeadTooLarge);
+    }
+    let length = headers.get("content-length").and_then(|value| value.to_str().ok());
+    let length = length.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
+    if length > limits.body_bytes as u64 {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    Ok(())
+}
+
+/// The host that the caller names, without its port.
+fn read_host(request: &Request) -> Result<String, ErrorKind> {
+    let header = request.headers().get("host").and_then(|value| value.to_str().ok());
+    let host = request.uri().host().or(header).ok_or(ErrorKind::RequestMalformed)?;
+    Ok(host.split(':').next().unwrap_or_default().to_owned())
+}
+
+/// The headers that go on to a target.
+fn passed_headers(
+    request: &Request,
+    names: &HeaderNames,
+    host: &str,
+) -> Result<HeaderMap, ErrorKind> {
+    let listed = connection_tokens(request);
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers() {
+        let name = name.as_str();
+        let own = name == names.expected_target;
+        if is_connection_header(name) || own || listed.iter().any(|token| token == name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(ErrorKind::RequestMalformed);
+        };
+        headers.append(name, value);
+    }
+    let value = request.headers().get("host").map_or(host.as_bytes(), |value| value.as_bytes());
+    let value = HeaderValue::from_bytes(value).map_err(|_| ErrorKind::RequestMalformed)?;
+    headers.insert(http::header::HOST, value);
+    Ok(headers)
+}
+
+/// Headers that the caller's `Connection` header keeps to this connection.
+fn connection_tokens(request: &Request) -> Vec<String> {
+    let values = request.headers().get_all("connection");
+    let values = values.filter_map(|value| value.to_str().ok());
+    values
+        .flat_map(|value| value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect()
+}
+
+/// A header's value as a number; `None` when the header is absent.
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, ErrorKind> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|value| value.trim().parse().ok());
+    number.map(Some).ok_or(ErrorKind::RequestMalformed)
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ErrorKind> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = payload.next().await {
+        let piece = piece.map_err(|_| ErrorKind::BodyTruncated)?;
+        if body.len() + piece.len() > limit {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -0,0 +1,39 @@
+//! The gateway of one VM: routes by host and path, targets chosen or owned, and the control duty.
+//!
+//! [`start_gateway`] builds two duties, each on its own thread. The request
+//! duty answers callers from what it believes. The control duty follows the
+//! platform's store, tells the request duty what changed and, on the VM that
+//! holds the mandate, sees to it that every range of keys has one owner. They
+//! are joined by watched values of which only the newest counts.
+//!
+//! Whatever the platform calls these things is translated behind the traits
+//! of the `port` module.
+
+mod beliefs;
+mod connections;
+mod control;
+mod declared;
+mod exchange;
+mod follow;
+mod incoming;
+mod key_count;
+mod mandate;
+mod metrics;
+mod node;
+mod port;
+mod requests;
+mod retry_share;
+mod roster;
+mod route_table;
+mod settings;
+mod store_health;
+mod targets;
+mod worker;
+
+pub use declared::{CallerLimits, Declarations, RepeatClass, RoutePart, RouteRule, ServiceRule};
+pub use node::{GatewayError, GatewayHandle, start_gateway};
+pub use port::{
+    HeaderNames, MandateRecord, OrderPort, Revision, Snapshot, StoreError, StorePort, Stored,
+};
+pub use settings::{GatewaySettings, OwnershipSettings};
+pub use targets::{TargetChange, TargetEntry, TargetList, TargetState};
--- /dev/null
+++ b/crates/nickellead_gateway/src/mandate.rs
@@ -0,0 +1,162 @@
+//! The mandate: which VM decides about ranges.
+//!
+//! One object in the store names the holder, who renews it. The holder counts
+//! its mandate from before the write that renewed it was sent; everybody else
+//! counts from when they first saw the object as it is. So the holder's count
+//! always ends before another VM may take the mandate.
+
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
+
+use crate::{MandateRecord, Revision, StoreError, Stored};
+
+/// How long a mandate is valid after the write that renewed it was sent.
+pub(crate) const MANDATE_TIME: Duration = Duration::from_millis(2_200);
+/// Between two renewals.
+pub(crate) const MANDATE_RENEWAL: Duration = Duration::from_millis(700);
+/// Clocks may differ in rate; waited beyond the mandate's time by those who want it.
+pub(crate) const MANDATE_MARGIN: Duration = Duration::from_millis(100);
+/// Between two looks of a VM that does not hold it.
+pub(crate) const MANDATE_LOOK: Duration = Duration::from_millis(500);
+/// How long a VM whose mandate ran out may renew what stands, as long as it saw no successor.
+///
+/// The store's longest outage played is about nine seconds.
+pub(crate) const RENEWAL_GRACE: Duration = Duration::from_millis(7_000);
+
+/// What a VM may send to targets now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MandatePower {
+    /// Nothing.
+    None,
+    /// Renewals of what stands.
+    RenewalsOnly,
+    /// Everything.
+    Full,
+}
+
+/// One VM's part in holding the mandate.
+#[derive(Clone, Debug)]
+pub(crate) struct MandateState {
+    vm: String,
+    incarnation: u64,
+    /// The object as last seen, and when it was first seen so.
+    seen: Option<(Stored<MandateRecord>, Timestamp)>,
+    /// Whether the object was looked for and is absent.
+    absent: bool,
+    held: bool,
+    valid_until: Timestamp,
+}
+
+/// A write that would take or renew the mandate.
+#[derive(Clone, Debug)]
+pub(crate) struct MandateWrite {
+    pub(crate) expected: Option<Revision>,
+    pub(crate) record: MandateRecord,
+}
+
+impl MandateState {
+    pub(crate) fn new(vm: String, incarnation: u64) -> Self {
+        Self {
+            vm,
+            incarnation,
+            seen: None,
+            absent: false,
+            held: false,
+            valid_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Whether this VM took the mandate and has seen no other holder since.
+    pub(crate) fn is_held(&self) -> bool {
+        self.held
+    }
+
+    /// What this VM may send at this moment.
+    pub(crate) fn power(&self, now: Timestamp) -> MandatePower {
+        if !self.held {
+            MandatePower::None
+        } else if now < self.valid_until {
+            MandatePower::Full
+        } else if now < self.valid_until + RENEWAL_GRACE {
+            MandatePower::RenewalsOnly
+        } else {
+            MandatePower::None
+        }
+    }
+
+    /// Takes in the object as read; tells whether the mandate was lost by it.
+    pub(crate) fn note_read(
+        &mut self,
+        read: Option<Stored<MandateRecord>>,
+        now: Timestamp,
+    ) -> bool {
+        let Some(read) = read else {
+            self.absent = self.seen.is_none();
+            return false;
+        };
+        self.absent = false;
+        let newer = self.seen.as_ref().is_none_or(|(known, _)| read.revision > known.revision);
+        if !newer {
+            return false;
+        }
+        let mine = self.is_mine(&read.value);
+        self.seen = Some((read, now));
+        if mine || !self.held {
+            return false;
+        }
+        self.held = false;
+        true
+    }
+
+    fn is_mine(&self, record: &MandateRecord) -> bool {
+        record.vm == self.vm && record.incarnation == self.incarnation && !record.vacant
+    }
+
+    /// The write that is due for a VM that holds the mandate, or may take it.
+    pub(crate) fn due_write(&self, now: Timestamp) -> Option<MandateWrite> {
+        let record = |renewals| MandateRecord {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            renewals,
+            vacant: false,
+        };
+        let Some((seen, since)) = &self.seen else {
+            return self.absent.then(|| MandateWrite { expected: None, record: record(1) });
+        };
+        let write =
+            MandateWrite { expected: Some(seen.revision), record: record(seen.value.renewals + 1) };
+        // A process of the same VM with another incarnation has ended before this one started.
+        let own = seen.value.vm == self.vm;
+        let stood = now.since(*since) >= MANDATE_TIME + MANDATE_MARGIN;
+        (self.held || seen.value.vacant || own || stood).then_some(write)
+    }
+
+    /// The write that gives the mandate back.
+    pub(crate) fn vacating_write(&mut self) -> Option<MandateWrite> {
+        if !self.held {
+            return None;
+        }
+        self.held = false;
+        let (seen, _) = self.seen.as_ref()?;
+        let record = MandateRecord { vacant: true, ..seen.value.clone() };
+        Some(MandateWrite { expected: Some(seen.revision), record })
+    }
+
+    /// Takes in the answer to a write sent at `sent`; tells whether the mandate was just taken.
+    pub(crate) fn note_written(
+        &mut self,
+        write: &MandateWrite,
+        answer: &Result<Revision, StoreError>,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let Ok(revision) = answer else {
+            return false;
+        };
+        let stored = Stored { revision: *revision, value: write.record.clone() };
+        self.seen = Some((stored, now));
+        self.valid_until = sent + MANDATE_TIME;
+        !std::mem::replace(&mut self.held, true)
+    }
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/node.rs
@@ -0,0 +1,176 @@
+//! Building one gateway VM out of its duties, and stopping it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use nickellead_event::{EventName, log_event};
+use nickellead_proxy::{ServeState, bind_listener};
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::beliefs::join_beliefs;
+use crate::control::{ControlParts, run_control};
+use crate::key_count::KeyCounter;
+use crate::requests::{self, RequestParts};
+use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
+
+/// Part of the grace time during which a stopping VM goes on taking connections in any case.
+///
+/// The entry asks for readiness once a second and believes the second miss.
+const LINGER_PART: f64 = 0.5;
+/// Part of the grace time during which it serves connections that callers keep open.
+const SERVE_PART: f64 = 0.84;
+/// Part of the grace time after which the process ends in any case.
+const END_PART: f64 = 0.97;
+/// Between two looks at whether callers have left.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Why a VM can't start.
+#[derive(Debug, Error)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[error("{field} {address} can't be listened on: {reason}")]
+    Address {
+        /// The setting at fault.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's word.
+        reason: std::io::Error,
+    },
+    /// The system refused a thread.
+    #[error("a thread can't be started: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// A running gateway VM.
+pub struct GatewayHandle {
+    settings: GatewaySettings,
+    state: Arc<ServeState>,
+    draining: Arc<AtomicBool>,
+    stopping: watch::Sender<bool>,
+    requests: JoinHandle<()>,
+    control: JoinHandle<()>,
+}
+
+/// Starts both duties of one VM.
+///
+/// `ports` makes the store and the orders on the control duty's own thread.
+///
+/// # Errors
+/// A [`GatewayError`]; nothing is left running that serves callers.
+pub fn start_gateway<S, O>(
+    settings: GatewaySettings,
+    names: HeaderNames,
+    ports: impl FnOnce() -> (S, O) + Send + 'static,
+) -> Result<GatewayHandle, GatewayError>
+where
+    S: StorePort,
+    O: OrderPort,
+{
+    let callers = listen("callers_address", settings.callers_address)?;
+    let readiness = listen("readiness_address", settings.readiness_address)?;
+    let (senders, receivers) = join_beliefs();
+    let keys = KeyCounter::default();
+    let state = Arc::new(ServeState::default());
+    let draining = Arc::new(AtomicBool::new(false));
+    let (stopping, stopped) = watch::channel(false);
+    let incarnation = fastrand::u64(1..1 << 53);
+    let requests = requests::build(RequestParts {
+        names,
+        zone: settings.zone.clone(),
+        retry_burst: settings.retry_burst,
+        connections: settings.connections,
+        callers,
+        readiness,
+        beliefs: receivers,
+        keys: keys.clone(),
+        state: Arc::clone(&state),
+        draining: Arc::clone(&draining),
+    })?;
+    let (vm, ownership) = (settings.vm.clone(), settings.ownership);
+    let control = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(async move {
+                let (store, orders) = ports();
+                run_control(ControlParts {
+                    vm,
+                    incarnation,
+                    ownership,
+                    store,
+                    orders,
+                    beliefs: senders,
+                    keys,
+                    stopping: stopped,
+                })
+                .await;
+            });
+        }
+    })?;
+    let pairs: [(&str, &dyn std::fmt::Display); 3] =
+        [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
+    log_event(EventName::NodeStarted, &pairs);
+    Ok(GatewayHandle { settings, state, draining, stopping, requests, control })
+}
+
+fn listen(field: &'static str, address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
+    bind_listener(address).map_err(|reason| GatewayError::Address { field, address, reason })
+}
+
+impl GatewayHandle {
+    /// Takes over settings that were read again.
+    ///
+    /// The grace time counts at once; addresses and names stay as they were at
+    /// the start, for callers and the store know the process by them.
+    pub fn reload(&mut self, settings: GatewaySettings) {
+        let same = self.settings == settings;
+        let moved = self.settings.callers_address != settings.callers_address
+            || self.settings.readiness_address != settings.readiness_address
+            || self.settings.store_address != settings.store_address;
+        let pairs: [(&str, &dyn std::fmt::Display); 3] =
+            [("vm", &self.settings.vm), ("same", &same), ("needs_restart", &moved)];
+        log_event(EventName::SettingsReloaded, &pairs);
+        self.settings = settings;
+    }
+
+    /// Stops as planned: not ready, mandate given back, requests finished.
+    ///
+    /// Returns whether every request ended before the grace time did.
+    pub fn stop(self) -> bool {
+        let started = Instant::now();
+        let part = |part: f64| Duration::from_secs_f64(self.settings.grace_s * part);
+        log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
+        self.draining.store(true, Ordering::Relaxed);
+        self.state.drain();
+        self.stopping.send_replace(true);
+        std::thread::sleep(part(LINGER_PART));
+        while self.state.open() > 0 && started.elapsed() < part(SERVE_PART) {
+            std::thread::sleep(LOOK);
+        }
+        self.state.stop();
+        let end = started + part(END_PART);
+        let finished = join_until(self.requests, end);
+        let handed_over = join_until(self.control, end);
+        let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+            ("vm", &self.settings.vm),
+            ("requests_finished", &finished),
+            ("mandate_settled", &handed_over),
+        ];
+        log_event(EventName::NodeStopped, &pairs);
+        finished
+    }
+}
+
+fn join_until(thread: JoinHandle<()>, end: Instant) -> bool {
+    const POLL: Duration = Duration::from_millis(10);
+    while !thread.is_finished() {
+        if Instant::now() >= end {
+            return false;
+        }
+        std::thread::sleep(POLL);
+    }
+    thread.join().is_ok()
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -0,0 +1,135 @@
+//! The request duty: its thread, its listener for callers, and the readiness answers.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response};
+use nickellead_proxy::{ServeState, serve_http};
+use prometheus_client::registry::Registry;
+
+use crate::HeaderNames;
+use crate::beliefs::BeliefReceivers;
+use crate::key_count::KeyCounter;
+use crate::metrics::GatewayMetrics;
+use crate::worker::RequestWorker;
+
+/// Most connections to the readiness and metrics address.
+const READINESS_CONNECTIONS: usize = 64;
+
+/// What the request duty is built from.
+pub(crate) struct RequestParts {
+    pub(crate) names: HeaderNames,
+    pub(crate) zone: String,
+    pub(crate) retry_burst: f64,
+    pub(crate) connections: usize,
+    pub(crate) callers: TcpListener,
+    pub(crate) readiness: TcpListener,
+    pub(crate) beliefs: BeliefReceivers,
+    pub(crate) keys: KeyCounter,
+    pub(crate) state: Arc<ServeState>,
+    pub(crate) draining: Arc<AtomicBool>,
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn build(parts: RequestParts) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name("requests".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(run(parts));
+        }
+    })
+}
+
+async fn run(parts: RequestParts) {
+    let mut registry = Registry::with_prefix("nickellead");
+    let metrics = GatewayMetrics::register(&mut registry);
+    let worker =
+        RequestWorker::new(parts.names, parts.zone, parts.retry_burst, parts.keys, metrics);
+    follow_beliefs(&worker, &parts.beliefs);
+    let beliefs = parts.beliefs.clone();
+    let draining = Arc::clone(&parts.draining);
+    let registry = Rc::new(registry);
+    let counted = Rc::clone(&worker);
+    let readiness = move |request: Request| {
+        let known = beliefs.declarations.borrow().is_some();
+        let ready = known && !draining.load(Ordering::Relaxed);
+        let response = answer_readiness(&request, ready, &registry, &counted);
+        async move { response }
+    };
+    let readiness_state = Arc::new(ServeState::default());
+    actix_rt::spawn(serve_http(parts.readiness, READINESS_CONNECTIONS, readiness_state, readiness));
+    let state = Arc::clone(&parts.state);
+    let handler = move |request| {
+        let worker = Rc::clone(&worker);
+        let stopping = state.is_stopping();
+        async move {
+            match stopping {
+                true => worker.refuse_stopping(),
+                false => worker.answer(request).await,
+            }
+        }
+    };
+    serve_http(parts.callers, parts.connections, Arc::clone(&parts.state), handler).await;
+    while parts.state.running() > 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The last answers' bytes leave before the runtime ends.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+/// Hands each new belief to the worker as it comes.
+fn follow_beliefs(worker: &Rc<RequestWorker>, beliefs: &BeliefReceivers) {
+    let (updated, mut declarations) = (Rc::clone(worker), beliefs.declarations.clone());
+    actix_rt::spawn(async move {
+        while declarations.changed().await.is_ok() {
+            let newest = declarations.borrow_and_update().clone();
+            if let Some(newest) = newest {
+                updated.set_declarations(&newest);
+            }
+        }
+    });
+    let (updated, mut targets) = (Rc::clone(worker), beliefs.targets.clone());
+    actix_rt::spawn(async move {
+        while targets.changed().await.is_ok() {
+            let newest = Arc::clone(&targets.borrow_and_update());
+            updated.set_targets(&newest);
+        }
+    });
+    let (updated, mut ranges) = (Rc::clone(worker), beliefs.ranges.clone());
+    actix_rt::spawn(async move {
+        while ranges.changed().await.is_ok() {
+            let newest = Arc::clone(&ranges.borrow_and_update());
+            updated.set_ranges(newest);
+        }
+    });
+}
+
+fn answer_readiness(
+    request: &Request,
+    ready: bool,
+    registry: &Registry,
+    worker: &RequestWorker,
+) -> Response<BoxBody> {
+    if request.path() == "/metrics" {
+        let mut text = String::new();
+        if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
+            return Response::internal_server_error().map_into_boxed_body();
+        }
+        text.push_str(&format!("# connections opened {}\n", worker.connections_opened()));
+        return Response::build(actix_http::StatusCode::OK).body(text).map_into_boxed_body();
+    }
+    let status = match ready {
+        true => actix_http::StatusCode::OK,
+        false => actix_http::StatusCode::SERVICE_UNAVAILABLE,
+    };
+    Response::build(status)
+        .body(if ready { "ready\n" } else { "not ready\n" })
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of one gateway VM: a JSON file, checked whole before anything starts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Why settings can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file is no JSON of the expected shape.
+    #[error("{path}: {reason}")]
+    Shape {
+        /// The field at fault.
+        path: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// A value is out of its bounds.
+    #[error("{field} must be {bound}")]
+    Bound {
+        /// The field at fault.
+        field: &'static str,
+        /// What it must be.
+        bound: &'static str,
+    },
+}
+
+/// Settings of one gateway VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatewaySettings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub callers_address: SocketAddr,
+    /// Where readiness and metrics are asked for.
+    pub readiness_address: SocketAddr,
+    /// Where the platform's store listens.
+    pub store_address: SocketAddr,
+    /// Time between the signal to stop and the forced end, in seconds.
+    pub grace_s: f64,
+    /// Most callers' connections.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
+    /// Retries at one service that this VM may make beyond the share earned by requests.
+    #[serde(default = "default_retry_burst")]
+    pub retry_burst: f64,
+    /// Times of ownership.
+    #[serde(default)]
+    pub ownership: OwnershipSettings,
+}
+
+const fn default_connections() -> usize {
+    2_000
+}
+
+const fn default_retry_burst() -> f64 {
+    5.0
+}
+
+/// Times of ownership.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OwnershipSettings {
+    /// How long a target holds a range after a grant arrived, in seconds.
+    pub hold_s: f64,
+    /// Between two renewals, in seconds.
+    pub renewal_s: f64,
+}
+
+impl Default for OwnershipSettings {
+    /// The hold outlives the loss of the mandate's holder (about three seconds until a successor
+    /// renews) after the oldest renewal; shorter ones give a lost target's keys back sooner.
+    fn default() -> Self {
+        Self { hold_s: 5.0, renewal_s: 1.2 }
+    }
+}
+
+impl OwnershipSettings {
+    /// How long a target holds a range.
+    #[must_use]
+    pub fn hold(&self) -> Duration {
+        Duration::from_secs_f64(self.hold_s)
+    }
+
+    /// Between two renewals.
+    #[must_use]
+    pub fn renewal(&self) -> Duration {
+        Duration::from_secs_f64(self.renewal_s)
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// The first field at fault, with what it must be.
+    pub fn read(text: &[u8]) -> Result<Self, SettingsError> {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut json).map_err(|error| SettingsError::Shape {
+                path: error.path().to_string(),
+                reason: error.inner().to_string(),
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let bound = |holds: bool, field, bound| {
+            if holds { Ok(()) } else { Err(SettingsError::Bound { field, bound }) }
+        };
+        let ownership = &self.ownership;
+        bound(!self.vm.is_empty(), "vm", "a name")?;
+        bound((1.0..=600.0).contains(&self.grace_s), "grace_s", "from 1 to 600")?;
+        bound(self.connections >= 1, "connections", "1 or more")?;
+        bound((0.0..=1_000.0).contains(&self.retry_burst), "retry_burst", "from 0 to 1000")?;
+        bound((0.5..=60.0).contains(&ownership.hold_s), "ownership.hold_s", "from 0.5 to 60")?;
+        let renewal = (0.1..=ownership.hold_s / 2.0).contains(&ownership.renewal_s);
+        bound(renewal, "ownership.renewal_s", "from 0.1 to half of hold_s")
+    }
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -0,0 +1,61 @@
+//! Whether the store answers this VM.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use nickellead_event::{EventName, log_event};
+use tokio::sync::Notify;
+
+use crate::StoreError;
+
+/// Shortest pause after a call that failed.
+const PAUSE_FIRST: Duration = Duration::from_millis(120);
+/// Longest pause after a call that failed; all VMs come back spread over this time.
+const PAUSE_MOST: Duration = Duration::from_millis(900);
+
+/// One VM's view of the store's health, shared by all that call it.
+#[derive(Default)]
+pub(crate) struct StoreHealth {
+    failures: Cell<u32>,
+    regained: Cell<Option<Instant>>,
+    /// Woken when the store answers again: watches that hang are started anew.
+    pub(crate) back: Notify,
+}
+
+impl StoreHealth {
+    /// Notes the outcome of a call.
+    pub(crate) fn note<T>(&self, result: &Result<T, StoreError>) {
+        match result {
+            Err(error @ (StoreError::Silent(_) | StoreError::Refused(_))) => {
+                if self.failures.get() == 0 {
+                    log_event(EventName::StoreLost, &[("reason", error)]);
+                }
+                self.failures.set(self.failures.get().saturating_add(1));
+            }
+            _ => {
+                if self.failures.replace(0) > 0 {
+                    self.regained.set(Some(Instant::now()));
+                    self.back.notify_waiters();
+                    log_event(EventName::StoreRegained, &[]);
+                }
+            }
+        }
+    }
+
+    /// Whether the last call failed.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.failures.get() > 0
+    }
+
+    /// When the store last answered again after a failure.
+    pub(crate) fn regained(&self) -> Option<Instant> {
+        self.regained.get()
+    }
+
+    /// Waits before the next call, longer after each failure, spread at random.
+    pub(crate) async fn pause(&self) {
+        let doubled = PAUSE_FIRST * (1 << self.failures.get().min(4));
+        let most = doubled.min(PAUSE_MOST);
+        tokio::time::sleep(most.mul_f64(0.5 + fastrand::f64() * 0.5)).await;
+    }
+}
--- a/crates/nickellead_proxy/src/headers.rs
+++ b/crates/nickellead_proxy/src/headers.rs
@@ -33,12 +33,17 @@
     "http2-settings",
 ];
 
+/// Whether a header, named in lower case, concerns one connection or its framing only.
+#[must_use]
+pub fn is_connection_header(name: &str) -> bool {
+    name == "content-length" || name == "host" || CONNECTION_HEADERS.contains(&name)
+}
+
 /// Whether a header is passed on, in either direction.
 #[must_use]
 pub(crate) fn is_passed(name: &HeaderName) -> bool {
     let name = name.as_str();
-    let framing = name == "content-length" || name == "host";
-    !framing && !name.starts_with(INTERNAL_PREFIX) && !CONNECTION_HEADERS.contains(&name)
+    !is_connection_header(name) && !name.starts_with(INTERNAL_PREFIX)
 }
 
 /// A header's value as a number.
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub use exchange::REFUSAL_HEADER;
 pub use headers::{
     DEADLINE_HEADER, EPOCH_HEADER, ERROR_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, SHARD_HEADER,
+    is_connection_header,
 };
 pub use metrics::ProxyMetrics;
 pub use serve::{ListenError, ServeState, bind_listener, serve_http};
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -1,12 +1,11 @@
 //! Listening for HTTP/1.1 and HTTP/2 on one thread.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
@@ -30,16 +29,28 @@
 #[derive(Debug)]
 pub struct ServeState {
     stopping: watch::Sender<bool>,
+    draining: AtomicBool,
     running: AtomicUsize,
+    open: AtomicUsize,
 }
 
 impl Default for ServeState {
     fn default() -> Self {
-        Self { stopping: watch::channel(false).0, running: AtomicUsize::new(0) }
+        Self {
+            stopping: watch::channel(false).0,
+            draining: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+        }
     }
 }
 
 impl ServeState {
+    /// Goes on taking connections, but closes each after its next answer.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Takes no new connections, and closes the others after their current answer.
     pub fn stop(&self) {
         self.stopping.send_replace(true);
@@ -51,6 +62,12 @@
         *self.stopping.borrow()
     }
 
+    /// Connections that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Requests under way.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -86,6 +103,8 @@
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
+        // A caller that closes its side has left: its request's work ends at once.
+        .h1_allow_half_closed(false)
         .finish(fn_service(move |request: Request| {
             let answering = handler(request);
             let state = Arc::clone(&shared);
@@ -100,7 +119,6 @@
         return;
     };
     let service = Rc::new(service);
-    let open = Rc::new(Cell::new(0_usize));
     let mut stopping = state.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -113,17 +131,17 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if open.get() >= connections_max {
+        if state.open() >= connections_max {
             continue;
         }
         // Without it small answers wait for acknowledgements; a failure only costs time.
         let _ = stream.set_nodelay(true);
-        let (service, open) = (Rc::clone(&service), Rc::clone(&open));
-        open.set(open.get() + 1);
+        let (service, state) = (Rc::clone(&service), Arc::clone(&state));
+        state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
             // A broken connection ends here; the caller sees it as such.
             let _ = service.call(stream).await;
-            open.set(open.get() - 1);
+            state.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
@@ -135,7 +153,7 @@
     state.running.fetch_add(1, Ordering::Relaxed);
     let mut response = answering.await;
     state.running.fetch_sub(1, Ordering::Relaxed);
-    if state.is_stopping() {
+    if state.is_stopping() || state.draining.load(Ordering::Relaxed) {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- /dev/null
+++ b/crates/nickellead_range/src/lib.rs
@@ -0,0 +1,18 @@
+//! Who owns which range of keys, when targets take grants with a hold time.
+//!
+//! A target holds a range of a service's numeric key space for a hold time
+//! that starts when a grant arrives. It refuses a grant whose fence is lower
+//! than one it has seen. [`RangeMap`] is what the store keeps; the
+//! [`RangeKeeper`] decides every order and every write of the map. Its
+//! functions take the time and what happened, and return what is to be done:
+//! nothing here does input or output or reads a clock.
+
+mod keeper;
+mod load;
+mod map;
+mod plan;
+
+pub use keeper::{KeeperSettings, OrderKind, OrderOutcome, RangeKeeper, RangeOrder};
+pub use load::KeyLoad;
+pub use map::{HolderRecord, RangeMap, RangeRecord, ServiceRanges};
+pub use plan::{MoveProposal, OwnerCandidate, lightest_owner, plan_moves};
--- /dev/null
+++ b/crates/nickellead_range/src/plan.rs
@@ -0,0 +1,174 @@
+//! Which ranges should move where.
+
+use crate::{HolderRecord, KeyLoad, RangeRecord};
+
+/// A target that may own ranges.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerCandidate {
+    /// The target.
+    pub holder: HolderRecord,
+    /// What it can do beside the others, 1.0 for an ordinary one.
+    pub capacity: f64,
+}
+
+/// A run of keys that should go to another target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MoveProposal {
+    /// First key to move.
+    pub first: u16,
+    /// Last key to move, included.
+    pub last: u16,
+    /// Who should own it.
+    pub to: HolderRecord,
+}
+
+/// A target is relieved when its load is this many times its fair share.
+///
+/// Below it a move costs more (a stall of the moved keys) than the shorter queue gains.
+const RELIEF_RATIO: f64 = 1.35;
+/// Least sampled requests at a target before its load means anything.
+const SAMPLES_LEAST: f64 = 10.0;
+/// Weight of plain size: this many sampled requests are spread evenly over all keys.
+///
+/// It keeps a target without sampled requests from being given all silent keys.
+const SIZE_WEIGHT: f64 = 20.0;
+/// Keys in the key space.
+const KEYS: f64 = 65_536.0;
+
+/// Load of a run of keys: sampled requests and a small part for its size.
+fn weigh(load: &KeyLoad, first: u16, last: u16) -> f64 {
+    let size = f64::from(last - first) + 1.0;
+    load.between(first, last) + SIZE_WEIGHT * size / KEYS
+}
+
+/// Proposes at most `most` moves that relieve the most loaded targets.
+///
+/// Reads ranges that are settled; a range on the move counts for its next
+/// owner and is left alone.
+#[must_use]
+pub fn plan_moves(
+    ranges: &[RangeRecord],
+    candidates: &[OwnerCandidate],
+    load: &KeyLoad,
+    most: usize,
+) -> Vec<MoveProposal> {
+    let mut ranges = ranges.to_vec();
+    let mut moves = Vec::new();
+    while moves.len() < most {
+        let Some(proposal) = plan_one(&mut ranges, candidates, load) else {
+            break;
+        };
+        moves.push(proposal);
+    }
+    moves
+}
+
+/// Relative load of each candidate: 1.0 is a fair share.
+fn relative_loads(
+    ranges: &[RangeRecord],
+    candidates: &[OwnerCandidate],
+    load: &KeyLoad,
+) -> Vec<f64> {
+    let total: f64 = weigh(load, 0, u16::MAX);
+    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let relative = |candidate: &OwnerCandidate| {
+        let owned = ranges.iter().filter(|range| range.owner.as_ref() == Some(&candidate.holder));
+        let sum: f64 = owned.map(|range| weigh(load, range.first, range.last)).sum();
+        sum / (total * candidate.capacity / capacity)
+    };
+    candidates.iter().map(relative).collect()
+}
+
+/// The candidate with the least load beside its capacity.
+#[must_use]
+pub fn lightest_owner(
+    ranges: &[RangeRecord],
+    candidates: &[OwnerCandidate],
+    load: &KeyLoad,
+) -> Option<HolderRecord> {
+    let loads = relative_loads(ranges, candidates, load);
+    let lightest = (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    Some(candidates[lightest].holder.clone())
+}
+
+fn plan_one(
+    ranges: &mut Vec<RangeRecord>,
+    candidates: &[OwnerCandidate],
+    load: &KeyLoad,
+) -> Option<MoveProposal> {
+    let loads = relative_loads(ranges, candidates, load);
+    let heaviest = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    let lightest = (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    if loads[heaviest] < RELIEF_RATIO || heaviest == lightest {
+        return None;
+    }
+    let total = weigh(load, 0, u16::MAX);
+    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let fair = |place: usize| total * candidates[place].capacity / capacity;
+    if loads[heaviest] * fair(heaviest) < SAMPLES_LEAST {
+        return None;
+    }
+    let excess = (loads[heaviest] - 1.0) * fair(heaviest);
+    let room = (1.0 - loads[lightest]) * fair(lightest);
+    let wanted = excess.min(room);
+    let from = &candidates[heaviest].holder;
+    let owned = |range: &&RangeRecord| range.settled && range.owner.as_ref() == Some(from);
+    let source = ranges
+        .iter()
+        .filter(owned)
+        .max_by(|a, b| weigh(load, a.first, a.last).total_cmp(&weigh(load, b.first, b.last)))?;
+    let proposal = cut_piece(source, load, wanted, &candidates[lightest].holder)?;
+    apply_move(ranges, &proposal);
+    Some(proposal)
+}
+
+/// Cuts a run of keys with about the wanted load off one end of a range.
+fn cut_piece(
+    source: &RangeRecord,
+    load: &KeyLoad,
+    wanted: f64,
+    to: &HolderRecord,
+) -> Option<MoveProposal> {
+    let (first, last) = (source.first, source.last);
+    let whole = weigh(load, first, last);
+    if whole <= wanted * 1.2 {
+        return Some(MoveProposal { first, last, to: to.clone() });
+    }
+    // From the end whose piece has fewer keys.
+    let head_end = load.reach(first, last, wanted).unwrap_or(first + (last - first) / 2);
+    let rest = load.between(first, last) - wanted;
+    let tail_start = load.reach(first, last, rest).unwrap_or(first + (last - first) / 2);
+    let (start, end) = if head_end - first <= last - tail_start {
+        (first, head_end)
+    } else {
+        (tail_start.saturating_add(1).min(last), last)
+    };
+    let moved = weigh(load, start, end);
+    // A single key heavier than the room would only carry the overload over.
+    (moved <= wanted * 1.6).then(|| MoveProposal { first: start, last: end, to: to.clone() })
+}
+
+/// Splits ranges at the edges of a move and gives the piece to its new owner.
+fn apply_move(ranges: &mut Vec<RangeRecord>, proposal: &MoveProposal) {
+    split_at(ranges, proposal.first);
+    if let Some(after) = proposal.last.checked_add(1) {
+        split_at(ranges, after);
+    }
+    for range in ranges.iter_mut() {
+        if proposal.first <= range.first && range.last <= proposal.last {
+            range.owner = Some(proposal.to.clone());
+            range.settled = false;
+        }
+    }
+}
+
+/// Makes `key` the first of its range.
+pub(crate) fn split_at(ranges: &mut Vec<RangeRecord>, key: u16) {
+    let Some(place) = ranges.iter().position(|range| range.first < key && key <= range.last) else {
+        return;
+    };
+    let mut upper = ranges[place].clone();
+    upper.first = key;
+    ranges[place].last = key - 1;
+    ranges.insert(place + 1, upper);
+}
--- a/crates/nickellead_run/src/coordination.rs
+++ b/crates/nickellead_run/src/coordination.rs
@@ -10,11 +10,11 @@
 use nickellead_time::BootClock;
 use tokio::sync::oneshot;
 
-use crate::event_log::{EventName, log_event};
 use crate::orders::OrderMessage;
 use crate::peers::PeerMessage;
 use crate::platform::{FollowMode, PlatformMessage};
 use crate::ring::{RingReceiver, RingSender, offer};
+use nickellead_event::{EventName, log_event};
 
 /// What reaches the coordination thread.
 #[derive(Debug)]
--- a/crates/nickellead_run/src/lib.rs
+++ b/crates/nickellead_run/src/lib.rs
@@ -5,7 +5,6 @@
 //! Each duty has one module with one `build` function that starts its thread.
 
 mod coordination;
-mod event_log;
 mod node;
 mod object_status;
 mod operators;
@@ -17,6 +16,6 @@
 mod ring;
 mod settings;
 
-pub use event_log::{EventName, log_event};
+pub use nickellead_event::{EventName, log_event};
 pub use node::{NodeError, NodeHandle, start_node};
 pub use settings::{LeaseSettings, LimitSettings, NodeSettings, PeerSettings};
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -15,7 +15,6 @@
 use thiserror::Error;
 
 use crate::coordination::{CoordinationMessage, CoordinationRings};
-use crate::event_log::{EventName, log_event};
 use crate::operators::OperatorDuty;
 use crate::peers::PeerRings;
 use crate::platform::PlatformRings;
@@ -23,6 +22,7 @@
 use crate::ring::{RingSender, offer, ring};
 use crate::settings::NodeSettings;
 use crate::{coordination, operators, orders, peers, platform, requests};
+use nickellead_event::{EventName, log_event};
 
 /// Between two ticks of the coordination.
 const TICK_PERIOD: Duration = Duration::from_millis(20);
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -17,9 +17,9 @@
 
 use super::PeerRings;
 use crate::coordination::CoordinationMessage;
-use crate::event_log::{EventName, log_event};
 use crate::orders::OrderMessage;
 use crate::ring::{RingSender, offer};
+use nickellead_event::{EventName, log_event};
 
 /// How long after its start a VM waits for the owners in other zones.
 const OTHER_ZONES_WAIT: Duration = Duration::from_secs(3);
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The command line: one module for each family of subcommands.
 
+mod gateway;
 mod resources;
 mod run;
 mod standin;
@@ -24,6 +25,7 @@
 enum SubCommand {
     Run(run::RunCommand),
     Check(run::CheckCommand),
+    Gateway(gateway::GatewayCommand),
     Get(resources::GetCommand),
     Apply(resources::ApplyCommand),
     Delete(resources::DeleteCommand),
@@ -37,6 +39,7 @@
     match command.command {
         SubCommand::Run(command) => command.run(),
         SubCommand::Check(command) => command.run(),
+        SubCommand::Gateway(command) => command.run(),
         SubCommand::Get(command) => command.run(),
         SubCommand::Apply(command) => command.run(),
         SubCommand::Delete(command) => command.run(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,11 +9,25 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// How long an event is waited for before a test fails instead of hanging.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Held while a port is probed and while a process is started.
+///
+/// A child that has been forked but not yet replaced by its program holds a copy
+/// of every open socket. Without the lock it may hold the probe's listener a
+/// moment longer than the probe, and the port that was found free is in use.
+static SPAWN_OR_PROBE: Mutex<()> = Mutex::new(());
+
+/// Starts a command while no port is being probed.
+fn spawn(command: &mut Command) -> Child {
+    let _guard = SPAWN_OR_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().unwrap()
+}
+
 /// One process, whose events are read from standard error.
 pub struct Process {
     child: Child,
@@ -23,12 +37,9 @@
 impl Process {
     /// Starts the program with these arguments.
     pub fn start(arguments: &[&str]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_nickellead"))
-            .args(arguments)
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nickellead"));
+        command.args(arguments).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = spawn(&mut command);
         let errors = BufReader::new(child.stderr.take().unwrap());
         let (sender, lines) = channel();
         std::thread::spawn(move || {
@@ -63,9 +74,9 @@
 
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
-        let status =
-            Command::new("kill").args(["-s", name, &self.id().to_string()]).status().unwrap();
-        assert!(status.success());
+        let mut command = Command::new("kill");
+        command.args(["-s", name, &self.id().to_string()]);
+        assert!(spawn(&mut command).wait().unwrap().success());
     }
 
     /// Waits for the end and returns the exit code.
@@ -83,7 +94,9 @@
 
 /// Runs a command of the program to its end: exit code, standard output, standard error.
 pub fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_nickellead")).args(arguments).output().unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nickellead"));
+    command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let output = spawn(&mut command).wait_with_output().unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
     (output.status.code(), text(output.stdout), text(output.stderr))
 }
@@ -99,6 +112,7 @@
     loop {
         let offset = (start + TAKEN.fetch_add(1, Ordering::Relaxed)) % COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
+        let _guard = SPAWN_OR_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
