Limits per target, turns by rank, owners by measured speed; orders given up are reset

Now each VM keeps an adaptive limit a target, requests wait in rank order, and the holder of the mandate weighs owners by the unhurried time of their answers.

--- a/crates/nickellead_balance/src/score.rs
+++ b/crates/nickellead_balance/src/score.rs
@@ -25,6 +25,7 @@
     /// Requests of this VM under way at the target.
     pub running: u32,
     latency_ms: f64,
+    unhurried_ms: f64,
     trouble: f64,
     answers: u32,
     ejected_until: Timestamp,
@@ -33,6 +34,10 @@
 
 /// Weight of a new latency in the moving average: about the last five answers count.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Weight of an answer faster than the unhurried time, which so follows the faster answers.
+const FASTER_WEIGHT: f64 = 0.2;
+/// Weight of an answer slower than the unhurried time.
+const SLOWER_WEIGHT: f64 = 0.05;
 /// Weight of a new outcome in the share of troubled requests.
 const TROUBLE_WEIGHT: f64 = 0.15;
 /// Share of troubled requests from which a target is left out for a while.
@@ -53,6 +58,7 @@
         Self {
             running: 0,
             latency_ms: usual.as_secs_f64() * 1_000.0,
+            unhurried_ms: usual.as_secs_f64() * 1_000.0,
             trouble: 0.0,
             answers: 0,
             ejected_until: Timestamp::ZERO,
@@ -82,6 +88,14 @@
     fn note_latency(&mut self, length: Duration) {
         let millis = length.as_secs_f64() * 1_000.0;
         self.latency_ms += (millis - self.latency_ms) * LATENCY_WEIGHT;
+        let weight = if millis < self.unhurried_ms { FASTER_WEIGHT } else { SLOWER_WEIGHT };
+        self.unhurried_ms += (millis - self.unhurried_ms) * weight;
+    }
+
+    /// Time of an answer when the target is not hurried, in milliseconds.
+    #[must_use]
+    pub fn unhurried_ms(&self) -> f64 {
+        self.unhurried_ms
     }
 
     fn note_trouble(&mut self, trouble: f64, now: Timestamp) {
--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -39,9 +39,20 @@
     rest: Duration,
 }
 
+/// What becomes of bytes that are under way when a connection is given up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum CloseMode {
+    /// They may still arrive.
+    #[default]
+    Graceful,
+    /// They are thrown away: the connection is reset.
+    Reset,
+}
+
 /// The connections of this VM to one target.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
+    close: CloseMode,
     resting: RefCell<Vec<RestingConnection>>,
     opened: Cell<u64>,
 }
@@ -65,6 +76,11 @@
 }
 
 impl ConnectionPool {
+    /// A pool whose connections close in the given way.
+    pub(crate) fn new(close: CloseMode) -> Self {
+        Self { close, ..Self::default() }
+    }
+
     /// The freshest resting connection, or a new one.
     pub(crate) async fn take(
         &self,
@@ -75,7 +91,7 @@
             return Ok(ReadyConnection { sender, reused: true });
         }
         self.opened.set(self.opened.get() + 1);
-        let opening = tokio::time::timeout(wait.min(CONNECT_TIMEOUT), open(address));
+        let opening = tokio::time::timeout(wait.min(CONNECT_TIMEOUT), open(address, self.close));
         match opening.await {
             Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
             Ok(Err(_)) => Err(ConnectFailure::Refused),
@@ -110,11 +126,14 @@
     }
 }
 
-async fn open(address: SocketAddr) -> std::io::Result<RequestSender> {
+async fn open(address: SocketAddr, close: CloseMode) -> std::io::Result<RequestSender> {
     let stream = TcpStream::connect(address).await?;
     // Both options only shorten waits; without them the connection works too.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_MAX));
+    if close == CloseMode::Reset {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    }
     let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     actix_rt::spawn(async move {
--- a/crates/nickellead_gateway/src/control.rs
+++ b/crates/nickellead_gateway/src/control.rs
@@ -16,14 +16,14 @@
 
 use crate::beliefs::BeliefSenders;
 use crate::follow::{follow_declarations, follow_ranges, follow_targets, tell_ranges};
-use crate::key_count::KeyCounter;
+use crate::load_count::LoadCounter;
 use crate::mandate::{
     MANDATE_LOOK, MANDATE_RENEWAL, MandatePower, MandateState, MandateWrite, RENEWAL_GRACE,
 };
 use crate::store_health::StoreHealth;
 use crate::{
     Declarations, OrderPort, OwnershipSettings, Revision, StoreError, StorePort, Stored,
-    TargetList, TargetState,
+    TargetEntry, TargetList, TargetState,
 };
 
 /// Between two looks at what is due.
@@ -33,9 +33,9 @@
 /// The same for a release, which is answered when the work that runs has ended.
 const RELEASE_WAIT: Duration = Duration::from_millis(1_500);
 /// Between two looks at how load is spread.
-const BALANCE_PERIOD: Duration = Duration::from_millis(1_000);
+const BALANCE_PERIOD: Duration = Duration::from_millis(500);
 /// What is left of counted requests after one such period: about the last three seconds count.
-const LOAD_KEPT: f64 = 0.72;
+const LOAD_KEPT: f64 = 0.83;
 /// Most moves started by one look; each stalls its keys for about the length of one request.
 const MOVES_MOST: usize = 4;
 /// No new moves while this many ranges are unsettled.
@@ -49,7 +49,7 @@
     pub(crate) store: S,
     pub(crate) orders: O,
     pub(crate) beliefs: BeliefSenders,
-    pub(crate) keys: KeyCounter,
+    pub(crate) keys: LoadCounter,
     /// Turns true when the VM stops.
     pub(crate) stopping: watch::Receiver<bool>,
 }
@@ -69,7 +69,9 @@
     declarations: watch::Receiver<Option<Arc<Declarations>>>,
     targets: watch::Receiver<Arc<TargetList>>,
     loads: RefCell<HashMap<String, KeyLoad>>,
-    keys: KeyCounter,
+    /// Time of an unhurried answer by target, in milliseconds.
+    speeds: RefCell<HashMap<String, f64>>,
+    keys: LoadCounter,
     ownership: OwnershipSettings,
     incarnation: u64,
     vm: String,
@@ -107,6 +109,7 @@
         declarations,
         targets,
         loads: RefCell::default(),
+        speeds: RefCell::default(),
         keys: parts.keys,
         ownership: parts.ownership,
         incarnation: parts.incarnation,
@@ -276,7 +279,10 @@
             return Vec::new();
         };
         let divided = declared.services.iter().filter(|(_, rule)| rule.divided);
-        divided.map(|(service, _)| (service.clone(), owner_candidates(service, &targets))).collect()
+        let speeds = self.speeds.borrow();
+        divided
+            .map(|(service, _)| (service.clone(), owner_candidates(service, &targets, &speeds)))
+            .collect()
     }
 
     fn update_candidates(&self) {
@@ -297,7 +303,9 @@
     fn note_load(&self) {
         let mut loads = self.loads.borrow_mut();
         loads.values_mut().for_each(|load| load.decay(LOAD_KEPT));
-        for (service, counts) in self.keys.take() {
+        let counts = self.keys.take();
+        self.speeds.borrow_mut().extend(counts.speeds);
+        for (service, counts) in counts.keys {
             let load = loads.entry(service).or_default();
             counts.into_iter().for_each(|(key, count)| load.note(key, count));
         }
@@ -452,14 +460,28 @@
 }
 
 /// The targets of a service that may own ranges: those that stay.
-fn owner_candidates(service: &str, targets: &TargetList) -> Vec<OwnerCandidate> {
-    let usable = targets
+fn owner_candidates(
+    service: &str,
+    targets: &TargetList,
+    speeds: &HashMap<String, f64>,
+) -> Vec<OwnerCandidate> {
+    let usable: Vec<_> = targets
         .values()
-        .filter(|target| target.service == service && target.state == TargetState::Ready);
+        .filter(|target| target.service == service && target.state == TargetState::Ready)
+        .collect();
+    let known: Vec<f64> =
+        usable.iter().filter_map(|target| speeds.get(&target.id).copied()).collect();
+    let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
+    // Unknown targets count as ordinary; nobody as more than three times better or worse.
+    let factor = |target: &TargetEntry| match speeds.get(&target.id) {
+        Some(millis) if usual > 0.0 => (usual / millis.max(1.0)).clamp(1.0 / 3.0, 3.0),
+        _ => 1.0,
+    };
     usable
+        .into_iter()
         .map(|target| OwnerCandidate {
             holder: HolderRecord { id: target.id.clone(), address: target.address.to_string() },
-            capacity: f64::from(target.slots.max(1)),
+            capacity: f64::from(target.slots.max(1)) * factor(target),
         })
         .collect()
 }
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -13,13 +13,15 @@
 mod connections;
 mod control;
 mod declared;
+mod drain;
 mod exchange;
 mod follow;
 mod incoming;
-mod key_count;
+mod load_count;
 mod mandate;
 mod metrics;
 mod node;
+mod order_call;
 mod port;
 mod requests;
 mod retry_share;
@@ -32,6 +34,7 @@
 
 pub use declared::{CallerLimits, Declarations, RepeatClass, RoutePart, RouteRule, ServiceRule};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
+pub use order_call::{CallFailure, OrderCaller};
 pub use port::{
     HeaderNames, MandateRecord, OrderPort, Revision, Snapshot, StoreError, StorePort, Stored,
 };
--- a/crates/nickellead_gateway/src/key_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -1,4 +1,4 @@
-//! Requests by key, handed from the request path to the control duty.
+//! Requests by key and speeds of targets, handed from the request path to the control duty.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -6,19 +6,29 @@
 /// Counts by service and key since the last look.
 pub(crate) type KeyCounts = HashMap<String, HashMap<u16, u32>>;
 
+/// What the request path has seen since the last look.
+#[derive(Debug, Default)]
+pub(crate) struct LoadCounts {
+    /// Requests by service and key.
+    pub(crate) keys: KeyCounts,
+    /// Time of an unhurried answer by target, in milliseconds.
+    pub(crate) speeds: HashMap<String, f64>,
+}
+
 /// Counters that both duties share.
 ///
 /// The lock is held for one insertion or one swap, so neither duty waits for the other's work.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct KeyCounter(Arc<Mutex<KeyCounts>>);
+pub(crate) struct LoadCounter(Arc<Mutex<LoadCounts>>);
 
 /// Most keys counted between two looks of one service; the rest is not counted.
 const KEYS_MAX: usize = 8_192;
 
-impl KeyCounter {
+impl LoadCounter {
     /// Counts one request.
     pub(crate) fn note(&self, service: &str, key: u16) {
         let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = &mut counts.keys;
         if !counts.contains_key(service) {
             counts.insert(service.to_owned(), HashMap::new());
         }
@@ -29,8 +39,19 @@
         }
     }
 
+    /// Notes how fast a target answers when it is not hurried.
+    pub(crate) fn note_speed(&self, target: &str, millis: f64) {
+        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match counts.speeds.get_mut(target) {
+            Some(known) => *known = millis,
+            None => {
+                counts.speeds.insert(target.to_owned(), millis);
+            }
+        }
+    }
+
     /// Takes the counts and starts anew.
-    pub(crate) fn take(&self) -> KeyCounts {
+    pub(crate) fn take(&self) -> LoadCounts {
         std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,8 @@
 
 use crate::beliefs::join_beliefs;
 use crate::control::{ControlParts, run_control};
-use crate::key_count::KeyCounter;
+use crate::drain::DrainState;
+use crate::load_count::LoadCounter;
 use crate::requests::{self, RequestParts};
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
 
@@ -50,7 +50,7 @@
 pub struct GatewayHandle {
     settings: GatewaySettings,
     state: Arc<ServeState>,
-    draining: Arc<AtomicBool>,
+    drain: Arc<DrainState>,
     stopping: watch::Sender<bool>,
     requests: JoinHandle<()>,
     control: JoinHandle<()>,
@@ -74,9 +74,9 @@
     let callers = listen("callers_address", settings.callers_address)?;
     let readiness = listen("readiness_address", settings.readiness_address)?;
     let (senders, receivers) = join_beliefs();
-    let keys = KeyCounter::default();
+    let keys = LoadCounter::default();
     let state = Arc::new(ServeState::default());
-    let draining = Arc::new(AtomicBool::new(false));
+    let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = fastrand::u64(1..1 << 53);
     let requests = requests::build(RequestParts {
@@ -89,7 +89,7 @@
         beliefs: receivers,
         keys: keys.clone(),
         state: Arc::clone(&state),
-        draining: Arc::clone(&draining),
+        drain: Arc::clone(&drain),
     })?;
     let (vm, ownership) = (settings.vm.clone(), settings.ownership);
     let control = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
@@ -113,7 +113,7 @@
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
     log_event(EventName::NodeStarted, &pairs);
-    Ok(GatewayHandle { settings, state, draining, stopping, requests, control })
+    Ok(GatewayHandle { settings, state, drain, stopping, requests, control })
 }
 
 fn listen(field: &'static str, address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
@@ -143,7 +143,8 @@
         let started = Instant::now();
         let part = |part: f64| Duration::from_secs_f64(self.settings.grace_s * part);
         log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
-        self.draining.store(true, Ordering::Relaxed);
+        let end = started + part(END_PART);
+        self.drain.start(end);
         self.state.drain();
         self.stopping.send_replace(true);
         std::thread::sleep(part(LINGER_PART));
@@ -151,7 +152,6 @@
             std::thread::sleep(LOOK);
         }
         self.state.stop();
-        let end = started + part(END_PART);
         let finished = join_until(self.requests, end);
         let handed_over = join_until(self.control, end);
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -3,7 +3,6 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -14,9 +13,10 @@
 
 use crate::HeaderNames;
 use crate::beliefs::BeliefReceivers;
-use crate::key_count::KeyCounter;
+use crate::drain::DrainState;
+use crate::load_count::LoadCounter;
 use crate::metrics::GatewayMetrics;
-use crate::worker::RequestWorker;
+use crate::worker::{RequestWorker, WorkerParts};
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
@@ -30,9 +30,9 @@
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
     pub(crate) beliefs: BeliefReceivers,
-    pub(crate) keys: KeyCounter,
+    pub(crate) keys: LoadCounter,
     pub(crate) state: Arc<ServeState>,
-    pub(crate) draining: Arc<AtomicBool>,
+    pub(crate) drain: Arc<DrainState>,
 }
 
 /// Starts the thread.
@@ -50,16 +50,22 @@
 async fn run(parts: RequestParts) {
     let mut registry = Registry::with_prefix("nickellead");
     let metrics = GatewayMetrics::register(&mut registry);
-    let worker =
-        RequestWorker::new(parts.names, parts.zone, parts.retry_burst, parts.keys, metrics);
+    let worker = RequestWorker::new(WorkerParts {
+        names: parts.names,
+        zone: parts.zone,
+        retry_burst: parts.retry_burst,
+        keys: parts.keys,
+        drain: Arc::clone(&parts.drain),
+        metrics,
+    });
     follow_beliefs(&worker, &parts.beliefs);
     let beliefs = parts.beliefs.clone();
-    let draining = Arc::clone(&parts.draining);
+    let drain = Arc::clone(&parts.drain);
     let registry = Rc::new(registry);
     let counted = Rc::clone(&worker);
     let readiness = move |request: Request| {
         let known = beliefs.declarations.borrow().is_some();
-        let ready = known && !draining.load(Ordering::Relaxed);
+        let ready = known && !drain.is_draining();
         let response = answer_readiness(&request, ready, &registry, &counted);
         async move { response }
     };
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_balance::TargetScore;
+use nickellead_limit::{AdaptiveLimit, TurnQueue};
 
 use crate::connections::SharedPool;
 use crate::{TargetEntry, TargetList, TargetState};
@@ -14,6 +15,9 @@
 /// What an unknown target is taken to need for an answer, until it has shown it.
 const USUAL_LATENCY: Duration = Duration::from_millis(80);
 
+/// This VM never has more requests under way at a target than this many times its slots.
+const LIMIT_FACTOR: u32 = 4;
+
 /// One target with what this VM has learned of it.
 pub(crate) struct TargetMember {
     pub(crate) id: String,
@@ -23,23 +27,39 @@
     pub(crate) state: Cell<TargetState>,
     pub(crate) cold_until: Cell<Instant>,
     pub(crate) score: RefCell<TargetScore>,
+    pub(crate) limit: Cell<AdaptiveLimit>,
+    /// Requests that wait for this very target.
+    pub(crate) turns: TurnQueue,
     pub(crate) pool: SharedPool,
 }
 
 /// Requests under way at a member, counted also when their future is dropped.
-pub(crate) struct RunningGuard(Rc<TargetMember>);
+///
+/// Its end wakes a request that waits for the target, and one that waits for any of the service.
+pub(crate) struct RunningGuard(Rc<TargetMember>, Rc<TurnQueue>);
+
+impl TargetMember {
+    /// Whether one more request may be sent now.
+    pub(crate) fn has_room(&self) -> bool {
+        self.limit.get().has_room(self.score.borrow().running)
+    }
+}
 
 impl RunningGuard {
-    pub(crate) fn new(member: &Rc<TargetMember>) -> Self {
+    pub(crate) fn new(member: &Rc<TargetMember>, service: &Rc<TurnQueue>) -> Self {
         member.score.borrow_mut().running += 1;
-        Self(Rc::clone(member))
+        Self(Rc::clone(member), Rc::clone(service))
     }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        let mut score = self.0.score.borrow_mut();
-        score.running = score.running.saturating_sub(1);
+        {
+            let mut score = self.0.score.borrow_mut();
+            score.running = score.running.saturating_sub(1);
+        }
+        self.0.turns.wake_one();
+        self.1.wake_one();
     }
 }
 
@@ -99,6 +119,8 @@
         state: Cell::new(entry.state),
         cold_until: Cell::new(Instant::now() + entry.cold_left),
         score: RefCell::new(TargetScore::new(USUAL_LATENCY)),
+        limit: Cell::new(AdaptiveLimit::new(entry.slots, entry.slots * LIMIT_FACTOR)),
+        turns: TurnQueue::default(),
         pool: SharedPool::default(),
     }
 }
--- a/crates/nickellead_gateway/src/worker.rs
+++ b/crates/nickellead_gateway/src/worker.rs
@@ -5,6 +5,7 @@
 //! may be tried once more.
 
 use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,14 +15,16 @@
 use nickellead_balance::{Candidate, TargetOutcome, choose};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
+use nickellead_limit::TurnQueue;
 use nickellead_proxy::{error_response, is_connection_header};
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
 
+use crate::drain::DrainState;
 use crate::exchange::{LossReason, TargetAnswer, TryPlan, TryResult, try_target};
 use crate::incoming::{PlannedRequest, plan_request};
-use crate::key_count::KeyCounter;
+use crate::load_count::LoadCounter;
 use crate::metrics::GatewayMetrics;
 use crate::retry_share::RetryShare;
 use crate::roster::{RunningGuard, TargetMember, TargetRoster};
@@ -30,6 +33,8 @@
 
 /// Longest wait for a range that is on the move, or for its next owner.
 const MOVE_WAIT: Duration = Duration::from_millis(400);
+/// Part of the latency target that a request may wait for a target with room.
+const WAIT_PART: f64 = 0.4;
 /// Most tries that failed before anything was sent.
 const UNSENT_TRIES: u32 = 4;
 /// Kept of the caller's time for the way back of an answer.
@@ -40,13 +45,23 @@
 /// What the request path believes; parts are replaced whole.
 pub(crate) struct WorkerBeliefs {
     pub(crate) version: Option<u64>,
-    pub(crate) divided: std::collections::HashSet<String>,
+    pub(crate) divided: HashSet<String>,
     pub(crate) limits: crate::CallerLimits,
     pub(crate) table: Rc<RouteTable>,
     pub(crate) roster: TargetRoster,
     pub(crate) ranges: Arc<RangeMap>,
 }
 
+/// What the request path is built from.
+pub(crate) struct WorkerParts {
+    pub(crate) names: HeaderNames,
+    pub(crate) zone: String,
+    pub(crate) retry_burst: f64,
+    pub(crate) keys: LoadCounter,
+    pub(crate) drain: Arc<DrainState>,
+    pub(crate) metrics: GatewayMetrics,
+}
+
 /// The request path of one VM.
 pub(crate) struct RequestWorker {
     names: HeaderNames,
@@ -55,7 +70,10 @@
     changed: Notify,
     retries: RefCell<RetryShare>,
     rng: RefCell<fastrand::Rng>,
-    keys: KeyCounter,
+    keys: LoadCounter,
+    /// Requests that wait for any target of a service.
+    queues: RefCell<HashMap<String, Rc<TurnQueue>>>,
+    drain: Arc<DrainState>,
     metrics: GatewayMetrics,
 }
 
@@ -68,6 +86,8 @@
     unsent: u32,
     /// Targets tried already.
     tried: Vec<String>,
+    /// Targets that said that they do not own the key.
+    misdirected: Vec<String>,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// A failure that a target answered, to be passed on if nothing better comes.
@@ -82,30 +102,26 @@
 }
 
 impl RequestWorker {
-    pub(crate) fn new(
-        names: HeaderNames,
-        zone: String,
-        retry_burst: f64,
-        keys: KeyCounter,
-        metrics: GatewayMetrics,
-    ) -> Rc<Self> {
+    pub(crate) fn new(parts: WorkerParts) -> Rc<Self> {
         let beliefs = WorkerBeliefs {
             version: None,
-            divided: std::collections::HashSet::new(),
+            divided: HashSet::new(),
             limits: crate::CallerLimits::default(),
             table: Rc::default(),
             roster: TargetRoster::default(),
             ranges: Arc::default(),
         };
         Rc::new(Self {
-            names,
-            zone,
+            names: parts.names,
+            zone: parts.zone,
             beliefs: RefCell::new(beliefs),
             changed: Notify::new(),
-            retries: RefCell::new(RetryShare::new(retry_burst)),
+            retries: RefCell::new(RetryShare::new(parts.retry_burst)),
             rng: RefCell::new(fastrand::Rng::new()),
-            keys,
-            metrics,
+            keys: parts.keys,
+            queues: RefCell::default(),
+            drain: parts.drain,
+            metrics: parts.metrics,
         })
     }
 
@@ -150,6 +166,9 @@
             Ok(planned) => planned,
             Err(kind) => return self.refuse_unread(kind),
         };
+        if self.drain.would_cut(planned.until) {
+            return self.refuse(ErrorKind::Stopping, Some(&planned));
+        }
         match self.serve(&planned).await {
             Ok(answer) => {
                 self.metrics.note_answer(planned.arrived.elapsed());
@@ -170,12 +189,12 @@
         }
         let mut state = TryState::default();
         loop {
-            let member = match self.choose_member(planned, &part.service, &state).await {
+            let member = match self.wait_for_turn(planned, &part.service, &state).await {
                 Ok(member) => member,
                 Err(kind) => return finish(state, kind),
             };
             let since = Instant::now();
-            let result = self.try_member(planned, &member).await;
+            let result = self.try_member(planned, &part.service, &member).await;
             let step = self.judge(planned, &member, &mut state, result, since.elapsed());
             match step {
                 NextStep::Done(answer) => return Ok(answer),
@@ -194,8 +213,13 @@
         }
     }
 
-    async fn try_member(&self, planned: &PlannedRequest, member: &Rc<TargetMember>) -> TryResult {
-        let _running = RunningGuard::new(member);
+    async fn try_member(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        member: &Rc<TargetMember>,
+    ) -> TryResult {
+        let _running = RunningGuard::new(member, &self.queue(service));
         let until = planned.until.checked_sub(RETURN_TIME).unwrap_or(planned.until);
         let plan =
             TryPlan { target_id: &member.id, address: member.address, pool: &member.pool, until };
@@ -216,6 +240,12 @@
     ) -> NextStep {
         let now = BootClock.now();
         let note = |outcome| member.score.borrow_mut().note(outcome, now);
+        let running = member.score.borrow().running + 1;
+        let refused = || {
+            let mut limit = member.limit.get();
+            limit.note_refusal();
+            member.limit.set(limit);
+        };
         let safe = planned.route.rule.repeat == RepeatClass::Safe;
         state.tried.push(member.id.clone());
         match result {
@@ -231,14 +261,20 @@
             }
             TryResult::Answered(answer) => {
                 note(TargetOutcome::Answered(length));
+                let mut limit = member.limit.get();
+                limit.note_answer(running);
+                member.limit.set(limit);
+                self.keys.note_speed(&member.id, member.score.borrow().unhurried_ms());
                 NextStep::Done(answer)
             }
             TryResult::Shed => {
+                refused();
                 note(TargetOutcome::Shed);
                 state.sent += 1;
                 NextStep::Again
             }
             TryResult::Misdirected => {
+                state.misdirected.push(member.id.clone());
                 state.sent += 1;
                 NextStep::Again
             }
@@ -249,6 +285,7 @@
                 NextStep::Again
             }
             TryResult::Lost(reason) => {
+                refused();
                 note(TargetOutcome::Broken);
                 state.sent += 1;
                 state.may_have_run = true;
@@ -265,7 +302,46 @@
         }
     }
 
-    /// The target for the next try.
+    /// A target with room, or why none was found in time.
+    async fn wait_for_turn(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        state: &TryState,
+    ) -> Result<Rc<TargetMember>, ErrorKind> {
+        let rule = &planned.route.rule;
+        let until = planned.arrived + rule.latency_target.mul_f64(WAIT_PART);
+        loop {
+            let member = self.choose_member(planned, service, state).await?;
+            if member.has_room() {
+                return Ok(member);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(ErrorKind::Overloaded);
+            }
+            let divided = self.beliefs.borrow().divided.contains(service);
+            let service_queue = self.queue(service);
+            let queue = if divided { &member.turns } else { &*service_queue };
+            let mut turn = queue.join(rule.priority);
+            let woken = tokio::time::timeout(left, turn.wait()).await;
+            queue.leave(&turn);
+            if woken.is_err() {
+                return Err(ErrorKind::Overloaded);
+            }
+        }
+    }
+
+    /// The queue of a service.
+    fn queue(&self, service: &str) -> Rc<TurnQueue> {
+        let mut queues = self.queues.borrow_mut();
+        match queues.get(service) {
+            Some(queue) => Rc::clone(queue),
+            None => Rc::clone(queues.entry(service.to_owned()).or_default()),
+        }
+    }
+
+    /// The target for the next try, with room or without.
     async fn choose_member(
         &self,
         planned: &PlannedRequest,
@@ -283,8 +359,11 @@
     fn balance(&self, service: &str, tried: &[String]) -> Option<Rc<TargetMember>> {
         let beliefs = self.beliefs.borrow();
         let all = beliefs.roster.members(service);
-        let fresh: Vec<&Rc<TargetMember>> =
+        let mut fresh: Vec<&Rc<TargetMember>> =
             all.iter().filter(|member| !tried.contains(&member.id)).collect();
+        if fresh.iter().any(|member| member.has_room()) {
+            fresh.retain(|member| member.has_room());
+        }
         let scores: Vec<_> = fresh.iter().map(|member| member.score.borrow()).collect();
         let now = Instant::now();
         let candidates: Vec<Candidate<'_>> = fresh
@@ -327,7 +406,7 @@
     fn owner(&self, service: &str, key: u16, state: &TryState) -> Option<Rc<TargetMember>> {
         let beliefs = self.beliefs.borrow();
         let range = beliefs.ranges.find(service, key).filter(|range| range.settled)?;
-        let owner = range.owner.as_ref().filter(|owner| !state.tried.contains(&owner.id))?;
+        let owner = range.owner.as_ref().filter(|owner| !state.misdirected.contains(&owner.id))?;
         beliefs.roster.find(&owner.id).map(Rc::clone)
     }
 
--- /dev/null
+++ b/crates/nickellead_limit/src/queue.rs
@@ -0,0 +1,71 @@
+//! Requests that wait for a target with room.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use tokio::sync::oneshot;
+
+/// Waiting requests, by rank and then by age.
+///
+/// A waiter that is woken looks again and may find that somebody else was
+/// faster; it then joins anew. A waiter that gave up is passed over.
+#[derive(Debug, Default)]
+pub struct TurnQueue {
+    waiting: RefCell<Waiting>,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    next: u64,
+    turns: BTreeMap<(u8, u64), oneshot::Sender<()>>,
+}
+
+/// A place in the queue; given up when dropped.
+#[derive(Debug)]
+pub struct Turn {
+    place: (u8, u64),
+    woken: oneshot::Receiver<()>,
+}
+
+impl Turn {
+    /// Waits until it is this request's turn.
+    pub async fn wait(&mut self) {
+        // A queue that is gone wakes its waiters as well.
+        let _ = (&mut self.woken).await;
+    }
+}
+
+impl TurnQueue {
+    /// Joins the queue; rank 0 goes first.
+    #[must_use]
+    pub fn join(&self, rank: u8) -> Turn {
+        let mut waiting = self.waiting.borrow_mut();
+        let place = (rank, waiting.next);
+        waiting.next += 1;
+        let (sender, woken) = oneshot::channel();
+        waiting.turns.insert(place, sender);
+        Turn { place, woken }
+    }
+
+    /// Gives a place up, woken or not.
+    pub fn leave(&self, turn: &Turn) {
+        self.waiting.borrow_mut().turns.remove(&turn.place);
+    }
+
+    /// Wakes the most urgent request that still waits.
+    pub fn wake_one(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        while let Some((_, sender)) = waiting.turns.pop_first() {
+            if sender.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Requests of this rank or a more urgent one that wait.
+    #[must_use]
+    pub fn ahead_of(&self, rank: u8) -> usize {
+        let waiting = self.waiting.borrow();
+        waiting.turns.range(..(rank, u64::MAX)).filter(|(_, sender)| !sender.is_closed()).count()
+    }
+}
--- a/crates/nickellead_range/src/plan.rs
+++ b/crates/nickellead_range/src/plan.rs
@@ -112,12 +112,11 @@
     let room = (1.0 - loads[lightest]) * fair(lightest);
     let wanted = excess.min(room);
     let from = &candidates[heaviest].holder;
-    let owned = |range: &&RangeRecord| range.settled && range.owner.as_ref() == Some(from);
-    let source = ranges
-        .iter()
-        .filter(owned)
-        .max_by(|a, b| weigh(load, a.first, a.last).total_cmp(&weigh(load, b.first, b.last)))?;
-    let proposal = cut_piece(source, load, wanted, &candidates[lightest].holder)?;
+    let mut sources: Vec<&RangeRecord> =
+        ranges.iter().filter(|range| range.settled && range.owner.as_ref() == Some(from)).collect();
+    sources.sort_by(|a, b| weigh(load, b.first, b.last).total_cmp(&weigh(load, a.first, a.last)));
+    let to = &candidates[lightest].holder;
+    let proposal = sources.into_iter().find_map(|source| cut_piece(source, load, wanted, to))?;
     apply_move(ranges, &proposal);
     Some(proposal)
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -81,7 +81,7 @@
             Err(message) => return fail(EXIT_USAGE, &message),
         };
         let store_address = settings.store_address;
-        let ports = move || (ObjectStore::new(store_address), TargetOrders::new());
+        let ports = move || (ObjectStore::new(store_address), TargetOrders::default());
         let mut gateway = match start_gateway(settings, HEADER_NAMES, ports) {
             Ok(gateway) => gateway,
             Err(error) => return fail(EXIT_USAGE, &error),
