VMs tell each other what the store says; a new service is divided once its targets are there

Now the mandate's holder follows the store and tells a few VMs of each zone, who tell the others; a VM that loses its source goes back to the store from where it stood. Ruled out: longer watches (staleness after a cut), fewer moves alone. Now a new service waits until no target came for 1.2 s.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -51,6 +51,8 @@
     StoreLost,
     /// The store answers again.
     StoreRegained,
+    /// This VM gets its news from elsewhere now.
+    NewsSource,
     /// This VM gave the mandate up or lost it.
     MandateLost,
     /// The map of ranges was written.
@@ -92,6 +94,7 @@
             Self::TargetEjected => "target-ejected",
             Self::StoreLost => "store-lost",
             Self::StoreRegained => "store-regained",
+            Self::NewsSource => "news-source",
             Self::MandateLost => "mandate-lost",
             Self::RangesWritten => "ranges-written",
             Self::RangeMoved => "range-moved",
--- a/crates/nickellead_gateway/src/control.rs
+++ b/crates/nickellead_gateway/src/control.rs
@@ -2,10 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use nickellead_core::Timestamp;
 use nickellead_event::{EventName, log_event};
 use nickellead_range::{
     HolderRecord, KeeperSettings, KeyLoad, OrderKind, OrderOutcome, OwnerCandidate, RangeKeeper,
@@ -15,15 +16,17 @@
 use tokio::sync::watch;
 
 use crate::beliefs::BeliefSenders;
-use crate::follow::{follow_declarations, follow_ranges, follow_targets, tell_ranges};
+use crate::book::BeliefBook;
+use crate::follow::Follower;
 use crate::load_count::LoadCounter;
 use crate::mandate::{
     MANDATE_LOOK, MANDATE_RENEWAL, MandatePower, MandateState, MandateWrite, RENEWAL_GRACE,
 };
+use crate::relay::{NewsRelay, serve_news};
 use crate::store_health::StoreHealth;
 use crate::{
-    Declarations, OrderPort, OwnershipSettings, Revision, StoreError, StorePort, Stored,
-    TargetEntry, TargetList, TargetState,
+    OrderPort, OwnershipSettings, Revision, StoreError, StorePort, Stored, TargetEntry, TargetList,
+    TargetState,
 };
 
 /// Between two looks at what is due.
@@ -36,14 +39,30 @@
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
 /// What is left of counted requests after one such period: about the last three seconds count.
 const LOAD_KEPT: f64 = 0.83;
-/// Most moves started by one look; each stalls its keys for about the length of one request.
-const MOVES_MOST: usize = 4;
-/// No new moves while this many ranges are unsettled.
-const UNSETTLED_MOST: usize = 3;
+/// Moves under way that are always allowed; each stalls its keys for about the length of a request.
+const MOVES_LEAST: usize = 4;
+/// One more move may be under way for this many targets.
+const TARGETS_A_MOVE: usize = 8;
+/// Targets of a new service are taken to be complete when none came for this long.
+const ARRIVAL_TIME: Duration = Duration::from_millis(1_200);
+/// VMs that start at once ask for the mandate spread over this time.
+const START_SPREAD: Duration = Duration::from_millis(250);
+/// A VM that has just started follows the store when it found no other source within this time.
+const SEEK_TIME: Duration = Duration::from_millis(700);
+/// VMs that lose their source at once turn to the store spread over this time.
+const FALL_BACK_SPREAD: Duration = Duration::from_millis(200);
+/// Between two probes of the store by the mandate's holder.
+const PROBE_PERIOD: Duration = Duration::from_millis(330);
+/// How long a probe may take; the store takes about 4 ms when well.
+const PROBE_TIME: Duration = Duration::from_millis(400);
 
 /// What the control duty is built from.
 pub(crate) struct ControlParts<S, O> {
     pub(crate) vm: String,
+    pub(crate) zone: String,
+    pub(crate) peers_address: SocketAddr,
+    pub(crate) peers: std::net::TcpListener,
+    pub(crate) cpu_share: f64,
     pub(crate) incarnation: u64,
     pub(crate) ownership: OwnershipSettings,
     pub(crate) store: S,
@@ -59,18 +78,17 @@
     store: Rc<S>,
     orders: Rc<O>,
     health: Rc<StoreHealth>,
+    book: Rc<BeliefBook>,
+    relay: Rc<NewsRelay>,
     mandate: RefCell<MandateState>,
     keeper: RefCell<Option<RangeKeeper>>,
     /// Revision of the map that the keeper works on; `None` while there is no map.
     map_revision: Cell<Option<Revision>>,
-    /// Newest revision of the map that this VM has seen.
-    seen_revision: Rc<Cell<Revision>>,
-    told_ranges: watch::Sender<Arc<RangeMap>>,
-    declarations: watch::Receiver<Option<Arc<Declarations>>>,
-    targets: watch::Receiver<Arc<TargetList>>,
     loads: RefCell<HashMap<String, KeyLoad>>,
     /// Time of an unhurried answer by target, in milliseconds.
     speeds: RefCell<HashMap<String, f64>>,
+    /// Number of a service's targets, and since when it stands.
+    arrivals: RefCell<HashMap<String, (usize, Timestamp)>>,
     keys: LoadCounter,
     ownership: OwnershipSettings,
     incarnation: u64,
@@ -81,35 +99,34 @@
 pub(crate) async fn run_control<S: StorePort, O: OrderPort>(parts: ControlParts<S, O>) {
     let store = Rc::new(parts.store);
     let health = Rc::new(StoreHealth::default());
-    let seen_revision = Rc::new(Cell::new(Revision::default()));
-    let told_ranges = parts.beliefs.ranges.clone();
-    let declarations = parts.beliefs.declarations.subscribe();
-    let targets = parts.beliefs.targets.subscribe();
-    actix_rt::spawn(follow_declarations(
-        Rc::clone(&store),
-        Rc::clone(&health),
-        parts.beliefs.declarations,
-    ));
-    actix_rt::spawn(follow_targets(Rc::clone(&store), Rc::clone(&health), parts.beliefs.targets));
-    actix_rt::spawn(follow_ranges(
-        Rc::clone(&store),
-        Rc::clone(&health),
-        parts.beliefs.ranges,
-        Rc::clone(&seen_revision),
-    ));
+    let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
+    let address = parts.peers_address;
+    let relay = NewsRelay::new(parts.zone, address, Rc::clone(&book), Rc::clone(&health));
+    // Only a listener outside a runtime fails here, and this function runs inside one.
+    if let Ok(listener) = tokio::net::TcpListener::from_std(parts.peers) {
+        actix_rt::spawn(serve_news(Rc::clone(&relay), listener));
+    }
+    let follower = Follower {
+        store: Rc::clone(&store),
+        health: Rc::clone(&health),
+        book: Rc::clone(&book),
+        relay: Rc::clone(&relay),
+    };
+    follower.start();
+    let mandate =
+        MandateState::new(parts.vm.clone(), address, parts.incarnation, handicap(parts.cpu_share));
     let duty = Rc::new(ControlDuty {
         store,
         orders: Rc::new(parts.orders),
         health,
-        mandate: RefCell::new(MandateState::new(parts.vm.clone(), parts.incarnation)),
+        book,
+        relay,
+        mandate: RefCell::new(mandate),
         keeper: RefCell::new(None),
         map_revision: Cell::new(None),
-        seen_revision,
-        told_ranges,
-        declarations,
-        targets,
         loads: RefCell::default(),
         speeds: RefCell::default(),
+        arrivals: RefCell::default(),
         keys: parts.keys,
         ownership: parts.ownership,
         incarnation: parts.incarnation,
@@ -123,44 +140,95 @@
     mandate.abort();
     ranges.abort();
     duty.give_back().await;
+    duty.relay.fall_back();
+    // The request duty still needs news until the process ends.
+    std::future::pending::<()>().await;
+}
+
+/// How much longer than others a VM waits before it takes the mandate.
+///
+/// Its holder serves all other VMs, which a slow VM does only if nobody else will.
+fn handicap(cpu_share: f64) -> Duration {
+    const WEAK_SHARE: f64 = 0.2;
+    const WEAK_WAIT: Duration = Duration::from_millis(900);
+    if cpu_share < WEAK_SHARE { WEAK_WAIT } else { Duration::ZERO }
 }
 
 /// Takes, renews and watches the mandate.
 async fn keep_mandate<S: StorePort, O: OrderPort>(duty: Rc<ControlDuty<S, O>>) {
+    // Spread, so that not all VMs of a fleet that starts at once ask at the same moment.
+    tokio::time::sleep(START_SPREAD.mul_f64(fastrand::f64())).await;
+    let started = BootClock.now();
     loop {
         if duty.mandate.borrow().is_held() {
             duty.write_mandate().await;
-            tokio::time::sleep(MANDATE_RENEWAL).await;
+            duty.probe_store(MANDATE_RENEWAL).await;
             continue;
         }
-        let may_take = duty.mandate.borrow().due_write(BootClock.now()).is_some();
-        let read = match may_take {
-            true => duty.store.mandate().await,
-            false => duty.store.mandate_maybe_old().await,
-        };
-        duty.health.note(&read);
-        match read {
-            Ok(read) => {
-                duty.mandate.borrow_mut().note_read(read, BootClock.now());
-                if duty.wants_mandate() {
-                    duty.write_mandate().await;
+        let read = duty.read_mandate().await;
+        let holder = match read {
+            Ok(holder) => holder,
+            Err(_) => {
+                if BootClock.now().since(started) > SEEK_TIME {
+                    duty.relay.fall_back();
                 }
-                let spread = 0.8 + fastrand::f64() * 0.4;
-                tokio::time::sleep(MANDATE_LOOK.mul_f64(spread)).await;
+                duty.health.pause().await;
+                continue;
             }
-            Err(_) => duty.health.pause().await,
+        };
+        if duty.wants_mandate() {
+            duty.write_mandate().await;
+        } else if let Some(holder) = holder {
+            duty.relay.follow(holder).await;
+            // The source is lost: a watch from what is known costs one call a part.
+            tokio::time::sleep(FALL_BACK_SPREAD.mul_f64(fastrand::f64())).await;
+            duty.relay.fall_back();
+        }
+        if BootClock.now().since(started) > SEEK_TIME {
+            duty.relay.fall_back();
         }
+        let spread = 0.8 + fastrand::f64() * 0.4;
+        tokio::time::sleep(MANDATE_LOOK.mul_f64(spread)).await;
     }
 }
 
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
-    /// Whether there is anything to decide for a holder of the mandate.
-    fn wants_mandate(&self) -> bool {
-        let declared = self.declarations.borrow();
-        let divided = |declared: &Arc<Declarations>| {
-            declared.services.values().any(|service| service.divided)
+    /// Reads the mandate; gives the address of its holder, if another VM holds it.
+    async fn read_mandate(&self) -> Result<Option<SocketAddr>, StoreError> {
+        let may_take = self.mandate.borrow().due_write(BootClock.now()).is_some();
+        let read = match may_take {
+            true => self.store.mandate().await,
+            false => self.store.mandate_maybe_old().await,
         };
-        !self.mandate.borrow().is_held() && declared.as_ref().is_some_and(divided)
+        self.health.note(&read);
+        let read = read?;
+        if let Some(read) = &read {
+            self.book.note_mandate(read);
+        }
+        let holder = read.as_ref().filter(|read| !read.value.vacant && read.value.vm != self.vm);
+        let address = holder.map(|read| read.value.address);
+        self.mandate.borrow_mut().note_read(read, BootClock.now());
+        Ok(address)
+    }
+
+    /// Waits, and meanwhile asks the store cheaply whether it still answers.
+    ///
+    /// Other VMs rely on it that the holder notices soon when the store is out of its reach.
+    async fn probe_store(&self, wait: Duration) {
+        let until = Instant::now() + wait;
+        while Instant::now() + PROBE_PERIOD < until {
+            tokio::time::sleep(PROBE_PERIOD).await;
+            let probe = tokio::time::timeout(PROBE_TIME, self.store.mandate_maybe_old()).await;
+            let probe = probe.unwrap_or(Err(StoreError::Silent("probe".to_owned())));
+            self.health.note(&probe);
+        }
+        tokio::time::sleep_until(until.into()).await;
+    }
+
+    /// Whether this VM may take the mandate and there is anything to decide for its holder.
+    fn wants_mandate(&self) -> bool {
+        let mandate = self.mandate.borrow();
+        !mandate.is_held() && mandate.due_write(BootClock.now()).is_some()
     }
 
     async fn write_mandate(&self) {
@@ -171,9 +239,13 @@
         let answer = self.store.write_mandate(write.expected, &write.record).await;
         self.health.note(&answer);
         let taken = self.mandate.borrow_mut().note_written(&write, &answer, sent, BootClock.now());
+        if let Some(seen) = self.mandate.borrow().seen() {
+            self.book.note_mandate(seen);
+        }
         if taken {
             log_event(EventName::MandateTaken, &[("vm", &self.vm)]);
             self.keeper.replace(None);
+            self.relay.set_leads(true);
         }
         if answer.is_err() {
             self.read_mandate_back(&write).await;
@@ -188,6 +260,7 @@
         let lost = self.mandate.borrow_mut().note_read(read, BootClock.now());
         if lost {
             self.keeper.replace(None);
+            self.relay.set_leads(false);
             let pairs: [(&str, &dyn std::fmt::Display); 2] =
                 [("vm", &self.vm), ("renewals", &write.record.renewals)];
             log_event(EventName::MandateLost, &pairs);
@@ -218,6 +291,7 @@
             balanced = now;
             duty.note_load();
         }
+        duty.note_told_mandate(now);
         let power = duty.mandate.borrow().power(now);
         if power == MandatePower::None {
             duty.keeper.replace(None);
@@ -242,12 +316,21 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
+    /// Takes in the mandate that another VM told, as soon as it is told.
+    fn note_told_mandate(&self, now: Timestamp) {
+        if !self.mandate.borrow().is_held() {
+            let told = self.book.mandate();
+            self.mandate.borrow_mut().note_read(told, now);
+        }
+    }
+
     /// Whether somebody else wrote the map after this VM's keeper read it.
     fn keeper_is_outdated(&self) -> bool {
         let known = self.map_revision.get().unwrap_or_default();
-        self.keeper.borrow().is_some()
-            && self.seen_revision.get() > known
-            && self.told_ranges.borrow().writer != self.incarnation
+        let foreign = |stored: &Stored<RangeMap>| {
+            stored.revision > known && stored.value.writer != self.incarnation
+        };
+        self.keeper.borrow().is_some() && self.book.ranges().as_ref().is_some_and(foreign)
     }
 
     /// Reads the map and makes a keeper of it; tells whether that succeeded.
@@ -273,9 +356,8 @@
 
     /// Who may own ranges now, by service.
     fn candidates(&self) -> Vec<(String, Vec<OwnerCandidate>)> {
-        let declared = self.declarations.borrow().clone();
-        let targets = self.targets.borrow().clone();
-        let Some(declared) = declared else {
+        let targets = self.book.targets();
+        let Some(declared) = self.book.declarations() else {
             return Vec::new();
         };
         let divided = declared.services.iter().filter(|(_, rule)| rule.divided);
@@ -291,7 +373,12 @@
         let mut keeper = self.keeper.borrow_mut();
         let Some(keeper) = keeper.as_mut() else { return };
         let empty = KeyLoad::default();
+        let now = BootClock.now();
         for (service, candidates) in candidates {
+            let fresh = !keeper.map().services.contains_key(&service);
+            if fresh && !self.have_arrived(&service, candidates.len(), now) {
+                continue;
+            }
             let load = loads.get(&service).unwrap_or(&empty);
             keeper.set_candidates(&service, &candidates, |ranges, _, _| {
                 nickellead_range::lightest_owner(ranges, &candidates, load)
@@ -299,6 +386,16 @@
         }
     }
 
+    /// Whether the number of a new service's targets has stood long enough to divide its keys.
+    fn have_arrived(&self, service: &str, count: usize, now: Timestamp) -> bool {
+        let mut arrivals = self.arrivals.borrow_mut();
+        let entry = arrivals.entry(service.to_owned()).or_insert((count, now));
+        if entry.0 != count {
+            *entry = (count, now);
+        }
+        now.since(entry.1) >= ARRIVAL_TIME
+    }
+
     /// Takes in what callers asked for since the last look.
     fn note_load(&self) {
         let mut loads = self.loads.borrow_mut();
@@ -324,10 +421,11 @@
                 continue;
             };
             let unsettled = ranges.iter().filter(|range| !range.settled).count();
-            if unsettled > UNSETTLED_MOST {
+            let most = MOVES_LEAST.max(candidates.len() / TARGETS_A_MOVE);
+            if unsettled >= most {
                 continue;
             }
-            let moves = plan_moves(ranges, &candidates, load, MOVES_MOST);
+            let moves = plan_moves(ranges, &candidates, load, most - unsettled);
             for one in &moves {
                 let pairs: [(&str, &dyn std::fmt::Display); 4] = [
                     ("service", &service),
@@ -366,7 +464,7 @@
         if let Some(keeper) = self.keeper.borrow_mut().as_mut() {
             keeper.note_written(edit);
         }
-        tell_ranges(&self.told_ranges, &self.seen_revision, Stored { revision, value: map });
+        self.book.note_ranges(revision, Some(Stored { revision, value: map }));
     }
 
     /// After a write that failed: did it succeed all the same, or did somebody else write?
--- a/crates/nickellead_gateway/src/declared.rs
+++ b/crates/nickellead_gateway/src/declared.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
+
 /// All declarations of one version.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Declarations {
     /// Version of the declarations; a higher one replaces a lower one.
     pub version: u64,
@@ -17,7 +19,7 @@
 }
 
 /// Whether a request may be run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum RepeatClass {
     /// It may: reads and the like.
     Safe,
@@ -26,7 +28,7 @@
 }
 
 /// One route: which requests go to which services, and how.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct RouteRule {
     /// Name of the route.
     pub name: String,
@@ -49,7 +51,7 @@
 }
 
 /// One service's share of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct RoutePart {
     /// The service.
     pub service: String,
@@ -58,7 +60,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct ServiceRule {
     /// Connections that one of its targets takes from all VMs together.
     pub connections: u32,
@@ -67,7 +69,7 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 pub struct CallerLimits {
     /// Most bytes of a request's head.
     pub header_bytes: usize,
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! of the `port` module.
 
 mod beliefs;
+mod book;
 mod connections;
 mod control;
 mod declared;
@@ -23,6 +24,7 @@
 mod node;
 mod order_call;
 mod port;
+mod relay;
 mod requests;
 mod retry_share;
 mod roster;
--- a/crates/nickellead_gateway/src/mandate.rs
+++ b/crates/nickellead_gateway/src/mandate.rs
@@ -5,6 +5,7 @@
 //! counts from when they first saw the object as it is. So the holder's count
 //! always ends before another VM may take the mandate.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
@@ -39,7 +40,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MandateState {
     vm: String,
+    address: SocketAddr,
     incarnation: u64,
+    /// Waited longer than others before the mandate is taken.
+    handicap: Duration,
     /// The object as last seen, and when it was first seen so.
     seen: Option<(Stored<MandateRecord>, Timestamp)>,
     /// Whether the object was looked for and is absent.
@@ -56,10 +60,17 @@
 }
 
 impl MandateState {
-    pub(crate) fn new(vm: String, incarnation: u64) -> Self {
+    pub(crate) fn new(
+        vm: String,
+        address: SocketAddr,
+        incarnation: u64,
+        handicap: Duration,
+    ) -> Self {
         Self {
             vm,
+            address,
             incarnation,
+            handicap,
             seen: None,
             absent: false,
             held: false,
@@ -72,6 +83,11 @@
         self.held
     }
 
+    /// The mandate as last seen.
+    pub(crate) fn seen(&self) -> Option<&Stored<MandateRecord>> {
+        self.seen.as_ref().map(|(seen, _)| seen)
+    }
+
     /// What this VM may send at this moment.
     pub(crate) fn power(&self, now: Timestamp) -> MandatePower {
         if !self.held {
@@ -117,6 +133,7 @@
     pub(crate) fn due_write(&self, now: Timestamp) -> Option<MandateWrite> {
         let record = |renewals| MandateRecord {
             vm: self.vm.clone(),
+            address: self.address,
             incarnation: self.incarnation,
             renewals,
             vacant: false,
@@ -128,8 +145,12 @@
             MandateWrite { expected: Some(seen.revision), record: record(seen.value.renewals + 1) };
         // A process of the same VM with another incarnation has ended before this one started.
         let own = seen.value.vm == self.vm;
-        let stood = now.since(*since) >= MANDATE_TIME + MANDATE_MARGIN;
-        (self.held || seen.value.vacant || own || stood).then_some(write)
+        let stood = now.since(*since);
+        let free = match seen.value.vacant {
+            true => stood >= self.handicap,
+            false => stood >= MANDATE_TIME + MANDATE_MARGIN + self.handicap,
+        };
+        (self.held || own || free).then_some(write)
     }
 
     /// The write that gives the mandate back.
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -73,6 +73,7 @@
 {
     let callers = listen("callers_address", settings.callers_address)?;
     let readiness = listen("readiness_address", settings.readiness_address)?;
+    let peers = listen("peers_address", settings.peers_address)?;
     let (senders, receivers) = join_beliefs();
     let keys = LoadCounter::default();
     let state = Arc::new(ServeState::default());
@@ -92,12 +93,18 @@
         drain: Arc::clone(&drain),
     })?;
     let (vm, ownership) = (settings.vm.clone(), settings.ownership);
+    let (zone, cpu_share) = (settings.zone.clone(), settings.cpu_share);
+    let peers_address = settings.peers_address;
     let control = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(async move {
                 let (store, orders) = ports();
                 run_control(ControlParts {
                     vm,
+                    zone,
+                    peers_address,
+                    peers,
+                    cpu_share,
                     incarnation,
                     ownership,
                     store,
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -3,8 +3,10 @@
 //! What implements them only translates; every decision stays in this crate
 //! and in `nickellead_range`.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use nickellead_range::{OrderOutcome, RangeMap, RangeOrder};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -12,7 +14,20 @@
 use crate::{Declarations, TargetChange, TargetList};
 
 /// Revision of the store: grows with each change.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    Encode,
+    Decode,
+)]
 pub struct Revision(pub u64);
 
 /// Why a call of the store gave nothing.
@@ -36,7 +51,7 @@
 }
 
 /// A document with the revision of its last change.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Stored<T> {
     /// Revision of its last change.
     pub revision: Revision,
@@ -54,10 +69,12 @@
 }
 
 /// Which VM decides about ranges.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct MandateRecord {
     /// Name of the VM.
     pub vm: String,
+    /// Where it tells other VMs what it knows.
+    pub address: SocketAddr,
     /// Life of its process.
     pub incarnation: u64,
     /// Grows with each renewal, so that every renewal changes the object.
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -38,6 +38,11 @@
     pub callers_address: SocketAddr,
     /// Where readiness and metrics are asked for.
     pub readiness_address: SocketAddr,
+    /// Where other VMs reach it.
+    pub peers_address: SocketAddr,
+    /// Its share of a core; VMs with little do not seek the mandate.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
     /// Where the platform's store listens.
     pub store_address: SocketAddr,
     /// Time between the signal to stop and the forced end, in seconds.
@@ -53,6 +58,10 @@
     pub ownership: OwnershipSettings,
 }
 
+const fn default_cpu_share() -> f64 {
+    1.0
+}
+
 const fn default_connections() -> usize {
     2_000
 }
@@ -116,6 +125,7 @@
         let ownership = &self.ownership;
         bound(!self.vm.is_empty(), "vm", "a name")?;
         bound((1.0..=600.0).contains(&self.grace_s), "grace_s", "from 1 to 600")?;
+        bound(self.cpu_share > 0.0, "cpu_share", "above 0")?;
         bound(self.connections >= 1, "connections", "1 or more")?;
         bound((0.0..=1_000.0).contains(&self.retry_burst), "retry_burst", "from 0 to 1000")?;
         bound((0.5..=60.0).contains(&ownership.hold_s), "ownership.hold_s", "from 0.5 to 60")?;
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -18,6 +18,7 @@
 pub(crate) struct StoreHealth {
     failures: Cell<u32>,
     regained: Cell<Option<Instant>>,
+    heard: Cell<Option<Instant>>,
     /// Woken when the store answers again: watches that hang are started anew.
     pub(crate) back: Notify,
 }
@@ -33,6 +34,7 @@
                 self.failures.set(self.failures.get().saturating_add(1));
             }
             _ => {
+                self.heard.set(Some(Instant::now()));
                 if self.failures.replace(0) > 0 {
                     self.regained.set(Some(Instant::now()));
                     self.back.notify_waiters();
@@ -47,6 +49,11 @@
         self.failures.get() > 0
     }
 
+    /// Whether the store answered within this time.
+    pub(crate) fn heard_within(&self, time: Duration) -> bool {
+        self.heard.get().is_some_and(|heard| heard.elapsed() < time)
+    }
+
     /// When the store last answered again after a failure.
     pub(crate) fn regained(&self) -> Option<Instant> {
         self.regained.get()
--- a/crates/nickellead_gateway/src/targets.rs
+++ b/crates/nickellead_gateway/src/targets.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
+
 /// Whether a target stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum TargetState {
     /// It takes requests.
     Ready,
@@ -14,7 +16,7 @@
 }
 
 /// One life of one target.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct TargetEntry {
     /// Identity of this life; a restart gets another.
     pub id: String,
@@ -36,7 +38,7 @@
 pub type TargetList = BTreeMap<String, TargetEntry>;
 
 /// One change of the list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum TargetChange {
     /// A target is listed, or its entry changed.
     Listed(TargetEntry),
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -1,8 +1,10 @@
 //! Sending messages to one VM.
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use http::Request;
@@ -20,17 +22,20 @@
 pub(crate) const WINDOW: u32 = 4 * 1024 * 1024;
 
 /// One connection to one VM, made when first needed and again after a failure.
+///
+/// `Q` is what it sends and `R` what it gets back.
 #[derive(Debug)]
-pub struct PeerClient {
+pub struct PeerClient<Q = PeerRequest, R = PeerReply> {
     address: SocketAddr,
     connection: Option<SendRequest<Bytes>>,
+    messages: PhantomData<fn(Q) -> R>,
 }
 
-impl PeerClient {
+impl<Q: Encode, R: Decode<()>> PeerClient<Q, R> {
     /// A client of the VM at `address`.
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
+        Self { address, connection: None, messages: PhantomData }
     }
 
     /// Where the VM listens.
@@ -43,11 +48,7 @@
     ///
     /// # Errors
     /// A [`PeerError`]; the connection is then made anew by the next call.
-    pub async fn call(
-        &mut self,
-        message: &PeerRequest,
-        limit: Duration,
-    ) -> Result<PeerReply, PeerError> {
+    pub async fn call(&mut self, message: &Q, limit: Duration) -> Result<R, PeerError> {
         let answer = match timeout(limit, self.exchange(message)).await {
             Ok(answer) => answer,
             Err(_) => Err(PeerError::Timeout),
@@ -58,7 +59,7 @@
         answer
     }
 
-    async fn exchange(&mut self, message: &PeerRequest) -> Result<PeerReply, PeerError> {
+    async fn exchange(&mut self, message: &Q) -> Result<R, PeerError> {
         let body = encode(message)?;
         let sender = self.connect().await?;
         let mut sender = sender.ready().await.map_err(connection_error)?;
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use bytes::Bytes;
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
@@ -24,11 +25,15 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What answers a message.
-pub type PeerHandler =
-    Rc<dyn Fn(PeerRequest, SocketAddr) -> Pin<Box<dyn Future<Output = PeerReply>>>>;
+pub type PeerHandler<Q = PeerRequest, R = PeerReply> =
+    Rc<dyn Fn(Q, SocketAddr) -> Pin<Box<dyn Future<Output = R>>>>;
 
 /// Answers messages on a listener for as long as the thread's runtime runs.
-pub async fn serve_peers(listener: TcpListener, handler: PeerHandler) {
+pub async fn serve_peers<Q, R>(listener: TcpListener, handler: PeerHandler<Q, R>)
+where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             // Out of descriptors or alike: give the others time to end.
@@ -43,11 +48,15 @@
     }
 }
 
-async fn serve_connection(
+async fn serve_connection<Q, R>(
     stream: TcpStream,
     from: SocketAddr,
-    handler: PeerHandler,
-) -> Result<(), PeerError> {
+    handler: PeerHandler<Q, R>,
+) -> Result<(), PeerError>
+where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
     stream.set_nodelay(true).map_err(connection_error)?;
     let mut builder = h2::server::Builder::new();
     builder
@@ -70,12 +79,16 @@
     Ok(())
 }
 
-async fn serve_message(
+async fn serve_message<Q, R>(
     request: Request<h2::RecvStream>,
     mut respond: SendResponse<Bytes>,
     from: SocketAddr,
-    handler: PeerHandler,
-) -> Result<(), PeerError> {
+    handler: PeerHandler<Q, R>,
+) -> Result<(), PeerError>
+where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
     if request.uri().path() != MESSAGE_PATH {
         return refuse(&mut respond, StatusCode::NOT_FOUND);
     }
@@ -83,7 +96,7 @@
         Ok(body) => body?,
         Err(_) => return Err(PeerError::Timeout),
     };
-    let Ok(message) = decode::<PeerRequest>(&body) else {
+    let Ok(message) = decode::<Q>(&body) else {
         return refuse(&mut respond, StatusCode::BAD_REQUEST);
     };
     let reply = encode(&handler(message, from).await)?;
--- a/crates/nickellead_range/src/map.rs
+++ b/crates/nickellead_range/src/map.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use bincode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
 /// A target as a holder of ranges: one life of one process.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
+)]
 pub struct HolderRecord {
     /// Identity of the target's current life.
     pub id: String,
@@ -14,7 +17,7 @@
 }
 
 /// One run of keys with one owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct RangeRecord {
     /// First key of the range.
     pub first: u16,
@@ -42,7 +45,7 @@
 pub type ServiceRanges = Vec<RangeRecord>;
 
 /// All ranges of all services that are divided by key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct RangeMap {
     /// Highest fence ever handed out; the next one is above it.
     pub fence: u64,
