--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -12,15 +12,20 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use crate::RepeatClass;
+
 /// Sends requests over one connection.
 pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
 
 /// How long a connection may rest when the target does not say.
 ///
 /// Targets close idle ones after about ten seconds.
-const REST_MAX: Duration = Duration::from_secs(6);
+const REST_MAX: Duration = Duration::from_millis(8_500);
 /// A connection is not used again this long before the target closes it.
 const REST_MARGIN: Duration = Duration::from_millis(1_200);
+/// The same for a request that may not be repeated: the longer a connection has rested, the
+/// likelier the target has forgotten it, and then nobody knows whether the request has run.
+const REST_UNSAFE: Duration = Duration::from_millis(4_000);
 /// Longest time to open a connection: a lost opening packet is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The system gives a connection up when the peer is silent for this long.
@@ -86,8 +91,9 @@
         &self,
         address: SocketAddr,
         wait: Duration,
+        repeat: RepeatClass,
     ) -> Result<ReadyConnection, ConnectFailure> {
-        if let Some(sender) = self.take_resting() {
+        if let Some(sender) = self.take_resting(repeat) {
             return Ok(ReadyConnection { sender, reused: true });
         }
         self.opened.set(self.opened.get() + 1);
@@ -99,11 +105,16 @@
         }
     }
 
-    fn take_resting(&self) -> Option<RequestSender> {
+    fn take_resting(&self, repeat: RepeatClass) -> Option<RequestSender> {
+        let most = match repeat {
+            RepeatClass::Safe => REST_MAX,
+            RepeatClass::Unsafe => REST_UNSAFE,
+        };
         let mut resting = self.resting.borrow_mut();
         resting.retain(|one| one.since.elapsed() < one.rest && !one.sender.is_closed());
         // The freshest are at the end; one whose last answer was just read may not be ready yet.
-        let place = resting.iter().rposition(|one| one.sender.is_ready())?;
+        let place =
+            resting.iter().rposition(|one| one.sender.is_ready() && one.since.elapsed() < most)?;
         Some(resting.remove(place).sender)
     }
 
--- a/crates/nickellead_gateway/src/control.rs
+++ b/crates/nickellead_gateway/src/control.rs
@@ -37,6 +37,8 @@
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
 /// What is left of counted requests after one such period: about the last three seconds count.
 const LOAD_KEPT: f64 = 0.83;
+/// Weight of one VM's newest speed of a target.
+const SPEED_WEIGHT: f64 = 0.3;
 /// Moves under way that are always allowed; each stalls its keys for about the length of a request.
 const MOVES_LEAST: usize = 4;
 /// One more move may be under way for this many targets.
@@ -46,7 +48,9 @@
 /// VMs that start at once ask for the mandate spread over this time.
 const START_SPREAD: Duration = Duration::from_millis(250);
 /// A VM that has just started follows the store when it found no other source within this time.
-const SEEK_TIME: Duration = Duration::from_millis(700);
+const SEEK_TIME: Duration = Duration::from_millis(1_000);
+/// Between two tries to find a source within that time.
+const SEEK_PAUSE: Duration = Duration::from_millis(80);
 /// VMs that lose their source at once turn to the store spread over this time.
 const FALL_BACK_SPREAD: Duration = Duration::from_millis(200);
 /// Between two probes of the store by the mandate's holder.
@@ -98,7 +102,13 @@
     let health = Rc::new(StoreHealth::default());
     let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
     let address = parts.peers_address;
-    let relay = NewsRelay::new(parts.zone, address, Rc::clone(&book), Rc::clone(&health));
+    let relay = NewsRelay::new(
+        parts.zone,
+        address,
+        Rc::clone(&book),
+        Rc::clone(&health),
+        parts.keys.clone(),
+    );
     // Only a listener outside a runtime fails here, and this function runs inside one.
     if let Ok(listener) = tokio::net::TcpListener::from_std(parts.peers) {
         actix_rt::spawn(serve_news(Rc::clone(&relay), listener));
@@ -176,6 +186,12 @@
             duty.write_mandate().await;
         } else if let Some(holder) = holder {
             duty.relay.follow(holder).await;
+            let seeks = BootClock.now().since(started) < SEEK_TIME;
+            if duty.book.known().declarations.is_none() && seeks {
+                // The holder may have just started as well.
+                tokio::time::sleep(SEEK_PAUSE).await;
+                continue;
+            }
             // The source is lost: a watch from what is known costs one call a part.
             tokio::time::sleep(FALL_BACK_SPREAD.mul_f64(fastrand::f64())).await;
             duty.relay.fall_back();
@@ -401,8 +417,15 @@
     fn note_load(&self) {
         let mut loads = self.loads.borrow_mut();
         loads.values_mut().for_each(|load| load.decay(LOAD_KEPT));
+        if self.relay.reports_load() {
+            return;
+        }
         let counts = self.keys.take();
-        self.speeds.borrow_mut().extend(counts.speeds);
+        let mut speeds = self.speeds.borrow_mut();
+        for (target, millis) in counts.speeds {
+            let known = speeds.entry(target).or_insert(millis);
+            *known += (millis - *known) * SPEED_WEIGHT;
+        }
         for (service, counts) in counts.keys {
             let load = loads.entry(service).or_default();
             counts.into_iter().for_each(|(key, count)| load.note(key, count));
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -8,8 +8,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use crate::HeaderNames;
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::{HeaderNames, RepeatClass};
 
 /// Largest body of an answer, in bytes: it is read whole before the caller gets any of it.
 const ANSWER_MAX: usize = 16 * 1024 * 1024;
@@ -28,6 +28,7 @@
     pub(crate) target_id: &'a str,
     pub(crate) address: SocketAddr,
     pub(crate) pool: &'a SharedPool,
+    pub(crate) repeat: RepeatClass,
     /// When the try is given up.
     pub(crate) until: Instant,
 }
@@ -83,7 +84,7 @@
     plan: &TryPlan<'_>,
 ) -> TryResult {
     let left = |until: Instant| until.saturating_duration_since(Instant::now());
-    let mut connection = match plan.pool.take(plan.address, left(plan.until)).await {
+    let mut connection = match plan.pool.take(plan.address, left(plan.until), plan.repeat).await {
         Ok(connection) => connection,
         Err(failure) => return TryResult::NotSent(failure),
     };
@@ -104,7 +105,8 @@
                 if !connection.reused {
                     return TryResult::NotSent(ConnectFailure::Refused);
                 }
-                connection = match plan.pool.take(plan.address, left(plan.until)).await {
+                connection = match plan.pool.take(plan.address, left(plan.until), plan.repeat).await
+                {
                     Ok(connection) => connection,
                     Err(failure) => return TryResult::NotSent(failure),
                 };
--- a/crates/nickellead_gateway/src/load_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -3,11 +3,13 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use bincode::{Decode, Encode};
+
 /// Counts by service and key since the last look.
 pub(crate) type KeyCounts = HashMap<String, HashMap<u16, u32>>;
 
 /// What the request path has seen since the last look.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Encode, Decode)]
 pub(crate) struct LoadCounts {
     /// Requests by service and key.
     pub(crate) keys: KeyCounts,
@@ -50,6 +52,20 @@
         }
     }
 
+    /// Adds what another VM has seen.
+    pub(crate) fn add(&self, other: LoadCounts) {
+        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, keys) in other.keys {
+            let known = counts.keys.entry(service).or_default();
+            for (key, count) in keys {
+                if known.len() < KEYS_MAX || known.contains_key(&key) {
+                    *known.entry(key).or_default() += count;
+                }
+            }
+        }
+        counts.speeds.extend(other.speeds);
+    }
+
     /// Takes the counts and starts anew.
     pub(crate) fn take(&self) -> LoadCounts {
         std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -82,6 +82,7 @@
     let incarnation = fastrand::u64(1..1 << 53);
     let requests = requests::build(RequestParts {
         names,
+        vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         retry_burst: settings.retry_burst,
         connections: settings.connections,
--- a/crates/nickellead_gateway/src/order_call.rs
+++ b/crates/nickellead_gateway/src/order_call.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 
+use crate::RepeatClass;
 use crate::connections::{CloseMode, ConnectionPool, SharedPool};
 
 /// Largest body of an answer to an order, in bytes.
@@ -51,7 +52,7 @@
     ) -> Result<(StatusCode, HeaderMap), CallFailure> {
         let until = Instant::now() + wait;
         let pool = self.pool(address);
-        let connecting = pool.take(address, wait).await;
+        let connecting = pool.take(address, wait, RepeatClass::Safe).await;
         let mut connection = connecting.map_err(|_| CallFailure::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
--- a/crates/nickellead_gateway/src/relay.rs
+++ b/crates/nickellead_gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use crate::book::{BeliefBook, BookMark, BookNews};
+use crate::load_count::{LoadCounter, LoadCounts};
 use crate::store_health::StoreHealth;
 
 /// How long a question waits for news.
@@ -46,6 +47,8 @@
     mark: BookMark,
     /// Sources that failed this VM a moment ago.
     avoid: Vec<SocketAddr>,
+    /// What this VM's callers asked for since its last question.
+    load: LoadCounts,
 }
 
 /// The answer to a [`NewsAsk`].
@@ -80,6 +83,7 @@
     heard: Cell<Instant>,
     leads: Cell<bool>,
     readers: RefCell<HashMap<SocketAddr, NewsReader>>,
+    loads: LoadCounter,
     /// Woken when the source changes.
     pub(crate) changed: Notify,
 }
@@ -97,6 +101,7 @@
         address: SocketAddr,
         book: Rc<BeliefBook>,
         health: Rc<StoreHealth>,
+        loads: LoadCounter,
     ) -> Rc<Self> {
         Rc::new(Self {
             zone,
@@ -107,6 +112,7 @@
             heard: Cell::new(Instant::now()),
             leads: Cell::new(false),
             readers: RefCell::default(),
+            loads,
             changed: Notify::new(),
         })
     }
@@ -140,6 +146,11 @@
         }
     }
 
+    /// Whether what this VM counts goes to another VM.
+    pub(crate) fn reports_load(&self) -> bool {
+        matches!(self.source.get(), NewsSource::Vm(_))
+    }
+
     /// Waits until this VM follows the store.
     pub(crate) async fn follows_store(&self) {
         loop {
@@ -188,16 +199,23 @@
     }
 
     /// Answers a question, at once when there are news and else after a while.
-    async fn answer(&self, ask: NewsAsk) -> NewsTell {
+    async fn answer(&self, mut ask: NewsAsk) -> NewsTell {
+        self.loads.add(std::mem::take(&mut ask.load));
         if let Some(other) = self.better_source(&ask) {
             return NewsTell::AskOther(other);
         }
         let until = Instant::now() + ASK_WAIT;
         loop {
+            let changed = self.book.changed.notified();
             if !self.in_touch() {
-                return NewsTell::OutOfTouch;
+                let seeking = self.source.get() == NewsSource::Seeking;
+                if !seeking || Instant::now() >= until {
+                    return NewsTell::OutOfTouch;
+                }
+                // This VM is about to learn the news itself.
+                let _ = tokio::time::timeout(TOUCH_LOOK, changed).await;
+                continue;
             }
-            let changed = self.book.changed.notified();
             let news = self.book.news_since(ask.mark);
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
@@ -242,6 +260,7 @@
                 address: self.address,
                 mark,
                 avoid: avoid.to_vec(),
+                load: self.loads.take(),
             };
             match client.call(&ask, ASK_WAIT + ANSWER_TIME).await {
                 Ok(NewsTell::News(news)) => {
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -24,6 +24,7 @@
 /// What the request duty is built from.
 pub(crate) struct RequestParts {
     pub(crate) names: HeaderNames,
+    pub(crate) vm: String,
     pub(crate) zone: String,
     pub(crate) retry_burst: f64,
     pub(crate) connections: usize,
@@ -52,6 +53,7 @@
     let metrics = GatewayMetrics::register(&mut registry);
     let worker = RequestWorker::new(WorkerParts {
         names: parts.names,
+        vm: parts.vm,
         zone: parts.zone,
         retry_burst: parts.retry_burst,
         keys: parts.keys,
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -63,17 +63,34 @@
     }
 }
 
+/// Members of a service in this VM's own zone that it sends requests to.
+///
+/// A VM that spread its requests over hundreds of targets would use no connection twice before the
+/// target closes it.
+const NEAR_MEMBERS: usize = 8;
+/// The same for members of other zones, for when the near ones are full.
+const FAR_MEMBERS: usize = 4;
+
 /// All members by service and by identity.
 #[derive(Default)]
 pub(crate) struct TargetRoster {
+    vm: String,
+    zone: String,
     by_id: HashMap<String, Rc<TargetMember>>,
     by_service: HashMap<String, Vec<Rc<TargetMember>>>,
+    /// This VM's part of each service.
+    subsets: HashMap<String, Vec<Rc<TargetMember>>>,
 }
 
 impl TargetRoster {
+    /// A roster without members.
+    pub(crate) fn new(vm: String, zone: String) -> Self {
+        Self { vm, zone, ..Self::default() }
+    }
+
     /// The roster of a new list; members that stay keep what was learned.
     pub(crate) fn rebuild(&self, list: &TargetList) -> Self {
-        let mut roster = Self::default();
+        let mut roster = Self::new(self.vm.clone(), self.zone.clone());
         for entry in list.values() {
             let member = match self.by_id.get(&entry.id) {
                 Some(member) if member.address == entry.address => Rc::clone(member),
@@ -86,6 +103,10 @@
                 roster.by_service.entry(entry.service.clone()).or_default().push(member);
             }
         }
+        for (service, members) in &roster.by_service {
+            let subset = choose_subset(&roster.vm, &roster.zone, members);
+            roster.subsets.insert(service.clone(), subset);
+        }
         for (id, member) in &self.by_id {
             if !roster.by_id.contains_key(id) {
                 member.pool.clear();
@@ -99,6 +120,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// This VM's part of a service's members.
+    pub(crate) fn subset(&self, service: &str) -> &[Rc<TargetMember>] {
+        self.subsets.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// One member, if it takes requests.
     pub(crate) fn find(&self, id: &str) -> Option<&Rc<TargetMember>> {
         self.by_id.get(id).filter(|member| member.state.get() == TargetState::Ready)
@@ -110,6 +136,25 @@
     }
 }
 
+/// The members with the highest hash of VM and target: VMs get different parts, and a member that
+/// comes or goes changes few of them.
+fn choose_subset(vm: &str, zone: &str, members: &[Rc<TargetMember>]) -> Vec<Rc<TargetMember>> {
+    let mut ranked: Vec<_> = members.iter().map(|member| (rank(vm, &member.id), member)).collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let of_zone = |near: bool, most: usize| {
+        let chosen = ranked.iter().filter(move |(_, member)| (member.zone == zone) == near);
+        chosen.take(most).map(|(_, member)| Rc::clone(member))
+    };
+    of_zone(true, NEAR_MEMBERS).chain(of_zone(false, FAR_MEMBERS)).collect()
+}
+
+fn rank(vm: &str, target: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(
+        target.as_bytes(),
+        xxhash_rust::xxh3::xxh3_64(vm.as_bytes()),
+    )
+}
+
 fn new_member(entry: &TargetEntry) -> TargetMember {
     TargetMember {
         id: entry.id.clone(),
--- a/crates/nickellead_gateway/src/worker.rs
+++ b/crates/nickellead_gateway/src/worker.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
 use nickellead_balance::{Candidate, TargetOutcome, choose};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
@@ -39,6 +39,9 @@
 const UNSENT_TRIES: u32 = 4;
 /// Kept of the caller's time for the way back of an answer.
 const RETURN_TIME: Duration = Duration::from_millis(4);
+/// Part of its deadline that a request may wait for a VM's first declarations: about a quarter of
+/// the latency target, as deadlines are two to three times as long.
+const START_WAIT_PART: u32 = 10;
 /// Part of the time left within which a caller may be asked to come back.
 const COME_BACK_PART: u32 = 6;
 
@@ -55,6 +58,7 @@
 /// What the request path is built from.
 pub(crate) struct WorkerParts {
     pub(crate) names: HeaderNames,
+    pub(crate) vm: String,
     pub(crate) zone: String,
     pub(crate) retry_burst: f64,
     pub(crate) keys: LoadCounter,
@@ -108,7 +112,7 @@
             divided: HashSet::new(),
             limits: crate::CallerLimits::default(),
             table: Rc::default(),
-            roster: TargetRoster::default(),
+            roster: TargetRoster::new(parts.vm, parts.zone.clone()),
             ranges: Arc::default(),
         };
         Rc::new(Self {
@@ -155,13 +159,14 @@
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request) -> Response<BoxBody> {
         self.metrics.requests.inc();
-        let (known, table, limits) = {
-            let beliefs = self.beliefs.borrow();
-            (beliefs.version.is_some(), Rc::clone(&beliefs.table), beliefs.limits)
-        };
-        if !known {
+        let known = self.beliefs.borrow().version.is_some();
+        if !known && !self.wait_for_declarations(&request).await {
             return self.refuse(ErrorKind::NotConfigured, None);
         }
+        let (table, limits) = {
+            let beliefs = self.beliefs.borrow();
+            (Rc::clone(&beliefs.table), beliefs.limits)
+        };
         let planned = match plan_request(request, &self.names, limits, &table).await {
             Ok(planned) => planned,
             Err(kind) => return self.refuse_unread(kind),
@@ -178,6 +183,23 @@
         }
     }
 
+    /// Waits a little for the first declarations of a VM that has just started.
+    async fn wait_for_declarations(&self, request: &Request) -> bool {
+        let deadline = request.headers().get(self.names.deadline_ms);
+        let deadline = deadline.and_then(|value| value.to_str().ok()?.parse().ok());
+        let wait = Duration::from_millis(deadline.unwrap_or(0)) / START_WAIT_PART;
+        let waiting = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.beliefs.borrow().version.is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        tokio::time::timeout(wait, waiting).await.is_ok()
+    }
+
     async fn serve(&self, planned: &PlannedRequest) -> Result<TargetAnswer, ErrorKind> {
         let rule = &planned.route.rule;
         let part = planned.route.next_part().ok_or(ErrorKind::NoTarget)?;
@@ -221,8 +243,13 @@
     ) -> TryResult {
         let _running = RunningGuard::new(member, &self.queue(service));
         let until = planned.until.checked_sub(RETURN_TIME).unwrap_or(planned.until);
-        let plan =
-            TryPlan { target_id: &member.id, address: member.address, pool: &member.pool, until };
+        let plan = TryPlan {
+            target_id: &member.id,
+            address: member.address,
+            pool: &member.pool,
+            repeat: planned.route.rule.repeat,
+            until,
+        };
         let watch = AbandonWatch { member, since: Instant::now(), armed: true };
         let result = try_target(&self.names, &planned.outgoing, &plan).await;
         watch.disarm();
@@ -358,9 +385,13 @@
 
     fn balance(&self, service: &str, tried: &[String]) -> Option<Rc<TargetMember>> {
         let beliefs = self.beliefs.borrow();
-        let all = beliefs.roster.members(service);
+        let part = beliefs.roster.subset(service);
         let mut fresh: Vec<&Rc<TargetMember>> =
-            all.iter().filter(|member| !tried.contains(&member.id)).collect();
+            part.iter().filter(|member| !tried.contains(&member.id)).collect();
+        if !fresh.iter().any(|member| member.has_room()) {
+            let all = beliefs.roster.members(service);
+            fresh = all.iter().filter(|member| !tried.contains(&member.id)).collect();
+        }
         if fresh.iter().any(|member| member.has_room()) {
             fresh.retain(|member| member.has_room());
         }
