News carry their age from the root; lapsed entries and late orders are not forgotten

News now carry the time since the store answered the VM at the root, and say when entries are kept that the store does not list.

--- a/crates/nickellead_gateway/src/book.rs
+++ b/crates/nickellead_gateway/src/book.rs
@@ -46,8 +46,9 @@
     pub(crate) declarations_as_of: Revision,
     /// Newer declarations.
     pub(crate) declarations: Option<Declarations>,
-    /// The store's revision that the targets are as of.
-    pub(crate) targets_as_of: Revision,
+    /// The store's revision that the targets are as of; `None` while entries that the store does
+    /// not list are kept because they may only have lapsed.
+    pub(crate) targets_as_of: Option<Revision>,
     /// All targets, for a reader that is too far behind.
     pub(crate) all_targets: Option<TargetList>,
     /// Changes of targets, oldest first.
@@ -241,6 +242,12 @@
         }
     }
 
+    /// Makes the next look at the store read all targets.
+    fn forget_targets_revision(&self) {
+        let known = KnownRevisions { targets: None, ..self.known.get() };
+        self.known.set(known);
+    }
+
     fn raise(&self, part: impl Fn(&mut KnownRevisions) -> &mut Option<Revision>, as_of: Revision) {
         let mut known = self.known.get();
         let revision = part(&mut known);
@@ -257,7 +264,7 @@
         let mut news = BookNews {
             mark: BookMark { incarnation: self.incarnation, ..mark },
             declarations_as_of: known.declarations.unwrap_or_default(),
-            targets_as_of: known.targets.unwrap_or_default(),
+            targets_as_of: known.targets.filter(|_| self.next_lapse().is_none()),
             ranges_as_of: known.ranges.unwrap_or_default(),
             ..BookNews::default()
         };
@@ -291,13 +298,21 @@
     /// Takes over another VM's news; tells whether they could be used.
     pub(crate) fn take_news(&self, news: BookNews) -> bool {
         self.note_declarations(news.declarations_as_of, news.declarations);
+        if news.targets_as_of.is_none() {
+            // A watch of the store from here would miss that some entries are gone.
+            self.forget_targets_revision();
+        }
+        let as_of = news.targets_as_of.unwrap_or_default();
         let usable = match news.all_targets {
-            Some(list) => self.note_all_targets(news.targets_as_of, list, None),
+            Some(list) => self.note_all_targets(as_of, list, None),
             None => {
-                self.note_target_changes(news.targets_as_of, news.target_changes, None);
+                self.note_target_changes(as_of, news.target_changes, None);
                 true
             }
         };
+        if news.targets_as_of.is_none() {
+            self.forget_targets_revision();
+        }
         self.note_ranges(news.ranges_as_of, news.ranges);
         if let Some(mandate) = &news.mandate {
             self.note_mandate(mandate);
--- a/crates/nickellead_gateway/src/control.rs
+++ b/crates/nickellead_gateway/src/control.rs
@@ -89,6 +89,8 @@
     loads: RefCell<HashMap<String, KeyLoad>>,
     /// Time of an unhurried answer by target, in milliseconds.
     speeds: RefCell<HashMap<String, f64>>,
+    /// Until when orders were seen to be carried out late, over all keepers of this process.
+    late_until: Cell<Timestamp>,
     /// Number of a service's targets, and since when it stands.
     arrivals: RefCell<HashMap<String, (usize, Timestamp)>>,
     keys: LoadCounter,
@@ -133,6 +135,7 @@
         map_revision: Cell::new(None),
         loads: RefCell::default(),
         speeds: RefCell::default(),
+        late_until: Cell::default(),
         arrivals: RefCell::default(),
         keys: parts.keys,
         ownership: parts.ownership,
@@ -365,7 +368,9 @@
         };
         self.map_revision.set(revision);
         let settings = keeper_settings(&self.ownership, self.mandate.borrow().graces());
-        let keeper = RangeKeeper::take_over(settings, map, fastrand::u64(1..1 << 53), now);
+        let writer = fastrand::u64(1..1 << 53);
+        let mut keeper = RangeKeeper::take_over(settings, map, writer, now);
+        keeper.reckon_with_late_orders(self.late_until.get());
         self.keeper.replace(Some(keeper));
         log_event(EventName::CoordinatorLeading, &[("vm", &self.vm)]);
         true
@@ -547,6 +552,7 @@
                 let now = BootClock.now();
                 if let Some(keeper) = duty.keeper.borrow_mut().as_mut() {
                     keeper.note_outcome(&order, outcome, now);
+                    duty.late_until.set(duty.late_until.get().max(keeper.late_until()));
                 }
             });
         }
--- a/crates/nickellead_gateway/src/relay.rs
+++ b/crates/nickellead_gateway/src/relay.rs
@@ -25,11 +25,12 @@
 const ASK_WAIT: Duration = Duration::from_millis(500);
 /// How long an answer may take beyond that before its VM counts as lost.
 ///
-/// With [`STORE_SILENCE`] and [`TOUCH_LOOK`] it keeps a change that a source misses within the
+/// With [`NEWS_AGE_MOST`] and [`TOUCH_LOOK`] it keeps a change that a source misses within the
 /// two seconds that the platform allows for its taking force.
 const ANSWER_TIME: Duration = Duration::from_millis(350);
-/// A holder that has not heard from the store for this long is out of touch.
-const STORE_SILENCE: Duration = Duration::from_millis(900);
+/// News are too old when the store last answered the VM at the root longer ago than this; the root
+/// asks it every third of a second.
+const NEWS_AGE_MOST: Duration = Duration::from_millis(1_100);
 /// Between two looks whether a source is still in touch while a question waits.
 const TOUCH_LOOK: Duration = Duration::from_millis(200);
 /// VMs of one zone that follow the holder itself; the others follow these.
@@ -54,8 +55,8 @@
 /// The answer to a [`NewsAsk`].
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) enum NewsTell {
-    /// What is new, perhaps nothing.
-    News(Box<BookNews>),
+    /// What is new, perhaps nothing, and how long ago the store was last heard of at the root.
+    News(Box<BookNews>, Duration),
     /// Another VM tells it.
     AskOther(SocketAddr),
     /// This VM is out of touch itself.
@@ -80,7 +81,8 @@
     book: Rc<BeliefBook>,
     health: Rc<StoreHealth>,
     source: Cell<NewsSource>,
-    heard: Cell<Instant>,
+    /// When the VM at the root last heard from the store, as far as its news have come here.
+    root_heard: Cell<Option<Instant>>,
     leads: Cell<bool>,
     readers: RefCell<HashMap<SocketAddr, NewsReader>>,
     loads: LoadCounter,
@@ -109,7 +111,7 @@
             book,
             health,
             source: Cell::new(NewsSource::Seeking),
-            heard: Cell::new(Instant::now()),
+            root_heard: Cell::new(None),
             leads: Cell::new(false),
             readers: RefCell::default(),
             loads,
@@ -137,13 +139,18 @@
         }
     }
 
-    /// Whether what this VM tells is as new as the store's answers.
-    fn in_touch(&self) -> bool {
-        match self.source.get() {
-            NewsSource::Store => !self.health.is_lost() && self.health.heard_within(STORE_SILENCE),
-            NewsSource::Vm(_) => self.heard.get().elapsed() < ASK_WAIT + ANSWER_TIME,
-            NewsSource::Seeking => false,
-        }
+    /// How old the news are that this VM tells; `None` when it is out of touch.
+    ///
+    /// The age is counted from the store's last answer to the VM at the root, so VMs that would
+    /// follow each other in a circle notice it.
+    fn news_age(&self) -> Option<Duration> {
+        let heard = match self.source.get() {
+            NewsSource::Store if self.health.is_lost() => None,
+            NewsSource::Store => self.health.heard(),
+            NewsSource::Vm(_) => self.root_heard.get(),
+            NewsSource::Seeking => None,
+        };
+        heard.map(|heard| heard.elapsed()).filter(|age| *age < NEWS_AGE_MOST)
     }
 
     /// Whether what this VM counts goes to another VM.
@@ -207,7 +214,7 @@
         let until = Instant::now() + ASK_WAIT;
         loop {
             let changed = self.book.changed.notified();
-            if !self.in_touch() {
+            let Some(age) = self.news_age() else {
                 let seeking = self.source.get() == NewsSource::Seeking;
                 if !seeking || Instant::now() >= until {
                     return NewsTell::OutOfTouch;
@@ -215,11 +222,11 @@
                 // This VM is about to learn the news itself.
                 let _ = tokio::time::timeout(TOUCH_LOOK, changed).await;
                 continue;
-            }
+            };
             let news = self.book.news_since(ask.mark);
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
-                return NewsTell::News(Box::new(news));
+                return NewsTell::News(Box::new(news), age);
             }
             if tokio::time::timeout(left.min(TOUCH_LOOK), changed).await.is_ok() {
                 tokio::time::sleep(NEWS_PAUSE).await;
@@ -263,12 +270,12 @@
                 load: self.loads.take(),
             };
             match client.call(&ask, ASK_WAIT + ANSWER_TIME).await {
-                Ok(NewsTell::News(news)) => {
+                Ok(NewsTell::News(news, age)) => {
                     mark = news.mark;
+                    self.root_heard.set(Instant::now().checked_sub(age));
                     if !self.book.take_news(*news) {
                         return FollowEnd::Lost;
                     }
-                    self.heard.set(Instant::now());
                     self.set_source(NewsSource::Vm(address));
                 }
                 Ok(NewsTell::AskOther(other)) => return FollowEnd::AskOther(other),
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -49,9 +49,9 @@
         self.failures.get() > 0
     }
 
-    /// Whether the store answered within this time.
-    pub(crate) fn heard_within(&self, time: Duration) -> bool {
-        self.heard.get().is_some_and(|heard| heard.elapsed() < time)
+    /// When the store last answered.
+    pub(crate) fn heard(&self) -> Option<Instant> {
+        self.heard.get()
     }
 
     /// When the store last answered again after a failure.
--- a/crates/nickellead_range/src/keeper.rs
+++ b/crates/nickellead_range/src/keeper.rs
@@ -102,6 +102,8 @@
     tries: u32,
     /// Grants in a row, each on a connection that came up, that met silence.
     silences: u32,
+    /// Whether the owner's debts count though orders are not late elsewhere.
+    owner_was_silent: bool,
     /// Whether the previous holder's debts count though orders are not late elsewhere.
     previous_was_silent: bool,
 }
@@ -175,6 +177,20 @@
         keeper
     }
 
+    /// Until when unanswered orders may be carried out, as this process saw it.
+    ///
+    /// A keeper that is made anew takes it over by [`RangeKeeper::reckon_with_late_orders`]: the
+    /// map may never have been written with it.
+    #[must_use]
+    pub fn late_until(&self) -> Timestamp {
+        self.late_until
+    }
+
+    /// Counts debts until then, as an earlier keeper of this process would.
+    pub fn reckon_with_late_orders(&mut self, until: Timestamp) {
+        self.late_until = self.late_until.max(until);
+    }
+
     /// The map as it stands, written or not.
     #[must_use]
     pub fn map(&self) -> &RangeMap {
@@ -273,7 +289,7 @@
             edit,
             previous_until: work.owner_until,
             previous_debt_until: work.owner_debt_until.max(debt),
-            previous_was_silent: work.silences >= SILENCES_LATE,
+            previous_was_silent: work.owner_was_silent,
             ..RangeWork::default()
         };
     }
@@ -338,6 +354,7 @@
                 left.edit = left.edit.max(right.edit);
                 left.owner_until = left.owner_until.max(right.owner_until);
                 left.owner_debt_until = left.owner_debt_until.max(right.owner_debt_until);
+                left.owner_was_silent |= right.owner_was_silent;
                 left.due = left.due.min(right.due);
             }
         }
@@ -470,6 +487,7 @@
                 work.due = order.decided + settings.renewal;
                 work.handover = None;
                 work.silences = 0;
+                work.owner_was_silent &= now < work.owner_debt_until;
                 if !range.settled {
                     range.settled = true;
                     self.next_edit();
@@ -488,6 +506,7 @@
             (OrderKind::Grant(_), OrderOutcome::NotSent) => work.due = now + settings.retry,
             (OrderKind::Grant(_), OrderOutcome::Unanswered | OrderOutcome::Broken) => {
                 work.silences += 1;
+                work.owner_was_silent |= work.silences >= SILENCES_LATE;
                 work.owner_until = work.owner_until.max(bound);
                 work.owner_debt_until = work.owner_debt_until.max(bound + settings.lateness);
                 work.due = now + settings.retry;
--- a/crates/nickellead_range/tests/world/vm.rs
+++ b/crates/nickellead_range/tests/world/vm.rs
@@ -23,6 +23,7 @@
     mandate: MandateState,
     mandate_due: u64,
     keeper: Option<RangeKeeper>,
+    late_until: Timestamp,
     map_revision: Option<Revision>,
     /// When the map is read again after a write without an answer.
     read_back_at: Option<u64>,
@@ -41,6 +42,7 @@
             mandate,
             mandate_due: 0,
             keeper: None,
+            late_until: Timestamp::ZERO,
             map_revision: None,
             read_back_at: None,
         }
@@ -72,8 +74,10 @@
         world.vms[place].keeper = None;
         return;
     }
-    if let Some(keeper) = &mut world.vms[place].keeper {
+    let vm = &mut world.vms[place];
+    if let Some(keeper) = &mut vm.keeper {
         outcomes.into_iter().for_each(|(order, outcome)| keeper.note_outcome(&order, outcome, now));
+        vm.late_until = vm.late_until.max(keeper.late_until());
     }
     if power == MandatePower::Full {
         keep_map(world, place, now);
@@ -151,7 +155,9 @@
         let graces = vm.mandate.graces();
         let settings =
             KeeperSettings { grace: graces.last, earlier_grace: graces.earlier, ..settings() };
-        vm.keeper = Some(RangeKeeper::take_over(settings, map, writer, now));
+        let mut keeper = RangeKeeper::take_over(settings, map, writer, now);
+        keeper.reckon_with_late_orders(vm.late_until);
+        vm.keeper = Some(keeper);
     }
     let candidates = world.listed();
     let proposal = random_move(world, &candidates);
