Parts are read anew when a watch is silent; one cheap look a VM while the store is away

Ruled out: the relay (holder and readers were equally behind). The holder now reads declarations anew when a watch heard nothing for 1 s, targets and ranges after 2.5 s.

--- a/crates/nickellead_gateway/src/control.rs
+++ b/crates/nickellead_gateway/src/control.rs
@@ -52,7 +52,7 @@
 /// Between two tries to find a source within that time.
 const SEEK_PAUSE: Duration = Duration::from_millis(80);
 /// VMs that lose their source at once turn to the store spread over this time.
-const FALL_BACK_SPREAD: Duration = Duration::from_millis(200);
+const FALL_BACK_SPREAD: Duration = Duration::from_millis(400);
 /// Between two probes of the store by the mandate's holder.
 const PROBE_PERIOD: Duration = Duration::from_millis(330);
 /// How long a probe may take; the store takes about 4 ms when well.
@@ -210,7 +210,9 @@
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
     /// Reads the mandate; gives the address of its holder, if another VM holds it.
     async fn read_mandate(&self) -> Result<Option<SocketAddr>, StoreError> {
-        let may_take = self.mandate.borrow().due_write(BootClock.now()).is_some();
+        let may_take = self.mandate.borrow().due_write(BootClock.now()).is_some()
+            // While the store is away the cheapest call finds out when it is back.
+            && !self.health.is_lost();
         let read = match may_take {
             true => self.store.mandate().await,
             false => self.store.mandate_maybe_old().await,
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -17,11 +17,30 @@
 
 /// How long one watch waits for changes: each end of a wait is a call that is paid for.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Changes of targets that come within this time are read by one call.
+/// Changes of targets that come within this time are read by one call of the VM that tells others.
 const TARGET_PAUSE: Duration = Duration::from_millis(300);
+/// The same on a VM that follows the store for itself only: there are many of them at such times,
+/// and targets that leave may be sent requests for two seconds.
+const TARGET_PAUSE_ALONE: Duration = Duration::from_millis(900);
+/// Changes of ranges that come within this time are read by one call of such a VM.
+const RANGE_PAUSE_ALONE: Duration = Duration::from_millis(250);
 /// Changes of declarations that come within this time are read by one call.
 const DECLARATION_PAUSE: Duration = Duration::from_millis(120);
 
+/// Between two tries of a part while the store is away: refused calls are paid for as well.
+const OUTAGE_PAUSE: Duration = Duration::from_secs(2);
+/// All VMs come back to a store that returns spread over this time.
+const RETURN_SPREAD: Duration = Duration::from_millis(150);
+
+/// A watch may miss changes, or be cut without a word, while the store drops its history. So a part
+/// is read anew when a watch heard nothing for this long: declarations must be in force within two
+/// seconds.
+const DECLARATIONS_CHECK: Duration = Duration::from_millis(1_000);
+/// The same for targets and ranges, of which a VM also learns by being refused.
+const LISTS_CHECK: Duration = Duration::from_millis(2_500);
+/// On a VM that follows the store for itself only, checks are this many times rarer.
+const ALONE_FACTOR: u32 = 4;
+
 /// What following needs.
 pub(crate) struct Follower<S> {
     pub(crate) store: Rc<S>,
@@ -83,21 +102,39 @@
                 Ok(FollowStep::After(pause)) => tokio::time::sleep(pause).await,
                 Ok(FollowStep::ReadAnew) => anew = true,
                 Err(StoreError::Forgotten) => anew = true,
-                Err(_) => self.health.pause().await,
+                Err(_) => self.wait_for_store().await,
             }
         }
     }
 
+    /// Waits until the store answers the mandate's cheap looks again, or for a longer time.
+    async fn wait_for_store(&self) {
+        if !self.health.is_lost() {
+            return self.health.pause().await;
+        }
+        // Coming back or not, the next call finds out.
+        let _ = tokio::time::timeout(OUTAGE_PAUSE, self.health.back.notified()).await;
+        tokio::time::sleep(RETURN_SPREAD.mul_f64(fastrand::f64())).await;
+    }
+
     async fn step_declarations(&self, anew: bool) -> Result<FollowStep, StoreError> {
         let known = self.book.known().declarations.filter(|_| !anew);
         let result = match known {
             None => self.store.declarations().await,
-            Some(from) => self.store.watch_declarations(from, WATCH_WAIT).await,
+            Some(from) => {
+                let watching = self.store.watch_declarations(from, WATCH_WAIT);
+                match tokio::time::timeout(self.check_time(DECLARATIONS_CHECK), watching).await {
+                    Ok(result) => result,
+                    Err(_) => return Ok(FollowStep::ReadAnew),
+                }
+            }
         };
         self.health.note(&result);
         let snapshot = result?;
         let changed = snapshot.value.is_some();
         self.book.note_declarations(snapshot.as_of, snapshot.value);
+        // A full read that follows a silent watch brings nothing new, and waits for nothing.
+        let changed = changed && known.is_some();
         Ok(if changed { FollowStep::After(DECLARATION_PAUSE) } else { FollowStep::Continue })
     }
 
@@ -108,7 +145,7 @@
                 self.health.note(&result);
                 let list = result?;
                 self.book.note_all_targets(list.as_of, list.value, self.lapse_end());
-                Ok(FollowStep::After(TARGET_PAUSE))
+                Ok(FollowStep::After(self.target_pause()))
             }
             Some(from) => self.watch_targets(from).await,
         }
@@ -116,15 +153,15 @@
 
     async fn watch_targets(&self, from: crate::Revision) -> Result<FollowStep, StoreError> {
         let watching = self.store.watch_targets(from, WATCH_WAIT);
-        let result = match self.book.next_lapse() {
-            None => watching.await,
-            Some(lapse) => match tokio::time::timeout_at(lapse.into(), watching).await {
-                Ok(result) => result,
-                Err(_) => {
-                    self.book.drop_lapsed(Instant::now());
-                    return Ok(FollowStep::Continue);
-                }
-            },
+        let check = Instant::now() + self.check_time(LISTS_CHECK);
+        let until = self.book.next_lapse().map_or(check, |lapse| lapse.min(check));
+        let result = match tokio::time::timeout_at(until.into(), watching).await {
+            Ok(result) => result,
+            Err(_) if until == check => return Ok(FollowStep::ReadAnew),
+            Err(_) => {
+                self.book.drop_lapsed(Instant::now());
+                return Ok(FollowStep::Continue);
+            }
         };
         self.health.note(&result);
         let changes = result?;
@@ -135,19 +172,35 @@
         let changed = !changes.value.is_empty();
         self.book.note_target_changes(changes.as_of, changes.value, self.lapse_end());
         self.book.drop_lapsed(Instant::now());
-        Ok(if changed { FollowStep::After(TARGET_PAUSE) } else { FollowStep::Continue })
+        Ok(if changed { FollowStep::After(self.target_pause()) } else { FollowStep::Continue })
     }
 
     async fn step_ranges(&self, anew: bool) -> Result<FollowStep, StoreError> {
         let known = self.book.known().ranges.filter(|_| !anew);
         let result = match known {
             None => self.store.ranges().await,
-            Some(from) => self.store.watch_ranges(from, WATCH_WAIT).await,
+            Some(from) => {
+                let watching = self.store.watch_ranges(from, WATCH_WAIT);
+                match tokio::time::timeout(self.check_time(LISTS_CHECK), watching).await {
+                    Ok(result) => result,
+                    Err(_) => return Ok(FollowStep::ReadAnew),
+                }
+            }
         };
         self.health.note(&result);
         let snapshot = result?;
+        let changed = snapshot.value.is_some();
         self.book.note_ranges(snapshot.as_of, snapshot.value);
-        Ok(FollowStep::Continue)
+        let alone = changed && !self.relay.leads();
+        Ok(if alone { FollowStep::After(RANGE_PAUSE_ALONE) } else { FollowStep::Continue })
+    }
+
+    fn check_time(&self, time: Duration) -> Duration {
+        if self.relay.leads() { time } else { time * ALONE_FACTOR }
+    }
+
+    fn target_pause(&self) -> Duration {
+        if self.relay.leads() { TARGET_PAUSE } else { TARGET_PAUSE_ALONE }
     }
 
     /// Until when a missing entry may only have lapsed; `None` when the store was not away.
--- a/crates/nickellead_gateway/src/relay.rs
+++ b/crates/nickellead_gateway/src/relay.rs
@@ -119,6 +119,11 @@
         })
     }
 
+    /// Whether this VM holds the mandate, and so tells the others.
+    pub(crate) fn leads(&self) -> bool {
+        self.leads.get()
+    }
+
     /// Notes whether this VM holds the mandate: a holder follows the store.
     pub(crate) fn set_leads(&self, leads: bool) {
         self.leads.set(leads);
--- a/crates/nickellead_range/src/keeper.rs
+++ b/crates/nickellead_range/src/keeper.rs
@@ -467,7 +467,7 @@
             return;
         }
         work.in_flight = false;
-        match (&order.kind, outcome) {
+        match (&order.kind, outcome.clone()) {
             (OrderKind::Release, OrderOutcome::Done(token)) => {
                 range.previous = None;
                 work.handover = token;
@@ -486,8 +486,10 @@
                 work.owner_until = work.owner_until.max(bound);
                 work.due = order.decided + settings.renewal;
                 work.handover = None;
-                work.silences = 0;
+                // It works on, so what it left unanswered may still be carried out.
+                work.owner_was_silent |= work.silences > 0;
                 work.owner_was_silent &= now < work.owner_debt_until;
+                work.silences = 0;
                 if !range.settled {
                     range.settled = true;
                     self.next_edit();
@@ -505,7 +507,7 @@
             (OrderKind::Grant(_), OrderOutcome::Ended) => work.due = now + settings.retry,
             (OrderKind::Grant(_), OrderOutcome::NotSent) => work.due = now + settings.retry,
             (OrderKind::Grant(_), OrderOutcome::Unanswered | OrderOutcome::Broken) => {
-                work.silences += 1;
+                work.silences += u32::from(outcome == OrderOutcome::Unanswered);
                 work.owner_was_silent |= work.silences >= SILENCES_LATE;
                 work.owner_until = work.owner_until.max(bound);
                 work.owner_debt_until = work.owner_debt_until.max(bound + settings.lateness);
