--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -120,9 +120,26 @@
 
 /// Logs one event with its pairs.
 pub fn log_event(name: EventName, pairs: &[(&str, &dyn Display)]) {
+    log::log!(target: "nickellead", name.level(), "{}", event_line(name, pairs));
+}
+
+/// The text of one event: one line, whatever the values hold.
+#[must_use]
+pub fn event_line(name: EventName, pairs: &[(&str, &dyn Display)]) -> String {
     let mut line = format!("event={}", name.as_str());
     for (key, value) in pairs {
-        line.push_str(&format!(" {key}={value}"));
+        line.push_str(&format!(" {key}="));
+        push_value(&mut line, &value.to_string());
+    }
+    line
+}
+
+/// Appends a value; one that could pass for more than a value is quoted and escaped.
+fn push_value(line: &mut String, value: &str) {
+    let plain = |letter: char| !letter.is_whitespace() && !letter.is_control();
+    if value.chars().all(|letter| plain(letter) && letter != '"' && letter != '=') {
+        line.push_str(value);
+    } else {
+        line.push_str(&format!("{value:?}"));
     }
-    log::log!(target: "nickellead", name.level(), "{line}");
 }
--- a/crates/nickellead_event/src/lib.rs
+++ b/crates/nickellead_event/src/lib.rs
@@ -5,4 +5,4 @@
 
 mod event;
 
-pub use event::{EventName, log_event};
+pub use event::{EventName, event_line, log_event};
--- /dev/null
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -0,0 +1,52 @@
+//! Limits that follow refusals, and turns by rank.
+#![allow(clippy::unwrap_used)]
+
+use nickellead_limit::{AdaptiveLimit, TurnQueue};
+use quickcheck::quickcheck;
+
+#[test]
+fn refusals_shrink_the_limit_and_answers_let_it_grow() {
+    let mut limit = AdaptiveLimit::new(4, 16);
+    assert!(limit.has_room(3) && !limit.has_room(4));
+    limit.note_refusal();
+    assert!(!limit.has_room(3));
+    (0..40).for_each(|_| limit.note_answer(8));
+    assert!(limit.has_room(4));
+}
+
+#[test]
+fn answers_of_an_idle_target_say_nothing_of_more() {
+    let mut limit = AdaptiveLimit::new(4, 16);
+    (0..1_000).for_each(|_| limit.note_answer(1));
+    assert!(!limit.has_room(4));
+}
+
+quickcheck! {
+    /// One request may always be tried, and the most is never exceeded.
+    fn the_limit_stays_in_its_bounds(events: Vec<bool>) -> bool {
+        let mut limit = AdaptiveLimit::new(4, 16);
+        for answered in events {
+            match answered {
+                true => limit.note_answer(16),
+                false => limit.note_refusal(),
+            }
+        }
+        limit.has_room(0) && !limit.has_room(16)
+    }
+}
+
+#[tokio::test]
+async fn the_most_urgent_goes_first_and_who_left_is_passed_over() {
+    let queue = TurnQueue::default();
+    let mut later = queue.join(2);
+    let mut urgent = queue.join(0);
+    drop(queue.join(0));
+    let mut second = queue.join(0);
+    assert_eq!(queue.ahead_of(0), 2);
+    queue.wake_one();
+    urgent.wait().await;
+    queue.wake_one();
+    second.wait().await;
+    queue.wake_one();
+    later.wait().await;
+}
--- /dev/null
+++ b/crates/nickellead_range/tests/plans.rs
@@ -0,0 +1,69 @@
+//! Which ranges should move where.
+#![allow(clippy::unwrap_used)]
+
+use nickellead_range::{
+    HolderRecord, KeyLoad, OwnerCandidate, RangeRecord, lightest_owner, plan_moves,
+};
+
+fn holder(place: usize) -> HolderRecord {
+    HolderRecord { id: format!("t{place}"), address: format!("10.0.0.{place}:80") }
+}
+
+fn candidates(count: usize) -> Vec<OwnerCandidate> {
+    (0..count).map(|place| OwnerCandidate { holder: holder(place), capacity: 1.0 }).collect()
+}
+
+/// Equal, settled ranges, one for each of `count` targets.
+fn ranges(count: usize) -> Vec<RangeRecord> {
+    let keys = 65_536 / count;
+    let record = |place: usize| RangeRecord {
+        first: (place * keys) as u16,
+        last: ((place + 1) * keys - 1) as u16,
+        fence: 1,
+        owner: Some(holder(place)),
+        previous: None,
+        settled: true,
+    };
+    (0..count).map(record).collect()
+}
+
+#[test]
+fn even_load_moves_nothing() {
+    let mut load = KeyLoad::default();
+    (0..=u16::MAX).step_by(64).for_each(|key| load.note(key, 1));
+    assert_eq!(plan_moves(&ranges(4), &candidates(4), &load, 8), []);
+}
+
+/// Heavy keys sit close together: they are split, and small runs of keys move.
+#[test]
+fn a_hot_run_of_keys_is_spread_over_several_targets() {
+    let mut load = KeyLoad::default();
+    (0..=u16::MAX).step_by(256).for_each(|key| load.note(key, 1));
+    (1_000..1_200).for_each(|key| load.note(key, 5));
+    let moves = plan_moves(&ranges(4), &candidates(4), &load, 8);
+    assert!(moves.len() >= 2, "{moves:?}");
+    let moved: u32 = moves.iter().map(|one| u32::from(one.last - one.first) + 1).sum();
+    assert!(moved < 8_192, "{moved} keys for 200 hot ones");
+    assert!(moves.iter().all(|one| one.to != holder(0)));
+}
+
+#[test]
+fn a_newcomer_gets_something_and_ranges_on_the_move_stay() {
+    let mut load = KeyLoad::default();
+    (0..=u16::MAX).step_by(64).for_each(|key| load.note(key, 1));
+    let mut owned = ranges(4);
+    let moves = plan_moves(&owned, &candidates(5), &load, 8);
+    assert!(moves.is_empty() || moves.iter().all(|one| one.to == holder(4)), "{moves:?}");
+    owned.iter_mut().for_each(|range| range.settled = false);
+    assert_eq!(plan_moves(&owned, &candidates(5), &load, 8), []);
+}
+
+#[test]
+fn the_lightest_target_is_the_one_with_the_least_load_for_what_it_can_do() {
+    let mut load = KeyLoad::default();
+    load.note(1, 30);
+    load.note(40_000, 30);
+    let mut able = candidates(2);
+    able[0].capacity = 4.0;
+    assert_eq!(lightest_owner(&ranges(2), &able, &load), Some(holder(0)));
+}
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -12,7 +12,7 @@
 use nickellead_run::{EventName, log_event};
 
 use super::{EXIT_USAGE, fail};
-use crate::logging::start_logging;
+use crate::logging::{LogOutput, start_logging};
 
 /// run one gateway VM against the platform's store until SIGTERM or SIGINT
 #[derive(FromArgs)]
@@ -73,7 +73,7 @@
 
 impl GatewayCommand {
     pub(super) fn run(self) -> ExitCode {
-        start_logging(self.log);
+        start_logging(self.log, LogOutput::Stdout);
         let read = settings_path(self.settings)
             .and_then(|path| read_settings(&path).map(|settings| (path, settings)));
         let (path, settings) = match read {
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -9,7 +9,7 @@
 use nickellead_run::{NodeSettings, start_node};
 
 use super::{EXIT_USAGE, fail};
-use crate::logging::start_logging;
+use crate::logging::{LogOutput, start_logging};
 
 /// run one entry VM until SIGTERM or SIGINT
 #[derive(FromArgs)]
@@ -56,7 +56,7 @@
             Ok(settings) => settings,
             Err(message) => return fail(EXIT_USAGE, &message),
         };
-        start_logging(self.log);
+        start_logging(self.log, LogOutput::Stderr);
         let node = match start_node(settings) {
             Ok(node) => node,
             Err(error) => return fail(EXIT_USAGE, &error),
--- a/src/command/trial.rs
+++ b/src/command/trial.rs
@@ -7,7 +7,7 @@
 use nickellead_trial::{TrialSettings, run_trial};
 
 use super::{EXIT_USAGE, fail, print_line};
-use crate::logging::start_logging;
+use crate::logging::{LogOutput, start_logging};
 
 /// run a small deployment of both trades on stand-ins and report what it showed
 #[derive(FromArgs)]
@@ -29,7 +29,7 @@
         if !(3..=600).contains(&self.seconds) {
             return fail(EXIT_USAGE, &"--seconds must be from 3 to 600");
         }
-        start_logging(self.log);
+        start_logging(self.log, LogOutput::Stderr);
         let settings = TrialSettings { seconds: self.seconds, ..TrialSettings::default() };
         let report = match run_trial(settings, &|text| eprintln!("{text}")) {
             Ok(report) => report,
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,5 +6,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    command::run(argh::from_env())
+    let code = command::run(argh::from_env());
+    log::logger().flush();
+    code
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,7 +23,7 @@
 static SPAWN_OR_PROBE: Mutex<()> = Mutex::new(());
 
 /// Starts a command while no port is being probed.
-fn spawn(command: &mut Command) -> Child {
+pub fn spawn(command: &mut Command) -> Child {
     let _guard = SPAWN_OR_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
     command.spawn().unwrap()
 }
@@ -119,6 +119,26 @@
     }
 }
 
+/// Reads one answer with a length from a connection that stays open.
+pub fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                line.to_ascii_lowercase().strip_prefix("content-length:")?.trim().parse().ok()
+            });
+            if length.is_some_and(|length: usize| body.len() >= length) {
+                return text;
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return text,
+            Ok(read) => text.push_str(&String::from_utf8_lossy(&buffer[..read])),
+        }
+    }
+}
+
 /// A file in a folder of this test process's own.
 pub fn write_file(name: &str, text: &str) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(std::process::id().to_string());
