--- /dev/null
+++ b/crates/nickellead_range/src/keeper/candidates.rs
@@ -0,0 +1,102 @@
+//! Who may own ranges: dividing a new service, and replacing owners who may not.
+
+use std::collections::BTreeSet;
+
+use nickellead_core::enforced;
+
+use super::{RangeKeeper, RangeWork};
+use crate::{HolderRecord, OwnerCandidate, RangeRecord};
+
+/// Number of keys of a service: keys are `u16`.
+const KEYS: u32 = 65_536;
+
+impl RangeKeeper {
+    /// Takes over who may own ranges of a service, and replaces owners who may not.
+    ///
+    /// `pick` chooses among the candidates for a range that needs an owner.
+    pub fn set_candidates(
+        &mut self,
+        service: &str,
+        candidates: &[OwnerCandidate],
+        pick: impl FnMut(&[RangeRecord], u16, u16) -> Option<HolderRecord>,
+    ) {
+        let usable = |candidate: &&OwnerCandidate| !self.ended.contains(&candidate.holder.id);
+        let holders: BTreeSet<HolderRecord> =
+            candidates.iter().filter(usable).map(|candidate| candidate.holder.clone()).collect();
+        self.candidates.insert(service.to_owned(), holders.clone());
+        if holders.is_empty() {
+            return;
+        }
+        if !self.map.services.contains_key(service) {
+            self.divide(service, &holders);
+            return;
+        }
+        self.replace_owners(service, &holders, pick);
+    }
+
+    /// Gives the ranges whose owner is none of `holders` to whom `pick` chooses.
+    fn replace_owners(
+        &mut self,
+        service: &str,
+        holders: &BTreeSet<HolderRecord>,
+        mut pick: impl FnMut(&[RangeRecord], u16, u16) -> Option<HolderRecord>,
+    ) {
+        let places = self.map.services.get(service).map_or(0, Vec::len);
+        for place in 0..places {
+            let Some(ranges) = self.map.services.get(service) else { return };
+            let range = &ranges[place];
+            let stays = range.owner.as_ref().is_some_and(|owner| holders.contains(owner));
+            if stays || (range.previous.is_some() && enforced!("one_previous_holder")) {
+                // Who may still hold it is settled first; then the next call replaces the owner.
+                continue;
+            }
+            if let Some(to) = pick(ranges, range.first, range.last) {
+                self.reassign(service, place, to);
+            }
+        }
+    }
+
+    /// Gives a new service's key space to its targets in equal parts.
+    fn divide(&mut self, service: &str, holders: &BTreeSet<HolderRecord>) {
+        let edit = self.next_edit();
+        let count = holders.len() as u32;
+        let mut ranges = Vec::new();
+        for (place, holder) in holders.iter().enumerate() {
+            let place = place as u32;
+            let first = (KEYS * place / count) as u16;
+            let last = (KEYS * (place + 1) / count - 1) as u16;
+            let fence = self.next_fence();
+            let owner = Some(holder.clone());
+            ranges.push(RangeRecord { first, last, fence, owner, previous: None, settled: false });
+            let work = RangeWork { edit, ..RangeWork::default() };
+            self.work.insert((service.to_owned(), first), work);
+        }
+        self.map.services.insert(service.to_owned(), ranges);
+    }
+
+    /// Makes `to` the next owner of a range that nobody but its owner may hold.
+    pub(super) fn reassign(&mut self, service: &str, place: usize, to: HolderRecord) {
+        let fence = self.next_fence();
+        let edit = self.next_edit();
+        let Some(ranges) = self.map.services.get_mut(service) else { return };
+        let range = &mut ranges[place];
+        let previous = range.owner.replace(to);
+        range.previous = previous.filter(|holder| !self.ended.contains(&holder.id));
+        range.fence = fence;
+        range.settled = false;
+        let work = self.work.entry((service.to_owned(), range.first)).or_default();
+        // A grant under way may still turn out to be silent.
+        let debt = if work.in_flight {
+            work.owner_until + self.settings.lateness
+        } else {
+            work.owner_debt_until
+        };
+        *work = RangeWork {
+            edit,
+            previous_until: work.owner_until,
+            previous_debt_until: work.owner_debt_until.max(debt),
+            previous_was_silent: work.owner_was_silent,
+            ..RangeWork::default()
+        };
+    }
+}
--- /dev/null
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -0,0 +1,194 @@
+//! The keeper of ranges: every order to targets and every write of the map.
+//!
+//! This module holds the state, the take-over from a predecessor and the writes
+//! of the map. `candidates` gives ranges their owners, `moves` starts moves and
+//! joins ranges, `orders` says what is due, `outcomes` takes in what came of it.
+
+mod candidates;
+mod moves;
+mod order;
+mod orders;
+mod outcomes;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use nickellead_core::{DriftBound, Timestamp, enforced};
+
+pub use self::order::{OrderKind, OrderOutcome, RangeOrder};
+use crate::lateness::LatenessWatch;
+use crate::{HolderRecord, RangeMap};
+
+/// Times of the keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperSettings {
+    /// How long a target holds a range after a grant arrived.
+    pub hold: Duration,
+    /// Between two renewals of a grant.
+    pub renewal: Duration,
+    /// Between two tries of an order that was not answered.
+    pub retry: Duration,
+    /// Added to every bound on a hold, for messages under way.
+    pub margin: Duration,
+    /// Latest that an unanswered order was seen to take effect.
+    pub lateness: Duration,
+    /// How long the last VM that decided may go on renewing what stands.
+    pub grace: Duration,
+    /// The same for VMs that decided before it: what it moved, only these may still renew.
+    pub earlier_grace: Duration,
+    /// Bound on the difference of clock rates.
+    pub drift: DriftBound,
+}
+
+/// What the keeper knows of a range beside its record.
+#[derive(Clone, Debug, Default)]
+struct RangeWork {
+    /// Edit of the map that must be in the store before an order may leave.
+    edit: u64,
+    /// Until when the owner may hold by orders that were answered or are under way.
+    owner_until: Timestamp,
+    /// The same for orders that were never answered, if they are carried out late.
+    owner_debt_until: Timestamp,
+    /// The bounds of the previous holder.
+    previous_until: Timestamp,
+    previous_debt_until: Timestamp,
+    /// Token of the previous holder.
+    handover: Option<String>,
+    in_flight: bool,
+    due: Timestamp,
+    /// Releases in a row that were not answered.
+    tries: u32,
+    /// Grants in a row, each on a connection that came up, that met silence.
+    silences: u32,
+    /// Whether the owner's debts count though orders are not late elsewhere.
+    owner_was_silent: bool,
+    /// Whether the previous holder's debts count though orders are not late elsewhere.
+    previous_was_silent: bool,
+}
+
+/// Decides orders and writes for the VM that holds the mandate.
+#[derive(Clone, Debug)]
+pub struct RangeKeeper {
+    settings: KeeperSettings,
+    map: RangeMap,
+    work: BTreeMap<(String, u16), RangeWork>,
+    candidates: BTreeMap<String, BTreeSet<HolderRecord>>,
+    /// Lives of targets that are known to have ended.
+    ended: BTreeSet<String>,
+    lateness: LatenessWatch,
+    /// Until when an unanswered order may still be carried out, once that was seen to happen.
+    late_until: Timestamp,
+    edit: u64,
+    committed: u64,
+    writing: bool,
+}
+
+impl RangeKeeper {
+    /// Takes over what the store holds.
+    ///
+    /// A predecessor may go on renewing what stands for the grace time, so every
+    /// holder named in the map may hold for that and a whole hold time from now on.
+    /// The graces are zero for predecessors that are known to have stopped.
+    /// `writer` must be drawn anew for each call: it tells this keeper's writes from
+    /// those of an earlier one in the same process, which may still be done late.
+    /// The first edit is the take-over itself: once it is written, no late
+    /// write of a predecessor can succeed any more.
+    #[must_use]
+    pub fn take_over(
+        settings: KeeperSettings,
+        mut map: RangeMap,
+        writer: u64,
+        now: Timestamp,
+    ) -> Self {
+        map.writer = writer;
+        map.edit = 1;
+        let mut keeper = Self {
+            settings,
+            map,
+            work: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            lateness: LatenessWatch::default(),
+            late_until: Timestamp::ZERO,
+            edit: 1,
+            committed: 0,
+            writing: false,
+        };
+        let added = |grace| if enforced!("successor_adds_grace") { grace } else { Duration::ZERO };
+        let until = keeper.hold_bound(now) + added(settings.grace);
+        let previous_until = keeper.hold_bound(now) + added(settings.earlier_grace);
+        if keeper.map.late {
+            keeper.late_until = until + settings.lateness;
+        }
+        for (service, ranges) in &keeper.map.services {
+            for range in ranges {
+                let work = RangeWork {
+                    owner_until: until,
+                    owner_debt_until: until + settings.lateness,
+                    previous_until,
+                    previous_debt_until: previous_until + settings.lateness,
+                    ..RangeWork::default()
+                };
+                keeper.work.insert((service.clone(), range.first), work);
+            }
+        }
+        keeper
+    }
+
+    /// Until when unanswered orders may be carried out, as this process saw it.
+    ///
+    /// A keeper that is made anew takes it over by [`RangeKeeper::reckon_with_late_orders`]: the
+    /// map may never have been written with it.
+    #[must_use]
+    pub fn late_until(&self) -> Timestamp {
+        self.late_until
+    }
+
+    /// Counts debts until then, as an earlier keeper of this process would.
+    pub fn reckon_with_late_orders(&mut self, until: Timestamp) {
+        self.late_until = self.late_until.max(until);
+    }
+
+    /// The map as it stands, written or not.
+    #[must_use]
+    pub fn map(&self) -> &RangeMap {
+        &self.map
+    }
+
+    /// Latest end of a hold whose grant is sent at `sent`, by this VM's clock.
+    fn hold_bound(&self, sent: Timestamp) -> Timestamp {
+        sent + self.settings.drift.stretch(self.settings.hold) + self.settings.margin
+    }
+
+    /// Marks the map as changed; orders that rest on the change wait for its write.
+    fn next_edit(&mut self) -> u64 {
+        self.edit += 1;
+        self.map.edit = self.edit;
+        self.edit
+    }
+
+    fn next_fence(&mut self) -> u64 {
+        self.map.fence += u64::from(enforced!("fence_grows"));
+        self.map.fence
+    }
+
+    /// The map to write, if it changed since the last write was started.
+    pub fn take_write(&mut self) -> Option<(RangeMap, u64)> {
+        if self.writing || self.committed == self.edit {
+            return None;
+        }
+        self.writing = true;
+        Some((self.map.clone(), self.edit))
+    }
+
+    /// Notes that a write is in the store.
+    pub fn note_written(&mut self, edit: u64) {
+        self.writing = false;
+        self.committed = self.committed.max(edit);
+    }
+
+    /// Notes that a write failed without effect and may be tried again.
+    pub fn note_write_failed(&mut self) {
+        self.writing = false;
+    }
+}
--- /dev/null
+++ b/crates/nickellead_range/src/keeper/orders.rs
@@ -0,0 +1,139 @@
+//! Which orders are due, and whether a range's previous holder is ruled out.
+
+use std::collections::BTreeSet;
+
+use nickellead_core::{Timestamp, enforced};
+
+use super::{OrderKind, RangeKeeper, RangeOrder, RangeWork};
+use crate::{HolderRecord, RangeRecord};
+
+impl RangeKeeper {
+    /// The orders that are due; each must be sent at once or reported as
+    /// [`OrderOutcome::NotSent`](crate::OrderOutcome::NotSent).
+    ///
+    /// With `renewals_only`, which is all that a VM without a valid mandate may
+    /// send, nothing but renewals of confirmed grants is returned.
+    pub fn due_orders(&mut self, now: Timestamp, renewals_only: bool) -> Vec<RangeOrder> {
+        let late = now < self.late_until;
+        if self.map.late && !late && !renewals_only {
+            self.map.late = false;
+            self.next_edit();
+        }
+        let look = OrderLook {
+            now,
+            late,
+            renewals_only,
+            committed: self.committed,
+            bound: self.hold_bound(now),
+        };
+        let mut orders = Vec::new();
+        let mut ruled_out = false;
+        for (service, ranges) in &mut self.map.services {
+            let holders = self.candidates.get(service);
+            for range in ranges {
+                let Some(work) = self.work.get_mut(&(service.clone(), range.first)) else {
+                    continue;
+                };
+                if !look.may_order(range, work) {
+                    continue;
+                }
+                ruled_out |= look.rule_out_previous(range, work, &self.ended);
+                orders.extend(look.next_order(service, range, work, holders));
+            }
+        }
+        if ruled_out {
+            self.next_edit();
+        }
+        orders
+    }
+}
+
+/// What one look for due orders goes by.
+struct OrderLook {
+    now: Timestamp,
+    /// Whether unanswered orders may still be carried out late.
+    late: bool,
+    renewals_only: bool,
+    /// Edit of the map that the store is known to hold.
+    committed: u64,
+    /// Latest end of a hold whose grant is sent now.
+    bound: Timestamp,
+}
+
+impl OrderLook {
+    /// Whether an order for the range may leave at all.
+    fn may_order(&self, range: &RangeRecord, work: &RangeWork) -> bool {
+        if work.in_flight || work.due > self.now {
+            return false;
+        }
+        if work.edit > self.committed && enforced!("write_before_order") {
+            return false;
+        }
+        !(self.renewals_only && !range.settled && enforced!("grace_renews_only"))
+    }
+
+    /// Strikes the previous holder off when it surely holds no more; tells whether it did.
+    fn rule_out_previous(
+        &self,
+        range: &mut RangeRecord,
+        work: &RangeWork,
+        ended: &BTreeSet<String>,
+    ) -> bool {
+        let has_ended = range.previous.as_ref().is_some_and(|one| ended.contains(&one.id));
+        let ruled_out = range.previous.is_some() && (self.has_lapsed(work) || has_ended);
+        if ruled_out {
+            range.previous = None;
+        }
+        ruled_out
+    }
+
+    /// Whether the previous holder's hold has surely lapsed.
+    fn has_lapsed(&self, work: &RangeWork) -> bool {
+        let hold_over = self.now >= work.previous_until || !enforced!("hold_surely_lapsed");
+        let debts_count = self.late || work.previous_was_silent;
+        let debts_over = self.now >= work.previous_debt_until || !enforced!("late_debts");
+        hold_over && (!debts_count || debts_over)
+    }
+
+    /// The order that is next for the range, noted as under way.
+    fn next_order(
+        &self,
+        service: &str,
+        range: &RangeRecord,
+        work: &mut RangeWork,
+        holders: Option<&BTreeSet<HolderRecord>>,
+    ) -> Option<RangeOrder> {
+        if let Some(previous) = &range.previous
+            && enforced!("release_first")
+        {
+            work.in_flight = true;
+            return Some(self.order(service, range, previous, OrderKind::Release));
+        }
+        let owner = range.owner.as_ref()?;
+        if !holders.is_some_and(|holders| holders.contains(owner)) {
+            return None;
+        }
+        work.in_flight = true;
+        work.owner_until = work.owner_until.max(self.bound);
+        let kind = OrderKind::Grant(work.handover.clone());
+        Some(self.order(service, range, owner, kind))
+    }
+
+    fn order(
+        &self,
+        service: &str,
+        range: &RangeRecord,
+        holder: &HolderRecord,
+        kind: OrderKind,
+    ) -> RangeOrder {
+        RangeOrder {
+            service: service.to_owned(),
+            first: range.first,
+            last: range.last,
+            fence: range.fence,
+            holder: holder.clone(),
+            kind,
+            decided: self.now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nickellead_range/src/keeper/outcomes.rs
@@ -0,0 +1,132 @@
+//! What became of orders, and whether targets carry them out late.
+
+use nickellead_core::Timestamp;
+
+use super::{KeeperSettings, OrderKind, OrderOutcome, RangeKeeper, RangeOrder, RangeWork};
+use crate::RangeRecord;
+
+/// Silences in a row from which a target's own debts count: a lost target takes no connection, so
+/// only the first order after its loss meets silence.
+const SILENCES_LATE: u32 = 2;
+
+/// Releases that are not answered are sent again after at most this many times the retry time.
+const RELEASE_SLOWEST: u32 = 5;
+
+impl RangeKeeper {
+    /// Takes in what became of an order.
+    pub fn note_outcome(&mut self, order: &RangeOrder, outcome: OrderOutcome, now: Timestamp) {
+        self.note_lateness(order, &outcome, now);
+        let bound = self.hold_bound(now);
+        let settings = self.settings;
+        let key = (order.service.clone(), order.first);
+        let Some(work) = self.work.get_mut(&key) else { return };
+        let ranges = self.map.services.get_mut(&order.service);
+        let found =
+            ranges.and_then(|ranges| ranges.iter_mut().find(|one| one.first == order.first));
+        let Some(range) = found else { return };
+        if outcome == OrderOutcome::Ended {
+            self.ended.insert(order.holder.id.clone());
+        }
+        if range.fence != order.fence {
+            // The range went on to another owner; its own orders follow.
+            return;
+        }
+        work.in_flight = false;
+        if order.kind == OrderKind::Release {
+            work.note_release(range, outcome, now, settings);
+            return;
+        }
+        match outcome {
+            OrderOutcome::Done(_) => {
+                work.note_granted(bound, order.decided + settings.renewal, now);
+                if !range.settled {
+                    range.settled = true;
+                    self.next_edit();
+                }
+            }
+            OrderOutcome::Outranked => {
+                range.settled = false;
+                work.due = now;
+                self.map.fence += 1;
+                range.fence = self.map.fence;
+                self.edit += 1;
+                self.map.edit = self.edit;
+                work.edit = self.edit;
+            }
+            OrderOutcome::Ended | OrderOutcome::NotSent => work.due = now + settings.retry,
+            OrderOutcome::Unanswered | OrderOutcome::Broken => {
+                work.silences += u32::from(outcome == OrderOutcome::Unanswered);
+                work.note_grant_in_doubt(bound, now, settings);
+            }
+        }
+    }
+
+    /// Looks whether targets carry orders out late; debts then count for their whole time.
+    fn note_lateness(&mut self, order: &RangeOrder, outcome: &OrderOutcome, now: Timestamp) {
+        if order.kind == OrderKind::Release {
+            // A release is answered when the work that ran has ended; its silence says nothing.
+            return;
+        }
+        // The last of the debts made until now ends then.
+        let longest = self.hold_bound(now) + self.settings.lateness;
+        let seen = self.lateness.note(&order.holder.id, outcome, now);
+        let goes_on = now < self.late_until && *outcome == OrderOutcome::Unanswered;
+        if seen || goes_on {
+            self.late_until = self.late_until.max(longest);
+        }
+        if seen && !self.map.late {
+            self.map.late = true;
+            self.next_edit();
+        }
+    }
+}
+
+impl RangeWork {
+    /// Takes in what became of a release.
+    fn note_release(
+        &mut self,
+        range: &mut RangeRecord,
+        outcome: OrderOutcome,
+        now: Timestamp,
+        settings: KeeperSettings,
+    ) {
+        match outcome {
+            OrderOutcome::Done(token) => {
+                range.previous = None;
+                self.handover = token;
+                self.due = now;
+            }
+            OrderOutcome::Ended => {
+                range.previous = None;
+                self.due = now;
+            }
+            OrderOutcome::Outranked
+            | OrderOutcome::NotSent
+            | OrderOutcome::Broken
+            | OrderOutcome::Unanswered => {
+                self.tries += 1;
+                self.due = now + settings.retry * self.tries.min(RELEASE_SLOWEST);
+            }
+        }
+    }
+
+    /// Takes in that the owner confirmed a grant.
+    fn note_granted(&mut self, bound: Timestamp, due: Timestamp, now: Timestamp) {
+        // The hold may have started as late as the answer came.
+        self.owner_until = self.owner_until.max(bound);
+        self.due = due;
+        self.handover = None;
+        // It works on, so what it left unanswered may still be carried out.
+        self.owner_was_silent |= self.silences > 0;
+        self.owner_was_silent &= now < self.owner_debt_until;
+        self.silences = 0;
+    }
+
+    /// Takes in that a grant may have taken effect, or may yet.
+    fn note_grant_in_doubt(&mut self, bound: Timestamp, now: Timestamp, settings: KeeperSettings) {
+        self.owner_was_silent |= self.silences >= SILENCES_LATE;
+        self.owner_until = self.owner_until.max(bound);
+        self.owner_debt_until = self.owner_debt_until.max(bound + settings.lateness);
+        self.due = now + settings.retry;
+    }
+}
