--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_balance::TargetScore;
+use nickellead_balance::{TargetOutcome, TargetScore};
+use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, TurnQueue};
 
 use crate::connections::SharedPool;
@@ -43,6 +44,25 @@
     pub(crate) fn has_room(&self) -> bool {
         self.limit.get().has_room(self.score.borrow().running)
     }
+
+    /// Learns how a try ended.
+    pub(crate) fn note_outcome(&self, outcome: TargetOutcome, now: Timestamp) {
+        self.score.borrow_mut().note(outcome, now);
+    }
+
+    /// Learns that the target took no more: it refused a request or broke a connection.
+    pub(crate) fn note_refusal(&self) {
+        let mut limit = self.limit.get();
+        limit.note_refusal();
+        self.limit.set(limit);
+    }
+
+    /// Learns that the target answered while this many requests were under way.
+    pub(crate) fn note_room(&self, running: u32) {
+        let mut limit = self.limit.get();
+        limit.note_answer(running);
+        self.limit.set(limit);
+    }
 }
 
 impl RunningGuard {
--- /dev/null
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -0,0 +1,132 @@
+//! Finding the target of the next try, and waiting until it has room.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nickellead_balance::{Candidate, choose};
+use nickellead_core::ErrorKind;
+use nickellead_limit::TurnQueue;
+use nickellead_time::BootClock;
+
+use super::{RETURN_TIME, RequestWorker, TryState};
+use crate::incoming::PlannedRequest;
+use crate::roster::TargetMember;
+
+/// Longest wait for a range that is on the move, or for its next owner.
+const MOVE_WAIT: Duration = Duration::from_millis(400);
+/// Part of the latency target that a request may wait for a target with room.
+const WAIT_PART: f64 = 0.4;
+
+impl RequestWorker {
+    /// A target with room, or why none was found in time.
+    pub(super) async fn wait_for_turn(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        state: &TryState,
+    ) -> Result<Rc<TargetMember>, ErrorKind> {
+        let rule = &planned.route.rule;
+        let until = planned.arrived + rule.latency_target.mul_f64(WAIT_PART);
+        loop {
+            let member = self.choose_member(planned, service, state).await?;
+            if member.has_room() {
+                return Ok(member);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(ErrorKind::Overloaded);
+            }
+            let divided = self.beliefs.borrow().divided.contains(service);
+            let service_queue = self.queue(service);
+            let queue = if divided { &member.turns } else { &*service_queue };
+            let mut turn = queue.join(rule.priority);
+            let woken = tokio::time::timeout(left, turn.wait()).await;
+            queue.leave(&turn);
+            if woken.is_err() {
+                return Err(ErrorKind::Overloaded);
+            }
+        }
+    }
+
+    /// The queue of a service.
+    pub(super) fn queue(&self, service: &str) -> Rc<TurnQueue> {
+        let mut queues = self.queues.borrow_mut();
+        match queues.get(service) {
+            Some(queue) => Rc::clone(queue),
+            None => Rc::clone(queues.entry(service.to_owned()).or_default()),
+        }
+    }
+
+    /// The target for the next try, with room or without.
+    async fn choose_member(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        state: &TryState,
+    ) -> Result<Rc<TargetMember>, ErrorKind> {
+        let divided = self.beliefs.borrow().divided.contains(service);
+        if divided {
+            let key = planned.key.ok_or(ErrorKind::KeyMissing)?;
+            return self.wait_for_owner(planned, service, key, state).await;
+        }
+        self.balance(service, &state.tried).ok_or(ErrorKind::NoTarget)
+    }
+
+    fn balance(&self, service: &str, tried: &[String]) -> Option<Rc<TargetMember>> {
+        let beliefs = self.beliefs.borrow();
+        let part = beliefs.roster.subset(service);
+        let mut fresh: Vec<&Rc<TargetMember>> =
+            part.iter().filter(|member| !tried.contains(&member.id)).collect();
+        if !fresh.iter().any(|member| member.has_room()) {
+            let all = beliefs.roster.members(service);
+            fresh = all.iter().filter(|member| !tried.contains(&member.id)).collect();
+        }
+        if fresh.iter().any(|member| member.has_room()) {
+            fresh.retain(|member| member.has_room());
+        }
+        let scores: Vec<_> = fresh.iter().map(|member| member.score.borrow()).collect();
+        let now = Instant::now();
+        let candidates: Vec<Candidate<'_>> = fresh
+            .iter()
+            .zip(&scores)
+            .map(|(member, score)| Candidate {
+                score,
+                slots: member.slots,
+                near: member.zone == self.zone,
+                cold: now < member.cold_until.get(),
+            })
+            .collect();
+        let place = choose(&candidates, BootClock.now(), &mut self.rng.borrow_mut())?;
+        Some(Rc::clone(fresh[place]))
+    }
+
+    /// The owner of a key; waits a bounded time while its range moves.
+    async fn wait_for_owner(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        key: u16,
+        state: &TryState,
+    ) -> Result<Rc<TargetMember>, ErrorKind> {
+        let wait = MOVE_WAIT.min(planned.left().saturating_sub(RETURN_TIME * 2));
+        let waiting = async {
+            loop {
+                let changed = self.changed.notified();
+                if let Some(member) = self.owner(service, key, state) {
+                    return member;
+                }
+                changed.await;
+            }
+        };
+        let waited = tokio::time::timeout(wait, waiting).await;
+        waited.map_err(|_| ErrorKind::MoveTooLong)
+    }
+
+    /// The settled owner of a key, unless it has just refused this request.
+    fn owner(&self, service: &str, key: u16, state: &TryState) -> Option<Rc<TargetMember>> {
+        let beliefs = self.beliefs.borrow();
+        let range = beliefs.ranges.find(service, key).filter(|range| range.settled)?;
+        let owner = range.owner.as_ref().filter(|owner| !state.misdirected.contains(&owner.id))?;
+        beliefs.roster.find(&owner.id).map(Rc::clone)
+    }
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -0,0 +1,112 @@
+//! Learning from the outcome of a try, and deciding what follows.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nickellead_balance::TargetOutcome;
+use nickellead_core::{ErrorKind, Timestamp};
+use nickellead_event::{EventName, log_event};
+use nickellead_time::BootClock;
+
+use super::{NextStep, RequestWorker, TryState};
+use crate::RepeatClass;
+use crate::exchange::{LossReason, TargetAnswer, TryResult};
+use crate::incoming::PlannedRequest;
+use crate::roster::TargetMember;
+
+impl RequestWorker {
+    /// Learns from the outcome of a try and says what follows.
+    pub(super) fn judge(
+        &self,
+        planned: &PlannedRequest,
+        member: &Rc<TargetMember>,
+        state: &mut TryState,
+        result: TryResult,
+        length: Duration,
+    ) -> NextStep {
+        let now = BootClock.now();
+        state.tried.push(member.id.clone());
+        match result {
+            TryResult::Answered(answer) if answer.status.is_server_error() => {
+                member.note_outcome(TargetOutcome::Failed, now);
+                state.sent += 1;
+                state.may_have_run = true;
+                after_failure(planned, state, answer)
+            }
+            TryResult::Answered(answer) => {
+                self.note_answer(member, length, now);
+                NextStep::Done(answer)
+            }
+            TryResult::Shed => {
+                member.note_refusal();
+                member.note_outcome(TargetOutcome::Shed, now);
+                state.sent += 1;
+                NextStep::Again
+            }
+            TryResult::Misdirected => {
+                state.misdirected.push(member.id.clone());
+                state.sent += 1;
+                NextStep::Again
+            }
+            TryResult::NotSent(failure) => {
+                member.note_outcome(TargetOutcome::Broken, now);
+                state.unsent += 1;
+                log_retry(planned, member, failure.as_str());
+                NextStep::Again
+            }
+            TryResult::Lost(reason) => {
+                member.note_refusal();
+                member.note_outcome(TargetOutcome::Broken, now);
+                state.sent += 1;
+                state.may_have_run = true;
+                log_retry(planned, member, reason.as_str());
+                after_loss(planned, reason)
+            }
+        }
+    }
+
+    /// Learns from an answer: how fast the target is, and that it may take more.
+    fn note_answer(&self, member: &TargetMember, length: Duration, now: Timestamp) {
+        // The try itself has ended and is counted no more.
+        let running = member.score.borrow().running + 1;
+        member.note_outcome(TargetOutcome::Answered(length), now);
+        member.note_room(running);
+        self.keys.note_speed(&member.id, member.score.borrow().unhurried_ms());
+    }
+}
+
+fn is_safe(planned: &PlannedRequest) -> bool {
+    planned.route.rule.repeat == RepeatClass::Safe
+}
+
+/// What follows a failure that the target itself reported.
+fn after_failure(planned: &PlannedRequest, state: &mut TryState, answer: TargetAnswer) -> NextStep {
+    if !is_safe(planned) {
+        return NextStep::Done(answer);
+    }
+    state.answer = Some(answer);
+    NextStep::Again
+}
+
+/// What follows when a request was sent and no usable answer came.
+fn after_loss(planned: &PlannedRequest, reason: LossReason) -> NextStep {
+    if is_safe(planned) && reason != LossReason::Late {
+        return NextStep::Again;
+    }
+    NextStep::Fail(match reason {
+        LossReason::Late => ErrorKind::AnswerLate,
+        LossReason::Broken => ErrorKind::AnswerLost,
+        LossReason::Foreign => ErrorKind::AnswerMalformed,
+    })
+}
+
+fn log_retry(planned: &PlannedRequest, member: &TargetMember, reason: &str) {
+    let id = String::from_utf8_lossy(planned.outgoing.request_id.as_bytes()).into_owned();
+    let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+        ("request", &id),
+        ("target", &member.id),
+        ("reason", &reason),
+        ("after_ms", &planned.arrived.elapsed().as_millis()),
+    ];
+    log_event(EventName::RequestRetried, &pairs);
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -0,0 +1,205 @@
+//! The request path of one VM.
+//!
+//! A request is read and given a route; then, until an answer stands: a target
+//! is chosen, the request is tried there, and the outcome decides whether it
+//! may be tried once more.
+//!
+//! This module holds what the path believes and takes a request in. `tries` is
+//! the loop, `choose` finds a target with room, `judge` learns from a try, and
+//! `answers` builds what the caller gets.
+
+mod answers;
+mod choose;
+mod judge;
+mod tries;
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, Request, Response};
+use nickellead_core::ErrorKind;
+use nickellead_limit::TurnQueue;
+use nickellead_range::RangeMap;
+use tokio::sync::Notify;
+
+use self::answers::pass_on;
+use crate::drain::DrainState;
+use crate::exchange::TargetAnswer;
+use crate::incoming::plan_request;
+use crate::load_count::LoadCounter;
+use crate::metrics::GatewayMetrics;
+use crate::retry_share::RetryShare;
+use crate::roster::TargetRoster;
+use crate::route_table::RouteTable;
+use crate::{CallerLimits, Declarations, HeaderNames, TargetList};
+
+/// Kept of the caller's time for the way back of an answer.
+const RETURN_TIME: Duration = Duration::from_millis(4);
+/// Part of its deadline that a request may wait for a VM's first declarations: about a quarter of
+/// the latency target, as deadlines are two to three times as long.
+const START_WAIT_PART: u32 = 10;
+
+/// What the request path believes; parts are replaced whole.
+struct WorkerBeliefs {
+    version: Option<u64>,
+    divided: HashSet<String>,
+    limits: CallerLimits,
+    table: Rc<RouteTable>,
+    roster: TargetRoster,
+    ranges: Arc<RangeMap>,
+}
+
+/// What the request path is built from.
+pub(crate) struct WorkerParts {
+    pub(crate) names: HeaderNames,
+    pub(crate) vm: String,
+    pub(crate) zone: String,
+    pub(crate) retry_burst: f64,
+    pub(crate) keys: LoadCounter,
+    pub(crate) drain: Arc<DrainState>,
+    pub(crate) metrics: GatewayMetrics,
+}
+
+/// The request path of one VM.
+pub(crate) struct RequestWorker {
+    names: HeaderNames,
+    zone: String,
+    beliefs: RefCell<WorkerBeliefs>,
+    changed: Notify,
+    retries: RefCell<RetryShare>,
+    rng: RefCell<fastrand::Rng>,
+    keys: LoadCounter,
+    /// Requests that wait for any target of a service.
+    queues: RefCell<HashMap<String, Rc<TurnQueue>>>,
+    drain: Arc<DrainState>,
+    metrics: GatewayMetrics,
+}
+
+/// What is known of a request between its tries.
+#[derive(Default)]
+struct TryState {
+    /// Tries that reached a target.
+    sent: u32,
+    /// Tries that failed before anything was sent.
+    unsent: u32,
+    /// Targets tried already.
+    tried: Vec<String>,
+    /// Targets that said that they do not own the key.
+    misdirected: Vec<String>,
+    /// Whether a target may have run the request.
+    may_have_run: bool,
+    /// A failure that a target answered, to be passed on if nothing better comes.
+    answer: Option<TargetAnswer>,
+}
+
+/// What follows a try.
+enum NextStep {
+    Done(TargetAnswer),
+    Again,
+    Fail(ErrorKind),
+}
+
+impl RequestWorker {
+    pub(crate) fn new(parts: WorkerParts) -> Rc<Self> {
+        let beliefs = WorkerBeliefs {
+            version: None,
+            divided: HashSet::new(),
+            limits: CallerLimits::default(),
+            table: Rc::default(),
+            roster: TargetRoster::new(parts.vm, parts.zone.clone()),
+            ranges: Arc::default(),
+        };
+        Rc::new(Self {
+            names: parts.names,
+            zone: parts.zone,
+            beliefs: RefCell::new(beliefs),
+            changed: Notify::new(),
+            retries: RefCell::new(RetryShare::new(parts.retry_burst)),
+            rng: RefCell::new(fastrand::Rng::new()),
+            keys: parts.keys,
+            queues: RefCell::default(),
+            drain: parts.drain,
+            metrics: parts.metrics,
+        })
+    }
+
+    /// Takes over newer declarations; older ones are ignored.
+    pub(crate) fn set_declarations(&self, declarations: &Declarations) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        if beliefs.version.is_some_and(|known| known >= declarations.version) {
+            return;
+        }
+        beliefs.table = Rc::new(RouteTable::build(declarations, &beliefs.table));
+        let divided = declarations.services.iter().filter(|(_, rule)| rule.divided);
+        beliefs.divided = divided.map(|(name, _)| name.clone()).collect();
+        beliefs.limits = declarations.limits;
+        beliefs.version = Some(declarations.version);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes over the list of targets.
+    pub(crate) fn set_targets(&self, list: &TargetList) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.roster = beliefs.roster.rebuild(list);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes over the map of ranges.
+    pub(crate) fn set_ranges(&self, ranges: Arc<RangeMap>) {
+        self.beliefs.borrow_mut().ranges = ranges;
+        self.changed.notify_waiters();
+    }
+
+    /// Answers one request of a caller.
+    pub(crate) async fn answer(&self, request: Request) -> Response<BoxBody> {
+        self.metrics.requests.inc();
+        let known = self.beliefs.borrow().version.is_some();
+        if !known && !self.wait_for_declarations(&request).await {
+            return self.refuse(ErrorKind::NotConfigured, None);
+        }
+        let (table, limits) = {
+            let beliefs = self.beliefs.borrow();
+            (Rc::clone(&beliefs.table), beliefs.limits)
+        };
+        let planned = match plan_request(request, &self.names, limits, &table).await {
+            Ok(planned) => planned,
+            Err(kind) => return self.refuse_unread(kind),
+        };
+        if self.drain.would_cut(planned.until) {
+            return self.refuse(ErrorKind::Stopping, Some(&planned));
+        }
+        match self.serve(&planned).await {
+            Ok(answer) => {
+                self.metrics.note_answer(planned.arrived.elapsed());
+                pass_on(answer)
+            }
+            Err(kind) => self.refuse(kind, Some(&planned)),
+        }
+    }
+
+    /// Waits a little for the first declarations of a VM that has just started.
+    async fn wait_for_declarations(&self, request: &Request) -> bool {
+        let deadline = request.headers().get(self.names.deadline_ms);
+        let deadline = deadline.and_then(|value| value.to_str().ok()?.parse().ok());
+        let wait = Duration::from_millis(deadline.unwrap_or(0)) / START_WAIT_PART;
+        let waiting = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.beliefs.borrow().version.is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        tokio::time::timeout(wait, waiting).await.is_ok()
+    }
+
+    /// Connections opened to targets that are listed now.
+    pub(crate) fn connections_opened(&self) -> u64 {
+        self.beliefs.borrow().roster.opened()
+    }
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -0,0 +1,116 @@
+//! The loop of tries: a request goes on until an answer stands or no further try is allowed.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use nickellead_balance::TargetOutcome;
+use nickellead_core::{ErrorKind, OutcomeClass};
+use nickellead_time::BootClock;
+
+use super::{NextStep, RETURN_TIME, RequestWorker, TryState};
+use crate::exchange::{TargetAnswer, TryPlan, TryResult, try_target};
+use crate::incoming::PlannedRequest;
+use crate::roster::{RunningGuard, TargetMember};
+
+/// Most tries that failed before anything was sent.
+const UNSENT_TRIES: u32 = 4;
+
+impl RequestWorker {
+    /// Tries a request until an answer stands, or says why none does.
+    pub(super) async fn serve(&self, planned: &PlannedRequest) -> Result<TargetAnswer, ErrorKind> {
+        let part = planned.route.next_part().ok_or(ErrorKind::NoTarget)?;
+        self.note_request(planned, &part.service);
+        let mut state = TryState::default();
+        loop {
+            let member = match self.wait_for_turn(planned, &part.service, &state).await {
+                Ok(member) => member,
+                Err(kind) => return finish(state, kind),
+            };
+            let since = Instant::now();
+            let result = self.try_member(planned, &part.service, &member).await;
+            match self.judge(planned, &member, &mut state, result, since.elapsed()) {
+                NextStep::Done(answer) => return Ok(answer),
+                NextStep::Fail(kind) => return finish(state, kind),
+                NextStep::Again => {}
+            }
+            if !self.take_retry(planned, &part.service, &state) {
+                return finish(state, ErrorKind::TargetBusy);
+            }
+            self.metrics.retries.inc();
+        }
+    }
+
+    /// Counts a request for the share of further tries, and its key for the spread of load.
+    fn note_request(&self, planned: &PlannedRequest, service: &str) {
+        self.retries.borrow_mut().note_request(service);
+        if let Some(key) = planned.key
+            && self.beliefs.borrow().divided.contains(service)
+        {
+            self.keys.note(service, key);
+        }
+    }
+
+    /// Whether one more try is allowed; if so, it is taken from the service's share of them.
+    fn take_retry(&self, planned: &PlannedRequest, service: &str, state: &TryState) -> bool {
+        let within = state.sent < planned.route.rule.attempts && state.unsent < UNSENT_TRIES;
+        if !within || planned.left() < RETURN_TIME * 2 {
+            return false;
+        }
+        // Only tries that reached a target add to the load that the share bounds.
+        state.sent == 0 || self.retries.borrow_mut().take(service)
+    }
+
+    /// Tries a request at one target, which counts it as running meanwhile.
+    async fn try_member(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        member: &Rc<TargetMember>,
+    ) -> TryResult {
+        let _running = RunningGuard::new(member, &self.queue(service));
+        let until = planned.until.checked_sub(RETURN_TIME).unwrap_or(planned.until);
+        let plan = TryPlan {
+            target_id: &member.id,
+            address: member.address,
+            pool: &member.pool,
+            repeat: planned.route.rule.repeat,
+            until,
+        };
+        let watch = AbandonWatch { member, since: Instant::now(), armed: true };
+        let result = try_target(&self.names, &planned.outgoing, &plan).await;
+        watch.disarm();
+        result
+    }
+}
+
+/// Ends a request that has no answer: a target's own failure goes before ours.
+fn finish(state: TryState, kind: ErrorKind) -> Result<TargetAnswer, ErrorKind> {
+    if let Some(answer) = state.answer {
+        return Ok(answer);
+    }
+    let refused = kind.answer().outcome == OutcomeClass::NotRun;
+    // "Not run" is said only when no target may have run it.
+    Err(if refused && state.may_have_run { ErrorKind::AnswerLost } else { kind })
+}
+
+/// Learns from a try that ended because its caller left.
+struct AbandonWatch<'a> {
+    member: &'a Rc<TargetMember>,
+    since: Instant,
+    armed: bool,
+}
+
+impl AbandonWatch<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for AbandonWatch<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            let outcome = TargetOutcome::Abandoned(self.since.elapsed());
+            self.member.note_outcome(outcome, BootClock.now());
+        }
+    }
+}
