--- /dev/null
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -0,0 +1,197 @@
+//! What one VM knows: declarations, targets, ranges, and who holds the mandate.
+//!
+//! The book takes news from the store or from another VM, never goes
+//! backwards, tells the request duty, and can say what is new to another VM.
+//!
+//! `targets` keeps the list of targets, `news` is what VMs tell each other.
+
+mod news;
+mod targets;
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::Instant;
+
+use nickellead_event::{EventName, log_event};
+use nickellead_range::RangeMap;
+use tokio::sync::Notify;
+
+pub(crate) use self::news::{BookMark, BookNews};
+pub(crate) use self::targets::LAPSE_TIME;
+use self::targets::TargetPart;
+use crate::beliefs::BeliefSenders;
+use crate::{Declarations, MandateRecord, Revision, Stored, TargetChange, TargetList};
+
+/// Up to which revision of the store each part is known.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct KnownRevisions {
+    pub(crate) declarations: Option<Revision>,
+    pub(crate) targets: Option<Revision>,
+    pub(crate) ranges: Option<Revision>,
+}
+
+/// One VM's book.
+pub(crate) struct BeliefBook {
+    incarnation: u64,
+    known: Cell<KnownRevisions>,
+    targets: RefCell<TargetPart>,
+    ranges: RefCell<Option<Stored<RangeMap>>>,
+    mandate: RefCell<Option<Stored<MandateRecord>>>,
+    told: BeliefSenders,
+    /// Woken by every change.
+    pub(crate) changed: Notify,
+}
+
+impl BeliefBook {
+    pub(crate) fn new(incarnation: u64, told: BeliefSenders) -> Self {
+        Self {
+            incarnation,
+            known: Cell::default(),
+            targets: RefCell::default(),
+            ranges: RefCell::new(None),
+            mandate: RefCell::new(None),
+            told,
+            changed: Notify::new(),
+        }
+    }
+
+    /// Up to which revision of the store each part is known.
+    pub(crate) fn known(&self) -> KnownRevisions {
+        self.known.get()
+    }
+
+    /// The declarations that are in force.
+    pub(crate) fn declarations(&self) -> Option<Arc<Declarations>> {
+        self.told.declarations.borrow().clone()
+    }
+
+    /// The listed targets.
+    pub(crate) fn targets(&self) -> Arc<TargetList> {
+        Arc::clone(&self.told.targets.borrow())
+    }
+
+    /// The newest map of ranges.
+    pub(crate) fn ranges(&self) -> Option<Stored<RangeMap>> {
+        self.ranges.borrow().clone()
+    }
+
+    /// The newest mandate.
+    pub(crate) fn mandate(&self) -> Option<Stored<MandateRecord>> {
+        self.mandate.borrow().clone()
+    }
+
+    /// Takes over declarations; older ones are ignored.
+    pub(crate) fn note_declarations(&self, as_of: Revision, new: Option<Declarations>) {
+        self.raise(|known| &mut known.declarations, as_of);
+        let Some(new) = new else { return };
+        let version = new.version;
+        let newer = self.told.declarations.send_if_modified(|known| {
+            if known.as_ref().is_some_and(|known| known.version >= version) {
+                return false;
+            }
+            *known = Some(Arc::new(new));
+            true
+        });
+        if newer {
+            log_event(EventName::ConfigInForce, &[("version", &version)]);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes over the whole list of targets, unless a newer one is known.
+    ///
+    /// `lapse` is until when a missing entry may only have lapsed.
+    pub(crate) fn note_all_targets(
+        &self,
+        as_of: Revision,
+        list: TargetList,
+        lapse: Option<Instant>,
+    ) -> bool {
+        if self.known.get().targets.is_some_and(|known| known > as_of) {
+            return false;
+        }
+        let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
+        let gone = known.into_iter().filter(|id| !list.contains_key(id)).map(TargetChange::Gone);
+        let changes = gone.chain(list.values().cloned().map(TargetChange::Listed)).collect();
+        self.note_target_changes(as_of, changes, lapse);
+        true
+    }
+
+    /// Takes over changes of targets that follow on what is known.
+    pub(crate) fn note_target_changes(
+        &self,
+        as_of: Revision,
+        changes: Vec<TargetChange>,
+        lapse: Option<Instant>,
+    ) {
+        self.raise(|known| &mut known.targets, as_of);
+        let mut part = self.targets.borrow_mut();
+        let before = part.number;
+        changes.into_iter().for_each(|change| part.take(change, lapse));
+        self.tell_targets(&part, before);
+    }
+
+    /// Drops entries that lapsed and did not come back.
+    pub(crate) fn drop_lapsed(&self, now: Instant) {
+        let mut part = self.targets.borrow_mut();
+        let before = part.number;
+        let due = part.lapsing.iter().filter(|(_, until)| **until <= now);
+        let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
+        due.into_iter().for_each(|id| part.remove(&id));
+        self.tell_targets(&part, before);
+    }
+
+    /// When the next entry that lapsed is taken as gone.
+    pub(crate) fn next_lapse(&self) -> Option<Instant> {
+        self.targets.borrow().lapsing.values().min().copied()
+    }
+
+    /// Tells the request duty and readers if the list changed since change number `before`.
+    fn tell_targets(&self, part: &TargetPart, before: u64) {
+        if part.number != before {
+            self.told.targets.send_replace(Arc::new(part.list.clone()));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes over a map of ranges; an older one is ignored.
+    pub(crate) fn note_ranges(&self, as_of: Revision, new: Option<Stored<RangeMap>>) {
+        self.raise(|known| &mut known.ranges, as_of);
+        let Some(new) = new else { return };
+        let mut ranges = self.ranges.borrow_mut();
+        if ranges.as_ref().is_none_or(|known| new.revision > known.revision) {
+            self.told.ranges.send_replace(Arc::new(new.value.clone()));
+            *ranges = Some(new);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes over a mandate; an older one is ignored.
+    pub(crate) fn note_mandate(&self, new: &Stored<MandateRecord>) {
+        let mut mandate = self.mandate.borrow_mut();
+        if mandate.as_ref().is_none_or(|known| new.revision > known.revision) {
+            let holder = mandate.as_ref().map(|known| (known.value.vm.clone(), known.value.vacant));
+            let same = holder == Some((new.value.vm.clone(), new.value.vacant));
+            *mandate = Some(new.clone());
+            if !same {
+                self.changed.notify_waiters();
+            }
+        }
+    }
+
+    /// Makes the next look at the store read all targets.
+    fn forget_targets_revision(&self) {
+        let known = KnownRevisions { targets: None, ..self.known.get() };
+        self.known.set(known);
+    }
+
+    /// Notes that a part is known up to `as_of`, unless it is known further.
+    fn raise(&self, part: impl Fn(&mut KnownRevisions) -> &mut Option<Revision>, as_of: Revision) {
+        let mut known = self.known.get();
+        let revision = part(&mut known);
+        if revision.is_none_or(|revision| revision < as_of) {
+            *revision = Some(as_of);
+        }
+        self.known.set(known);
+    }
+}
