--- a/crates/nickellead_balance/src/score.rs
+++ b/crates/nickellead_balance/src/score.rs
@@ -118,18 +118,6 @@
         now < self.ejected_until
     }
 
-    /// The usual time of an answer, in milliseconds.
-    #[must_use]
-    pub fn latency_ms(&self) -> f64 {
-        self.latency_ms
-    }
-
-    /// Share of troubled requests, from 0 to 1.
-    #[must_use]
-    pub fn trouble(&self) -> f64 {
-        self.trouble
-    }
-
     /// Expected cost of one more request, in milliseconds.
     #[must_use]
     pub fn cost(&self, slots: u32) -> f64 {
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -82,8 +82,6 @@
         expected: Option<Revision>,
         mandate: &MandateRecord,
     ) -> Result<Revision, StoreError>;
-    /// Calls made so far.
-    fn calls(&self) -> u64;
 }
 
 /// Orders about ranges to targets.
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -30,12 +30,6 @@
         f64::from(running) + 1.0 <= self.limit + 1e-9
     }
 
-    /// Requests that may be under way now.
-    #[must_use]
-    pub fn current(&self) -> f64 {
-        self.limit
-    }
-
     /// The target answered while `running` requests, this one included, were under way.
     pub fn note_answer(&mut self, running: u32) {
         if f64::from(running) >= self.limit * USED_PART {
--- a/crates/nickellead_limit/src/queue.rs
+++ b/crates/nickellead_limit/src/queue.rs
@@ -61,11 +61,4 @@
             }
         }
     }
-
-    /// Requests of this rank or a more urgent one that wait.
-    #[must_use]
-    pub fn ahead_of(&self, rank: u8) -> usize {
-        let waiting = self.waiting.borrow();
-        waiting.turns.range(..(rank, u64::MAX)).filter(|(_, sender)| !sender.is_closed()).count()
-    }
 }
