--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -84,11 +84,12 @@
     plan: &TryPlan<'_>,
 ) -> TryResult {
     let left = |until: Instant| until.saturating_duration_since(Instant::now());
-    let mut connection = match plan.pool.take(plan.address, left(plan.until), plan.repeat).await {
-        Ok(connection) => connection,
-        Err(failure) => return TryResult::NotSent(failure),
-    };
     loop {
+        let taking = plan.pool.take(plan.address, left(plan.until), plan.repeat);
+        let mut connection = match taking.await {
+            Ok(connection) => connection,
+            Err(failure) => return TryResult::NotSent(failure),
+        };
         let request = build_request(names, outgoing, plan, left(plan.until));
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(left(plan.until), sending).await;
@@ -105,11 +106,6 @@
                 if !connection.reused {
                     return TryResult::NotSent(ConnectFailure::Refused);
                 }
-                connection = match plan.pool.take(plan.address, left(plan.until), plan.repeat).await
-                {
-                    Ok(connection) => connection,
-                    Err(failure) => return TryResult::NotSent(failure),
-                };
             }
         }
     }
--- a/crates/nickellead_range/src/keeper/candidates.rs
+++ b/crates/nickellead_range/src/keeper/candidates.rs
@@ -5,11 +5,9 @@
 use nickellead_core::enforced;
 
 use super::{RangeKeeper, RangeWork};
+use crate::map::KEY_COUNT;
 use crate::{HolderRecord, OwnerCandidate, RangeRecord};
 
-/// Number of keys of a service: keys are `u16`.
-const KEYS: u32 = 65_536;
-
 impl RangeKeeper {
     /// Takes over who may own ranges of a service, and replaces owners who may not.
     ///
@@ -63,8 +61,8 @@
         let mut ranges = Vec::new();
         for (place, holder) in holders.iter().enumerate() {
             let place = place as u32;
-            let first = (KEYS * place / count) as u16;
-            let last = (KEYS * (place + 1) / count - 1) as u16;
+            let first = (KEY_COUNT * place / count) as u16;
+            let last = (KEY_COUNT * (place + 1) / count - 1) as u16;
             let fence = self.next_fence();
             let owner = Some(holder.clone());
             ranges.push(RangeRecord { first, last, fence, owner, previous: None, settled: false });
--- a/crates/nickellead_range/src/map.rs
+++ b/crates/nickellead_range/src/map.rs
@@ -5,6 +5,9 @@
 use bincode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
+/// Keys in a service's key space: every `u16` is one.
+pub(crate) const KEY_COUNT: u32 = 65_536;
+
 /// A target as a holder of ranges: one life of one process.
 #[derive(
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
--- a/crates/nickellead_range/src/plan.rs
+++ b/crates/nickellead_range/src/plan.rs
@@ -1,5 +1,6 @@
 //! Which ranges should move where.
 
+use crate::map::KEY_COUNT;
 use crate::{HolderRecord, KeyLoad, RangeRecord};
 
 /// A target that may own ranges.
@@ -32,13 +33,15 @@
 ///
 /// It keeps a target without sampled requests from being given all silent keys.
 const SIZE_WEIGHT: f64 = 20.0;
-/// Keys in the key space.
-const KEYS: f64 = 65_536.0;
+/// A range is moved whole when its load is at most this many times the load wanted.
+const WHOLE_SLACK: f64 = 1.2;
+/// A piece is moved when its load is at most this many times the load wanted.
+const PIECE_SLACK: f64 = 1.6;
 
 /// Load of a run of keys: sampled requests and a small part for its size.
 fn weigh(load: &KeyLoad, first: u16, last: u16) -> f64 {
     let size = f64::from(last - first) + 1.0;
-    load.between(first, last) + SIZE_WEIGHT * size / KEYS
+    load.between(first, last) + SIZE_WEIGHT * size / f64::from(KEY_COUNT)
 }
 
 /// Proposes at most `most` moves that relieve the most loaded targets.
@@ -63,20 +66,35 @@
     moves
 }
 
-/// Relative load of each candidate: 1.0 is a fair share.
+/// The load that each candidate should have: the whole, divided by capacity.
+fn fair_shares(candidates: &[OwnerCandidate], load: &KeyLoad) -> Vec<f64> {
+    let total = weigh(load, 0, u16::MAX);
+    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    candidates.iter().map(|candidate| total * candidate.capacity / capacity).collect()
+}
+
+/// Load of each candidate in fair shares: 1.0 is what it should have.
 fn relative_loads(
     ranges: &[RangeRecord],
     candidates: &[OwnerCandidate],
     load: &KeyLoad,
 ) -> Vec<f64> {
-    let total: f64 = weigh(load, 0, u16::MAX);
-    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    let relative = |candidate: &OwnerCandidate| {
+    let relative = |(candidate, fair): (&OwnerCandidate, f64)| {
         let owned = ranges.iter().filter(|range| range.owner.as_ref() == Some(&candidate.holder));
         let sum: f64 = owned.map(|range| weigh(load, range.first, range.last)).sum();
-        sum / (total * candidate.capacity / capacity)
+        sum / fair
     };
-    candidates.iter().map(relative).collect()
+    candidates.iter().zip(fair_shares(candidates, load)).map(relative).collect()
+}
+
+/// Place of the least load.
+fn lightest(loads: &[f64]) -> Option<usize> {
+    (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))
+}
+
+/// Place of the greatest load.
+fn heaviest(loads: &[f64]) -> Option<usize> {
+    (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))
 }
 
 /// The candidate with the least load beside its capacity.
@@ -87,29 +105,26 @@
     load: &KeyLoad,
 ) -> Option<HolderRecord> {
     let loads = relative_loads(ranges, candidates, load);
-    let lightest = (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
-    Some(candidates[lightest].holder.clone())
+    Some(candidates[lightest(&loads)?].holder.clone())
 }
 
+/// The one move that relieves the most loaded target; `ranges` are then as after it.
 fn plan_one(
     ranges: &mut Vec<RangeRecord>,
     candidates: &[OwnerCandidate],
     load: &KeyLoad,
 ) -> Option<MoveProposal> {
     let loads = relative_loads(ranges, candidates, load);
-    let heaviest = (0..loads.len()).max_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
-    let lightest = (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))?;
+    let (heaviest, lightest) = (heaviest(&loads)?, lightest(&loads)?);
     if loads[heaviest] < RELIEF_RATIO || heaviest == lightest {
         return None;
     }
-    let total = weigh(load, 0, u16::MAX);
-    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    let fair = |place: usize| total * candidates[place].capacity / capacity;
-    if loads[heaviest] * fair(heaviest) < SAMPLES_LEAST {
+    let fair = fair_shares(candidates, load);
+    if loads[heaviest] * fair[heaviest] < SAMPLES_LEAST {
         return None;
     }
-    let excess = (loads[heaviest] - 1.0) * fair(heaviest);
-    let room = (1.0 - loads[lightest]) * fair(lightest);
+    let excess = (loads[heaviest] - 1.0) * fair[heaviest];
+    let room = (1.0 - loads[lightest]) * fair[lightest];
     let wanted = excess.min(room);
     let from = &candidates[heaviest].holder;
     let mut sources: Vec<&RangeRecord> =
@@ -130,7 +145,7 @@
 ) -> Option<MoveProposal> {
     let (first, last) = (source.first, source.last);
     let whole = weigh(load, first, last);
-    if whole <= wanted * 1.2 {
+    if whole <= wanted * WHOLE_SLACK {
         return Some(MoveProposal { first, last, to: to.clone() });
     }
     // From the end whose piece has fewer keys.
@@ -144,7 +159,11 @@
     };
     let moved = weigh(load, start, end);
     // A single key heavier than the room would only carry the overload over.
-    (moved <= wanted * 1.6).then(|| MoveProposal { first: start, last: end, to: to.clone() })
+    (moved <= wanted * PIECE_SLACK).then(|| MoveProposal {
+        first: start,
+        last: end,
+        to: to.clone(),
+    })
 }
 
 /// Splits ranges at the edges of a move and gives the piece to its new owner.
