--- a/crates/nickellead_balance/src/score.rs
+++ b/crates/nickellead_balance/src/score.rs
@@ -40,8 +40,14 @@
 const SLOWER_WEIGHT: f64 = 0.05;
 /// Weight of a new outcome in the share of troubled requests.
 const TROUBLE_WEIGHT: f64 = 0.15;
+/// Trouble that a shed request counts as; a failure counts as 1.0.
+const SHED_TROUBLE: f64 = 0.6;
 /// Share of troubled requests from which a target is left out for a while.
 const EJECT_SHARE: f64 = 0.4;
+/// Below this share a target's earlier ejections are forgotten.
+const CALM_SHARE: f64 = EJECT_SHARE / 4.0;
+/// Share that a target returns with: on its return one good answer counts more than the past.
+const RETURN_SHARE: f64 = EJECT_SHARE * 0.8;
 /// Outcomes needed before a target may be left out.
 const EJECT_LEAST: u32 = 4;
 /// First time that a target is left out; doubles with each further time.
@@ -80,7 +86,7 @@
                     self.note_latency(length);
                 }
             }
-            TargetOutcome::Shed => self.note_trouble(0.6, now),
+            TargetOutcome::Shed => self.note_trouble(SHED_TROUBLE, now),
             TargetOutcome::Failed | TargetOutcome::Broken => self.note_trouble(1.0, now),
         }
     }
@@ -101,14 +107,13 @@
     fn note_trouble(&mut self, trouble: f64, now: Timestamp) {
         self.trouble += (trouble - self.trouble) * TROUBLE_WEIGHT;
         if trouble == 0.0 {
-            if self.trouble < EJECT_SHARE / 4.0 {
+            if self.trouble < CALM_SHARE {
                 self.ejections = 0;
             }
         } else if self.trouble > EJECT_SHARE && self.answers >= EJECT_LEAST {
             self.ejected_until = now + EJECT_FIRST * (1 << self.ejections.min(EJECT_DOUBLINGS));
             self.ejections += 1;
-            // On its return one good answer counts more than the past.
-            self.trouble = EJECT_SHARE * 0.8;
+            self.trouble = RETURN_SHARE;
         }
     }
 
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -27,6 +27,8 @@
 const END_PART: f64 = 0.97;
 /// Between two looks at whether callers have left.
 const LOOK: Duration = Duration::from_millis(50);
+/// Between two looks whether a thread has ended.
+const THREAD_LOOK: Duration = Duration::from_millis(10);
 
 /// Why a VM can't start.
 #[derive(Debug, Error)]
@@ -170,13 +172,13 @@
     }
 }
 
+/// Waits for a thread until `end`; tells whether it ended without a panic.
 fn join_until(thread: JoinHandle<()>, end: Instant) -> bool {
-    const POLL: Duration = Duration::from_millis(10);
     while !thread.is_finished() {
         if Instant::now() >= end {
             return false;
         }
-        std::thread::sleep(POLL);
+        std::thread::sleep(THREAD_LOOK);
     }
     thread.join().is_ok()
 }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -20,6 +20,10 @@
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
+/// Between two looks whether the last requests have ended.
+const END_LOOK: Duration = Duration::from_millis(10);
+/// The last answers' bytes leave within this time, before the runtime ends.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// What the request duty is built from.
 pub(crate) struct RequestParts {
@@ -86,10 +90,9 @@
     };
     serve_http(parts.callers, parts.connections, Arc::clone(&parts.state), handler).await;
     while parts.state.running() > 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(END_LOOK).await;
     }
-    // The last answers' bytes leave before the runtime ends.
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(FLUSH_TIME).await;
 }
 
 /// Hands each new belief to the worker as it comes.
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -12,6 +12,10 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(120);
 /// Longest pause after a call that failed; all VMs come back spread over this time.
 const PAUSE_MOST: Duration = Duration::from_millis(900);
+/// Most doublings of [`PAUSE_FIRST`].
+const PAUSE_DOUBLINGS: u32 = 4;
+/// Shortest pause as a part of the longest one: the rest is drawn at random.
+const PAUSE_LEAST: f64 = 0.5;
 
 /// One VM's view of the store's health, shared by all that call it.
 #[derive(Default)]
@@ -61,8 +65,8 @@
 
     /// Waits before the next call, longer after each failure, spread at random.
     pub(crate) async fn pause(&self) {
-        let doubled = PAUSE_FIRST * (1 << self.failures.get().min(4));
+        let doubled = PAUSE_FIRST * (1 << self.failures.get().min(PAUSE_DOUBLINGS));
         let most = doubled.min(PAUSE_MOST);
-        tokio::time::sleep(most.mul_f64(0.5 + fastrand::f64() * 0.5)).await;
+        tokio::time::sleep(most.mul_f64(PAUSE_LEAST + fastrand::f64() * (1.0 - PAUSE_LEAST))).await;
     }
 }
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -14,6 +14,9 @@
 use super::{EXIT_USAGE, fail};
 use crate::logging::start_logging;
 
+/// Between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
 /// run one gateway VM against the platform's store until SIGTERM or SIGINT
 #[derive(FromArgs)]
 #[argh(subcommand, name = "gateway")]
@@ -40,9 +43,6 @@
     GatewaySettings::read(&text).map_err(|error| format!("{shown}: {error}"))
 }
 
-/// Between two looks at the settings file, which may change without a signal.
-const SETTINGS_LOOK: Duration = Duration::from_secs(2);
-
 /// Reads the settings again on SIGHUP or when the file changed, until SIGTERM or SIGINT.
 fn reload_until_stopped(path: &Path, gateway: &mut GatewayHandle) -> std::io::Result<()> {
     let changed = |path: &Path| std::fs::metadata(path).and_then(|data| data.modified()).ok();
