--- /dev/null
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -0,0 +1,156 @@
+//! VMs tell each other what the store says, so that few of them ask it.
+//!
+//! The holder of the mandate follows the store. Every other VM follows the
+//! holder, or a VM of its own availability zone that does: the holder sends
+//! all but a few of a zone's VMs on to those few. A VM whose source is silent,
+//! or says that it is out of touch itself, follows the store until it finds a
+//! source again.
+//!
+//! This module holds where this VM gets its news. `messages` is what VMs ask
+//! and answer, `following` asks another VM, `telling` answers others.
+
+mod following;
+mod messages;
+mod telling;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nickellead_event::{EventName, log_event};
+use tokio::sync::Notify;
+
+use self::telling::NewsReader;
+pub(crate) use self::telling::serve_news;
+use crate::book::BeliefBook;
+use crate::load_count::LoadCounter;
+use crate::store_health::StoreHealth;
+
+/// How long a question waits for news.
+const ASK_WAIT: Duration = Duration::from_millis(500);
+/// News are too old when the store last answered the VM at the root longer ago than this; the root
+/// asks it every third of a second.
+const NEWS_AGE_MOST: Duration = Duration::from_millis(1_100);
+
+/// Where a VM gets its news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsSource {
+    /// From the store.
+    Store,
+    /// From another VM.
+    Vm(SocketAddr),
+    /// From nowhere yet: the VM has just started, or has just lost its source.
+    Seeking,
+}
+
+/// This VM's part in telling news.
+pub(crate) struct NewsRelay {
+    zone: String,
+    address: SocketAddr,
+    book: Rc<BeliefBook>,
+    health: Rc<StoreHealth>,
+    source: Cell<NewsSource>,
+    /// When the VM at the root last heard from the store, as far as its news have come here.
+    root_heard: Cell<Option<Instant>>,
+    leads: Cell<bool>,
+    readers: RefCell<HashMap<SocketAddr, NewsReader>>,
+    loads: LoadCounter,
+    /// Woken when the source changes.
+    changed: Notify,
+}
+
+impl NewsRelay {
+    pub(crate) fn new(
+        zone: String,
+        address: SocketAddr,
+        book: Rc<BeliefBook>,
+        health: Rc<StoreHealth>,
+        loads: LoadCounter,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            zone,
+            address,
+            book,
+            health,
+            source: Cell::new(NewsSource::Seeking),
+            root_heard: Cell::new(None),
+            leads: Cell::new(false),
+            readers: RefCell::default(),
+            loads,
+            changed: Notify::new(),
+        })
+    }
+
+    /// Whether this VM holds the mandate, and so tells the others.
+    pub(crate) fn leads(&self) -> bool {
+        self.leads.get()
+    }
+
+    /// Notes whether this VM holds the mandate: a holder follows the store.
+    pub(crate) fn set_leads(&self, leads: bool) {
+        self.leads.set(leads);
+        if leads {
+            self.set_source(NewsSource::Store);
+        }
+    }
+
+    /// Notes where this VM gets its news from now on.
+    fn set_source(&self, source: NewsSource) {
+        if self.source.replace(source) != source {
+            let text = match source {
+                NewsSource::Store => "store".to_owned(),
+                NewsSource::Vm(address) => address.to_string(),
+                NewsSource::Seeking => "none".to_owned(),
+            };
+            log_event(EventName::NewsSource, &[("source", &text)]);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// How old the news are that this VM tells; `None` when it is out of touch.
+    ///
+    /// The age is counted from the store's last answer to the VM at the root, so VMs that would
+    /// follow each other in a circle notice it.
+    fn news_age(&self) -> Option<Duration> {
+        let heard = match self.source.get() {
+            NewsSource::Store if self.health.is_lost() => None,
+            NewsSource::Store => self.health.heard(),
+            NewsSource::Vm(_) => self.root_heard.get(),
+            NewsSource::Seeking => None,
+        };
+        heard.map(|heard| heard.elapsed()).filter(|age| *age < NEWS_AGE_MOST)
+    }
+
+    /// Whether what this VM counts goes to another VM.
+    pub(crate) fn reports_load(&self) -> bool {
+        matches!(self.source.get(), NewsSource::Vm(_))
+    }
+
+    /// Waits until this VM follows the store.
+    pub(crate) async fn follows_store(&self) {
+        self.wait_for_source(|source| source == NewsSource::Store).await;
+    }
+
+    /// Waits until this VM does not follow the store any more.
+    pub(crate) async fn leaves_store(&self) {
+        self.wait_for_source(|source| source != NewsSource::Store).await;
+    }
+
+    /// Waits until this VM gets its news from a source that is wanted.
+    async fn wait_for_source(&self, wanted: impl Fn(NewsSource) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if wanted(self.source.get()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Follows the store because no VM tells news.
+    pub(crate) fn fall_back(&self) {
+        self.set_source(NewsSource::Store);
+    }
+}
--- /dev/null
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -0,0 +1,94 @@
+//! Answering other VMs: the news, or which VM to ask instead.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nickellead_peer::{PeerHandler, serve_peers};
+
+use super::messages::{NewsAsk, NewsTell};
+use super::{ASK_WAIT, NewsRelay, NewsSource};
+
+/// Between two looks whether a source is still in touch while a question waits.
+const TOUCH_LOOK: Duration = Duration::from_millis(200);
+/// VMs of one zone that follow the holder itself; the others follow these.
+const DIRECT_READERS: usize = 3;
+/// A reader that has not asked for this long has gone.
+const READER_SILENCE: Duration = Duration::from_millis(2_500);
+/// News that come within this time are told together.
+const NEWS_PAUSE: Duration = Duration::from_millis(15);
+
+/// A VM that gets its news from this one.
+pub(super) struct NewsReader {
+    /// Its availability zone.
+    zone: String,
+    /// When it last asked.
+    seen: Instant,
+    /// Readers sent on to this one.
+    sent_on: u32,
+}
+
+impl NewsRelay {
+    /// Where a reader should ask instead, if not here.
+    fn better_source(&self, ask: &NewsAsk) -> Option<SocketAddr> {
+        if !self.leads.get() {
+            return None;
+        }
+        let mut readers = self.readers.borrow_mut();
+        readers.retain(|_, reader| reader.seen.elapsed() < READER_SILENCE);
+        if let Some(reader) = readers.get_mut(&ask.address) {
+            reader.seen = Instant::now();
+            return None;
+        }
+        let near = readers
+            .iter_mut()
+            .filter(|(address, reader)| reader.zone == ask.zone && !ask.avoid.contains(address));
+        let near: Vec<_> = near.collect();
+        if near.len() >= DIRECT_READERS {
+            let least = near.into_iter().min_by_key(|(_, reader)| reader.sent_on)?;
+            least.1.sent_on += 1;
+            return Some(*least.0);
+        }
+        let reader = NewsReader { zone: ask.zone.clone(), seen: Instant::now(), sent_on: 0 };
+        readers.insert(ask.address, reader);
+        None
+    }
+
+    /// Answers a question, at once when there are news and else after a while.
+    async fn answer(&self, mut ask: NewsAsk) -> NewsTell {
+        self.loads.add(std::mem::take(&mut ask.load));
+        if let Some(other) = self.better_source(&ask) {
+            return NewsTell::AskOther(other);
+        }
+        let until = Instant::now() + ASK_WAIT;
+        loop {
+            let changed = self.book.changed.notified();
+            let Some(age) = self.news_age() else {
+                let seeking = self.source.get() == NewsSource::Seeking;
+                if !seeking || Instant::now() >= until {
+                    return NewsTell::OutOfTouch;
+                }
+                // This VM is about to learn the news itself.
+                let _ = tokio::time::timeout(TOUCH_LOOK, changed).await;
+                continue;
+            };
+            let news = self.book.news_since(ask.mark);
+            let left = until.saturating_duration_since(Instant::now());
+            if !news.is_empty() || left.is_zero() {
+                return NewsTell::News(Box::new(news), age);
+            }
+            if tokio::time::timeout(left.min(TOUCH_LOOK), changed).await.is_ok() {
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers other VMs for as long as the process lives.
+pub(crate) async fn serve_news(relay: Rc<NewsRelay>, listener: tokio::net::TcpListener) {
+    let handler: PeerHandler<NewsAsk, NewsTell> = Rc::new(move |ask, _| {
+        let relay = Rc::clone(&relay);
+        Box::pin(async move { relay.answer(ask).await })
+    });
+    serve_peers(listener, handler).await;
+}
