--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
@@ -38,15 +39,13 @@
 const WEAK_WAIT: Duration = Duration::from_millis(900);
 
 /// What the control duty is built from.
-pub(crate) struct ControlParts<S, O> {
+pub(crate) struct ControlParts {
     pub(crate) vm: String,
     pub(crate) zone: String,
     pub(crate) peers_address: SocketAddr,
     pub(crate) cpu_share: f64,
     pub(crate) incarnation: u64,
     pub(crate) ownership: OwnershipSettings,
-    pub(crate) store: S,
-    pub(crate) orders: O,
     pub(crate) beliefs: BeliefSenders,
     pub(crate) keys: LoadCounter,
 }
@@ -75,7 +74,7 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
-    fn new(parts: ControlParts<S, O>) -> Rc<Self> {
+    fn new(parts: ControlParts, store: S, orders: O) -> Rc<Self> {
         let health = Rc::new(StoreHealth::default());
         let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
         let address = parts.peers_address;
@@ -89,8 +88,8 @@
         let extra_wait = extra_wait(parts.cpu_share);
         let mandate = MandateState::new(parts.vm.clone(), address, parts.incarnation, extra_wait);
         Rc::new(Self {
-            store: Rc::new(parts.store),
-            orders: Rc::new(parts.orders),
+            store: Rc::new(store),
+            orders: Rc::new(orders),
             health,
             book,
             relay,
@@ -123,15 +122,35 @@
     }
 }
 
-/// Runs the control duty until the VM stops.
+/// Starts the thread.
 ///
-/// Other VMs ask for news at `peers`; `stopping` turns true when the VM stops.
-pub(crate) async fn run_control<S: StorePort, O: OrderPort>(
-    parts: ControlParts<S, O>,
+/// Other VMs ask for news at `peers`; `stopping` turns true when the VM stops;
+/// `ports` makes the store and the orders on the thread itself.
+///
+/// # Errors
+/// The system's error when it refuses a thread.
+pub(crate) fn start<S: StorePort, O: OrderPort>(
+    parts: ControlParts,
+    peers: TcpListener,
+    stopping: watch::Receiver<bool>,
+    ports: impl FnOnce() -> (S, O) + Send + 'static,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        if let Ok(runtime) = actix_rt::Runtime::new() {
+            runtime.block_on(async move {
+                let (store, orders) = ports();
+                run(ControlDuty::new(parts, store, orders), peers, stopping).await;
+            });
+        }
+    })
+}
+
+/// Runs the control duty until the VM stops, and then tells news until the process ends.
+async fn run<S: StorePort, O: OrderPort>(
+    duty: Rc<ControlDuty<S, O>>,
     peers: TcpListener,
     mut stopping: watch::Receiver<bool>,
 ) {
-    let duty = ControlDuty::new(parts);
     duty.start_news(peers);
     let mandate = actix_rt::spawn(keep_mandate(Rc::clone(&duty)));
     let ranges = actix_rt::spawn(keep_ranges(Rc::clone(&duty)));
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -48,22 +48,13 @@
     let request_id = headers.get(&id).cloned().ok_or(ErrorKind::RequestMalformed)?;
     let deadline = number(&headers, names.deadline_ms)?.map(Duration::from_millis);
     let until = arrived + deadline.unwrap_or(route.rule.timeout).min(route.rule.timeout);
-    let key = match number(&headers, names.shard_key)? {
-        Some(key) => Some(u16::try_from(key).map_err(|_| ErrorKind::RequestMalformed)?),
-        None => None,
-    };
+    let key = number(&headers, names.shard_key)?.map(u16::try_from).transpose();
+    let key = key.map_err(|_| ErrorKind::RequestMalformed)?;
     let method = http::Method::from_bytes(request.method().as_str().as_bytes())
         .map_err(|_| ErrorKind::RequestMalformed)?;
     let path_and_query =
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
-    let body = match request.take_payload() {
-        Payload::None => Bytes::new(),
-        payload => {
-            let left = until.saturating_duration_since(Instant::now());
-            let reading = tokio::time::timeout(left, read_body(payload, limits.body_bytes)).await;
-            reading.unwrap_or(Err(ErrorKind::BodyTruncated))?
-        }
-    };
+    let body = read_body_until(request.take_payload(), limits.body_bytes, until).await?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
     Ok(PlannedRequest { route, outgoing, key, arrived, until })
 }
@@ -136,6 +127,19 @@
     number.map(Some).ok_or(ErrorKind::RequestMalformed)
 }
 
+async fn read_body_until(
+    payload: Payload,
+    limit: usize,
+    until: Instant,
+) -> Result<Bytes, ErrorKind> {
+    if matches!(payload, Payload::None) {
+        return Ok(Bytes::new());
+    }
+    let left = until.saturating_duration_since(Instant::now());
+    let reading = tokio::time::timeout(left, read_body(payload, limit)).await;
+    reading.unwrap_or(Err(ErrorKind::BodyTruncated))
+}
+
 async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ErrorKind> {
     let mut body = BytesMut::new();
     while let Some(piece) = payload.next().await {
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -38,5 +38,5 @@
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_call::{CallFailure, OrderCaller};
 pub use port::{HeaderNames, OrderPort, Snapshot, StoreError, StorePort};
-pub use settings::{GatewaySettings, OwnershipSettings};
+pub use settings::{GatewaySettings, OwnershipSettings, SettingsError};
 pub use targets::{TargetChange, TargetEntry, TargetList, TargetState};
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::beliefs::join_beliefs;
-use crate::control::{ControlParts, run_control};
+use crate::control::{self, ControlParts};
 use crate::drain::DrainState;
 use crate::load_count::LoadCounter;
 use crate::requests::{self, RequestParts};
@@ -82,7 +82,7 @@
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = fastrand::u64(1..1 << 53);
-    let requests = requests::build(RequestParts {
+    let requests = requests::start(RequestParts {
         names,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
@@ -95,29 +95,17 @@
         state: Arc::clone(&state),
         drain: Arc::clone(&drain),
     })?;
-    let (vm, ownership) = (settings.vm.clone(), settings.ownership);
-    let (zone, cpu_share) = (settings.zone.clone(), settings.cpu_share);
-    let peers_address = settings.peers_address;
-    let control = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        if let Ok(runtime) = actix_rt::Runtime::new() {
-            runtime.block_on(async move {
-                let (store, orders) = ports();
-                let parts = ControlParts {
-                    vm,
-                    zone,
-                    peers_address,
-                    cpu_share,
-                    incarnation,
-                    ownership,
-                    store,
-                    orders,
-                    beliefs: senders,
-                    keys,
-                };
-                run_control(parts, peers, stopped).await;
-            });
-        }
-    })?;
+    let parts = ControlParts {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        peers_address: settings.peers_address,
+        cpu_share: settings.cpu_share,
+        incarnation,
+        ownership: settings.ownership,
+        beliefs: senders,
+        keys,
+    };
+    let control = control::start(parts, peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
     log_event(EventName::NodeStarted, &pairs);
--- a/crates/nickellead_gateway/src/order_call.rs
+++ b/crates/nickellead_gateway/src/order_call.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::RepeatClass;
-use crate::connections::{CloseMode, ConnectionPool, SharedPool};
+use crate::connections::{CloseMode, ConnectionPool, RequestSender, SharedPool};
 
 /// Largest body of an answer to an order, in bytes.
 const ANSWER_MAX: usize = 64 * 1024;
@@ -61,19 +61,7 @@
         *request.uri_mut() = path.parse().map_err(|_| CallFailure::NotSent)?;
         *request.headers_mut() = headers;
         let left = until.saturating_duration_since(Instant::now());
-        let calling = async {
-            let response = connection.sender.try_send_request(request).await.map_err(
-                |mut error| match error.take_message() {
-                    Some(_) => CallFailure::NotSent,
-                    None => CallFailure::Broken,
-                },
-            )?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, ANSWER_MAX).collect().await;
-            body.map_err(|_| CallFailure::Broken)?;
-            Ok((head.status, head.headers))
-        };
-        let answer = tokio::time::timeout(left, calling).await;
+        let answer = tokio::time::timeout(left, call(&mut connection.sender, request)).await;
         let answer = answer.unwrap_or(Err(CallFailure::Unanswered));
         match answer {
             Ok(_) => pool.put(connection.sender, None),
@@ -92,3 +80,19 @@
         Rc::clone(pools.entry(address).or_insert_with(fresh))
     }
 }
+
+/// Sends a request and reads the whole answer, of which only the head counts.
+async fn call(
+    sender: &mut RequestSender,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, HeaderMap), CallFailure> {
+    let sent = sender.try_send_request(request).await;
+    let response = sent.map_err(|mut error| match error.take_message() {
+        Some(_) => CallFailure::NotSent,
+        None => CallFailure::Broken,
+    })?;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, ANSWER_MAX).collect().await;
+    body.map_err(|_| CallFailure::Broken)?;
+    Ok((head.status, head.headers))
+}
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -44,7 +44,7 @@
 ///
 /// # Errors
 /// The system's error when it refuses a thread.
-pub(crate) fn build(parts: RequestParts) -> std::io::Result<JoinHandle<()>> {
+pub(crate) fn start(parts: RequestParts) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name("requests".to_owned()).spawn(move || {
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(run(parts));
@@ -65,18 +65,7 @@
         metrics,
     });
     follow_beliefs(&worker, &parts.beliefs);
-    let beliefs = parts.beliefs.clone();
-    let drain = Arc::clone(&parts.drain);
-    let registry = Rc::new(registry);
-    let counted = Rc::clone(&worker);
-    let readiness = move |request: Request| {
-        let known = beliefs.declarations.borrow().is_some();
-        let ready = known && !drain.is_draining();
-        let response = answer_readiness(&request, ready, &registry, &counted);
-        async move { response }
-    };
-    let readiness_state = Arc::new(ServeState::default());
-    actix_rt::spawn(serve_http(parts.readiness, READINESS_CONNECTIONS, readiness_state, readiness));
+    serve_readiness(parts.readiness, &worker, registry, parts.beliefs, parts.drain);
     let state = Arc::clone(&parts.state);
     let handler = move |request| {
         let worker = Rc::clone(&worker);
@@ -95,6 +84,25 @@
     tokio::time::sleep(FLUSH_TIME).await;
 }
 
+/// Answers questions for readiness and metrics for as long as the runtime lives.
+fn serve_readiness(
+    listener: TcpListener,
+    worker: &Rc<RequestWorker>,
+    registry: Registry,
+    beliefs: BeliefReceivers,
+    drain: Arc<DrainState>,
+) {
+    let (worker, registry) = (Rc::clone(worker), Rc::new(registry));
+    let handler = move |request: Request| {
+        let known = beliefs.declarations.borrow().is_some();
+        let ready = known && !drain.is_draining();
+        let response = answer_readiness(&request, ready, &registry, &worker);
+        async move { response }
+    };
+    let state = Arc::new(ServeState::default());
+    actix_rt::spawn(serve_http(listener, READINESS_CONNECTIONS, state, handler));
+}
+
 /// Hands each new belief to the worker as it comes.
 fn follow_beliefs(worker: &Rc<RequestWorker>, beliefs: &BeliefReceivers) {
     let (updated, mut declarations) = (Rc::clone(worker), beliefs.declarations.clone());
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -40,7 +40,7 @@
     pub readiness_address: SocketAddr,
     /// Where other VMs reach it.
     pub peers_address: SocketAddr,
-    /// Its share of a core; VMs with little do not seek the mandate.
+    /// Its share of a core; a VM with little takes the mandate only if no other VM does.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
     /// Where the platform's store listens.
