--- a/crates/nickellead_gateway/src/control/map_writes.rs
+++ b/crates/nickellead_gateway/src/control/map_writes.rs
@@ -28,6 +28,7 @@
         });
     }
 
+    /// Takes in that a map is in the store, and tells it on.
     fn note_map_written(&self, revision: Revision, map: RangeMap, edit: u64) {
         if self.keeper_writer() == Some(map.writer) {
             self.map_revision.set(Some(revision));
@@ -53,9 +54,7 @@
         let read = self.store.ranges().await;
         self.health.note(&read);
         let Ok(snapshot) = read else {
-            if let Some(keeper) = self.keeper.borrow_mut().as_mut() {
-                keeper.note_write_failed();
-            }
+            self.note_write_failed();
             return;
         };
         match snapshot.value {
@@ -67,11 +66,14 @@
                 log_event(EventName::CoordinatorSuperseded, &[("reason", error)]);
                 self.keeper.replace(None);
             }
-            _ => {
-                if let Some(keeper) = self.keeper.borrow_mut().as_mut() {
-                    keeper.note_write_failed();
-                }
-            }
+            _ => self.note_write_failed(),
+        }
+    }
+
+    /// Lets the keeper write again.
+    fn note_write_failed(&self) {
+        if let Some(keeper) = self.keeper.borrow_mut().as_mut() {
+            keeper.note_write_failed();
         }
     }
 
--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -120,19 +120,25 @@
         if keeper.map.late {
             keeper.late_until = until + settings.lateness;
         }
-        for (service, ranges) in &keeper.map.services {
+        keeper.expect_holds(until, previous_until);
+        keeper
+    }
+
+    /// Reckons with holds of all holders that the map names until the given times.
+    fn expect_holds(&mut self, owner_until: Timestamp, previous_until: Timestamp) {
+        let lateness = self.settings.lateness;
+        for (service, ranges) in &self.map.services {
             for range in ranges {
                 let work = RangeWork {
-                    owner_until: until,
-                    owner_debt_until: until + settings.lateness,
+                    owner_until,
+                    owner_debt_until: owner_until + lateness,
                     previous_until,
-                    previous_debt_until: previous_until + settings.lateness,
+                    previous_debt_until: previous_until + lateness,
                     ..RangeWork::default()
                 };
-                keeper.work.insert((service.clone(), range.first), work);
+                self.work.insert((service.clone(), range.first), work);
             }
         }
-        keeper
     }
 
     /// Until when unanswered orders may be carried out, as this process saw it.
@@ -167,6 +173,7 @@
         self.edit
     }
 
+    /// A fence above all that were handed out.
     fn next_fence(&mut self) -> u64 {
         self.map.fence += u64::from(enforced!("fence_grows"));
         self.map.fence
