--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -38,6 +38,9 @@
 /// How much longer than others such a VM waits before it takes the mandate.
 const WEAK_WAIT: Duration = Duration::from_millis(900);
 
+/// Numbers drawn at random are below this one.
+const NUMBERS_END: u64 = 1 << 53;
+
 /// What the control duty is built from.
 pub(crate) struct ControlParts {
     pub(crate) vm: String,
@@ -164,6 +167,13 @@
     std::future::pending::<()>().await;
 }
 
+/// A number that tells lives of processes, or keepers, apart.
+///
+/// It stands in documents of the store, and JSON keeps whole numbers exactly below 2^53 only.
+pub(crate) fn draw_number() -> u64 {
+    fastrand::u64(1..NUMBERS_END)
+}
+
 /// How much longer than others a VM waits before it takes the mandate.
 ///
 /// Its holder serves all other VMs, which a slow VM does only if nobody else will.
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -8,7 +8,7 @@
 use nickellead_range::{KeeperSettings, MandatePower, PredecessorGraces, RangeKeeper, RangeMap};
 use nickellead_time::BootClock;
 
-use super::ControlDuty;
+use super::{ControlDuty, draw_number};
 use crate::{OrderPort, OwnershipSettings, StorePort, Stored};
 
 /// Between two looks at what is due.
@@ -98,7 +98,7 @@
         };
         self.map_revision.set(revision);
         let settings = keeper_settings(&self.ownership, self.mandate.borrow().graces());
-        let writer = fastrand::u64(1..1 << 53);
+        let writer = draw_number();
         let mut keeper = RangeKeeper::take_over(settings, map, writer, now);
         keeper.reckon_with_late_orders(self.late_until.get());
         self.keeper.replace(Some(keeper));
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -81,7 +81,7 @@
     let state = Arc::new(ServeState::default());
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
-    let incarnation = fastrand::u64(1..1 << 53);
+    let incarnation = control::draw_number();
     let requests = requests::start(RequestParts {
         names,
         vm: settings.vm.clone(),
