--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -19,6 +19,14 @@
 /// This VM never has more requests under way at a target than this many times its slots.
 const LIMIT_FACTOR: u32 = 4;
 
+/// Members of a service in this VM's own zone that it sends requests to.
+///
+/// A VM that spread its requests over hundreds of targets would use no connection twice before the
+/// target closes it.
+const NEAR_MEMBERS: usize = 8;
+/// The same for members of other zones, for when the near ones are full.
+const FAR_MEMBERS: usize = 4;
+
 /// One target with what this VM has learned of it.
 pub(crate) struct TargetMember {
     pub(crate) id: String,
@@ -83,14 +91,6 @@
     }
 }
 
-/// Members of a service in this VM's own zone that it sends requests to.
-///
-/// A VM that spread its requests over hundreds of targets would use no connection twice before the
-/// target closes it.
-const NEAR_MEMBERS: usize = 8;
-/// The same for members of other zones, for when the near ones are full.
-const FAR_MEMBERS: usize = 4;
-
 /// All members by service and by identity.
 #[derive(Default)]
 pub(crate) struct TargetRoster {
--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -58,6 +58,7 @@
     /// Whether the object was looked for and is absent.
     absent: bool,
     held: bool,
+    /// Until when this VM may send everything, while it holds the mandate.
     valid_until: Timestamp,
     graces: PredecessorGraces,
 }
@@ -157,15 +158,19 @@
         let write = MandateWrite { expected: Some(seen.revision), record: record(renewals, taken) };
         // A process of the same VM with another incarnation has ended before this one started.
         let own = seen.value.vm == self.vm;
-        let stood = now.since(*since);
-        let free = match seen.value.vacant {
+        let free = self.is_free(&seen.value, now.since(*since));
+        (self.held || own || free).then_some(write)
+    }
+
+    /// Whether any VM may take a mandate that has stood unchanged for this long.
+    fn is_free(&self, seen: &MandateRecord, stood: Duration) -> bool {
+        match seen.vacant {
             true => stood >= self.extra_wait,
             false => {
                 stood >= MANDATE_TIME + MANDATE_MARGIN + self.extra_wait
                     || !enforced!("wait_for_mandate")
             }
-        };
-        (self.held || own || free).then_some(write)
+        }
     }
 
     /// How long predecessors may go on renewing after this VM took the mandate.
@@ -199,7 +204,9 @@
         Some(MandateWrite { expected: Some(seen.revision), record })
     }
 
-    /// Takes in the answer to a write sent at `sent`, `None` when it failed; tells whether the mandate was just taken.
+    /// Takes in the answer to a write sent at `sent`; tells whether the mandate was just taken.
+    ///
+    /// The answer is `None` when the write failed.
     pub fn note_written(
         &mut self,
         write: &MandateWrite,
