--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -61,9 +61,11 @@
     book: Rc<BeliefBook>,
     relay: Rc<NewsRelay>,
     mandate: RefCell<MandateState>,
+    /// Stands only while this VM's mandate allows orders.
     keeper: RefCell<Option<RangeKeeper>>,
     /// Revision of the map that the keeper works on; `None` while there is no map.
     map_revision: Cell<Option<Revision>>,
+    /// Load by key, by service.
     loads: RefCell<HashMap<String, KeyLoad>>,
     /// Time of an unhurried answer by target, in milliseconds.
     speeds: RefCell<HashMap<String, f64>>,
@@ -71,6 +73,7 @@
     late_until: Cell<Timestamp>,
     /// Number of a service's targets, and since when it stands.
     arrivals: RefCell<HashMap<String, (usize, Timestamp)>>,
+    /// What the request duty has counted since the last look.
     keys: LoadCounter,
     ownership: OwnershipSettings,
     vm: String,
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -54,7 +54,9 @@
     source: Cell<NewsSource>,
     /// When the VM at the root last heard from the store, as far as its news have come here.
     root_heard: Cell<Option<Instant>>,
+    /// Whether this VM holds the mandate.
     leads: Cell<bool>,
+    /// VMs that ask this one, by address; kept by the mandate's holder only.
     readers: RefCell<HashMap<SocketAddr, NewsReader>>,
     loads: LoadCounter,
     /// Woken when the source changes.
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -20,8 +20,11 @@
 /// One VM's view of the store's health, shared by all that call it.
 #[derive(Default)]
 pub(crate) struct StoreHealth {
+    /// Calls in a row that failed.
     failures: Cell<u32>,
+    /// When the store last answered again after a failure.
     regained: Cell<Option<Instant>>,
+    /// When the store last answered.
     heard: Cell<Option<Instant>>,
     /// Woken when the store answers again: watches that hang are started anew.
     pub(crate) back: Notify,
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -45,7 +45,9 @@
 
 /// What the request path believes; parts are replaced whole.
 struct WorkerBeliefs {
+    /// Version of the declarations; `None` before the first ones.
     version: Option<u64>,
+    /// Services whose keys have one owner each.
     divided: HashSet<String>,
     limits: CallerLimits,
     table: Rc<RouteTable>,
@@ -69,6 +71,7 @@
     names: HeaderNames,
     zone: String,
     beliefs: RefCell<WorkerBeliefs>,
+    /// Woken by every new belief.
     changed: Notify,
     retries: RefCell<RetryShare>,
     rng: RefCell<fastrand::Rng>,
--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -54,7 +54,9 @@
     previous_debt_until: Timestamp,
     /// Token of the previous holder.
     handover: Option<String>,
+    /// Whether an order is under way.
     in_flight: bool,
+    /// When the next order is due.
     due: Timestamp,
     /// Releases in a row that were not answered.
     tries: u32,
@@ -71,15 +73,20 @@
 pub struct RangeKeeper {
     settings: KeeperSettings,
     map: RangeMap,
+    /// By service and first key of the range.
     work: BTreeMap<(String, u16), RangeWork>,
+    /// Who may own ranges, by service.
     candidates: BTreeMap<String, BTreeSet<HolderRecord>>,
     /// Lives of targets that are known to have ended.
     ended: BTreeSet<String>,
     lateness: LatenessWatch,
     /// Until when an unanswered order may still be carried out, once that was seen to happen.
     late_until: Timestamp,
+    /// Number of the last edit of the map.
     edit: u64,
+    /// Number of the last edit that is in the store.
     committed: u64,
+    /// Whether a write is under way.
     writing: bool,
 }
 
