--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -39,14 +39,14 @@
     OwnersCommitted,
     /// New declarations arrived.
     ConfigInForce,
+    /// A request got a target's answer; one in some is logged.
+    RequestAnswered,
     /// A request ended without a target's answer.
     RequestFailed,
     /// A request was tried once more.
     RequestRetried,
     /// A target was listed, changed its state or is gone.
     TargetChanged,
-    /// A target's failures led to its being left out for a while.
-    TargetEjected,
     /// The store stopped answering.
     StoreLost,
     /// The store answers again.
@@ -88,10 +88,10 @@
             Self::MovesStarted => "moves-started",
             Self::OwnersCommitted => "owners-committed",
             Self::ConfigInForce => "config-in-force",
+            Self::RequestAnswered => "request-answered",
             Self::RequestFailed => "request-failed",
             Self::RequestRetried => "request-retried",
             Self::TargetChanged => "target-changed",
-            Self::TargetEjected => "target-ejected",
             Self::StoreLost => "store-lost",
             Self::StoreRegained => "store-regained",
             Self::NewsSource => "news-source",
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::beliefs::join_beliefs;
-use crate::control::{ControlParts, run_control};
+use crate::control::{self, ControlParts};
 use crate::drain::DrainState;
 use crate::load_count::LoadCounter;
 use crate::requests::{self, RequestParts};
@@ -27,6 +27,8 @@
 const END_PART: f64 = 0.97;
 /// Between two looks at whether callers have left.
 const LOOK: Duration = Duration::from_millis(50);
+/// Between two looks whether a thread has ended.
+const THREAD_LOOK: Duration = Duration::from_millis(10);
 
 /// Why a VM can't start.
 #[derive(Debug, Error)]
@@ -79,8 +81,8 @@
     let state = Arc::new(ServeState::default());
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
-    let incarnation = fastrand::u64(1..1 << 53);
-    let requests = requests::build(RequestParts {
+    let incarnation = control::draw_number();
+    let requests = requests::start(RequestParts {
         names,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
@@ -93,31 +95,17 @@
         state: Arc::clone(&state),
         drain: Arc::clone(&drain),
     })?;
-    let (vm, ownership) = (settings.vm.clone(), settings.ownership);
-    let (zone, cpu_share) = (settings.zone.clone(), settings.cpu_share);
-    let peers_address = settings.peers_address;
-    let control = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        if let Ok(runtime) = actix_rt::Runtime::new() {
-            runtime.block_on(async move {
-                let (store, orders) = ports();
-                run_control(ControlParts {
-                    vm,
-                    zone,
-                    peers_address,
-                    peers,
-                    cpu_share,
-                    incarnation,
-                    ownership,
-                    store,
-                    orders,
-                    beliefs: senders,
-                    keys,
-                    stopping: stopped,
-                })
-                .await;
-            });
-        }
-    })?;
+    let parts = ControlParts {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        peers_address: settings.peers_address,
+        cpu_share: settings.cpu_share,
+        incarnation,
+        ownership: settings.ownership,
+        beliefs: senders,
+        keys,
+    };
+    let control = control::start(parts, peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
     log_event(EventName::NodeStarted, &pairs);
@@ -172,13 +160,13 @@
     }
 }
 
+/// Waits for a thread until `end`; tells whether it ended without a panic.
 fn join_until(thread: JoinHandle<()>, end: Instant) -> bool {
-    const POLL: Duration = Duration::from_millis(10);
     while !thread.is_finished() {
         if Instant::now() >= end {
             return false;
         }
-        std::thread::sleep(POLL);
+        std::thread::sleep(THREAD_LOOK);
     }
     thread.join().is_ok()
 }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -20,6 +20,10 @@
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
+/// Between two looks whether the last requests have ended.
+const END_LOOK: Duration = Duration::from_millis(10);
+/// The last answers' bytes leave within this time, before the runtime ends.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// What the request duty is built from.
 pub(crate) struct RequestParts {
@@ -40,7 +44,7 @@
 ///
 /// # Errors
 /// The system's error when it refuses a thread.
-pub(crate) fn build(parts: RequestParts) -> std::io::Result<JoinHandle<()>> {
+pub(crate) fn start(parts: RequestParts) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name("requests".to_owned()).spawn(move || {
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(run(parts));
@@ -61,35 +65,42 @@
         metrics,
     });
     follow_beliefs(&worker, &parts.beliefs);
-    let beliefs = parts.beliefs.clone();
-    let drain = Arc::clone(&parts.drain);
-    let registry = Rc::new(registry);
-    let counted = Rc::clone(&worker);
-    let readiness = move |request: Request| {
-        let known = beliefs.declarations.borrow().is_some();
-        let ready = known && !drain.is_draining();
-        let response = answer_readiness(&request, ready, &registry, &counted);
-        async move { response }
-    };
-    let readiness_state = Arc::new(ServeState::default());
-    actix_rt::spawn(serve_http(parts.readiness, READINESS_CONNECTIONS, readiness_state, readiness));
+    serve_readiness(parts.readiness, &worker, registry, parts.beliefs, parts.drain);
     let state = Arc::clone(&parts.state);
     let handler = move |request| {
         let worker = Rc::clone(&worker);
         let stopping = state.is_stopping();
         async move {
             match stopping {
-                true => worker.refuse_stopping(),
+                true => worker.refuse_stopping(&request),
                 false => worker.answer(request).await,
             }
         }
     };
     serve_http(parts.callers, parts.connections, Arc::clone(&parts.state), handler).await;
     while parts.state.running() > 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(END_LOOK).await;
     }
-    // The last answers' bytes leave before the runtime ends.
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(FLUSH_TIME).await;
+}
+
+/// Answers questions for readiness and metrics for as long as the runtime lives.
+fn serve_readiness(
+    listener: TcpListener,
+    worker: &Rc<RequestWorker>,
+    registry: Registry,
+    beliefs: BeliefReceivers,
+    drain: Arc<DrainState>,
+) {
+    let (worker, registry) = (Rc::clone(worker), Rc::new(registry));
+    let handler = move |request: Request| {
+        let known = beliefs.declarations.borrow().is_some();
+        let ready = known && !drain.is_draining();
+        let response = answer_readiness(&request, ready, &registry, &worker);
+        async move { response }
+    };
+    let state = Arc::new(ServeState::default());
+    actix_rt::spawn(serve_http(listener, READINESS_CONNECTIONS, state, handler));
 }
 
 /// Hands each new belief to the worker as it comes.
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_balance::TargetScore;
+use nickellead_balance::{TargetOutcome, TargetScore};
+use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, TurnQueue};
 
 use crate::connections::SharedPool;
@@ -18,6 +19,14 @@
 /// This VM never has more requests under way at a target than this many times its slots.
 const LIMIT_FACTOR: u32 = 4;
 
+/// Members of a service in this VM's own zone that it sends requests to.
+///
+/// A VM that spread its requests over hundreds of targets would use no connection twice before the
+/// target closes it.
+const NEAR_MEMBERS: usize = 8;
+/// The same for members of other zones, for when the near ones are full.
+const FAR_MEMBERS: usize = 4;
+
 /// One target with what this VM has learned of it.
 pub(crate) struct TargetMember {
     pub(crate) id: String,
@@ -43,6 +52,25 @@
     pub(crate) fn has_room(&self) -> bool {
         self.limit.get().has_room(self.score.borrow().running)
     }
+
+    /// Learns how a try ended.
+    pub(crate) fn note_outcome(&self, outcome: TargetOutcome, now: Timestamp) {
+        self.score.borrow_mut().note(outcome, now);
+    }
+
+    /// Learns that the target took no more: it refused a request or broke a connection.
+    pub(crate) fn note_refusal(&self) {
+        let mut limit = self.limit.get();
+        limit.note_refusal();
+        self.limit.set(limit);
+    }
+
+    /// Learns that the target answered while this many requests were under way.
+    pub(crate) fn note_room(&self, running: u32) {
+        let mut limit = self.limit.get();
+        limit.note_answer(running);
+        self.limit.set(limit);
+    }
 }
 
 impl RunningGuard {
@@ -63,14 +91,6 @@
     }
 }
 
-/// Members of a service in this VM's own zone that it sends requests to.
-///
-/// A VM that spread its requests over hundreds of targets would use no connection twice before the
-/// target closes it.
-const NEAR_MEMBERS: usize = 8;
-/// The same for members of other zones, for when the near ones are full.
-const FAR_MEMBERS: usize = 4;
-
 /// All members by service and by identity.
 #[derive(Default)]
 pub(crate) struct TargetRoster {
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -12,12 +12,19 @@
 const PAUSE_FIRST: Duration = Duration::from_millis(120);
 /// Longest pause after a call that failed; all VMs come back spread over this time.
 const PAUSE_MOST: Duration = Duration::from_millis(900);
+/// Most doublings of [`PAUSE_FIRST`].
+const PAUSE_DOUBLINGS: u32 = 4;
+/// Shortest pause as a part of the longest one: the rest is drawn at random.
+const PAUSE_LEAST: f64 = 0.5;
 
 /// One VM's view of the store's health, shared by all that call it.
 #[derive(Default)]
 pub(crate) struct StoreHealth {
+    /// Calls in a row that failed.
     failures: Cell<u32>,
+    /// When the store last answered again after a failure.
     regained: Cell<Option<Instant>>,
+    /// When the store last answered.
     heard: Cell<Option<Instant>>,
     /// Woken when the store answers again: watches that hang are started anew.
     pub(crate) back: Notify,
@@ -61,8 +68,8 @@
 
     /// Waits before the next call, longer after each failure, spread at random.
     pub(crate) async fn pause(&self) {
-        let doubled = PAUSE_FIRST * (1 << self.failures.get().min(4));
+        let doubled = PAUSE_FIRST * (1 << self.failures.get().min(PAUSE_DOUBLINGS));
         let most = doubled.min(PAUSE_MOST);
-        tokio::time::sleep(most.mul_f64(0.5 + fastrand::f64() * 0.5)).await;
+        tokio::time::sleep(most.mul_f64(PAUSE_LEAST + fastrand::f64() * (1.0 - PAUSE_LEAST))).await;
     }
 }
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -224,10 +224,6 @@
             Ok(revision)
         })?
     }
-
-    fn calls(&self) -> u64 {
-        self.calls_made()
-    }
 }
 
 /// Orders to targets that do what they are told, unless a test says otherwise.
--- a/crates/nickellead_limit/src/queue.rs
+++ b/crates/nickellead_limit/src/queue.rs
@@ -47,9 +47,12 @@
         Turn { place, woken }
     }
 
-    /// Gives a place up, woken or not.
-    pub fn leave(&self, turn: &Turn) {
-        self.waiting.borrow_mut().turns.remove(&turn.place);
+    /// Gives a place up; a turn that came meanwhile goes to the next one.
+    pub fn give_up(&self, turn: &Turn) {
+        let waited = self.waiting.borrow_mut().turns.remove(&turn.place).is_some();
+        if !waited {
+            self.wake_one();
+        }
     }
 
     /// Wakes the most urgent request that still waits.
@@ -61,11 +64,4 @@
             }
         }
     }
-
-    /// Requests of this rank or a more urgent one that wait.
-    #[must_use]
-    pub fn ahead_of(&self, rank: u8) -> usize {
-        let waiting = self.waiting.borrow();
-        waiting.turns.range(..(rank, u64::MAX)).filter(|(_, sender)| !sender.is_closed()).count()
-    }
 }
--- a/crates/nickellead_limit/tests/limits.rs
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -42,7 +42,6 @@
     let mut urgent = queue.join(0);
     drop(queue.join(0));
     let mut second = queue.join(0);
-    assert_eq!(queue.ahead_of(0), 2);
     queue.wake_one();
     urgent.wait().await;
     queue.wake_one();
@@ -50,3 +49,13 @@
     queue.wake_one();
     later.wait().await;
 }
+
+#[tokio::test]
+async fn a_turn_that_comes_too_late_goes_to_the_next() {
+    let queue = TurnQueue::default();
+    let late = queue.join(0);
+    let mut next = queue.join(0);
+    queue.wake_one();
+    queue.give_up(&late);
+    next.wait().await;
+}
