Schedules that failed once are kept; one is known red

Schedule 4984 (found when looking for a guard of grace_renews_only) gives a key two owners: orders are late, the store is away so that the old holder can't write it down, another VM takes over and the target is cut, all within six seconds.

--- a/crates/nickellead_range/tests/schedules.rs
+++ b/crates/nickellead_range/tests/schedules.rs
@@ -12,6 +12,20 @@
 /// Calm at its end, after which every key is owned again.
 const CALM_MS: u64 = 45_000;
 
+/// Schedules that failed once, each with its cause.
+const FOUND: [u64; 5] = [
+    // A late order's debt was dropped when the late period ended.
+    1_509, // A keeper took a late write of the one before it for its own.
+    1_531,
+    // A late grant before any other sign of lateness, and again after an answer.
+    31_637, // A keeper made anew knew nothing of late orders.
+    31_936, // A silent order before an answer was no debt.
+    32_140,
+];
+
+/// Schedules that fail when `wait_for_mandate` or `mandate_ends` is taken out.
+const GUARDS: [u64; 2] = [928, 503];
+
 fn schedules() -> u64 {
     std::env::var("SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
 }
@@ -71,3 +85,14 @@
         assert!(played.is_ok(), "seed {seed} fails: FIRST_SEED={seed} SCHEDULES=1 repeats it");
     }
 }
+
+#[test]
+fn schedules_that_failed_once_pass() {
+    FOUND.into_iter().chain(GUARDS).for_each(play);
+}
+
+/// Known red: the old holder alone knew that orders are carried out late, and the store was away.
+#[test]
+fn a_successor_knows_of_late_orders_that_were_never_written_down() {
+    play(4_984);
+}
