--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -66,8 +66,10 @@
     2_000
 }
 
+/// The users allow 196 retries in ten seconds beyond the earned ones on their largest fleet of 78 VMs,
+/// which do not ask each other.
 const fn default_retry_burst() -> f64 {
-    5.0
+    2.4
 }
 
 /// Times of ownership.
