--- a/crates/nickellead_limit/tests/limits.rs
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -1,7 +1,7 @@
 //! Limits that follow refusals, and turns by rank.
 #![allow(clippy::unwrap_used)]
 
-use nickellead_limit::{AdaptiveLimit, TurnQueue};
+use nickellead_limit::{AdaptiveLimit, Turn, TurnQueue};
 use quickcheck::quickcheck;
 
 #[test]
@@ -35,6 +35,11 @@
     }
 }
 
+/// Whether a turn has come.
+async fn is_woken(turn: &mut Turn) -> bool {
+    tokio::time::timeout(std::time::Duration::from_millis(50), turn.wait()).await.is_ok()
+}
+
 #[tokio::test]
 async fn the_most_urgent_goes_first_and_who_left_is_passed_over() {
     let queue = TurnQueue::default();
@@ -43,11 +48,13 @@
     drop(queue.join(0));
     let mut second = queue.join(0);
     queue.wake_one();
-    urgent.wait().await;
+    assert!(is_woken(&mut urgent).await);
+    assert!(!is_woken(&mut second).await && !is_woken(&mut later).await, "one wake, one turn");
     queue.wake_one();
-    second.wait().await;
+    assert!(is_woken(&mut second).await, "who left is not counted");
+    assert!(!is_woken(&mut later).await);
     queue.wake_one();
-    later.wait().await;
+    assert!(is_woken(&mut later).await);
 }
 
 #[tokio::test]
@@ -57,5 +64,5 @@
     let mut next = queue.join(0);
     queue.wake_one();
     queue.give_up(&late);
-    next.wait().await;
+    assert!(is_woken(&mut next).await);
 }
