Targets get their own shards back after their coordinator stood still

The first target to answer was given all 32 shards, and 21 of them moved on 0.1 s later; VMs of the other zone were refused by the former owners meanwhile. Seen in the events of the failed runs and of passing ones.

Mended: when all targets of a service lapse at one look, their shards wait for them for up to 0.5 s, and a target that still holds a free shard at its epoch serves on. Ruled out: a second coordinator (one term in all runs), a stale status.

NICKELLEAD_SHOW_EVENTS makes tests print the events of all processes.

--- a/crates/nickellead_lease/src/coordinator/moves.rs
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -16,8 +16,9 @@
 /// Between two looks at the balance of load.
 const REBALANCE_PERIOD: Duration = Duration::from_millis(100);
 
-/// How long first owners wait for targets that were not heard yet.
-const GATHER_WAIT: Duration = Duration::from_millis(500);
+/// How long shards wait for targets that were not heard yet: first ones, and those of targets that
+/// were all lost at once. A live target answers within one heartbeat, 0.4 s.
+pub(super) const GATHER_WAIT: Duration = Duration::from_millis(500);
 
 impl ZoneCoordinator {
     pub(super) fn plan(&mut self, now: Timestamp) {
@@ -40,6 +41,7 @@
     /// Chooses an owner for each free shard that has none in view.
     fn plan_owners(&mut self, service: ServiceKey, now: Timestamp) {
         let gathers = self.gathers_targets(service, now);
+        let returns = self.awaits_lost_targets(service, now);
         let Some(placement) = self.placements.get_mut(&service) else {
             return;
         };
@@ -47,7 +49,7 @@
         if placement.load != LoadState::Claimed || idle {
             return;
         }
-        placement.attention = gathers;
+        placement.attention = gathers || returns;
         let planned = placement.planned_for();
         let mut loads = self.loads(service, TargetSession::takes_shards);
         for load in &mut loads {
@@ -62,7 +64,7 @@
         let wanting = placement.select(|record| {
             let first = record.epoch == Epoch::ZERO;
             record.phase == ShardPhase::Free
-                && !(first && gathers)
+                && !(first && gathers || returns)
                 && record.next.is_none_or(|next| !takes(next))
         });
         if wanting.is_empty() {
@@ -95,6 +97,16 @@
         early && self.sessions.values().any(expected)
     }
 
+    /// Whether shards wait for targets that were all lost at once.
+    fn awaits_lost_targets(&self, service: ServiceKey, now: Timestamp) -> bool {
+        let early = self.placements.get(&service).is_some_and(|known| now < known.return_until);
+        let away = |session: &TargetSession| {
+            let unheard = matches!(session.phase, SessionPhase::Lost | SessionPhase::Fenced);
+            session.service == service && session.declared == TargetState::Active && unheard
+        };
+        early && self.sessions.values().any(away)
+    }
+
     /// Begins planned moves, when those before are over.
     fn plan_service_moves(&mut self, service: ServiceKey, now: Timestamp) {
         // A detached coordinator moves shards only where targets leave.
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -5,6 +5,7 @@
 use nickellead_api::{DeclaredConfig, TargetState};
 use nickellead_core::{TargetKey, Timestamp};
 
+use super::moves::GATHER_WAIT;
 use super::{ZoneAction, ZoneCoordinator, ZoneNotice};
 use crate::charts::{MandatePhase, SessionPhase, ShardEvent, ShardPhase};
 use crate::order::{ShardGrant, TargetReply};
@@ -80,9 +81,11 @@
                 .is_some_and(TargetSession::takes_grants);
             let higher = record.epoch < grant.epoch;
             let adopts = higher && !owner_live && !self.predecessor.records_known;
-            if adopts {
+            // Its lease lapsed and nobody was given the shard since: it may serve on as before.
+            let returns = record.phase == ShardPhase::Free && record.epoch == grant.epoch;
+            if adopts || returns {
                 placement.load_owner(grant.shard, Some(target), grant.epoch);
-                placement.dirty = true;
+                placement.dirty |= adopts;
                 changed.push(grant.shard);
             }
         }
@@ -159,11 +162,27 @@
             .filter(|session| self.has_lapsed(session, now))
             .map(|session| session.key)
             .collect();
+        self.await_return(&lapsed, now);
         for target in lapsed {
             self.lose_target(target);
         }
     }
 
+    /// Has the shards of a service wait for their targets when all of these lapse at one look.
+    ///
+    /// This VM stood still, or was cut off, rather than all of them. Else the first target to
+    /// answer would get all their shards, and give most away again.
+    fn await_return(&mut self, lapsed: &[TargetKey], now: Timestamp) {
+        for (service, placement) in &mut self.placements {
+            let mut lives = self.sessions.values().filter(|session| {
+                session.service == *service && session.phase != SessionPhase::Lost
+            });
+            if !lapsed.is_empty() && lives.all(|session| lapsed.contains(&session.key)) {
+                placement.return_until = now + GATHER_WAIT;
+            }
+        }
+    }
+
     fn has_lapsed(&self, session: &TargetSession, now: Timestamp) -> bool {
         if session.phase == SessionPhase::Lost {
             return false;
--- a/crates/nickellead_lease/src/shard.rs
+++ b/crates/nickellead_lease/src/shard.rs
@@ -85,6 +85,8 @@
     pub(crate) dirty: bool,
     /// Until when first owners wait for targets that were not heard yet.
     pub(crate) gather_until: Timestamp,
+    /// Until when shards of targets that were all lost at once wait for these to return.
+    pub(crate) return_until: Timestamp,
     /// Whether the object must be read to learn a write's fate.
     pub(crate) reread: bool,
     /// No call of the platform for it before this: the last one failed.
@@ -106,6 +108,7 @@
             pending: None,
             dirty: false,
             gather_until: Timestamp::ZERO,
+            return_until: Timestamp::ZERO,
             reread: false,
             not_before: Timestamp::ZERO,
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,9 @@
 /// How long an event is waited for before a test fails instead of hanging.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Names the environment variable that makes tests print the events of all processes.
+const SHOW_EVENTS: &str = "NICKELLEAD_SHOW_EVENTS";
+
 /// Held while a port is probed and while a process is started.
 ///
 /// A child that has been forked but not yet replaced by its program holds a copy
@@ -42,8 +45,13 @@
         let mut child = spawn(&mut command);
         let errors = BufReader::new(child.stderr.take().unwrap());
         let (sender, lines) = channel();
+        let shown = std::env::var_os(SHOW_EVENTS).is_some();
+        let id = child.id();
         std::thread::spawn(move || {
             for line in errors.lines().map_while(Result::ok) {
+                if shown {
+                    eprintln!("process={id} {line}");
+                }
                 // The test may have ended.
                 let _ = sender.send(line);
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -181,4 +181,5 @@
     let report = fleet.load(2, &serving).join().unwrap();
     fleet.judge(&report);
     assert_all_answered(&report);
+    assert_eq!(fleet.moved_shards(), 0, "the zone's targets did not get their own shards back");
 }
