Requests wait for targets that are expected back at once

Setting the owner as the next one was tried first: the shards were written anew, 32 new epochs; the stricter test failed.

--- a/crates/nickellead_lease/src/coordinator/moves.rs
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -78,6 +78,7 @@
             };
             let before = record.route();
             record.next = owner;
+            record.awaited = false;
             if record.route() != before {
                 let route = placement.route(shard);
                 self.log.push(route);
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -164,7 +164,7 @@
             .collect();
         self.await_return(&lapsed, now);
         for target in lapsed {
-            self.lose_target(target);
+            self.lose_target(target, now);
         }
     }
 
@@ -202,7 +202,7 @@
         }
     }
 
-    fn lose_target(&mut self, target: TargetKey) {
+    fn lose_target(&mut self, target: TargetKey, now: Timestamp) {
         let Some(session) = self.sessions.get_mut(&target) else {
             return;
         };
@@ -213,9 +213,13 @@
             return;
         };
         placement.attention = true;
+        let returns = now < placement.return_until;
         let owned = placement.select(|record| record.owner == Some(target));
         for shard in &owned {
             placement.advance(*shard, ShardEvent::OwnerLost);
+            if let Some(record) = placement.get_mut(*shard) {
+                record.awaited = returns;
+            }
             let route = placement.route(*shard);
             self.log.push(route);
         }
--- a/crates/nickellead_lease/src/shard.rs
+++ b/crates/nickellead_lease/src/shard.rs
@@ -28,18 +28,20 @@
     pub(crate) epoch: Epoch,
     /// The owner being written, or the one a planned move is meant for.
     pub(crate) next: Option<TargetKey>,
+    /// Whether its lost owner is expected back at once, so that routers hold requests for it.
+    pub(crate) awaited: bool,
 }
 
 impl ShardRecord {
     fn free(epoch: Epoch) -> Self {
-        Self { phase: charts().shard.initial(), owner: None, epoch, next: None }
+        Self { phase: charts().shard.initial(), owner: None, epoch, next: None, awaited: false }
     }
 
     /// What routers are told of it.
     pub(crate) fn route(&self) -> ShardOwner {
         match (self.phase, self.owner) {
             (ShardPhase::Serving, Some(target)) => ShardOwner::Target { target, epoch: self.epoch },
-            (ShardPhase::Free, _) if self.next.is_none() => ShardOwner::Nobody,
+            (ShardPhase::Free, _) if self.next.is_none() && !self.awaited => ShardOwner::Nobody,
             _ => ShardOwner::Moving,
         }
     }
