nickellead explain and report burn; events in one table with documented fields

The on-call engineer's way from a request's id to its cause by command: explain joins the logs of all VMs, names the cause by the table of errors and what changed around its targets, and says what is missing; report burn counts how fast each route spends its objective over several windows. docs/EVENTS.md is written from the table of events and checked by a test, and a line with a field that is not documented fails tests. A failed request tells the ages of the beliefs that decided it, its key, owner and fence; shed and misdirected tries are logged as well.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -4,117 +4,84 @@
 
 use log::Level;
 
-/// What a log line is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EventName {
-    /// The process started.
-    NodeStarted,
-    /// The process is stopping.
-    NodeStopping,
-    /// The process has stopped.
-    NodeStopped,
-    /// This VM took the mandate.
-    MandateTaken,
-    /// This VM coordinates its zone.
-    CoordinatorLeading,
-    /// A higher term was seen.
-    CoordinatorSuperseded,
-    /// The platform is silent; coordination goes on without it.
-    CoordinatorDetached,
-    /// The platform answered again.
-    CoordinatorAttached,
-    /// The mandate was handed over.
-    MandateHandedOver,
-    /// A target answered a first contact.
-    TargetFenced,
-    /// A target's session is live.
-    TargetLive,
-    /// A target came back as another process.
-    TargetRestarted,
-    /// A target's lease has surely lapsed.
-    TargetLost,
-    /// Planned moves began.
-    MovesStarted,
-    /// New owners are in force.
-    OwnersCommitted,
-    /// New declarations arrived.
-    ConfigInForce,
-    /// A request got a target's answer; one in some is logged.
-    RequestAnswered,
-    /// A request ended without a target's answer.
-    RequestFailed,
-    /// A request was tried once more.
-    RequestRetried,
-    /// A target was listed, changed its state or is gone.
-    TargetChanged,
-    /// The store stopped answering.
-    StoreLost,
-    /// The store answers again.
-    StoreRegained,
-    /// This VM gets its news from elsewhere now.
-    NewsSource,
-    /// This VM gave the mandate up or lost it.
-    MandateLost,
-    /// The map of ranges was written.
-    RangesWritten,
-    /// A range goes to another owner.
-    RangeMoved,
-    /// An order to a target was refused or not answered.
-    OrderFailed,
-    /// The settings file was read again.
-    SettingsReloaded,
-    /// The settings file can't be used; the old settings stay in force.
-    SettingsRejected,
-}
+/// One answered request in this many is logged: enough to compare with, and cheap.
+pub const ANSWERED_SAMPLE: u64 = 64;
 
-impl EventName {
-    /// The event's name in the log.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::NodeStarted => "node-started",
-            Self::NodeStopping => "node-stopping",
-            Self::NodeStopped => "node-stopped",
-            Self::MandateTaken => "mandate-taken",
-            Self::CoordinatorLeading => "coordinator-leading",
-            Self::CoordinatorSuperseded => "coordinator-superseded",
-            Self::CoordinatorDetached => "coordinator-detached",
-            Self::CoordinatorAttached => "coordinator-attached",
-            Self::MandateHandedOver => "mandate-handed-over",
-            Self::TargetFenced => "target-fenced",
-            Self::TargetLive => "target-live",
-            Self::TargetRestarted => "target-restarted",
-            Self::TargetLost => "target-lost",
-            Self::MovesStarted => "moves-started",
-            Self::OwnersCommitted => "owners-committed",
-            Self::ConfigInForce => "config-in-force",
-            Self::RequestAnswered => "request-answered",
-            Self::RequestFailed => "request-failed",
-            Self::RequestRetried => "request-retried",
-            Self::TargetChanged => "target-changed",
-            Self::StoreLost => "store-lost",
-            Self::StoreRegained => "store-regained",
-            Self::NewsSource => "news-source",
-            Self::MandateLost => "mandate-lost",
-            Self::RangesWritten => "ranges-written",
-            Self::RangeMoved => "range-moved",
-            Self::OrderFailed => "order-failed",
-            Self::SettingsReloaded => "settings-reloaded",
-            Self::SettingsRejected => "settings-rejected",
+macro_rules! event_table {
+    ($($kind:ident, $name:literal, $level:ident, [$($field:literal),*], $help:literal;)*) => {
+        /// What a log line is about.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum EventName {
+            $(#[doc = $help] $kind,)*
         }
-    }
 
-    const fn level(self) -> Level {
-        match self {
-            Self::CoordinatorSuperseded
-            | Self::CoordinatorDetached
-            | Self::TargetRestarted
-            | Self::TargetLost
-            | Self::StoreLost
-            | Self::MandateLost
-            | Self::SettingsRejected => Level::Warn,
-            _ => Level::Info,
+        impl EventName {
+            /// Every event, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// The event's name in the log.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$kind => $name,)* }
+            }
+
+            /// The fields that its lines may have, in any choice.
+            #[must_use]
+            pub const fn fields(self) -> &'static [&'static str] {
+                match self { $(Self::$kind => &[$($field),*],)* }
+            }
+
+            /// What it tells.
+            #[must_use]
+            pub const fn help(self) -> &'static str {
+                match self { $(Self::$kind => $help,)* }
+            }
+
+            const fn level(self) -> Level {
+                match self { $(Self::$kind => Level::$level,)* }
+            }
         }
+    };
+}
+
+event_table! {
+    NodeStarted, "node-started", Info, ["vm", "zone", "incarnation"], "the process started";
+    NodeStopping, "node-stopping", Info, ["vm"], "the process was told to stop and is no longer ready";
+    NodeStopped, "node-stopped", Info, ["vm", "requests_finished", "mandate_settled"], "the process has stopped";
+    SettingsReloaded, "settings-reloaded", Info, ["vm", "same", "needs_restart"], "the settings file was read again";
+    SettingsRejected, "settings-rejected", Warn, ["reason"], "the settings file can't be used; the old settings stay in force";
+    MandateTaken, "mandate-taken", Info, ["vm", "zone", "term"], "this VM took the mandate";
+    MandateLost, "mandate-lost", Warn, ["vm", "renewals"], "another VM holds the mandate now";
+    MandateHandedOver, "mandate-handed-over", Info, ["zone", "term", "done"], "this VM gave the mandate back";
+    CoordinatorLeading, "coordinator-leading", Info, ["vm", "zone", "term"], "this VM decides about owners from now on";
+    CoordinatorSuperseded, "coordinator-superseded", Warn, ["zone", "term", "reason"], "another VM decides about owners now";
+    CoordinatorDetached, "coordinator-detached", Warn, ["zone", "term"], "the platform is silent; coordination goes on without it";
+    CoordinatorAttached, "coordinator-attached", Info, ["zone", "term"], "the platform answered again";
+    TargetFenced, "target-fenced", Info, ["zone", "target"], "a target answered a first contact";
+    TargetLive, "target-live", Info, ["zone", "target"], "a target's session is live";
+    TargetRestarted, "target-restarted", Warn, ["zone", "target"], "a target came back as another process";
+    TargetLost, "target-lost", Warn, ["zone", "target", "shards"], "a target's lease has surely lapsed";
+    TargetChanged, "target-changed", Info, ["target", "service", "state"], "a target is listed, leaves or is gone";
+    MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves began";
+    OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in force";
+    RangesWritten, "ranges-written", Info, ["revision", "edit", "fence", "late_orders"], "the map of ranges is in the store";
+    RangeMoved, "range-moved", Info, ["service", "first", "last", "to"], "a range goes to another target to spread load";
+    OrderFailed, "order-failed", Info, ["order", "outcome", "target", "first", "last", "fence"], "a target refused an order or did not answer";
+    ConfigInForce, "config-in-force", Info, ["version", "revision"], "requests are decided by these declarations from now on";
+    NewsSource, "news-source", Info, ["source"], "where this VM gets its news: the store, another VM or none";
+    StoreLost, "store-lost", Warn, ["reason"], "the store stopped answering this VM";
+    StoreRegained, "store-regained", Info, [], "the store answers this VM again";
+    RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's answer was passed on; one in 64 is logged, chosen by its id";
+    RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "a try failed at this target and another one may follow";
+    RequestFailed, "request-failed", Info, ["request", "route", "error", "after_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms"], "the request ended without a target's answer, decided by beliefs of these ages";
+    LinesDropped, "log-lines-dropped", Warn, ["count"], "nobody read the log fast enough";
+}
+
+impl EventName {
+    /// The event of this name.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|event| event.as_str() == name)
     }
 }
 
@@ -126,6 +93,11 @@
 /// The text of one event: one line, whatever the values hold.
 #[must_use]
 pub fn event_line(name: EventName, pairs: &[(&str, &dyn Display)]) -> String {
+    debug_assert!(
+        pairs.iter().all(|(key, _)| name.fields().contains(key)),
+        "{} has a field that its row of the table does not name",
+        name.as_str()
+    );
     let mut line = format!("event={}", name.as_str());
     for (key, value) in pairs {
         line.push_str(&format!(" {key}="));
@@ -143,3 +115,27 @@
         line.push_str(&format!("{value:?}"));
     }
 }
+
+/// The page that documents every event, as `docs/EVENTS.md` holds it.
+#[must_use]
+pub fn events_page() -> String {
+    let mut page = String::from(PAGE_HEAD);
+    for event in EventName::ALL {
+        let fields = event.fields().join("`, `");
+        let fields = if fields.is_empty() { String::new() } else { format!("`{fields}`") };
+        page.push_str(&format!("| `{}` | {fields} | {} |\n", event.as_str(), event.help()));
+    }
+    page
+}
+
+/// What stands above the table of [`events_page`].
+const PAGE_HEAD: &str = "# Events in the log
+
+One line an event, `event=NAME key=value ...`; a line has some of the fields named
+here and no others. Times end in `_ms`, ages count from when the belief was taken
+over. This page is written by
+`cargo run -p nickellead_event --example events_page > docs/EVENTS.md`.
+
+| event | fields | what it tells |
+|---|---|---|
+";
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -6,17 +6,16 @@
 use actix_http::header::{HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
 use nickellead_core::ErrorKind;
-use nickellead_event::{EventName, log_event};
+use nickellead_event::{ANSWERED_SAMPLE, EventName, log_event};
 use nickellead_proxy::{error_response, is_connection_header};
 
 use super::RequestWorker;
+use crate::RoutePart;
 use crate::exchange::TargetAnswer;
 use crate::incoming::PlannedRequest;
 
 /// Part of the time left within which a caller may be asked to come back.
 const COME_BACK_PART: u32 = 6;
-/// One answered request in this many is logged: enough to compare with, and cheap.
-const SAMPLE: u64 = 64;
 
 impl RequestWorker {
     /// Refuses a request that came as the VM was about to end.
@@ -64,22 +63,45 @@
         response
     }
 
+    /// Logs why a request failed, with the beliefs that decided it and their ages.
     fn log_failure(&self, id: &str, planned: Option<&PlannedRequest>, kind: ErrorKind) {
-        let route = planned.map_or("-", |planned| &planned.route.rule.name);
-        let after = planned.map_or(0, |planned| planned.arrived.elapsed().as_millis());
-        let pairs: [(&str, &dyn std::fmt::Display); 5] = [
+        let beliefs = self.beliefs.borrow();
+        let code = kind.answer().code;
+        let version = beliefs.version.unwrap_or_default();
+        let Some(planned) = planned else {
+            let pairs: [(&str, &dyn std::fmt::Display); 3] =
+                [("request", &id), ("error", &code), ("version", &version)];
+            return log_event(EventName::RequestFailed, &pairs);
+        };
+        let after = planned.arrived.elapsed().as_millis();
+        let ages = [beliefs.taken.declarations, beliefs.taken.targets, beliefs.taken.ranges]
+            .map(|taken| taken.elapsed().as_millis());
+        let mut pairs: Vec<(&str, &dyn std::fmt::Display)> = vec![
             ("request", &id),
-            ("route", &route),
-            ("error", &kind.answer().code),
+            ("route", &planned.route.rule.name),
+            ("error", &code),
             ("after_ms", &after),
-            ("version", &self.beliefs.borrow().version.unwrap_or_default()),
+            ("version", &version),
+            ("config_age_ms", &ages[0]),
+            ("targets_age_ms", &ages[1]),
         ];
+        let divided = |part: &&RoutePart| beliefs.divided.contains(&part.service);
+        let service = planned.route.rule.parts.iter().find(divided).map(|part| &part.service);
+        let range =
+            service.zip(planned.key).map(|(service, key)| beliefs.ranges.find(service, key));
+        if let Some(key) = planned.key.as_ref().filter(|_| service.is_some()) {
+            pairs.extend([("key", key as &dyn std::fmt::Display), ("ranges_age_ms", &ages[2])]);
+        }
+        if let Some(Some(range)) = range {
+            pairs.push(("fence", &range.fence));
+            pairs.extend(range.owner.iter().map(|owner| ("owner", &owner.id as _)));
+        }
         log_event(EventName::RequestFailed, &pairs);
     }
 
-    /// Logs one in [`SAMPLE`] answered requests, chosen by the id: the same ones on every VM.
+    /// Logs one in [`ANSWERED_SAMPLE`] answered requests, chosen by the id: the same ones on every VM.
     pub(super) fn log_sample(&self, id: &str, planned: &PlannedRequest, answer: &TargetAnswer) {
-        if !xxhash_rust::xxh3::xxh3_64(id.as_bytes()).is_multiple_of(SAMPLE) {
+        if !xxhash_rust::xxh3::xxh3_64(id.as_bytes()).is_multiple_of(ANSWERED_SAMPLE) {
             return;
         }
         let pairs: [(&str, &dyn std::fmt::Display); 5] = [
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -41,11 +41,13 @@
                 member.note_refusal();
                 member.note_outcome(TargetOutcome::Shed, now);
                 state.sent += 1;
+                log_retry(planned, member, "shed");
                 NextStep::Again
             }
             TryResult::Misdirected => {
                 state.misdirected.push(member.id.clone());
                 state.sent += 1;
+                log_retry(planned, member, "not-owner");
                 NextStep::Again
             }
             TryResult::NotSent(failure) => {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -17,7 +17,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
@@ -53,6 +53,15 @@
     table: Rc<RouteTable>,
     roster: TargetRoster,
     ranges: Arc<RangeMap>,
+    taken: BeliefTimes,
+}
+
+/// When each belief was taken over, for logs.
+#[derive(Clone, Copy)]
+struct BeliefTimes {
+    declarations: Instant,
+    targets: Instant,
+    ranges: Instant,
 }
 
 /// What the request path is built from.
@@ -108,6 +117,7 @@
 
 impl RequestWorker {
     pub(crate) fn new(parts: WorkerParts) -> Rc<Self> {
+        let started = Instant::now();
         let beliefs = WorkerBeliefs {
             version: None,
             divided: HashSet::new(),
@@ -115,6 +125,7 @@
             table: Rc::default(),
             roster: TargetRoster::new(parts.vm, parts.zone.clone()),
             ranges: Arc::default(),
+            taken: BeliefTimes { declarations: started, targets: started, ranges: started },
         };
         Rc::new(Self {
             names: parts.names,
@@ -141,6 +152,7 @@
         beliefs.divided = divided.map(|(name, _)| name.clone()).collect();
         beliefs.limits = declarations.limits;
         beliefs.version = Some(declarations.version);
+        beliefs.taken.declarations = Instant::now();
         self.changed.notify_waiters();
     }
 
@@ -148,12 +160,17 @@
     pub(crate) fn set_targets(&self, list: &TargetList) {
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.roster = beliefs.roster.rebuild(list);
+        beliefs.taken.targets = Instant::now();
         self.changed.notify_waiters();
     }
 
     /// Takes over the map of ranges.
     pub(crate) fn set_ranges(&self, ranges: Arc<RangeMap>) {
-        self.beliefs.borrow_mut().ranges = ranges;
+        {
+            let mut beliefs = self.beliefs.borrow_mut();
+            beliefs.ranges = ranges;
+            beliefs.taken.ranges = Instant::now();
+        }
         self.changed.notify_waiters();
     }
 
--- /dev/null
+++ b/crates/nickellead_report/tests/stories.rs
@@ -0,0 +1,78 @@
+//! From a request's id to its cause, on lines as collected from several VMs.
+#![allow(clippy::unwrap_used)]
+
+use nickellead_report::{LogLine, explain_request, read_lines};
+
+const LOGS: &str = "\
+6.6738 front-a-4 2026-12-02T10:00:00.1Z [INFO] event=order-failed order=grant outcome=unanswered target=i-7 first=0 last=9 fence=1
+8.1969 front-a-4 event=target-changed target=i-7 service=boards state=gone
+8.1970 front-b-1 event=target-changed target=i-7 service=boards state=gone
+7.5643 front-a-3 event=mandate-taken vm=front-a-3
+9.0000 front-a-4 event=request-retried request=r-2 target=i-8 reason=late after_ms=277
+9.0001 front-a-4 event=request-failed request=r-2 route=pay error=answer-late after_ms=278 version=4
+9.0261 front-a-4 event=request-failed request=r-1 route=view error=move-too-long after_ms=402 key=5 owner=i-7 fence=2 version=4
+9.1000 front-a-4 event=request-retried request=r-4 target=i-9 reason=broken after_ms=60
+9.1001 front-a-4 event=request-failed request=r-4 route=pay error=answer-lost after_ms=60 version=4
+9.5 front-a-4 event=request-answered request=r-3 route=view status=200 after_ms=12 version=4
+9.6 front-a-4 event=log-lines-dropped count=3
+nothing of ours
+";
+
+fn cause_of(id: &str) -> String {
+    explain_request(id, &read_lines([LOGS])).cause.join("\n")
+}
+
+/// Refused and not run: the owner was lost, and another VM had just begun to decide.
+#[test]
+fn a_refusal_is_traced_to_the_lost_owner() {
+    let story = explain_request("r-1", &read_lines([LOGS]));
+    let cause = story.cause.join("\n");
+    assert!(cause.contains("move-too-long") && cause.contains("did not run"), "{cause}");
+    assert!(cause.contains("i-7 was gone from 8.197 s on"), "{cause}");
+    assert!(cause.contains("1 orders to i-7 failed"), "{cause}");
+    assert!(cause.contains("front-a-3 took the mandate at 7.564 s"), "{cause}");
+    assert_eq!(story.lines.len(), 1);
+    let gone = story.context.iter().filter(|line| line.text.contains("state=gone"));
+    assert_eq!(gone.count(), 1, "the same news of two VMs is told once");
+    assert_eq!(story.missing, ["3 lines were dropped because nobody read the logs"]);
+}
+
+#[test]
+fn a_late_answer_is_traced_to_the_target_that_had_the_request() {
+    let cause = cause_of("r-2");
+    assert!(cause.contains("answer-late") && cause.contains("may have run"), "{cause}");
+    assert!(cause.contains("the try at i-8 ended after 277 ms: late"), "{cause}");
+}
+
+#[test]
+fn an_unknown_outcome_is_traced_to_the_broken_connection() {
+    let cause = cause_of("r-4");
+    assert!(cause.contains("answer-lost") && cause.contains("may have run"), "{cause}");
+    assert!(cause.contains("the try at i-9 ended after 60 ms: broken"), "{cause}");
+}
+
+#[test]
+fn an_answered_request_and_an_unknown_one_are_told_as_such() {
+    assert_eq!(cause_of("r-3"), "a target answered with status 200 after 12 ms");
+    let story = explain_request("r-5", &read_lines([LOGS]));
+    assert!(story.cause.is_empty());
+    assert!(story.missing[0].contains("no line names this request"), "{:?}", story.missing);
+}
+
+#[test]
+fn values_in_quotes_are_read_back_as_they_were() {
+    let value = "x\n\"=\u{1f} ende";
+    let text = nickellead_event::event_line(
+        nickellead_event::EventName::RequestFailed,
+        &[("request", &value), ("after_ms", &12)],
+    );
+    let line = LogLine::read(&text).unwrap();
+    assert_eq!((line.field("request"), line.field("after_ms")), (Some(value), Some("12")));
+}
+
+#[test]
+fn lines_of_a_process_alone_have_a_time_and_no_vm() {
+    let line =
+        LogLine::read("2026-12-02T15:53:22.824Z [WARN] event=store-lost reason=silent").unwrap();
+    assert!(line.vm.is_none() && line.at > 1.7e9, "{line:?}");
+}
--- a/crates/nickellead_run/src/lib.rs
+++ b/crates/nickellead_run/src/lib.rs
@@ -16,6 +16,6 @@
 mod ring;
 mod settings;
 
-pub use nickellead_event::{EventName, log_event};
+pub use nickellead_event::{EventName, event_line, log_event};
 pub use node::{NodeError, NodeHandle, start_node};
 pub use settings::{LeaseSettings, LimitSettings, NodeSettings, PeerSettings};
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one module for each family of subcommands.
 
 mod gateway;
+mod report;
 mod resources;
 mod run;
 mod standin;
@@ -32,6 +33,8 @@
     Watch(resources::WatchCommand),
     Standin(standin::StandinCommand),
     Try(trial::TryCommand),
+    Explain(report::ExplainCommand),
+    Report(report::ReportCommand),
 }
 
 /// Runs what the command line asks for.
@@ -46,6 +49,8 @@
         SubCommand::Watch(command) => command.run(),
         SubCommand::Standin(command) => command.run(),
         SubCommand::Try(command) => command.run(),
+        SubCommand::Explain(command) => command.run(),
+        SubCommand::Report(command) => command.run(),
     }
 }
 
--- /dev/null
+++ b/src/command/report.rs
@@ -0,0 +1,125 @@
+//! `explain` and `report burn`: what logs tell afterwards.
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use nickellead_report::{BurnSettings, LogLine, explain_request, read_lines, report_burn};
+
+use super::{EXIT_USAGE, fail, print_line};
+
+/// Five minutes, an hour and six hours: what the usual pairs of burn alerts look at.
+const WINDOWS_S: [f64; 3] = [300.0, 3_600.0, 21_600.0];
+/// Part of the requests that must be answered.
+const OBJECTIVE: f64 = 0.99;
+
+/// tell the story of one request, and why it ended as it did, from the logs of all VMs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(super) struct ExplainCommand {
+    /// the request's id
+    #[argh(positional)]
+    id: String,
+    /// logs, each line preceded by its VM's name where several VMs wrote; without them standard input
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
+impl ExplainCommand {
+    pub(super) fn run(self) -> ExitCode {
+        let lines = match read_logs(&self.logs) {
+            Ok(lines) => lines,
+            Err(message) => return fail(EXIT_USAGE, &message),
+        };
+        let story = explain_request(&self.id, &lines);
+        print_line(story.to_string().trim_end());
+        if story.cause.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    }
+}
+
+/// make a report from logs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub(super) struct ReportCommand {
+    #[argh(subcommand)]
+    kind: ReportKind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum ReportKind {
+    Burn(BurnCommand),
+}
+
+/// tell for each route how fast it spends what its objective allows to fail
+#[derive(FromArgs)]
+#[argh(subcommand, name = "burn")]
+struct BurnCommand {
+    /// part of the requests that must be answered (default 0.99)
+    #[argh(option, default = "OBJECTIVE")]
+    objective: f64,
+    /// length of a window in seconds; may be given several times (default 300, 3600, 21600)
+    #[argh(option, long = "window-s")]
+    windows_s: Vec<f64>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// logs; without them standard input
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
+impl ReportCommand {
+    pub(super) fn run(self) -> ExitCode {
+        match self.kind {
+            ReportKind::Burn(command) => command.run(),
+        }
+    }
+}
+
+impl BurnCommand {
+    fn run(self) -> ExitCode {
+        if !(self.objective > 0.0 && self.objective < 1.0) {
+            return fail(EXIT_USAGE, &"--objective must be above 0 and below 1");
+        }
+        if self.windows_s.iter().any(|window| !window.is_finite() || *window <= 0.0) {
+            return fail(EXIT_USAGE, &"--window-s must be above 0");
+        }
+        let lines = match read_logs(&self.logs) {
+            Ok(lines) => lines,
+            Err(message) => return fail(EXIT_USAGE, &message),
+        };
+        let windows_s = match self.windows_s.is_empty() {
+            true => WINDOWS_S.to_vec(),
+            false => self.windows_s,
+        };
+        let report = report_burn(&lines, &BurnSettings { objective: self.objective, windows_s });
+        let text = match self.json {
+            true => serde_json::to_string_pretty(&report).map_err(|error| error.to_string()),
+            false => Ok(report.to_string()),
+        };
+        match text {
+            Ok(text) => print_line(text.trim_end()),
+            Err(message) => return fail(1, &message),
+        }
+        ExitCode::SUCCESS
+    }
+}
+
+/// Reads the files, or standard input where none is named.
+fn read_logs(paths: &[PathBuf]) -> Result<Vec<LogLine>, String> {
+    let mut texts = Vec::new();
+    for path in paths {
+        let bytes = std::fs::read(path);
+        let bytes = bytes.map_err(|error| format!("{} can't be read: {error}", path.display()))?;
+        texts.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    if paths.is_empty() {
+        let mut bytes = Vec::new();
+        let read = std::io::stdin().read_to_end(&mut bytes);
+        read.map_err(|error| format!("standard input can't be read: {error}"))?;
+        texts.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    Ok(read_lines(texts.iter().map(String::as_str)))
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use log::LevelFilter;
+use nickellead_run::{EventName, event_line};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
 /// Lines that may wait to be written: at 200 bytes a line less than a megabyte.
@@ -119,9 +120,14 @@
         }
         counts.waiting.fetch_sub(1, Ordering::Relaxed);
         let lost = counts.dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 && writeln!(output, "event=log-lines-dropped count={lost}").is_err() {
+        if lost > 0 && writeln!(output, "{}", lost_line(lost)).is_err() {
             return;
         }
         let _ = output.flush();
     }
 }
+
+/// The line that tells how many lines were dropped.
+fn lost_line(count: u64) -> String {
+    event_line(EventName::LinesDropped, &[("count", &count)])
+}
