--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -29,6 +29,7 @@
 use crate::book::BeliefBook;
 use crate::follow::Follower;
 use crate::load_count::LoadCounter;
+use crate::metrics::ControlMetrics;
 use crate::relay::{NewsRelay, serve_news};
 use crate::store_health::StoreHealth;
 use crate::{OrderPort, OwnershipSettings, Revision, StorePort};
@@ -51,6 +52,7 @@
     pub(crate) ownership: OwnershipSettings,
     pub(crate) beliefs: BeliefSenders,
     pub(crate) keys: LoadCounter,
+    pub(crate) metrics: ControlMetrics,
 }
 
 /// The control duty of one VM.
@@ -76,12 +78,13 @@
     /// What the request duty has counted since the last look.
     keys: LoadCounter,
     ownership: OwnershipSettings,
+    metrics: ControlMetrics,
     vm: String,
 }
 
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
     fn new(parts: ControlParts, store: S, orders: O) -> Rc<Self> {
-        let health = Rc::new(StoreHealth::default());
+        let health = Rc::new(StoreHealth::new(parts.metrics.clone()));
         let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
         let address = parts.peers_address;
         let relay = NewsRelay::new(
@@ -108,6 +111,7 @@
             arrivals: RefCell::default(),
             keys: parts.keys,
             ownership: parts.ownership,
+            metrics: parts.metrics,
             vm: parts.vm,
         })
     }
--- a/crates/nickellead_gateway/src/control/orders.rs
+++ b/crates/nickellead_gateway/src/control/orders.rs
@@ -58,6 +58,7 @@
             OrderKind::Release => RELEASE_WAIT,
         };
         let outcome = self.orders.send(order, self.ownership.hold(), wait).await;
+        self.metrics.count_order(&order.kind, &outcome);
         if !matches!(outcome, OrderOutcome::Done(_)) {
             log_order_failure(order, &outcome);
         }
@@ -66,21 +67,9 @@
 }
 
 fn log_order_failure(order: &RangeOrder, outcome: &OrderOutcome) {
-    let kind = match order.kind {
-        OrderKind::Grant(_) => "grant",
-        OrderKind::Release => "release",
-    };
-    let outcome = match outcome {
-        OrderOutcome::Done(_) => "done",
-        OrderOutcome::Outranked => "outranked",
-        OrderOutcome::Ended => "ended",
-        OrderOutcome::NotSent => "not-sent",
-        OrderOutcome::Broken => "broken",
-        OrderOutcome::Unanswered => "unanswered",
-    };
     let pairs: [(&str, &dyn std::fmt::Display); 6] = [
-        ("order", &kind),
-        ("outcome", &outcome),
+        ("order", &order.kind.as_str()),
+        ("outcome", &outcome.as_str()),
         ("target", &order.holder.id),
         ("first", &order.first),
         ("last", &order.last),
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -45,6 +45,7 @@
     async fn see_to_ranges(self: &Rc<Self>, now: Timestamp, balance_due: bool) {
         self.note_told_mandate(now);
         let power = self.mandate.borrow().power(now);
+        self.metrics.mandate.set(i64::from(power != MandatePower::None));
         if power == MandatePower::None {
             self.keeper.replace(None);
             return;
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -26,6 +26,11 @@
 }
 
 impl PlannedRequest {
+    /// The service that figures count it under: the first one where the route is split.
+    pub(crate) fn main_service(&self) -> &str {
+        self.route.rule.parts.first().map_or("-", |part| &part.service)
+    }
+
     /// Time until nobody waits any more.
     pub(crate) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
--- a/crates/nickellead_gateway/src/metrics.rs
+++ b/crates/nickellead_gateway/src/metrics.rs
@@ -1,29 +1,59 @@
-//! Counters and histograms of one VM.
+//! Counters, gauges and histograms of one VM.
+//!
+//! Label sets are bounded: services, and closed lists of answers and errors.
 
 use std::time::Duration;
 
 use nickellead_core::ErrorKind;
+use nickellead_range::{OrderKind, OrderOutcome};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::StoreError;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+/// Label of requests that end before a service is chosen.
+const NO_SERVICE: &str = "-";
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ErrorLabel {
     error: &'static str,
 }
 
-/// What one VM counts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabel {
+    answer: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    order: &'static str,
+    outcome: &'static str,
+}
+
+/// What the request duty counts.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayMetrics {
     pub(crate) requests: Counter,
     pub(crate) retries: Counter,
+    pub(crate) connections: Gauge,
+    pub(crate) config_version: Gauge,
+    pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     answers: Histogram,
     errors: Family<ErrorLabel, Counter>,
+    outcomes: Family<OutcomeLabels, Counter>,
 }
 
 impl GatewayMetrics {
@@ -32,23 +62,86 @@
         let metrics = Self {
             requests: Counter::default(),
             retries: Counter::default(),
+            connections: Gauge::default(),
+            config_version: Gauge::default(),
+            config_age: Gauge::default(),
+            targets_age: Gauge::default(),
             answers: Histogram::new(LATENCY_BUCKETS),
             errors: Family::default(),
+            outcomes: Family::default(),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register("retries", "Tries after the first one", metrics.retries.clone());
+        let opened = metrics.connections.clone();
+        registry.register("target_connections_opened", "Opened to targets that are listed", opened);
+        let version = metrics.config_version.clone();
+        registry.register("config_version", "Declarations in force", version);
+        let age = metrics.config_age.clone();
+        registry.register("config_age_seconds", "Since declarations were taken over", age);
+        let age = metrics.targets_age.clone();
+        registry.register("targets_age_seconds", "Since a list of targets was taken over", age);
         registry.register("answer_seconds", "Time to a target's answer", metrics.answers.clone());
         registry.register("errors", "Requests ended by this VM", metrics.errors.clone());
+        registry.register("outcomes", "Requests by service and outcome", metrics.outcomes.clone());
         metrics
     }
 
     /// Counts an answer of a target that was passed on.
-    pub(crate) fn note_answer(&self, length: Duration) {
+    pub(crate) fn note_answer(&self, service: &str, length: Duration) {
         self.answers.observe(length.as_secs_f64());
+        self.count_outcome(service, "answered");
     }
 
     /// Counts a request that this VM ended itself.
-    pub(crate) fn count_error(&self, kind: ErrorKind) {
-        self.errors.get_or_create(&ErrorLabel { error: kind.answer().code }).inc();
+    pub(crate) fn count_error(&self, kind: ErrorKind, service: Option<&str>) {
+        let answer = kind.answer();
+        self.errors.get_or_create(&ErrorLabel { error: answer.code }).inc();
+        self.count_outcome(service.unwrap_or(NO_SERVICE), answer.outcome.as_str());
+    }
+
+    fn count_outcome(&self, service: &str, outcome: &'static str) {
+        let labels = OutcomeLabels { service: service.to_owned(), outcome };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+}
+
+/// What the control duty counts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ControlMetrics {
+    /// 1 while this VM may order targets.
+    pub(crate) mandate: Gauge,
+    store_calls: Family<AnswerLabel, Counter>,
+    orders: Family<OrderLabels, Counter>,
+}
+
+impl ControlMetrics {
+    /// Registers the figures.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "mandate_held",
+            "1 while this VM may order targets",
+            self.mandate.clone(),
+        );
+        registry.register("store_calls", "Calls of the store", self.store_calls.clone());
+        registry.register("orders", "Orders to targets", self.orders.clone());
+    }
+
+    /// Counts a call of the store.
+    pub(crate) fn count_store_call<T>(&self, result: &Result<T, StoreError>) {
+        let answer = match result {
+            Ok(_) => "done",
+            Err(StoreError::Conflict) => "conflict",
+            Err(StoreError::Forgotten) => "forgotten",
+            Err(StoreError::Refused(_)) => "refused",
+            Err(StoreError::Silent(_)) => "silent",
+            Err(StoreError::Malformed(_)) => "malformed",
+        };
+        self.store_calls.get_or_create(&AnswerLabel { answer }).inc();
+    }
+
+    /// Counts an order to a target.
+    pub(crate) fn count_order(&self, kind: &OrderKind, outcome: &OrderOutcome) {
+        let labels = OrderLabels { order: kind.as_str(), outcome: outcome.as_str() };
+        self.orders.get_or_create(&labels).inc();
     }
 }
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -14,6 +14,7 @@
 use crate::control::{self, ControlParts};
 use crate::drain::DrainState;
 use crate::load_count::LoadCounter;
+use crate::metrics::ControlMetrics;
 use crate::requests::{self, RequestParts};
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
 
@@ -76,12 +77,15 @@
     let callers = listen("callers_address", settings.callers_address)?;
     let readiness = listen("readiness_address", settings.readiness_address)?;
     let peers = listen("peers_address", settings.peers_address)?;
+    let figures = settings.metrics_address.map(|address| listen("metrics_address", address));
+    let figures = figures.transpose()?;
     let (senders, receivers) = join_beliefs();
     let keys = LoadCounter::default();
     let state = Arc::new(ServeState::default());
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::draw_number();
+    let metrics = ControlMetrics::default();
     let requests = requests::start(RequestParts {
         names,
         vm: settings.vm.clone(),
@@ -90,6 +94,8 @@
         connections: settings.connections,
         callers,
         readiness,
+        metrics: figures,
+        control_metrics: metrics.clone(),
         beliefs: receivers,
         keys: keys.clone(),
         state: Arc::clone(&state),
@@ -104,6 +110,7 @@
         ownership: settings.ownership,
         beliefs: senders,
         keys,
+        metrics,
     };
     let control = control::start(parts, peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
@@ -125,7 +132,11 @@
         let same = self.settings == settings;
         let moved = self.settings.callers_address != settings.callers_address
             || self.settings.readiness_address != settings.readiness_address
-            || self.settings.store_address != settings.store_address;
+            || self.settings.peers_address != settings.peers_address
+            || self.settings.metrics_address != settings.metrics_address
+            || self.settings.store_address != settings.store_address
+            || self.settings.vm != settings.vm
+            || self.settings.zone != settings.zone;
         let pairs: [(&str, &dyn std::fmt::Display); 3] =
             [("vm", &self.settings.vm), ("same", &same), ("needs_restart", &moved)];
         log_event(EventName::SettingsReloaded, &pairs);
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -15,7 +15,7 @@
 use crate::beliefs::BeliefReceivers;
 use crate::drain::DrainState;
 use crate::load_count::LoadCounter;
-use crate::metrics::GatewayMetrics;
+use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::worker::{RequestWorker, WorkerParts};
 
 /// Most connections to the readiness and metrics address.
@@ -34,6 +34,8 @@
     pub(crate) connections: usize,
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
+    pub(crate) metrics: Option<TcpListener>,
+    pub(crate) control_metrics: ControlMetrics,
     pub(crate) beliefs: BeliefReceivers,
     pub(crate) keys: LoadCounter,
     pub(crate) state: Arc<ServeState>,
@@ -55,6 +57,8 @@
 async fn run(parts: RequestParts) {
     let mut registry = Registry::with_prefix("nickellead");
     let metrics = GatewayMetrics::register(&mut registry);
+    parts.control_metrics.register(&mut registry);
+    let registry = Rc::new(registry);
     let worker = RequestWorker::new(WorkerParts {
         names: parts.names,
         vm: parts.vm,
@@ -65,7 +69,9 @@
         metrics,
     });
     follow_beliefs(&worker, &parts.beliefs);
-    serve_readiness(parts.readiness, &worker, registry, parts.beliefs, parts.drain);
+    for listener in std::iter::once(parts.readiness).chain(parts.metrics) {
+        serve_readiness(listener, &worker, &registry, parts.beliefs.clone(), &parts.drain);
+    }
     let state = Arc::clone(&parts.state);
     let handler = move |request| {
         let worker = Rc::clone(&worker);
@@ -88,11 +94,11 @@
 fn serve_readiness(
     listener: TcpListener,
     worker: &Rc<RequestWorker>,
-    registry: Registry,
+    registry: &Rc<Registry>,
     beliefs: BeliefReceivers,
-    drain: Arc<DrainState>,
+    drain: &Arc<DrainState>,
 ) {
-    let (worker, registry) = (Rc::clone(worker), Rc::new(registry));
+    let (worker, registry, drain) = (Rc::clone(worker), Rc::clone(registry), Arc::clone(drain));
     let handler = move |request: Request| {
         let known = beliefs.declarations.borrow().is_some();
         let ready = known && !drain.is_draining();
@@ -137,11 +143,11 @@
     worker: &RequestWorker,
 ) -> Response<BoxBody> {
     if request.path() == "/metrics" {
+        worker.refresh_gauges();
         let mut text = String::new();
         if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
             return Response::internal_server_error().map_into_boxed_body();
         }
-        text.push_str(&format!("# connections opened {}\n", worker.connections_opened()));
         return Response::build(actix_http::StatusCode::OK).body(text).map_into_boxed_body();
     }
     let status = match ready {
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -36,8 +36,11 @@
     pub zone: String,
     /// Where callers reach it.
     pub callers_address: SocketAddr,
-    /// Where readiness and metrics are asked for.
+    /// Where readiness is asked for, and metrics may be.
     pub readiness_address: SocketAddr,
+    /// Where counters and histograms are served besides; `None` for the readiness address alone.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// Where other VMs reach it.
     pub peers_address: SocketAddr,
     /// Its share of a core; a VM with little takes the mandate only if no other VM does.
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::StoreError;
+use crate::metrics::ControlMetrics;
 
 /// Shortest pause after a call that failed.
 const PAUSE_FIRST: Duration = Duration::from_millis(120);
@@ -28,11 +29,18 @@
     heard: Cell<Option<Instant>>,
     /// Woken when the store answers again: watches that hang are started anew.
     pub(crate) back: Notify,
+    metrics: ControlMetrics,
 }
 
 impl StoreHealth {
+    /// A store that was not called yet.
+    pub(crate) fn new(metrics: ControlMetrics) -> Self {
+        Self { metrics, ..Self::default() }
+    }
+
     /// Notes the outcome of a call.
     pub(crate) fn note<T>(&self, result: &Result<T, StoreError>) {
+        self.metrics.count_store_call(result);
         match result {
             Err(error @ (StoreError::Silent(_) | StoreError::Refused(_))) => {
                 if self.failures.get() == 0 {
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -51,7 +51,7 @@
         id: &str,
         planned: Option<&PlannedRequest>,
     ) -> Response<BoxBody> {
-        self.metrics.count_error(kind);
+        self.metrics.count_error(kind, planned.map(PlannedRequest::main_service));
         self.log_failure(id, planned, kind);
         let mut response = error_response(kind);
         if let Some(wait) = come_back_time(kind, planned) {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -195,7 +195,7 @@
         }
         match self.serve(&planned).await {
             Ok(answer) => {
-                self.metrics.note_answer(planned.arrived.elapsed());
+                self.metrics.note_answer(planned.main_service(), planned.arrived.elapsed());
                 self.log_sample(&id, &planned, &answer);
                 pass_on(answer)
             }
@@ -220,8 +220,15 @@
         tokio::time::timeout(wait, waiting).await.is_ok()
     }
 
-    /// Connections opened to targets that are listed now.
-    pub(crate) fn connections_opened(&self) -> u64 {
-        self.beliefs.borrow().roster.opened()
+    /// Brings the figures up to date that are read from what the worker believes.
+    pub(crate) fn refresh_gauges(&self) {
+        let beliefs = self.beliefs.borrow();
+        let metrics = &self.metrics;
+        let opened = i64::try_from(beliefs.roster.opened()).unwrap_or(i64::MAX);
+        metrics.connections.set(opened);
+        let version = beliefs.version.unwrap_or_default();
+        metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        metrics.config_age.set(beliefs.taken.declarations.elapsed().as_secs_f64());
+        metrics.targets_age.set(beliefs.taken.targets.elapsed().as_secs_f64());
     }
 }
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -77,17 +77,20 @@
 pub struct TestGateway {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
     pub handle: Option<GatewayHandle>,
 }
 
 impl TestGateway {
     /// Starts a gateway; it knows what the store holds soon after.
     pub fn start(name: &str, store: &MemoryStore) -> Self {
+        let metrics = free_address();
         let settings = GatewaySettings {
             vm: name.to_owned(),
             zone: "zone-a".to_owned(),
             callers_address: free_address(),
             readiness_address: free_address(),
+            metrics_address: Some(metrics),
             peers_address: free_address(),
             cpu_share: 1.0,
             store_address: free_address(),
@@ -99,7 +102,7 @@
         let (callers, readiness) = (settings.callers_address, settings.readiness_address);
         let (store, orders) = (store.clone(), MemoryOrders::of(store));
         let handle = start_gateway(settings, NAMES, move || (store, orders)).unwrap();
-        Self { callers, readiness, handle: Some(handle) }
+        Self { callers, readiness, metrics, handle: Some(handle) }
     }
 
     /// Waits until the gateway says that it is ready.
--- a/crates/nickellead_range/src/keeper/order.rs
+++ b/crates/nickellead_range/src/keeper/order.rs
@@ -13,6 +13,17 @@
     Release,
 }
 
+impl OrderKind {
+    /// The word for it in logs and metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Grant(_) => "grant",
+            Self::Release => "release",
+        }
+    }
+}
+
 /// One order to one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RangeOrder {
@@ -48,3 +59,18 @@
     /// Silence: the order may take effect later.
     Unanswered,
 }
+
+impl OrderOutcome {
+    /// The word for it in logs and metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Done(_) => "done",
+            Self::Outranked => "outranked",
+            Self::Ended => "ended",
+            Self::NotSent => "not-sent",
+            Self::Broken => "broken",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
