--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -88,7 +88,7 @@
     UnknownService, "unknown-service", 404, NotRun, None, Debug, "no service of this name is declared: check the first part of the path";
     UnknownRoute, "unknown-route", 404, NotRun, None, Debug, "no route is declared for this host and path";
     HeadTooLarge, "head-too-large", 431, NotRun, None, Debug, "the request's head is larger than the declared limit";
-    NotConfigured, "not-configured", 503, NotRun, Some(100), Info, "this VM knows no declarations yet";
+    NotConfigured, "not-configured", 503, NotRun, Some(100), Info, "this VM knows no declarations or no targets yet";
     Overloaded, "overloaded", 503, NotRun, Some(60), Info, "the service has more requests than it can serve in time";
     Stopping, "stopping", 503, NotRun, Some(20), Info, "this VM is about to end: another one answers";
     NoTarget, "no-target", 503, NotRun, Some(150), Warn, "the service has no target now";
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -100,7 +100,7 @@
 ) {
     let (worker, registry, drain) = (Rc::clone(worker), Rc::clone(registry), Arc::clone(drain));
     let handler = move |request: Request| {
-        let known = beliefs.declarations.borrow().is_some();
+        let known = beliefs.declarations.borrow().is_some() && !beliefs.targets.borrow().is_empty();
         let ready = known && !drain.is_draining();
         let response = answer_readiness(&request, ready, &registry, &worker);
         async move { response }
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -135,6 +135,11 @@
         roster
     }
 
+    /// Whether no target at all is known.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
     /// The members of a service that take requests.
     pub(crate) fn members(&self, service: &str) -> &[Rc<TargetMember>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -28,7 +28,13 @@
         let rule = &planned.route.rule;
         let until = planned.arrived + rule.latency_target.mul_f64(WAIT_PART);
         loop {
-            let member = self.choose_member(planned, service, state).await?;
+            let chosen = self.choose_member(planned, service, state).await;
+            if chosen.is_err() && self.beliefs.borrow().roster.is_empty() {
+                // The VM has just started: what it is told next is the list of targets.
+                self.wait_for_targets(until).await?;
+                continue;
+            }
+            let member = chosen?;
             if member.has_room() {
                 return Ok(member);
             }
@@ -48,6 +54,21 @@
         }
     }
 
+    /// Waits for the first list of targets.
+    async fn wait_for_targets(&self, until: Instant) -> Result<(), ErrorKind> {
+        let listed = async {
+            loop {
+                let changed = self.changed.notified();
+                if !self.beliefs.borrow().roster.is_empty() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let waited = tokio::time::timeout_at(until.into(), listed).await;
+        waited.map_err(|_| ErrorKind::NotConfigured)
+    }
+
     /// The queue of a service.
     pub(super) fn queue(&self, service: &str) -> Rc<TurnQueue> {
         let mut queues = self.queues.borrow_mut();
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -5,9 +5,11 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::Duration;
 
+use common::store::MemoryStore;
 use common::target::{Manner, TestTarget, header};
-use common::{declarations, exchange, gateway_of, route, wait_until};
+use common::{TestGateway, declarations, entry, exchange, gateway_of, route, wait_until};
 use nickellead_gateway::{RepeatClass, RoutePart};
 
 #[test]
@@ -129,7 +131,7 @@
     store.declare(newer);
     wait_until("the new route is served", || gateway.ask("GET", "/added/", "").contains(" 200 "));
     store.declare(declarations(5));
-    std::thread::sleep(std::time::Duration::from_millis(600));
+    std::thread::sleep(Duration::from_millis(600));
     assert!(gateway.ask("GET", "/added/", "").contains(" 200 "));
 }
 
@@ -142,7 +144,7 @@
     let part = |service: &str, weight| RoutePart { service: service.to_owned(), weight };
     split.services.insert("second".to_owned(), split.services["plain"].clone());
     split.routes[0].parts = vec![part("plain", 90.0), part("second", 10.0)];
-    store.list(common::entry("t2", "second", other.address));
+    store.list(entry("t2", "second", other.address));
     store.declare(split);
     wait_until("the split is in force", || gateway.ask("GET", "/read/", "").ends_with("t2"));
     one.forget();
@@ -152,3 +154,30 @@
     }
     assert_eq!((one.seen().len(), other.seen().len()), (90, 10));
 }
+
+/// After a loss of power every VM refused for half a second, because its list of targets came later
+/// than its declarations.
+#[test]
+fn a_request_waits_for_the_first_list_of_targets() {
+    let target = TestTarget::start("t-1", Manner::Serves);
+    let store = MemoryStore::default();
+    let mut declared = declarations(1);
+    // Long enough for the gateway's pause between two reads of the list.
+    declared.routes.iter_mut().for_each(|route| route.latency_target = Duration::from_secs(4));
+    store.declare(declared);
+    let gateway = TestGateway::start("early", &store);
+    wait_until("the declarations are known", || {
+        gateway.ask("GET", "/nowhere/", "").starts_with("HTTP/1.1 404")
+    });
+    assert!(
+        exchange(gateway.readiness, "GET /ready HTTP/1.1\r\nhost: a\r\n\r\n").contains(" 503 ")
+    );
+    let answer = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| gateway.ask("GET", "/read/a", ""));
+        std::thread::sleep(Duration::from_millis(60));
+        store.list(entry(&target.id, "plain", target.address));
+        asked.join().unwrap()
+    });
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    gateway.wait_ready();
+}
