Requests to a target out of reach are refused at once

After two connections in a row that met silence one request in 0.3 s tries; the others are told target-unreachable with when to come back. The test failed before.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -28,6 +28,12 @@
 const REST_UNSAFE: Duration = Duration::from_millis(4_000);
 /// Longest time to open a connection: a lost opening packet is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Connections in a row that met silence from which a target counts as out of reach: one may be a
+/// lost packet.
+const SILENCES_OUT: u32 = 2;
+/// Between two connections that are tried towards a target out of reach; requests meanwhile are told
+/// at once.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// The system gives a connection up when the peer is silent for this long.
 const SILENCE_MAX: Duration = Duration::from_secs(3);
 
@@ -60,6 +66,10 @@
     close: CloseMode,
     resting: RefCell<Vec<RestingConnection>>,
     opened: Cell<u64>,
+    /// Connections in a row that met silence.
+    silences: Cell<u32>,
+    /// When the last connection was tried.
+    tried: Cell<Option<Instant>>,
 }
 
 /// Why no connection could be had.
@@ -96,15 +106,32 @@
         if let Some(sender) = self.take_resting(repeat) {
             return Ok(ReadyConnection { sender, reused: true });
         }
+        if self.is_out_of_reach() {
+            return Err(ConnectFailure::Silent);
+        }
+        self.tried.set(Some(Instant::now()));
         self.opened.set(self.opened.get() + 1);
+        let whole = wait >= CONNECT_TIMEOUT;
         let opening = tokio::time::timeout(wait.min(CONNECT_TIMEOUT), open(address, self.close));
-        match opening.await {
+        let opened = opening.await;
+        match &opened {
+            Ok(_) => self.silences.set(0),
+            // A caller with little time left proves nothing.
+            Err(_) => self.silences.set(self.silences.get().saturating_add(u32::from(whole))),
+        }
+        match opened {
             Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
             Ok(Err(_)) => Err(ConnectFailure::Refused),
             Err(_) => Err(ConnectFailure::Silent),
         }
     }
 
+    /// Whether the last connections met silence and the next one is not due yet.
+    fn is_out_of_reach(&self) -> bool {
+        let waits = self.tried.get().is_some_and(|tried| tried.elapsed() < PROBE_PAUSE);
+        self.silences.get() >= SILENCES_OUT && waits
+    }
+
     fn take_resting(&self, repeat: RepeatClass) -> Option<RequestSender> {
         let most = match repeat {
             RepeatClass::Safe => REST_MAX,
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -34,7 +34,11 @@
                 NextStep::Again => {}
             }
             if !self.take_retry(planned, &part.service, &state) {
-                return finish(state, ErrorKind::TargetBusy);
+                let kind = match state.sent {
+                    0 => ErrorKind::TargetUnreachable,
+                    _ => ErrorKind::TargetBusy,
+                };
+                return finish(state, kind);
             }
             self.metrics.retries.inc();
         }
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -5,7 +5,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::store::MemoryStore;
 use common::target::{Manner, TestTarget, header};
@@ -181,3 +181,40 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     gateway.wait_ready();
 }
+
+/// A target whose machine takes no more connections, and what keeps it so.
+fn full_listener() -> (socket2::Socket, std::net::SocketAddr, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let filler = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let fillers = (0..4).filter_map(|_| filler()).collect();
+    (socket, address, fillers)
+}
+
+/// A zone was cut off, and each request for a key in it was held for 1.6 seconds before it was refused.
+#[test]
+fn requests_to_a_target_out_of_reach_are_refused_at_once() {
+    let (_socket, address, _fillers) = full_listener();
+    let store = MemoryStore::default();
+    store.list(entry("t-1", "keyed", address));
+    store.declare(declarations(1));
+    let gateway = TestGateway::start("unreachable", &store);
+    gateway.wait_ready();
+    let settled =
+        |map: nickellead_range::RangeMap| map.find("keyed", 5).is_some_and(|range| range.settled);
+    wait_until("the key has an owner", || store.map().is_some_and(settled));
+    let ask = || gateway.ask("GET", "/key/a", "x-key: 5\r\n");
+    wait_until("the owner is known", || ask().contains("target-unreachable"));
+    let begun = Instant::now();
+    let next = ask();
+    assert!(next.contains("target-unreachable") && next.contains("retry-after"), "{next}");
+    // The connection that is tried next is one probe in 300 ms, of 400 ms.
+    assert!(begun.elapsed() < Duration::from_millis(600), "{:?}", begun.elapsed());
+    let begun = Instant::now();
+    let third = ask();
+    assert!(third.contains("target-unreachable"), "{third}");
+    assert!(begun.elapsed() < Duration::from_millis(600), "{:?}", begun.elapsed());
+}
