--- a/crates/nickellead_report/src/explain.rs
+++ b/crates/nickellead_report/src/explain.rs
@@ -98,7 +98,10 @@
     let targets = involved_targets(&story.lines);
     story.context = find_context(&near, &targets, failed.vm.as_deref());
     story.cause.extend(tell_targets(&story.lines, &targets, &near));
-    story.cause.extend(tell_decider(&story.context));
+    if failed.field("key").is_some() {
+        // Only owners of keys depend on who decides.
+        story.cause.extend(tell_decider(&story.context));
+    }
     story.cause.extend(tell_crowd(failed, &near));
 }
 
@@ -162,8 +165,10 @@
             let after = line.field("after_ms").unwrap_or("?");
             told.push(format!("the try at {target} ended after {after} ms: {reason}"));
         }
-        let left =
-            near.iter().filter(of_target).find(|line| line.event == EventName::TargetChanged);
+        let leaves = |line: &&&LogLine| {
+            line.event == EventName::TargetChanged && line.field("state") != Some("ready")
+        };
+        let left = near.iter().filter(of_target).find(leaves);
         if let Some(line) = left {
             let state = line.field("state").unwrap_or("?");
             told.push(format!("{target} was {state} from {:.3} s on", line.at));
