--- /dev/null
+++ b/crates/nickellead_range/tests/mandate.rs
@@ -0,0 +1,67 @@
+//! Who may take the mandate after an outage of the store, and what it then reckons with.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
+use nickellead_range::{
+    MANDATE_MARGIN, MANDATE_TIME, MandateRecord, MandateState, RETURN_PRECEDENCE, Revision, Stored,
+};
+
+fn record(vm: &str, vacant: bool) -> Stored<MandateRecord> {
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let value = MandateRecord {
+        vm: vm.to_owned(),
+        address,
+        incarnation: 1,
+        renewals: 20,
+        taken: 1,
+        vacant,
+    };
+    Stored { revision: Revision(5), value }
+}
+
+/// A standby that has seen the mandate as it is at 1,000 ms.
+fn standby(seen: Stored<MandateRecord>) -> MandateState {
+    let address = ([127, 0, 0, 1], 9_001).into();
+    let mut mandate = MandateState::new("vm-2".to_owned(), address, 2, Duration::ZERO);
+    mandate.note_read(Some(seen), Timestamp(1_000));
+    mandate
+}
+
+/// Takes the mandate at `now`; it must be free.
+fn take(mandate: &mut MandateState, now: Timestamp) {
+    let write = mandate.due_write(now).unwrap();
+    assert!(mandate.note_written(&write, Some(Revision(6)), now, now));
+}
+
+#[test]
+fn after_an_outage_the_last_holder_goes_first() {
+    let mut mandate = standby(record("vm-1", false));
+    let ran_out = Timestamp(1_000) + MANDATE_TIME + MANDATE_MARGIN;
+    assert!(mandate.due_write(ran_out).is_some(), "without an outage it is free at once");
+    let away = Timestamp(9_000);
+    mandate.note_unreached(away);
+    assert!(mandate.due_write(away + Duration::from_millis(100)).is_none());
+    assert!(mandate.due_write(away + RETURN_PRECEDENCE).is_some());
+}
+
+#[test]
+fn a_successor_reckons_with_late_orders_that_could_not_be_written_down() {
+    let mut mandate = standby(record("vm-1", false));
+    mandate.note_unreached(Timestamp(9_000));
+    take(&mut mandate, Timestamp(9_000) + RETURN_PRECEDENCE);
+    assert!(mandate.predecessors().lateness_unknown);
+}
+
+#[test]
+fn without_an_outage_or_after_a_hand_over_it_does_not() {
+    let ran_out = Timestamp(1_000) + MANDATE_TIME + MANDATE_MARGIN;
+    let mut mandate = standby(record("vm-1", false));
+    take(&mut mandate, ran_out);
+    assert!(!mandate.predecessors().lateness_unknown);
+    let mut mandate = standby(record("vm-1", true));
+    mandate.note_unreached(Timestamp(9_000));
+    take(&mut mandate, Timestamp(9_000) + RETURN_PRECEDENCE);
+    assert!(!mandate.predecessors().lateness_unknown);
+}
