--- a/crates/nickellead_range/src/plan.rs
+++ b/crates/nickellead_range/src/plan.rs
@@ -38,6 +38,8 @@
 /// A receiver must stay below this part of the load that its giver has: else a heavy key would only
 /// carry the overload over.
 const RECEIVER_PART: f64 = 0.8;
+/// The same for a key that is alone already: measured speeds vary, and it must not move to and fro.
+const LONE_KEY_PART: f64 = 0.6;
 /// Least part of the load wanted that is worth a move.
 const PIECE_LEAST: f64 = 0.2;
 
@@ -120,14 +122,29 @@
     };
     let mut givers: Vec<usize> = (0..loads.len()).filter(overloaded).collect();
     givers.sort_by(|a, b| loads[*b].total_cmp(&loads[*a]));
-    let to = &candidates[lightest].holder;
-    let proposal = givers.into_iter().filter(|giver| *giver != lightest).find_map(|giver| {
-        let excess = (loads[giver] - 1.0) * fair[giver];
-        let room = (1.0 - loads[lightest]) * fair[lightest];
-        let most = (loads[giver] * RECEIVER_PART - loads[lightest]) * fair[lightest];
-        let wanted = PieceWanted { load: excess.min(room), most };
-        relieve(ranges, load, &candidates[giver].holder, to, wanted)
-    })?;
+    let (giver, first, last) =
+        givers.into_iter().filter(|giver| *giver != lightest).find_map(|giver| {
+            let excess = (loads[giver] - 1.0) * fair[giver];
+            let room = (1.0 - loads[lightest]) * fair[lightest];
+            let most = |part: f64| {
+                let bearable = |place: usize| (loads[giver] * part - loads[place]) * fair[place];
+                (0..loads.len()).map(bearable).fold(0.0, f64::max)
+            };
+            let wanted = PieceWanted {
+                load: excess.min(room),
+                most: most(RECEIVER_PART),
+                lone_key: most(LONE_KEY_PART),
+            };
+            let (first, last) = find_piece(ranges, load, &candidates[giver].holder, wanted)?;
+            Some((giver, first, last))
+        })?;
+    // A piece heavier than the lightest target has room for weighs less on a faster one.
+    let carried = weigh(load, first, last);
+    let after = |place: usize| loads[place] + carried / fair[place];
+    let receiver = (0..candidates.len())
+        .filter(|place| *place != giver)
+        .min_by(|a, b| after(*a).total_cmp(&after(*b)))?;
+    let proposal = MoveProposal { first, last, to: candidates[receiver].holder.clone() };
     apply_move(ranges, &proposal);
     Some(proposal)
 }
@@ -139,21 +156,21 @@
     load: f64,
     /// The greatest load that still helps.
     most: f64,
+    /// The same for a key that has a range of its own already.
+    lone_key: f64,
 }
 
-/// The move of a piece from one target to another, off its heaviest range that has a fitting one.
-fn relieve(
+/// A piece of a target's keys, off its heaviest range that has a fitting one.
+fn find_piece(
     ranges: &[RangeRecord],
     load: &KeyLoad,
     from: &HolderRecord,
-    to: &HolderRecord,
     wanted: PieceWanted,
-) -> Option<MoveProposal> {
+) -> Option<(u16, u16)> {
     let owned = |range: &&RangeRecord| range.settled && range.owner.as_ref() == Some(from);
     let mut sources: Vec<&RangeRecord> = ranges.iter().filter(owned).collect();
     sources.sort_by(|a, b| weigh(load, b.first, b.last).total_cmp(&weigh(load, a.first, a.last)));
-    let (first, last) = sources.into_iter().find_map(|source| cut_piece(source, load, wanted))?;
-    Some(MoveProposal { first, last, to: to.clone() })
+    sources.into_iter().find_map(|source| cut_piece(source, load, wanted))
 }
 
 /// The run of keys at one end of a range whose load is nearest to the wanted one.
@@ -163,7 +180,8 @@
     if wanted.load <= 0.0 {
         return None;
     }
-    if weigh(load, first, last) <= wanted.load * WHOLE_SLACK {
+    let whole = weigh(load, first, last);
+    if whole <= wanted.load * WHOLE_SLACK || (first == last && whole <= wanted.lone_key) {
         return Some((first, last));
     }
     let middle = first + (last - first) / 2;
--- a/crates/nickellead_range/tests/plans.rs
+++ b/crates/nickellead_range/tests/plans.rs
@@ -100,3 +100,22 @@
     assert!(moves.iter().any(|one| one.first < 20_200 && 20_000 <= one.last), "{moves:?}");
     assert!(moves.iter().all(|one| one.first > 0), "the heavy key stays: {moves:?}");
 }
+
+/// The lightest target may be a slow one, which one hot key would hold up longest.
+#[test]
+fn a_hot_key_goes_to_the_target_that_bears_it_best() {
+    let mut load = KeyLoad::default();
+    (0..=u16::MAX).step_by(64).for_each(|key| load.note(key, 1));
+    load.note(40, 4_000);
+    let mut able = candidates(10);
+    // Slow and without any load, so the lightest; number 9 is three times as fast as the others.
+    able[4].capacity = 0.5;
+    able[9].capacity = 3.0;
+    let mut owned = ranges(10);
+    owned[4].owner = Some(holder(5));
+    owned[0].last = 40;
+    owned[0].first = 40;
+    let moves = plan_moves(&owned, &able, &load, 1);
+    let wanted = nickellead_range::MoveProposal { first: 40, last: 40, to: holder(9) };
+    assert_eq!(moves, [wanted]);
+}
