Requests for keys without an owner are refused at once after a while

A range that had nobody to be asked for a second is refused at once with when to come back; others wait 0.4 s over all tries and at most 0.45 of the caller's time. The test failed before. The keys themselves wait so long because four VMs held the mandate in 17 s and each counts every hold anew while orders are late: open.

--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -8,12 +8,17 @@
 use nickellead_limit::TurnQueue;
 use nickellead_time::BootClock;
 
-use super::{RETURN_TIME, RequestWorker, TryState};
+use super::{RequestWorker, TryState};
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
 
-/// Longest wait for a range that is on the move, or for its next owner.
+/// Longest wait for a range that is on the move, or for its next owner, over all tries.
 const MOVE_WAIT: Duration = Duration::from_millis(400);
+/// The same as a part of the time that the caller gives: it must be able to come back.
+const MOVE_WAIT_PART: f64 = 0.45;
+/// A range without an owner for longer is not on a planned move, which takes about the time of a
+/// request: it waits for a lost target's hold, seconds long, and requests for it are refused at once.
+const OWNERLESS_LONG: Duration = Duration::from_millis(1_000);
 /// Part of the latency target that a request may wait for a target with room.
 const WAIT_PART: f64 = 0.4;
 
@@ -129,7 +134,11 @@
         key: u16,
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
-        let wait = MOVE_WAIT.min(planned.left().saturating_sub(RETURN_TIME * 2));
+        if self.lacks_owner_for_long(service, key) {
+            return Err(ErrorKind::MoveTooLong);
+        }
+        let most = MOVE_WAIT.min((planned.until - planned.arrived).mul_f64(MOVE_WAIT_PART));
+        let wait = most.saturating_sub(planned.arrived.elapsed());
         let waiting = async {
             loop {
                 let changed = self.changed.notified();
@@ -143,6 +152,20 @@
         waited.map_err(|_| ErrorKind::MoveTooLong)
     }
 
+    /// Whether nobody could be asked for a key for so long that waiting is of no use.
+    fn lacks_owner_for_long(&self, service: &str, key: u16) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let Some(range) = beliefs.ranges.find(service, key) else { return false };
+        let owner = range.owner.as_ref().filter(|_| range.settled);
+        let mut ownerless = self.ownerless.borrow_mut();
+        if owner.is_some_and(|owner| beliefs.roster.find(&owner.id).is_some()) {
+            ownerless.remove(&range.fence);
+            return false;
+        }
+        let since = *ownerless.entry(range.fence).or_insert_with(Instant::now);
+        since.elapsed() >= OWNERLESS_LONG
+    }
+
     /// The settled owner of a key, unless it has just refused this request.
     fn owner(&self, service: &str, key: u16, state: &TryState) -> Option<Rc<TargetMember>> {
         let beliefs = self.beliefs.borrow();
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -87,6 +87,8 @@
     keys: LoadCounter,
     /// Requests that wait for any target of a service.
     queues: RefCell<HashMap<String, Rc<TurnQueue>>>,
+    /// Ranges that nobody could be asked for, by fence, and since when.
+    ownerless: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
     metrics: GatewayMetrics,
 }
@@ -136,6 +138,7 @@
             rng: RefCell::new(fastrand::Rng::new()),
             keys: parts.keys,
             queues: RefCell::default(),
+            ownerless: RefCell::default(),
             drain: parts.drain,
             metrics: parts.metrics,
         })
@@ -167,6 +170,8 @@
     /// Takes over the map of ranges.
     pub(crate) fn set_ranges(&self, ranges: Arc<RangeMap>) {
         {
+            let fences: HashSet<u64> = ranges.fences().collect();
+            self.ownerless.borrow_mut().retain(|fence, _| fences.contains(fence));
             let mut beliefs = self.beliefs.borrow_mut();
             beliefs.ranges = ranges;
             beliefs.taken.ranges = Instant::now();
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -9,7 +9,7 @@
 use common::target::{Manner, TestTarget};
 use common::{TestGateway, declarations, entry, gateway_of, route, wait_until};
 use nickellead_gateway::RepeatClass;
-use nickellead_range::{OrderKind, OrderOutcome, RangeMap};
+use nickellead_range::{OrderKind, OrderOutcome, RangeMap, RangeRecord};
 
 fn settled(map: &RangeMap) -> bool {
     map.services.get("keyed").is_some_and(|ranges| ranges.iter().all(|range| range.settled))
@@ -144,3 +144,29 @@
     let answer = gateway.ask("GET", "/read/", "");
     assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after"), "{answer}");
 }
+
+/// Each request for a lost target's keys was held for 0.4 s, though its hold has seconds to run.
+#[test]
+fn requests_for_keys_without_an_owner_are_refused_at_once_after_a_while() {
+    let (gateway, store, _targets) = keyed("vm-ownerless");
+    store.set_outcome("k2", OrderOutcome::NotSent);
+    store.unlist("k2");
+    let lost = |map: RangeMap| {
+        let unsettled = |range: &&RangeRecord| !range.settled;
+        map.services["keyed"].iter().find(unsettled).map(|range| range.first)
+    };
+    wait_until("keys wait for a hold", || store.map().and_then(lost).is_some());
+    let key = store.map().and_then(lost).unwrap();
+    let ask = || {
+        let begun = std::time::Instant::now();
+        let answer = gateway.ask("GET", "/key/a", &format!("x-key: {key}\r\n"));
+        (answer, begun.elapsed())
+    };
+    let (answer, held) = ask();
+    assert!(answer.contains("move-too-long"), "{answer}");
+    assert!(held >= Duration::from_millis(300), "a planned move is waited for: {held:?}");
+    std::thread::sleep(Duration::from_millis(800));
+    let (answer, held) = ask();
+    assert!(answer.contains("move-too-long") && answer.contains("retry-after"), "{answer}");
+    assert!(held < Duration::from_millis(150), "{held:?}");
+}
--- a/crates/nickellead_range/src/map.rs
+++ b/crates/nickellead_range/src/map.rs
@@ -64,6 +64,11 @@
 }
 
 impl RangeMap {
+    /// The fences of all ranges.
+    pub fn fences(&self) -> impl Iterator<Item = u64> {
+        self.services.values().flatten().map(|range| range.fence)
+    }
+
     /// The range of a service that holds a key.
     #[must_use]
     pub fn find(&self, service: &str, key: u16) -> Option<&RangeRecord> {
