--- a/crates/nickellead_range/src/lib.rs
+++ b/crates/nickellead_range/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod mandate;
 mod map;
+mod piece;
 mod plan;
 mod stored;
 
--- a/crates/nickellead_range/src/plan.rs
+++ b/crates/nickellead_range/src/plan.rs
@@ -1,6 +1,6 @@
 //! Which ranges should move where.
 
-use crate::map::KEY_COUNT;
+use crate::piece::{PieceWanted, find_piece, weigh};
 use crate::{HolderRecord, KeyLoad, RangeRecord};
 
 /// A target that may own ranges.
@@ -35,25 +35,11 @@
 /// A target with less than this part of its fair share is a newcomer or idle: it is given something
 /// though the excess elsewhere may be chance.
 const IDLE_PART: f64 = 0.25;
-/// Weight of plain size: this many sampled requests are spread evenly over all keys.
-///
-/// It keeps a target without sampled requests from being given all silent keys.
-const SIZE_WEIGHT: f64 = 20.0;
-/// A range is moved whole when its load is at most this many times the load wanted.
-const WHOLE_SLACK: f64 = 1.2;
 /// A receiver must stay below this part of the load that its giver has: else a heavy key would only
 /// carry the overload over.
 const RECEIVER_PART: f64 = 0.8;
 /// The same for a key that is alone already: measured speeds vary, and it must not move to and fro.
 const LONE_KEY_PART: f64 = 0.6;
-/// Least part of the load wanted that is worth a move.
-const PIECE_LEAST: f64 = 0.2;
-
-/// Load of a run of keys: sampled requests and a small part for its size.
-fn weigh(load: &KeyLoad, first: u16, last: u16) -> f64 {
-    let size = f64::from(last - first) + 1.0;
-    load.between(first, last) + SIZE_WEIGHT * size / f64::from(KEY_COUNT)
-}
 
 /// Proposes at most `most` moves that relieve the most loaded targets.
 ///
@@ -77,32 +63,6 @@
     moves
 }
 
-/// The load that each candidate should have: the whole, divided by capacity.
-fn fair_shares(candidates: &[OwnerCandidate], load: &KeyLoad) -> Vec<f64> {
-    let total = weigh(load, 0, u16::MAX);
-    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    candidates.iter().map(|candidate| total * candidate.capacity / capacity).collect()
-}
-
-/// Load of each candidate in fair shares: 1.0 is what it should have.
-fn relative_loads(
-    ranges: &[RangeRecord],
-    candidates: &[OwnerCandidate],
-    load: &KeyLoad,
-) -> Vec<f64> {
-    let relative = |(candidate, fair): (&OwnerCandidate, f64)| {
-        let owned = ranges.iter().filter(|range| range.owner.as_ref() == Some(&candidate.holder));
-        let sum: f64 = owned.map(|range| weigh(load, range.first, range.last)).sum();
-        sum / fair
-    };
-    candidates.iter().zip(fair_shares(candidates, load)).map(relative).collect()
-}
-
-/// Place of the least load.
-fn lightest(loads: &[f64]) -> Option<usize> {
-    (0..loads.len()).min_by(|a, b| loads[*a].total_cmp(&loads[*b]))
-}
-
 /// The candidate with the least load beside its capacity.
 #[must_use]
 pub fn lightest_owner(
@@ -110,8 +70,88 @@
     candidates: &[OwnerCandidate],
     load: &KeyLoad,
 ) -> Option<HolderRecord> {
-    let loads = relative_loads(ranges, candidates, load);
-    Some(candidates[lightest(&loads)?].holder.clone())
+    let loads = CandidateLoads::new(ranges, candidates, load);
+    Some(candidates[loads.lightest()?].holder.clone())
+}
+
+/// Loads and fair shares of all candidates, by place in their list.
+struct CandidateLoads {
+    /// The load that each should have: its part of the whole by capacity.
+    fair: Vec<f64>,
+    /// The load that each has, in fair shares: 1.0 is what it should have.
+    relative: Vec<f64>,
+}
+
+impl CandidateLoads {
+    fn new(ranges: &[RangeRecord], candidates: &[OwnerCandidate], load: &KeyLoad) -> Self {
+        let fair = fair_shares(candidates, load);
+        let owned = candidates.iter().map(|candidate| owned_load(ranges, candidate, load));
+        let relative = owned.zip(&fair).map(|(owned, fair)| owned / fair).collect();
+        Self { fair, relative }
+    }
+
+    /// Place of the least loaded candidate.
+    fn lightest(&self) -> Option<usize> {
+        (0..self.relative.len()).min_by(|a, b| self.relative[*a].total_cmp(&self.relative[*b]))
+    }
+
+    /// Places of the candidates to relieve, the most loaded one first.
+    fn givers(&self, lightest: usize) -> Vec<usize> {
+        let idle = self.relative[lightest] < IDLE_PART;
+        let places = (0..self.relative.len()).filter(|place| *place != lightest);
+        let mut givers: Vec<usize> = places.filter(|place| self.overloaded(*place, idle)).collect();
+        givers.sort_by(|a, b| self.relative[*b].total_cmp(&self.relative[*a]));
+        givers
+    }
+
+    /// Whether a candidate has so much more than its share that a move is worth it; `idle` tells
+    /// that another one has next to nothing.
+    fn overloaded(&self, place: usize, idle: bool) -> bool {
+        let (load, fair) = (self.relative[place], self.fair[place]);
+        let sure = idle || (load - 1.0) * fair >= DEVIATIONS_LEAST * fair.sqrt();
+        load >= RELIEF_RATIO && load * fair >= SAMPLES_LEAST && sure
+    }
+
+    /// How much load a move from `giver` should carry.
+    fn piece_wanted(&self, giver: usize, lightest: usize) -> PieceWanted {
+        let excess = (self.relative[giver] - 1.0) * self.fair[giver];
+        let room = (1.0 - self.relative[lightest]) * self.fair[lightest];
+        PieceWanted {
+            load: excess.min(room),
+            most: self.bearable(giver, RECEIVER_PART),
+            lone_key: self.bearable(giver, LONE_KEY_PART),
+        }
+    }
+
+    /// The greatest load with which some receiver stays below this part of the giver's.
+    fn bearable(&self, giver: usize, part: f64) -> f64 {
+        let limit = self.relative[giver] * part;
+        let room = |place: usize| (limit - self.relative[place]) * self.fair[place];
+        (0..self.relative.len()).map(room).fold(0.0, f64::max)
+    }
+
+    /// Place of the candidate that is the least loaded once it carries a piece of the giver's too.
+    ///
+    /// A piece heavier than the lightest target has room for weighs less on a faster one.
+    fn receiver(&self, giver: usize, carried: f64) -> Option<usize> {
+        let after = |place: usize| self.relative[place] + carried / self.fair[place];
+        (0..self.relative.len())
+            .filter(|place| *place != giver)
+            .min_by(|a, b| after(*a).total_cmp(&after(*b)))
+    }
+}
+
+/// The load that each candidate should have: its part of the whole by capacity.
+fn fair_shares(candidates: &[OwnerCandidate], load: &KeyLoad) -> Vec<f64> {
+    let total = weigh(load, 0, u16::MAX);
+    let capacity: f64 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    candidates.iter().map(|candidate| total * candidate.capacity / capacity).collect()
+}
+
+/// Load of all ranges that a candidate owns.
+fn owned_load(ranges: &[RangeRecord], candidate: &OwnerCandidate, load: &KeyLoad) -> f64 {
+    let owned = ranges.iter().filter(|range| range.owner.as_ref() == Some(&candidate.holder));
+    owned.map(|range| weigh(load, range.first, range.last)).sum()
 }
 
 /// The one move that relieves the most loaded target that can be; `ranges` are then as after it.
@@ -120,101 +160,20 @@
     candidates: &[OwnerCandidate],
     load: &KeyLoad,
 ) -> Option<MoveProposal> {
-    let loads = relative_loads(ranges, candidates, load);
-    let fair = fair_shares(candidates, load);
-    let lightest = lightest(&loads)?;
-    let idle = loads[lightest] < IDLE_PART;
-    let overloaded = |place: &usize| {
-        let (load, fair) = (loads[*place], fair[*place]);
-        let sure = idle || (load - 1.0) * fair >= DEVIATIONS_LEAST * fair.sqrt();
-        load >= RELIEF_RATIO && load * fair >= SAMPLES_LEAST && sure
-    };
-    let mut givers: Vec<usize> = (0..loads.len()).filter(overloaded).collect();
-    givers.sort_by(|a, b| loads[*b].total_cmp(&loads[*a]));
-    let (giver, first, last) =
-        givers.into_iter().filter(|giver| *giver != lightest).find_map(|giver| {
-            let excess = (loads[giver] - 1.0) * fair[giver];
-            let room = (1.0 - loads[lightest]) * fair[lightest];
-            let most = |part: f64| {
-                let bearable = |place: usize| (loads[giver] * part - loads[place]) * fair[place];
-                (0..loads.len()).map(bearable).fold(0.0, f64::max)
-            };
-            let wanted = PieceWanted {
-                load: excess.min(room),
-                most: most(RECEIVER_PART),
-                lone_key: most(LONE_KEY_PART),
-            };
-            let (first, last) = find_piece(ranges, load, &candidates[giver].holder, wanted)?;
-            Some((giver, first, last))
-        })?;
-    // A piece heavier than the lightest target has room for weighs less on a faster one.
-    let carried = weigh(load, first, last);
-    let after = |place: usize| loads[place] + carried / fair[place];
-    let receiver = (0..candidates.len())
-        .filter(|place| *place != giver)
-        .min_by(|a, b| after(*a).total_cmp(&after(*b)))?;
+    let loads = CandidateLoads::new(ranges, candidates, load);
+    let lightest = loads.lightest()?;
+    let givers = loads.givers(lightest);
+    let (giver, first, last) = givers.into_iter().find_map(|giver| {
+        let wanted = loads.piece_wanted(giver, lightest);
+        let (first, last) = find_piece(ranges, load, &candidates[giver].holder, wanted)?;
+        Some((giver, first, last))
+    })?;
+    let receiver = loads.receiver(giver, weigh(load, first, last))?;
     let proposal = MoveProposal { first, last, to: candidates[receiver].holder.clone() };
     apply_move(ranges, &proposal);
     Some(proposal)
 }
 
-/// How much load a move should carry.
-#[derive(Clone, Copy)]
-struct PieceWanted {
-    /// The best load.
-    load: f64,
-    /// The greatest load that still helps.
-    most: f64,
-    /// The same for a key that has a range of its own already.
-    lone_key: f64,
-}
-
-/// A piece of a target's keys, off its heaviest range that has a fitting one.
-fn find_piece(
-    ranges: &[RangeRecord],
-    load: &KeyLoad,
-    from: &HolderRecord,
-    wanted: PieceWanted,
-) -> Option<(u16, u16)> {
-    let owned = |range: &&RangeRecord| range.settled && range.owner.as_ref() == Some(from);
-    let mut sources: Vec<&RangeRecord> = ranges.iter().filter(owned).collect();
-    sources.sort_by(|a, b| weigh(load, b.first, b.last).total_cmp(&weigh(load, a.first, a.last)));
-    sources.into_iter().find_map(|source| cut_piece(source, load, wanted))
-}
-
-/// The run of keys at one end of a range whose load is nearest to the wanted one.
-fn cut_piece(source: &RangeRecord, load: &KeyLoad, wanted: PieceWanted) -> Option<(u16, u16)> {
-    let (first, last) = (source.first, source.last);
-    let mut pieces = Vec::new();
-    if wanted.load <= 0.0 {
-        return None;
-    }
-    let whole = weigh(load, first, last);
-    if whole <= wanted.load * WHOLE_SLACK || (first == last && whole <= wanted.lone_key) {
-        return Some((first, last));
-    }
-    let middle = first + (last - first) / 2;
-    // The key at which a piece gets heavy enough, with it and without it.
-    let head = load.reach(first, last, wanted.load).unwrap_or(middle);
-    pieces.extend([head.checked_sub(1), Some(head)].into_iter().flatten().map(|end| (first, end)));
-    let rest = load.between(first, last) - wanted.load;
-    let tail = load.reach(first, last, rest).unwrap_or(middle);
-    pieces
-        .extend([Some(tail), tail.checked_add(1)].into_iter().flatten().map(|start| (start, last)));
-    pieces.retain(|(start, end)| first <= *start && start <= end && *end <= last);
-    pieces.retain(|(start, end)| (*start, *end) != (first, last));
-    let fits = |(start, end): &(u16, u16)| {
-        let carried = weigh(load, *start, *end);
-        wanted.load * PIECE_LEAST <= carried && carried <= wanted.most
-    };
-    // Of two pieces alike, the one with fewer keys: moves are paid for by keys.
-    let distance = |(start, end): &(u16, u16)| {
-        let keys = f64::from(end - start) / f64::from(KEY_COUNT);
-        (weigh(load, *start, *end) - wanted.load).abs() / wanted.load + keys
-    };
-    pieces.into_iter().filter(fits).min_by(|a, b| distance(a).total_cmp(&distance(b)))
-}
-
 /// Splits ranges at the edges of a move and gives the piece to its new owner.
 fn apply_move(ranges: &mut Vec<RangeRecord>, proposal: &MoveProposal) {
     split_at(ranges, proposal.first);
