--- a/crates/nickellead_report/src/lib.rs
+++ b/crates/nickellead_report/src/lib.rs
@@ -5,6 +5,8 @@
 //! and [`report_burn`] counts how fast each route spends what its objective allows.
 
 mod burn;
+mod cause;
+mod context;
 mod explain;
 mod line;
 
