--- a/crates/nickellead_soak/src/lib.rs
+++ b/crates/nickellead_soak/src/lib.rs
@@ -10,14 +10,18 @@
 //! in the product goes by the time of day. The product keeps nothing on disks,
 //! so the storage that misbehaves is the platform's.
 
+mod address;
+mod error;
 mod fleet;
 mod link;
 mod process;
 mod round;
 mod schedule;
 
+pub use address::free_address;
+pub use error::SoakError;
 pub use fleet::{FleetSize, SoakFleet};
 pub use link::{FaultLink, LinkFault, LinkHost};
-pub use process::{SoakError, SoakProcess, free_address};
+pub use process::SoakProcess;
 pub use round::{RoundReport, RoundSettings, play_round};
 pub use schedule::{Fault, ScheduledFault, draw_schedule};
--- a/crates/nickellead_soak/src/process.rs
+++ b/crates/nickellead_soak/src/process.rs
@@ -1,48 +1,16 @@
 //! Processes that a round started; it signals and ends no others.
 
-use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
-use thiserror::Error;
+
+use crate::SoakError;
 
 /// Between two looks whether a process has ended.
 const EXIT_LOOK: Duration = Duration::from_millis(20);
 
-/// Why a round can't be played.
-#[derive(Debug, Error)]
-pub enum SoakError {
-    /// A process can't be started.
-    #[error("{program} can't be started: {reason}; build it with `cargo build --release`")]
-    Start {
-        /// The program.
-        program: String,
-        /// The system's word.
-        reason: std::io::Error,
-    },
-    /// The system refused a file, a socket or a thread.
-    #[error("the system refused {what}: {reason}")]
-    System {
-        /// What was asked of it.
-        what: &'static str,
-        /// Its word.
-        reason: std::io::Error,
-    },
-    /// The fleet did not get into a state in time, while nothing was disturbed.
-    #[error("not reached in calm: {0}")]
-    NotReached(String),
-}
-
-impl SoakError {
-    /// Names what the system refused.
-    pub(crate) fn system(what: &'static str) -> impl FnOnce(std::io::Error) -> Self {
-        move |reason| Self::System { what, reason }
-    }
-}
-
 /// One process; it is killed when dropped.
 #[derive(Debug)]
 pub struct SoakProcess {
@@ -97,27 +65,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// An address on the loopback that nobody listens on, given out once in this process.
-///
-/// Below the range that outgoing connections take their ports from.
-///
-/// # Errors
-/// The system's refusal, after a whole round of ports.
-pub fn free_address() -> Result<SocketAddr, SoakError> {
-    const FIRST: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-    static TAKEN: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(211) % COUNT;
-    let mut refused = None;
-    for _ in 0..COUNT {
-        let offset = (start + TAKEN.fetch_add(1, Ordering::Relaxed)) % COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(error) => refused = Some(error),
-        }
-    }
-    let reason = refused.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into());
-    Err(SoakError::System { what: "a port", reason })
-}
--- a/crates/nickellead_soak/src/round.rs
+++ b/crates/nickellead_soak/src/round.rs
@@ -6,7 +6,7 @@
 
 use nickellead_standin::{LoadReport, LoadSettings, Verdict, judge, run_load};
 
-use crate::{Fault, FleetSize, SoakError, SoakFleet, draw_schedule};
+use crate::{Fault, FleetSize, ScheduledFault, SoakError, SoakFleet, draw_schedule};
 
 /// Between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(20);
@@ -89,41 +89,65 @@
     SoakError::NotReached(what.to_owned())
 }
 
+/// The moment at which a fault begins or ends.
+struct FaultEdge {
+    at: Duration,
+    fault: Fault,
+    begins: bool,
+}
+
+/// Begins and ends of all faults, in order of time.
+fn order_edges(schedule: &[ScheduledFault]) -> Vec<FaultEdge> {
+    let both = |one: &ScheduledFault| {
+        [(one.at, true), (one.until, false)].map(|(at, begins)| FaultEdge {
+            at,
+            fault: one.fault,
+            begins,
+        })
+    };
+    let mut edges: Vec<FaultEdge> = schedule.iter().flat_map(both).collect();
+    edges.sort_by_key(|edge| edge.at);
+    edges
+}
+
 /// Plays all faults, and looks meanwhile at what targets recorded; gives how many were played.
 fn play_faults(fleet: &mut SoakFleet, settings: &RoundSettings) -> Result<usize, SoakError> {
     let schedule = draw_schedule(settings.seed, settings.size, settings.length);
-    let mut events: Vec<(Duration, bool, Fault)> = Vec::new();
-    for one in &schedule {
-        events.push((one.at, true, one.fault));
-        events.push((one.until, false, one.fault));
-    }
-    events.sort_by_key(|(at, _, _)| *at);
     let start = Instant::now();
-    let mut running: HashMap<String, usize> = HashMap::new();
     let mut checked = start;
-    for (at, begins, fault) in events {
-        while start.elapsed() < at {
+    let mut running: HashMap<String, usize> = HashMap::new();
+    for edge in order_edges(&schedule) {
+        while start.elapsed() < edge.at {
             std::thread::sleep(LOOK);
             if checked.elapsed() >= CHECK {
                 checked = Instant::now();
                 check_so_far(fleet)?;
             }
         }
-        // A fault that is played twice at once ends with its last end.
-        let count = running.entry(kind_of(fault)).or_default();
-        if begins {
-            *count += 1;
-            fleet.begin(fault)?;
-        } else {
-            *count -= 1;
-            if *count == 0 {
-                fleet.end(fault)?;
-            }
-        }
+        play_edge(fleet, &edge, running.entry(kind_of(edge.fault)).or_default())?;
     }
     Ok(schedule.len())
 }
 
+/// Begins or ends a fault; `running` counts those of its kind.
+///
+/// A fault that is played twice at once ends with its last end.
+fn play_edge(
+    fleet: &mut SoakFleet,
+    edge: &FaultEdge,
+    running: &mut usize,
+) -> Result<(), SoakError> {
+    if edge.begins {
+        *running += 1;
+        return fleet.begin(edge.fault);
+    }
+    *running -= 1;
+    match *running {
+        0 => fleet.end(edge.fault),
+        _ => Ok(()),
+    }
+}
+
 /// Faults of one kind at one place replace each other.
 fn kind_of(fault: Fault) -> String {
     match fault {
@@ -142,10 +166,11 @@
     let verdict = judge(&fleet.effects()?, &LoadReport::default());
     match verdict.is_clean() {
         true => Ok(()),
-        false => Err(SoakError::NotReached(format!("promises kept so far: {verdict:?}"))),
+        false => Err(not_reached(&format!("promises kept so far: {verdict:?}"))),
     }
 }
 
+/// Sends a load on a thread of its own.
 fn start_load(settings: LoadSettings) -> std::thread::JoinHandle<LoadReport> {
     std::thread::spawn(move || match actix_rt::Runtime::new() {
         Ok(runtime) => runtime.block_on(run_load(settings)),
