--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -1,6 +1,6 @@
 //! Building one gateway VM out of its duties, and stopping it.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -74,11 +74,7 @@
     S: StorePort,
     O: OrderPort,
 {
-    let callers = listen("callers_address", settings.callers_address)?;
-    let readiness = listen("readiness_address", settings.readiness_address)?;
-    let peers = listen("peers_address", settings.peers_address)?;
-    let figures = settings.metrics_address.map(|address| listen("metrics_address", address));
-    let figures = figures.transpose()?;
+    let sockets = NodeSockets::bind(&settings)?;
     let (senders, receivers) = join_beliefs();
     let keys = LoadCounter::default();
     let state = Arc::new(ServeState::default());
@@ -92,9 +88,9 @@
         zone: settings.zone.clone(),
         retry_burst: settings.retry_burst,
         connections: settings.connections,
-        callers,
-        readiness,
-        metrics: figures,
+        callers: sockets.callers,
+        readiness: sockets.readiness,
+        metrics: sockets.metrics,
         control_metrics: metrics.clone(),
         beliefs: receivers,
         keys: keys.clone(),
@@ -112,14 +108,35 @@
         keys,
         metrics,
     };
-    let control = control::start(parts, peers, stopped, ports)?;
+    let control = control::start(parts, sockets.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
     log_event(EventName::NodeStarted, &pairs);
     Ok(GatewayHandle { settings, state, drain, stopping, requests, control })
 }
 
-fn listen(field: &'static str, address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
+/// The sockets that one VM listens on.
+struct NodeSockets {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl NodeSockets {
+    /// Binds all of them, or none.
+    fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
+        let metrics = |address| listen("metrics_address", address);
+        Ok(Self {
+            callers: listen("callers_address", settings.callers_address)?,
+            readiness: listen("readiness_address", settings.readiness_address)?,
+            peers: listen("peers_address", settings.peers_address)?,
+            metrics: settings.metrics_address.map(metrics).transpose()?,
+        })
+    }
+}
+
+fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
     bind_listener(address).map_err(|reason| GatewayError::Address { field, address, reason })
 }
 
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -9,7 +9,7 @@
 use nickellead_event::{ANSWERED_SAMPLE, EventName, log_event};
 use nickellead_proxy::{error_response, is_connection_header};
 
-use super::RequestWorker;
+use super::{RequestWorker, WorkerBeliefs};
 use crate::RoutePart;
 use crate::exchange::TargetAnswer;
 use crate::incoming::PlannedRequest;
@@ -85,16 +85,12 @@
             ("config_age_ms", &ages[0]),
             ("targets_age_ms", &ages[1]),
         ];
-        let divided = |part: &&RoutePart| beliefs.divided.contains(&part.service);
-        let service = planned.route.rule.parts.iter().find(divided).map(|part| &part.service);
-        let range =
-            service.zip(planned.key).map(|(service, key)| beliefs.ranges.find(service, key));
-        if let Some(key) = planned.key.as_ref().filter(|_| service.is_some()) {
+        if let Some((service, key)) = divided_key(&beliefs, planned) {
             pairs.extend([("key", key as &dyn std::fmt::Display), ("ranges_age_ms", &ages[2])]);
-        }
-        if let Some(Some(range)) = range {
-            pairs.push(("fence", &range.fence));
-            pairs.extend(range.owner.iter().map(|owner| ("owner", &owner.id as _)));
+            if let Some(range) = beliefs.ranges.find(service, *key) {
+                pairs.push(("fence", &range.fence));
+                pairs.extend(range.owner.iter().map(|owner| ("owner", &owner.id as _)));
+            }
         }
         log_event(EventName::RequestFailed, &pairs);
     }
@@ -115,6 +111,17 @@
     }
 }
 
+/// The key that decides the owner, with the service whose keys have owners; `None` if nothing
+/// depends on them.
+fn divided_key<'a>(
+    beliefs: &WorkerBeliefs,
+    planned: &'a PlannedRequest,
+) -> Option<(&'a str, &'a u16)> {
+    let divided = |part: &&RoutePart| beliefs.divided.contains(&part.service);
+    let part = planned.route.rule.parts.iter().find(divided)?;
+    Some((&part.service, planned.key.as_ref()?))
+}
+
 /// After which time a caller is asked to come back, if at all: well within the time it has left.
 fn come_back_time(kind: ErrorKind, planned: Option<&PlannedRequest>) -> Option<Duration> {
     let usual = Duration::from_millis(u64::from(kind.answer().retry_after_ms?));
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -24,45 +24,39 @@
         result: TryResult,
         length: Duration,
     ) -> NextStep {
-        let now = BootClock.now();
-        state.tried.push(member.id.clone());
+        self.learn(member, &result, length);
+        count_try(state, member, &result);
+        if let Some(reason) = retry_reason(&result) {
+            log_retry(planned, member, reason);
+        }
         match result {
             TryResult::Answered(answer) if answer.status.is_server_error() => {
-                member.note_outcome(TargetOutcome::Failed, now);
-                state.sent += 1;
-                state.may_have_run = true;
                 after_failure(planned, state, answer)
             }
-            TryResult::Answered(answer) => {
-                self.note_answer(member, length, now);
-                NextStep::Done(answer)
+            TryResult::Answered(answer) => NextStep::Done(answer),
+            TryResult::Shed | TryResult::Misdirected | TryResult::NotSent(_) => NextStep::Again,
+            TryResult::Lost(reason) => after_loss(planned, reason),
+        }
+    }
+
+    /// Learns what the outcome of a try says of the target.
+    fn learn(&self, member: &TargetMember, result: &TryResult, length: Duration) {
+        let now = BootClock.now();
+        match result {
+            TryResult::Answered(answer) if answer.status.is_server_error() => {
+                member.note_outcome(TargetOutcome::Failed, now);
             }
+            TryResult::Answered(_) => self.note_answer(member, length, now),
             TryResult::Shed => {
                 member.note_refusal();
                 member.note_outcome(TargetOutcome::Shed, now);
-                state.sent += 1;
-                log_retry(planned, member, "shed");
-                NextStep::Again
-            }
-            TryResult::Misdirected => {
-                state.misdirected.push(member.id.clone());
-                state.sent += 1;
-                log_retry(planned, member, "not-owner");
-                NextStep::Again
             }
-            TryResult::NotSent(failure) => {
-                member.note_outcome(TargetOutcome::Broken, now);
-                state.unsent += 1;
-                log_retry(planned, member, failure.as_str());
-                NextStep::Again
-            }
-            TryResult::Lost(reason) => {
+            // Its beliefs about keys differ, which says nothing of its health.
+            TryResult::Misdirected => {}
+            TryResult::NotSent(_) => member.note_outcome(TargetOutcome::Broken, now),
+            TryResult::Lost(_) => {
                 member.note_refusal();
                 member.note_outcome(TargetOutcome::Broken, now);
-                state.sent += 1;
-                state.may_have_run = true;
-                log_retry(planned, member, reason.as_str());
-                after_loss(planned, reason)
             }
         }
     }
@@ -77,6 +71,40 @@
     }
 }
 
+/// Counts a try that may be followed by another one; the request ends with a good answer.
+fn count_try(state: &mut TryState, member: &TargetMember, result: &TryResult) {
+    state.tried.push(member.id.clone());
+    match result {
+        TryResult::Answered(answer) if answer.status.is_server_error() => {
+            state.sent += 1;
+            state.may_have_run = true;
+        }
+        TryResult::Answered(_) => {}
+        TryResult::Shed => state.sent += 1,
+        TryResult::Misdirected => {
+            state.misdirected.push(member.id.clone());
+            state.sent += 1;
+        }
+        TryResult::NotSent(_) => state.unsent += 1,
+        TryResult::Lost(_) => {
+            state.sent += 1;
+            state.may_have_run = true;
+        }
+    }
+}
+
+/// Why a try gave no answer, in the words of the log.
+fn retry_reason(result: &TryResult) -> Option<&'static str> {
+    match result {
+        TryResult::Answered(_) => None,
+        TryResult::Shed => Some("shed"),
+        TryResult::Misdirected => Some("not-owner"),
+        TryResult::NotSent(failure) => Some(failure.as_str()),
+        TryResult::Lost(reason) => Some(reason.as_str()),
+    }
+}
+
+/// Whether the request may run more than once.
 fn is_safe(planned: &PlannedRequest) -> bool {
     planned.route.rule.repeat == RepeatClass::Safe
 }
@@ -102,6 +130,7 @@
     })
 }
 
+/// Logs a try that gave no answer.
 fn log_retry(planned: &PlannedRequest, member: &TargetMember, reason: &str) {
     let id = String::from_utf8_lossy(planned.outgoing.request_id.as_bytes()).into_owned();
     let pairs: [(&str, &dyn std::fmt::Display); 4] = [
