--- a/crates/nickellead_gateway/src/metrics.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -1,11 +1,8 @@
-//! Counters, gauges and histograms of one VM.
-//!
-//! Label sets are bounded: services, and closed lists of answers and errors.
+//! What the request duty counts.
 
 use std::time::Duration;
 
 use nickellead_core::ErrorKind;
-use nickellead_range::{OrderKind, OrderOutcome};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -13,8 +10,6 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::StoreError;
-
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 /// Label of requests that end before a service is chosen.
@@ -31,17 +26,6 @@
     outcome: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct AnswerLabel {
-    answer: &'static str,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct OrderLabels {
-    order: &'static str,
-    outcome: &'static str,
-}
-
 /// What the request duty counts.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayMetrics {
@@ -104,44 +88,3 @@
         self.outcomes.get_or_create(&labels).inc();
     }
 }
-
-/// What the control duty counts.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ControlMetrics {
-    /// 1 while this VM may order targets.
-    pub(crate) mandate: Gauge,
-    store_calls: Family<AnswerLabel, Counter>,
-    orders: Family<OrderLabels, Counter>,
-}
-
-impl ControlMetrics {
-    /// Registers the figures.
-    pub(crate) fn register(&self, registry: &mut Registry) {
-        registry.register(
-            "mandate_held",
-            "1 while this VM may order targets",
-            self.mandate.clone(),
-        );
-        registry.register("store_calls", "Calls of the store", self.store_calls.clone());
-        registry.register("orders", "Orders to targets", self.orders.clone());
-    }
-
-    /// Counts a call of the store.
-    pub(crate) fn count_store_call<T>(&self, result: &Result<T, StoreError>) {
-        let answer = match result {
-            Ok(_) => "done",
-            Err(StoreError::Conflict) => "conflict",
-            Err(StoreError::Forgotten) => "forgotten",
-            Err(StoreError::Refused(_)) => "refused",
-            Err(StoreError::Silent(_)) => "silent",
-            Err(StoreError::Malformed(_)) => "malformed",
-        };
-        self.store_calls.get_or_create(&AnswerLabel { answer }).inc();
-    }
-
-    /// Counts an order to a target.
-    pub(crate) fn count_order(&self, kind: &OrderKind, outcome: &OrderOutcome) {
-        let labels = OrderLabels { order: kind.as_str(), outcome: outcome.as_str() };
-        self.orders.get_or_create(&labels).inc();
-    }
-}
