--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,10 +4,9 @@
 pub mod fleet;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -110,21 +109,9 @@
 }
 
 /// An address on the loopback that nobody listens on, given out once.
-///
-/// Below the range that outgoing connections take their ports from.
 pub fn free_address() -> SocketAddr {
-    const FIRST: u32 = 10_000;
-    const COUNT: u32 = 20_000;
-    static TAKEN: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(101) % COUNT;
-    loop {
-        let offset = (start + TAKEN.fetch_add(1, Ordering::Relaxed)) % COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + offset) as u16));
-        let _guard = SPAWN_OR_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    let _guard = SPAWN_OR_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
+    nickellead_soak::free_address().unwrap()
 }
 
 /// Reads one answer with a length from a connection that stays open.
