--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -16,6 +16,10 @@
 /// What an unknown target is taken to need for an answer, until it has shown it.
 const USUAL_LATENCY: Duration = Duration::from_millis(80);
 
+/// Requests that may be under way at a target of which nothing is known: all VMs begin at the same
+/// time, and ten times this many fill a target's slots and queue.
+const LIMIT_START: u32 = 2;
+
 /// This VM never has more requests under way at a target than this many times its slots.
 const LIMIT_FACTOR: u32 = 4;
 
@@ -65,10 +69,17 @@
         self.limit.set(limit);
     }
 
-    /// Learns that the target answered while this many requests were under way.
-    pub(crate) fn note_room(&self, running: u32) {
+    /// Learns that the target answered after `length` while this many requests were under way.
+    pub(crate) fn note_room(&self, running: u32, length: Duration, goal: Duration, now: Timestamp) {
+        let mut limit = self.limit.get();
+        limit.note_answer(running, length, goal, now);
+        self.limit.set(limit);
+    }
+
+    /// Learns that a request has been under way for a whole latency target.
+    pub(crate) fn note_overdue(&self, length: Duration, now: Timestamp) {
         let mut limit = self.limit.get();
-        limit.note_answer(running);
+        limit.note_slow(length, now);
         self.limit.set(limit);
     }
 }
@@ -189,7 +200,7 @@
         state: Cell::new(entry.state),
         cold_until: Cell::new(Instant::now() + entry.cold_left),
         score: RefCell::new(TargetScore::new(USUAL_LATENCY)),
-        limit: Cell::new(AdaptiveLimit::new(entry.slots, entry.slots * LIMIT_FACTOR)),
+        limit: Cell::new(AdaptiveLimit::new(LIMIT_START, entry.slots * LIMIT_FACTOR)),
         turns: TurnQueue::default(),
         pool: SharedPool::default(),
     }
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -24,7 +24,7 @@
         result: TryResult,
         length: Duration,
     ) -> NextStep {
-        self.learn(member, &result, length);
+        self.learn(planned, member, &result, length);
         count_try(state, member, &result);
         if let Some(reason) = retry_reason(&result) {
             log_retry(planned, member, reason);
@@ -40,13 +40,20 @@
     }
 
     /// Learns what the outcome of a try says of the target.
-    fn learn(&self, member: &TargetMember, result: &TryResult, length: Duration) {
+    fn learn(
+        &self,
+        planned: &PlannedRequest,
+        member: &TargetMember,
+        result: &TryResult,
+        length: Duration,
+    ) {
+        let goal = planned.route.rule.latency_target;
         let now = BootClock.now();
         match result {
             TryResult::Answered(answer) if answer.status.is_server_error() => {
                 member.note_outcome(TargetOutcome::Failed, now);
             }
-            TryResult::Answered(_) => self.note_answer(member, length, now),
+            TryResult::Answered(_) => self.note_answer(member, length, goal, now),
             TryResult::Shed => {
                 member.note_refusal();
                 member.note_outcome(TargetOutcome::Shed, now);
@@ -62,11 +69,17 @@
     }
 
     /// Learns from an answer: how fast the target is, and that it may take more.
-    fn note_answer(&self, member: &TargetMember, length: Duration, now: Timestamp) {
+    fn note_answer(
+        &self,
+        member: &TargetMember,
+        length: Duration,
+        goal: Duration,
+        now: Timestamp,
+    ) {
         // The try itself has ended and is counted no more.
         let running = member.score.borrow().running + 1;
         member.note_outcome(TargetOutcome::Answered(length), now);
-        member.note_room(running);
+        member.note_room(running, length, goal, now);
         self.keys.note_speed(&member.id, member.score.borrow().unhurried_ms());
     }
 }
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -81,7 +81,16 @@
             until,
         };
         let watch = AbandonWatch { member, since: Instant::now(), armed: true };
-        let result = try_target(&self.names, &planned.outgoing, &plan).await;
+        let goal = planned.route.rule.latency_target;
+        let mut trying = std::pin::pin!(try_target(&self.names, &planned.outgoing, &plan));
+        let result = match tokio::time::timeout(goal, &mut trying).await {
+            Ok(result) => result,
+            Err(_) => {
+                // A target that swallows requests is known by their age, long before their end.
+                member.note_overdue(goal, BootClock.now());
+                trying.await
+            }
+        };
         watch.disarm();
         result
     }
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -1,19 +1,44 @@
-//! One VM's share of a target, found by trying.
+//! One VM's share of a target, found by how long its answers take.
+
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
 
 /// Least limit: one request may always be tried.
 const LEAST: f64 = 1.0;
 /// What is left of the limit after a refusal.
-const SHRINK: f64 = 0.7;
+const REFUSAL_SHRINK: f64 = 0.7;
+/// What is left of the limit when answers get too slow.
+const SLOW_SHRINK: f64 = 0.8;
 /// Growth for a whole limit's worth of answers.
 const GROWTH: f64 = 0.35;
+/// Growth for one answer before the target was first seen full: the limit doubles in one answer's time.
+const START_GROWTH: f64 = 1.0;
 /// Part of the limit that must be in use for an answer to say that more would fit.
 const USED_PART: f64 = 0.7;
+/// Weight of a new answer in the moving average of answer times: about the last three count.
+const TIME_WEIGHT: f64 = 0.3;
+/// Answers may take this part of the latency target on average.
+///
+/// The rest is for the ways, for a wait on the VM, and for answers slower than the average, which
+/// take up to twice as long.
+const TIME_PART: f64 = 0.6;
 
 /// A limit on requests under way that follows what the target takes.
+///
+/// A full target may say nothing at all: it queues requests until they are late, or swallows them.
+/// So the limit shrinks as soon as answers take a good part of the latency target, and not only
+/// when requests are lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdaptiveLimit {
     limit: f64,
     most: f64,
+    /// Average answer time as a part of the latency target.
+    time: f64,
+    /// Whether the target was seen full.
+    met: bool,
+    /// The limit shrinks for slow answers no more before this: those under way were sent before.
+    settled: Timestamp,
 }
 
 impl AdaptiveLimit {
@@ -21,7 +46,8 @@
     #[must_use]
     pub fn new(start: u32, most: u32) -> Self {
         let most = f64::from(most.max(1));
-        Self { limit: f64::from(start.max(1)).min(most), most }
+        let limit = f64::from(start.max(1)).min(most);
+        Self { limit, most, time: 0.0, met: false, settled: Timestamp::ZERO }
     }
 
     /// Whether one more request may be sent while `running` are under way.
@@ -30,15 +56,31 @@
         f64::from(running) + 1.0 <= self.limit + 1e-9
     }
 
-    /// The target answered while `running` requests, this one included, were under way.
-    pub fn note_answer(&mut self, running: u32) {
-        if f64::from(running) >= self.limit * USED_PART {
-            self.limit = (self.limit + GROWTH / self.limit).min(self.most);
+    /// The target answered after `length` while `running` requests, this one included, were under
+    /// way; `goal` is the latency target.
+    pub fn note_answer(&mut self, running: u32, length: Duration, goal: Duration, now: Timestamp) {
+        let part = length.as_secs_f64() / goal.as_secs_f64().max(f64::EPSILON);
+        self.time += (part - self.time) * TIME_WEIGHT;
+        if self.time > TIME_PART {
+            self.note_slow(length, now);
+        } else if f64::from(running) >= self.limit * USED_PART {
+            let growth = if self.met { GROWTH / self.limit } else { START_GROWTH };
+            self.limit = (self.limit + growth).min(self.most);
+        }
+    }
+
+    /// A request has been under way for `length`, which is too long.
+    pub fn note_slow(&mut self, length: Duration, now: Timestamp) {
+        self.met = true;
+        if now >= self.settled {
+            self.limit = (self.limit * SLOW_SHRINK).max(LEAST);
+            self.settled = now + length;
         }
     }
 
     /// The target refused a request, or reset its connection.
     pub fn note_refusal(&mut self) {
-        self.limit = (self.limit * SHRINK).max(LEAST);
+        self.met = true;
+        self.limit = (self.limit * REFUSAL_SHRINK).max(LEAST);
     }
 }
