--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -19,8 +19,6 @@
 /// A range without an owner for longer is not on a planned move, which takes about the time of a
 /// request: it waits for a lost target's hold, seconds long, and requests for it are refused at once.
 const OWNERLESS_LONG: Duration = Duration::from_millis(1_000);
-/// Part of the latency target that a request may wait for a target with room.
-const WAIT_PART: f64 = 0.4;
 
 impl RequestWorker {
     /// A target with room, or why none was found in time.
@@ -31,7 +29,7 @@
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
         let rule = &planned.route.rule;
-        let until = planned.arrived + rule.latency_target.mul_f64(WAIT_PART);
+        let until = planned.arrived + rule.latency_target;
         loop {
             let chosen = self.choose_member(planned, service, state).await;
             if chosen.is_err() && self.beliefs.borrow().roster.is_empty() {
@@ -43,13 +41,16 @@
             if member.has_room() {
                 return Ok(member);
             }
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(ErrorKind::Overloaded);
-            }
             let divided = self.beliefs.borrow().divided.contains(service);
             let service_queue = self.queue(service);
             let queue = if divided { &member.turns } else { &*service_queue };
+            let limit = member.limit.get();
+            let answer = limit.answer_time(rule.latency_target);
+            let wait = limit.expected_wait(queue.waiting(), answer);
+            let left = until.saturating_duration_since(Instant::now()).saturating_sub(answer);
+            if left < wait {
+                return Err(ErrorKind::Overloaded);
+            }
             let mut turn = queue.join(rule.priority);
             let woken = tokio::time::timeout(left, turn.wait()).await;
             if woken.is_err() {
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -50,6 +50,18 @@
         Self { limit, most, time: 0.0, met: false, settled: Timestamp::ZERO }
     }
 
+    /// How long a request waits for its turn behind `waiting` others, if answers take `length`.
+    #[must_use]
+    pub fn expected_wait(&self, waiting: usize, length: Duration) -> Duration {
+        length.mul_f64((waiting as f64 + 1.0) / self.limit)
+    }
+
+    /// Average time of an answer, for requests with this latency target.
+    #[must_use]
+    pub fn answer_time(&self, goal: Duration) -> Duration {
+        goal.mul_f64(self.time)
+    }
+
     /// Whether one more request may be sent while `running` are under way.
     #[must_use]
     pub fn has_room(&self, running: u32) -> bool {
--- a/crates/nickellead_limit/src/queue.rs
+++ b/crates/nickellead_limit/src/queue.rs
@@ -47,6 +47,13 @@
         Turn { place, woken }
     }
 
+    /// How many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let waiting = self.waiting.borrow();
+        waiting.turns.values().filter(|sender| !sender.is_closed()).count()
+    }
+
     /// Gives a place up; a turn that came meanwhile goes to the next one.
     pub fn give_up(&self, turn: &Turn) {
         let waited = self.waiting.borrow_mut().turns.remove(&turn.place).is_some();
