--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -21,6 +21,8 @@
     /// The caller's key, if it names one.
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Instant,
+    /// How long the caller waits; `None` if it does not say.
+    pub(crate) deadline: Option<Duration>,
     /// When the caller, or the route, stops waiting.
     pub(crate) until: Instant,
 }
@@ -61,7 +63,7 @@
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
     let body = read_body_until(request.take_payload(), limits.body_bytes, until).await?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
-    Ok(PlannedRequest { route, outgoing, key, arrived, until })
+    Ok(PlannedRequest { route, outgoing, key, arrived, deadline, until })
 }
 
 fn check_head(request: &Request, limits: CallerLimits) -> Result<(), ErrorKind> {
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -13,7 +13,7 @@
 /// Growth for a whole limit's worth of answers.
 const GROWTH: f64 = 0.35;
 /// Growth for one answer before the target was first seen full: the limit doubles in one answer's time.
-const START_GROWTH: f64 = 1.0;
+const START_GROWTH: f64 = 0.5;
 /// Part of the limit that must be in use for an answer to say that more would fit.
 const USED_PART: f64 = 0.7;
 /// Weight of a new answer in the moving average of answer times: about the last three count.
@@ -33,7 +33,7 @@
 pub struct AdaptiveLimit {
     limit: f64,
     most: f64,
-    /// Average answer time as a part of the latency target.
+    /// Average answer time as a part of the latency target; 0 before the first answer.
     time: f64,
     /// Whether the target was seen full.
     met: bool,
@@ -72,7 +72,8 @@
     /// way; `goal` is the latency target.
     pub fn note_answer(&mut self, running: u32, length: Duration, goal: Duration, now: Timestamp) {
         let part = length.as_secs_f64() / goal.as_secs_f64().max(f64::EPSILON);
-        self.time += (part - self.time) * TIME_WEIGHT;
+        let weight = if self.time == 0.0 { 1.0 } else { TIME_WEIGHT };
+        self.time += (part - self.time) * weight;
         if self.time > TIME_PART {
             self.note_slow(length, now);
         } else if f64::from(running) >= self.limit * USED_PART {
