--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -21,8 +21,8 @@
     /// The caller's key, if it names one.
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Instant,
-    /// How long the caller waits; `None` if it does not say.
-    pub(crate) deadline: Option<Duration>,
+    /// How long the caller has been trying before, as far as its deadline shows.
+    pub(crate) age: Duration,
     /// When the caller, or the route, stops waiting.
     pub(crate) until: Instant,
 }
@@ -33,6 +33,11 @@
         self.route.rule.parts.first().map_or("-", |part| &part.service)
     }
 
+    /// Until when an answer is in time, counted from the caller's first try.
+    pub(crate) fn in_time_until(&self) -> Instant {
+        self.arrived + self.route.rule.latency_target.saturating_sub(self.age)
+    }
+
     /// Time until nobody waits any more.
     pub(crate) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -54,6 +59,7 @@
     let id = HeaderName::from_static(names.request_id);
     let request_id = headers.get(&id).cloned().ok_or(ErrorKind::RequestMalformed)?;
     let deadline = number(&headers, names.deadline_ms)?.map(Duration::from_millis);
+    let age = deadline.map_or(Duration::ZERO, |left| route.patience.note(left));
     let until = arrived + deadline.unwrap_or(route.rule.timeout).min(route.rule.timeout);
     let key = number(&headers, names.shard_key)?.map(u16::try_from).transpose();
     let key = key.map_err(|_| ErrorKind::RequestMalformed)?;
@@ -63,7 +69,7 @@
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
     let body = read_body_until(request.take_payload(), limits.body_bytes, until).await?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
-    Ok(PlannedRequest { route, outgoing, key, arrived, deadline, until })
+    Ok(PlannedRequest { route, outgoing, key, arrived, age, until })
 }
 
 fn check_head(request: &Request, limits: CallerLimits) -> Result<(), ErrorKind> {
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod beliefs;
 mod book;
+mod caller_age;
 mod connections;
 mod control;
 mod declared;
--- a/crates/nickellead_gateway/src/route_table.rs
+++ b/crates/nickellead_gateway/src/route_table.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use crate::caller_age::CallerPatience;
 use crate::{Declarations, RoutePart, RouteRule};
 
 /// A route with the turn of its split.
@@ -12,12 +13,14 @@
     pub(crate) rule: RouteRule,
     /// Credit of each part: the part with the most credit is next.
     credits: Vec<Cell<f64>>,
+    /// How long its callers wait.
+    pub(crate) patience: CallerPatience,
 }
 
 impl RouteEntry {
     fn new(rule: RouteRule) -> Self {
         let credits = rule.parts.iter().map(|_| Cell::new(0.0)).collect();
-        Self { rule, credits }
+        Self { rule, credits, patience: CallerPatience::default() }
     }
 
     /// The part that the next request goes to: shares are kept to within one request.
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -74,7 +74,7 @@
             return log_event(EventName::RequestFailed, &pairs);
         };
         let after = planned.arrived.elapsed().as_millis();
-        let given = planned.deadline.unwrap_or_default().as_millis();
+        let age = planned.age.as_millis();
         let ages = [beliefs.taken.declarations, beliefs.taken.targets, beliefs.taken.ranges]
             .map(|taken| taken.elapsed().as_millis());
         let mut pairs: Vec<(&str, &dyn std::fmt::Display)> = vec![
@@ -82,7 +82,7 @@
             ("route", &planned.route.rule.name),
             ("error", &code),
             ("after_ms", &after),
-            ("deadline_ms", &given),
+            ("caller_age_ms", &age),
             ("version", &version),
             ("config_age_ms", &ages[0]),
             ("targets_age_ms", &ages[1]),
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -29,7 +29,7 @@
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
         let rule = &planned.route.rule;
-        let until = planned.arrived + rule.latency_target;
+        let until = planned.in_time_until();
         loop {
             let chosen = self.choose_member(planned, service, state).await;
             if chosen.is_err() && self.beliefs.borrow().roster.is_empty() {
