--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -71,8 +71,9 @@
 
     /// Learns that the target answered after `length` while this many requests were under way.
     pub(crate) fn note_room(&self, running: u32, length: Duration, goal: Duration, now: Timestamp) {
+        let unhurried = Duration::from_secs_f64(self.score.borrow().unhurried_ms() / 1_000.0);
         let mut limit = self.limit.get();
-        limit.note_answer(running, length, goal, now);
+        limit.note_answer(running, length, unhurried, goal, now);
         self.limit.set(limit);
     }
 
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -16,13 +16,16 @@
 const START_GROWTH: f64 = 0.5;
 /// Part of the limit that must be in use for an answer to say that more would fit.
 const USED_PART: f64 = 0.7;
-/// Weight of a new answer in the moving average of answer times: about the last three count.
-const TIME_WEIGHT: f64 = 0.3;
+/// Weight of a new answer in the moving average of answer times: about the last five count.
+const TIME_WEIGHT: f64 = 0.2;
 /// Answers may take this part of the latency target on average.
 ///
 /// The rest is for the ways, for a wait on the VM, and for answers slower than the average, which
 /// take up to twice as long.
 const TIME_PART: f64 = 0.6;
+/// Answers may take this many times as long as unhurried ones, whatever the latency target: a slow
+/// target is not a full one.
+const HURRIED_FACTOR: f64 = 2.2;
 
 /// A limit on requests under way that follows what the target takes.
 ///
@@ -69,12 +72,21 @@
     }
 
     /// The target answered after `length` while `running` requests, this one included, were under
-    /// way; `goal` is the latency target.
-    pub fn note_answer(&mut self, running: u32, length: Duration, goal: Duration, now: Timestamp) {
-        let part = length.as_secs_f64() / goal.as_secs_f64().max(f64::EPSILON);
+    /// way; `unhurried` is what its answers take when it has room, `goal` the latency target.
+    pub fn note_answer(
+        &mut self,
+        running: u32,
+        length: Duration,
+        unhurried: Duration,
+        goal: Duration,
+        now: Timestamp,
+    ) {
+        let goal = goal.as_secs_f64().max(f64::EPSILON);
+        let part = length.as_secs_f64() / goal;
+        let most = TIME_PART.max(HURRIED_FACTOR * unhurried.as_secs_f64() / goal);
         let weight = if self.time == 0.0 { 1.0 } else { TIME_WEIGHT };
         self.time += (part - self.time) * weight;
-        if self.time > TIME_PART {
+        if self.time > most {
             self.note_slow(length, now);
         } else if f64::from(running) >= self.limit * USED_PART {
             let growth = if self.met { GROWTH / self.limit } else { START_GROWTH };
