A holder that stops while the store is away gives the mandate back when it returns

Change: the holder goes on renewing while the store is away, and gives the mandate back as soon as the store answers; not if it saw late orders that the map does not tell.

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -162,9 +162,32 @@
         }
     }
 
+    /// Whether this VM has seen late orders and the map in the store does not say so.
+    fn knows_unwritten_lateness(&self) -> bool {
+        let written = self.book.ranges().is_some_and(|ranges| ranges.value.late);
+        self.lateness.borrow().is_late(BootClock.now()) && !written
+    }
+
+    /// Waits until the store can be told that this VM gives the mandate back.
+    ///
+    /// While the store is away nobody else can take the mandate, so this VM goes on renewing what
+    /// stands until its process ends: keys keep their owners, and a successor that finds the
+    /// mandate given back knows that no unanswered order is left, where it would else reckon with
+    /// late ones for a quarter of a minute.
+    pub(super) async fn wait_to_give_back(&self) {
+        while self.mandate.borrow().is_held() && self.health.is_lost() {
+            self.probe_store(PROBE_PERIOD + PROBE_TIME).await;
+        }
+    }
+
     /// Gives the mandate back so that another VM takes it without waiting.
     pub(super) async fn give_back(&self) {
+        let unwritten = self.knows_unwritten_lateness();
         self.keeper.replace(None);
+        if unwritten {
+            // A successor must not take it that this VM left nothing unsaid.
+            return log_event(EventName::MandateHandedOver, &[("done", &false)]);
+        }
         let write = self.mandate.borrow_mut().vacating_write();
         if let Some(write) = write {
             let answer = self.store.write_mandate(write.expected, &write.record).await;
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -167,6 +167,7 @@
     // An error would mean that the VM is gone, and then this thread may end too.
     let _ = stopping.wait_for(|stopping| *stopping).await;
     mandate.abort();
+    duty.wait_to_give_back().await;
     ranges.abort();
     duty.give_back().await;
     duty.relay.fall_back();
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -86,6 +86,11 @@
         self.state().ranges.as_ref().map(|stored| stored.value.clone())
     }
 
+    /// Whether the last holder of the mandate gave it back.
+    pub fn mandate_is_vacant(&self) -> bool {
+        self.state().mandate.as_ref().is_some_and(|stored| stored.value.vacant)
+    }
+
     pub fn orders(&self) -> Vec<RangeOrder> {
         self.state().orders.clone()
     }
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -99,6 +99,25 @@
     wait_until("the second VM moves the keys", || store.map().unwrap().fence > moved);
 }
 
+/// Its successor knew nothing of what it had seen of late orders, and let the keys of lost targets
+/// wait for half a minute.
+#[test]
+fn a_vm_that_stops_while_the_store_is_away_gives_the_mandate_back_when_it_returns() {
+    let (mut gateway, store, _targets) = keyed("vm-stops-away");
+    store.set_away(true);
+    // Until the VM has noticed.
+    std::thread::sleep(Duration::from_millis(900));
+    let handle = gateway.handle.take().unwrap();
+    let stopping = std::thread::spawn(move || handle.stop());
+    std::thread::sleep(Duration::from_millis(300));
+    store.set_away(false);
+    wait_until("the mandate is given back", || store.mandate_is_vacant());
+    stopping.join().unwrap();
+    let orders = store.orders().len();
+    std::thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(store.orders().len(), orders, "no order leaves once the mandate is given back");
+}
+
 #[test]
 fn an_outage_of_the_store_interrupts_no_key_and_no_lapsed_target() {
     let (gateway, store, _targets) = keyed("vm-outage");
