--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -88,8 +88,9 @@
             false => self.store.mandate_maybe_old().await,
         };
         self.health.note(&read);
-        if read.is_err() {
-            self.mandate.borrow_mut().note_unreached(BootClock.now());
+        match &read {
+            Ok(_) => self.mandate.borrow_mut().note_reached(BootClock.now()),
+            Err(_) => self.mandate.borrow_mut().note_unreached(BootClock.now()),
         }
         let read = read?;
         if let Some(read) = &read {
--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -68,6 +68,8 @@
     absent: bool,
     /// When the store last failed to answer this VM.
     unreached: Option<Timestamp>,
+    /// When it first answered this VM again.
+    returned: Option<Timestamp>,
     held: bool,
     /// Until when this VM may send everything, while it holds the mandate.
     valid_until: Timestamp,
@@ -95,6 +97,7 @@
             seen: None,
             absent: false,
             unreached: None,
+            returned: None,
             held: false,
             valid_until: Timestamp::ZERO,
             predecessors: PredecessorBounds {
@@ -134,6 +137,12 @@
     /// Notes that the store did not answer a call of this VM, or turned it away.
     pub fn note_unreached(&mut self, now: Timestamp) {
         self.unreached = Some(now);
+        self.returned = None;
+    }
+
+    /// Notes that the store answered this VM.
+    pub fn note_reached(&mut self, now: Timestamp) {
+        self.returned = self.returned.or(self.unreached.map(|_| now));
     }
 
     /// Whether the store was away for this VM since it saw the mandate change.
@@ -196,8 +205,9 @@
         }
         let waited = MANDATE_TIME + MANDATE_MARGIN + self.extra_wait;
         let ran_out = now.since(since) >= waited || !enforced!("wait_for_mandate");
-        let away = self.unreached.filter(|_| self.was_unreached());
-        let yields = away.is_some_and(|away| now.since(away) < RETURN_PRECEDENCE);
+        // The last look that failed may lie further back than the store's return.
+        let back = self.returned.or(self.unreached).filter(|_| self.was_unreached());
+        let yields = back.is_some_and(|back| now.since(back) < RETURN_PRECEDENCE);
         ran_out && !yields
     }
 
--- a/crates/nickellead_range/tests/mandate.rs
+++ b/crates/nickellead_range/tests/mandate.rs
@@ -46,6 +46,20 @@
     assert!(mandate.due_write(away + RETURN_PRECEDENCE).is_some());
 }
 
+/// A standby that looked a second before the store's return and then again took the mandate from a
+/// holder that was about to try.
+#[test]
+fn precedence_counts_from_the_return_of_the_store() {
+    let mut mandate = standby(record("vm-1", false));
+    mandate.note_unreached(Timestamp(9_000));
+    let returned = Timestamp(9_000) + RETURN_PRECEDENCE * 2;
+    mandate.note_reached(returned);
+    assert!(mandate.due_write(returned).is_none());
+    let later = returned + RETURN_PRECEDENCE;
+    mandate.note_reached(later);
+    assert!(mandate.due_write(later).is_some(), "it counts from the first answer");
+}
+
 #[test]
 fn a_successor_reckons_with_late_orders_that_could_not_be_written_down() {
     let mut mandate = standby(record("vm-1", false));
--- a/crates/nickellead_range/tests/world/vm.rs
+++ b/crates/nickellead_range/tests/world/vm.rs
@@ -126,6 +126,7 @@
             return;
         }
         let read = world.store.mandate.clone();
+        world.vms[place].mandate.note_reached(now);
         world.vms[place].mandate.note_read(read, now);
     }
     let Some(write) = world.vms[place].mandate.due_write(now) else { return };
