--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -69,13 +69,7 @@
     }
 
     /// Learns from an answer: how fast the target is, and that it may take more.
-    fn note_answer(
-        &self,
-        member: &TargetMember,
-        length: Duration,
-        goal: Duration,
-        now: Timestamp,
-    ) {
+    fn note_answer(&self, member: &TargetMember, length: Duration, goal: Duration, now: Timestamp) {
         // The try itself has ended and is counted no more.
         let running = member.score.borrow().running + 1;
         member.note_outcome(TargetOutcome::Answered(length), now);
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -14,8 +14,6 @@
 const GROWTH: f64 = 0.35;
 /// Growth for one answer before the target was first seen full: the limit doubles in one answer's time.
 const START_GROWTH: f64 = 0.5;
-/// Part of the limit that must be in use for an answer to say that more would fit.
-const USED_PART: f64 = 0.7;
 /// Weight of a new answer in the moving average of answer times: about the last five count.
 const TIME_WEIGHT: f64 = 0.2;
 /// Answers may take this part of the latency target on average.
@@ -88,7 +86,7 @@
         self.time += (part - self.time) * weight;
         if self.time > most {
             self.note_slow(length, now);
-        } else if f64::from(running) >= self.limit * USED_PART {
+        } else if !self.has_room(running) {
             let growth = if self.met { GROWTH / self.limit } else { START_GROWTH };
             self.limit = (self.limit + growth).min(self.most);
         }
--- a/crates/nickellead_limit/tests/limits.rs
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -1,33 +1,86 @@
 //! Limits that follow refusals, and turns by rank.
 #![allow(clippy::unwrap_used)]
 
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, Turn, TurnQueue};
 use quickcheck::quickcheck;
 
+/// The latency target of these tests.
+const GOAL: Duration = Duration::from_millis(400);
+/// An answer of a target with room.
+const FAST: Duration = Duration::from_millis(100);
+/// An answer of a target whose queue is long.
+const SLOW: Duration = Duration::from_millis(700);
+
+/// An answer after `length`, while `running` requests were under way.
+fn answer(limit: &mut AdaptiveLimit, running: u32, length: Duration, now: Timestamp) {
+    limit.note_answer(running, length, FAST, GOAL, now);
+}
+
+fn answer_fast(limit: &mut AdaptiveLimit, running: u32) {
+    answer(limit, running, FAST, Timestamp::ZERO);
+}
+
 #[test]
 fn refusals_shrink_the_limit_and_answers_let_it_grow() {
     let mut limit = AdaptiveLimit::new(4, 16);
     assert!(limit.has_room(3) && !limit.has_room(4));
     limit.note_refusal();
     assert!(!limit.has_room(3));
-    (0..40).for_each(|_| limit.note_answer(8));
+    (0..40).for_each(|_| answer_fast(&mut limit, 8));
     assert!(limit.has_room(4));
 }
 
 #[test]
 fn answers_of_an_idle_target_say_nothing_of_more() {
     let mut limit = AdaptiveLimit::new(4, 16);
-    (0..1_000).for_each(|_| limit.note_answer(1));
+    (0..1_000).for_each(|_| answer_fast(&mut limit, 1));
     assert!(!limit.has_room(4));
 }
 
+/// A target that queues what it can't run, and then swallows it, refuses nothing.
+#[test]
+fn slow_answers_shrink_the_limit_before_any_request_is_lost() {
+    let mut limit = AdaptiveLimit::new(8, 16);
+    (0..10).for_each(|turn| answer(&mut limit, 8, SLOW, Timestamp(turn * 1_000)));
+    assert!(!limit.has_room(3));
+}
+
+/// Requests that were sent together come back together: they tell one thing.
+#[test]
+fn slow_answers_of_the_same_moment_shrink_it_once() {
+    let mut limit = AdaptiveLimit::new(10, 16);
+    (0..10).for_each(|_| answer(&mut limit, 10, SLOW, Timestamp(1_000)));
+    assert!(limit.has_room(6));
+}
+
+#[test]
+fn a_target_that_is_slow_by_itself_is_not_full() {
+    let mut limit = AdaptiveLimit::new(4, 16);
+    let slow = Duration::from_millis(300);
+    (0..20).for_each(|turn| limit.note_answer(4, slow, slow, GOAL, Timestamp(turn * 1_000)));
+    assert!(limit.has_room(4));
+}
+
+/// With a limit of 1.6 only one request is ever under way; it stayed there for good.
+#[test]
+fn a_limit_between_two_requests_grows_again() {
+    let mut limit = AdaptiveLimit::new(2, 16);
+    answer(&mut limit, 2, SLOW, Timestamp(1_000));
+    assert!(!limit.has_room(1));
+    (0..40).for_each(|_| answer_fast(&mut limit, 1));
+    assert!(limit.has_room(1));
+}
+
 quickcheck! {
     /// One request may always be tried, and the most is never exceeded.
     fn the_limit_stays_in_its_bounds(events: Vec<bool>) -> bool {
         let mut limit = AdaptiveLimit::new(4, 16);
         for answered in events {
             match answered {
-                true => limit.note_answer(16),
+                true => answer_fast(&mut limit, 16),
                 false => limit.note_refusal(),
             }
         }
--- a/crates/nickellead_range/tests/holds.rs
+++ b/crates/nickellead_range/tests/holds.rs
@@ -7,8 +7,8 @@
 
 use nickellead_core::Timestamp;
 use nickellead_range::{
-    HolderRecord, LatenessWatch, OrderOutcome, OwnerCandidate, PredecessorBounds,
-    RangeKeeper, RangeMap, RangeOrder,
+    HolderRecord, LatenessWatch, OrderOutcome, OwnerCandidate, PredecessorBounds, RangeKeeper,
+    RangeMap, RangeOrder,
 };
 use world::{SERVICE, holder, settings};
 
