Callers that are refused come back while their answer can still be in time

Hypothesis: one pause a kind of error (60 to 250 ms, a sixth of the time left at most) brings a caller back too late to be in time, or too soon to find room. Change: while an answer can be in time by the caller's age and half a latency target for the answer, the pause is at most half of what is spare; later a quarter of the time left; spread by 0.3 either way.

--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -1,6 +1,6 @@
 //! What the caller gets: a target's answer, or a refusal.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderValue, RETRY_AFTER};
@@ -14,8 +14,16 @@
 use crate::exchange::TargetAnswer;
 use crate::incoming::PlannedRequest;
 
-/// Part of the time left within which a caller may be asked to come back.
-const COME_BACK_PART: u32 = 6;
+/// A caller whose answer can't be in time any more is asked to come back after this part of the time
+/// that it has left: most callers come back twice, and by then the rush may be over.
+const LATE_PART: f64 = 0.25;
+/// Part of the latency target that an answer takes, as far as anybody can tell before it is asked for.
+const ANSWER_PART: f64 = 0.5;
+/// A caller is asked to come back when this part of the time has passed in which it can still be in
+/// time: its second try is in the middle of it.
+const SPARE_PART: f64 = 0.5;
+/// Callers that were refused at the same moment come back spread over this part of their pause.
+const SPREAD: f64 = 0.6;
 
 impl RequestWorker {
     /// Refuses a request that came as the VM was about to end.
@@ -54,7 +62,9 @@
         self.metrics.count_error(kind, planned.map(PlannedRequest::main_service));
         self.log_failure(id, planned, kind);
         let mut response = error_response(kind);
+        let spread = 1.0 - SPREAD / 2.0 + self.rng.borrow_mut().f64() * SPREAD;
         if let Some(wait) = come_back_time(kind, planned) {
+            let wait = wait.mul_f64(spread);
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 response.headers_mut().insert(RETRY_AFTER, value);
@@ -124,11 +134,17 @@
     Some((&part.service, planned.key.as_ref()?))
 }
 
-/// After which time a caller is asked to come back, if at all: well within the time it has left.
+/// After which time a caller is asked to come back, if at all: while an answer can still be in time,
+/// or else when it is likelier to find room.
 fn come_back_time(kind: ErrorKind, planned: Option<&PlannedRequest>) -> Option<Duration> {
     let usual = Duration::from_millis(u64::from(kind.answer().retry_after_ms?));
-    let left = planned.map_or(usual, PlannedRequest::left);
-    Some(usual.min(left / COME_BACK_PART))
+    let Some(planned) = planned else { return Some(usual) };
+    let answer = planned.route.rule.latency_target.mul_f64(ANSWER_PART);
+    let spare = planned.in_time_until().saturating_duration_since(Instant::now() + answer);
+    Some(match spare.is_zero() {
+        true => planned.left().mul_f64(LATE_PART),
+        false => usual.min(spare.mul_f64(SPARE_PART)),
+    })
 }
 
 /// A target's answer as it goes to the caller.
