VMs that start ask for the mandate at once, and give up sooner on a holder that is not up

Only a fleet that starts for the first time spreads its looks now; a connection between VMs may take 250 ms.

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -12,12 +12,13 @@
 use super::ControlDuty;
 use crate::{OrderPort, StoreError, StorePort, Stored};
 
-/// VMs that start at once ask for the mandate spread over this time.
+/// VMs of a fleet that starts for the first time ask for the mandate spread over this time: one of
+/// them makes it, and the others find it made.
 const START_SPREAD: Duration = Duration::from_millis(250);
 /// A VM that has just started follows the store when it found no other source within this time.
 const SEEK_TIME: Duration = Duration::from_millis(1_000);
 /// Between two tries to find a source within that time.
-const SEEK_PAUSE: Duration = Duration::from_millis(80);
+const SEEK_PAUSE: Duration = Duration::from_millis(40);
 /// VMs that lose their source at once turn to the store spread over this time.
 const FALL_BACK_SPREAD: Duration = Duration::from_millis(400);
 /// Between two probes of the store by the mandate's holder.
@@ -31,9 +32,8 @@
 
 /// Takes, renews and watches the mandate.
 pub(super) async fn keep_mandate<S: StorePort, O: OrderPort>(duty: Rc<ControlDuty<S, O>>) {
-    // Spread, so that not all VMs of a fleet that starts at once ask at the same moment.
-    tokio::time::sleep(START_SPREAD.mul_f64(fastrand::f64())).await;
     let started = BootClock.now();
+    let mut spread = false;
     loop {
         if duty.mandate.borrow().is_held() {
             duty.write_mandate().await;
@@ -45,6 +45,10 @@
             duty.health.pause().await;
             continue;
         };
+        if duty.mandate.borrow().is_absent() && !std::mem::replace(&mut spread, true) {
+            tokio::time::sleep(START_SPREAD.mul_f64(fastrand::f64())).await;
+            continue;
+        }
         if duty.wants_mandate() {
             duty.write_mandate().await;
         } else if let Some(holder) = holder {
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -17,7 +17,7 @@
 /// Path of messages in this version of the protocol.
 pub(crate) const MESSAGE_PATH: &str = "/peer/1";
 /// How long a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Flow-control windows, in bytes: a whole table must not wait for acknowledgements.
 pub(crate) const WINDOW: u32 = 4 * 1024 * 1024;
 
--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -114,6 +114,12 @@
         self.held
     }
 
+    /// Whether nobody has ever held the mandate, as far as this VM knows.
+    #[must_use]
+    pub fn is_absent(&self) -> bool {
+        self.absent
+    }
+
     /// The mandate as last seen.
     #[must_use]
     pub fn seen(&self) -> Option<&Stored<MandateRecord>> {
