A predecessor's last order is counted from when its power ended

Change: bounds count from when the mandate was last seen to change, plus the predecessor's power and grace; a keeper made anew reckons with the orders of the one before it.

--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -109,7 +109,7 @@
         };
         self.map_revision.set(revision);
         let settings = keeper_settings(&self.ownership);
-        let predecessors = self.mandate.borrow().predecessors();
+        let predecessors = self.mandate.borrow_mut().take_predecessors();
         let writer = draw_number();
         let lateness = &mut self.lateness.borrow_mut();
         let keeper = RangeKeeper::take_over(settings, predecessors, map, writer, lateness, now);
--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -16,7 +16,7 @@
 use nickellead_core::{DriftBound, Timestamp, enforced};
 
 pub use self::order::{OrderKind, OrderOutcome, RangeOrder};
-use crate::{HolderRecord, LatenessWatch, PredecessorBounds, RangeMap};
+use crate::{HolderRecord, LastOrder, LatenessWatch, PredecessorBounds, RangeMap};
 
 /// Times of the keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,9 +102,9 @@
 impl RangeKeeper {
     /// Takes over what the store holds.
     ///
-    /// A predecessor may go on renewing what stands for the grace time, so every
-    /// holder named in the map may hold for that and a whole hold time from now on.
-    /// What the last predecessor moved, only the earlier ones may still renew.
+    /// A predecessor may go on renewing what stands for the grace time, so every holder named in
+    /// the map may hold for a whole hold time after its last order, wherever that order may have
+    /// been sent from. What the last predecessor moved, only the earlier ones may still renew.
     /// `writer` must be drawn anew for each call: it tells this keeper's writes from
     /// those of an earlier one in the same process, which may still be done late.
     /// The first edit is the take-over itself: once it is written, no late
@@ -132,11 +132,14 @@
             writing: false,
             inherited_until: Timestamp::ZERO,
         };
-        let added = |grace| if enforced!("successor_adds_grace") { grace } else { Duration::ZERO };
-        let until = keeper.hold_bound(now) + added(predecessors.grace);
-        let previous_until = keeper.hold_bound(now) + added(predecessors.earlier_grace);
-        if predecessors.grace > Duration::ZERO {
-            keeper.inherited_until = settings.longest_debt(now + predecessors.grace);
+        let sent = |last: LastOrder| {
+            if enforced!("successor_adds_grace") { last.latest(now) } else { now }
+        };
+        let last_sent = sent(predecessors.last);
+        let until = keeper.hold_bound(last_sent);
+        let previous_until = keeper.hold_bound(sent(predecessors.earlier));
+        if last_sent > now {
+            keeper.inherited_until = settings.longest_debt(last_sent);
         }
         if keeper.map.late || predecessors.lateness_unknown {
             lateness.expect_until(until + settings.lateness);
--- a/crates/nickellead_range/src/lib.rs
+++ b/crates/nickellead_range/src/lib.rs
@@ -20,8 +20,8 @@
 pub use lateness::LatenessWatch;
 pub use load::KeyLoad;
 pub use mandate::{
-    MANDATE_LOOK, MANDATE_MARGIN, MANDATE_RENEWAL, MANDATE_TIME, MandatePower, MandateState,
-    MandateWrite, PredecessorBounds, RENEWAL_GRACE, RETURN_PRECEDENCE,
+    LastOrder, MANDATE_LOOK, MANDATE_MARGIN, MANDATE_RENEWAL, MANDATE_TIME, MandatePower,
+    MandateState, MandateWrite, PredecessorBounds, RENEWAL_GRACE, RETURN_PRECEDENCE,
 };
 pub use map::{HolderRecord, RangeMap, RangeRecord, ServiceRanges};
 pub use plan::{MoveProposal, OwnerCandidate, lightest_owner, plan_moves};
--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -8,12 +8,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nickellead_core::{Timestamp, enforced};
+use nickellead_core::{DriftBound, Timestamp, enforced};
 
 use crate::{MandateRecord, Revision, Stored};
 
 /// How long a mandate is valid after the write that renewed it was sent.
 pub const MANDATE_TIME: Duration = Duration::from_millis(2_200);
+/// Bound on the difference of clock rates between VMs: their clocks are ordinary ones, and 1% is far
+/// above what any working one shows.
+const CLOCK_DRIFT: DriftBound = DriftBound { parts_per_million: 10_000 };
 /// Between two renewals.
 pub const MANDATE_RENEWAL: Duration = Duration::from_millis(700);
 /// Clocks may differ in rate; waited beyond the mandate's time by those who want it.
@@ -43,13 +46,52 @@
     Full,
 }
 
+/// When an order is sent at the latest, beside the moment at which the mandate is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastOrder {
+    /// This long ago.
+    Before(Duration),
+    /// This long from now on.
+    After(Duration),
+}
+
+impl LastOrder {
+    /// An order that is sent when this moment comes at the latest.
+    pub const NOW: Self = Self::After(Duration::ZERO);
+
+    /// The latest moment, `now` being when the mandate is taken or later.
+    #[must_use]
+    pub fn latest(self, now: Timestamp) -> Timestamp {
+        match self {
+            Self::Before(length) => Timestamp(now.0.saturating_sub(length.as_millis() as u64)),
+            Self::After(length) => now + length,
+        }
+    }
+
+    fn at_least_now(self) -> Self {
+        match self {
+            Self::Before(_) => Self::NOW,
+            Self::After(_) => self,
+        }
+    }
+
+    /// The end of a power that lasts for `power`, of which `passed` is over.
+    fn of_power(power: Duration, passed: Duration) -> Self {
+        match passed.checked_sub(power) {
+            Some(over) => Self::Before(over),
+            None => Self::After(power - passed),
+        }
+    }
+}
+
 /// What those who held the mandate before may have done that the store does not tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PredecessorBounds {
-    /// How long the last one, and so any of them, may go on renewing.
-    pub grace: Duration,
-    /// The same for those before the last one.
-    pub earlier_grace: Duration,
+    /// When the last one, and so any of them, sends its last renewal at the latest.
+    pub last: LastOrder,
+    /// When the last one sent its last order to holders that it was about to replace, and those
+    /// before it their last renewal, at the latest.
+    pub earlier: LastOrder,
     /// Whether the last one may have met late orders while it could not write this down.
     pub lateness_unknown: bool,
 }
@@ -101,8 +143,8 @@
             held: false,
             valid_until: Timestamp::ZERO,
             predecessors: PredecessorBounds {
-                grace: RENEWAL_GRACE,
-                earlier_grace: RENEWAL_GRACE,
+                last: LastOrder::After(RENEWAL_GRACE),
+                earlier: LastOrder::After(RENEWAL_GRACE),
                 lateness_unknown: true,
             },
         }
@@ -223,12 +265,20 @@
         self.predecessors
     }
 
+    /// The same, for a keeper that starts to send orders: one made after it must reckon with these too.
+    pub fn take_predecessors(&mut self) -> PredecessorBounds {
+        let bounds = self.predecessors;
+        self.predecessors.last = bounds.last.at_least_now();
+        self.predecessors.earlier = bounds.earlier.at_least_now();
+        bounds
+    }
+
     /// The same, as the mandate and the store's outages tell it at this moment.
-    fn bound_predecessors(&self) -> PredecessorBounds {
-        let Some((seen, _)) = &self.seen else {
+    fn bound_predecessors(&self, now: Timestamp) -> PredecessorBounds {
+        let Some((seen, since)) = &self.seen else {
             return PredecessorBounds {
-                grace: Duration::ZERO,
-                earlier_grace: Duration::ZERO,
+                last: LastOrder::NOW,
+                earlier: LastOrder::NOW,
                 lateness_unknown: false,
             };
         };
@@ -237,10 +287,21 @@
         let stopped = last.vacant || (last.vm == self.vm && last.incarnation != self.incarnation);
         let held = MANDATE_RENEWAL * (last.renewals.saturating_sub(last.taken)) as u32;
         let earlier_over = held >= RENEWAL_GRACE + MANDATE_TIME;
-        let grace = |over: bool| if over { Duration::ZERO } else { RENEWAL_GRACE };
+        // What stood in the store when this VM first saw it was sent before; powers that others count
+        // from then may last a little longer by this VM's clock.
+        let passed = now.since(*since);
+        let full = CLOCK_DRIFT.stretch(MANDATE_TIME) + MANDATE_MARGIN;
+        let grace = CLOCK_DRIFT.stretch(RENEWAL_GRACE);
+        // Those before the last one had lost their full power when it took the mandate.
+        let earlier = match (earlier_over, stopped) {
+            (false, _) => grace,
+            (true, false) => full,
+            (true, true) => Duration::ZERO,
+        };
+        let last_one = if stopped { earlier } else { full + grace };
         PredecessorBounds {
-            grace: grace(stopped && earlier_over),
-            earlier_grace: grace(earlier_over),
+            last: LastOrder::of_power(last_one, passed),
+            earlier: LastOrder::of_power(earlier, passed),
             lateness_unknown: !last.vacant && self.was_unreached() && enforced!("unknown_lateness"),
         }
     }
@@ -270,7 +331,7 @@
             return false;
         };
         if !self.held {
-            self.predecessors = self.bound_predecessors();
+            self.predecessors = self.bound_predecessors(now);
         }
         let stored = Stored { revision, value: write.record.clone() };
         self.seen = Some((stored, now));
