--- a/crates/nickellead_balance/src/choose.rs
+++ b/crates/nickellead_balance/src/choose.rs
@@ -27,30 +27,42 @@
 /// A cold target takes about this many times as long.
 const COLD_FACTOR: f64 = 2.0;
 
+/// What a choice goes by beside the scores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChoiceRules {
+    /// Members with many failures are left out.
+    pub ejection: bool,
+    /// Members of the own availability zone are preferred.
+    pub near_first: bool,
+    /// Members that have just started are avoided.
+    pub cold_last: bool,
+}
+
 /// Chooses one of the candidates; `None` when there are none.
 ///
 /// Members that are left out for their failures are used only when at least
 /// half of all are left out: then the fault is probably elsewhere.
 pub fn choose(
     candidates: &[Candidate<'_>],
+    rules: ChoiceRules,
     now: Timestamp,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
-    let sound: Vec<usize> =
-        (0..candidates.len()).filter(|place| !candidates[*place].score.is_ejected(now)).collect();
+    let is_sound = |place: &usize| !rules.ejection || !candidates[*place].score.is_ejected(now);
+    let sound: Vec<usize> = (0..candidates.len()).filter(is_sound).collect();
     let pool: Vec<usize> =
         if sound.len() * 2 >= candidates.len() { sound } else { (0..candidates.len()).collect() };
     let draws = DRAWN.min(pool.len());
     let drawn = (0..draws).map(|_| pool[rng.usize(..pool.len())]);
-    drawn.min_by(|a, b| cost(&candidates[*a]).total_cmp(&cost(&candidates[*b])))
+    drawn.min_by(|a, b| cost(&candidates[*a], rules).total_cmp(&cost(&candidates[*b], rules)))
 }
 
-fn cost(candidate: &Candidate<'_>) -> f64 {
+fn cost(candidate: &Candidate<'_>, rules: ChoiceRules) -> f64 {
     let mut cost = candidate.score.cost(candidate.slots);
-    if !candidate.near {
+    if rules.near_first && !candidate.near {
         cost *= FAR_FACTOR;
     }
-    if candidate.cold {
+    if rules.cold_last && candidate.cold {
         cost *= COLD_FACTOR;
     }
     cost
--- a/crates/nickellead_balance/src/lib.rs
+++ b/crates/nickellead_balance/src/lib.rs
@@ -7,5 +7,5 @@
 mod choose;
 mod score;
 
-pub use choose::{Candidate, choose};
+pub use choose::{Candidate, ChoiceRules, choose};
 pub use score::{TargetOutcome, TargetScore};
--- a/crates/nickellead_balance/tests/choice.rs
+++ b/crates/nickellead_balance/tests/choice.rs
@@ -3,9 +3,12 @@
 
 use std::time::Duration;
 
-use nickellead_balance::{Candidate, TargetOutcome, TargetScore, choose};
+use nickellead_balance::{Candidate, ChoiceRules, TargetOutcome, TargetScore, choose};
 use nickellead_core::Timestamp;
 
+/// All that a choice may go by.
+const RULES: ChoiceRules = ChoiceRules { ejection: true, near_first: true, cold_last: true };
+
 const USUAL: Duration = Duration::from_millis(80);
 
 fn member(answer_ms: u64) -> TargetScore {
@@ -25,7 +28,7 @@
     let mut rng = fastrand::Rng::with_seed(7);
     let mut counts = vec![0; candidates.len()];
     for _ in 0..1_000 {
-        counts[choose(candidates, now, &mut rng).unwrap()] += 1;
+        counts[choose(candidates, RULES, now, &mut rng).unwrap()] += 1;
     }
     counts
 }
@@ -71,5 +74,5 @@
 
 #[test]
 fn nobody_is_chosen_of_none() {
-    assert_eq!(choose(&[], Timestamp(0), &mut fastrand::Rng::with_seed(1)), None);
+    assert_eq!(choose(&[], RULES, Timestamp(0), &mut fastrand::Rng::with_seed(1)), None);
 }
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -23,9 +23,11 @@
             return Vec::new();
         };
         let divided = declared.services.iter().filter(|(_, rule)| rule.divided);
-        let speeds = self.speeds.borrow();
+        let unknown = HashMap::new();
+        let known = self.speeds.borrow();
+        let speeds = if self.policy.measured_speeds.is_on() { &*known } else { &unknown };
         divided
-            .map(|(service, _)| (service.clone(), owner_candidates(service, &targets, &speeds)))
+            .map(|(service, _)| (service.clone(), owner_candidates(service, &targets, speeds)))
             .collect()
     }
 
--- a/crates/nickellead_gateway/src/control/loads.rs
+++ b/crates/nickellead_gateway/src/control/loads.rs
@@ -37,6 +37,9 @@
 
     /// Starts moves that spread the load better.
     pub(super) fn balance(&self) {
+        if !self.policy.load_moves.is_on() {
+            return;
+        }
         let candidates = self.candidates();
         let loads = self.loads.borrow();
         let mut keeper = self.keeper.borrow_mut();
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -32,7 +32,7 @@
 use crate::metrics::ControlMetrics;
 use crate::relay::{NewsRelay, serve_news};
 use crate::store_health::StoreHealth;
-use crate::{OrderPort, OwnershipSettings, Revision, StorePort};
+use crate::{OrderPort, OwnershipSettings, PolicySettings, Revision, StorePort};
 
 /// A VM whose share of a core is smaller takes the mandate only if nobody else does.
 const WEAK_SHARE: f64 = 0.2;
@@ -53,6 +53,7 @@
     pub(crate) beliefs: BeliefSenders,
     pub(crate) keys: LoadCounter,
     pub(crate) metrics: ControlMetrics,
+    pub(crate) policy: PolicySettings,
 }
 
 /// The control duty of one VM.
@@ -81,6 +82,7 @@
     keys: LoadCounter,
     ownership: OwnershipSettings,
     metrics: ControlMetrics,
+    policy: PolicySettings,
     vm: String,
 }
 
@@ -115,6 +117,7 @@
             keys: parts.keys,
             ownership: parts.ownership,
             metrics: parts.metrics,
+            policy: parts.policy,
             vm: parts.vm,
         })
     }
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -96,6 +96,7 @@
         keys: keys.clone(),
         state: Arc::clone(&state),
         drain: Arc::clone(&drain),
+        policy: settings.policy,
     })?;
     let parts = ControlParts {
         vm: settings.vm.clone(),
@@ -107,6 +108,7 @@
         beliefs: senders,
         keys,
         metrics,
+        policy: settings.policy,
     };
     let control = control::start(parts, sockets.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -11,12 +11,12 @@
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
 
-use crate::HeaderNames;
 use crate::beliefs::BeliefReceivers;
 use crate::drain::DrainState;
 use crate::load_count::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::worker::{RequestWorker, WorkerParts};
+use crate::{HeaderNames, PolicySettings};
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
@@ -40,6 +40,7 @@
     pub(crate) keys: LoadCounter,
     pub(crate) state: Arc<ServeState>,
     pub(crate) drain: Arc<DrainState>,
+    pub(crate) policy: PolicySettings,
 }
 
 /// Starts the thread.
@@ -67,6 +68,7 @@
         keys: parts.keys,
         drain: Arc::clone(&parts.drain),
         metrics,
+        policy: parts.policy,
     });
     follow_beliefs(&worker, &parts.beliefs);
     for listener in std::iter::once(parts.readiness).chain(parts.metrics) {
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::PolicySettings;
+
 /// Why settings can't be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -59,6 +61,9 @@
     /// Times of ownership.
     #[serde(default)]
     pub ownership: OwnershipSettings,
+    /// Which mechanisms decide.
+    #[serde(default)]
+    pub policy: PolicySettings,
 }
 
 const fn default_cpu_share() -> f64 {
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -63,7 +63,7 @@
         self.log_failure(id, planned, kind);
         let mut response = error_response(kind);
         let spread = 1.0 - SPREAD / 2.0 + self.rng.borrow_mut().f64() * SPREAD;
-        if let Some(wait) = come_back_time(kind, planned) {
+        if let Some(wait) = self.come_back_time(kind, planned) {
             let wait = wait.mul_f64(spread);
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -73,6 +73,25 @@
         response
     }
 
+    /// After which time a caller is asked to come back, if at all: while an answer can still be in
+    /// time, or else when it is likelier to find room.
+    fn come_back_time(
+        &self,
+        kind: ErrorKind,
+        planned: Option<&PlannedRequest>,
+    ) -> Option<Duration> {
+        let usual = Duration::from_millis(u64::from(kind.answer().retry_after_ms?));
+        let Some(planned) = planned.filter(|_| self.policy.come_back_time.is_on()) else {
+            return Some(usual);
+        };
+        let answer = planned.route.rule.latency_target.mul_f64(ANSWER_PART);
+        let spare = planned.in_time_until().saturating_duration_since(Instant::now() + answer);
+        Some(match spare.is_zero() {
+            true => planned.left().mul_f64(LATE_PART),
+            false => usual.min(spare.mul_f64(SPARE_PART)),
+        })
+    }
+
     /// Logs why a request failed, with the beliefs that decided it and their ages.
     fn log_failure(&self, id: &str, planned: Option<&PlannedRequest>, kind: ErrorKind) {
         let beliefs = self.beliefs.borrow();
@@ -134,19 +153,6 @@
     Some((&part.service, planned.key.as_ref()?))
 }
 
-/// After which time a caller is asked to come back, if at all: while an answer can still be in time,
-/// or else when it is likelier to find room.
-fn come_back_time(kind: ErrorKind, planned: Option<&PlannedRequest>) -> Option<Duration> {
-    let usual = Duration::from_millis(u64::from(kind.answer().retry_after_ms?));
-    let Some(planned) = planned else { return Some(usual) };
-    let answer = planned.route.rule.latency_target.mul_f64(ANSWER_PART);
-    let spare = planned.in_time_until().saturating_duration_since(Instant::now() + answer);
-    Some(match spare.is_zero() {
-        true => planned.left().mul_f64(LATE_PART),
-        false => usual.min(spare.mul_f64(SPARE_PART)),
-    })
-}
-
 /// A target's answer as it goes to the caller.
 pub(super) fn pass_on(answer: TargetAnswer) -> Response<BoxBody> {
     let status = StatusCode::from_u16(answer.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_balance::{Candidate, choose};
+use nickellead_balance::{Candidate, ChoiceRules, choose};
 use nickellead_core::ErrorKind;
 use nickellead_limit::TurnQueue;
 use nickellead_time::BootClock;
@@ -48,7 +48,8 @@
             let answer = limit.answer_time(rule.latency_target);
             let wait = limit.expected_wait(queue.waiting(), answer);
             let left = until.saturating_duration_since(Instant::now()).saturating_sub(answer);
-            if left < wait {
+            let hopeless = left < wait && self.policy.turn_prediction.is_on();
+            if hopeless || left.is_zero() {
                 return Err(ErrorKind::Overloaded);
             }
             let mut turn = queue.join(rule.priority);
@@ -101,7 +102,10 @@
 
     fn balance(&self, service: &str, tried: &[String]) -> Option<Rc<TargetMember>> {
         let beliefs = self.beliefs.borrow();
-        let part = beliefs.roster.subset(service);
+        let part = match self.policy.subsets.is_on() {
+            true => beliefs.roster.subset(service),
+            false => beliefs.roster.members(service),
+        };
         let mut fresh: Vec<&Rc<TargetMember>> =
             part.iter().filter(|member| !tried.contains(&member.id)).collect();
         if !fresh.iter().any(|member| member.has_room()) {
@@ -123,7 +127,12 @@
                 cold: now < member.cold_until.get(),
             })
             .collect();
-        let place = choose(&candidates, BootClock.now(), &mut self.rng.borrow_mut())?;
+        let rules = ChoiceRules {
+            ejection: self.policy.ejection.is_on(),
+            near_first: self.policy.near_preference.is_on(),
+            cold_last: self.policy.cold_avoidance.is_on(),
+        };
+        let place = choose(&candidates, rules, BootClock.now(), &mut self.rng.borrow_mut())?;
         Some(Rc::clone(fresh[place]))
     }
 
@@ -135,10 +144,11 @@
         key: u16,
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
-        if self.lacks_owner_for_long(service, key) {
+        if self.policy.ownerless_refusal.is_on() && self.lacks_owner_for_long(service, key) {
             return Err(ErrorKind::MoveTooLong);
         }
         let most = MOVE_WAIT.min((planned.until - planned.arrived).mul_f64(MOVE_WAIT_PART));
+        let most = if self.policy.move_wait.is_on() { most } else { Duration::ZERO };
         let wait = most.saturating_sub(planned.arrived.elapsed());
         let waiting = async {
             loop {
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -47,7 +47,10 @@
         result: &TryResult,
         length: Duration,
     ) {
-        let goal = planned.route.rule.latency_target;
+        let goal = match self.policy.answer_time_limit.is_on() {
+            true => planned.route.rule.latency_target,
+            false => Duration::MAX,
+        };
         let now = BootClock.now();
         match result {
             TryResult::Answered(answer) if answer.status.is_server_error() => {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -29,13 +29,13 @@
 use self::answers::pass_on;
 use crate::drain::DrainState;
 use crate::exchange::TargetAnswer;
-use crate::incoming::plan_request;
+use crate::incoming::{PlannedRequest, plan_request};
 use crate::load_count::LoadCounter;
 use crate::metrics::GatewayMetrics;
 use crate::retry_share::RetryShare;
 use crate::roster::TargetRoster;
 use crate::route_table::RouteTable;
-use crate::{CallerLimits, Declarations, HeaderNames, TargetList};
+use crate::{CallerLimits, Declarations, HeaderNames, PolicySettings, TargetList};
 
 /// Kept of the caller's time for the way back of an answer.
 const RETURN_TIME: Duration = Duration::from_millis(4);
@@ -73,6 +73,7 @@
     pub(crate) keys: LoadCounter,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) policy: PolicySettings,
 }
 
 /// The request path of one VM.
@@ -91,6 +92,7 @@
     ownerless: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
     metrics: GatewayMetrics,
+    policy: PolicySettings,
 }
 
 /// What is known of a request between its tries.
@@ -141,6 +143,7 @@
             ownerless: RefCell::default(),
             drain: parts.drain,
             metrics: parts.metrics,
+            policy: parts.policy,
         })
     }
 
@@ -192,7 +195,8 @@
             (Rc::clone(&beliefs.table), beliefs.limits)
         };
         let planned = match plan_request(request, &self.names, limits, &table).await {
-            Ok(planned) => planned,
+            Ok(planned) if self.policy.caller_age.is_on() => planned,
+            Ok(planned) => PlannedRequest { age: Duration::ZERO, ..planned },
             Err(kind) => return self.refuse_unread(kind, &id),
         };
         if self.drain.would_cut(planned.until) {
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -61,7 +61,7 @@
             return false;
         }
         // Only tries that reached a target add to the load that the share bounds.
-        state.sent == 0 || self.retries.borrow_mut().take(service)
+        state.sent == 0 || self.policy.retries.is_on() && self.retries.borrow_mut().take(service)
     }
 
     /// Tries a request at one target, which counts it as running meanwhile.
@@ -87,7 +87,9 @@
             Ok(result) => result,
             Err(_) => {
                 // A target that swallows requests is known by their age, long before their end.
-                member.note_overdue(goal, BootClock.now());
+                if self.policy.answer_time_limit.is_on() {
+                    member.note_overdue(goal, BootClock.now());
+                }
                 trying.await
             }
         };
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -11,7 +11,8 @@
 
 use nickellead_gateway::{
     CallerLimits, Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings,
-    RepeatClass, RoutePart, RouteRule, ServiceRule, TargetEntry, TargetState, start_gateway,
+    PolicySettings, RepeatClass, RoutePart, RouteRule, ServiceRule, TargetEntry, TargetState,
+    start_gateway,
 };
 
 use store::{MemoryOrders, MemoryStore};
@@ -98,6 +99,7 @@
             connections: 100,
             retry_burst: 5.0,
             ownership: OwnershipSettings::default(),
+            policy: PolicySettings::default(),
         };
         let (callers, readiness) = (settings.callers_address, settings.readiness_address);
         let (store, orders) = (store.clone(), MemoryOrders::of(store));
--- a/crates/nickellead_limit/tests/limits.rs
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -90,7 +90,7 @@
 
 /// Whether a turn has come.
 async fn is_woken(turn: &mut Turn) -> bool {
-    tokio::time::timeout(std::time::Duration::from_millis(50), turn.wait()).await.is_ok()
+    tokio::time::timeout(Duration::from_millis(50), turn.wait()).await.is_ok()
 }
 
 #[tokio::test]
