The mandate's holder asks the store less

Cause: it watched the map that only it writes (a call for each write of its own), read it anew each 2.5 s, and started the watch of declarations anew with each check. Now it does not follow the map while it holds the mandate, and a check of the declarations leaves their watch running.

--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::book::{BeliefBook, LAPSE_TIME};
 use crate::relay::NewsRelay;
 use crate::store_health::StoreHealth;
-use crate::{StoreError, StorePort};
+use crate::{Declarations, Revision, Snapshot, StoreError, StorePort};
 
 /// How long one watch waits for changes: each end of a wait is a call that is paid for.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -121,13 +121,10 @@
         let known = self.book.known().declarations.filter(|_| !anew);
         let result = match known {
             None => self.store.declarations().await,
-            Some(from) => {
-                let watching = self.store.watch_declarations(from, WATCH_WAIT);
-                match tokio::time::timeout(self.check_time(DECLARATIONS_CHECK), watching).await {
-                    Ok(result) => result,
-                    Err(_) => return Ok(FollowStep::ReadAnew),
-                }
-            }
+            Some(from) => match self.watch_declarations(from).await? {
+                Some(snapshot) => Ok(snapshot),
+                None => return Ok(FollowStep::Continue),
+            },
         };
         self.health.note(&result);
         let snapshot = result?;
@@ -138,6 +135,30 @@
         Ok(if changed { FollowStep::After(DECLARATION_PAUSE) } else { FollowStep::Continue })
     }
 
+    /// Waits for newer declarations, and reads them now and then besides: the watch goes on, for
+    /// starting it anew is one more call. Gives `None` when a read found what the watch had missed.
+    async fn watch_declarations(
+        &self,
+        from: Revision,
+    ) -> Result<Option<Snapshot<Option<Declarations>>>, StoreError> {
+        let mut watching = std::pin::pin!(self.store.watch_declarations(from, WATCH_WAIT));
+        let version = || self.book.declarations().map(|known| known.version);
+        loop {
+            let check = self.check_time(DECLARATIONS_CHECK);
+            if let Ok(watched) = tokio::time::timeout(check, &mut watching).await {
+                return watched.map(Some);
+            }
+            let known = version();
+            let read = self.store.declarations().await;
+            self.health.note(&read);
+            let read = read?;
+            self.book.note_declarations(read.as_of, read.value);
+            if version() != known {
+                return Ok(None);
+            }
+        }
+    }
+
     async fn step_targets(&self, anew: bool) -> Result<FollowStep, StoreError> {
         match self.book.known().targets.filter(|_| !anew) {
             None => {
@@ -151,7 +172,7 @@
         }
     }
 
-    async fn watch_targets(&self, from: crate::Revision) -> Result<FollowStep, StoreError> {
+    async fn watch_targets(&self, from: Revision) -> Result<FollowStep, StoreError> {
         let watching = self.store.watch_targets(from, WATCH_WAIT);
         let check = Instant::now() + self.check_time(LISTS_CHECK);
         let until = self.book.next_lapse().map_or(check, |lapse| lapse.min(check));
@@ -176,6 +197,12 @@
     }
 
     async fn step_ranges(&self, anew: bool) -> Result<FollowStep, StoreError> {
+        if self.relay.leads() {
+            // Nobody else writes the map: what this VM writes it tells the book itself, and a late
+            // write of a predecessor would make its next one fail.
+            self.relay.leads_no_more().await;
+            return Ok(FollowStep::ReadAnew);
+        }
         let known = self.book.known().ranges.filter(|_| !anew);
         let result = match known {
             None => self.store.ranges().await,
@@ -191,8 +218,7 @@
         let snapshot = result?;
         let changed = snapshot.value.is_some();
         self.book.note_ranges(snapshot.as_of, snapshot.value);
-        let alone = changed && !self.relay.leads();
-        Ok(if alone { FollowStep::After(RANGE_PAUSE_ALONE) } else { FollowStep::Continue })
+        Ok(if changed { FollowStep::After(RANGE_PAUSE_ALONE) } else { FollowStep::Continue })
     }
 
     fn check_time(&self, time: Duration) -> Duration {
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -93,6 +93,7 @@
     /// Notes whether this VM holds the mandate: a holder follows the store.
     pub(crate) fn set_leads(&self, leads: bool) {
         self.leads.set(leads);
+        self.changed.notify_waiters();
         if leads {
             self.set_source(NewsSource::Store);
         }
@@ -140,11 +141,20 @@
         self.wait_for_source(|source| source != NewsSource::Store).await;
     }
 
+    /// Waits until this VM does not hold the mandate.
+    pub(crate) async fn leads_no_more(&self) {
+        self.wait_until(|| !self.leads.get()).await;
+    }
+
     /// Waits until this VM gets its news from a source that is wanted.
     async fn wait_for_source(&self, wanted: impl Fn(NewsSource) -> bool) {
+        self.wait_until(|| wanted(self.source.get())).await;
+    }
+
+    async fn wait_until(&self, holds: impl Fn() -> bool) {
         loop {
             let changed = self.changed.notified();
-            if wanted(self.source.get()) {
+            if holds() {
                 return;
             }
             changed.await;
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -140,6 +140,19 @@
     assert_eq!(owners(&store.map().unwrap()), ["k1", "k2"], "its entry came back in time");
 }
 
+/// The holder watched its own writes of the map, and started each watch anew with each check.
+#[test]
+fn the_holder_asks_the_store_little_while_nothing_changes() {
+    let (_gateway, store, _targets) = keyed("vm-thrifty");
+    std::thread::sleep(Duration::from_millis(500));
+    let before = store.calls_made();
+    std::thread::sleep(Duration::from_secs(5));
+    let calls = store.calls_made() - before;
+    // Each second 1.4 renewals of the mandate, 2.9 cheap probes, a look at the declarations, and every
+    // other second one at the targets, which starts its watch anew.
+    assert!(calls <= 33, "{calls} calls in five seconds");
+}
+
 /// While the store drops its history, watches hang and hear nothing.
 #[test]
 fn new_declarations_are_in_force_though_watches_are_deaf() {
