Waits for moves and for a VM's start have reasons in callers' terms

MOVE_WAIT (0.4 s) and MOVE_WAIT_PART (0.45 of the time given) are gone: a request waits for a key on the move as long as its answer can be in time. A VM that has just started lets a request wait 0.3 s for its first declarations instead of a tenth of the deadline. Turns of an undivided service come to one queue, so the wait is counted over all its members.

--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -12,10 +12,6 @@
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
 
-/// Longest wait for a range that is on the move, or for its next owner, over all tries.
-const MOVE_WAIT: Duration = Duration::from_millis(400);
-/// The same as a part of the time that the caller gives: it must be able to come back.
-const MOVE_WAIT_PART: f64 = 0.45;
 /// A range without an owner for longer is not on a planned move, which takes about the time of a
 /// request: it waits for a lost target's hold, seconds long, and requests for it are refused at once.
 const OWNERLESS_LONG: Duration = Duration::from_millis(1_000);
@@ -46,7 +42,14 @@
             let queue = if divided { &member.turns } else { &*service_queue };
             let limit = member.limit.get();
             let answer = limit.answer_time(rule.latency_target);
-            let wait = limit.expected_wait(queue.waiting(), answer);
+            let ahead = match divided {
+                true => queue.waiting(),
+                // The turns of all members come to the one queue.
+                false => {
+                    queue.waiting() / self.beliefs.borrow().roster.subset(service).len().max(1)
+                }
+            };
+            let wait = limit.expected_wait(ahead, answer);
             let left = until.saturating_duration_since(Instant::now()).saturating_sub(answer);
             let hopeless = left < wait && self.policy.turn_prediction.is_on();
             if hopeless || left.is_zero() {
@@ -147,9 +150,11 @@
         if self.policy.ownerless_refusal.is_on() && self.lacks_owner_for_long(service, key) {
             return Err(ErrorKind::MoveTooLong);
         }
-        let most = MOVE_WAIT.min((planned.until - planned.arrived).mul_f64(MOVE_WAIT_PART));
-        let most = if self.policy.move_wait.is_on() { most } else { Duration::ZERO };
-        let wait = most.saturating_sub(planned.arrived.elapsed());
+        // Nobody else can serve the key, so the request waits for as long as it can be in time.
+        let until = match self.policy.move_wait.is_on() {
+            true => planned.in_time_until().min(planned.until),
+            false => planned.arrived,
+        };
         let waiting = async {
             loop {
                 let changed = self.changed.notified();
@@ -159,7 +164,7 @@
                 changed.await;
             }
         };
-        let waited = tokio::time::timeout(wait, waiting).await;
+        let waited = tokio::time::timeout_at(until.into(), waiting).await;
         waited.map_err(|_| ErrorKind::MoveTooLong)
     }
 
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -39,9 +39,11 @@
 
 /// Kept of the caller's time for the way back of an answer.
 const RETURN_TIME: Duration = Duration::from_millis(4);
-/// Part of its deadline that a request may wait for a VM's first declarations: about a quarter of
-/// the latency target, as deadlines are two to three times as long.
-const START_WAIT_PART: u32 = 10;
+/// How long a request waits for a VM's first declarations: a VM that has just started learns them
+/// within this time, unless the store is away, and then another VM is the better one to ask.
+const START_WAIT: Duration = Duration::from_millis(300);
+/// Part of the caller's time that it waits for them at most: it must be able to ask another VM.
+const START_WAIT_PART: u32 = 3;
 
 /// What the request path believes; parts are replaced whole.
 struct WorkerBeliefs {
@@ -216,7 +218,7 @@
     async fn wait_for_declarations(&self, request: &Request) -> bool {
         let deadline = request.headers().get(self.names.deadline_ms);
         let deadline = deadline.and_then(|value| value.to_str().ok()?.parse().ok());
-        let wait = Duration::from_millis(deadline.unwrap_or(0)) / START_WAIT_PART;
+        let wait = START_WAIT.min(Duration::from_millis(deadline.unwrap_or(0)) / START_WAIT_PART);
         let waiting = async {
             loop {
                 let changed = self.changed.notified();
