--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -11,7 +11,6 @@
 
 mod beliefs;
 mod book;
-mod caller_age;
 mod connections;
 mod control;
 mod declared;
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -78,9 +78,9 @@
     }
 
     /// Learns that a request has been under way for a whole latency target.
-    pub(crate) fn note_overdue(&self, length: Duration, now: Timestamp) {
+    pub(crate) fn note_overdue(&self, goal: Duration, now: Timestamp) {
         let mut limit = self.limit.get();
-        limit.note_slow(length, now);
+        limit.note_overdue(goal, now);
         self.limit.set(limit);
     }
 }
--- a/crates/nickellead_gateway/src/route_table.rs
+++ b/crates/nickellead_gateway/src/route_table.rs
@@ -4,7 +4,8 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use crate::caller_age::CallerPatience;
+use nickellead_limit::CallerPatience;
+
 use crate::{Declarations, RoutePart, RouteRule};
 
 /// A route with the turn of its split.
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -24,7 +24,6 @@
         service: &str,
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
-        let rule = &planned.route.rule;
         let until = planned.in_time_until();
         loop {
             let chosen = self.choose_member(planned, service, state).await;
@@ -40,22 +39,13 @@
             let divided = self.beliefs.borrow().divided.contains(service);
             let service_queue = self.queue(service);
             let queue = if divided { &member.turns } else { &*service_queue };
-            let limit = member.limit.get();
-            let answer = limit.answer_time(rule.latency_target);
             let ahead = match divided {
                 true => queue.waiting(),
                 // The turns of all members come to the one queue.
-                false => {
-                    queue.waiting() / self.beliefs.borrow().roster.subset(service).len().max(1)
-                }
+                false => queue.waiting() / self.part_size(service),
             };
-            let wait = limit.expected_wait(ahead, answer);
-            let left = until.saturating_duration_since(Instant::now()).saturating_sub(answer);
-            let hopeless = left < wait && self.policy.turn_prediction.is_on();
-            if hopeless || left.is_zero() {
-                return Err(ErrorKind::Overloaded);
-            }
-            let mut turn = queue.join(rule.priority);
+            let left = self.time_for_turn(planned, &member, ahead).ok_or(ErrorKind::Overloaded)?;
+            let mut turn = queue.join(planned.route.rule.priority);
             let woken = tokio::time::timeout(left, turn.wait()).await;
             if woken.is_err() {
                 queue.give_up(&turn);
@@ -64,6 +54,28 @@
         }
     }
 
+    /// How long a request may wait for a member's room behind `ahead` others; `None` when its answer
+    /// would not be in time, so that waiting is of no use to the caller.
+    fn time_for_turn(
+        &self,
+        planned: &PlannedRequest,
+        member: &TargetMember,
+        ahead: usize,
+    ) -> Option<Duration> {
+        let limit = member.limit.get();
+        let answer = limit.answer_time(planned.route.rule.latency_target);
+        let whole = planned.in_time_until().saturating_duration_since(Instant::now());
+        let left = whole.saturating_sub(answer);
+        let comes = left >= limit.expected_wait(ahead, answer);
+        let hopeful = comes || !self.policy.turn_prediction.is_on();
+        (hopeful && !left.is_zero()).then_some(left)
+    }
+
+    /// Members of a service that this VM sends to.
+    fn part_size(&self, service: &str) -> usize {
+        self.beliefs.borrow().roster.subset(service).len().max(1)
+    }
+
     /// Waits for the first list of targets.
     async fn wait_for_targets(&self, until: Instant) -> Result<(), ErrorKind> {
         let listed = async {
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use nickellead_gateway::{
@@ -115,6 +116,12 @@
         });
     }
 
+    /// Sends a request like [`TestGateway::ask`], on a thread of its own.
+    pub fn ask_aside(&self, method: &'static str, path: &'static str) -> JoinHandle<String> {
+        let aside = Self { handle: None, ..*self };
+        std::thread::spawn(move || aside.ask(method, path, ""))
+    }
+
     /// Sends a request with an id and a deadline of a second; gives the whole answer.
     pub fn ask(&self, method: &str, path: &str, more: &str) -> String {
         exchange(
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -218,3 +218,34 @@
     assert!(third.contains("target-unreachable"), "{third}");
     assert!(begun.elapsed() < Duration::from_millis(600), "{:?}", begun.elapsed());
 }
+
+/// A full target says nothing; requests waited for it until they could not be in time any more.
+#[test]
+fn requests_to_a_target_that_swallows_them_are_refused_at_once() {
+    let target = TestTarget::start("t1", Manner::Silent);
+    let (gateway, _store) = gateway_of("vm-swallowed", &[&target]);
+    let callers: Vec<_> = (0..2).map(|_| gateway.ask_aside("GET", "/read/")).collect();
+    // Longer than the latency target of the route.
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    let begun = std::time::Instant::now();
+    let answer = gateway.ask("GET", "/read/", "");
+    assert!(answer.contains("overloaded") && answer.contains("retry-after"), "{answer}");
+    assert!(begun.elapsed() < std::time::Duration::from_millis(150), "{:?}", begun.elapsed());
+    callers.into_iter().for_each(|caller| drop(caller.join()));
+}
+
+/// All came back at the same moment, and were refused again.
+#[test]
+fn callers_are_asked_back_spread_and_while_they_can_be_in_time() {
+    let target = TestTarget::start("t1", Manner::Sheds);
+    let (gateway, _store) = gateway_of("vm-back", &[&target]);
+    let pause = || -> f64 {
+        let answer = gateway.ask("GET", "/read/", "");
+        let pause = answer.lines().find_map(|line| line.strip_prefix("retry-after: "));
+        pause.unwrap().parse().unwrap()
+    };
+    let pauses: Vec<f64> = (0..5).map(|_| pause()).collect();
+    // The latency target is half a second, and an answer may take half of it.
+    assert!(pauses.iter().all(|pause| *pause > 0.0 && *pause < 0.25), "{pauses:?}");
+    assert!(pauses.iter().any(|pause| (pause - pauses[0]).abs() > 0.005), "{pauses:?}");
+}
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -92,8 +92,13 @@
         }
     }
 
-    /// A request has been under way for `length`, which is too long.
-    pub fn note_slow(&mut self, length: Duration, now: Timestamp) {
+    /// A request has been under way for a whole latency target, and no answer has come.
+    pub fn note_overdue(&mut self, goal: Duration, now: Timestamp) {
+        self.time = self.time.max(1.0);
+        self.note_slow(goal, now);
+    }
+
+    fn note_slow(&mut self, length: Duration, now: Timestamp) {
         self.met = true;
         if now >= self.settled {
             self.limit = (self.limit * SLOW_SHRINK).max(LEAST);
--- a/crates/nickellead_gateway/src/caller_age.rs
+++ b/crates/nickellead_limit/src/patience.rs
@@ -12,15 +12,18 @@
 const FOLLOW_PART: f64 = 0.01;
 
 /// The longest time that callers of one route wait, as their requests say.
+///
+/// Callers that wait for unlike times look older than they are by the difference; it only decides who
+/// is refused first where there is no room.
 #[derive(Debug, Default)]
-pub(crate) struct CallerPatience {
+pub struct CallerPatience {
     longest: Cell<Duration>,
 }
 
 impl CallerPatience {
     /// Takes in how long a caller still waits; gives how long it has been trying, as far as that
     /// shows.
-    pub(crate) fn note(&self, left: Duration) -> Duration {
+    pub fn note(&self, left: Duration) -> Duration {
         let longest = self.longest.get();
         let age = longest.saturating_sub(left);
         let known = if left > longest { left } else { longest - age.mul_f64(FOLLOW_PART) };
--- a/crates/nickellead_limit/tests/limits.rs
+++ b/crates/nickellead_limit/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
-use nickellead_limit::{AdaptiveLimit, Turn, TurnQueue};
+use nickellead_limit::{AdaptiveLimit, CallerPatience, Turn, TurnQueue};
 use quickcheck::quickcheck;
 
 /// The latency target of these tests.
@@ -88,6 +88,44 @@
     }
 }
 
+#[test]
+fn a_target_that_swallows_requests_promises_no_answer_in_time() {
+    let mut limit = AdaptiveLimit::new(2, 16);
+    limit.note_overdue(GOAL, Timestamp(1_000));
+    assert!(limit.answer_time(GOAL) >= GOAL);
+    (0..20).for_each(|_| answer_fast(&mut limit, 1));
+    assert!(limit.answer_time(GOAL) < GOAL / 2, "its answers count again");
+}
+
+#[test]
+fn a_wait_is_as_long_as_the_turns_ahead() {
+    let limit = AdaptiveLimit::new(2, 16);
+    assert_eq!(limit.expected_wait(0, FAST), FAST / 2);
+    assert_eq!(limit.expected_wait(3, FAST), FAST * 2);
+}
+
+#[test]
+fn a_caller_that_comes_back_has_less_time_left() {
+    let patience = CallerPatience::default();
+    let millis = Duration::from_millis;
+    assert_eq!(patience.note(millis(2_500)), Duration::ZERO);
+    assert_eq!(patience.note(millis(2_200)), millis(300));
+    let again = patience.note(millis(2_500));
+    assert_eq!(again, Duration::ZERO);
+}
+
+/// One caller that waits for a minute must not make all others look old for good.
+#[test]
+fn the_word_of_one_patient_caller_is_forgotten() {
+    let patience = CallerPatience::default();
+    patience.note(Duration::from_secs(60));
+    let usual = Duration::from_millis(2_500);
+    for _ in 0..2_000 {
+        patience.note(usual);
+    }
+    assert!(patience.note(usual) < Duration::from_millis(5));
+}
+
 /// Whether a turn has come.
 async fn is_woken(turn: &mut Turn) -> bool {
     tokio::time::timeout(Duration::from_millis(50), turn.wait()).await.is_ok()
