--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -226,11 +226,11 @@
     let (gateway, _store) = gateway_of("vm-swallowed", &[&target]);
     let callers: Vec<_> = (0..2).map(|_| gateway.ask_aside("GET", "/read/")).collect();
     // Longer than the latency target of the route.
-    std::thread::sleep(std::time::Duration::from_millis(700));
-    let begun = std::time::Instant::now();
+    std::thread::sleep(Duration::from_millis(700));
+    let begun = Instant::now();
     let answer = gateway.ask("GET", "/read/", "");
     assert!(answer.contains("overloaded") && answer.contains("retry-after"), "{answer}");
-    assert!(begun.elapsed() < std::time::Duration::from_millis(150), "{:?}", begun.elapsed());
+    assert!(begun.elapsed() < Duration::from_millis(150), "{:?}", begun.elapsed());
     callers.into_iter().for_each(|caller| drop(caller.join()));
 }
 
