--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -16,8 +16,11 @@
 
 /// Path of messages in this version of the protocol.
 pub(crate) const MESSAGE_PATH: &str = "/peer/1";
-/// How long a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a connection may take: a way of 55 ms there and back, and some more.
+///
+/// A machine without power says nothing, and the system asks it again only after a second: a VM that
+/// starts before the one that it follows would lose that time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Flow-control windows, in bytes: a whole table must not wait for acknowledgements.
 pub(crate) const WINDOW: u32 = 4 * 1024 * 1024;
 
