A request refused for want of its key says so

explain told requests whose last try met a target without the key as shed by a full target. They end as target-refused now, and the log line of a failed request tells the caller's age.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -73,7 +73,7 @@
     StoreRegained, "store-regained", Info, [], "the store answers this VM again";
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's answer was passed on; one in 64 is logged, chosen by its id";
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "a try failed at this target and another one may follow";
-    RequestFailed, "request-failed", Info, ["request", "route", "error", "after_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms"], "the request ended without a target's answer, decided by beliefs of these ages";
+    RequestFailed, "request-failed", Info, ["request", "route", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms"], "the request ended without a target's answer, decided by beliefs of these ages";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "nobody read the log fast enough";
 }
 
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -34,10 +34,7 @@
                 NextStep::Again => {}
             }
             if !self.take_retry(planned, &part.service, &state) {
-                let kind = match state.sent {
-                    0 => ErrorKind::TargetUnreachable,
-                    _ => ErrorKind::TargetBusy,
-                };
+                let kind = state.refusal();
                 return finish(state, kind);
             }
             self.metrics.retries.inc();
@@ -98,6 +95,18 @@
     }
 }
 
+impl TryState {
+    /// Why no further try is made, told by the last one.
+    fn refusal(&self) -> ErrorKind {
+        let last = self.tried.last();
+        match self.sent {
+            0 => ErrorKind::TargetUnreachable,
+            _ if last.is_some_and(|id| self.misdirected.contains(id)) => ErrorKind::TargetRefused,
+            _ => ErrorKind::TargetBusy,
+        }
+    }
+}
+
 /// Ends a request that has no answer: a target's own failure goes before ours.
 fn finish(state: TryState, kind: ErrorKind) -> Result<TargetAnswer, ErrorKind> {
     if let Some(answer) = state.answer {
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -67,6 +67,23 @@
     assert!(answer.ends_with(&targets[0].id), "{answer}");
 }
 
+/// It was told as a request that a full target had shed.
+#[test]
+fn a_request_refused_for_want_of_the_key_says_so() {
+    let target = TestTarget::start("k1", Manner::Answers("421 Misdirected Request"));
+    let store = MemoryStore::default();
+    store.list(entry(&target.id, "keyed", target.address));
+    let mut once = declarations(1);
+    once.routes.iter_mut().for_each(|route| route.attempts = 1);
+    store.declare(once);
+    let gateway = TestGateway::start("vm-not-mine", &store);
+    gateway.wait_ready();
+    wait_until("all keys are granted", || store.map().as_ref().is_some_and(settled));
+    wait_until("the refusal is told", || {
+        gateway.ask("GET", "/key/", "x-key: 1\r\n").contains("target-refused")
+    });
+}
+
 /// Nothing proves that the lost target has ended, so its hold must run out first.
 #[test]
 fn the_keys_of_a_lost_target_wait_for_its_hold() {
