Sight: size and time of what VMs tell each other, why a source is left, when the table stands

Logs could not tell a copy that queues on a full link from one that was given up on its way, nor either from a VM without a source: news-taken, source-left and routes-built do. config-in-force was logged before the request duty had its table. No decision changes.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -67,8 +67,11 @@
     RangesWritten, "ranges-written", Info, ["revision", "edit", "fence", "late_orders"], "the map of ranges is in the store";
     RangeMoved, "range-moved", Info, ["service", "first", "last", "to"], "a range goes to another target to spread load";
     OrderFailed, "order-failed", Info, ["order", "outcome", "target", "first", "last", "fence"], "a target refused an order or did not answer";
-    ConfigInForce, "config-in-force", Info, ["version", "revision"], "requests are decided by these declarations from now on";
+    ConfigInForce, "config-in-force", Info, ["version", "revision"], "these declarations are known here; routes-built tells when requests follow them";
     NewsSource, "news-source", Info, ["source"], "where this VM gets its news: the store, another VM or none";
+    NewsTaken, "news-taken", Info, ["source", "bytes", "waited_ms", "on_way_ms"], "another VM told this much at once; only answers of 16 KiB and more are logged";
+    SourceLeft, "source-left", Info, ["source", "reason", "bytes", "waited_ms", "on_way_ms"], "a VM is asked for news no more; bytes and times are of its last answer, whole or not";
+    RoutesBuilt, "routes-built", Info, ["version", "routes", "took_ms"], "the request duty has built its table: requests are decided by this version from now on";
     StoreLost, "store-lost", Warn, ["reason"], "the store stopped answering this VM";
     StoreRegained, "store-regained", Info, [], "the store answers this VM again";
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's answer was passed on; one in 64 is logged, chosen by its id";
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -22,6 +22,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
 use nickellead_core::ErrorKind;
+use nickellead_event::{EventName, log_event};
 use nickellead_limit::TurnQueue;
 use nickellead_range::RangeMap;
 use tokio::sync::Notify;
@@ -155,7 +156,9 @@
         if beliefs.version.is_some_and(|known| known >= declarations.version) {
             return;
         }
+        let started = Instant::now();
         beliefs.table = Rc::new(RouteTable::build(declarations, &beliefs.table));
+        log_built(declarations, started.elapsed());
         let divided = declarations.services.iter().filter(|(_, rule)| rule.divided);
         beliefs.divided = divided.map(|(name, _)| name.clone()).collect();
         beliefs.limits = declarations.limits;
@@ -243,3 +246,12 @@
         metrics.targets_age.set(beliefs.taken.targets.elapsed().as_secs_f64());
     }
 }
+
+fn log_built(declarations: &Declarations, took: Duration) {
+    let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+        ("version", &declarations.version),
+        ("routes", &declarations.routes.len()),
+        ("took_ms", &took.as_millis()),
+    ];
+    log_event(EventName::RoutesBuilt, &pairs);
+}
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bincode::{Decode, Encode};
 use bytes::{Bytes, BytesMut};
@@ -24,6 +24,17 @@
 /// Flow-control windows, in bytes: a whole table must not wait for acknowledgements.
 pub(crate) const WINDOW: u32 = 4 * 1024 * 1024;
 
+/// How far the last exchange came, also one that failed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExchangeProgress {
+    /// From the question until the answer began, or was given up.
+    pub waited: Duration,
+    /// From the answer's beginning until its last bytes that came.
+    pub on_way: Duration,
+    /// Bytes of the answer that came.
+    pub bytes: usize,
+}
+
 /// One connection to one VM, made when first needed and again after a failure.
 ///
 /// `Q` is what it sends and `R` what it gets back.
@@ -31,6 +42,7 @@
 pub struct PeerClient<Q = PeerRequest, R = PeerReply> {
     address: SocketAddr,
     connection: Option<SendRequest<Bytes>>,
+    progress: ExchangeProgress,
     messages: PhantomData<fn(Q) -> R>,
 }
 
@@ -38,7 +50,12 @@
     /// A client of the VM at `address`.
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None, messages: PhantomData }
+        Self {
+            address,
+            connection: None,
+            progress: ExchangeProgress { waited: Duration::ZERO, on_way: Duration::ZERO, bytes: 0 },
+            messages: PhantomData,
+        }
     }
 
     /// Where the VM listens.
@@ -47,11 +64,18 @@
         self.address
     }
 
+    /// How far the last call came.
+    #[must_use]
+    pub const fn progress(&self) -> ExchangeProgress {
+        self.progress
+    }
+
     /// Sends a message and waits for the answer, `limit` at most.
     ///
     /// # Errors
     /// A [`PeerError`]; the connection is then made anew by the next call.
     pub async fn call(&mut self, message: &Q, limit: Duration) -> Result<R, PeerError> {
+        let asked = Instant::now();
         let answer = match timeout(limit, self.exchange(message)).await {
             Ok(answer) => answer,
             Err(_) => Err(PeerError::Timeout),
@@ -59,10 +83,15 @@
         if answer.is_err() {
             self.connection = None;
         }
+        if self.progress.bytes == 0 {
+            self.progress.waited = asked.elapsed();
+        }
         answer
     }
 
     async fn exchange(&mut self, message: &Q) -> Result<R, PeerError> {
+        let asked = Instant::now();
+        self.progress = ExchangeProgress::default();
         let body = encode(message)?;
         let sender = self.connect().await?;
         let mut sender = sender.ready().await.map_err(connection_error)?;
@@ -76,8 +105,14 @@
         if !response.status().is_success() {
             return Err(PeerError::Malformed(format!("status {}", response.status())));
         }
-        let body = read_body(response.into_body()).await?;
-        decode(&body)
+        self.progress.waited = asked.elapsed();
+        let began = Instant::now();
+        let progress = &mut self.progress;
+        let body = read_body(response.into_body(), |bytes| {
+            progress.bytes += bytes;
+            progress.on_way = began.elapsed();
+        });
+        decode(&body.await?)
     }
 
     async fn connect(&mut self) -> Result<SendRequest<Bytes>, PeerError> {
@@ -104,11 +139,15 @@
     }
 }
 
-/// Reads a body whole, within [`FRAME_LIMIT`].
-pub(crate) async fn read_body(mut body: h2::RecvStream) -> Result<Bytes, PeerError> {
+/// Reads a body whole, within [`FRAME_LIMIT`]; tells `note` the size of each part that comes.
+pub(crate) async fn read_body(
+    mut body: h2::RecvStream,
+    mut note: impl FnMut(usize),
+) -> Result<Bytes, PeerError> {
     let mut whole = BytesMut::new();
     while let Some(part) = body.data().await {
         let part = part.map_err(connection_error)?;
+        note(part.len());
         if whole.len() + part.len() > FRAME_LIMIT {
             return Err(PeerError::TooLarge);
         }
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -8,7 +8,7 @@
 mod message;
 mod server;
 
-pub use client::PeerClient;
+pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{FRAME_LIMIT, PeerError, decode, encode};
 pub use message::{FollowReply, FollowRequest, KnownZone, PeerReply, PeerRequest, PeerVm};
 pub use server::{PeerHandler, serve_peers};
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -92,7 +92,7 @@
     if request.uri().path() != MESSAGE_PATH {
         return refuse(&mut respond, StatusCode::NOT_FOUND);
     }
-    let body = match timeout(BODY_TIMEOUT, read_body(request.into_body())).await {
+    let body = match timeout(BODY_TIMEOUT, read_body(request.into_body(), |_| {})).await {
         Ok(body) => body?,
         Err(_) => return Err(PeerError::Timeout),
     };
