Messages between VMs can be packed once and told many times

Cause: a whole copy of the declarations is 249 kB of bincode for 4,200 routes and is told to every VM over links of 10 Mbit/s, where it takes 200 ms (reckoned).

Change: Packed<T> holds a message's bincode bytes as a zlib stream, shares its bytes among copies and unpacks to 16 MiB at most.

--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod order_call;
+mod packed;
 mod policy;
 mod port;
 mod relay;
@@ -38,6 +39,7 @@
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_call::{CallFailure, OrderCaller};
+pub use packed::{Packed, PackedError, UNPACKED_LIMIT};
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, OrderPort, Snapshot, StoreError, StorePort};
 pub use settings::{GatewaySettings, OwnershipSettings, SettingsError};
