Changes of declarations, their history and what VMs tell each other of them

Cause: VMs tell each other a whole copy of all routes for any change of one.

Change: DeclaredState names a content; DeclarationsChange holds what differs and is applied only to the content it is from and only if the result has the digest it promises; DeclarationsHistory keeps the last steps as packed bytes (32 steps, 112 KiB) and DeclaredNews tells steps or a whole copy. Nothing uses them yet.

Ruled out: comparing routes by == alone: 0.0 and -0.0 are equal and differ in the digest, so the change between them was refused (two of the tests fail with it); a history without the newest state, which would tell a whole copy to a VM that lacks nothing.

--- /dev/null
+++ b/crates/nickellead_gateway/src/declared/change.rs
@@ -0,0 +1,132 @@
+//! What changed from one content of declarations to another.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use bincode::{Decode, Encode};
+use thiserror::Error;
+
+use super::{CallerLimits, Declarations, DeclaredState, RouteRule, ServiceRule};
+
+/// What changed from one content of declarations to another.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct DeclarationsChange {
+    /// The content that it changes.
+    pub from: DeclaredState,
+    /// The content that results.
+    pub to: DeclaredState,
+    /// Names of routes that are no longer declared.
+    pub removed: Vec<String>,
+    /// Routes that are new or differ from the one of the same name.
+    pub set: Vec<RouteRule>,
+    /// All services, if any of them changed.
+    pub services: Option<BTreeMap<String, ServiceRule>>,
+    /// The limits, if any of them changed.
+    pub limits: Option<CallerLimits>,
+}
+
+/// Why a change can't be applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ChangeError {
+    /// It changes another content than the one known.
+    #[error("change is from {needed}, not from {known}")]
+    WrongBase {
+        /// The content that it changes.
+        needed: DeclaredState,
+        /// The content that is known.
+        known: DeclaredState,
+    },
+    /// It does not lead to the content that it names.
+    #[error("change led to {reached} instead of {promised}")]
+    WrongResult {
+        /// The content that it names.
+        promised: DeclaredState,
+        /// The content that it led to.
+        reached: DeclaredState,
+    },
+}
+
+impl DeclarationsChange {
+    /// The change from `old` to `new`; none when names of routes are not unique in either.
+    #[must_use]
+    pub fn between(old: &Declarations, new: &Declarations) -> Option<Self> {
+        let known = routes_by_name(&old.routes)?;
+        let wanted = routes_by_name(&new.routes)?;
+        let removed = old.routes.iter().filter(|route| !wanted.contains_key(route.name.as_str()));
+        let set = new.routes.iter().filter(|route| {
+            known.get(route.name.as_str()).is_none_or(|known| !is_same(known, route))
+        });
+        Some(Self {
+            from: old.state(),
+            to: new.state(),
+            removed: removed.map(|route| route.name.clone()).collect(),
+            set: set.cloned().collect(),
+            services: (old.services != new.services).then(|| new.services.clone()),
+            limits: (old.limits != new.limits).then_some(new.limits),
+        })
+    }
+
+    /// The declarations after the change: changed routes keep their place, new ones come last.
+    ///
+    /// # Errors
+    /// [`ChangeError`] when the change is from another content or leads to a wrong one.
+    pub fn apply(&self, old: &Declarations) -> Result<Declarations, ChangeError> {
+        self.check_base(old.state())?;
+        self.applied_to(old.clone())
+    }
+
+    /// Checks that the change is from the content known.
+    pub(super) fn check_base(&self, known: DeclaredState) -> Result<(), ChangeError> {
+        if self.from == known {
+            Ok(())
+        } else {
+            Err(ChangeError::WrongBase { needed: self.from, known })
+        }
+    }
+
+    /// Changes declarations whose state was checked by the caller.
+    pub(super) fn applied_to(&self, old: Declarations) -> Result<Declarations, ChangeError> {
+        let Declarations { mut routes, services, limits, version: _ } = old;
+        self.change_routes(&mut routes);
+        let declarations = Declarations {
+            version: self.to.version,
+            routes,
+            services: self.services.clone().unwrap_or(services),
+            limits: self.limits.unwrap_or(limits),
+        };
+        let reached = declarations.state();
+        if reached == self.to {
+            Ok(declarations)
+        } else {
+            Err(ChangeError::WrongResult { promised: self.to, reached })
+        }
+    }
+
+    fn change_routes(&self, routes: &mut Vec<RouteRule>) {
+        let removed: HashSet<&str> = self.removed.iter().map(String::as_str).collect();
+        let mut set: HashMap<&str, &RouteRule> =
+            self.set.iter().map(|route| (route.name.as_str(), route)).collect();
+        routes.retain(|route| !removed.contains(route.name.as_str()));
+        for route in routes.iter_mut() {
+            if let Some(changed) = set.remove(route.name.as_str()) {
+                *route = changed.clone();
+            }
+        }
+        let new = self.set.iter().filter(|route| set.contains_key(route.name.as_str()));
+        routes.extend(new.cloned());
+    }
+}
+
+/// The routes by name; none when two have the same name.
+fn routes_by_name(routes: &[RouteRule]) -> Option<HashMap<&str, &RouteRule>> {
+    let by_name: HashMap<&str, &RouteRule> =
+        routes.iter().map(|route| (route.name.as_str(), route)).collect();
+    (by_name.len() == routes.len()).then_some(by_name)
+}
+
+/// Whether two routes have the same digest: unlike for `==`, 0.0 and -0.0 are two weights.
+fn is_same(one: &RouteRule, other: &RouteRule) -> bool {
+    let weights = |route: &RouteRule| -> Vec<u64> {
+        route.parts.iter().map(|part| part.weight.to_bits()).collect()
+    };
+    one == other && weights(one) == weights(other)
+}
--- a/crates/nickellead_gateway/src/declared.rs
+++ b/crates/nickellead_gateway/src/declared/mod.rs
@@ -5,6 +5,16 @@
 
 use bincode::{Decode, Encode};
 
+mod change;
+mod history;
+mod news;
+mod state;
+
+pub use change::{ChangeError, DeclarationsChange};
+pub use history::{DeclarationsHistory, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS};
+pub use news::{AppliedNews, DeclaredNews, NewsError};
+pub use state::DeclaredState;
+
 /// All declarations of one version.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Declarations {
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -35,7 +35,11 @@
 mod targets;
 mod worker;
 
-pub use declared::{CallerLimits, Declarations, RepeatClass, RoutePart, RouteRule, ServiceRule};
+pub use declared::{
+    AppliedNews, CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory,
+    DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError,
+    RepeatClass, RoutePart, RouteRule, ServiceRule,
+};
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_call::{CallFailure, OrderCaller};
