--- a/crates/nickellead_gateway/src/book/declared.rs
+++ b/crates/nickellead_gateway/src/book/declared.rs
@@ -3,8 +3,8 @@
 use bincode::{Decode, Encode};
 use nickellead_event::{EventName, log_event};
 
-use crate::declared::{AppliedNews, NewsError};
 use crate::packed::Packed;
+use crate::{AppliedNews, NewsError};
 use crate::{
     Declarations, DeclarationsChange, DeclarationsHistory, DeclaredNews, DeclaredState,
     DeclaredStep, Revision,
--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -3,8 +3,10 @@
 //! The book takes news from the store or from another VM, never goes
 //! backwards, tells the request duty, and can say what is new to another VM.
 //!
-//! `targets` keeps the list of targets, `news` is what VMs tell each other.
+//! `declared` keeps the declarations and `targets` the list of targets, `news` is what VMs tell each
+//! other.
 
+mod declared;
 mod news;
 mod targets;
 
@@ -16,11 +18,15 @@
 use nickellead_range::RangeMap;
 use tokio::sync::Notify;
 
+pub(crate) use self::declared::DeclaredTell;
+use self::declared::{DeclaredPart, log_unusable};
 pub(crate) use self::news::{BookMark, BookNews};
 pub(crate) use self::targets::LAPSE_TIME;
 use self::targets::TargetPart;
 use crate::beliefs::BeliefSenders;
-use crate::{Declarations, MandateRecord, Revision, Stored, TargetChange, TargetList};
+use crate::{
+    Declarations, DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList,
+};
 
 /// Up to which revision of the store each part is known.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,6 +40,7 @@
 pub(crate) struct BeliefBook {
     incarnation: u64,
     known: Cell<KnownRevisions>,
+    declared: RefCell<DeclaredPart>,
     targets: RefCell<TargetPart>,
     ranges: RefCell<Option<Stored<RangeMap>>>,
     mandate: RefCell<Option<Stored<MandateRecord>>>,
@@ -47,6 +54,7 @@
         Self {
             incarnation,
             known: Cell::default(),
+            declared: RefCell::default(),
             targets: RefCell::default(),
             ranges: RefCell::new(None),
             mandate: RefCell::new(None),
@@ -80,22 +88,60 @@
         self.mandate.borrow().clone()
     }
 
-    /// Takes over declarations; older ones are ignored.
+    /// Which content of the declarations is known.
+    pub(crate) fn declared_state(&self) -> Option<DeclaredState> {
+        self.declared.borrow().state()
+    }
+
+    /// Whether this content of the declarations is newer than the one known.
+    pub(crate) fn lacks(&self, state: Option<DeclaredState>) -> bool {
+        state.is_some_and(|state| self.is_newer(state.version))
+    }
+
+    fn is_newer(&self, version: u64) -> bool {
+        self.declared_state().is_none_or(|known| known.version < version)
+    }
+
+    /// Takes over declarations that the store told; older ones are ignored.
     pub(crate) fn note_declarations(&self, as_of: Revision, new: Option<Declarations>) {
         self.raise(|known| &mut known.declarations, as_of);
-        let Some(new) = new else { return };
-        let version = new.version;
-        let newer = self.told.declarations.send_if_modified(|known| {
-            if known.as_ref().is_some_and(|known| known.version >= version) {
+        let Some(new) = new.filter(|new| self.is_newer(new.version)) else { return };
+        self.declared.borrow_mut().note_read(self.declarations().as_deref(), &new);
+        self.put_in_force(new);
+    }
+
+    /// Takes over declarations that another VM told, older ones are ignored; tells whether they fit
+    /// what is known.
+    pub(crate) fn take_declarations(&self, told: DeclaredTell) -> bool {
+        let applied = match told.news.apply(self.declarations().as_deref()) {
+            Ok(applied) => applied,
+            Err(error) => {
+                log_unusable(&error);
                 return false;
             }
-            *known = Some(Arc::new(new));
-            true
-        });
-        if newer {
-            log_event(EventName::ConfigInForce, &[("version", &version)]);
-            self.changed.notify_waiters();
+        };
+        if self.is_newer(applied.state.version) {
+            self.declared.borrow_mut().note_told(&applied);
+            self.put_in_force(applied.declarations);
+        }
+        if self.declared_state() == Some(applied.state) {
+            self.raise(|known| &mut known.declarations, told.as_of);
         }
+        true
+    }
+
+    fn put_in_force(&self, new: Declarations) {
+        let version = new.version;
+        self.told.declarations.send_replace(Some(Arc::new(new)));
+        log_event(EventName::ConfigInForce, &[("version", &version)]);
+        self.changed.notify_waiters();
+    }
+
+    /// What a reader needs that knows this content of the declarations, or none.
+    pub(crate) fn declarations_since(&self, known: Option<DeclaredState>) -> Option<DeclaredTell> {
+        let newest = self.declarations()?;
+        let news = self.declared.borrow_mut().since(known, &newest)?;
+        Some(DeclaredTell { as_of: self.known().declarations.unwrap_or_default(), news })
     }
 
     /// Takes over the whole list of targets, unless a newer one is known.
--- a/crates/nickellead_gateway/src/book/news.rs
+++ b/crates/nickellead_gateway/src/book/news.rs
@@ -4,7 +4,7 @@
 use nickellead_range::RangeMap;
 
 use super::BeliefBook;
-use crate::{Declarations, MandateRecord, Revision, Stored, TargetChange, TargetList};
+use crate::{DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList};
 
 /// How far a VM's copy of another VM's book reaches.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
@@ -13,8 +13,8 @@
     pub(crate) incarnation: u64,
     /// Number of the last change of targets taken from it.
     pub(crate) targets: u64,
-    /// Revision of the last declarations taken from it, plus one; 0 for none.
-    pub(crate) declarations: u64,
+    /// Newest content of the declarations that it announced, or that the reader knows.
+    pub(crate) declared: Option<DeclaredState>,
     /// Revision of the last map of ranges.
     pub(crate) ranges: Revision,
     /// Revision of the last mandate.
@@ -26,10 +26,11 @@
 pub(crate) struct BookNews {
     /// Where the reader's copy now reaches.
     pub(crate) mark: BookMark,
-    /// The store's revision that the declarations are as of.
+    /// The store's revision that the declarations of the mark are as of.
     pub(crate) declarations_as_of: Revision,
-    /// Newer declarations.
-    pub(crate) declarations: Option<Declarations>,
+    /// Whether the mark announces declarations that the reader did not know of. They are asked for
+    /// apart, so that they hold nothing back.
+    pub(crate) announces: bool,
     /// The store's revision that the targets are as of; `None` while entries that the store does
     /// not list are kept because they may only have lapsed.
     pub(crate) targets_as_of: Option<Revision>,
@@ -48,7 +49,7 @@
 impl BookNews {
     /// Whether there is nothing new.
     pub(crate) fn is_empty(&self) -> bool {
-        self.declarations.is_none()
+        !self.announces
             && self.all_targets.is_none()
             && self.target_changes.is_empty()
             && self.ranges.is_none()
@@ -57,6 +58,11 @@
 }
 
 impl BeliefBook {
+    /// What a reader with this book knows, whomever it asks.
+    pub(crate) fn mark(&self) -> BookMark {
+        BookMark { declared: self.declared_state(), ..BookMark::default() }
+    }
+
     /// What is new for a reader at `mark`.
     pub(crate) fn news_since(&self, mark: BookMark) -> BookNews {
         let known = self.known.get();
@@ -68,25 +74,23 @@
             ranges_as_of: known.ranges.unwrap_or_default(),
             ..BookNews::default()
         };
-        self.tell_declarations(&mut news, same);
+        self.announce_declarations(&mut news);
         self.tell_target_changes(&mut news, same);
         self.tell_ranges(&mut news, same);
         self.tell_mandate(&mut news, same);
         news
     }
 
-    /// Adds the declarations, unless the reader has these; so do the next three for their parts.
-    ///
-    /// `same` tells whether the reader's mark is of this very book.
-    fn tell_declarations(&self, news: &mut BookNews, same: bool) {
-        if let Some(declarations) = self.declarations()
-            && (!same || news.mark.declarations != declarations.version + 1)
-        {
-            news.mark.declarations = declarations.version + 1;
-            news.declarations = Some(declarations.as_ref().clone());
-        }
+    /// Announces the declarations, unless the reader knows of these.
+    fn announce_declarations(&self, news: &mut BookNews) {
+        let newest = self.declared_state();
+        news.announces = newest.is_some() && newest != news.mark.declared;
+        news.mark.declared = newest;
     }
 
+    /// Adds the changes of targets; the next two do so for their parts.
+    ///
+    /// `same` tells whether the reader's mark is of this very book.
     fn tell_target_changes(&self, news: &mut BookNews, same: bool) {
         let part = self.targets.borrow();
         let from = std::mem::replace(&mut news.mark.targets, part.number);
@@ -116,7 +120,10 @@
 
     /// Takes over another VM's news; tells whether they could be used.
     pub(crate) fn take_news(&self, news: BookNews) -> bool {
-        self.note_declarations(news.declarations_as_of, news.declarations);
+        if news.mark.declared == self.declared_state() {
+            // What is announced and not known yet must not be missed by a watch of the store.
+            self.note_declarations(news.declarations_as_of, None);
+        }
         if news.targets_as_of.is_none() {
             // A watch of the store from here would miss that some entries are gone.
             self.forget_targets_revision();
--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -113,14 +113,14 @@
     ) -> FollowEnd {
         let mut mark = self.book.mark();
         while !self.leads.get() {
-            let ask = RelayAsk::News(NewsAsk {
+            let ask = NewsAsk {
                 zone: self.zone.clone(),
                 address: self.address,
                 mark,
                 avoid: avoid.to_vec(),
                 load: self.loads.take(),
-            });
-            match client.call(&ask, ASK_WAIT + ANSWER_TIME).await {
+            };
+            match client.call(&RelayAsk::News(Box::new(ask)), ASK_WAIT + ANSWER_TIME).await {
                 Ok(RelayTell::News(news, age)) => {
                     log_large(client.address(), client.progress());
                     mark = news.mark;
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) enum RelayAsk {
     /// What is new?
-    News(NewsAsk),
+    News(Box<NewsAsk>),
     /// What are the declarations? With what the reader knows of them.
     ///
     /// They are asked for apart: a large change of them must not hold back the rest.
--- a/crates/nickellead_gateway/src/relay/telling.rs
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -56,7 +56,7 @@
 
     async fn answer(&self, ask: RelayAsk) -> RelayTell {
         match ask {
-            RelayAsk::News(ask) => self.tell_news(ask).await,
+            RelayAsk::News(ask) => self.tell_news(*ask).await,
             RelayAsk::Declarations(known) => {
                 RelayTell::Declarations(self.book.declarations_since(known))
             }
