Changes of the map of ranges: what turns one map into another, exactly

Cause: each write of the map, three a second, goes whole to each reader of the mandate's holder, though it touches few ranges.

Change: MapChange holds the ranges of a service that the old map does not have. Ranges are in order and without gaps, so whatever held their keys is replaced, and no span has to be told besides. `between` applies what it made and gives None unless that is exactly the new map; `apply` refuses a base of another writer or edit, and a service whose keys would not be covered once, in order.

Ruled out: telling spans of places in the list, which fit a wrong base as well as the right one.

--- a/crates/nickellead_range/src/lib.rs
+++ b/crates/nickellead_range/src/lib.rs
@@ -7,6 +7,7 @@
 //! functions take the time and what happened, and return what is to be done:
 //! nothing here does input or output or reads a clock.
 
+mod change;
 mod keeper;
 mod lateness;
 mod load;
@@ -16,6 +17,7 @@
 mod plan;
 mod stored;
 
+pub use change::{MapChange, MapChangeError};
 pub use keeper::{KeeperSettings, OrderKind, OrderOutcome, RangeKeeper, RangeOrder};
 pub use lateness::LatenessWatch;
 pub use load::KeyLoad;
