VMs tell each other the steps of the map of ranges, whichever VM a reader had its map from

Cause: on a fleet of 90 VMs the mandate's holder alone sent 500 to 1,000 kB a second in calm, because each write of the map went whole to its readers.

Change: RangesHistory keeps the newest map and the last 64 steps with their revisions of the store. A reader is told the steps from its map's revision, if they are kept and have fewer ranges than the map; nothing when its map is as new; else the whole map. Steps are taken whole or not at all: what does not fit leaves the map and the revision it is as of, and take_news says so. A step that does not apply makes the book ask for a whole map (ranges_revision gives 0).

The relay still starts each source with an empty mark, so a reader that changes its source is told one whole map until the relay fills the mark from ranges_revision; its attribute `expect(dead_code)` has to go with that.

Ruled out: steps for the list of targets across sources. Entries that may only have lapsed are kept by each book for itself, so a revision does not name the content of a list.

--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -3,9 +3,11 @@
 //! The book takes news from the store or from another VM, never goes
 //! backwards, tells the request duty, and can say what is new to another VM.
 //!
-//! `targets` keeps the list of targets, `news` is what VMs tell each other.
+//! `targets` keeps the list of targets, `ranges` the map of ranges, `news` is what VMs tell each
+//! other.
 
 mod news;
+mod ranges;
 mod targets;
 
 use std::cell::{Cell, RefCell};
@@ -17,6 +19,7 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::news::{BookMark, BookNews};
+pub use self::ranges::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub(crate) use self::targets::LAPSE_TIME;
 use self::targets::TargetPart;
 use crate::beliefs::BeliefSenders;
@@ -35,7 +38,7 @@
     incarnation: u64,
     known: Cell<KnownRevisions>,
     targets: RefCell<TargetPart>,
-    ranges: RefCell<Option<Stored<RangeMap>>>,
+    ranges: RefCell<RangesHistory>,
     mandate: RefCell<Option<Stored<MandateRecord>>>,
     told: BeliefSenders,
     /// Woken by every change.
@@ -48,7 +51,7 @@
             incarnation,
             known: Cell::default(),
             targets: RefCell::default(),
-            ranges: RefCell::new(None),
+            ranges: RefCell::default(),
             mandate: RefCell::new(None),
             told,
             changed: Notify::new(),
@@ -72,7 +75,14 @@
 
     /// The newest map of ranges.
     pub(crate) fn ranges(&self) -> Option<Stored<RangeMap>> {
-        self.ranges.borrow().clone()
+        self.ranges.borrow().newest().cloned()
+    }
+
+    /// From which map of ranges this book can go on by steps: what a reader's mark says of ranges,
+    /// also to a source that it has not asked before. 0 when it needs a whole map.
+    #[expect(dead_code, reason = "the relay is to fill the marks of its questions from it")]
+    pub(crate) fn ranges_revision(&self) -> Revision {
+        self.ranges.borrow().revision()
     }
 
     /// The newest mandate.
@@ -158,14 +168,36 @@
     pub(crate) fn note_ranges(&self, as_of: Revision, new: Option<Stored<RangeMap>>) {
         self.raise(|known| &mut known.ranges, as_of);
         let Some(new) = new else { return };
-        let mut ranges = self.ranges.borrow_mut();
-        if ranges.as_ref().is_none_or(|known| new.revision > known.revision) {
-            self.told.ranges.send_replace(Arc::new(new.value.clone()));
-            *ranges = Some(new);
-            self.changed.notify_waiters();
+        if self.ranges.borrow_mut().take_whole(new) {
+            self.tell_newest_ranges();
         }
     }
 
+    /// Takes over steps of the map of ranges; those that are known are ignored.
+    ///
+    /// # Errors
+    /// [`StepsMisfit`] when they don't go on from the known map; nothing is taken over then.
+    fn note_ranges_steps(
+        &self,
+        as_of: Revision,
+        steps: Vec<RangesStep>,
+    ) -> Result<(), StepsMisfit> {
+        let newer = self.ranges.borrow_mut().take_steps(steps)?;
+        self.raise(|known| &mut known.ranges, as_of);
+        if newer {
+            self.tell_newest_ranges();
+        }
+        Ok(())
+    }
+
+    /// Tells the request duty and readers that there is a newer map of ranges.
+    fn tell_newest_ranges(&self) {
+        let ranges = self.ranges.borrow();
+        let Some(newest) = ranges.newest() else { return };
+        self.told.ranges.send_replace(Arc::new(newest.value.clone()));
+        self.changed.notify_waiters();
+    }
+
     /// Takes over a mandate; an older one is ignored.
     pub(crate) fn note_mandate(&self, new: &Stored<MandateRecord>) {
         let mut mandate = self.mandate.borrow_mut();
--- a/crates/nickellead_gateway/src/book/news.rs
+++ b/crates/nickellead_gateway/src/book/news.rs
@@ -1,9 +1,8 @@
 //! What one VM's book can tell another VM, and taking in what another one tells.
 
 use bincode::{Decode, Encode};
-use nickellead_range::RangeMap;
 
-use super::BeliefBook;
+use super::{BeliefBook, RangesNews};
 use crate::{Declarations, MandateRecord, Revision, Stored, TargetChange, TargetList};
 
 /// How far a VM's copy of another VM's book reaches.
@@ -15,7 +14,7 @@
     pub(crate) targets: u64,
     /// Revision of the last declarations taken from it, plus one; 0 for none.
     pub(crate) declarations: u64,
-    /// Revision of the last map of ranges.
+    /// Revision of the reader's map of ranges, whichever book it came from; 0 for none.
     pub(crate) ranges: Revision,
     /// Revision of the last mandate.
     pub(crate) mandate: Revision,
@@ -40,7 +39,7 @@
     /// The store's revision that the ranges are as of.
     pub(crate) ranges_as_of: Revision,
     /// A newer map of ranges.
-    pub(crate) ranges: Option<Stored<RangeMap>>,
+    pub(crate) ranges: Option<RangesNews>,
     /// A newer mandate.
     pub(crate) mandate: Option<Stored<MandateRecord>>,
 }
@@ -70,12 +69,12 @@
         };
         self.tell_declarations(&mut news, same);
         self.tell_target_changes(&mut news, same);
-        self.tell_ranges(&mut news, same);
+        self.tell_ranges(&mut news);
         self.tell_mandate(&mut news, same);
         news
     }
 
-    /// Adds the declarations, unless the reader has these; so do the next three for their parts.
+    /// Adds the declarations, unless the reader has these; so do the others for their parts.
     ///
     /// `same` tells whether the reader's mark is of this very book.
     fn tell_declarations(&self, news: &mut BookNews, same: bool) {
@@ -96,12 +95,12 @@
         }
     }
 
-    fn tell_ranges(&self, news: &mut BookNews, same: bool) {
-        if let Some(ranges) = self.ranges.borrow().as_ref()
-            && (!same || news.mark.ranges != ranges.revision)
-        {
-            news.mark.ranges = ranges.revision;
-            news.ranges = Some(ranges.clone());
+    /// Adds what is new of the ranges since the reader's map, whichever book that came from.
+    fn tell_ranges(&self, news: &mut BookNews) {
+        let ranges = self.ranges.borrow();
+        news.ranges = ranges.since(news.mark.ranges);
+        if let (Some(_), Some(newest)) = (&news.ranges, ranges.newest()) {
+            news.mark.ranges = newest.revision;
         }
     }
 
@@ -132,10 +131,21 @@
         if news.targets_as_of.is_none() {
             self.forget_targets_revision();
         }
-        self.note_ranges(news.ranges_as_of, news.ranges);
+        let usable = self.take_ranges(news.ranges_as_of, news.ranges) && usable;
         if let Some(mandate) = &news.mandate {
             self.note_mandate(mandate);
         }
         usable
     }
+
+    /// Takes over what another VM told of the ranges; tells whether it could be used.
+    fn take_ranges(&self, as_of: Revision, news: Option<RangesNews>) -> bool {
+        let whole = match news {
+            Some(RangesNews::Steps(steps)) => return self.note_ranges_steps(as_of, steps).is_ok(),
+            Some(RangesNews::Whole(whole)) => Some(whole),
+            None => None,
+        };
+        self.note_ranges(as_of, whole);
+        true
+    }
 }
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod targets;
 mod worker;
 
+pub use book::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub use declared::{CallerLimits, Declarations, RepeatClass, RoutePart, RouteRule, ServiceRule};
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -116,6 +116,45 @@
     wait_until("the second VM moves the keys", || store.map().unwrap().fence > moved);
 }
 
+/// Whether a gateway sends these keys to the owners in the store's map.
+fn follows_map(gateway: &TestGateway, store: &MemoryStore) -> bool {
+    let map = store.map().unwrap();
+    [0, 9_000, 22_000, 33_000, 44_000, 55_000, 65_535].into_iter().all(|key| {
+        let owner = map.find("keyed", key).and_then(|range| range.owner.clone()).unwrap();
+        gateway.ask("GET", "/key/", &format!("x-key: {key}\r\n")).ends_with(&owner.id)
+    })
+}
+
+/// Takes a target out, and waits until its keys are settled elsewhere.
+fn retire(store: &MemoryStore, id: &str) {
+    store.unlist(id);
+    wait_until("its keys are settled elsewhere", || {
+        let map = store.map().unwrap();
+        settled(&map) && !owners(&map).iter().any(|owner| owner == id)
+    });
+}
+
+/// VMs tell each other the steps of the map: by them, too, all have the same owners.
+#[test]
+fn all_vms_follow_moves_also_once_their_source_is_another_one() {
+    let (mut first, store, _targets) = keyed("vm-steps-1");
+    let more = [TestTarget::start("k3", Manner::Serves), TestTarget::start("k4", Manner::Serves)];
+    let others = ["vm-steps-2", "vm-steps-3"].map(|name| TestGateway::start(name, &store));
+    others.iter().for_each(TestGateway::wait_ready);
+    let all_follow = || others.iter().all(|gateway| follows_map(gateway, &store));
+    wait_until("both know the owners", all_follow);
+    store.list(entry(&more[0].id, "keyed", more[0].address));
+    store.list(entry(&more[1].id, "keyed", more[1].address));
+    wait_until("both know the owners still", all_follow);
+    retire(&store, "k2");
+    wait_until("both know of the move", all_follow);
+    assert!(first.handle.take().unwrap().stop(), "requests finish in time");
+    retire(&store, "k1");
+    wait_until("both know of the move that another holder made", all_follow);
+    retire(&store, "k3");
+    wait_until("both know of the last move", all_follow);
+}
+
 /// Its successor knew nothing of what it had seen of late orders, and let the keys of lost targets
 /// wait for half a minute.
 #[test]
