--- a/crates/nickellead_gateway/src/book/declared.rs
+++ b/crates/nickellead_gateway/src/book/declared.rs
@@ -4,10 +4,9 @@
 use nickellead_event::{EventName, log_event};
 
 use crate::packed::Packed;
-use crate::{AppliedNews, NewsError};
 use crate::{
-    Declarations, DeclarationsChange, DeclarationsHistory, DeclaredNews, DeclaredState,
-    DeclaredStep, Revision,
+    AppliedNews, Declarations, DeclarationsChange, DeclarationsHistory, DeclaredNews,
+    DeclaredState, DeclaredStep, Revision,
 };
 
 /// What one VM tells another of the declarations.
@@ -84,8 +83,3 @@
         [("version", &newest.version), ("reason", error)];
     log_event(EventName::DeclarationsUntold, &pairs);
 }
-
-/// Logs that what another VM told of the declarations can't be used.
-pub(super) fn log_unusable(error: &NewsError) {
-    log_event(EventName::DeclarationsUnusable, &[("reason", error)]);
-}
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod targets;
 mod worker;
 
+pub use book::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub use declared::{
     AppliedNews, CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory,
     DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError,
--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -10,7 +10,7 @@
 use super::messages::{NewsAsk, RelayAsk, RelayTell};
 use super::{ASK_WAIT, NewsRelay, NewsSource};
 use crate::DeclaredState;
-use crate::book::BookNews;
+use crate::book::{BookMark, BookNews};
 
 /// How long an answer may take to begin, beyond [`ASK_WAIT`], before its VM counts as lost.
 ///
@@ -123,11 +123,11 @@
             match client.call(&RelayAsk::News(Box::new(ask)), ASK_WAIT + ANSWER_TIME).await {
                 Ok(RelayTell::News(news, age)) => {
                     log_large(client.address(), client.progress());
-                    mark = news.mark;
+                    mark = match self.take_news(*news, age) {
+                        Ok(mark) => mark,
+                        Err(reason) => return FollowEnd::Lost(reason),
+                    };
                     announce.send_replace(mark.declared);
-                    if let Err(reason) = self.take_news(*news, age) {
-                        return FollowEnd::Lost(reason);
-                    }
                     self.set_source(NewsSource::Vm(client.address()));
                 }
                 Ok(RelayTell::AskOther(other)) => return FollowEnd::AskOther(other),
@@ -139,15 +139,13 @@
         FollowEnd::Lost(LossReason::Leads)
     }
 
-    fn take_news(&self, news: BookNews, age: Duration) -> Result<(), LossReason> {
+    fn take_news(&self, news: BookNews, age: Duration) -> Result<BookMark, LossReason> {
         self.root_heard.set(Instant::now().checked_sub(age));
-        if !self.book.take_news(news) {
-            return Err(LossReason::Unusable);
-        }
+        let mark = self.book.take_news(news).ok_or(LossReason::Unusable)?;
         match self.book.mandate() {
             // Its holder stops: somebody has to take it now.
             Some(mandate) if mandate.value.vacant => Err(LossReason::Vacant),
-            _ => Ok(()),
+            _ => Ok(mark),
         }
     }
 
