--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -46,7 +46,8 @@
 pub(crate) struct ControlParts {
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) peers_address: SocketAddr,
+    /// Where other VMs reach this one.
+    pub(crate) announced_address: SocketAddr,
     pub(crate) cpu_share: f64,
     pub(crate) incarnation: u64,
     pub(crate) ownership: OwnershipSettings,
@@ -90,7 +91,7 @@
     fn new(parts: ControlParts, store: S, orders: O) -> Rc<Self> {
         let health = Rc::new(StoreHealth::new(parts.metrics.clone()));
         let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
-        let address = parts.peers_address;
+        let address = parts.announced_address;
         let relay = NewsRelay::new(
             parts.zone,
             address,
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -101,7 +101,7 @@
     let parts = ControlParts {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        peers_address: settings.peers_address,
+        announced_address: settings.announced_address(),
         cpu_share: settings.cpu_share,
         incarnation,
         ownership: settings.ownership,
@@ -152,6 +152,7 @@
         let moved = self.settings.callers_address != settings.callers_address
             || self.settings.readiness_address != settings.readiness_address
             || self.settings.peers_address != settings.peers_address
+            || self.settings.peers_announced != settings.peers_announced
             || self.settings.metrics_address != settings.metrics_address
             || self.settings.store_address != settings.store_address
             || self.settings.vm != settings.vm
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -43,8 +43,12 @@
     /// Where counters and histograms are served besides; `None` for the readiness address alone.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
-    /// Where other VMs reach it.
+    /// Where it listens for other VMs.
     pub peers_address: SocketAddr,
+    /// Where other VMs reach it, if that is another address than the one it listens on, as behind a
+    /// port mapping.
+    #[serde(default)]
+    pub peers_announced: Option<SocketAddr>,
     /// Its share of a core; a VM with little takes the mandate only if no other VM does.
     #[serde(default = "default_cpu_share")]
     pub cpu_share: f64,
@@ -113,6 +117,11 @@
 }
 
 impl GatewaySettings {
+    /// The address that this VM tells others as its own.
+    pub(crate) fn announced_address(&self) -> SocketAddr {
+        self.peers_announced.unwrap_or(self.peers_address)
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -1,12 +1,14 @@
 //! One gateway against a store in memory and targets on loopback sockets.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+pub mod link;
 pub mod store;
 pub mod target;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Mutex;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -29,9 +31,18 @@
     not_run: "x-not-run",
 };
 
-/// A free address on the loopback.
+/// Ports that the system gives to no connection, so that a free one stays free until it is bound.
+const FREE_PORTS: std::ops::Range<u16> = 10_000..32_768;
+
+/// A free address on the loopback that was not given before.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(FREE_PORTS)));
+        if TcpListener::bind(address).is_ok() && GIVEN.lock().unwrap().insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 /// A route of one service at `/NAME/`.
@@ -86,14 +97,24 @@
 impl TestGateway {
     /// Starts a gateway; it knows what the store holds soon after.
     pub fn start(name: &str, store: &MemoryStore) -> Self {
+        Self::start_as(name, store, |_| {})
+    }
+
+    /// Starts a gateway with settings that a test edits first.
+    pub fn start_as(
+        name: &str,
+        store: &MemoryStore,
+        edit: impl FnOnce(&mut GatewaySettings),
+    ) -> Self {
         let metrics = free_address();
-        let settings = GatewaySettings {
+        let mut settings = GatewaySettings {
             vm: name.to_owned(),
             zone: "zone-a".to_owned(),
             callers_address: free_address(),
             readiness_address: free_address(),
             metrics_address: Some(metrics),
             peers_address: free_address(),
+            peers_announced: None,
             cpu_share: 1.0,
             store_address: free_address(),
             grace_s: 2.0,
@@ -102,8 +123,9 @@
             ownership: OwnershipSettings::default(),
             policy: PolicySettings::default(),
         };
+        edit(&mut settings);
         let (callers, readiness) = (settings.callers_address, settings.readiness_address);
-        let (store, orders) = (store.clone(), MemoryOrders::of(store));
+        let (store, orders) = (store.seen_by(name), MemoryOrders::of(store));
         let handle = start_gateway(settings, NAMES, move || (store, orders)).unwrap();
         Self { callers, readiness, metrics, handle: Some(handle) }
     }
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -17,6 +17,10 @@
 struct StoreState {
     revision: u64,
     calls: u64,
+    /// Questions for declarations, by VM.
+    declaration_calls: BTreeMap<String, u64>,
+    /// Watches of declarations under way, by VM.
+    watches: BTreeMap<String, u64>,
     away: bool,
     deaf_watches: bool,
     declarations: Option<(u64, Declarations)>,
@@ -31,11 +35,15 @@
 
 /// A store that several gateways share.
 #[derive(Clone, Default)]
-pub struct MemoryStore(Arc<Mutex<StoreState>>);
+pub struct MemoryStore {
+    state: Arc<Mutex<StoreState>>,
+    /// The VM that asks through this handle; empty for a test itself.
+    vm: String,
+}
 
 impl MemoryStore {
     fn state(&self) -> MutexGuard<'_, StoreState> {
-        self.0.lock().unwrap()
+        self.state.lock().unwrap()
     }
 
     fn change(&self, edit: impl FnOnce(&mut StoreState, u64)) {
@@ -78,6 +86,25 @@
         self.state().outcomes.insert(id.to_owned(), outcome);
     }
 
+    /// The same store, as this VM asks it.
+    pub fn seen_by(&self, vm: &str) -> Self {
+        Self { state: Arc::clone(&self.state), vm: vm.to_owned() }
+    }
+
+    /// How often a VM has asked for declarations.
+    pub fn declaration_calls(&self, vm: &str) -> u64 {
+        self.state().declaration_calls.get(vm).copied().unwrap_or_default()
+    }
+
+    /// VMs that follow the store: they watch its declarations now.
+    pub fn followers(&self) -> usize {
+        self.state().watches.values().filter(|watches| **watches > 0).count()
+    }
+
+    fn count_declaration_call(&self) {
+        *self.state().declaration_calls.entry(self.vm.clone()).or_default() += 1;
+    }
+
     pub fn calls_made(&self) -> u64 {
         self.state().calls
     }
@@ -86,6 +113,11 @@
         self.state().ranges.as_ref().map(|stored| stored.value.clone())
     }
 
+    /// The VM that holds the mandate, once one does.
+    pub fn mandate_holder(&self) -> Option<String> {
+        self.state().mandate.as_ref().map(|stored| stored.value.vm.clone())
+    }
+
     /// Whether the last holder of the mandate gave it back.
     pub fn mandate_is_vacant(&self) -> bool {
         self.state().mandate.as_ref().is_some_and(|stored| stored.value.vacant)
@@ -134,8 +166,25 @@
     }
 }
 
+/// Counts a watch of declarations until it ends or is given up.
+struct WatchUnderWay<'a>(&'a MemoryStore);
+
+impl<'a> WatchUnderWay<'a> {
+    fn begin(store: &'a MemoryStore) -> Self {
+        *store.state().watches.entry(store.vm.clone()).or_default() += 1;
+        Self(store)
+    }
+}
+
+impl Drop for WatchUnderWay<'_> {
+    fn drop(&mut self) {
+        *self.0.state().watches.entry(self.0.vm.clone()).or_default() -= 1;
+    }
+}
+
 impl StorePort for MemoryStore {
     async fn declarations(&self) -> Result<Snapshot<Option<Declarations>>, StoreError> {
+        self.count_declaration_call();
         self.call(|state| Snapshot {
             as_of: Revision(state.revision),
             value: state.declarations.as_ref().map(|(_, value)| value.clone()),
@@ -147,6 +196,8 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Snapshot<Option<Declarations>>, StoreError> {
+        self.count_declaration_call();
+        let _under_way = WatchUnderWay::begin(self);
         let read = |state: &StoreState| {
             let (revision, value) = state.declarations.as_ref()?;
             (*revision > from.0).then(|| Some(value.clone()))
