Declarations in force in time over slow links

Root cause: whole copies under limits on the whole. Each version went whole to each VM, 300 KB with 4,300 routes; fifteen copies over the holder's link, five over each of fifteen others. An answer had 850 ms to its last byte and a connection 150 ms to come up: both were missed because of the copies themselves, and a reader that gave up began anew elsewhere, or read a megabyte from the store. Back from there it refused copies whose targets were older than its own, after they had arrived, and began anew. Each version that arrived stopped the request duty for up to 0.6 s: its table was built in a time that grows with the square of the routes.

Change: declarations and the map of ranges are told as what changed since what the reader knows, by content, whichever VM told it before, packed once; declarations by a connection of their own; an answer has a limit until it begins and then one on progress; large answers leave in turn; a reader that knows newer targets waits for its source; tables are built in linear time; a fleet that starts is led by a VM with a fast link.

--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -3,9 +3,12 @@
 //! The book takes news from the store or from another VM, never goes
 //! backwards, tells the request duty, and can say what is new to another VM.
 //!
-//! `targets` keeps the list of targets, `news` is what VMs tell each other.
+//! `declared` keeps the declarations, `ranges` the map of ranges and `targets` the list of targets;
+//! `news` is what VMs tell each other.
 
+mod declared;
 mod news;
+mod ranges;
 mod targets;
 
 use std::cell::{Cell, RefCell};
@@ -16,11 +19,17 @@
 use nickellead_range::RangeMap;
 use tokio::sync::Notify;
 
+use self::declared::DeclaredPart;
+pub(crate) use self::declared::DeclaredTell;
+use self::news::log_unusable;
 pub(crate) use self::news::{BookMark, BookNews};
+pub use self::ranges::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub(crate) use self::targets::LAPSE_TIME;
 use self::targets::TargetPart;
 use crate::beliefs::BeliefSenders;
-use crate::{Declarations, MandateRecord, Revision, Stored, TargetChange, TargetList};
+use crate::{
+    Declarations, DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList,
+};
 
 /// Up to which revision of the store each part is known.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,8 +43,9 @@
 pub(crate) struct BeliefBook {
     incarnation: u64,
     known: Cell<KnownRevisions>,
+    declared: RefCell<DeclaredPart>,
     targets: RefCell<TargetPart>,
-    ranges: RefCell<Option<Stored<RangeMap>>>,
+    ranges: RefCell<RangesHistory>,
     mandate: RefCell<Option<Stored<MandateRecord>>>,
     told: BeliefSenders,
     /// Woken by every change.
@@ -47,8 +57,9 @@
         Self {
             incarnation,
             known: Cell::default(),
+            declared: RefCell::default(),
             targets: RefCell::default(),
-            ranges: RefCell::new(None),
+            ranges: RefCell::default(),
             mandate: RefCell::new(None),
             told,
             changed: Notify::new(),
@@ -72,7 +83,13 @@
 
     /// The newest map of ranges.
     pub(crate) fn ranges(&self) -> Option<Stored<RangeMap>> {
-        self.ranges.borrow().clone()
+        self.ranges.borrow().newest().cloned()
+    }
+
+    /// From which map of ranges this book can go on by steps: what a reader's mark says of ranges,
+    /// also to a source that it has not asked before. 0 when it needs a whole map.
+    pub(crate) fn ranges_revision(&self) -> Revision {
+        self.ranges.borrow().revision()
     }
 
     /// The newest mandate.
@@ -80,22 +97,60 @@
         self.mandate.borrow().clone()
     }
 
-    /// Takes over declarations; older ones are ignored.
+    /// Which content of the declarations is known.
+    pub(crate) fn declared_state(&self) -> Option<DeclaredState> {
+        self.declared.borrow().state()
+    }
+
+    /// Whether this content of the declarations is newer than the one known.
+    pub(crate) fn lacks(&self, state: Option<DeclaredState>) -> bool {
+        state.is_some_and(|state| self.is_newer(state.version))
+    }
+
+    fn is_newer(&self, version: u64) -> bool {
+        self.declared_state().is_none_or(|known| known.version < version)
+    }
+
+    /// Takes over declarations that the store told; older ones are ignored.
     pub(crate) fn note_declarations(&self, as_of: Revision, new: Option<Declarations>) {
         self.raise(|known| &mut known.declarations, as_of);
-        let Some(new) = new else { return };
-        let version = new.version;
-        let newer = self.told.declarations.send_if_modified(|known| {
-            if known.as_ref().is_some_and(|known| known.version >= version) {
+        let Some(new) = new.filter(|new| self.is_newer(new.version)) else { return };
+        self.declared.borrow_mut().note_read(self.declarations().as_deref(), &new);
+        self.put_in_force(new);
+    }
+
+    /// Takes over declarations that another VM told, older ones are ignored; tells whether they fit
+    /// what is known.
+    pub(crate) fn take_declarations(&self, told: DeclaredTell) -> bool {
+        let applied = match told.news.apply(self.declarations().as_deref()) {
+            Ok(applied) => applied,
+            Err(error) => {
+                log_unusable("declarations", &error);
                 return false;
             }
-            *known = Some(Arc::new(new));
-            true
-        });
-        if newer {
-            log_event(EventName::ConfigInForce, &[("version", &version)]);
-            self.changed.notify_waiters();
+        };
+        if self.is_newer(applied.state.version) {
+            self.declared.borrow_mut().note_told(&applied);
+            self.put_in_force(applied.declarations);
         }
+        if self.declared_state() == Some(applied.state) {
+            self.raise(|known| &mut known.declarations, told.as_of);
+        }
+        true
+    }
+
+    fn put_in_force(&self, new: Declarations) {
+        let version = new.version;
+        self.told.declarations.send_replace(Some(Arc::new(new)));
+        log_event(EventName::ConfigInForce, &[("version", &version)]);
+        self.changed.notify_waiters();
+    }
+
+    /// What a reader needs that knows this content of the declarations, or none.
+    pub(crate) fn declarations_since(&self, known: Option<DeclaredState>) -> Option<DeclaredTell> {
+        let newest = self.declarations()?;
+        let news = self.declared.borrow_mut().since(known, &newest)?;
+        Some(DeclaredTell { as_of: self.known().declarations.unwrap_or_default(), news })
     }
 
     /// Takes over the whole list of targets, unless a newer one is known.
@@ -158,12 +213,34 @@
     pub(crate) fn note_ranges(&self, as_of: Revision, new: Option<Stored<RangeMap>>) {
         self.raise(|known| &mut known.ranges, as_of);
         let Some(new) = new else { return };
-        let mut ranges = self.ranges.borrow_mut();
-        if ranges.as_ref().is_none_or(|known| new.revision > known.revision) {
-            self.told.ranges.send_replace(Arc::new(new.value.clone()));
-            *ranges = Some(new);
-            self.changed.notify_waiters();
+        if self.ranges.borrow_mut().take_whole(new) {
+            self.tell_newest_ranges();
+        }
+    }
+
+    /// Takes over steps of the map of ranges; those that are known are ignored.
+    ///
+    /// # Errors
+    /// [`StepsMisfit`] when they don't go on from the known map; nothing is taken over then.
+    fn note_ranges_steps(
+        &self,
+        as_of: Revision,
+        steps: Vec<RangesStep>,
+    ) -> Result<(), StepsMisfit> {
+        let newer = self.ranges.borrow_mut().take_steps(steps)?;
+        self.raise(|known| &mut known.ranges, as_of);
+        if newer {
+            self.tell_newest_ranges();
         }
+        Ok(())
+    }
+
+    /// Tells the request duty and readers that there is a newer map of ranges.
+    fn tell_newest_ranges(&self) {
+        let ranges = self.ranges.borrow();
+        let Some(newest) = ranges.newest() else { return };
+        self.told.ranges.send_replace(Arc::new(newest.value.clone()));
+        self.changed.notify_waiters();
     }
 
     /// Takes over a mandate; an older one is ignored.
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod order_call;
+mod packed;
 mod policy;
 mod port;
 mod relay;
@@ -34,10 +35,16 @@
 mod targets;
 mod worker;
 
-pub use declared::{CallerLimits, Declarations, RepeatClass, RoutePart, RouteRule, ServiceRule};
+pub use book::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
+pub use declared::{
+    AppliedNews, CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory,
+    DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError,
+    RepeatClass, RoutePart, RouteRule, ServiceRule,
+};
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_call::{CallFailure, OrderCaller};
+pub use packed::{Packed, PackedError, UNPACKED_LIMIT};
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, OrderPort, Snapshot, StoreError, StorePort};
 pub use settings::{GatewaySettings, OwnershipSettings, SettingsError};
