A caller that left is not counted as a running request

Cause: the count went down only where an answer stood; the work of a caller that closes its connection is dropped before. Change: a guard counts the request down when it is dropped.

--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -68,13 +68,29 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Requests under way.
+    /// Requests under way whose callers have not left.
     #[must_use]
     pub fn running(&self) -> usize {
         self.running.load(Ordering::Relaxed)
     }
 }
 
+/// A request under way; it is counted no more once its answer stands or its caller has left.
+struct RunningRequest<'a>(&'a AtomicUsize);
+
+impl<'a> RunningRequest<'a> {
+    fn new(running: &'a AtomicUsize) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(running)
+    }
+}
+
+impl Drop for RunningRequest<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Opens a listener that several threads may share.
 ///
 /// # Errors
@@ -150,9 +166,9 @@
 where
     F: Future<Output = Response<BoxBody>>,
 {
-    state.running.fetch_add(1, Ordering::Relaxed);
+    let running = RunningRequest::new(&state.running);
     let mut response = answering.await;
-    state.running.fetch_sub(1, Ordering::Relaxed);
+    drop(running);
     if state.is_stopping() || state.draining.load(Ordering::Relaxed) {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
