A stop says which requests and answers were under way

Nothing told, for a VM that stops, how many requests were under way when callers were served no more, on how many connections bytes of answers waited for room, and what of both the end of the process cut. Change: callers' connections are wrapped so that one whose last write found no room is counted, and `node-drained` gives the four figures. Nothing is decided by them in this commit.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -47,6 +47,7 @@
 event_table! {
     NodeStarted, "node-started", Info, ["vm", "zone", "incarnation"], "the process started";
     NodeStopping, "node-stopping", Info, ["vm"], "the process was told to stop and is no longer ready";
+    NodeDrained, "node-drained", Info, ["vm", "requests_running", "answers_waiting", "requests_cut", "answers_cut"], "callers were served no more: what was under way then, and what is cut by the end of the grace time";
     NodeStopped, "node-stopped", Info, ["vm", "requests_finished", "mandate_settled"], "the process has stopped";
     SettingsReloaded, "settings-reloaded", Info, ["vm", "same", "needs_restart"], "the settings file was read again";
     SettingsRejected, "settings-rejected", Warn, ["reason"], "the settings file can't be used; the old settings stay in force";
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -177,8 +177,17 @@
         while self.state.open() > 0 && started.elapsed() < part(SERVE_PART) {
             std::thread::sleep(LOOK);
         }
+        let (running, waiting) = (self.state.running(), self.state.waiting());
         self.state.stop();
         let finished = join_until(self.requests, end);
+        let pairs: [(&str, &dyn std::fmt::Display); 5] = [
+            ("vm", &self.settings.vm),
+            ("requests_running", &running),
+            ("answers_waiting", &waiting),
+            ("requests_cut", &self.state.running()),
+            ("answers_cut", &self.state.waiting()),
+        ];
+        log_event(EventName::NodeDrained, &pairs);
         let handed_over = join_until(self.control, end);
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
             ("vm", &self.settings.vm),
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod answer_body;
+mod caller_stream;
 mod deadline;
 mod exchange;
 mod headers;
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -13,14 +13,19 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::caller_stream::CallerStream;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// How long a request's head may take.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Begin of a connection that speaks HTTP/2.
+const HTTP2_BEGIN: &[u8] = b"PRI * HTTP/2";
 
 /// Why an address can't be listened on.
 pub type ListenError = std::io::Error;
@@ -32,6 +37,8 @@
     draining: AtomicBool,
     running: AtomicUsize,
     open: AtomicUsize,
+    /// Connections on which bytes of answers wait for room.
+    waiting: Arc<AtomicUsize>,
 }
 
 impl Default for ServeState {
@@ -41,6 +48,7 @@
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
+            waiting: Arc::default(),
         }
     }
 }
@@ -73,6 +81,12 @@
     pub fn running(&self) -> usize {
         self.running.load(Ordering::Relaxed)
     }
+
+    /// Connections on which bytes of answers wait for room in the caller's window.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
 }
 
 /// A request under way; it is counted no more once its answer stands or its caller has left.
@@ -125,8 +139,7 @@
             let answering = handler(request);
             let state = Arc::clone(&shared);
             async move { Ok::<_, Infallible>(answer(answering, &state).await) }
-        }))
-        .tcp_auto_h2c();
+        }));
     // Only a listener outside a runtime fails here, and this function runs inside one.
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
         return;
@@ -155,13 +168,27 @@
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
         state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
-            // A broken connection ends here; the caller sees it as such.
-            let _ = service.call(stream).await;
+            if let Ok(protocol) = read_protocol(&stream).await {
+                let caller = stream.peer_addr().ok();
+                let stream = CallerStream::new(stream, Arc::clone(&state.waiting));
+                // A broken connection ends here; the caller sees it as such.
+                let _ = service.call((stream, protocol, caller)).await;
+            }
             state.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
 
+/// The protocol that a caller speaks, by the first bytes that it sends.
+async fn read_protocol(stream: &TcpStream) -> std::io::Result<actix_http::Protocol> {
+    let mut begin = [0; HTTP2_BEGIN.len()];
+    let length = stream.peek(&mut begin).await?;
+    Ok(match begin[..length] == *HTTP2_BEGIN {
+        true => actix_http::Protocol::Http2,
+        false => actix_http::Protocol::Http1,
+    })
+}
+
 async fn answer<F>(answering: F, state: &ServeState) -> Response<BoxBody>
 where
     F: Future<Output = Response<BoxBody>>,
