A request that still waits when a VM ends is refused, and one under way is told that its answer is lost

Cause: only requests that came after the signal to stop were compared with the process's end. One that had come before and waited for a target with room, or was at a target, got nothing when the process ended at 0.97 of the grace time. Ruled out: taking fewer requests after the signal (these come before it); a deadline set as a request arrives (the signal comes later). Change: at 0.92 of the grace time whatever has no answer gets one: 503 if nothing was sent, 502 otherwise; nothing new is sent from then on, and requests that could last longer are refused as they come.

--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -24,6 +24,9 @@
 const LINGER_PART: f64 = 0.5;
 /// Part of the grace time during which it serves connections that callers keep open.
 const SERVE_PART: f64 = 0.84;
+/// Part of the grace time after which a request that has no answer is told so: the rest is for the
+/// bytes of these answers to leave, also from a VM with a tenth of a core and a full link.
+const ANSWER_PART: f64 = 0.92;
 /// Part of the grace time after which the process ends in any case.
 const END_PART: f64 = 0.97;
 /// Between two looks at whether callers have left.
@@ -170,7 +173,7 @@
         let part = |part: f64| Duration::from_secs_f64(self.settings.grace_s * part);
         log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
         let end = started + part(END_PART);
-        self.drain.start(end);
+        self.drain.start(started + part(ANSWER_PART));
         self.state.drain();
         self.stopping.send_replace(true);
         std::thread::sleep(part(LINGER_PART));
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -22,12 +22,20 @@
         self.note_request(planned, &part.service);
         let mut state = TryState::default();
         loop {
-            let member = match self.wait_for_turn(planned, &part.service, &state).await {
+            let waiting = self.wait_for_turn(planned, &part.service, &state);
+            let member = match self.until_last_moment(waiting).await.flatten() {
                 Ok(member) => member,
                 Err(kind) => return finish(state, kind),
             };
             let since = Instant::now();
-            let result = self.try_member(planned, &part.service, &member).await;
+            let trying = self.try_member(planned, &part.service, &member);
+            let result = match self.until_last_moment(trying).await {
+                Ok(result) => result,
+                Err(kind) => {
+                    state.may_have_run = true;
+                    return finish(state, kind);
+                }
+            };
             match self.judge(planned, &member, &mut state, result, since.elapsed()) {
                 NextStep::Done(answer) => return Ok(answer),
                 NextStep::Fail(kind) => return finish(state, kind),
@@ -41,6 +49,16 @@
         }
     }
 
+    /// The outcome of `work`, unless the VM ends before.
+    async fn until_last_moment<T>(&self, work: impl Future<Output = T>) -> Result<T, ErrorKind> {
+        tokio::select! {
+            // The end of one request makes room for another one, which must not begin then.
+            biased;
+            () = self.drain.last_moment() => Err(ErrorKind::Stopping),
+            done = work => Ok(done),
+        }
+    }
+
     /// Counts a request for the share of further tries, and its key for the spread of load.
     fn note_request(&self, planned: &PlannedRequest, service: &str) {
         self.retries.borrow_mut().note_request(service);
