The end of a stopping VM waits for the bytes of its answers, not for 50 ms

Cause: with the last request answered the process ended after 50 ms, whether or not the caller's connection had taken the answer. Behind a full link or a small window the rest was lost. Change: the request duty goes on until no connection has bytes that found no room, at most to the end of the grace time.

--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -22,7 +22,7 @@
 const READINESS_CONNECTIONS: usize = 64;
 /// Between two looks whether the last requests have ended.
 const END_LOOK: Duration = Duration::from_millis(10);
-/// The last answers' bytes leave within this time, before the runtime ends.
+/// Connections that have answered close within this time, before the runtime ends.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// What the request duty is built from.
@@ -86,10 +86,19 @@
         }
     };
     serve_http(parts.callers, parts.connections, Arc::clone(&parts.state), handler).await;
-    while parts.state.running() > 0 {
+    wait_for_answers(&parts.state).await;
+    tokio::time::sleep(FLUSH_TIME).await;
+    // Requests that came meanwhile were refused; their refusals may wait for room as well.
+    wait_for_answers(&parts.state).await;
+}
+
+/// Waits until every request has its answer, and all bytes of answers are the system's.
+///
+/// The process ends without it at the end of the grace time.
+async fn wait_for_answers(state: &ServeState) {
+    while state.running() + state.waiting() > 0 {
         tokio::time::sleep(END_LOOK).await;
     }
-    tokio::time::sleep(FLUSH_TIME).await;
 }
 
 /// Answers questions for readiness and metrics for as long as the runtime lives.
