--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -24,6 +24,9 @@
 const LINGER_PART: f64 = 0.5;
 /// Part of the grace time during which it serves connections that callers keep open.
 const SERVE_PART: f64 = 0.84;
+/// Part of the grace time after which a request that has no answer is told so: the rest is for the
+/// bytes of these answers to leave, also from a VM with a tenth of a core and a full link.
+const ANSWER_PART: f64 = 0.92;
 /// Part of the grace time after which the process ends in any case.
 const END_PART: f64 = 0.97;
 /// Between two looks at whether callers have left.
@@ -172,15 +175,24 @@
         let part = |part: f64| Duration::from_secs_f64(self.settings.grace_s * part);
         log_event(EventName::NodeStopping, &[("vm", &self.settings.vm)]);
         let end = started + part(END_PART);
-        self.drain.start(end);
+        self.drain.start(started + part(ANSWER_PART));
         self.state.drain();
         self.stopping.send_replace(true);
         std::thread::sleep(part(LINGER_PART));
         while self.state.open() > 0 && started.elapsed() < part(SERVE_PART) {
             std::thread::sleep(LOOK);
         }
+        let (running, waiting) = (self.state.running(), self.state.waiting());
         self.state.stop();
         let finished = join_until(self.requests, end);
+        let pairs: [(&str, &dyn std::fmt::Display); 5] = [
+            ("vm", &self.settings.vm),
+            ("requests_running", &running),
+            ("answers_waiting", &waiting),
+            ("requests_cut", &self.state.running()),
+            ("answers_cut", &self.state.waiting()),
+        ];
+        log_event(EventName::NodeDrained, &pairs);
         let handed_over = join_until(self.control, end);
         let pairs: [(&str, &dyn std::fmt::Display); 3] = [
             ("vm", &self.settings.vm),
