--- a/crates/nickellead_gateway/src/declared/change.rs
+++ b/crates/nickellead_gateway/src/declared/change.rs
@@ -5,7 +5,7 @@
 use bincode::{Decode, Encode};
 use thiserror::Error;
 
-use super::{CallerLimits, Declarations, DeclaredState, RouteRule, ServiceRule};
+use super::{CallerLimits, Declarations, DeclaredState, ServiceRule, SharedRoute};
 
 /// What changed from one content of declarations to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -17,7 +17,7 @@
     /// Names of routes that are no longer declared.
     pub removed: Vec<String>,
     /// Routes that are new or differ from the one of the same name.
-    pub set: Vec<RouteRule>,
+    pub set: Vec<SharedRoute>,
     /// All services, if any of them changed.
     pub services: Option<BTreeMap<String, ServiceRule>>,
     /// The limits, if any of them changed.
@@ -52,9 +52,10 @@
         let known = routes_by_name(&old.routes)?;
         let wanted = routes_by_name(&new.routes)?;
         let removed = old.routes.iter().filter(|route| !wanted.contains_key(route.name.as_str()));
-        let set = new.routes.iter().filter(|route| {
-            known.get(route.name.as_str()).is_none_or(|known| !is_same(known, route))
-        });
+        let set = new
+            .routes
+            .iter()
+            .filter(|route| known.get(route.name.as_str()).is_none_or(|known| *known != *route));
         Some(Self {
             from: old.state(),
             to: new.state(),
@@ -101,9 +102,9 @@
         }
     }
 
-    fn change_routes(&self, routes: &mut Vec<RouteRule>) {
+    fn change_routes(&self, routes: &mut Vec<SharedRoute>) {
         let removed: HashSet<&str> = self.removed.iter().map(String::as_str).collect();
-        let mut set: HashMap<&str, &RouteRule> =
+        let mut set: HashMap<&str, &SharedRoute> =
             self.set.iter().map(|route| (route.name.as_str(), route)).collect();
         routes.retain(|route| !removed.contains(route.name.as_str()));
         for route in routes.iter_mut() {
@@ -117,16 +118,8 @@
 }
 
 /// The routes by name; none when two have the same name.
-fn routes_by_name(routes: &[RouteRule]) -> Option<HashMap<&str, &RouteRule>> {
-    let by_name: HashMap<&str, &RouteRule> =
+fn routes_by_name(routes: &[SharedRoute]) -> Option<HashMap<&str, &SharedRoute>> {
+    let by_name: HashMap<&str, &SharedRoute> =
         routes.iter().map(|route| (route.name.as_str(), route)).collect();
     (by_name.len() == routes.len()).then_some(by_name)
 }
-
-/// Whether two routes have the same digest: unlike for `==`, 0.0 and -0.0 are two weights.
-fn is_same(one: &RouteRule, other: &RouteRule) -> bool {
-    let weights = |route: &RouteRule| -> Vec<u64> {
-        route.parts.iter().map(|part| part.weight.to_bits()).collect()
-    };
-    one == other && weights(one) == weights(other)
-}
--- a/crates/nickellead_gateway/src/declared/state.rs
+++ b/crates/nickellead_gateway/src/declared/state.rs
@@ -7,14 +7,14 @@
 use bincode::{Decode, Encode};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Declarations, RouteRule};
+use super::{Declarations, SharedRoute};
 
 /// Names one content of declarations, so that two VMs can compare theirs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct DeclaredState {
     /// Version of the declarations.
     pub version: u64,
-    /// XXH3-64 of everything but the version, in an order that does not depend on the routes'.
+    /// Sum of the XXH3-64 of each route, and of everything else but the version.
     pub digest: u64,
 }
 
@@ -25,17 +25,16 @@
 }
 
 impl Declarations {
-    /// What names this content; costs a pass over all routes.
+    /// What names this content; costs an addition a route, and a digest of each new one.
     #[must_use]
     pub fn state(&self) -> DeclaredState {
         DeclaredState { version: self.version, digest: self.digest() }
     }
 
-    /// Routes of one name, host and prefix count in the order in which they are declared.
+    /// The sum of all digests, so that the order of routes does not count.
     fn digest(&self) -> u64 {
-        let mut routes: Vec<&RouteRule> = self.routes.iter().collect();
-        routes.sort_by_key(|route| (&route.name, &route.host, &route.path_prefix));
-        digest_of(&(&self.services, &self.limits, routes))
+        let rest = digest_of(&(&self.services, &self.limits));
+        self.routes.iter().map(SharedRoute::digest).fold(rest, u64::wrapping_add)
     }
 }
 
@@ -44,7 +43,7 @@
 /// # Panics
 /// Never: the writer takes all bytes, and numbers, strings and collections of them always encode.
 #[allow(clippy::expect_used)]
-fn digest_of<T: Encode>(message: &T) -> u64 {
+pub(super) fn digest_of<T: Encode>(message: &T) -> u64 {
     let mut writer = DigestWriter(Xxh3::new());
     let config = bincode::config::standard();
     bincode::encode_into_writer(message, &mut writer, config).expect("plain values encode");
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -39,7 +39,7 @@
 pub use declared::{
     AppliedNews, CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory,
     DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError,
-    RepeatClass, RoutePart, RouteRule, ServiceRule,
+    RepeatClass, RoutePart, RouteRule, ServiceRule, SharedRoute,
 };
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
--- a/crates/nickellead_gateway/src/route_table.rs
+++ b/crates/nickellead_gateway/src/route_table.rs
@@ -6,12 +6,12 @@
 
 use nickellead_limit::CallerPatience;
 
-use crate::{Declarations, RoutePart, RouteRule};
+use crate::{Declarations, RoutePart, SharedRoute};
 
 /// A route with the turn of its split.
 #[derive(Debug)]
 pub(crate) struct RouteEntry {
-    pub(crate) rule: RouteRule,
+    pub(crate) rule: SharedRoute,
     /// Credit of each part: the part with the most credit is next.
     credits: Vec<Cell<f64>>,
     /// How long its callers wait.
@@ -19,7 +19,7 @@
 }
 
 impl RouteEntry {
-    fn new(rule: RouteRule) -> Self {
+    fn new(rule: SharedRoute) -> Self {
         let credits = rule.parts.iter().map(|_| Cell::new(0.0)).collect();
         Self { rule, credits, patience: CallerPatience::default() }
     }
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -14,8 +14,8 @@
 
 use nickellead_gateway::{
     CallerLimits, Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings,
-    PolicySettings, RepeatClass, RoutePart, RouteRule, ServiceRule, TargetEntry, TargetState,
-    start_gateway,
+    PolicySettings, RepeatClass, RoutePart, RouteRule, ServiceRule, SharedRoute, TargetEntry,
+    TargetState, start_gateway,
 };
 
 use store::{MemoryOrders, MemoryStore};
@@ -70,6 +70,7 @@
         route("write", "plain", RepeatClass::Unsafe),
         route("key", "keyed", RepeatClass::Safe),
     ];
+    let routes = routes.into_iter().map(SharedRoute::from).collect();
     Declarations { version, routes, services, limits: CallerLimits::default() }
 }
 
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -105,7 +105,7 @@
     second.wait_ready();
     assert!(second.ask("GET", "/key/", "x-key: 1\r\n").ends_with("k1"));
     let mut newer = declarations(2);
-    newer.routes.push(route("added", "keyed", RepeatClass::Safe));
+    newer.routes.push(route("added", "keyed", RepeatClass::Safe).into());
     store.declare(newer);
     wait_until("the second VM serves the new route", || {
         second.ask("GET", "/added/", "x-key: 1\r\n").contains(" 200 ")
@@ -216,7 +216,7 @@
     let (gateway, store) = gateway_of("vm-deaf", &[&target]);
     store.set_deaf_watches(true);
     let mut newer = declarations(2);
-    newer.routes.push(route("added", "plain", RepeatClass::Safe));
+    newer.routes.push(route("added", "plain", RepeatClass::Safe).into());
     store.declare(newer);
     let declared = std::time::Instant::now();
     wait_until("the new route is served", || gateway.ask("GET", "/added/", "").contains(" 200 "));
--- a/crates/nickellead_gateway/tests/declared_changes.rs
+++ b/crates/nickellead_gateway/tests/declared_changes.rs
@@ -7,7 +7,7 @@
 use nickellead_gateway::{
     CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory, DeclaredNews,
     DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError, Packed, PackedError, RepeatClass,
-    RoutePart, RouteRule, ServiceRule, UNPACKED_LIMIT,
+    RoutePart, RouteRule, ServiceRule, SharedRoute, UNPACKED_LIMIT,
 };
 use nickellead_peer::{decode, encode};
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -40,7 +40,7 @@
             let weight = *random.choose(&weights).unwrap();
             route(format!("route-{name}"), host, "path", weight)
         });
-        let routes = routes.collect();
+        let routes = routes.map(SharedRoute::from).collect();
         let rule = ServiceRule { connections: u32::arbitrary(random) % 2, divided: false };
         let services = [("plain".to_owned(), rule)].into();
         let header_bytes = usize::from(bool::arbitrary(random));
@@ -135,7 +135,11 @@
         }
         route
     });
-    Declarations { version, routes: routes.collect(), ..Declarations::default() }
+    Declarations {
+        version,
+        routes: routes.map(SharedRoute::from).collect(),
+        ..Declarations::default()
+    }
 }
 
 /// A packed message of any bytes, as another VM may send it.
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -127,7 +127,7 @@
     let target = TestTarget::start("t1", Manner::Serves);
     let (gateway, store) = gateway_of("vm-version", &[&target]);
     let mut newer = declarations(9);
-    newer.routes.push(route("added", "plain", RepeatClass::Safe));
+    newer.routes.push(route("added", "plain", RepeatClass::Safe).into());
     store.declare(newer);
     wait_until("the new route is served", || gateway.ask("GET", "/added/", "").contains(" 200 "));
     store.declare(declarations(5));
--- a/crates/nickellead_gateway/tests/slow_links.rs
+++ b/crates/nickellead_gateway/tests/slow_links.rs
@@ -20,7 +20,7 @@
     use std::time::{Duration, Instant};
 
     use fastrand::Rng;
-    use nickellead_gateway::{Declarations, RepeatClass, RouteRule};
+    use nickellead_gateway::{Declarations, RepeatClass, RouteRule, SharedRoute};
 
     use super::common::link::PacedLink;
     use super::common::store::MemoryStore;
@@ -161,7 +161,8 @@
     }
 
     fn declared(version: u64, routes: &[RouteRule]) -> Declarations {
-        Declarations { routes: routes.to_vec(), ..declarations(version) }
+        let routes = routes.iter().cloned().map(SharedRoute::from).collect();
+        Declarations { routes, ..declarations(version) }
     }
 
     /// The same routes with another weight on one of them.
