Test: a grant that was never sent leaves what predecessors may have done

Cause: resume() raises owner_until, but not the bound to which a grant falls back that turns out not to have been sent.

--- a/crates/nickellead_range/tests/holds.rs
+++ b/crates/nickellead_range/tests/holds.rs
@@ -8,7 +8,7 @@
 use nickellead_core::Timestamp;
 use nickellead_range::{
     HolderRecord, LastOrder, LatenessWatch, OrderOutcome, OwnerCandidate, PredecessorBounds,
-    RangeKeeper, RangeMap, RangeOrder,
+    RENEWAL_GRACE, RangeKeeper, RangeMap, RangeOrder,
 };
 use world::{SERVICE, holder, settings};
 
@@ -45,8 +45,14 @@
         Self { keeper, lateness, lost, unlisted }
     }
 
-    /// One look: candidates, a write, and the orders that are due with their outcomes.
-    fn step(&mut self, now: Timestamp) -> Vec<(RangeOrder, OrderOutcome)> {
+    /// The map once both targets have confirmed their grants.
+    fn settled_map(mut self) -> RangeMap {
+        self.step(Timestamp::ZERO + LOOK);
+        self.keeper.map().clone()
+    }
+
+    /// One look: candidates, a write, and the orders that are due.
+    fn decide(&mut self, now: Timestamp) -> Vec<RangeOrder> {
         let listed: Vec<OwnerCandidate> =
             (0..2).filter(|place| *place == 0 || now < self.unlisted).map(candidate).collect();
         let first = listed[0].holder.clone();
@@ -54,7 +60,12 @@
         if let Some((_, edit)) = self.keeper.take_write() {
             self.keeper.note_written(edit);
         }
-        let orders = self.keeper.due_orders(now, false, &self.lateness);
+        self.keeper.due_orders(now, false, &self.lateness)
+    }
+
+    /// The same with the orders' outcomes.
+    fn step(&mut self, now: Timestamp) -> Vec<(RangeOrder, OrderOutcome)> {
+        let orders = self.decide(now);
         let judged: Vec<_> =
             orders.into_iter().map(|order| (order.clone(), self.outcome(&order, now))).collect();
         for (order, outcome) in &judged {
@@ -101,3 +112,35 @@
     assert!(waited >= bound, "a hold must lapse: {waited:?}");
     assert!(waited <= bound + LOOK * 4, "{waited:?} after the last grant that was sent");
 }
+
+/// Seen by reading: a grant was decided, the mandate ran out and was renewed within half a second,
+/// and then the grant turned out not to have been sent. Its bound was put back to what it was before
+/// the keeper went on, below what predecessors may have left, so that the keys of a lost target were
+/// given to another while it could still hold them. Proof: this test failed without the bound.
+#[test]
+fn a_grant_that_was_never_sent_leaves_what_predecessors_may_have_done() {
+    let before = LostTarget::new(Timestamp(60_000), Timestamp(60_000)).settled_map();
+    let taken = Timestamp(20_000);
+    let last = LastOrder::After(RENEWAL_GRACE);
+    let predecessors = PredecessorBounds { last, ..NO_PREDECESSORS };
+    let mut world = LostTarget::new(taken, taken + LOOK * 3);
+    world.keeper =
+        RangeKeeper::take_over(settings(), predecessors, before, 2, &mut world.lateness, taken);
+    let under_way = world.decide(taken);
+    assert!(under_way.iter().any(|order| order.holder == lost_holder()));
+    world.keeper.resume();
+    let mut now = taken + LOOK * 2;
+    for order in under_way {
+        world.keeper.note_outcome(&order, world.outcome(&order, now), now);
+    }
+    while world.keeper.map().services[SERVICE]
+        .iter()
+        .any(|range| !range.settled || range.owner == Some(lost_holder()))
+    {
+        now = now + LOOK;
+        world.step(now);
+        assert!(now < Timestamp(60_000), "the keys never got an owner");
+    }
+    let bound = settings().longest_debt(taken + RENEWAL_GRACE);
+    assert!(now >= bound, "free at {now:?}, predecessors may have effect until {bound:?}");
+}
