A grant that was never sent leaves what predecessors may have done

Cause: a grant that is under way when the mandate runs out falls back, if it turns out not to have been sent, to the bound from before the keeper went on. Change: resume() raises that bound as well.

--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -173,6 +173,8 @@
     pub fn resume(&mut self) {
         for work in self.work.values_mut() {
             work.owner_until = work.owner_until.max(self.inherited_until);
+            // A grant that is under way may turn out not to have been sent.
+            work.confirmed_until = work.confirmed_until.max(self.inherited_until);
             work.previous_until = work.previous_until.max(self.inherited_until);
         }
     }
