Tests: which predecessors may have left late orders untold

Random schedules 301142, 304361 and 311777 fail: orders are late, only the holder sees it, and it is lost before it can write that down. Traced: in the first two the holder is killed during an outage and takes its mandate again in its next life, which saw no outage; in the third the store is away for the holder alone, and a renewal that it sent long before is done late, so that its successor takes it for one that could write.

A schedule's trace tells who takes the mandate after whom.

--- a/crates/nickellead_range/tests/mandate.rs
+++ b/crates/nickellead_range/tests/mandate.rs
@@ -5,8 +5,8 @@
 
 use nickellead_core::Timestamp;
 use nickellead_range::{
-    LastOrder, MANDATE_MARGIN, MANDATE_TIME, MandateRecord, MandateState, RENEWAL_GRACE,
-    RETURN_PRECEDENCE, Revision, Stored,
+    LastOrder, MANDATE_MARGIN, MANDATE_RENEWAL, MANDATE_TIME, MandateRecord, MandateState,
+    RENEWAL_GRACE, RETURN_PRECEDENCE, Revision, Stored,
 };
 
 fn record(vm: &str, vacant: bool) -> Stored<MandateRecord> {
@@ -22,11 +22,25 @@
     Stored { revision: Revision(5), value }
 }
 
-/// A standby that has seen the mandate as it is at 1,000 ms.
-fn standby(seen: Stored<MandateRecord>) -> MandateState {
+/// A VM that has just started.
+fn started(vm: &str) -> MandateState {
     let address = ([127, 0, 0, 1], 9_001).into();
-    let mut mandate = MandateState::new("vm-2".to_owned(), address, 2, Duration::ZERO);
-    mandate.note_read(Some(seen), Timestamp(1_000));
+    MandateState::new(vm.to_owned(), address, 2, Duration::ZERO)
+}
+
+/// A standby that saw the mandate renewed, and has seen it as it is at 1,000 ms.
+fn standby(seen: Stored<MandateRecord>) -> MandateState {
+    standby_since(seen, Timestamp(1_000), MANDATE_RENEWAL)
+}
+
+/// The same, `gap` after the renewal before.
+fn standby_since(seen: Stored<MandateRecord>, since: Timestamp, gap: Duration) -> MandateState {
+    let mut mandate = started("vm-2");
+    let renewals = seen.value.renewals - 1;
+    let value = MandateRecord { renewals, vacant: false, ..seen.value.clone() };
+    let before = Stored { revision: Revision(seen.revision.0 - 1), value };
+    mandate.note_read(Some(before), Timestamp(since.0 - gap.as_millis() as u64));
+    mandate.note_read(Some(seen), since);
     mandate
 }
 
@@ -109,3 +123,45 @@
     take(&mut mandate, Timestamp(9_000) + RETURN_PRECEDENCE);
     assert!(!mandate.predecessors().lateness_unknown);
 }
+
+/// Seen in random schedules (301142, 304361): a holder met late orders while the store was away, was
+/// killed, and took its mandate again in its next life, which had seen no outage. It gave a lost
+/// target's keys on before a late order for them was carried out.
+#[test]
+fn a_vm_that_saw_no_renewal_reckons_with_late_orders() {
+    for vm in ["vm-1", "vm-2"] {
+        let mut mandate = started(vm);
+        mandate.note_read(Some(record("vm-1", false)), Timestamp(1_000));
+        take(&mut mandate, Timestamp(1_000) + MANDATE_TIME + MANDATE_MARGIN);
+        assert!(mandate.predecessors().lateness_unknown, "{vm}");
+    }
+}
+
+/// Seen in random schedules (311777): a holder that the store was away for alone met late orders in its
+/// grace, and then a renewal that it had sent long before was carried out. Its successor took it for
+/// one that could write all the time.
+#[test]
+fn a_renewal_after_the_mandate_ran_out_may_leave_late_orders_untold() {
+    let ran_out = Timestamp(20_000) + MANDATE_TIME + MANDATE_MARGIN;
+    for (gap, unknown) in [(MANDATE_TIME, false), (MANDATE_TIME * 2, true)] {
+        let mut mandate = standby_since(record("vm-1", false), Timestamp(20_000), gap);
+        take(&mut mandate, ran_out);
+        assert_eq!(mandate.predecessors().lateness_unknown, unknown, "{gap:?}");
+    }
+}
+
+/// A successor that is lost before it wrote that it reckons with late orders leaves this untold.
+#[test]
+fn a_holder_that_was_lost_after_it_took_the_mandate_may_leave_late_orders_untold() {
+    let mut mandate = standby(record("vm-1", false));
+    let taken = Timestamp(9_000);
+    let mut next = record("vm-3", false);
+    next.revision = Revision(6);
+    next.value.renewals += 1;
+    next.value.taken = next.value.renewals;
+    mandate.note_read(Some(next), taken);
+    let write = mandate.due_write(taken + MANDATE_TIME + MANDATE_MARGIN).unwrap();
+    let now = taken + MANDATE_TIME + MANDATE_MARGIN;
+    assert!(mandate.note_written(&write, Some(Revision(7)), now, now));
+    assert!(mandate.predecessors().lateness_unknown);
+}
--- a/crates/nickellead_range/tests/world/vm.rs
+++ b/crates/nickellead_range/tests/world/vm.rs
@@ -143,6 +143,10 @@
     let revision = answer.unwrap_or(None);
     let taken = world.vms[place].mandate.note_written(&write, revision, now, now);
     if taken {
+        if std::env::var_os("TRACE").is_some() {
+            let predecessors = world.vms[place].mandate.predecessors();
+            eprintln!("{} vm {place} takes the mandate after {predecessors:?}", world.now);
+        }
         world.vms[place].keeper = None;
     }
     if revision.is_none() && world.call_store(place).is_ok() {
