A successor reckons with late orders that its predecessor could not have told

A successor reckoned with untold lateness only if it had seen the outage itself.

Change: a successor reckons with late orders unless the mandate was given back or it saw the last holder renew within the mandate's time of the write before. It needs no message between VMs.

Not closed: what a holder first sees between its last renewal and the end of its grace (docs/PROOF.md).

--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -106,6 +106,8 @@
     extra_wait: Duration,
     /// The object as last seen, and when it was first seen so.
     seen: Option<(Stored<MandateRecord>, Timestamp)>,
+    /// Whether it was then written by a VM that could write all the time since it was written before.
+    written_in_time: bool,
     /// Whether the object was looked for and is absent.
     absent: bool,
     /// When the store last failed to answer this VM.
@@ -137,6 +139,7 @@
             incarnation,
             extra_wait,
             seen: None,
+            written_in_time: false,
             absent: false,
             unreached: None,
             returned: None,
@@ -211,6 +214,7 @@
             return false;
         }
         let mine = self.is_mine(&read.value);
+        self.written_in_time = self.follows_in_time(&read.value, now);
         self.seen = Some((read, now));
         if mine || !self.held {
             return false;
@@ -219,6 +223,17 @@
         true
     }
 
+    /// Whether whoever wrote this had its mandate's full power since what was seen before.
+    ///
+    /// Not so if the mandate had run out by then: a renewal sent before may have been done late. And
+    /// not so for a VM that took it from one that did not give it back, as long as it did not renew it:
+    /// it may not have written down yet what it reckons with.
+    fn follows_in_time(&self, read: &MandateRecord, now: Timestamp) -> bool {
+        let Some((before, since)) = &self.seen else { return false };
+        let goes_on = before.value.taken == read.taken || before.value.vacant;
+        goes_on && now.since(*since) <= MANDATE_TIME
+    }
+
     fn is_mine(&self, record: &MandateRecord) -> bool {
         record.vm == self.vm && record.incarnation == self.incarnation && !record.vacant
     }
@@ -302,10 +317,18 @@
         PredecessorBounds {
             last: LastOrder::of_power(last_one, passed),
             earlier: LastOrder::of_power(earlier, passed),
-            lateness_unknown: !last.vacant && self.was_unreached() && enforced!("unknown_lateness"),
+            lateness_unknown: self.is_lateness_unknown(last) && enforced!("unknown_lateness"),
         }
     }
 
+    /// Whether the last holder may have met late orders and not have written this down.
+    ///
+    /// One that gave the mandate back left nothing untold. Of any other one this VM must have seen
+    /// that it could write: a VM that has just started can't know that the store was away before.
+    fn is_lateness_unknown(&self, last: &MandateRecord) -> bool {
+        !last.vacant && (self.was_unreached() || !self.written_in_time)
+    }
+
     /// The write that gives the mandate back.
     pub fn vacating_write(&mut self) -> Option<MandateWrite> {
         if !self.held {
