A successor that reads its placement late replaces targets that are gone

Cause: leases of a predecessor that has stopped end for all targets at once. A successor that could not read the placement until then counted its targets as lost while it knew of no shards of theirs; the shards read later were taken for served, and as a lost target is never lost again, those of one that was gone stayed with it.

--- a/crates/nickellead_lease/src/coordinator/moves.rs
+++ b/crates/nickellead_lease/src/coordinator/moves.rs
@@ -194,7 +194,8 @@
         match answer {
             WriteAnswer::Done(version) => {
                 placement.version = version;
-                if placement.load == LoadState::Claiming {
+                let claims = placement.load == LoadState::Claiming;
+                if claims {
                     placement.gather_until = now + GATHER_WAIT;
                 }
                 placement.load = LoadState::Claimed;
@@ -203,6 +204,9 @@
                 if placement.pending.as_ref().is_some_and(current) {
                     self.commit_write(service, false);
                 }
+                if claims {
+                    self.free_lost_shards(service, now);
+                }
             }
             WriteAnswer::Conflict if placement.load == LoadState::Claiming => {
                 // The predecessor wrote once more before this term stood: start from that.
--- a/crates/nickellead_lease/src/coordinator/targets.rs
+++ b/crates/nickellead_lease/src/coordinator/targets.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use nickellead_api::{DeclaredConfig, TargetState};
-use nickellead_core::{TargetKey, Timestamp};
+use nickellead_core::{ServiceKey, TargetKey, Timestamp};
 
 use super::moves::GATHER_WAIT;
 use super::{ZoneAction, ZoneCoordinator, ZoneNotice};
@@ -209,9 +209,20 @@
         session.lapse();
         session.owned = 0;
         let (name, service) = (session.name.clone(), session.service);
-        let Some(placement) = self.placements.get_mut(&service) else {
+        let Some(shards) = self.free_shards_of(target, service, now) else {
             return;
         };
+        self.notify(ZoneNotice::TargetLost(name, shards));
+    }
+
+    /// Frees the shards of a target that is lost; gives their number if its service is placed here.
+    fn free_shards_of(
+        &mut self,
+        target: TargetKey,
+        service: ServiceKey,
+        now: Timestamp,
+    ) -> Option<u32> {
+        let placement = self.placements.get_mut(&service)?;
         placement.attention = true;
         let returns = now < placement.return_until;
         let owned = placement.select(|record| record.owner == Some(target));
@@ -223,7 +234,29 @@
             let route = placement.route(*shard);
             self.log.push(route);
         }
-        self.notify(ZoneNotice::TargetLost(name, owned.len() as u32));
+        Some(owned.len() as u32)
+    }
+
+    /// Frees the shards of targets that were lost before this coordinator had claimed the placement.
+    ///
+    /// No order is sent before, so none of the service's targets was heard: their shards wait for them.
+    pub(super) fn free_lost_shards(&mut self, service: ServiceKey, now: Timestamp) {
+        let lost = |session: &&mut TargetSession| {
+            session.service == service && session.phase == SessionPhase::Lost
+        };
+        let mut targets = Vec::new();
+        for session in self.sessions.values_mut().filter(lost) {
+            session.owned = 0;
+            targets.push(session.key);
+        }
+        if let Some(placement) = self.placements.get_mut(&service)
+            && !targets.is_empty()
+        {
+            placement.return_until = now + GATHER_WAIT;
+        }
+        for target in targets {
+            self.free_shards_of(target, service, now);
+        }
     }
 
     pub(super) fn send_orders(&mut self, now: Timestamp) {
