Known red: late orders that a holder first sees after its last renewal

Traced: vm 1 first saw late orders 0.1 s after its full power ended and 0.5 s before vm 0 took over in time; a target that had confirmed vm 0's grants was cut off and carried out vm 1's order, 11.2 s late. It is kept as a test of its own and listed.

Ruled out: reckoning with late orders after each loss of a holder (keys of targets lost with it wait 12.5 s more).

--- a/crates/nickellead_range/tests/schedules.rs
+++ b/crates/nickellead_range/tests/schedules.rs
@@ -34,6 +34,11 @@
 /// orders that it left unanswered, and can't reach the target that carries them out.
 const UNTOLD_LATENESS: [u64; 3] = [301_142, 304_361, 311_777];
 
+/// A schedule in which a holder first sees that orders are late after its last renewal, and can't write
+/// that down. Its successor took over in time and knows nothing of it; a target that confirmed the
+/// successor's grants is then out of reach, and carries an order of the former holder out.
+const LATENESS_SEEN_LAST: u64 = 2_002_049;
+
 /// Schedules that fail when `wait_for_mandate` or `mandate_ends` is taken out.
 const GUARDS: [u64; 2] = [928, 503];
 
@@ -110,3 +115,8 @@
 fn a_successor_reckons_with_late_orders_that_only_its_predecessor_saw() {
     UNTOLD_LATENESS.into_iter().for_each(play);
 }
+
+#[test]
+fn a_successor_reckons_with_late_orders_first_seen_after_the_last_renewal() {
+    play(LATENESS_SEEN_LAST);
+}
