--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -6,7 +6,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_peer::{ExchangeProgress, PeerClient};
 
-use super::messages::{NewsAsk, RelayAsk, RelayTell};
+use super::messages::{NewsAsk, RELAY_PATH, RelayAsk, RelayTell};
 use super::{ASK_WAIT, NewsRelay, NewsSource};
 use crate::book::{BookMark, BookNews};
 
@@ -87,8 +87,8 @@
 
     /// Follows one VM: news by one connection, and the declarations that they announce by another.
     async fn follow_one(&self, address: SocketAddr, avoid: &[SocketAddr]) -> FollowEnd {
-        let mut news = RelayClient::new(address);
-        let mut declarations = RelayClient::new(address);
+        let mut news = RelayClient::new(address, RELAY_PATH);
+        let mut declarations = RelayClient::new(address, RELAY_PATH);
         let (end, progress) = tokio::select! {
             end = self.follow_news(&mut news, avoid) => (end, news.progress()),
             reason = self.follow_declarations(&mut declarations) => {
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -9,6 +9,10 @@
 use crate::book::{BookMark, BookNews, DeclaredTell};
 use crate::load_count::LoadCounts;
 
+/// Path of these messages, which ends in the version of their protocol: VMs of different ones follow
+/// the store instead of each other.
+pub(super) const RELAY_PATH: &str = "/relay/2";
+
 /// A question of one VM to another.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) enum RelayAsk {
--- a/crates/nickellead_gateway/src/relay/telling.rs
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -6,7 +6,7 @@
 
 use nickellead_peer::{PeerHandler, serve_peers};
 
-use super::messages::{NewsAsk, RelayAsk, RelayTell};
+use super::messages::{NewsAsk, RELAY_PATH, RelayAsk, RelayTell};
 use super::{ASK_WAIT, NewsRelay, NewsSource};
 use crate::DeclaredState;
 
@@ -117,5 +117,5 @@
         let relay = Rc::clone(&relay);
         Box::pin(async move { relay.answer(ask).await })
     });
-    serve_peers(listener, handler).await;
+    serve_peers(listener, RELAY_PATH, handler).await;
 }
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -15,8 +15,6 @@
 use crate::codec::{FRAME_LIMIT, PeerError, decode, encode};
 use crate::message::{PeerReply, PeerRequest};
 
-/// Path of messages in this version of the protocol.
-pub(crate) const MESSAGE_PATH: &str = "/peer/2";
 /// How long a connection may take: a way of 55 ms there and back, and some more.
 ///
 /// A machine without power says nothing, and the system asks it again only after a second: a VM that
@@ -49,17 +47,19 @@
 #[derive(Debug)]
 pub struct PeerClient<Q = PeerRequest, R = PeerReply> {
     address: SocketAddr,
+    path: &'static str,
     connection: Option<SendRequest<Bytes>>,
     progress: ExchangeProgress,
     messages: PhantomData<fn(Q) -> R>,
 }
 
 impl<Q: Encode, R: Decode<()>> PeerClient<Q, R> {
-    /// A client of the VM at `address`.
+    /// A client of the VM at `address`; `path` names the protocol and its version.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub const fn new(address: SocketAddr, path: &'static str) -> Self {
         Self {
             address,
+            path,
             connection: None,
             progress: ExchangeProgress { waited: Duration::ZERO, on_way: Duration::ZERO, bytes: 0 },
             messages: PhantomData,
@@ -106,7 +106,7 @@
         let body = encode(message)?;
         let sender = self.connect().await?;
         let mut sender = sender.ready().await.map_err(connection_error)?;
-        let request = Request::post(format!("http://{}{MESSAGE_PATH}", self.address))
+        let request = Request::post(format!("http://{}{}", self.address, self.path))
             .body(())
             .map_err(connection_error)?;
         let (response, mut stream) =
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -1,7 +1,8 @@
 //! Messages between VMs: h2 streams with bincode bodies.
 //!
 //! One message is one h2 stream: a POST with a [`PeerRequest`], answered by a
-//! [`PeerReply`]. The path carries the protocol's version.
+//! [`PeerReply`], or by other messages under a path of their own. The path carries the protocol's
+//! version.
 
 mod client;
 mod codec;
@@ -10,5 +11,7 @@
 
 pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{FRAME_LIMIT, PeerError, decode, encode};
-pub use message::{FollowReply, FollowRequest, KnownZone, PeerReply, PeerRequest, PeerVm};
+pub use message::{
+    FollowReply, FollowRequest, KnownZone, PEER_PATH, PeerReply, PeerRequest, PeerVm,
+};
 pub use server::{PeerHandler, serve_peers};
--- a/crates/nickellead_peer/src/message.rs
+++ b/crates/nickellead_peer/src/message.rs
@@ -7,6 +7,9 @@
 use nickellead_core::{Incarnation, Name, Term, Version, ZoneKey};
 use nickellead_lease::{RecordAnswer, RecordBatch, ZoneDelta};
 
+/// Path of these messages, which ends in the version of their protocol.
+pub const PEER_PATH: &str = "/peer/1";
+
 /// A VM as others reach it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct PeerVm {
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use crate::client::{MESSAGE_PATH, STALL_TIME, WINDOW, connection_error, read_body};
+use crate::client::{STALL_TIME, WINDOW, connection_error, read_body};
 use crate::codec::{PeerError, decode, encode};
 use crate::message::{PeerReply, PeerRequest};
 
@@ -41,8 +41,13 @@
     Rc<dyn Fn(Q, SocketAddr) -> Pin<Box<dyn Future<Output = R>>>>;
 
 /// Answers messages on a listener for as long as the thread's runtime runs.
-pub async fn serve_peers<Q, R>(listener: TcpListener, handler: PeerHandler<Q, R>)
-where
+///
+/// `path` names the protocol and its version: messages of others are refused.
+pub async fn serve_peers<Q, R>(
+    listener: TcpListener,
+    path: &'static str,
+    handler: PeerHandler<Q, R>,
+) where
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
@@ -56,7 +61,7 @@
         let (handler, turns) = (Rc::clone(&handler), Rc::clone(&turns));
         actix_rt::spawn(async move {
             // A broken connection is the other VM's to notice and mend.
-            let _ = serve_connection(stream, from, handler, turns).await;
+            let _ = serve_connection(stream, from, handler, turns, path).await;
         });
     }
 }
@@ -66,6 +71,7 @@
     from: SocketAddr,
     handler: PeerHandler<Q, R>,
     turns: Rc<Semaphore>,
+    path: &'static str,
 ) -> Result<(), PeerError>
 where
     Q: Decode<()> + 'static,
@@ -83,7 +89,11 @@
         Err(_) => return Err(PeerError::Timeout),
     };
     while let Some(accepted) = connection.accept().await {
-        let (request, respond) = accepted.map_err(connection_error)?;
+        let (request, mut respond) = accepted.map_err(connection_error)?;
+        if request.uri().path() != path {
+            refuse(&mut respond, StatusCode::NOT_FOUND)?;
+            continue;
+        }
         let (handler, turns) = (Rc::clone(&handler), Rc::clone(&turns));
         actix_rt::spawn(async move {
             // As above: the caller sees the stream end.
@@ -104,9 +114,6 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
-    if request.uri().path() != MESSAGE_PATH {
-        return refuse(&mut respond, StatusCode::NOT_FOUND);
-    }
     let body = read_body(request.into_body(), |_| {}).await?;
     let Ok(message) = decode::<Q>(&body) else {
         return refuse(&mut respond, StatusCode::BAD_REQUEST);
--- a/crates/nickellead_peer/tests/slow_answers.rs
+++ b/crates/nickellead_peer/tests/slow_answers.rs
@@ -19,6 +19,8 @@
 /// Longest time that a silent answer may go unnoticed.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+const PATH: &str = "/size/1";
+
 type SizeClient = PeerClient<u32, Vec<u8>>;
 
 /// Runs a test against a server that answers with as many bytes as it is asked for, behind a link.
@@ -31,7 +33,7 @@
         let handler: PeerHandler<u32, Vec<u8>> =
             Rc::new(|size, _| Box::pin(async move { vec![7; size as usize] }));
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
-        actix_rt::spawn(serve_peers(listener, handler));
+        actix_rt::spawn(serve_peers(listener, PATH, handler));
         test(link).await;
     });
 }
@@ -40,7 +42,7 @@
 fn an_answer_is_waited_for_as_long_as_it_arrives() {
     with_server(|link| async move {
         link.set(LinkFault::Delay(DELAY_MS));
-        let mut client = SizeClient::new(link.address);
+        let mut client = SizeClient::new(link.address, PATH);
         let asked = Instant::now();
         let answer = client.call(&LARGE, LIMIT).await.unwrap();
         assert_eq!(answer.len(), LARGE as usize);
@@ -52,7 +54,7 @@
 fn an_answer_that_stops_arriving_is_given_up_soon() {
     with_server(|link| async move {
         link.set(LinkFault::Delay(DELAY_MS));
-        let mut client = SizeClient::new(link.address);
+        let mut client = SizeClient::new(link.address, PATH);
         let calling = client.call(&LARGE, LIMIT);
         let cutting = async {
             tokio::time::sleep(2 * LIMIT).await;
@@ -72,7 +74,7 @@
     with_server(|link| async move {
         // More than may be on their way side by side, and none of them takes anything in.
         let stuck = (0..8).map(|_| async {
-            let mut client = SizeClient::new(link.address);
+            let mut client = SizeClient::new(link.address, PATH);
             client.call(&LARGE, LIMIT * 10).await
         });
         let stuck = futures_util::future::join_all(stuck);
@@ -81,7 +83,7 @@
             link.set(LinkFault::CutBack);
             tokio::time::sleep(Duration::from_millis(5_500)).await;
             link.set(LinkFault::None);
-            let mut client = SizeClient::new(link.address);
+            let mut client = SizeClient::new(link.address, PATH);
             let asked = Instant::now();
             (client.call(&LARGE, LIMIT).await.map(|answer| answer.len()), asked.elapsed())
         };
@@ -105,11 +107,11 @@
         let handler: PeerHandler<u32, Vec<u8>> =
             Rc::new(|size, _| Box::pin(async move { vec![7; size as usize] }));
         let listener = tokio::net::TcpListener::from_std(listener).unwrap();
-        actix_rt::spawn(serve_peers(listener, handler));
+        actix_rt::spawn(serve_peers(listener, PATH, handler));
         link.set(LinkFault::Delay(100));
         for _ in 0..4 {
             actix_rt::spawn(async move {
-                let mut client = SizeClient::new(link.address);
+                let mut client = SizeClient::new(link.address, PATH);
                 // It is still on its way when the test ends.
                 let _ = client.call(&(10 * LARGE), LIMIT * 10).await;
             });
--- a/crates/nickellead_run/src/peers/follow.rs
+++ b/crates/nickellead_run/src/peers/follow.rs
@@ -7,7 +7,7 @@
 
 use nickellead_core::Name;
 use nickellead_lease::ZoneEvent;
-use nickellead_peer::{FollowReply, PeerClient, PeerReply, PeerRequest};
+use nickellead_peer::{FollowReply, PEER_PATH, PeerClient, PeerReply, PeerRequest};
 
 use super::hub::PeerHub;
 use crate::coordination::CoordinationMessage;
@@ -107,7 +107,7 @@
         let address = self.choose(hub)?;
         let mut client = match self.client.take().filter(|client| client.address() == address) {
             Some(client) => client,
-            None => PeerClient::new(address),
+            None => PeerClient::new(address, PEER_PATH),
         };
         let request = PeerRequest::Follow(hub.follow_request(self.wait_ms));
         let limit = Duration::from_millis(u64::from(self.wait_ms)) + FOLLOW_TIMEOUT;
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -14,7 +14,7 @@
 use nickellead_api::DeclaredConfig;
 use nickellead_core::{Term, ZoneKey};
 use nickellead_lease::{RecordBatch, StandbyVm, ZoneDelta, ZoneEvent};
-use nickellead_peer::{PeerClient, PeerReply, PeerRequest, PeerVm, serve_peers};
+use nickellead_peer::{PEER_PATH, PeerClient, PeerReply, PeerRequest, PeerVm, serve_peers};
 use nickellead_platform::ListedVm;
 use nickellead_proxy::WorkerUpdate;
 use nickellead_route::ZoneSummary;
@@ -87,7 +87,7 @@
         return;
     };
     let hub = Rc::new(PeerHub::new(own, known, rings));
-    actix_rt::spawn(serve_peers(listener, answer::handler(Rc::clone(&hub))));
+    actix_rt::spawn(serve_peers(listener, PEER_PATH, answer::handler(Rc::clone(&hub))));
     actix_rt::spawn(follow::follow_own_zone(Rc::clone(&hub)));
     actix_rt::spawn(follow::follow_other_zones(Rc::clone(&hub)));
     while let Some(message) = receiver.recv().await {
@@ -120,7 +120,7 @@
     };
     let coordination = hub.coordination().clone();
     actix_rt::spawn(async move {
-        let mut client = PeerClient::new(address);
+        let mut client = PeerClient::new(address, PEER_PATH);
         let event = match client.call(&request, ASK_TIMEOUT).await {
             Ok(PeerReply::Record(answer)) => ZoneEvent::RecordAnswered(answer),
             Ok(PeerReply::SteppedDown(term)) => ZoneEvent::StepDownAnswered(term),
