--- a/crates/nickellead_peer/tests/slow_answers.rs
+++ b/crates/nickellead_peer/tests/slow_answers.rs
@@ -117,7 +117,7 @@
             });
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
-        let mut client = SizeClient::new(address);
+        let mut client = SizeClient::new(address, PATH);
         let asked = Instant::now();
         let answer = client.call(&LARGE, TURN_WAIT).await.map(|answer| answer.len());
         assert_eq!(answer.unwrap(), LARGE as usize, "after {:?}", asked.elapsed());
