--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -203,7 +203,8 @@
         self.apply(&self.declaration(number, state));
     }
 
-    fn apply(&self, objects: &str) {
+    /// Declares objects, as an operator does.
+    pub fn apply(&self, objects: &str) {
         let file = write_file(&format!("{}-declared.json", self.spec.label), objects);
         let operators = self.vms[0].operators.to_string();
         let (code, _, errors) = run(&["apply", "--vm", &operators, "-f", file.to_str().unwrap()]);
