Declarations reach followers as changes

Cause: a follower of nickellead run named the revision that it knew, and was told all objects whenever there was a newer one, by every VM at every change. Ruled out: telling by revision alone, as two VMs may read the same revision differently; packing the whole, which still grows with the targets; a second copy of digest and errors, which both programs now take from nickellead_peer. Each change leads to the digest that it names or is refused; then what was known stays in force and the whole is asked for. Objects that are not in order of their names are told whole. Messages have the path /peer/3: VMs of the version before and this one don't understand each other's answers.

--- a/crates/nickellead_gateway/src/declared/change.rs
+++ b/crates/nickellead_gateway/src/declared/change.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use bincode::{Decode, Encode};
-use thiserror::Error;
+use nickellead_peer::{ChangeError, DeclaredState};
 
-use super::{CallerLimits, Declarations, DeclaredState, RouteRule, ServiceRule};
+use super::{CallerLimits, Declarations, RouteRule, ServiceRule};
 
 /// What changed from one content of declarations to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -24,27 +24,6 @@
     pub limits: Option<CallerLimits>,
 }
 
-/// Why a change can't be applied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum ChangeError {
-    /// It changes another content than the one known.
-    #[error("change is from {needed}, not from {known}")]
-    WrongBase {
-        /// The content that it changes.
-        needed: DeclaredState,
-        /// The content that is known.
-        known: DeclaredState,
-    },
-    /// It does not lead to the content that it names.
-    #[error("change led to {reached} instead of {promised}")]
-    WrongResult {
-        /// The content that it names.
-        promised: DeclaredState,
-        /// The content that it led to.
-        reached: DeclaredState,
-    },
-}
-
 impl DeclarationsChange {
     /// The change from `old` to `new`; none when names of routes are not unique in either.
     #[must_use]
@@ -76,11 +55,7 @@
 
     /// Checks that the change is from the content known.
     pub(super) fn check_base(&self, known: DeclaredState) -> Result<(), ChangeError> {
-        if self.from == known {
-            Ok(())
-        } else {
-            Err(ChangeError::WrongBase { needed: self.from, known })
-        }
+        ChangeError::check_base(self.from, known)
     }
 
     /// Changes declarations whose state was checked by the caller.
@@ -93,12 +68,8 @@
             services: self.services.clone().unwrap_or(services),
             limits: self.limits.unwrap_or(limits),
         };
-        let reached = declarations.state();
-        if reached == self.to {
-            Ok(declarations)
-        } else {
-            Err(ChangeError::WrongResult { promised: self.to, reached })
-        }
+        ChangeError::check_result(self.to, declarations.state())?;
+        Ok(declarations)
     }
 
     fn change_routes(&self, routes: &mut Vec<RouteRule>) {
--- a/crates/nickellead_gateway/src/declared/mod.rs
+++ b/crates/nickellead_gateway/src/declared/mod.rs
@@ -10,10 +10,10 @@
 mod news;
 mod state;
 
-pub use change::{ChangeError, DeclarationsChange};
+pub use change::DeclarationsChange;
 pub use history::{DeclarationsHistory, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS};
 pub use news::{AppliedNews, DeclaredNews, NewsError};
-pub use state::DeclaredState;
+pub use nickellead_peer::{ChangeError, DeclaredState};
 
 /// All declarations of one version.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -16,7 +16,7 @@
 use crate::message::{PeerReply, PeerRequest};
 
 /// Path of messages in this version of the protocol.
-pub(crate) const MESSAGE_PATH: &str = "/peer/2";
+pub(crate) const MESSAGE_PATH: &str = "/peer/3";
 /// How long a connection may take: a way of 55 ms there and back, and some more.
 ///
 /// A machine without power says nothing, and the system asks it again only after a second: a VM that
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -5,10 +5,16 @@
 
 mod client;
 mod codec;
+mod config_change;
+mod config_history;
+mod content;
 mod message;
 mod server;
 
 pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{FRAME_LIMIT, PeerError, decode, encode};
+pub use config_change::{ConfigChange, ListChange, config_state};
+pub use config_history::{CONFIG_CHANGES_KEPT, ConfigHistory, ConfigNews, ConfigNewsError};
+pub use content::{ChangeError, DeclaredState, digest_of};
 pub use message::{FollowReply, FollowRequest, KnownZone, PeerReply, PeerRequest, PeerVm};
 pub use server::{PeerHandler, serve_peers};
--- a/crates/nickellead_peer/src/message.rs
+++ b/crates/nickellead_peer/src/message.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
-use nickellead_api::DeclaredConfig;
 use nickellead_core::{Incarnation, Name, Term, Version, ZoneKey};
 use nickellead_lease::{RecordAnswer, RecordBatch, ZoneDelta};
 
+use crate::config_history::ConfigNews;
+use crate::content::DeclaredState;
+
 /// A VM as others reach it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct PeerVm {
@@ -38,8 +40,8 @@
     pub from: PeerVm,
     /// What it knows of each zone.
     pub zones: Vec<KnownZone>,
-    /// The revision of the declarations it knows, if any.
-    pub config: Option<Version>,
+    /// The content of the declarations from which it can take changes, if any.
+    pub config: Option<DeclaredState>,
     /// How long the answer may be held back while there is nothing to tell.
     pub wait_ms: u32,
 }
@@ -56,7 +58,7 @@
     /// Whether the mandate names the asking VM as a standby.
     pub standby: bool,
     /// Newer declarations.
-    pub config: Option<DeclaredConfig>,
+    pub config: Option<ConfigNews>,
     /// Changes by zone.
     pub zones: Vec<ZoneDelta>,
 }
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -9,7 +9,9 @@
 use nickellead_api::DeclaredConfig;
 use nickellead_core::{Name, Term, ZoneKey};
 use nickellead_lease::{RouteChange, StandbyVm, ZoneDelta, ZoneEvent};
-use nickellead_peer::{FollowReply, FollowRequest, KnownZone, PeerVm};
+use nickellead_peer::{
+    ConfigHistory, ConfigNews, ConfigNewsError, FollowReply, FollowRequest, KnownZone, PeerVm,
+};
 use nickellead_platform::ListedVm;
 use nickellead_proxy::WorkerUpdate;
 use nickellead_route::{DeltaOutcome, ZoneSummary, ZoneTable};
@@ -38,7 +40,7 @@
     vms: RefCell<BTreeMap<Name, KnownVm>>,
     zones: RefCell<BTreeMap<ZoneKey, ZoneTable>>,
     coordinators: RefCell<BTreeMap<Name, (Term, PeerVm)>>,
-    config: RefCell<Option<Arc<DeclaredConfig>>>,
+    config: RefCell<ConfigHistory>,
     leads: Cell<bool>,
     standbys: RefCell<Vec<StandbyVm>>,
     changes: watch::Sender<u64>,
@@ -145,14 +147,36 @@
         }
     }
 
-    /// Takes over declarations, unless they are older than those known.
+    /// Takes over declarations that the platform told, unless they are older than those known.
     pub(super) fn take_config(&self, config: Arc<DeclaredConfig>) {
-        let known = self.config.borrow().as_ref().map(|known| known.revision);
-        if known.is_some_and(|known| known >= config.revision) {
-            return;
+        let is_newer = self.config.borrow_mut().take_whole(Arc::clone(&config));
+        if is_newer {
+            self.put_in_force(config);
+        }
+    }
+
+    /// Takes over declarations that another VM told; what does not fit is asked for whole.
+    fn take_config_news(&self, news: ConfigNews) {
+        let taken = self.config.borrow_mut().take_news(news);
+        match taken {
+            Ok(true) => self.tell_config(),
+            Ok(false) => {}
+            Err(error) => log_unusable(&error),
         }
+    }
+
+    /// Tells the newest declarations to all parts of this VM.
+    fn tell_config(&self) {
+        let newest = self.config.borrow().newest().cloned();
+        let Some(config) = newest else { return };
+        let event = ZoneEvent::ConfigChanged(Arc::clone(&config));
+        offer(&self.rings.coordination, CoordinationMessage::Event(event));
+        self.put_in_force(config);
+    }
+
+    /// Tells declarations to all parts of this VM but the coordination.
+    fn put_in_force(&self, config: Arc<DeclaredConfig>) {
         log_event(EventName::ConfigInForce, &[("revision", &config.revision)]);
-        *self.config.borrow_mut() = Some(Arc::clone(&config));
         offer(&self.rings.orders, OrderMessage::Config(Arc::clone(&config)));
         let revision = config.revision;
         self.tell_workers(&WorkerUpdate::Config(config));
@@ -191,7 +215,7 @@
         FollowRequest {
             from: self.own.clone(),
             zones: known.collect(),
-            config: self.config.borrow().as_ref().map(|config| config.revision),
+            config: self.config.borrow().state(),
             wait_ms,
         }
     }
@@ -204,16 +228,13 @@
             zones.find(|known| known.zone == zone).map(|known| (known.term, known.version))
         };
         let deltas = zones.iter().filter_map(|(zone, table)| table.delta(known(*zone)));
-        let config = self.config.borrow();
-        let newer =
-            config.as_ref().filter(|config| request.config.is_none_or(|r| r < config.revision));
         let coordinator = self.coordinators.borrow().get(&self.own.zone).cloned();
         FollowReply {
             from: self.own.clone(),
             term: coordinator.as_ref().map(|(term, _)| *term).unwrap_or_default(),
             coordinator: coordinator.map(|(_, vm)| vm),
             standby: self.is_standby(&request.from),
-            config: newer.map(|config| (**config).clone()),
+            config: self.config.borrow().since(request.config),
             zones: deltas.collect(),
         }
     }
@@ -224,11 +245,8 @@
         if let Some(coordinator) = reply.coordinator {
             self.note_coordinator(reply.term, coordinator);
         }
-        if let Some(config) = reply.config {
-            let config = Arc::new(config);
-            let event = ZoneEvent::ConfigChanged(Arc::clone(&config));
-            offer(&self.rings.coordination, CoordinationMessage::Event(event));
-            self.take_config(config);
+        if let Some(news) = reply.config {
+            self.take_config_news(news);
         }
         for delta in &reply.zones {
             self.take_delta(delta);
@@ -240,7 +258,7 @@
     /// others too or a while has passed: a zone that is cut off serves what it can.
     pub(super) fn check_readiness(&self) {
         let config = self.config.borrow();
-        let Some(config) = config.as_ref() else { return };
+        let Some(config) = config.newest() else { return };
         let zones = self.zones.borrow();
         let knows =
             |zone: &Name| zones.get(&ZoneKey::from(zone)).is_some_and(|t| t.known().is_some());
@@ -269,10 +287,15 @@
 
     /// Tells a worker everything; tells whether it all went in.
     fn tell_all(&self, worker: &RingSender<WorkerUpdate>) -> bool {
-        let config = self.config.borrow().clone();
+        let config = self.config.borrow().newest().cloned();
         let config_in = config.is_none_or(|config| offer(worker, WorkerUpdate::Config(config)));
         let zones = self.zones.borrow();
         let mut deltas = zones.values().filter_map(|table| table.delta(None));
         config_in && deltas.all(|delta| offer(worker, WorkerUpdate::Routes(delta.changes.into())))
     }
 }
+
+fn log_unusable(error: &ConfigNewsError) {
+    let pairs: [(&str, &dyn std::fmt::Display); 2] = [("part", &"declarations"), ("reason", error)];
+    log_event(EventName::NewsUnusable, &pairs);
+}
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -7,12 +7,16 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::fleet::{Fleet, FleetSpec};
-use nickellead_core::{Incarnation, Name, Version};
-use nickellead_peer::{FollowReply, FollowRequest, PeerClient, PeerReply, PeerRequest, PeerVm};
+use nickellead_core::{Incarnation, Name, ZoneKey};
+use nickellead_peer::{
+    ConfigHistory, FollowReply, FollowRequest, KnownZone, PeerClient, PeerReply, PeerRequest,
+    PeerVm,
+};
 
 /// Targets declared beside the one that serves.
 const TARGETS: usize = 2_000;
@@ -39,7 +43,9 @@
 struct Follower {
     client: PeerClient,
     own: PeerVm,
-    known: Option<Version>,
+    known: ConfigHistory,
+    /// The owners that it knows, so that they are not told again.
+    zones: BTreeMap<ZoneKey, KnownZone>,
 }
 
 impl Follower {
@@ -51,7 +57,12 @@
             address: "127.0.0.1:1".parse().unwrap(),
             incarnation: Incarnation(1),
         };
-        Self { client: PeerClient::new(address), own, known: None }
+        Self {
+            client: PeerClient::new(address),
+            own,
+            known: ConfigHistory::default(),
+            zones: BTreeMap::new(),
+        }
     }
 
     /// Asks until declarations are told; gives the answer's bytes.
@@ -59,8 +70,8 @@
         loop {
             let request = FollowRequest {
                 from: self.own.clone(),
-                zones: Vec::new(),
-                config: self.known,
+                zones: self.zones.values().copied().collect(),
+                config: self.known.state(),
                 wait_ms: 1_000,
             };
             let limit = Duration::from_secs(5);
@@ -72,11 +83,18 @@
         }
     }
 
+    fn revision(&self) -> u64 {
+        self.known.newest().unwrap().revision.0
+    }
+
     /// Takes an answer; tells whether it held declarations.
     fn take(&mut self, reply: FollowReply) -> bool {
-        let Some(config) = reply.config else { return false };
-        self.known = Some(config.revision);
-        true
+        for delta in reply.zones {
+            let (zone, term, version) = (delta.zone, delta.term, delta.version);
+            self.zones.insert(zone, KnownZone { zone, term, version });
+        }
+        let Some(news) = reply.config else { return false };
+        self.known.take_news(news).unwrap()
     }
 }
 
@@ -90,13 +108,14 @@
     });
     fleet.apply(&declarations());
     actix_rt::System::new().block_on(async {
+        let mut early = Follower::new(fleet.vms[0].peers);
+        early.follow().await;
+        while early.revision() < fleet.platform_revision() {
+            early.follow().await;
+        }
+        // One that knows nothing is told everything.
         let mut follower = Follower::new(fleet.vms[0].peers);
-        let whole = loop {
-            let bytes = follower.follow().await;
-            if follower.known.unwrap().0 >= fleet.platform_revision() {
-                break bytes;
-            }
-        };
+        let whole = follower.follow().await;
         assert!(whole > 100 * TARGETS / 4, "{whole} bytes of all declarations");
         fleet.declare_target(0, "draining");
         let change = follower.follow().await;
