--- /dev/null
+++ b/crates/nickellead_gateway/tests/common/many_routes.rs
@@ -0,0 +1,44 @@
+//! Declarations with any number of routes.
+
+use std::time::Duration;
+
+use nickellead_gateway::{Declarations, RepeatClass, RoutePart, RouteRule};
+
+/// A route to one service.
+pub fn route(name: String, host: &str, prefix: &str, weight: f64) -> RouteRule {
+    RouteRule {
+        name,
+        host: host.to_owned(),
+        path_prefix: format!("/{prefix}/"),
+        repeat: RepeatClass::Safe,
+        timeout: Duration::from_secs(10),
+        latency_target: Duration::from_millis(250),
+        priority: 1,
+        attempts: 2,
+        parts: vec![RoutePart { service: "plain".to_owned(), weight }],
+    }
+}
+
+fn letters(random: &mut fastrand::Rng) -> String {
+    let count = random.usize(6..=8);
+    (0..count).map(|_| random.lowercase()).collect()
+}
+
+/// Routes of all kinds with random hosts and prefixes; fewer are the first of more.
+pub fn many(version: u64, count: usize) -> Declarations {
+    let mut random = fastrand::Rng::with_seed(7);
+    let routes = (0..count).map(|number| {
+        let (host, prefix) = (letters(&mut random), letters(&mut random));
+        let mut route = route(format!("route-{number}"), &host, &prefix, 1.0);
+        route.timeout = Duration::from_secs(random.u64(1..=30));
+        route.latency_target = Duration::from_millis(50 * random.u64(1..=20));
+        route.priority = random.u8(0..=3);
+        route.attempts = random.u32(1..=3);
+        route.parts[0].service = format!("service-{}", random.u8(1..=40));
+        if random.bool() {
+            route.repeat = RepeatClass::Unsafe;
+        }
+        route
+    });
+    Declarations { version, routes: routes.collect(), ..Declarations::default() }
+}
--- a/crates/nickellead_gateway/tests/declared_changes.rs
+++ b/crates/nickellead_gateway/tests/declared_changes.rs
@@ -1,31 +1,21 @@
 //! Changes of declarations lead to the very content that they name, or to none.
 #![allow(clippy::unwrap_used)]
 
-use std::time::{Duration, Instant};
+#[path = "common/many_routes.rs"]
+mod many_routes;
+
+use std::time::Instant;
 
 use bincode::{Decode, Encode};
+use many_routes::{many, route};
 use nickellead_gateway::{
     CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory, DeclaredNews,
-    DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError, Packed, PackedError, RepeatClass,
-    RoutePart, RouteRule, ServiceRule, UNPACKED_LIMIT,
+    DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError, Packed, PackedError, ServiceRule,
+    UNPACKED_LIMIT,
 };
 use nickellead_peer::{decode, encode};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
-fn route(name: String, host: &str, prefix: &str, weight: f64) -> RouteRule {
-    RouteRule {
-        name,
-        host: host.to_owned(),
-        path_prefix: format!("/{prefix}/"),
-        repeat: RepeatClass::Safe,
-        timeout: Duration::from_secs(10),
-        latency_target: Duration::from_millis(250),
-        priority: 1,
-        attempts: 2,
-        parts: vec![RoutePart { service: "plain".to_owned(), weight }],
-    }
-}
-
 /// Small declarations with names of routes in common, in any order.
 #[derive(Clone, Debug)]
 struct Declared(Declarations);
@@ -114,30 +104,6 @@
     DeclaredStep::pack(&DeclarationsChange::between(old, new).unwrap()).unwrap()
 }
 
-fn letters(random: &mut fastrand::Rng) -> String {
-    let count = random.usize(6..=8);
-    (0..count).map(|_| random.lowercase()).collect()
-}
-
-/// Routes of all kinds with random hosts and prefixes; fewer are the first of more.
-fn many(version: u64, count: usize) -> Declarations {
-    let mut random = fastrand::Rng::with_seed(7);
-    let routes = (0..count).map(|number| {
-        let (host, prefix) = (letters(&mut random), letters(&mut random));
-        let mut route = route(format!("route-{number}"), &host, &prefix, 1.0);
-        route.timeout = Duration::from_secs(random.u64(1..=30));
-        route.latency_target = Duration::from_millis(50 * random.u64(1..=20));
-        route.priority = random.u8(0..=3);
-        route.attempts = random.u32(1..=3);
-        route.parts[0].service = format!("service-{}", random.u8(1..=40));
-        if random.bool() {
-            route.repeat = RepeatClass::Unsafe;
-        }
-        route
-    });
-    Declarations { version, routes: routes.collect(), ..Declarations::default() }
-}
-
 /// A packed message of any bytes, as another VM may send it.
 fn packed_of<T>(bytes: &[u8]) -> Packed<T> {
     decode(&encode(&bytes.to_vec()).unwrap()).unwrap()
