--- a/crates/nickellead_gateway/src/declared/mod.rs
+++ b/crates/nickellead_gateway/src/declared/mod.rs
@@ -11,11 +11,11 @@
 mod route;
 mod state;
 
-pub use change::{ChangeError, DeclarationsChange};
+pub use change::DeclarationsChange;
 pub use history::{DeclarationsHistory, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS};
 pub use news::{AppliedNews, DeclaredNews, NewsError};
+pub use nickellead_peer::{ChangeError, DeclaredState};
 pub use route::{RepeatClass, RoutePart, RouteRule, SharedRoute};
-pub use state::DeclaredState;
 
 /// All declarations of one version.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
--- a/crates/nickellead_gateway/src/declared/route.rs
+++ b/crates/nickellead_gateway/src/declared/route.rs
@@ -9,7 +9,7 @@
 use bincode::error::{DecodeError, EncodeError};
 use bincode::{Decode, Encode};
 
-use super::state::digest_of;
+use nickellead_peer::digest_of;
 
 /// Whether a request may be run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -151,15 +151,20 @@
         let mut watching = std::pin::pin!(self.store.watch_declarations(from, WATCH_WAIT));
         let version = || self.book.declarations().map(|known| known.version);
         loop {
-            let check = self.check_time(DECLARATIONS_CHECK);
-            if let Ok(watched) = tokio::time::timeout(check, &mut watching).await {
-                return watched.map(Some);
-            }
             let known = version();
-            let read = self.store.declarations().await;
+            let checking = async {
+                tokio::time::sleep(self.check_time(DECLARATIONS_CHECK)).await;
+                self.store.declarations().await
+            };
+            // The watch may be answered while the check goes on, and outlives one that fails.
+            let read = tokio::select! {
+                watched = &mut watching => return watched.map(Some),
+                read = checking => read,
+            };
             self.health.note(&read);
-            let read = read?;
-            self.book.note_declarations(read.as_of, read.value);
+            if let Ok(read) = read {
+                self.book.note_declarations(read.as_of, read.value);
+            }
             if version() != known {
                 return Ok(None);
             }
--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -15,11 +15,13 @@
 /// With `NEWS_AGE_MOST` and `TOUCH_LOOK` it keeps a change that a source misses within the
 /// two seconds that the platform allows for its taking force.
 const ANSWER_TIME: Duration = Duration::from_millis(350);
-/// How long a VM waits until it is its turn to be told declarations.
+/// How long a VM waits until an answer with declarations begins.
 ///
 /// Whether the source lives is seen by the news, and declarations that don't arrive in time are read
 /// from the store meanwhile: this only ends a question that was forgotten.
-const TURN_WAIT: Duration = Duration::from_secs(4);
+const DECLARATIONS_WAIT: Duration = Duration::from_secs(4);
+/// Until a VM is asked again for declarations that it announced and does not tell.
+const UNTOLD_PAUSE: Duration = Duration::from_millis(100);
 /// Answers of this size and above are logged, in bytes: changes of calm seconds are smaller.
 const LARGE_ANSWER: usize = 16 * 1024;
 
@@ -148,14 +150,17 @@
         loop {
             self.book.wait_for_lack().await;
             let known = self.book.declared_state().filter(|_| !whole);
-            let told = match client.call(&RelayAsk::Declarations(known), TURN_WAIT).await {
+            let told = match client.call(&RelayAsk::Declarations(known), DECLARATIONS_WAIT).await {
                 Ok(RelayTell::Declarations(told)) => told,
                 Ok(_) => return LossReason::Unusable,
                 Err(_) => return LossReason::NoAnswer,
             };
             log_large(client.address(), client.progress());
-            // Nothing is told while the VM does not know them itself.
-            let Some(told) = told else { continue };
+            let Some(told) = told else {
+                // The VM does not know them itself yet.
+                tokio::time::sleep(UNTOLD_PAUSE).await;
+                continue;
+            };
             let taken = self.book.take_declarations(told);
             if !taken && whole {
                 return LossReason::Unusable;
