--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -1,6 +1,6 @@
 //! The store and the orders to targets, in memory.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -13,6 +13,13 @@
 /// Between two looks of a watch.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// A part of what the store holds.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StorePart {
+    Declarations,
+    Targets,
+}
+
 #[derive(Default)]
 struct StoreState {
     revision: u64,
@@ -23,6 +30,8 @@
     watches: BTreeMap<String, u64>,
     away: bool,
     deaf_watches: bool,
+    /// VMs whose reads and watches of a part are not answered.
+    held_from: BTreeSet<(String, StorePart)>,
     declarations: Option<(u64, Declarations)>,
     changes: Vec<(u64, TargetChange)>,
     targets: TargetList,
@@ -81,6 +90,24 @@
         self.state().deaf_watches = deaf;
     }
 
+    /// Leaves a VM's reads and watches of a part unanswered, as over a full link, or answers them.
+    pub fn hold_from(&self, vm: &str, part: StorePart, held: bool) {
+        let mut state = self.state();
+        let key = (vm.to_owned(), part);
+        if held {
+            state.held_from.insert(key);
+        } else {
+            state.held_from.remove(&key);
+        }
+    }
+
+    /// Waits until a part is told to the VM that asks through this handle.
+    async fn until_told(&self, part: StorePart) {
+        while self.state().held_from.contains(&(self.vm.clone(), part)) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// What a target does with orders from now on.
     pub fn set_outcome(&self, id: &str, outcome: OrderOutcome) {
         self.state().outcomes.insert(id.to_owned(), outcome);
@@ -185,6 +212,7 @@
 impl StorePort for MemoryStore {
     async fn declarations(&self) -> Result<Snapshot<Option<Declarations>>, StoreError> {
         self.count_declaration_call();
+        self.until_told(StorePart::Declarations).await;
         self.call(|state| Snapshot {
             as_of: Revision(state.revision),
             value: state.declarations.as_ref().map(|(_, value)| value.clone()),
@@ -202,10 +230,13 @@
             let (revision, value) = state.declarations.as_ref()?;
             (*revision > from.0).then(|| Some(value.clone()))
         };
-        self.watch(from, wait, read, None).await
+        let seen = self.watch(from, wait, read, None).await;
+        self.until_told(StorePart::Declarations).await;
+        seen
     }
 
     async fn targets(&self) -> Result<Snapshot<TargetList>, StoreError> {
+        self.until_told(StorePart::Targets).await;
         self.call(|state| Snapshot {
             as_of: Revision(state.revision),
             value: state.targets.clone(),
@@ -222,7 +253,9 @@
             let new: Vec<TargetChange> = new.map(|(_, change)| change.clone()).collect();
             (!new.is_empty()).then_some(new)
         };
-        self.watch(from, wait, read, Vec::new()).await
+        let seen = self.watch(from, wait, read, Vec::new()).await;
+        self.until_told(StorePart::Targets).await;
+        seen
     }
 
     async fn ranges(&self) -> Result<Snapshot<Option<Stored<RangeMap>>>, StoreError> {
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use crate::client::{MESSAGE_PATH, STALL_TIME, WINDOW, connection_error, read_body};
+use crate::client::{STALL_TIME, WINDOW, connection_error, read_body};
 use crate::codec::{PeerError, decode, encode};
 use crate::message::{PeerReply, PeerRequest};
 
@@ -30,6 +30,9 @@
 /// 1,400 routes would take 0.3 s. In turn they arrive earlier on the whole, and who has its copy can
 /// tell it on.
 const LARGE_AT_ONCE: usize = 4;
+/// A large answer that takes longer goes on without its turn: a reader behind a slow link must not hold
+/// back the others. Four answers of 30 KB take this long on a link of 10 Mbit/s.
+const TURN_TIME: Duration = Duration::from_millis(100);
 /// How long a handshake may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -38,8 +41,13 @@
     Rc<dyn Fn(Q, SocketAddr) -> Pin<Box<dyn Future<Output = R>>>>;
 
 /// Answers messages on a listener for as long as the thread's runtime runs.
-pub async fn serve_peers<Q, R>(listener: TcpListener, handler: PeerHandler<Q, R>)
-where
+///
+/// `path` names the protocol and its version: messages of others are refused.
+pub async fn serve_peers<Q, R>(
+    listener: TcpListener,
+    path: &'static str,
+    handler: PeerHandler<Q, R>,
+) where
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
@@ -53,7 +61,7 @@
         let (handler, turns) = (Rc::clone(&handler), Rc::clone(&turns));
         actix_rt::spawn(async move {
             // A broken connection is the other VM's to notice and mend.
-            let _ = serve_connection(stream, from, handler, turns).await;
+            let _ = serve_connection(stream, from, handler, turns, path).await;
         });
     }
 }
@@ -63,6 +71,7 @@
     from: SocketAddr,
     handler: PeerHandler<Q, R>,
     turns: Rc<Semaphore>,
+    path: &'static str,
 ) -> Result<(), PeerError>
 where
     Q: Decode<()> + 'static,
@@ -80,7 +89,11 @@
         Err(_) => return Err(PeerError::Timeout),
     };
     while let Some(accepted) = connection.accept().await {
-        let (request, respond) = accepted.map_err(connection_error)?;
+        let (request, mut respond) = accepted.map_err(connection_error)?;
+        if request.uri().path() != path {
+            refuse(&mut respond, StatusCode::NOT_FOUND)?;
+            continue;
+        }
         let (handler, turns) = (Rc::clone(&handler), Rc::clone(&turns));
         actix_rt::spawn(async move {
             // As above: the caller sees the stream end.
@@ -101,9 +114,6 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
-    if request.uri().path() != MESSAGE_PATH {
-        return refuse(&mut respond, StatusCode::NOT_FOUND);
-    }
     let body = read_body(request.into_body(), |_| {}).await?;
     let Ok(message) = decode::<Q>(&body) else {
         return refuse(&mut respond, StatusCode::BAD_REQUEST);
@@ -114,8 +124,14 @@
         return stream.send_data(reply.into(), true).map_err(connection_error);
     }
     // Turns are never taken away, so this can't fail.
-    let _turn = turns.acquire().await.map_err(connection_error)?;
-    send_paced(begin_answer(&mut respond)?, reply.into()).await
+    let turn = turns.acquire().await.map_err(connection_error)?;
+    let sending = send_paced(begin_answer(&mut respond)?, reply.into());
+    let mut sending = std::pin::pin!(sending);
+    if let Ok(sent) = timeout(TURN_TIME, &mut sending).await {
+        return sent;
+    }
+    drop(turn);
+    sending.await
 }
 
 fn begin_answer(respond: &mut SendResponse<Bytes>) -> Result<SendStream<Bytes>, PeerError> {
