--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -128,6 +128,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Whether newer declarations are announced than are known.
+    pub(crate) fn lacks_declarations(&self) -> bool {
+        self.announced.get().is_some()
+    }
+
     /// Whether newer declarations than are known have been announced since then.
     pub(crate) fn lacks_since(&self, since: Instant) -> bool {
         self.announced.get().is_some_and(|lack| lack.since == since)
--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -165,7 +165,8 @@
             if !taken && whole {
                 return LossReason::Unusable;
             }
-            whole = !taken;
+            // The store may have been faster.
+            whole = !taken && self.book.lacks_declarations();
         }
     }
 }
