--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -273,3 +273,36 @@
     assert_eq!(store.mandate_holder().unwrap(), "vm-fast");
     drop((slow, fast));
 }
+
+/// Seen: a VM that took the mandate just after an outage of the store served old declarations for
+/// seconds, and so did all that followed it. How: it had turned to the store during the outage, and the
+/// watch that it opened then was never answered. Cause: it went on waiting for that watch, and for the
+/// rare check of a VM that nobody follows. Proof: old declarations on each VM that took the mandate so.
+#[test]
+fn a_new_holder_reads_declarations_at_once() {
+    /// Less than the check of a VM that nobody follows.
+    const SOON: Duration = Duration::from_millis(1_000);
+    let target = TestTarget::start("t1", Manner::Serves);
+    let store = MemoryStore::default();
+    store.list(entry(&target.id, "plain", target.address));
+    store.declare(declarations(1));
+    let mut first = TestGateway::start("vm-first", &store);
+    first.wait_ready();
+    let next = TestGateway::start_as("vm-next", &store, |settings| settings.link_mbps = Some(10.0));
+    next.wait_ready();
+    wait_until("the second VM follows the first", || store.followers() == 1);
+    store.set_deaf_watches(true);
+    let handle = first.handle.take().unwrap();
+    let stopping = std::thread::spawn(move || handle.stop());
+    wait_until("the second VM follows the store", || {
+        store.mandate_is_vacant() && store.followers() == 2
+    });
+    let mut newer = declarations(2);
+    newer.routes.push(route("added", "plain", RepeatClass::Safe).into());
+    store.declare(newer);
+    wait_until("the second VM leads", || store.mandate_holder().as_deref() == Some("vm-next"));
+    let leads = std::time::Instant::now();
+    wait_until("the new route is served", || next.ask("GET", "/added/", "").contains(" 200 "));
+    assert!(leads.elapsed() < SOON, "in force {:?} after it led", leads.elapsed());
+    assert!(stopping.join().unwrap());
+}
