A VM that takes the mandate reads all it tells anew

Cause: a VM that turned to the store while it was silent opened watches that were never answered. If it took the mandate at the store's return before one of its own calls had failed, nothing restarted them: its next check came 4 s after the watch began, and then through a cut zone. All VMs that followed it were as old.

--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -96,12 +96,17 @@
         F: Future<Output = Result<FollowStep, StoreError>>,
     {
         let mut anew = false;
+        let mut led = false;
         loop {
             self.relay.follows_store().await;
+            // Others rely on this VM once it leads, and a watch that was begun during an outage hangs.
+            anew |= self.relay.leads() && !led;
+            led = self.relay.leads();
             let stepped = tokio::select! {
                 stepped = step(anew) => stepped,
                 () = self.relay.leaves_store() => continue,
                 () = self.health.back.notified() => continue,
+                () = self.relay.starts_to_lead() => continue,
             };
             anew = false;
             match stepped {
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -141,6 +141,14 @@
         self.wait_for_source(|source| source != NewsSource::Store).await;
     }
 
+    /// Waits until this VM takes the mandate; for ever while it holds it already.
+    pub(crate) async fn starts_to_lead(&self) {
+        if self.leads.get() {
+            return std::future::pending().await;
+        }
+        self.wait_until(|| self.leads.get()).await;
+    }
+
     /// Waits until this VM does not hold the mandate.
     pub(crate) async fn leads_no_more(&self) {
         self.wait_until(|| !self.leads.get()).await;
