--- a/crates/nickellead_balance/src/choose.rs
+++ b/crates/nickellead_balance/src/choose.rs
@@ -21,8 +21,8 @@
 ///
 /// More would send all VMs to the same best member at the same time.
 const DRAWN: usize = 3;
-/// A target elsewhere must be better by this factor: bytes between zones cost. On ten standard days
-/// with trouble 2 served as many requests as 1.15 and sent a fifth to a quarter fewer bytes.
+/// A target elsewhere must be better by this factor: bytes between zones cost. Over ten runs with faults
+/// 2 served as many requests as 1.15 and sent a fifth to a quarter fewer bytes between zones.
 const FAR_FACTOR: f64 = 2.0;
 /// A cold target takes about this many times as long.
 const COLD_FACTOR: f64 = 2.0;
