One wait for a look that succeeds; a book's state of declarations is what its history leads to

DeclaredPart kept a state beside the history, whose newest content it always is. Two tests set up the store and the VM that gateway_of sets up; it waits besides until the VM knows its targets. Behaviour and assertions are unchanged.

--- a/crates/nickellead_gateway/src/book/declared.rs
+++ b/crates/nickellead_gateway/src/book/declared.rs
@@ -21,8 +21,7 @@
 /// What a book keeps of the declarations besides their content.
 #[derive(Default)]
 pub(super) struct DeclaredPart {
-    state: Option<DeclaredState>,
-    /// The last changes, for readers that know an earlier content.
+    /// The last changes, for readers that know an earlier content; they lead to what is known.
     history: DeclarationsHistory,
     /// All of them, packed when the first reader asks for a whole copy.
     whole: Option<Packed<Declarations>>,
@@ -30,8 +29,8 @@
 
 impl DeclaredPart {
     /// Which content is known.
-    pub(super) const fn state(&self) -> Option<DeclaredState> {
-        self.state
+    pub(super) fn state(&self) -> Option<DeclaredState> {
+        self.history.newest()
     }
 
     /// Notes that declarations were read from the store, and how they differ from those before.
@@ -41,17 +40,12 @@
             Some(step) => self.history.push(step),
             None => self.history.restart(new.state()),
         }
-        self.note_state(new.state());
+        self.whole = None;
     }
 
     /// Notes that another VM told declarations.
     pub(super) fn note_told(&mut self, applied: &AppliedNews) {
         self.history.follow(applied);
-        self.note_state(applied.state);
-    }
-
-    fn note_state(&mut self, state: DeclaredState) {
-        self.state = Some(state);
         self.whole = None;
     }
 
--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) use self::targets::LAPSE_TIME;
 use self::targets::TargetPart;
 use crate::beliefs::BeliefSenders;
+use crate::waiting::wait_for;
 use crate::{
     Declarations, DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList,
 };
@@ -140,13 +141,7 @@
 
     /// Waits until newer declarations are announced than are known; gives since when.
     pub(crate) async fn wait_for_lack(&self) -> Instant {
-        loop {
-            let changed = self.changed.notified();
-            if let Some(lack) = self.announced.get() {
-                return lack.since;
-            }
-            changed.await;
-        }
+        wait_for(&self.changed, || self.announced.get().map(|lack| lack.since)).await
     }
 
     fn is_newer(&self, version: u64) -> bool {
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod settings;
 mod store_health;
 mod targets;
+mod waiting;
 mod worker;
 
 pub use book::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -27,6 +27,7 @@
 use crate::book::BeliefBook;
 use crate::load_count::LoadCounter;
 use crate::store_health::StoreHealth;
+use crate::waiting::wait_for;
 
 /// How long a question waits for news.
 const ASK_WAIT: Duration = Duration::from_millis(500);
@@ -160,13 +161,7 @@
     }
 
     async fn wait_until(&self, holds: impl Fn() -> bool) {
-        loop {
-            let changed = self.changed.notified();
-            if holds() {
-                return;
-            }
-            changed.await;
-        }
+        wait_for(&self.changed, || holds().then_some(())).await;
     }
 
     /// Follows the store because no VM tells news.
--- a/crates/nickellead_gateway/src/relay/telling.rs
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -9,6 +9,7 @@
 use super::messages::{NewsAsk, RELAY_PATH, RelayAsk, RelayTell};
 use super::{ASK_WAIT, NewsRelay, NewsSource};
 use crate::DeclaredState;
+use crate::waiting::wait_for;
 
 /// Between two looks whether a source is still in touch while a question waits.
 const TOUCH_LOOK: Duration = Duration::from_millis(200);
@@ -66,15 +67,7 @@
 
     /// Answers a question for declarations, once this VM knows newer ones, or after a while.
     async fn tell_declarations(&self, known: Option<DeclaredState>) -> RelayTell {
-        let newer = async {
-            loop {
-                let changed = self.book.changed.notified();
-                if self.book.has_newer_than(known) {
-                    return;
-                }
-                changed.await;
-            }
-        };
+        let newer = wait_for(&self.book.changed, || self.book.has_newer_than(known).then_some(()));
         match tokio::time::timeout(ASK_WAIT, newer).await {
             Ok(()) => RelayTell::Declarations(self.book.declarations_since(known)),
             Err(_) => RelayTell::Declarations(None),
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -11,6 +11,7 @@
 use super::{RequestWorker, TryState};
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
+use crate::waiting::wait_for;
 
 /// A range without an owner for longer is not on a planned move, which takes about the time of a
 /// request: it waits for a lost target's hold, seconds long, and requests for it are refused at once.
@@ -78,15 +79,8 @@
 
     /// Waits for the first list of targets.
     async fn wait_for_targets(&self, until: Instant) -> Result<(), ErrorKind> {
-        let listed = async {
-            loop {
-                let changed = self.changed.notified();
-                if !self.beliefs.borrow().roster.is_empty() {
-                    return;
-                }
-                changed.await;
-            }
-        };
+        let is_listed = || !self.beliefs.borrow().roster.is_empty();
+        let listed = wait_for(&self.changed, || is_listed().then_some(()));
         let waited = tokio::time::timeout_at(until.into(), listed).await;
         waited.map_err(|_| ErrorKind::NotConfigured)
     }
@@ -167,15 +161,7 @@
             true => planned.in_time_until().min(planned.until),
             false => planned.arrived,
         };
-        let waiting = async {
-            loop {
-                let changed = self.changed.notified();
-                if let Some(member) = self.owner(service, key, state) {
-                    return member;
-                }
-                changed.await;
-            }
-        };
+        let waiting = wait_for(&self.changed, || self.owner(service, key, state));
         let waited = tokio::time::timeout_at(until.into(), waiting).await;
         waited.map_err(|_| ErrorKind::MoveTooLong)
     }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -36,6 +36,7 @@
 use crate::retry_share::RetryShare;
 use crate::roster::TargetRoster;
 use crate::route_table::RouteTable;
+use crate::waiting::wait_for;
 use crate::{CallerLimits, Declarations, HeaderNames, PolicySettings, TargetList};
 
 /// Kept of the caller's time for the way back of an answer.
@@ -222,15 +223,7 @@
         let deadline = request.headers().get(self.names.deadline_ms);
         let deadline = deadline.and_then(|value| value.to_str().ok()?.parse().ok());
         let wait = START_WAIT.min(Duration::from_millis(deadline.unwrap_or(0)) / START_WAIT_PART);
-        let waiting = async {
-            loop {
-                let changed = self.changed.notified();
-                if self.beliefs.borrow().version.is_some() {
-                    return;
-                }
-                changed.await;
-            }
-        };
+        let waiting = wait_for(&self.changed, || self.beliefs.borrow().version);
         tokio::time::timeout(wait, waiting).await.is_ok()
     }
 
--- a/crates/nickellead_gateway/tests/control.rs
+++ b/crates/nickellead_gateway/tests/control.rs
@@ -283,11 +283,7 @@
     /// Less than the check of a VM that nobody follows.
     const SOON: Duration = Duration::from_millis(1_000);
     let target = TestTarget::start("t1", Manner::Serves);
-    let store = MemoryStore::default();
-    store.list(entry(&target.id, "plain", target.address));
-    store.declare(declarations(1));
-    let mut first = TestGateway::start("vm-first", &store);
-    first.wait_ready();
+    let (mut first, store) = gateway_of("vm-first", &[&target]);
     let next = TestGateway::start_as("vm-next", &store, |settings| settings.link_mbps = Some(10.0));
     next.wait_ready();
     wait_until("the second VM follows the first", || store.followers() == 1);
--- a/crates/nickellead_gateway/tests/source_faults.rs
+++ b/crates/nickellead_gateway/tests/source_faults.rs
@@ -11,7 +11,7 @@
 use common::link::PacedLink;
 use common::store::{MemoryStore, StorePart};
 use common::target::{Manner, TestTarget};
-use common::{TestGateway, declarations, entry, route, wait_until};
+use common::{TestGateway, declarations, entry, gateway_of, route, wait_until};
 use nickellead_gateway::{Declarations, RepeatClass, RouteRule};
 
 /// How long a VM is watched that must keep what it knows.
@@ -28,11 +28,7 @@
 #[test]
 fn a_holder_that_has_just_started_leaves_its_readers_their_targets() {
     let target = TestTarget::start("t1", Manner::Serves);
-    let store = MemoryStore::default();
-    store.list(entry(&target.id, "plain", target.address));
-    store.declare(declarations(1));
-    let mut first = TestGateway::start("vm-first", &store);
-    first.wait_ready();
+    let (mut first, store) = gateway_of("vm-first", &[&target]);
     let reader = TestGateway::start_as("vm-reader", &store, |settings| settings.cpu_share = 0.1);
     reader.wait_ready();
     wait_until("the reader serves", || serves(&reader, "/read/"));
