--- a/crates/nickellead_balance/tests/choice.rs
+++ b/crates/nickellead_balance/tests/choice.rs
@@ -41,6 +41,23 @@
     assert!(counts[1] > 0, "the slow one is still seen");
 }
 
+/// A VM among three hundred sees a target a few times a minute: an assumed time to start from made all
+/// targets look alike, and a third of them were given twice what they could serve.
+#[test]
+fn three_answers_tell_a_slow_target_from_a_fast_one() {
+    let told = |answer_ms| {
+        let mut score = TargetScore::new(USUAL);
+        let outcome = TargetOutcome::Answered(Duration::from_millis(answer_ms));
+        (0..3).for_each(|_| score.note(outcome, Timestamp(1)));
+        score
+    };
+    let (fast, slow) = (told(240), told(720));
+    let ratio = slow.unhurried_ms() / fast.unhurried_ms();
+    assert!((2.5..3.5).contains(&ratio), "unhurried answers: {ratio}");
+    let ratio = slow.cost(4) / fast.cost(4);
+    assert!((2.5..3.5).contains(&ratio), "cost: {ratio}");
+}
+
 #[test]
 fn cold_and_far_members_get_less() {
     let score = member(60);
