A target's times are learned from its first answers, not from an assumed one

Cause: the assumed 80 ms weighed 0.95 of the first slow answer and 0.8 of any: on hundreds of VMs no VM ever saw the truth. Change: the first answers are averaged, the later ones weigh as before. Ruled out: a greater weight for all answers, which makes one odd answer count for the next dozen.

--- a/crates/nickellead_balance/src/lib.rs
+++ b/crates/nickellead_balance/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod choose;
 mod score;
+mod unhurried;
 
 pub use choose::{Candidate, ChoiceRules, choose};
 pub use score::{TargetOutcome, TargetScore};
+pub use unhurried::UnhurriedTime;
--- a/crates/nickellead_balance/src/score.rs
+++ b/crates/nickellead_balance/src/score.rs
@@ -4,6 +4,8 @@
 
 use nickellead_core::Timestamp;
 
+use crate::UnhurriedTime;
+
 /// How a try at a target ended, as far as balancing is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetOutcome {
@@ -25,7 +27,9 @@
     /// Requests of this VM under way at the target.
     pub running: u32,
     latency_ms: f64,
-    unhurried_ms: f64,
+    /// Answers that the latency was learned from.
+    timed: u32,
+    unhurried: UnhurriedTime,
     trouble: f64,
     answers: u32,
     ejected_until: Timestamp,
@@ -34,10 +38,6 @@
 
 /// Weight of a new latency in the moving average: about the last five answers count.
 const LATENCY_WEIGHT: f64 = 0.2;
-/// Weight of an answer faster than the unhurried time, which so follows the faster answers.
-const FASTER_WEIGHT: f64 = 0.2;
-/// Weight of an answer slower than the unhurried time.
-const SLOWER_WEIGHT: f64 = 0.05;
 /// Weight of a new outcome in the share of troubled requests.
 const TROUBLE_WEIGHT: f64 = 0.15;
 /// Trouble that a shed request counts as; a failure counts as 1.0.
@@ -64,7 +64,8 @@
         Self {
             running: 0,
             latency_ms: usual.as_secs_f64() * 1_000.0,
-            unhurried_ms: usual.as_secs_f64() * 1_000.0,
+            timed: 0,
+            unhurried: UnhurriedTime::default(),
             trouble: 0.0,
             answers: 0,
             ejected_until: Timestamp::ZERO,
@@ -93,15 +94,17 @@
 
     fn note_latency(&mut self, length: Duration) {
         let millis = length.as_secs_f64() * 1_000.0;
-        self.latency_ms += (millis - self.latency_ms) * LATENCY_WEIGHT;
-        let weight = if millis < self.unhurried_ms { FASTER_WEIGHT } else { SLOWER_WEIGHT };
-        self.unhurried_ms += (millis - self.unhurried_ms) * weight;
+        // The first answers are simply averaged: a VM of a large fleet may see no more than these.
+        self.timed = self.timed.saturating_add(1);
+        let weight = LATENCY_WEIGHT.max(1.0 / f64::from(self.timed));
+        self.latency_ms += (millis - self.latency_ms) * weight;
+        self.unhurried.note(millis);
     }
 
-    /// Time of an answer when the target is not hurried, in milliseconds.
+    /// Time of an answer when the target is not hurried, in milliseconds; 0 before the first one.
     #[must_use]
     pub fn unhurried_ms(&self) -> f64 {
-        self.unhurried_ms
+        self.unhurried.millis()
     }
 
     fn note_trouble(&mut self, trouble: f64, now: Timestamp) {
