An owner is crowded by its answers' time, not by losses; a low limit soon ends

The losses were taken for a full queue: 22 owners were sent a third of what they could do, until 8 s after the fault, for rates grew by 3 in 100 a period. Change: a full queue shows in the time of answers, losses count no more; a rate far below what the slots can do grows by a quarter each half second, and ends when it is near the demand.

--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -62,7 +62,6 @@
         OwnerReport {
             answered: self.counts.answered,
             goal_parts: self.counts.goal_parts,
-            lost: self.counts.lost,
             demand,
             unhurried_rate: known.then(|| f64::from(slots) * 1_000.0 / millis),
             unhurried_part: if known { millis / self.goal_ms.max(f64::EPSILON) } else { 0.0 },
--- a/crates/nickellead_limit/src/admission.rs
+++ b/crates/nickellead_limit/src/admission.rs
@@ -12,8 +12,6 @@
 const TIME_PART: f64 = 0.5;
 /// An owner that is slow by itself is crowded only when answers take this many times its unhurried ones.
 const HURRIED_FACTOR: f64 = 2.2;
-/// Part of the tries that may be lost before an owner counts as crowded: less is a fault of another kind.
-const LOST_PART: f64 = 0.1;
 /// Demand must exceed what an owner answers by this many standard deviations of its count before an owner
 /// with somewhat long answers is limited: what is less may be chance.
 const DEVIATIONS_LEAST: f64 = 2.5;
@@ -32,6 +30,14 @@
 const GROWTH: f64 = 1.1;
 /// What an owner is known to do grows by this factor in a period in which it has room.
 const CAPACITY_GROWTH: f64 = 1.03;
+/// The same while it is below [`RECOVERY_PART`]: a limit that was far too low is gone within seconds.
+const CAPACITY_RECOVERY: f64 = 1.25;
+/// Part of what the slots could do with unhurried answers that any owner can do, about two thirds of the
+/// truth.
+const RECOVERY_PART: f64 = 0.35;
+/// A limit ends when demand is at most this many times the rate and the owner has room: what may come in
+/// too much then shows in its answers, and is less than what a limit refuses in vain.
+const RELEASE_FACTOR: f64 = 1.2;
 /// Weight of the newest rate of answers in what a crowded owner is known to do: its slots are all busy.
 const CAPACITY_WEIGHT: f64 = 0.3;
 /// What is left of earlier reports after a period: the last second counts most.
@@ -50,8 +56,6 @@
     pub answered: u32,
     /// Time of these answers together, each as a part of its request's latency target.
     pub goal_parts: f64,
-    /// Tries that were sent and met a refusal, a broken connection or no answer in time.
-    pub lost: u32,
     /// Requests a second that callers made for the owner's keys, those that were refused included.
     pub demand: f64,
     /// Requests a second that the owner's slots do with unhurried answers; `None` while it is unknown.
@@ -77,9 +81,6 @@
     length: f64,
     answered: f64,
     goal_parts: f64,
-    /// Tries lost in the newest one, and its answers.
-    lost: f64,
-    newest: f64,
 }
 
 impl DecayedReports {
@@ -88,9 +89,6 @@
         add(&mut self.length, period.as_secs_f64());
         add(&mut self.answered, f64::from(report.answered));
         add(&mut self.goal_parts, report.goal_parts);
-        // Losses tell of the moment at which a queue was full; their cause may be over with it.
-        self.lost = f64::from(report.lost);
-        self.newest = f64::from(report.answered);
     }
 
     /// Answers a second.
@@ -98,17 +96,18 @@
         self.answered / self.length.max(f64::EPSILON)
     }
 
-    /// How much more the owner could be sent, by how long its answers took and how many were lost;
-    /// 1.0 while there is too little to tell by.
+    /// How much more the owner could be sent, by how long its answers took; 1.0 while there are too
+    /// few to tell by.
+    ///
+    /// Losses say nothing here: a target that sheds or breaks a part of its requests whatever it is sent
+    /// would be taken for a crowded one, and be sent less and less.
     fn room_factor(&self, unhurried_part: f64) -> f64 {
-        let lost = self.lost / (self.newest + self.lost).max(1.0);
-        let by_loss = if lost > LOST_PART { 1.0 - lost } else { f64::INFINITY };
         if self.answered < ANSWERS_LEAST {
-            return by_loss.min(1.0);
+            return 1.0;
         }
         let most = TIME_PART.max(HURRIED_FACTOR * unhurried_part);
         let mean = self.goal_parts / self.answered;
-        by_loss.min(most / mean.max(f64::EPSILON))
+        most / mean.max(f64::EPSILON)
     }
 }
 
@@ -126,12 +125,13 @@
         if self.rate.is_none() && !self.is_full(report, room) {
             return;
         }
-        self.note_capacity(room);
+        self.note_capacity(report, room);
         let floor = report.unhurried_rate.unwrap_or(0.0) * FLOOR_PART;
         // The rate follows from what the owner does, not from the rate before: its answers tell of
         // requests that were sent a queue's length ago.
         let rate = self.capacity * room.clamp(SHRINK_MOST, GROWTH);
-        self.rate = Some(rate.max(floor)).filter(|rate| *rate < report.demand);
+        let release = if room > 1.0 { RELEASE_FACTOR } else { 1.0 };
+        self.rate = Some(rate.max(floor)).filter(|rate| rate * release < report.demand);
     }
 
     /// Whether an owner without a limit needs one.
@@ -145,14 +145,16 @@
     }
 
     /// Learns what the owner can do: all its slots are busy when it has no room.
-    fn note_capacity(&mut self, room: f64) {
+    fn note_capacity(&mut self, report: &OwnerReport, room: f64) {
         let answered = self.seen.answer_rate();
         if self.rate.is_none() {
             self.capacity = answered;
         } else if room < 1.0 {
             self.capacity += (answered - self.capacity) * CAPACITY_WEIGHT;
         } else {
-            self.capacity = self.capacity.max(answered) * CAPACITY_GROWTH;
+            let low = report.unhurried_rate.unwrap_or(0.0) * RECOVERY_PART;
+            let growth = if self.capacity < low { CAPACITY_RECOVERY } else { CAPACITY_GROWTH };
+            self.capacity = self.capacity.max(answered) * growth;
         }
     }
 }
