A VM that is told of targets logs one line for what it is told

The VM that follows the store still writes them all; the others count them in one line (targets-told), so explain finds the cause in the logs of the VM at the root as before.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -62,7 +62,8 @@
     TargetLive, "target-live", Info, ["zone", "target"], "a target's session is live";
     TargetRestarted, "target-restarted", Warn, ["zone", "target"], "a target came back as another process";
     TargetLost, "target-lost", Warn, ["zone", "target", "shards"], "a target's lease has surely lapsed";
-    TargetChanged, "target-changed", Info, ["target", "service", "state"], "a target is listed, leaves or is gone";
+    TargetChanged, "target-changed", Info, ["target", "service", "state"], "a target is listed, leaves or is gone, as the store told this VM";
+    TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM told so many changes of targets; the VM that follows the store has a target-changed line for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves began";
     OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in force";
     RangesWritten, "ranges-written", Info, ["revision", "edit", "fence", "late_orders"], "the map of ranges is in the store";
--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use self::news::{BookMark, BookNews};
 pub use self::ranges::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub(crate) use self::targets::LAPSE_TIME;
-use self::targets::TargetPart;
+use self::targets::{ChangeOrigin, TargetPart};
 use crate::admission::{AdmissionStamp, AdmissionTable};
 use crate::beliefs::BeliefSenders;
 use crate::waiting::wait_for;
@@ -200,7 +200,7 @@
         Some(DeclaredTell { as_of: self.known().declarations.unwrap_or_default(), news })
     }
 
-    /// Takes over the whole list of targets, unless a newer one is known.
+    /// Takes over the whole list of targets that the store told, unless a newer one is known.
     ///
     /// `lapse` is until when a missing entry may only have lapsed.
     pub(crate) fn note_all_targets(
@@ -208,6 +208,26 @@
         as_of: Revision,
         list: TargetList,
         lapse: Option<Instant>,
+    ) -> bool {
+        self.take_target_list(as_of, list, lapse, ChangeOrigin::Store)
+    }
+
+    /// Takes over changes of targets that the store told and that follow on what is known.
+    pub(crate) fn note_target_changes(
+        &self,
+        as_of: Revision,
+        changes: Vec<TargetChange>,
+        lapse: Option<Instant>,
+    ) {
+        self.take_target_changes(as_of, changes, lapse, ChangeOrigin::Store);
+    }
+
+    fn take_target_list(
+        &self,
+        as_of: Revision,
+        list: TargetList,
+        lapse: Option<Instant>,
+        origin: ChangeOrigin,
     ) -> bool {
         if self.targets_reached().is_some_and(|reached| reached > as_of) {
             return false;
@@ -215,22 +235,22 @@
         let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
         let gone = known.into_iter().filter(|id| !list.contains_key(id)).map(TargetChange::Gone);
         let changes = gone.chain(list.values().cloned().map(TargetChange::Listed)).collect();
-        self.note_target_changes(as_of, changes, lapse);
+        self.take_target_changes(as_of, changes, lapse, origin);
         true
     }
 
-    /// Takes over changes of targets that follow on what is known.
-    pub(crate) fn note_target_changes(
+    fn take_target_changes(
         &self,
         as_of: Revision,
         changes: Vec<TargetChange>,
         lapse: Option<Instant>,
+        origin: ChangeOrigin,
     ) {
         self.raise(|known| &mut known.targets, as_of);
         let mut part = self.targets.borrow_mut();
         part.reached = part.reached.max(Some(as_of));
         let before = part.number;
-        changes.into_iter().for_each(|change| part.take(change, lapse));
+        part.take_all(changes, lapse, origin);
         self.tell_targets(&part, before);
     }
 
@@ -245,7 +265,7 @@
         let before = part.number;
         let due = part.lapsing.iter().filter(|(_, until)| **until <= now);
         let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
-        due.into_iter().for_each(|id| part.remove(&id));
+        due.into_iter().for_each(|id| part.remove(&id, ChangeOrigin::Store));
         self.tell_targets(&part, before);
     }
 
--- a/crates/nickellead_gateway/src/book/news.rs
+++ b/crates/nickellead_gateway/src/book/news.rs
@@ -3,6 +3,7 @@
 use bincode::{Decode, Encode};
 use nickellead_event::{EventName, log_event};
 
+use super::targets::ChangeOrigin;
 use super::{BeliefBook, RangesNews};
 use crate::admission::{AdmissionStamp, AdmissionTable};
 use crate::{DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList};
@@ -203,9 +204,11 @@
     /// Takes over what another VM told of the targets, unless newer ones are known.
     fn take_targets(&self, told: TargetsTell) -> bool {
         let taken = match told.news {
-            TargetsNews::Whole(list) => self.note_all_targets(told.as_of, list, None),
+            TargetsNews::Whole(list) => {
+                self.take_target_list(told.as_of, list, None, ChangeOrigin::OtherVm)
+            }
             TargetsNews::Changes(changes) => {
-                self.note_target_changes(told.as_of, changes, None);
+                self.take_target_changes(told.as_of, changes, None, ChangeOrigin::OtherVm);
                 true
             }
         };
--- a/crates/nickellead_gateway/src/book/targets.rs
+++ b/crates/nickellead_gateway/src/book/targets.rs
@@ -14,6 +14,24 @@
 /// The users' letter says "within about two seconds".
 pub(crate) const LAPSE_TIME: Duration = Duration::from_millis(2_200);
 
+/// Who told changes of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChangeOrigin {
+    /// The store, which this VM follows: each change is logged.
+    Store,
+    /// Another VM, which has logged them, or the one that told it: a line counts them here. On 295 VMs
+    /// with 1,081 targets, a line each was up to a million lines a minute.
+    OtherVm,
+}
+
+/// How many targets became ready, began to leave and went, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ChangeCounts {
+    ready: usize,
+    draining: usize,
+    gone: usize,
+}
+
 /// The targets of one VM's book.
 #[derive(Default)]
 pub(super) struct TargetPart {
@@ -29,44 +47,69 @@
 }
 
 impl TargetPart {
-    /// Takes in a change; an entry that is gone stays until `lapse` if it may only have lapsed.
-    pub(super) fn take(&mut self, change: TargetChange, lapse: Option<Instant>) {
+    /// Takes in changes; an entry that is gone stays until `lapse` if it may only have lapsed.
+    pub(super) fn take_all(
+        &mut self,
+        changes: Vec<TargetChange>,
+        lapse: Option<Instant>,
+        origin: ChangeOrigin,
+    ) {
+        let mut counts = ChangeCounts::default();
+        for change in changes {
+            counts.add(self.state_change(&change));
+            self.take(change, lapse, origin);
+        }
+        if origin == ChangeOrigin::OtherVm {
+            log_counts(counts, self.number);
+        }
+    }
+
+    /// The word for a target's new state, if a change brings one.
+    fn state_change(&self, change: &TargetChange) -> Option<&'static str> {
+        match change {
+            TargetChange::Listed(entry) => {
+                let known = self.list.get(&entry.id).map(|known| known.state);
+                (known != Some(entry.state)).then(|| state_word(entry.state))
+            }
+            TargetChange::Gone(id) => self.list.contains_key(id).then_some(GONE),
+        }
+    }
+
+    fn take(&mut self, change: TargetChange, lapse: Option<Instant>, origin: ChangeOrigin) {
         match change {
-            TargetChange::Listed(entry) => self.list_entry(entry),
+            TargetChange::Listed(entry) => self.list_entry(entry, origin),
             TargetChange::Gone(id) => {
                 let Some(entry) = self.list.get(&id) else { return };
                 match lapse {
                     Some(until) if entry.state == TargetState::Ready => {
                         self.lapsing.entry(id).or_insert(until);
                     }
-                    _ => self.remove(&id),
+                    _ => self.remove(&id, origin),
                 }
             }
         }
     }
 
-    fn list_entry(&mut self, entry: TargetEntry) {
+    fn list_entry(&mut self, entry: TargetEntry, origin: ChangeOrigin) {
         self.lapsing.remove(&entry.id);
         let known = self.list.get(&entry.id);
         if known == Some(&entry) {
             return;
         }
-        if known.map(|known| known.state) != Some(entry.state) {
-            let state = match entry.state {
-                TargetState::Ready => "ready",
-                TargetState::Draining => "draining",
-            };
-            log_target(&entry.id, &entry.service, state);
+        if known.map(|known| known.state) != Some(entry.state) && origin == ChangeOrigin::Store {
+            log_target(&entry.id, &entry.service, state_word(entry.state));
         }
         self.push(TargetChange::Listed(entry.clone()));
         self.list.insert(entry.id.clone(), entry);
     }
 
     /// Takes an entry as gone.
-    pub(super) fn remove(&mut self, id: &str) {
+    pub(super) fn remove(&mut self, id: &str, origin: ChangeOrigin) {
         self.lapsing.remove(id);
         if let Some(entry) = self.list.remove(id) {
-            log_target(id, &entry.service, "gone");
+            if origin == ChangeOrigin::Store {
+                log_target(id, &entry.service, GONE);
+            }
             self.push(TargetChange::Gone(id.to_owned()));
         }
     }
@@ -90,6 +133,42 @@
     }
 }
 
+impl ChangeCounts {
+    fn add(&mut self, state: Option<&'static str>) {
+        match state {
+            Some(READY) => self.ready += 1,
+            Some(DRAINING) => self.draining += 1,
+            Some(_) => self.gone += 1,
+            None => {}
+        }
+    }
+}
+
+const READY: &str = "ready";
+const DRAINING: &str = "draining";
+const GONE: &str = "gone";
+
+const fn state_word(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Ready => READY,
+        TargetState::Draining => DRAINING,
+    }
+}
+
+/// Logs how many targets changed by what another VM told.
+fn log_counts(counts: ChangeCounts, number: u64) {
+    if counts.ready + counts.draining + counts.gone == 0 {
+        return;
+    }
+    let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+        ("number", &number),
+        ("ready", &counts.ready),
+        ("draining", &counts.draining),
+        ("gone", &counts.gone),
+    ];
+    log_event(EventName::TargetsTold, &pairs);
+}
+
 fn log_target(id: &str, service: &str, state: &str) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("target", &id), ("service", &service), ("state", &state)];
