Late orders are told by the silence of targets that work

Ruled out: more than two targets as the least number (it depends on the fleet, and three may be slow at once), and a verdict by zone (late orders show everywhere; a cut zone's targets show nothing). Change: silence counts at targets that also answered in the window. Each target that answers after a silence is reckoned with by itself as before.

--- a/crates/nickellead_range/src/lateness.rs
+++ b/crates/nickellead_range/src/lateness.rs
@@ -3,7 +3,9 @@
 //! A target that leaves an order unanswered and answers the next one works on,
 //! so the unanswered order may be carried out seconds later. One such sign may
 //! also be a target too busy to take a connection; orders that are late all
-//! over show at several targets at once, and in a good part of all orders.
+//! over show at several targets at once, and in a good part of the orders to
+//! targets that work. Targets that answer nothing are lost or cut off, however
+//! many they are: their silence says nothing of the others.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -16,16 +18,24 @@
 const WINDOW: Duration = Duration::from_millis(4_000);
 /// Targets that must show the sign within the window.
 const TARGETS_LEAST: usize = 2;
-/// Part of the grants in the window that must be silent.
+/// Part of the grants to targets that answered in the window that must be silent.
 const SILENT_PART: f64 = 0.08;
 
+/// What became of one grant.
+#[derive(Clone, Debug)]
+struct GrantOutcome {
+    at: Timestamp,
+    target: String,
+    silent: bool,
+}
+
 /// What one process knows of late orders; it outlives the keepers that the process makes.
 #[derive(Clone, Debug, Default)]
 pub struct LatenessWatch {
     /// Targets whose last grant was silent.
     silent: BTreeSet<String>,
-    /// Silent grants, and all that were sent, by time.
-    outcomes: VecDeque<(Timestamp, bool)>,
+    /// Grants that were answered or met silence, by time.
+    outcomes: VecDeque<GrantOutcome>,
     /// Targets that answered after a silence, by time.
     signs: VecDeque<(Timestamp, String)>,
     /// Until when any unanswered order may still be carried out.
@@ -66,7 +76,7 @@
             return;
         }
         let recent = |at: Timestamp| now.since(at) < WINDOW;
-        while self.outcomes.front().is_some_and(|(at, _)| !recent(*at)) {
+        while self.outcomes.front().is_some_and(|one| !recent(one.at)) {
             self.outcomes.pop_front();
         }
         while self.signs.front().is_some_and(|(at, _)| !recent(*at)) {
@@ -75,14 +85,14 @@
         let target = &order.holder.id;
         match outcome {
             OrderOutcome::Unanswered => {
-                self.outcomes.push_back((now, true));
+                self.note_grant(target, true, now);
                 self.silent.insert(target.clone());
                 if self.is_late(now) {
                     self.expect_until(longest);
                 }
             }
             OrderOutcome::Done(_) | OrderOutcome::Outranked => {
-                self.outcomes.push_back((now, false));
+                self.note_grant(target, false, now);
                 if self.silent.remove(target) {
                     self.note_sign(target, now, longest);
                 }
@@ -100,10 +110,22 @@
         self.late_targets.insert(target.to_owned(), longest);
         self.signs.push_back((now, target.to_owned()));
         let targets: BTreeSet<&String> = self.signs.iter().map(|(_, target)| target).collect();
-        let silent = self.outcomes.iter().filter(|(_, silent)| *silent).count();
-        let many = silent as f64 >= SILENT_PART * self.outcomes.len() as f64;
-        if targets.len() >= TARGETS_LEAST && many {
+        if targets.len() >= TARGETS_LEAST && self.are_many_silent() {
             self.expect_until(longest);
         }
     }
+
+    fn note_grant(&mut self, target: &str, silent: bool, at: Timestamp) {
+        self.outcomes.push_back(GrantOutcome { at, target: target.to_owned(), silent });
+    }
+
+    /// Whether a good part of the grants to targets that work met silence.
+    fn are_many_silent(&self) -> bool {
+        let answered = self.outcomes.iter().filter(|one| !one.silent);
+        let working: BTreeSet<&str> = answered.map(|one| one.target.as_str()).collect();
+        let to_working = self.outcomes.iter().filter(|one| working.contains(one.target.as_str()));
+        let (silent, all) = to_working
+            .fold((0_u32, 0_u32), |(silent, all), one| (silent + u32::from(one.silent), all + 1));
+        f64::from(silent) >= SILENT_PART * f64::from(all)
+    }
 }
--- a/crates/nickellead_range/tests/lateness.rs
+++ b/crates/nickellead_range/tests/lateness.rs
@@ -19,7 +19,7 @@
 fn settled_keeper() -> (RangeKeeper, LatenessWatch) {
     let mut lateness = LatenessWatch::default();
     let candidates: Vec<OwnerCandidate> =
-        (0..2).map(|place| OwnerCandidate { holder: holder(place as usize, 1), capacity: 1.0 }).collect();
+        (0..2).map(|place| OwnerCandidate { holder: holder(place, 1), capacity: 1.0 }).collect();
     let mut keeper = RangeKeeper::take_over(
         settings(),
         NO_PREDECESSORS,
@@ -118,7 +118,9 @@
 fn late_orders_beside_a_cut_zone_are_seen() {
     let cut = 8;
     let outcome = |place: u32, round: u64| match place {
-        place if place < cut || (u64::from(place) + round) % 3 == 0 => OrderOutcome::Unanswered,
+        place if place < cut || (u64::from(place) + round).is_multiple_of(3) => {
+            OrderOutcome::Unanswered
+        }
         _ => OrderOutcome::Done(None),
     };
     assert!(verdict(40, 2, outcome));
