--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -29,6 +29,8 @@
     /// Watches of declarations under way, by VM.
     watches: BTreeMap<String, u64>,
     away: bool,
+    /// VMs that the store does not answer.
+    away_from: BTreeSet<String>,
     deaf_watches: bool,
     /// VMs whose reads and watches of a part are not answered.
     held_from: BTreeSet<(String, StorePart)>,
@@ -42,6 +44,12 @@
     outcomes: BTreeMap<String, OrderOutcome>,
 }
 
+impl StoreState {
+    fn is_away_from(&self, vm: &str) -> bool {
+        self.away || self.away_from.contains(vm)
+    }
+}
+
 /// A store that several gateways share.
 #[derive(Clone, Default)]
 pub struct MemoryStore {
@@ -85,6 +93,11 @@
         self.state().away = away;
     }
 
+    /// Makes the store answer one VM no more.
+    pub fn leave(&self, vm: &str) {
+        self.state().away_from.insert(vm.to_owned());
+    }
+
     /// Makes watches hear nothing, as while history is dropped.
     pub fn set_deaf_watches(&self, deaf: bool) {
         self.state().deaf_watches = deaf;
@@ -157,7 +170,7 @@
     fn call<T>(&self, read: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
         let mut state = self.state();
         state.calls += 1;
-        if state.away {
+        if state.is_away_from(&self.vm) {
             return Err(StoreError::Silent("away".to_owned()));
         }
         Ok(read(&mut state))
@@ -175,7 +188,7 @@
         loop {
             {
                 let state = self.state();
-                if state.away {
+                if state.is_away_from(&self.vm) {
                     return Err(StoreError::Silent("away".to_owned()));
                 }
                 if state.revision > from.0
