Readers of a lost holder keep their places while a few VMs ask the store

Change: a VM that others have their news from turns to the store without the spread, reads it at once and at least each 0.6 s; a question waits 0.2 s for a source that is about to be in touch. Strong VMs, which keep their places now too, see by their news that the mandate ran out, and look for it themselves. Ruled out: to wait longer for a stale source (declarations must be in force within two seconds). Test (lost_holder.rs): VMs that follow the store at once 24 -> 7, declarations made during the loss are in force at all VMs within 2 s, the strong VM takes the mandate.

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -25,6 +25,8 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(330);
 /// How long a probe may take; the store takes about 4 ms when well.
 const PROBE_TIME: Duration = Duration::from_millis(400);
+/// Between two looks of a VM that follows another whether the mandate has run out.
+const FREE_LOOK: Duration = Duration::from_millis(100);
 /// Shortest time between two looks at the mandate, as a part of [`MANDATE_LOOK`].
 const LOOK_LEAST: f64 = 0.8;
 /// Looks of many VMs are spread over this part of [`MANDATE_LOOK`], so that their mean is kept.
@@ -52,15 +54,16 @@
         if duty.wants_mandate() {
             duty.write_mandate().await;
         } else if let Some(holder) = holder {
-            duty.relay.follow(holder).await;
+            tokio::select! {
+                () = duty.relay.follow(holder) => {}
+                () = duty.sees_free_mandate() => continue,
+            }
             if duty.seeks_on(started) {
                 // The holder may have just started as well.
                 tokio::time::sleep(SEEK_PAUSE).await;
                 continue;
             }
-            // The source is lost: a watch from what is known costs one call a part.
-            tokio::time::sleep(FALL_BACK_SPREAD.mul_f64(fastrand::f64())).await;
-            duty.relay.fall_back();
+            duty.fall_back().await;
         }
         duty.end_seeking(started);
         let spread = LOOK_LEAST + fastrand::f64() * LOOK_SPREAD;
@@ -75,6 +78,32 @@
         self.book.known().declarations.is_none() && within
     }
 
+    /// Follows the store after the source was lost: a watch from what is known costs one call a part.
+    async fn fall_back(&self) {
+        if !self.relay.has_readers() {
+            tokio::time::sleep(FALL_BACK_SPREAD.mul_f64(fastrand::f64())).await;
+            return self.relay.fall_back();
+        }
+        // Others have their news from this VM, and need not follow it to the store if it is in touch
+        // at once. An error is noted by what reads.
+        self.relay.fall_back();
+        let _ = self.read_mandate().await;
+    }
+
+    /// Waits until the mandate has run out, as told by other VMs; for ever on a weak VM, which leaves
+    /// it to others as long as it has news.
+    ///
+    /// VMs that keep their source while the holder is lost would else leave the mandate to those that
+    /// followed the holder itself, whether they are strong enough or not.
+    async fn sees_free_mandate(&self) {
+        if !self.extra_wait.is_zero() {
+            return std::future::pending().await;
+        }
+        while !self.wants_mandate() {
+            tokio::time::sleep(FREE_LOOK).await;
+        }
+    }
+
     /// Follows the store once the time for finding another source is over.
     fn end_seeking(&self, started: Timestamp) {
         if BootClock.now().since(started) > SEEK_TIME {
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -44,7 +44,10 @@
 /// The same for targets and ranges, of which a VM also learns by being refused.
 const LISTS_CHECK: Duration = Duration::from_millis(2_500);
 /// On a VM that follows the store for itself only, checks are this many times rarer.
-const ALONE_FACTOR: u32 = 4;
+const ALONE_FACTOR: f64 = 4.0;
+/// On a VM that follows the store because its source was lost, and tells others, they are this many
+/// times as far apart: its readers leave it when the store has not answered it for a second.
+const TELLER_FACTOR: f64 = 0.6;
 
 /// What following needs.
 pub(crate) struct Follower<S> {
@@ -258,7 +261,13 @@
     }
 
     fn check_time(&self, time: Duration) -> Duration {
-        if self.relay.leads() { time } else { time * ALONE_FACTOR }
+        if self.relay.leads() {
+            time
+        } else if self.relay.has_readers() {
+            time.mul_f64(TELLER_FACTOR)
+        } else {
+            time.mul_f64(ALONE_FACTOR)
+        }
     }
 
     fn target_pause(&self) -> Duration {
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -35,6 +35,9 @@
 /// asks it every third of a second.
 const NEWS_AGE_MOST: Duration = Duration::from_millis(1_100);
 
+/// A VM that was not asked for this long has no readers.
+const READERS_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// Where a VM gets its news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NewsSource {
@@ -59,6 +62,8 @@
     leads: Cell<bool>,
     /// VMs that ask this one, by address; kept by the mandate's holder only.
     readers: RefCell<HashMap<SocketAddr, NewsReader>>,
+    /// When another VM last asked this one for news.
+    asked: Cell<Option<Instant>>,
     loads: LoadCounter,
     /// This VM, in the loads that it reports.
     mark: VmMark,
@@ -84,6 +89,7 @@
             root_heard: Cell::new(None),
             leads: Cell::new(false),
             readers: RefCell::default(),
+            asked: Cell::new(None),
             loads,
             mark,
             changed: Notify::new(),
@@ -131,6 +137,11 @@
         heard.map(|heard| heard.elapsed()).filter(|age| *age < NEWS_AGE_MOST)
     }
 
+    /// Whether other VMs have their news from this one.
+    pub(crate) fn has_readers(&self) -> bool {
+        self.asked.get().is_some_and(|asked| asked.elapsed() < READERS_SILENCE)
+    }
+
     /// Whether what this VM counts goes to another VM.
     pub(crate) fn reports_load(&self) -> bool {
         matches!(self.source.get(), NewsSource::Vm(_))
--- a/crates/nickellead_gateway/src/relay/telling.rs
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -11,6 +11,12 @@
 use crate::DeclaredState;
 use crate::waiting::wait_for;
 
+/// How long a question waits for a VM whose news are too old and that has not noticed yet that its
+/// source is lost: it is about to follow the store, and its readers are to keep their places meanwhile.
+/// With what a VM needs to find a lost source this stays within two seconds.
+const STALE_WAIT: Duration = Duration::from_millis(200);
+/// Between two looks whether a source that is out of touch is in touch again.
+const STALE_LOOK: Duration = Duration::from_millis(20);
 /// Between two looks whether a source is still in touch while a question waits.
 const TOUCH_LOOK: Duration = Duration::from_millis(200);
 /// VMs of one zone that follow the holder itself; the others follow these.
@@ -58,6 +64,19 @@
         None
     }
 
+    /// Until when this VM, out of touch since `since`, may be in touch again without being lost to its
+    /// readers.
+    fn regains_touch_by(&self, since: Instant) -> Instant {
+        match self.source.get() {
+            // It is about to learn the news itself.
+            NewsSource::Seeking => since + ASK_WAIT,
+            NewsSource::Vm(_) => since + STALE_WAIT,
+            // It follows the store now and may only be waiting for the first answer.
+            NewsSource::Store if !self.health.is_lost() => since + STALE_WAIT,
+            NewsSource::Store => since,
+        }
+    }
+
     async fn answer(&self, ask: RelayAsk) -> RelayTell {
         match ask {
             RelayAsk::News(ask) => self.tell_news(*ask).await,
@@ -77,21 +96,23 @@
     /// Answers a question for news, at once when there are any and else after a while.
     async fn tell_news(&self, mut ask: NewsAsk) -> RelayTell {
         self.loads.add(std::mem::take(&mut ask.load));
+        self.asked.set(Some(Instant::now()));
         if let Some(other) = self.better_source(&ask) {
             return RelayTell::AskOther(other);
         }
         let until = Instant::now() + ASK_WAIT;
+        let mut stale_since = None;
         loop {
             let changed = self.book.changed.notified();
             let Some(age) = self.news_age() else {
-                let seeking = self.source.get() == NewsSource::Seeking;
-                if !seeking || Instant::now() >= until {
+                let since = *stale_since.get_or_insert_with(Instant::now);
+                if Instant::now() >= self.regains_touch_by(since).min(until) {
                     return RelayTell::OutOfTouch;
                 }
-                // This VM is about to learn the news itself.
-                let _ = tokio::time::timeout(TOUCH_LOOK, changed).await;
+                let _ = tokio::time::timeout(STALE_LOOK, changed).await;
                 continue;
             };
+            stale_since = None;
             let news = self.book.news_since(ask.mark);
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
