VMs keep their places while the store is away, and hear of its return from others

Change: a source without news tells whether only the store is away (StoreAway); its reader looks once itself, and if the store does not answer it either, stays, and looks again each 2 s. A store that answers it though not the root makes it follow the store as before. VMs that may take the mandate go on looking. Ruled out: rarer looks of all VMs (all would learn of the return later).

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -10,6 +10,7 @@
 use nickellead_time::BootClock;
 
 use super::ControlDuty;
+use crate::relay::{AwayRule, FollowOutcome};
 use crate::{OrderPort, StoreError, StorePort, Stored};
 
 /// VMs of a fleet that starts for the first time ask for the mandate spread over this time, weak ones
@@ -25,6 +26,9 @@
 const PROBE_PERIOD: Duration = Duration::from_millis(330);
 /// How long a probe may take; the store takes about 4 ms when well.
 const PROBE_TIME: Duration = Duration::from_millis(400);
+/// Between two looks at a store that answers neither this VM nor the one at the root: whoever hears of
+/// its return sooner tells it. Of 295 VMs each made three calls a second before.
+const AWAY_LOOK: Duration = Duration::from_millis(2_000);
 /// Between two looks of a VM that follows another whether the mandate has run out.
 const FREE_LOOK: Duration = Duration::from_millis(100);
 /// Shortest time between two looks at the mandate, as a part of [`MANDATE_LOOK`].
@@ -55,7 +59,7 @@
             duty.write_mandate().await;
         } else if let Some(holder) = holder {
             tokio::select! {
-                () = duty.relay.follow(holder) => {}
+                () = duty.follow(holder) => {}
                 () = duty.sees_free_mandate() => continue,
             }
             if duty.seeks_on(started) {
@@ -78,6 +82,37 @@
         self.book.known().declarations.is_none() && within
     }
 
+    /// Has news from other VMs for as long as any tells them.
+    ///
+    /// While the store answers nobody, VMs keep their places: those that hear of its return first tell
+    /// all others.
+    async fn follow(&self, holder: SocketAddr) {
+        let mut rule = AwayRule::Leave;
+        loop {
+            let outcome = tokio::select! {
+                outcome = self.relay.follow(holder, rule) => outcome,
+                () = self.hears_store(rule) => return,
+            };
+            if outcome == FollowOutcome::Lost || self.read_mandate().await.is_ok() {
+                return;
+            }
+            rule = AwayRule::Stay;
+        }
+    }
+
+    /// Waits until the store answers this VM though it does not answer the VM at the root.
+    async fn hears_store(&self, rule: AwayRule) {
+        if rule == AwayRule::Leave {
+            return std::future::pending().await;
+        }
+        loop {
+            tokio::time::sleep(AWAY_LOOK.mul_f64(LOOK_LEAST + fastrand::f64() * LOOK_SPREAD)).await;
+            if self.relay.is_away() && self.read_mandate().await.is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Follows the store after the source was lost: a watch from what is known costs one call a part.
     async fn fall_back(&self) {
         if !self.relay.has_readers() {
--- a/crates/nickellead_gateway/src/relay/following.rs
+++ b/crates/nickellead_gateway/src/relay/following.rs
@@ -7,7 +7,7 @@
 use nickellead_peer::{ExchangeProgress, PeerClient};
 
 use super::messages::{NewsAsk, RELAY_PATH, RelayAsk, RelayTell};
-use super::{ASK_WAIT, NewsRelay, NewsSource};
+use super::{ASK_WAIT, AwayRule, FollowOutcome, NewsRelay, NewsSource};
 use crate::book::{BookMark, BookNews};
 
 /// How long an answer may take to begin, beyond [`ASK_WAIT`], before its VM counts as lost.
@@ -20,6 +20,8 @@
 /// Whether the source lives is seen by the news, and declarations that don't arrive in time are read
 /// from the store meanwhile: this only ends a question that was forgotten.
 const DECLARATIONS_WAIT: Duration = Duration::from_secs(4);
+/// Until a source is asked again that has no news because the store is away.
+const AWAY_PAUSE: Duration = Duration::from_millis(250);
 /// Until a VM is asked again for declarations that it announced and does not tell.
 const UNTOLD_PAUSE: Duration = Duration::from_millis(100);
 /// Answers of this size and above are logged, in bytes: changes of calm seconds are smaller.
@@ -33,6 +35,8 @@
     AskOther(SocketAddr),
     /// It can't be followed.
     Lost(LossReason),
+    /// The store does not answer the VM at the root.
+    StoreAway,
 }
 
 /// Why a VM can't be followed.
@@ -65,12 +69,13 @@
 impl NewsRelay {
     /// Asks `first` for news, and whom it names, for as long as one of them answers.
     ///
-    /// Returns when no source is left.
-    pub(crate) async fn follow(&self, first: SocketAddr) {
+    /// Returns when no source is left, or as `rule` says.
+    pub(crate) async fn follow(&self, first: SocketAddr, rule: AwayRule) -> FollowOutcome {
         let mut avoid = Vec::new();
         let mut address = first;
         loop {
-            match self.follow_one(address, &avoid).await {
+            match self.follow_one(address, &avoid, rule).await {
+                FollowEnd::StoreAway => return FollowOutcome::StoreAway,
                 FollowEnd::AskOther(other) if other != self.address && !avoid.contains(&other) => {
                     address = other;
                 }
@@ -85,14 +90,20 @@
         if matches!(self.source.get(), NewsSource::Vm(_)) {
             self.set_source(NewsSource::Seeking);
         }
+        FollowOutcome::Lost
     }
 
     /// Follows one VM: news by one connection, and the declarations that they announce by another.
-    async fn follow_one(&self, address: SocketAddr, avoid: &[SocketAddr]) -> FollowEnd {
+    async fn follow_one(
+        &self,
+        address: SocketAddr,
+        avoid: &[SocketAddr],
+        rule: AwayRule,
+    ) -> FollowEnd {
         let mut news = RelayClient::new(address, RELAY_PATH);
         let mut declarations = RelayClient::new(address, RELAY_PATH);
         let (end, progress) = tokio::select! {
-            end = self.follow_news(&mut news, avoid) => (end, news.progress()),
+            end = self.follow_news(&mut news, avoid, rule) => (end, news.progress()),
             reason = self.follow_declarations(&mut declarations) => {
                 (FollowEnd::Lost(reason), declarations.progress())
             }
@@ -104,7 +115,12 @@
     }
 
     /// Asks a VM for news again and again.
-    async fn follow_news(&self, client: &mut RelayClient, avoid: &[SocketAddr]) -> FollowEnd {
+    async fn follow_news(
+        &self,
+        client: &mut RelayClient,
+        avoid: &[SocketAddr],
+        rule: AwayRule,
+    ) -> FollowEnd {
         let mut mark = self.book.mark();
         while !self.leads.get() {
             let mut load = self.loads.take();
@@ -124,8 +140,17 @@
                         Ok(mark) => mark,
                         Err(reason) => return FollowEnd::Lost(reason),
                     };
+                    self.root_away.set(false);
                     self.set_source(NewsSource::Vm(client.address()));
                 }
+                Ok(RelayTell::StoreAway) => {
+                    self.root_away.set(true);
+                    if rule == AwayRule::Leave {
+                        return FollowEnd::StoreAway;
+                    }
+                    self.set_source(NewsSource::Vm(client.address()));
+                    tokio::time::sleep(AWAY_PAUSE).await;
+                }
                 Ok(RelayTell::AskOther(other)) => return FollowEnd::AskOther(other),
                 Ok(RelayTell::OutOfTouch) => return FollowEnd::Lost(LossReason::OutOfTouch),
                 Ok(RelayTell::Declarations(_)) => return FollowEnd::Lost(LossReason::Unusable),
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -47,4 +47,6 @@
     AskOther(SocketAddr),
     /// This VM is out of touch itself.
     OutOfTouch,
+    /// The store does not answer the VM at the root; nothing else is wrong.
+    StoreAway,
 }
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -49,6 +49,24 @@
     Seeking,
 }
 
+/// What a reader does when the store does not answer the VM at the root.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AwayRule {
+    /// It looks whether the store answers it.
+    Leave,
+    /// It keeps its place: the store does not answer it either.
+    Stay,
+}
+
+/// Why no other VM is followed any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FollowOutcome {
+    /// No source is left.
+    Lost,
+    /// There are sources, but the store does not answer the VM at the root.
+    StoreAway,
+}
+
 /// This VM's part in telling news.
 pub(crate) struct NewsRelay {
     zone: String,
@@ -58,6 +76,8 @@
     source: Cell<NewsSource>,
     /// When the VM at the root last heard from the store, as far as its news have come here.
     root_heard: Cell<Option<Instant>>,
+    /// Whether the source last said that the store does not answer the VM at the root.
+    root_away: Cell<bool>,
     /// Whether this VM holds the mandate.
     leads: Cell<bool>,
     /// VMs that ask this one, by address; kept by the mandate's holder only.
@@ -87,6 +107,7 @@
             health,
             source: Cell::new(NewsSource::Seeking),
             root_heard: Cell::new(None),
+            root_away: Cell::new(false),
             leads: Cell::new(false),
             readers: RefCell::default(),
             asked: Cell::new(None),
@@ -137,6 +158,11 @@
         heard.map(|heard| heard.elapsed()).filter(|age| *age < NEWS_AGE_MOST)
     }
 
+    /// Whether this VM has no news because the store does not answer the VM at the root.
+    pub(crate) fn is_away(&self) -> bool {
+        self.root_away.get()
+    }
+
     /// Whether other VMs have their news from this one.
     pub(crate) fn has_readers(&self) -> bool {
         self.asked.get().is_some_and(|asked| asked.elapsed() < READERS_SILENCE)
--- a/crates/nickellead_gateway/src/relay/telling.rs
+++ b/crates/nickellead_gateway/src/relay/telling.rs
@@ -71,9 +71,17 @@
             // It is about to learn the news itself.
             NewsSource::Seeking => since + ASK_WAIT,
             NewsSource::Vm(_) => since + STALE_WAIT,
-            // It follows the store now and may only be waiting for the first answer.
-            NewsSource::Store if !self.health.is_lost() => since + STALE_WAIT,
-            NewsSource::Store => since,
+            // It follows the store now and may only be waiting for its first answer.
+            NewsSource::Store => since + STALE_WAIT,
+        }
+    }
+
+    /// Whether this VM has no news because the store answers neither it nor its source.
+    fn store_is_away(&self) -> bool {
+        match self.source.get() {
+            NewsSource::Store => self.health.is_lost(),
+            NewsSource::Vm(_) => self.root_away.get(),
+            NewsSource::Seeking => false,
         }
     }
 
@@ -107,7 +115,11 @@
             let Some(age) = self.news_age() else {
                 let since = *stale_since.get_or_insert_with(Instant::now);
                 if Instant::now() >= self.regains_touch_by(since).min(until) {
-                    return RelayTell::OutOfTouch;
+                    return if self.store_is_away() {
+                        RelayTell::StoreAway
+                    } else {
+                        RelayTell::OutOfTouch
+                    };
                 }
                 let _ = tokio::time::timeout(STALE_LOOK, changed).await;
                 continue;
