Which crowded ranges are told: by their least share, hot keys included

An owner that is limited for one hot key alone has a whole share for its other keys, and was the first to be left out of a long list. Found by reading.

--- a/crates/nickellead_gateway/src/admission.rs
+++ b/crates/nickellead_gateway/src/admission.rs
@@ -31,6 +31,13 @@
     pub(crate) hot: Vec<(u16, f32)>,
 }
 
+impl AdmissionRange {
+    /// The least share of any of its keys.
+    pub(crate) fn least_share(&self) -> f32 {
+        self.hot.iter().map(|(_, share)| *share).fold(self.share, f32::min)
+    }
+}
+
 /// Ranges of crowded owners by service, in the order of their keys; all others take every request.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub(crate) struct AdmissionTable {
--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -109,87 +109,92 @@
             return;
         }
         let Some(taken) = self.book.mandate().map(|mandate| mandate.value.taken) else { return };
-        let mut services = BTreeMap::new();
-        {
-            let keeper = self.keeper.borrow();
-            let Some(keeper) = keeper.as_ref() else { return };
-            let recent = self.recent_loads.borrow();
-            for (service, ranges) in &keeper.map().services {
-                let Some(load) = recent.get(service) else { continue };
-                let limited = self.limit_service(ranges, load);
-                if !limited.is_empty() {
-                    services.insert(service.clone(), limited);
-                }
-            }
-        }
-        let word = self.admission_word.get();
+        let services = self.limit_services();
         if services.is_empty() && self.book.has_no_admissions() {
             return;
         }
-        self.admission_word.set(word + 1);
-        let stamp = AdmissionStamp { taken, word: word + 1 };
+        let word = self.admission_word.get() + 1;
+        self.admission_word.set(word);
+        let stamp = AdmissionStamp { taken, word };
         self.book.note_admissions(AdmissionTable { stamp, services });
     }
 
+    /// The ranges whose owners are crowded, by service; services without any are left out.
+    fn limit_services(&self) -> BTreeMap<String, Vec<AdmissionRange>> {
+        let keeper = self.keeper.borrow();
+        let Some(keeper) = keeper.as_ref() else { return BTreeMap::new() };
+        let recent = self.recent_loads.borrow();
+        let services = keeper.map().services.iter();
+        services
+            .filter_map(|(service, ranges)| {
+                let limited = self.limit_service(ranges, recent.get(service)?);
+                (!limited.is_empty()).then(|| (service.clone(), limited))
+            })
+            .collect()
+    }
+
     /// Ranges of one service whose owners are crowded, in the order of their keys.
     fn limit_service(&self, ranges: &[RangeRecord], load: &KeyLoad) -> Vec<AdmissionRange> {
-        let targets = self.book.targets();
-        // This VM does not report to itself.
-        let vms = self.reporters.borrow().len() + 1;
-        let mut figures = self.figures.borrow_mut();
         let mut owned: BTreeMap<&str, Vec<&RangeRecord>> = BTreeMap::new();
         for range in ranges {
             if let Some(owner) = &range.owner {
                 owned.entry(&owner.id).or_default().push(range);
             }
         }
-        let mut limited = Vec::new();
-        for (owner, ranges) in owned {
-            let (Some(one), Some(target)) = (figures.get_mut(owner), targets.get(owner)) else {
-                continue;
-            };
-            if vms <= VMS_A_SLOT * target.slots as usize {
-                continue;
-            }
-            let demands: Vec<(u16, f64)> = ranges
-                .iter()
-                .flat_map(|range| load.counts(range.first, range.last))
-                .map(|(key, count)| (key, count / RECENT_LENGTH))
-                .collect();
-            let demand = demands.iter().map(|(_, demand)| demand).sum();
-            let before = one.admission.rate();
-            one.admission.note(&one.report(target.slots, demand), BALANCE_PERIOD);
-            let rate = one.admission.rate();
-            if before.is_some() != rate.is_some() {
-                log_limit(owner, rate, demand, one);
-            }
-            if let Some(rate) = rate {
-                limited.extend(limited_ranges(&ranges, &share_out(rate, &demands)));
-            }
-        }
-        limited.sort_by(|a, b| a.share.total_cmp(&b.share));
+        let owners = owned.into_iter();
+        let limited = owners.flat_map(|(owner, ranges)| self.limit_owner(owner, &ranges, load));
+        let mut limited: Vec<AdmissionRange> = limited.collect();
+        limited.sort_by(|a, b| a.least_share().total_cmp(&b.least_share()));
         limited.truncate(RANGES_TOLD);
         limited.sort_by_key(|range| range.first);
         limited
     }
+
+    /// The ranges of an owner with the shares of their keys; none unless it is crowded.
+    fn limit_owner(
+        &self,
+        owner: &str,
+        ranges: &[&RangeRecord],
+        load: &KeyLoad,
+    ) -> Vec<AdmissionRange> {
+        let targets = self.book.targets();
+        let mut figures = self.figures.borrow_mut();
+        let (Some(known), Some(target)) = (figures.get_mut(owner), targets.get(owner)) else {
+            return Vec::new();
+        };
+        // This VM does not report to itself.
+        let vms = self.reporters.borrow().len() + 1;
+        if vms <= VMS_A_SLOT * target.slots as usize {
+            return Vec::new();
+        }
+        let counts = ranges.iter().flat_map(|range| load.counts(range.first, range.last));
+        let demands: Vec<(u16, f64)> =
+            counts.map(|(key, count)| (key, count / RECENT_LENGTH)).collect();
+        let demand = demands.iter().map(|(_, demand)| demand).sum();
+        let before = known.admission.rate();
+        known.admission.note(&known.report(target.slots, demand), BALANCE_PERIOD);
+        let rate = known.admission.rate();
+        if before.is_some() != rate.is_some() {
+            log_limit(owner, rate, demand, known);
+        }
+        let Some(rate) = rate else { return Vec::new() };
+        limited_ranges(ranges, &share_out(rate, &demands))
+    }
 }
 
-/// An owner's ranges with the shares of their keys.
-fn limited_ranges<'a>(
-    ranges: &'a [&RangeRecord],
-    shares: &'a AdmissionShares,
-) -> impl Iterator<Item = AdmissionRange> + 'a {
-    ranges.iter().map(|range| AdmissionRange {
+/// An owner's ranges with the shares of their keys; those that may be sent everything are left out.
+fn limited_ranges(ranges: &[&RangeRecord], shares: &AdmissionShares) -> Vec<AdmissionRange> {
+    let hot_of = |range: &RangeRecord| {
+        let inside = shares.hot.iter().filter(|(key, _)| range.contains(*key));
+        inside.map(|(key, share)| (*key, *share as f32)).collect()
+    };
+    let ranges = ranges.iter().map(|range| AdmissionRange {
         first: range.first,
         last: range.last,
         share: shares.light as f32,
-        hot: shares
-            .hot
-            .iter()
-            .filter(|(key, _)| range.contains(*key))
-            .map(|(key, share)| (*key, *share as f32))
-            .collect(),
-    })
+        hot: hot_of(range),
+    });
+    ranges.filter(|range| range.least_share() < 1.0).collect()
 }
 
 fn log_limit(owner: &str, rate: Option<f64>, demand: f64, figures: &TargetFigures) {
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -140,6 +140,12 @@
         });
     }
 
+    /// Whether this version of the declarations is in force.
+    pub fn knows(&self, version: u64) -> bool {
+        let text = exchange(self.metrics, "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
+        text.contains(&format!("nickellead_config_version {version}\n"))
+    }
+
     /// Sends a request like [`TestGateway::ask`], on a thread of its own.
     pub fn ask_aside(&self, method: &'static str, path: &'static str) -> JoinHandle<String> {
         let aside = Self { handle: None, ..*self };
--- a/crates/nickellead_gateway/tests/lost_holder.rs
+++ b/crates/nickellead_gateway/tests/lost_holder.rs
@@ -12,7 +12,7 @@
 
 use common::link::PacedLink;
 use common::store::MemoryStore;
-use common::{TestGateway, declarations, exchange, route, wait_until};
+use common::{TestGateway, declarations, route, wait_until};
 use nickellead_gateway::RepeatClass;
 
 const ZONES: usize = 2;
@@ -36,11 +36,6 @@
     })
 }
 
-fn knows(gateway: &TestGateway, version: u64) -> bool {
-    let text = exchange(gateway.metrics, "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
-    text.contains(&format!("nickellead_config_version {version}\n"))
-}
-
 #[test]
 fn the_readers_of_a_lost_holder_ask_the_store_by_a_few() {
     let store = MemoryStore::default();
@@ -53,9 +48,9 @@
     });
     let link = link.unwrap();
     wait_until("the first VM leads", || store.mandate_holder().as_deref() == Some("vm-0"));
-    wait_until("it knows the declarations", || knows(&holder, 1));
+    wait_until("it knows the declarations", || holder.knows(1));
     let readers: Vec<TestGateway> = (1..=READERS).map(|place| start(place, &store)).collect();
-    wait_until("all know the declarations", || readers.iter().all(|reader| knows(reader, 1)));
+    wait_until("all know the declarations", || readers.iter().all(|reader| reader.knows(1)));
     std::thread::sleep(SETTLED);
     assert_eq!(store.followers(), 1, "only the holder follows the store");
 
@@ -75,7 +70,7 @@
         std::thread::sleep(LOOK);
     }
     println!("VMs that followed the store at once: {most}");
-    let behind = readers.iter().filter(|reader| !knows(reader, 2)).count();
+    let behind = readers.iter().filter(|reader| !reader.knows(2)).count();
     assert_eq!(behind, 0, "VMs without the new declarations in time");
     // The lost holder itself, those that it told, and the strong VM that takes its place.
     assert!(most <= ZONES * DIRECT + 2, "{most} VMs followed the store at once");
--- a/crates/nickellead_gateway/tests/store_away.rs
+++ b/crates/nickellead_gateway/tests/store_away.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::store::MemoryStore;
-use common::{TestGateway, declarations, exchange, route, wait_until};
+use common::{TestGateway, declarations, route, wait_until};
 use nickellead_gateway::RepeatClass;
 
 const ZONES: usize = 2;
@@ -23,18 +23,13 @@
 /// When declarations made at the return must be in force.
 const IN_FORCE: Duration = Duration::from_millis(2_000);
 
-fn knows(gateway: &TestGateway, version: u64) -> bool {
-    let text = exchange(gateway.metrics, "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
-    text.contains(&format!("nickellead_config_version {version}\n"))
-}
-
 #[test]
 fn an_outage_of_the_store_is_watched_by_a_few_and_its_return_told_to_all() {
     let store = MemoryStore::default();
     store.declare(declarations(1));
     let holder = TestGateway::start("vm-0", &store);
     wait_until("the first VM leads", || store.mandate_holder().as_deref() == Some("vm-0"));
-    wait_until("it knows the declarations", || knows(&holder, 1));
+    wait_until("it knows the declarations", || holder.knows(1));
     let start = |place: usize| {
         TestGateway::start_as(&format!("vm-{place}"), &store, |settings| {
             settings.zone = format!("zone-{}", place % ZONES);
@@ -42,7 +37,7 @@
         })
     };
     let readers: Vec<TestGateway> = (1..=READERS).map(start).collect();
-    wait_until("all know the declarations", || readers.iter().all(|reader| knows(reader, 1)));
+    wait_until("all know the declarations", || readers.iter().all(|reader| reader.knows(1)));
     std::thread::sleep(SETTLED);
 
     let before = store.calls_made();
@@ -54,7 +49,7 @@
     newer.routes.push(route("added", "keyed", RepeatClass::Safe).into());
     store.declare(newer);
     let returned = Instant::now();
-    wait_until("all know the new declarations", || readers.iter().all(|reader| knows(reader, 2)));
+    wait_until("all know the new declarations", || readers.iter().all(|reader| reader.knows(2)));
     let took = returned.elapsed();
     println!("{calls} calls in the outage, new declarations at all VMs after {took:.2?}");
     let most = (READERS + 1) as f64 * AWAY.as_secs_f64() * CALLS_A_SECOND;
