--- /dev/null
+++ b/tools/owed_runs.py
@@ -0,0 +1,105 @@
+#!/usr/bin/env python3
+"""Plays the runs that are owed before a landing, one site at a time, and sums them up in a table.
+
+Usage: tools/owed_runs.py BENCH SYSTEM --why TEXT [--only NAME ...] [--out FOLDER]
+       tools/owed_runs.py --table FOLDER
+
+BENCH is the users' bench, SYSTEM the folder that holds the folders of their site files. Each site is
+scored and hunted by itself: days of sites with hundreds of VMs one at a time, days of small ones two. The
+output of each run is kept in FOLDER, from which --table prints the table once more. docs/BENCH.md says
+which sites are owed and how long they take.
+"""
+import argparse
+import pathlib
+import re
+import subprocess
+import sys
+
+# Site file below SYSTEM, days to hunt, days played at a time.
+OWED = [
+    ("large/ngipin-sked-large.toml", 8, 1),
+    ("further-grown/potepin-gw-grown.toml", 8, 1),
+    ("grown/ngipin-sked-grown.toml", 8, 1),
+    ("grown/vnf-ops-grown.toml", 8, 1),
+    ("further/potepin-gw.toml", 40, 2),
+    ("sites/ngipin-sked.toml", 40, 2),
+    ("sites/vnf-ops.toml", 40, 2),
+]
+DAY_LINE = re.compile(r"^(\S.*?)\s+\d+/\d+\s+(?:[\d.]+|-)\s+([\d.]+)\s")
+TROUBLE_DAYS = ("trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3")
+
+
+def play(bench, site, arguments, out):
+    """Runs the bench and keeps what it prints."""
+    with out.open("w") as file:
+        command = [bench, arguments[0], str(site), *arguments[1:]]
+        done = subprocess.run(command, stdout=file, stderr=subprocess.STDOUT, check=False)
+    if done.returncode != 0:
+        print(f"{out.name}: exit status {done.returncode}", file=sys.stderr)
+
+
+def days(path):
+    """Worth by day of a run's output."""
+    if not path.exists():
+        return {}
+    found = (DAY_LINE.match(line) for line in path.read_text(errors="replace").splitlines())
+    return {match[1].strip(): float(match[2]) for match in found if match}
+
+
+def search(path, pattern):
+    """The first group of a pattern in a run's output."""
+    text = path.read_text(errors="replace") if path.exists() else ""
+    match = re.search(pattern, text)
+    return match[1] if match else "not run"
+
+
+def row(folder, name):
+    """One line of the table."""
+    score, hunt = folder / f"score-{name}.txt", folder / f"hunt-{name}.txt"
+    worth = days(score)
+    trouble = [worth[day] for day in TROUBLE_DAYS if day in worth]
+    mean = f"{sum(trouble) / len(trouble):.3f}" if len(trouble) == len(TROUBLE_DAYS) else "partial"
+    quiet = f"{worth['quiet-1']:.3f}" if "quiet-1" in worth else "-"
+    hunted = days(hunt)
+    least = f"{min(hunted.values()):.3f}" if hunted else "-"
+    gate = search(score, r"GATE (\w+)")
+    broken = search(hunt, r"(\d+ days on \S+, \d+ with a rule broken)")
+    return f"| {name} | {gate} | {mean} | {quiet} | {least} | {broken} |"
+
+
+def print_table(folder):
+    """The table of all owed sites."""
+    print("| site | gate | mean worth, days with trouble | quiet-1 | least hunted day | hunt |")
+    print("|---|---|---|---|---|---|")
+    for site, _, _ in OWED:
+        print(row(folder, pathlib.Path(site).stem))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("bench", nargs="?", help="the users' bench")
+    parser.add_argument("system", nargs="?", type=pathlib.Path, help="folder of their site files")
+    parser.add_argument("--why", help="why these runs are made")
+    parser.add_argument("--only", nargs="*", help="names of sites, if not all")
+    parser.add_argument("--out", type=pathlib.Path, default=pathlib.Path("target/owed"))
+    parser.add_argument("--table", type=pathlib.Path, help="print the table of a folder and stop")
+    options = parser.parse_args()
+    if options.table:
+        return print_table(options.table)
+    if not (options.bench and options.system and options.why):
+        parser.error("BENCH, SYSTEM and --why are needed")
+    options.out.mkdir(parents=True, exist_ok=True)
+    for site, hunted, jobs in OWED:
+        name = pathlib.Path(site).stem
+        if options.only and name not in options.only:
+            continue
+        common = ["--jobs", str(jobs), "--why", options.why]
+        path = options.system / site
+        play(options.bench, path, ["score", *common], options.out / f"score-{name}.txt")
+        hunt = ["hunt", "--days", str(hunted), *common]
+        play(options.bench, path, hunt, options.out / f"hunt-{name}.txt")
+    return print_table(options.out)
+
+
+if __name__ == "__main__":
+    main()
