--- a/crates/nickellead_gateway/tests/source_faults.rs
+++ b/crates/nickellead_gateway/tests/source_faults.rs
@@ -167,3 +167,47 @@
         std::thread::sleep(LOOK);
     }
 }
+
+/// Entries that may only have lapsed are kept for 2.2 s after the store's return, and were dropped by a VM
+/// only while it followed the store. A holder of the mandate that was cut off from the store came back,
+/// read the list, and followed another VM 1.1 s later, which knew no newer list than that for 1.7 s more:
+/// it sent requests to targets that had left twelve seconds before.
+#[test]
+fn lapsed_entries_are_dropped_though_another_vm_is_followed_meanwhile() {
+    /// Until the reader has read the store after its return.
+    const RETURN: Duration = Duration::from_millis(1_200);
+    /// Until lapsed entries count as gone after the return, and a little for the machine.
+    const LAPSED: Duration = Duration::from_millis(3_200);
+    let targets = ["t0", "t1"].map(|id| TestTarget::start(id, Manner::Serves));
+    let store = MemoryStore::default();
+    store.list(entry("t0", "plain", targets[0].address));
+    store.list(entry("t1", "keyed", targets[1].address));
+    store.declare(declarations(1));
+    let mut link = None;
+    let holder = TestGateway::start_as("vm-holder", &store, |settings| {
+        let opened = PacedLink::open(settings.peers_address, 1e9);
+        settings.peers_announced = Some(opened.address);
+        link = Some(opened);
+    });
+    let link = link.unwrap();
+    holder.wait_ready();
+    let reader = TestGateway::start_as("vm-reader", &store, |settings| settings.cpu_share = 0.1);
+    wait_until("the reader serves", || serves(&reader, "/read/"));
+    link.set_cut(true);
+    wait_until("the reader follows the store", || store.followers() == 2);
+    // The holder stays behind.
+    store.hold_from("vm-holder", StorePart::Targets, true);
+    store.set_away(true);
+    store.unlist("t0");
+    std::thread::sleep(Duration::from_secs(1));
+    store.set_away(false);
+    let returned = Instant::now();
+    std::thread::sleep(RETURN);
+    link.set_cut(false);
+    wait_until("the reader follows the holder", || store.followers() == 1);
+    std::thread::sleep(LAPSED.saturating_sub(returned.elapsed()));
+    targets[0].forget();
+    let answer = reader.ask("GET", "/read/", "");
+    assert!(!answer.contains(" 200 "), "{:?} after the return: {answer}", returned.elapsed());
+    assert_eq!(targets[0].seen().len(), 0, "requests to a target that has left");
+}
