Lapsed entries are dropped when they are due, whoever is followed then

Cause, from the log of the VM concerned: it held the mandate and was cut off from the store from 1.0 s to 13.4 s; then it read the list, in which 26 targets were missing; they might only have lapsed and were kept for 2.2 s. Before that ended it had lost the mandate and followed another VM, and entries were dropped only by a VM that follows the store. Its source knew no newer list until 16.18 s. Change: entries are dropped by a task of their own.

--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -255,6 +255,9 @@
         part.reached = part.reached.max(Some(as_of));
         let before = part.number;
         part.take_all(changes, lapse, origin);
+        if !part.lapsing.is_empty() {
+            self.changed.notify_waiters();
+        }
         self.tell_targets(&part, before);
     }
 
@@ -263,8 +266,17 @@
         self.targets.borrow().reached
     }
 
-    /// Drops entries that lapsed and did not come back.
-    pub(crate) fn drop_lapsed(&self, now: Instant) {
+    /// Drops entries that lapsed and did not come back, each when it is due and whoever is followed
+    /// then: a source may know no newer list than the one that showed them gone.
+    pub(crate) async fn drop_all_lapsed(&self) {
+        loop {
+            let due = wait_for(&self.changed, || self.next_lapse()).await;
+            tokio::time::sleep_until(due.into()).await;
+            self.drop_lapsed(Instant::now());
+        }
+    }
+
+    fn drop_lapsed(&self, now: Instant) {
         let mut part = self.targets.borrow_mut();
         let before = part.number;
         let due = part.lapsing.iter().filter(|(_, until)| **until <= now);
@@ -274,7 +286,7 @@
     }
 
     /// When the next entry that lapsed is taken as gone.
-    pub(crate) fn next_lapse(&self) -> Option<Instant> {
+    fn next_lapse(&self) -> Option<Instant> {
         self.targets.borrow().lapsing.values().min().copied()
     }
 
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -91,6 +91,8 @@
         actix_rt::spawn(async move { follower.run(|anew| follower.step_targets(anew)).await });
         let follower = self.clone();
         actix_rt::spawn(async move { follower.run(|anew| follower.step_ranges(anew)).await });
+        let book = Rc::clone(&self.book);
+        actix_rt::spawn(async move { book.drop_all_lapsed().await });
     }
 
     /// Repeats a step while this VM follows the store.
@@ -213,15 +215,9 @@
 
     async fn watch_targets(&self, from: Revision) -> Result<FollowStep, StoreError> {
         let watching = self.store.watch_targets(from, WATCH_WAIT);
-        let check = Instant::now() + self.check_time(LISTS_CHECK);
-        let until = self.book.next_lapse().map_or(check, |lapse| lapse.min(check));
-        let result = match tokio::time::timeout_at(until.into(), watching).await {
+        let result = match tokio::time::timeout(self.check_time(LISTS_CHECK), watching).await {
             Ok(result) => result,
-            Err(_) if until == check => return Ok(FollowStep::ReadAnew),
-            Err(_) => {
-                self.book.drop_lapsed(Instant::now());
-                return Ok(FollowStep::Continue);
-            }
+            Err(_) => return Ok(FollowStep::ReadAnew),
         };
         self.health.note(&result);
         let changes = result?;
@@ -231,7 +227,6 @@
         }
         let changed = !changes.value.is_empty();
         self.book.note_target_changes(changes.as_of, changes.value, self.lapse_end());
-        self.book.drop_lapsed(Instant::now());
         Ok(if changed { FollowStep::After(self.target_pause()) } else { FollowStep::Continue })
     }
 
