--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -24,8 +24,8 @@
 /// VMs a slot from which an owner's limit is told to all.
 ///
 /// Up to here one request of each VM is a queue of two behind each slot, which VMs' own limits and turns
-/// see and keep in time better than a share drawn by lot: with it worth fell by 0.01 on 12 VMs and six
-/// slots. Beyond it one request of each VM is too much.
+/// see and keep in time; limits for all showed no gain on 12 VMs and six slots. Beyond it one request of
+/// each VM is too much.
 const VMS_A_SLOT: usize = 3;
 /// A VM that has not reported for this long takes no requests.
 const REPORTER_SILENCE: Duration = Duration::from_millis(2_500);
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -3,7 +3,8 @@
 //! This module holds the duty's state, its start and its end. `mandate` takes,
 //! renews and watches the mandate; `ranges` is what its holder does at each
 //! look: `candidates` says who may own ranges, `loads` counts load and starts
-//! moves, `admission` limits what crowded owners are sent, `map_writes` writes the map, `orders` sends what is due.
+//! moves, `admission` limits what crowded owners are sent, `map_writes` writes
+//! the map, `orders` sends what is due.
 
 mod admission;
 mod candidates;
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -18,6 +18,7 @@
     TargetState, start_gateway,
 };
 
+use link::PacedLink;
 use store::{MemoryOrders, MemoryStore};
 use target::TestTarget;
 
@@ -132,6 +133,17 @@
         Self { callers, readiness, metrics, handle: Some(handle) }
     }
 
+    /// Starts a gateway that other VMs reach over a link that can be cut.
+    pub fn start_linked(name: &str, store: &MemoryStore, rate: f64) -> (Self, PacedLink) {
+        let mut link = None;
+        let gateway = Self::start_as(name, store, |settings| {
+            let opened = PacedLink::open(settings.peers_address, rate);
+            settings.peers_announced = Some(opened.address);
+            link = Some(opened);
+        });
+        (gateway, link.unwrap())
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn wait_ready(&self) {
         wait_until("the gateway is ready", || {
--- a/crates/nickellead_gateway/tests/lost_holder.rs
+++ b/crates/nickellead_gateway/tests/lost_holder.rs
@@ -10,7 +10,6 @@
 
 use std::time::{Duration, Instant};
 
-use common::link::PacedLink;
 use common::store::MemoryStore;
 use common::{TestGateway, declarations, route, wait_until};
 use nickellead_gateway::RepeatClass;
@@ -40,13 +39,7 @@
 fn the_readers_of_a_lost_holder_ask_the_store_by_a_few() {
     let store = MemoryStore::default();
     store.declare(declarations(1));
-    let mut link = None;
-    let holder = TestGateway::start_as("vm-0", &store, |settings| {
-        let opened = PacedLink::open(settings.peers_address, 1e9);
-        settings.peers_announced = Some(opened.address);
-        link = Some(opened);
-    });
-    let link = link.unwrap();
+    let (holder, link) = TestGateway::start_linked("vm-0", &store, 1e9);
     wait_until("the first VM leads", || store.mandate_holder().as_deref() == Some("vm-0"));
     wait_until("it knows the declarations", || holder.knows(1));
     let readers: Vec<TestGateway> = (1..=READERS).map(|place| start(place, &store)).collect();
--- a/crates/nickellead_gateway/tests/source_faults.rs
+++ b/crates/nickellead_gateway/tests/source_faults.rs
@@ -8,7 +8,6 @@
 
 use std::time::{Duration, Instant};
 
-use common::link::PacedLink;
 use common::store::{MemoryStore, StorePart};
 use common::target::{Manner, TestTarget};
 use common::{TestGateway, declarations, entry, gateway_of, route, wait_until};
@@ -93,12 +92,7 @@
     let store = MemoryStore::default();
     store.list(entry("t1", "plain", target.address));
     store.declare(declarations(1));
-    let mut link = None;
-    let holder = TestGateway::start_as("vm-holder", &store, |settings| {
-        let opened = PacedLink::open(settings.peers_address, CRAWL);
-        settings.peers_announced = Some(opened.address);
-        link = Some(opened);
-    });
+    let (holder, _link) = TestGateway::start_linked("vm-holder", &store, CRAWL);
     holder.wait_ready();
     let reader = TestGateway::start("vm-reader", &store);
     wait_until("the reader serves", || serves(&reader, "/read/"));
@@ -137,13 +131,7 @@
     declared.services.insert("other".to_owned(), rule);
     declared.routes.push(route("other", "other", RepeatClass::Safe).into());
     store.declare(declared);
-    let mut link = None;
-    let holder = TestGateway::start_as("vm-holder", &store, |settings| {
-        let opened = PacedLink::open(settings.peers_address, 1e9);
-        settings.peers_announced = Some(opened.address);
-        link = Some(opened);
-    });
-    let link = link.unwrap();
+    let (holder, link) = TestGateway::start_linked("vm-holder", &store, 1e9);
     holder.wait_ready();
     let reader = TestGateway::start_as("vm-reader", &store, |settings| settings.cpu_share = 0.1);
     wait_until("the reader serves", || serves(&reader, "/read/"));
@@ -183,13 +171,7 @@
     store.list(entry("t0", "plain", targets[0].address));
     store.list(entry("t1", "keyed", targets[1].address));
     store.declare(declarations(1));
-    let mut link = None;
-    let holder = TestGateway::start_as("vm-holder", &store, |settings| {
-        let opened = PacedLink::open(settings.peers_address, 1e9);
-        settings.peers_announced = Some(opened.address);
-        link = Some(opened);
-    });
-    let link = link.unwrap();
+    let (holder, link) = TestGateway::start_linked("vm-holder", &store, 1e9);
     holder.wait_ready();
     let reader = TestGateway::start_as("vm-reader", &store, |settings| settings.cpu_share = 0.1);
     wait_until("the reader serves", || serves(&reader, "/read/"));
--- a/crates/nickellead_gateway/tests/whole_copies.rs
+++ b/crates/nickellead_gateway/tests/whole_copies.rs
@@ -9,7 +9,6 @@
 
 use std::net::SocketAddr;
 
-use common::link::PacedLink;
 use common::store::MemoryStore;
 use common::{TestGateway, declarations, entry, wait_until};
 use nickellead_gateway::TargetEntry;
@@ -31,13 +30,7 @@
     let mut rng = fastrand::Rng::with_seed(1);
     (0..TARGETS).for_each(|place| store.list(listed(place, &mut rng)));
     store.declare(declarations(1));
-    let mut link = None;
-    let holder = TestGateway::start_as("vm-0", &store, |settings| {
-        let opened = PacedLink::open(settings.peers_address, 1e9);
-        settings.peers_announced = Some(opened.address);
-        link = Some(opened);
-    });
-    let link = link.unwrap();
+    let (holder, link) = TestGateway::start_linked("vm-0", &store, 1e9);
     holder.wait_ready();
     wait_until("the keys are divided", || store.map().is_some());
     let before = link.bytes();
--- a/crates/nickellead_limit/src/adaptive.rs
+++ b/crates/nickellead_limit/src/adaptive.rs
@@ -23,7 +23,7 @@
 const TIME_PART: f64 = 0.6;
 /// Answers may take this many times as long as unhurried ones, whatever the latency target: a slow
 /// target is not a full one.
-const HURRIED_FACTOR: f64 = 2.2;
+pub(crate) const HURRIED_FACTOR: f64 = 2.2;
 
 /// A limit on requests under way that follows what the target takes.
 ///
--- a/crates/nickellead_limit/src/admission.rs
+++ b/crates/nickellead_limit/src/admission.rs
@@ -8,10 +8,10 @@
 
 use std::time::Duration;
 
+use crate::adaptive::HURRIED_FACTOR;
+
 /// Part of the latency target that answers may take on average before an owner counts as crowded.
 const TIME_PART: f64 = 0.5;
-/// An owner that is slow by itself is crowded only when answers take this many times its unhurried ones.
-const HURRIED_FACTOR: f64 = 2.2;
 /// Demand must exceed what an owner answers by this many standard deviations of its count before an owner
 /// with somewhat long answers is limited: what is less may be chance.
 const DEVIATIONS_LEAST: f64 = 2.5;
