A keeper that takes over gives every range a fence of its own

Ruled out: reckoning with late orders after each lost holder (12.5 s more without an owner for the keys of targets lost with it); fresh fences whose grants wait for the map's write (keys lapse when the store goes away just then). Change: fresh fences for all ranges in the take-over's own write; until it is in the store, owners are renewed under the fences that they have confirmed, and right after it under the fresh ones. Lives that have ended are known by the whole holder, not by its identity. Left: a target that is out of reach between the two renewals, some 10 ms apart, is as it was. Before: fails.

--- a/crates/nickellead_range/src/keeper/candidates.rs
+++ b/crates/nickellead_range/src/keeper/candidates.rs
@@ -18,7 +18,7 @@
         candidates: &[OwnerCandidate],
         pick: impl FnMut(&[RangeRecord], u16, u16) -> Option<HolderRecord>,
     ) {
-        let usable = |candidate: &&OwnerCandidate| !self.ended.contains(&candidate.holder.id);
+        let usable = |candidate: &&OwnerCandidate| !self.ended.contains(&candidate.holder);
         let holders: BTreeSet<HolderRecord> =
             candidates.iter().filter(usable).map(|candidate| candidate.holder.clone()).collect();
         self.candidates.insert(service.to_owned(), holders.clone());
@@ -79,7 +79,7 @@
         let Some(ranges) = self.map.services.get_mut(service) else { return };
         let range = &mut ranges[place];
         let previous = range.owner.replace(to);
-        range.previous = previous.filter(|holder| !self.ended.contains(&holder.id));
+        range.previous = previous.filter(|holder| !self.ended.contains(holder));
         range.fence = fence;
         range.settled = false;
         let work = self.work.entry((service.to_owned(), range.first)).or_default();
--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -16,7 +16,7 @@
 use nickellead_core::{DriftBound, Timestamp, enforced};
 
 pub use self::order::{OrderKind, OrderOutcome, RangeOrder};
-use crate::{HolderRecord, LastOrder, LatenessWatch, PredecessorBounds, RangeMap};
+use crate::{HolderRecord, LastOrder, LatenessWatch, PredecessorBounds, RangeMap, RangeRecord};
 
 /// Times of the keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +76,16 @@
     owner_was_silent: bool,
     /// Whether the previous holder's debts count though orders are not late elsewhere.
     previous_was_silent: bool,
+    /// What the owner is renewed under until the range's own fence is in the store.
+    standing: Option<StandingFence>,
+}
+
+/// A fence of an earlier keeper, under which an owner confirmed its grants.
+#[derive(Clone, Copy, Debug)]
+struct StandingFence {
+    fence: u64,
+    /// Edit of the map that brings the range's own fence into the store.
+    edit: u64,
 }
 
 /// Decides orders and writes for the VM that holds the mandate.
@@ -88,7 +98,7 @@
     /// Who may own ranges, by service.
     candidates: BTreeMap<String, BTreeSet<HolderRecord>>,
     /// Lives of targets that are known to have ended.
-    ended: BTreeSet<String>,
+    ended: BTreeSet<HolderRecord>,
     /// Number of the last edit of the map.
     edit: u64,
     /// Number of the last edit that is in the store.
@@ -145,9 +155,45 @@
             lateness.expect_until(until + settings.lateness);
         }
         keeper.expect_holds(until, previous_until);
+        if enforced!("successor_freshens_fences") {
+            keeper.freshen_fences();
+        }
         keeper
     }
 
+    /// Gives every range a fence of this keeper.
+    ///
+    /// An order of a predecessor that a target carries out late is refused once the target has confirmed
+    /// a fence of this keeper, whether or not anybody knew that orders were late. Until the take-over is
+    /// in the store, owners are renewed under the fences that they have confirmed, so that no key waits
+    /// for that write.
+    fn freshen_fences(&mut self) {
+        let edit = self.edit;
+        for (service, ranges) in &mut self.map.services {
+            // Neighbours that were alike stay alike, so that they can be joined.
+            let mut last: Option<(RangeRecord, u64)> = None;
+            for range in ranges {
+                let alike = last.as_ref().filter(|(one, _)| {
+                    one.fence == range.fence && one.owner == range.owner && one.settled
+                });
+                let fresh = match alike {
+                    Some((_, fresh)) if range.settled => *fresh,
+                    _ => {
+                        self.map.fence += 1;
+                        self.map.fence
+                    }
+                };
+                last = Some((range.clone(), fresh));
+                let work = self.work.entry((service.clone(), range.first)).or_default();
+                match range.settled {
+                    true => work.standing = Some(StandingFence { fence: range.fence, edit }),
+                    false => work.edit = edit,
+                }
+                range.fence = fresh;
+            }
+        }
+    }
+
     /// Reckons with holds of all holders that the map names until the given times.
     fn expect_holds(&mut self, owner_until: Timestamp, previous_until: Timestamp) {
         let lateness = self.settings.lateness;
--- a/crates/nickellead_range/src/keeper/orders.rs
+++ b/crates/nickellead_range/src/keeper/orders.rs
@@ -68,7 +68,9 @@
 impl OrderLook<'_> {
     /// Whether an order for the range may leave at all.
     fn may_order(&self, range: &RangeRecord, work: &RangeWork) -> bool {
-        if work.in_flight || work.due > self.now {
+        // A fence of this keeper is confirmed as soon as it may be.
+        let fresh = work.standing.is_some_and(|standing| standing.edit <= self.committed);
+        if work.in_flight || (work.due > self.now && !fresh) {
             return false;
         }
         if work.edit > self.committed && enforced!("write_before_order") {
@@ -82,14 +84,14 @@
         &self,
         range: &mut RangeRecord,
         work: &RangeWork,
-        ended: &BTreeSet<String>,
+        ended: &BTreeSet<HolderRecord>,
     ) -> bool {
         let Some(previous) = &range.previous else { return false };
         let late = self.lateness.is_target_late(&previous.id, self.now);
         // A release that is answered makes late orders harmless, those of others included: it is
         // tried once in any case.
         let asked = work.tries > 0 || !enforced!("release_tried");
-        let ruled_out = asked && self.has_lapsed(work, late) || ended.contains(&previous.id);
+        let ruled_out = asked && self.has_lapsed(work, late) || ended.contains(previous);
         if ruled_out {
             range.previous = None;
         }
@@ -116,7 +118,7 @@
             && enforced!("release_first")
         {
             work.in_flight = true;
-            return Some(self.order(service, range, previous, OrderKind::Release));
+            return Some(self.order(service, range, range.fence, previous, OrderKind::Release));
         }
         let owner = range.owner.as_ref()?;
         if !holders.is_some_and(|holders| holders.contains(owner)) {
@@ -126,13 +128,16 @@
         work.confirmed_until = work.owner_until;
         work.owner_until = work.owner_until.max(self.bound);
         let kind = OrderKind::Grant(work.handover.clone());
-        Some(self.order(service, range, owner, kind))
+        work.standing = work.standing.filter(|standing| standing.edit > self.committed);
+        let fence = work.standing.map_or(range.fence, |standing| standing.fence);
+        Some(self.order(service, range, fence, owner, kind))
     }
 
     fn order(
         &self,
         service: &str,
         range: &RangeRecord,
+        fence: u64,
         holder: &HolderRecord,
         kind: OrderKind,
     ) -> RangeOrder {
@@ -140,7 +145,7 @@
             service: service.to_owned(),
             first: range.first,
             last: range.last,
-            fence: range.fence,
+            fence,
             holder: holder.clone(),
             kind,
             decided: self.now,
--- a/crates/nickellead_range/src/keeper/outcomes.rs
+++ b/crates/nickellead_range/src/keeper/outcomes.rs
@@ -24,9 +24,10 @@
             ranges.and_then(|ranges| ranges.iter_mut().find(|one| one.first == order.first));
         let Some(range) = found else { return };
         if outcome == OrderOutcome::Ended {
-            self.ended.insert(order.holder.id.clone());
+            self.ended.insert(order.holder.clone());
         }
-        if range.fence != order.fence {
+        let stands = work.standing.is_some_and(|standing| standing.fence == order.fence);
+        if range.fence != order.fence && !stands {
             // The range went on to another owner; its own orders follow.
             return;
         }
@@ -46,6 +47,7 @@
             OrderOutcome::Outranked => {
                 range.settled = false;
                 work.due = now;
+                work.standing = None;
                 self.map.fence += u64::from(enforced!("fence_grows"));
                 range.fence = self.map.fence;
                 self.edit += 1;
