What targets, operators and the store tell is read: cold bounds, lives, evacuations, entries of any writer

An entry's cold seconds count from when it was first heard, also by VMs that hear it from others. The mandate's holder tells which VMs take requests. Nothing is decided by any of it yet.

--- a/benches/capacity/news.rs
+++ b/benches/capacity/news.rs
@@ -165,6 +165,7 @@
     let [_, _, high, low] = number.to_be_bytes();
     HolderRecord {
         id: format!("board-{number}-{:08x}", number.wrapping_mul(2_654_435_761)),
+        born: None,
         address: format!("10.0.{high}.{low}:8080"),
     }
 }
--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -62,7 +62,9 @@
     TargetLive, "target-live", Info, ["zone", "target"], "a target's session is live";
     TargetRestarted, "target-restarted", Warn, ["zone", "target"], "a target came back as another process";
     TargetLost, "target-lost", Warn, ["zone", "target", "shards"], "a target's lease has surely lapsed";
-    TargetChanged, "target-changed", Info, ["target", "service", "state"], "a target is listed, leaves or is gone, as the store told this VM";
+    TargetChanged, "target-changed", Info, ["target", "service", "state", "born", "cold_ms"], "a target is listed, leaves or is gone, as the store told this VM";
+    TargetUnreadable, "target-unreadable", Warn, ["target"], "the entry of this name can't be read, so it names no target to use, whatever it named before";
+    ZoneEvacuated, "zone-evacuated", Info, ["zone", "evacuated"], "an availability zone is to get no new requests, or takes them again, as known here from now on";
     TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM told so many changes of targets; the VM that follows the store has a target-changed line for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves began";
     OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in force";
--- a/crates/nickellead_gateway/src/admission.rs
+++ b/crates/nickellead_gateway/src/admission.rs
@@ -5,20 +5,13 @@
 
 use bincode::{Decode, Encode};
 
+use crate::fleet::HolderStamp;
+
 /// A word that was not renewed for this long counts no more: its holder is lost, or this VM is.
 ///
 /// The holder renews it each half second, and news may be one second old.
 const WORD_LASTS: Duration = Duration::from_millis(2_000);
 
-/// Which word is newer: first by when its holder took the mandate, then by the holder's own count.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
-pub(crate) struct AdmissionStamp {
-    /// Number of the write by which the holder took the mandate.
-    pub(crate) taken: u64,
-    /// Number of the holder's word.
-    pub(crate) word: u64,
-}
-
 /// A run of keys of a crowded owner.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub(crate) struct AdmissionRange {
@@ -41,7 +34,7 @@
 /// Ranges of crowded owners by service, in the order of their keys; all others take every request.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub(crate) struct AdmissionTable {
-    pub(crate) stamp: AdmissionStamp,
+    pub(crate) stamp: HolderStamp,
     pub(crate) services: BTreeMap<String, Vec<AdmissionRange>>,
 }
 
--- a/crates/nickellead_gateway/src/beliefs.rs
+++ b/crates/nickellead_gateway/src/beliefs.rs
@@ -6,7 +6,8 @@
 use tokio::sync::watch;
 
 use crate::admission::AdmissionTable;
-use crate::{Declarations, TargetList};
+use crate::fleet::FleetTable;
+use crate::{Declarations, EvacuatedZones, TargetList};
 
 /// Sending ends; each value replaces the one before it.
 pub(crate) struct BeliefSenders {
@@ -14,6 +15,8 @@
     pub(crate) targets: watch::Sender<Arc<TargetList>>,
     pub(crate) ranges: watch::Sender<Arc<RangeMap>>,
     pub(crate) admissions: watch::Sender<Arc<AdmissionTable>>,
+    pub(crate) evacuations: watch::Sender<Arc<EvacuatedZones>>,
+    pub(crate) fleet: watch::Sender<Arc<FleetTable>>,
 }
 
 /// Receiving ends.
@@ -23,6 +26,8 @@
     pub(crate) targets: watch::Receiver<Arc<TargetList>>,
     pub(crate) ranges: watch::Receiver<Arc<RangeMap>>,
     pub(crate) admissions: watch::Receiver<Arc<AdmissionTable>>,
+    pub(crate) evacuations: watch::Receiver<Arc<EvacuatedZones>>,
+    pub(crate) fleet: watch::Receiver<Arc<FleetTable>>,
 }
 
 /// Joins the two duties.
@@ -31,12 +36,16 @@
     let (targets, listed) = watch::channel(Arc::default());
     let (ranges, ranged) = watch::channel(Arc::default());
     let (admissions, admitted) = watch::channel(Arc::default());
-    let senders = BeliefSenders { declarations, targets, ranges, admissions };
+    let (evacuations, evacuated) = watch::channel(Arc::default());
+    let (fleet, joined) = watch::channel(Arc::default());
+    let senders = BeliefSenders { declarations, targets, ranges, admissions, evacuations, fleet };
     let receivers = BeliefReceivers {
         declarations: declared,
         targets: listed,
         ranges: ranged,
         admissions: admitted,
+        evacuations: evacuated,
+        fleet: joined,
     };
     (senders, receivers)
 }
--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -13,7 +13,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nickellead_event::{EventName, log_event};
 use nickellead_range::RangeMap;
@@ -26,12 +26,14 @@
 pub use self::ranges::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub(crate) use self::targets::LAPSE_TIME;
 use self::targets::{ChangeOrigin, TargetPart};
-use crate::admission::{AdmissionStamp, AdmissionTable};
+use crate::admission::AdmissionTable;
 use crate::beliefs::BeliefSenders;
+use crate::fleet::{FleetTable, HolderStamp};
 use crate::packed::Packed;
 use crate::waiting::wait_for;
 use crate::{
-    Declarations, DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList,
+    Declarations, DeclaredState, EvacuatedZones, MandateRecord, Revision, Stored, TargetChange,
+    TargetEntry, TargetList, TargetListing,
 };
 
 /// Up to which revision of the store each part is known.
@@ -40,6 +42,7 @@
     pub(crate) declarations: Option<Revision>,
     pub(crate) targets: Option<Revision>,
     pub(crate) ranges: Option<Revision>,
+    pub(crate) evacuations: Option<Revision>,
 }
 
 /// Declarations that another VM knows of and this one does not know yet.
@@ -61,6 +64,8 @@
     /// A whole map of ranges, packed for the first reader that needed it.
     packed_ranges: RefCell<Option<(Revision, Packed<Stored<RangeMap>>)>>,
     mandate: RefCell<Option<Stored<MandateRecord>>>,
+    /// Evacuated zones, as of the store's revision at which they were read; 0 before.
+    evacuations: RefCell<Stored<EvacuatedZones>>,
     told: BeliefSenders,
     /// Woken by every change.
     pub(crate) changed: Notify,
@@ -77,6 +82,7 @@
             ranges: RefCell::default(),
             packed_ranges: RefCell::default(),
             mandate: RefCell::new(None),
+            evacuations: RefCell::default(),
             told,
             changed: Notify::new(),
         }
@@ -210,10 +216,15 @@
     pub(crate) fn note_all_targets(
         &self,
         as_of: Revision,
-        list: TargetList,
+        listing: TargetListing,
         lapse: Option<Instant>,
     ) -> bool {
-        self.take_target_list(as_of, list, lapse, ChangeOrigin::Store)
+        self.take_target_list(as_of, listing, lapse, ChangeOrigin::Store)
+    }
+
+    /// How much longer a target is cold by its entry.
+    pub(crate) fn cold_left(&self, entry: &TargetEntry) -> Duration {
+        self.targets.borrow().cold_left(entry)
     }
 
     /// Takes over changes of targets that the store told and that follow on what is known.
@@ -229,7 +240,7 @@
     fn take_target_list(
         &self,
         as_of: Revision,
-        list: TargetList,
+        listing: TargetListing,
         lapse: Option<Instant>,
         origin: ChangeOrigin,
     ) -> bool {
@@ -237,8 +248,14 @@
             return false;
         }
         let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
-        let gone = known.into_iter().filter(|id| !list.contains_key(id)).map(TargetChange::Gone);
-        let changes = gone.chain(list.values().cloned().map(TargetChange::Listed)).collect();
+        let TargetListing { targets, unreadable } = listing;
+        let missing = |id: &String| !targets.contains_key(id) && !unreadable.contains(id);
+        let gone: Vec<_> = known.into_iter().filter(missing).map(TargetChange::Gone).collect();
+        let changes = gone
+            .into_iter()
+            .chain(unreadable.into_iter().map(TargetChange::Unreadable))
+            .chain(targets.into_values().map(TargetChange::Listed))
+            .collect();
         self.take_target_changes(as_of, changes, lapse, origin);
         true
     }
@@ -333,7 +350,7 @@
     }
 
     /// Which word about crowded owners is known.
-    fn admission_stamp(&self) -> AdmissionStamp {
+    fn admission_stamp(&self) -> HolderStamp {
         self.told.admissions.borrow().stamp
     }
 
@@ -363,6 +380,37 @@
         }
     }
 
+    /// The evacuated zones, with the revision as of which they are known.
+    pub(crate) fn evacuations(&self) -> Stored<EvacuatedZones> {
+        self.evacuations.borrow().clone()
+    }
+
+    /// Takes over which zones are evacuated; what is older than known is ignored.
+    pub(crate) fn note_evacuations(&self, new: Stored<EvacuatedZones>) {
+        self.raise(|known| &mut known.evacuations, new.revision);
+        let mut known = self.evacuations.borrow_mut();
+        if new.revision <= known.revision || new.value == known.value {
+            return;
+        }
+        log_evacuations(&known.value, &new.value);
+        *known = new;
+        self.told.evacuations.send_replace(Arc::new(known.value.clone()));
+        self.changed.notify_waiters();
+    }
+
+    /// The VMs that take requests, as the mandate's holder last told.
+    pub(crate) fn fleet(&self) -> Arc<FleetTable> {
+        Arc::clone(&self.told.fleet.borrow())
+    }
+
+    /// Takes over which VMs take requests; an older word is ignored.
+    pub(crate) fn note_fleet(&self, new: FleetTable) {
+        if new.stamp > self.fleet().stamp {
+            self.told.fleet.send_replace(Arc::new(new));
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Makes the next look at the store read all targets.
     fn forget_targets_revision(&self) {
         let known = KnownRevisions { targets: None, ..self.known.get() };
@@ -379,3 +427,12 @@
         self.known.set(known);
     }
 }
+
+/// Logs which zones are evacuated from now on, and which no longer are.
+fn log_evacuations(known: &EvacuatedZones, new: &EvacuatedZones) {
+    for (zones, evacuated) in [(new.difference(known), true), (known.difference(new), false)] {
+        for zone in zones {
+            log_event(EventName::ZoneEvacuated, &[("zone", zone), ("evacuated", &evacuated)]);
+        }
+    }
+}
--- a/crates/nickellead_gateway/src/book/news.rs
+++ b/crates/nickellead_gateway/src/book/news.rs
@@ -6,9 +6,13 @@
 
 use super::targets::ChangeOrigin;
 use super::{BeliefBook, RangesNews, RangesStep};
-use crate::admission::{AdmissionStamp, AdmissionTable};
+use crate::admission::AdmissionTable;
+use crate::fleet::{FleetTable, HolderStamp};
 use crate::packed::{Packed, PackedError};
-use crate::{DeclaredState, MandateRecord, Revision, Stored, TargetChange, TargetList};
+use crate::{
+    DeclaredState, EvacuatedZones, MandateRecord, Revision, Stored, TargetChange, TargetList,
+    TargetListing,
+};
 
 /// How far a VM's copy of another VM's book reaches.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
@@ -26,7 +30,11 @@
     /// Revision of the last mandate.
     pub(crate) mandate: Revision,
     /// The last word about crowded owners.
-    pub(crate) admissions: AdmissionStamp,
+    pub(crate) admissions: HolderStamp,
+    /// The last word about the VMs that take requests.
+    pub(crate) fleet: HolderStamp,
+    /// As of when the evacuated zones are known; 0 for never.
+    pub(crate) evacuations: Revision,
 }
 
 /// What is new in a book since a mark.
@@ -49,6 +57,10 @@
     pub(crate) mandate: Option<Stored<MandateRecord>>,
     /// A newer word about crowded owners, whole: it names few of them.
     pub(crate) admissions: Option<AdmissionTable>,
+    /// A newer word about the VMs that take requests.
+    pub(crate) fleet: Option<FleetTable>,
+    /// Newer evacuated zones, all of them.
+    pub(crate) evacuations: Option<Stored<EvacuatedZones>>,
 }
 
 /// What one VM tells another of the targets.
@@ -95,6 +107,8 @@
             && self.ranges.is_none()
             && self.mandate.is_none()
             && self.admissions.is_none()
+            && self.fleet.is_none()
+            && self.evacuations.is_none()
     }
 }
 
@@ -107,6 +121,8 @@
             ranges: self.ranges_revision(),
             mandate: self.mandate().map(|known| known.revision).unwrap_or_default(),
             admissions: self.admission_stamp(),
+            fleet: self.fleet().stamp,
+            evacuations: self.evacuations.borrow().revision,
             ..BookMark::default()
         }
     }
@@ -126,6 +142,8 @@
         self.tell_ranges(&mut news);
         self.tell_mandate(&mut news);
         self.tell_admissions(&mut news);
+        self.tell_fleet(&mut news);
+        self.tell_evacuations(&mut news);
         news
     }
 
@@ -207,6 +225,22 @@
         }
     }
 
+    fn tell_fleet(&self, news: &mut BookNews) {
+        let newest = self.fleet();
+        if news.mark.fleet < newest.stamp {
+            news.mark.fleet = newest.stamp;
+            news.fleet = Some(FleetTable::clone(&newest));
+        }
+    }
+
+    fn tell_evacuations(&self, news: &mut BookNews) {
+        let newest = self.evacuations.borrow();
+        if news.mark.evacuations < newest.revision {
+            news.mark.evacuations = newest.revision;
+            news.evacuations = Some(newest.clone());
+        }
+    }
+
     /// Takes over another VM's news; gives the reader's next mark, or `None` when the news can't be
     /// used.
     pub(crate) fn take_news(&self, news: BookNews) -> Option<BookMark> {
@@ -225,6 +259,12 @@
         if let Some(admissions) = news.admissions {
             self.note_admissions(admissions);
         }
+        if let Some(fleet) = news.fleet {
+            self.note_fleet(fleet);
+        }
+        if let Some(evacuations) = news.evacuations {
+            self.note_evacuations(evacuations);
+        }
         mark.targets_reached = self.targets_reached();
         mark.ranges = self.ranges_revision();
         Some(mark)
@@ -246,7 +286,8 @@
         let taken = match told.news {
             TargetsNews::Whole(packed) => {
                 let list = unpack("targets", &packed)?;
-                self.take_target_list(told.as_of, list, None, ChangeOrigin::OtherVm)
+                let listing = TargetListing { targets: list, ..TargetListing::default() };
+                self.take_target_list(told.as_of, listing, None, ChangeOrigin::OtherVm)
             }
             TargetsNews::Changes(changes) => {
                 self.take_target_changes(told.as_of, changes, None, ChangeOrigin::OtherVm);
--- a/crates/nickellead_gateway/src/book/targets.rs
+++ b/crates/nickellead_gateway/src/book/targets.rs
@@ -1,6 +1,6 @@
 //! The listed targets, entries that may only have lapsed, and the last changes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use nickellead_event::{EventName, log_event};
@@ -41,6 +41,10 @@
     pub(super) reached: Option<Revision>,
     /// Entries that are gone from the store, and when they are taken as gone.
     pub(super) lapsing: BTreeMap<String, Instant>,
+    /// When each entry was heard as it is: what it says of being cold counts from then.
+    heard: BTreeMap<String, Instant>,
+    /// Names whose entries can't be read.
+    unreadable: BTreeSet<String>,
     /// The last changes with their numbers, oldest first.
     changes: VecDeque<(u64, TargetChange)>,
     /// Number of the last change.
@@ -74,14 +78,24 @@
                 let known = self.list.get(&entry.id).map(|known| known.state);
                 (known != Some(entry.state)).then(|| state_word(entry.state))
             }
-            TargetChange::Gone(id) => self.list.contains_key(id).then_some(GONE),
+            TargetChange::Gone(id) | TargetChange::Unreadable(id) => {
+                self.list.contains_key(id).then_some(GONE)
+            }
         }
     }
 
     fn take(&mut self, change: TargetChange, lapse: Option<Instant>, origin: ChangeOrigin) {
         match change {
             TargetChange::Listed(entry) => self.list_entry(entry, origin),
+            TargetChange::Unreadable(id) => {
+                if self.unreadable.insert(id.clone()) {
+                    log_event(EventName::TargetUnreadable, &[("target", &id)]);
+                }
+                // It may be another writer's, and the target of this name is none to use then.
+                self.remove(&id, origin);
+            }
             TargetChange::Gone(id) => {
+                self.unreadable.remove(&id);
                 let Some(entry) = self.list.get(&id) else { return };
                 match lapse {
                     Some(until) if entry.state == TargetState::Ready => {
@@ -95,13 +109,15 @@
 
     fn list_entry(&mut self, entry: TargetEntry, origin: ChangeOrigin) {
         self.lapsing.remove(&entry.id);
+        self.unreadable.remove(&entry.id);
         let known = self.list.get(&entry.id);
         if known == Some(&entry) {
             return;
         }
         if known.map(|known| known.state) != Some(entry.state) && origin == ChangeOrigin::Store {
-            log_target(&entry.id, &entry.service, state_word(entry.state));
+            log_listed(&entry);
         }
+        self.heard.insert(entry.id.clone(), Instant::now());
         self.push(TargetChange::Listed(entry.clone()));
         self.list.insert(entry.id.clone(), entry);
     }
@@ -109,6 +125,7 @@
     /// Takes an entry as gone.
     pub(super) fn remove(&mut self, id: &str, origin: ChangeOrigin) {
         self.lapsing.remove(id);
+        self.heard.remove(id);
         if let Some(entry) = self.list.remove(id) {
             if origin == ChangeOrigin::Store {
                 log_target(id, &entry.service, GONE);
@@ -125,8 +142,24 @@
         }
     }
 
+    /// How much longer a target is cold by its entry.
+    pub(super) fn cold_left(&self, entry: &TargetEntry) -> Duration {
+        let age = self.heard.get(&entry.id).map_or(Duration::ZERO, Instant::elapsed);
+        entry.cold_left.saturating_sub(age)
+    }
+
+    /// An entry as it would be told now: its cold time does not begin again with each VM that tells it.
+    fn as_of_now(&self, entry: &TargetEntry) -> TargetEntry {
+        TargetEntry { cold_left: self.cold_left(entry), ..entry.clone() }
+    }
+
     /// The whole list, packed once for all readers that need it as it is now.
     pub(super) fn packed(&mut self) -> Result<Packed<TargetList>, PackedError> {
+        let is_cold = |entry: &TargetEntry| !entry.cold_left.is_zero();
+        if self.list.values().any(is_cold) {
+            let told = |(id, entry): (&String, &TargetEntry)| (id.clone(), self.as_of_now(entry));
+            return Packed::pack(&self.list.iter().map(told).collect::<TargetList>());
+        }
         match &self.packed {
             Some((number, packed)) if *number == self.number => Ok(packed.clone()),
             _ => {
@@ -144,7 +177,11 @@
             return None;
         }
         let new = self.changes.iter().filter(|(one, _)| *one > number);
-        Some(new.map(|(_, change)| change.clone()).collect())
+        let told = |change: &TargetChange| match change {
+            TargetChange::Listed(entry) => TargetChange::Listed(self.as_of_now(entry)),
+            TargetChange::Gone(_) | TargetChange::Unreadable(_) => change.clone(),
+        };
+        Some(new.map(|(_, change)| told(change)).collect())
     }
 }
 
@@ -184,6 +221,19 @@
     log_event(EventName::TargetsTold, &pairs);
 }
 
+fn log_listed(entry: &TargetEntry) {
+    let state = state_word(entry.state);
+    let cold = entry.cold_left.as_millis();
+    let mut pairs: Vec<(&str, &dyn std::fmt::Display)> = vec![
+        ("target", &entry.id),
+        ("service", &entry.service),
+        ("state", &state),
+        ("cold_ms", &cold),
+    ];
+    pairs.extend(entry.born.iter().map(|born| ("born", born as _)));
+    log_event(EventName::TargetChanged, &pairs);
+}
+
 fn log_target(id: &str, service: &str, state: &str) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("target", &id), ("service", &service), ("state", &state)];
--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -12,7 +12,8 @@
 use super::ControlDuty;
 use super::loads::RECENT_LENGTH;
 use super::ranges::BALANCE_PERIOD;
-use crate::admission::{AdmissionRange, AdmissionStamp, AdmissionTable};
+use crate::admission::{AdmissionRange, AdmissionTable};
+use crate::fleet::HolderStamp;
 use crate::load_count::{AnswerCounts, VmMark};
 use crate::{OrderPort, StorePort};
 
@@ -115,7 +116,7 @@
         }
         let word = self.admission_word.get() + 1;
         self.admission_word.set(word);
-        let stamp = AdmissionStamp { taken, word };
+        let stamp = HolderStamp { taken, word };
         self.book.note_admissions(AdmissionTable { stamp, services });
     }
 
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -93,7 +93,11 @@
     usable
         .into_iter()
         .map(|target| OwnerCandidate {
-            holder: HolderRecord { id: target.id.clone(), address: target.address.to_string() },
+            holder: HolderRecord {
+                id: target.id.clone(),
+                born: target.born,
+                address: target.address.to_string(),
+            },
             capacity: f64::from(target.slots.max(1)) * factor(target),
         })
         .collect()
--- /dev/null
+++ b/crates/nickellead_gateway/src/control/fleet.rs
@@ -0,0 +1,48 @@
+//! Telling all VMs which VMs take requests, so that few of them send to a cold target.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use nickellead_core::Timestamp;
+use nickellead_time::BootClock;
+
+use super::ControlDuty;
+use crate::fleet::{FleetTable, HolderStamp};
+use crate::{OrderPort, StorePort};
+
+/// Least time between two words about the fleet, and from taking the mandate to the first one: by then all
+/// VMs have reported, who do so each half second by way of one other VM at most. While VMs are stopped in
+/// turn each word costs all others eight bytes a VM.
+const FLEET_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The last word about the fleet in one term of the mandate.
+#[derive(Clone, Copy)]
+pub(super) struct FleetWord {
+    /// Number of the write by which the mandate was taken.
+    taken: u64,
+    /// When the word was told, or else when the term began.
+    since: Timestamp,
+}
+
+impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
+    /// Tells which VMs take requests, if that has changed and anything depends on it.
+    pub(super) fn tell_fleet(&self) {
+        if self.cold.is_none() {
+            return;
+        }
+        let Some(taken) = self.book.mandate().map(|mandate| mandate.value.taken) else { return };
+        let now = BootClock.now();
+        let word = self.fleet_word.get().filter(|word| word.taken == taken);
+        let Some(word) = word else {
+            return self.fleet_word.set(Some(FleetWord { taken, since: now }));
+        };
+        let vms: BTreeSet<_> = self.reporters.borrow().keys().copied().chain([self.mark]).collect();
+        let known = self.book.fleet();
+        if now.since(word.since) < FLEET_PAUSE || known.vms == vms {
+            return;
+        }
+        self.fleet_word.set(Some(FleetWord { taken, since: now }));
+        let word = if known.stamp.taken == taken { known.stamp.word + 1 } else { 1 };
+        self.book.note_fleet(FleetTable { stamp: HolderStamp { taken, word }, vms });
+    }
+}
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod candidates;
+mod fleet;
 mod loads;
 mod mandate;
 mod map_writes;
@@ -26,16 +27,18 @@
 use tokio::sync::watch;
 
 use self::admission::TargetFigures;
+use self::fleet::FleetWord;
 use self::mandate::keep_mandate;
 use self::ranges::keep_ranges;
 use crate::beliefs::BeliefSenders;
 use crate::book::BeliefBook;
+use crate::evacuation::ZoneStates;
 use crate::follow::Follower;
 use crate::load_count::{LoadCounter, VmMark};
 use crate::metrics::ControlMetrics;
 use crate::relay::{NewsRelay, serve_news};
 use crate::store_health::StoreHealth;
-use crate::{OrderPort, OwnershipSettings, PolicySettings, Revision, StorePort};
+use crate::{ColdSettings, OrderPort, OwnershipSettings, PolicySettings, Revision, StorePort};
 
 /// A VM whose share of a core is smaller takes the mandate only if nobody else does.
 const WEAK_SHARE: f64 = 0.2;
@@ -62,6 +65,10 @@
     pub(crate) keys: LoadCounter,
     pub(crate) metrics: ControlMetrics,
     pub(crate) policy: PolicySettings,
+    /// What all VMs together may send a cold target.
+    pub(crate) cold: Option<ColdSettings>,
+    /// Whether availability zones may be evacuated.
+    pub(crate) follows_evacuations: bool,
 }
 
 /// The control duty of one VM.
@@ -97,6 +104,14 @@
     ownership: OwnershipSettings,
     metrics: ControlMetrics,
     policy: PolicySettings,
+    cold: Option<ColdSettings>,
+    follows_evacuations: bool,
+    /// Which zones are evacuated, and since when.
+    zones: RefCell<ZoneStates>,
+    /// This VM, among those that take requests.
+    mark: VmMark,
+    /// The last word about the fleet.
+    fleet_word: Cell<Option<FleetWord>>,
     vm: String,
     /// How much longer than others this VM waits before it takes the mandate.
     extra_wait: Duration,
@@ -107,13 +122,14 @@
         let health = Rc::new(StoreHealth::new(parts.metrics.clone()));
         let book = Rc::new(BeliefBook::new(parts.incarnation, parts.beliefs));
         let address = parts.announced_address;
+        let mark = VmMark::of(&parts.vm, &parts.zone);
         let relay = NewsRelay::new(
             parts.zone,
             address,
             Rc::clone(&book),
             Rc::clone(&health),
             parts.keys.clone(),
-            VmMark::of(&parts.vm),
+            mark,
         );
         let extra_wait = extra_wait(parts.cpu_share, parts.link_mbps);
         let mandate = MandateState::new(parts.vm.clone(), address, parts.incarnation, extra_wait);
@@ -138,6 +154,11 @@
             ownership: parts.ownership,
             metrics: parts.metrics,
             policy: parts.policy,
+            cold: parts.cold,
+            follows_evacuations: parts.follows_evacuations,
+            zones: RefCell::default(),
+            mark,
+            fleet_word: Cell::new(None),
             vm: parts.vm,
             extra_wait,
         })
@@ -154,6 +175,7 @@
             health: Rc::clone(&self.health),
             book: Rc::clone(&self.book),
             relay: Rc::clone(&self.relay),
+            follows_evacuations: self.follows_evacuations,
         };
         follower.start();
     }
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -72,6 +72,7 @@
             if balance_due {
                 self.balance();
                 self.limit_owners();
+                self.tell_fleet();
             }
             self.write_map();
         }
--- a/crates/nickellead_gateway/src/declared/mod.rs
+++ b/crates/nickellead_gateway/src/declared/mod.rs
@@ -37,6 +37,17 @@
     pub connections: u32,
     /// Whether each key is owned by one target.
     pub divided: bool,
+    /// What its targets bear after a start; `None` if that is not bounded.
+    pub cold: Option<ColdRule>,
+}
+
+/// What a target bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct ColdRule {
+    /// How long it is cold after a start.
+    pub length: Duration,
+    /// Requests a second that it bears meanwhile.
+    pub rate: f64,
 }
 
 /// What a caller may send, and how long it may take.
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::book::{BeliefBook, LAPSE_TIME};
 use crate::relay::NewsRelay;
 use crate::store_health::StoreHealth;
-use crate::{Declarations, Revision, Snapshot, StoreError, StorePort};
+use crate::{Declarations, Revision, Snapshot, StoreError, StorePort, Stored};
 
 /// How long one watch waits for changes: each end of a wait is a call that is paid for.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -43,6 +43,8 @@
 const DECLARATIONS_CHECK: Duration = Duration::from_millis(1_000);
 /// The same for targets and ranges, of which a VM also learns by being refused.
 const LISTS_CHECK: Duration = Duration::from_millis(2_500);
+/// The same for evacuated zones, which are to get nothing after five seconds.
+const EVACUATIONS_CHECK: Duration = Duration::from_millis(1_500);
 /// On a VM that follows the store for itself only, checks are this many times rarer.
 const ALONE_FACTOR: f64 = 4.0;
 /// On a VM that follows the store because its source was lost, and tells others, they are this many
@@ -55,6 +57,8 @@
     pub(crate) health: Rc<StoreHealth>,
     pub(crate) book: Rc<BeliefBook>,
     pub(crate) relay: Rc<NewsRelay>,
+    /// Whether availability zones may be evacuated.
+    pub(crate) follows_evacuations: bool,
 }
 
 impl<S> Clone for Follower<S> {
@@ -64,6 +68,7 @@
             health: Rc::clone(&self.health),
             book: Rc::clone(&self.book),
             relay: Rc::clone(&self.relay),
+            follows_evacuations: self.follows_evacuations,
         }
     }
 }
@@ -91,6 +96,12 @@
         actix_rt::spawn(async move { follower.run(|anew| follower.step_targets(anew)).await });
         let follower = self.clone();
         actix_rt::spawn(async move { follower.run(|anew| follower.step_ranges(anew)).await });
+        if self.follows_evacuations {
+            let follower = self.clone();
+            actix_rt::spawn(async move {
+                follower.run(|anew| follower.step_evacuations(anew)).await;
+            });
+        }
         let book = Rc::clone(&self.book);
         actix_rt::spawn(async move { book.drop_all_lapsed().await });
     }
@@ -255,6 +266,26 @@
         Ok(if changed { FollowStep::After(RANGE_PAUSE_ALONE) } else { FollowStep::Continue })
     }
 
+    /// Lists the evacuated zones, and then again whenever one begins or ends: the list is short, and a
+    /// change that only a list shows is not missed.
+    async fn step_evacuations(&self, anew: bool) -> Result<FollowStep, StoreError> {
+        if let Some(from) = self.book.known().evacuations.filter(|_| !anew) {
+            let watching = self.store.watch_evacuations(from, WATCH_WAIT);
+            let check = self.check_time(EVACUATIONS_CHECK);
+            if let Ok(watched) = tokio::time::timeout(check, watching).await {
+                self.health.note(&watched);
+                if !watched?.value {
+                    return Ok(FollowStep::Continue);
+                }
+            }
+        }
+        let result = self.store.evacuations().await;
+        self.health.note(&result);
+        let Snapshot { as_of, value } = result?;
+        self.book.note_evacuations(Stored { revision: as_of, value });
+        Ok(FollowStep::Continue)
+    }
+
     fn check_time(&self, time: Duration) -> Duration {
         if self.relay.leads() {
             time
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -16,7 +16,9 @@
 mod control;
 mod declared;
 mod drain;
+mod evacuation;
 mod exchange;
+mod fleet;
 mod follow;
 mod incoming;
 mod load_count;
@@ -39,9 +41,9 @@
 
 pub use book::{RangesHistory, RangesNews, RangesStep, StepsMisfit};
 pub use declared::{
-    AppliedNews, CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory,
-    DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS, NewsError,
-    RepeatClass, RoutePart, RouteRule, ServiceRule, SharedRoute,
+    AppliedNews, CallerLimits, ChangeError, ColdRule, Declarations, DeclarationsChange,
+    DeclarationsHistory, DeclaredNews, DeclaredState, DeclaredStep, HISTORY_BYTES, HISTORY_STEPS,
+    NewsError, RepeatClass, RoutePart, RouteRule, ServiceRule, SharedRoute,
 };
 pub use nickellead_range::{MandateRecord, Revision, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
@@ -49,5 +51,7 @@
 pub use packed::{Packed, PackedError, UNPACKED_LIMIT};
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, OrderPort, Snapshot, StoreError, StorePort};
-pub use settings::{GatewaySettings, OwnershipSettings, SettingsError};
-pub use targets::{TargetChange, TargetEntry, TargetList, TargetState};
+pub use settings::{ColdSettings, GatewaySettings, OwnershipSettings, SettingsError};
+pub use targets::{
+    EvacuatedZones, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
+};
--- a/crates/nickellead_gateway/src/load_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -23,15 +23,32 @@
     pub(crate) vms: BTreeSet<VmMark>,
 }
 
-/// A VM's name, hashed: enough to count VMs by.
+/// A VM and its availability zone, hashed: enough to count VMs by, and to share work out among them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
-pub(crate) struct VmMark(u32);
+pub(crate) struct VmMark {
+    vm: u32,
+    zone: u32,
+}
 
 impl VmMark {
-    /// The mark of the VM of this name.
-    pub(crate) fn of(vm: &str) -> Self {
-        Self(xxhash_rust::xxh3::xxh3_64(vm.as_bytes()) as u32)
+    /// The mark of the VM of this name and availability zone.
+    pub(crate) fn of(vm: &str, zone: &str) -> Self {
+        Self { vm: short_hash(vm), zone: short_hash(zone) }
+    }
+
+    /// Whether the VM is in this availability zone.
+    pub(crate) fn is_of(self, zone: &str) -> bool {
+        self.zone == short_hash(zone)
     }
+
+    /// The VM's place for a target among all VMs.
+    pub(crate) fn rank(self, target: &str) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), u64::from(self.vm))
+    }
+}
+
+fn short_hash(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
 
 /// What became of requests at one target since the last look.
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -113,6 +113,8 @@
         keys,
         metrics,
         policy: settings.policy,
+        cold: settings.cold,
+        follows_evacuations: settings.evacuation_s.is_some(),
     };
     let control = control::start(parts, sockets.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -8,7 +8,7 @@
 use nickellead_range::{MandateRecord, OrderOutcome, RangeMap, RangeOrder, Revision, Stored};
 use thiserror::Error;
 
-use crate::{Declarations, TargetChange, TargetList};
+use crate::{Declarations, EvacuatedZones, TargetChange, TargetListing};
 
 /// Why a call of the store gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -51,13 +51,21 @@
         wait: Duration,
     ) -> Result<Snapshot<Option<Declarations>>, StoreError>;
     /// Lists all targets.
-    async fn targets(&self) -> Result<Snapshot<TargetList>, StoreError>;
+    async fn targets(&self) -> Result<Snapshot<TargetListing>, StoreError>;
     /// Waits for changes of targets.
     async fn watch_targets(
         &self,
         from: Revision,
         wait: Duration,
     ) -> Result<Snapshot<Vec<TargetChange>>, StoreError>;
+    /// Lists the availability zones that are evacuated.
+    async fn evacuations(&self) -> Result<Snapshot<EvacuatedZones>, StoreError>;
+    /// Waits for an evacuation to begin or end; tells whether one did.
+    async fn watch_evacuations(
+        &self,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Snapshot<bool>, StoreError>;
     /// Reads the map of ranges; `None` while there is none.
     async fn ranges(&self) -> Result<Snapshot<Option<Stored<RangeMap>>>, StoreError>;
     /// Waits for a newer map.
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -66,6 +66,13 @@
     /// Retries at one service that this VM may make beyond the share earned by requests.
     #[serde(default = "default_retry_burst")]
     pub retry_burst: f64,
+    /// What all VMs together may send a cold target; `None` if that is not bounded.
+    #[serde(default)]
+    pub cold: Option<ColdSettings>,
+    /// Seconds after which an evacuated availability zone may get nothing more; `None` if zones are
+    /// not evacuated here.
+    #[serde(default)]
+    pub evacuation_s: Option<f64>,
     /// Times of ownership.
     #[serde(default)]
     pub ownership: OwnershipSettings,
@@ -88,6 +95,15 @@
     2.4
 }
 
+/// What all VMs together may send a cold target in one second: its rate times `overage`, plus `slack`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSettings {
+    /// Factor on the rate that the target's service declares.
+    pub overage: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
 /// Times of ownership.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -152,6 +168,10 @@
         bound(self.connections >= 1, "connections", "1 or more")?;
         bound((0.0..=1_000.0).contains(&self.retry_burst), "retry_burst", "from 0 to 1000")?;
         bound((0.5..=60.0).contains(&ownership.hold_s), "ownership.hold_s", "from 0.5 to 60")?;
+        let cold_holds = |cold: ColdSettings| cold.overage >= 1.0 && cold.slack >= 0.0;
+        bound(self.cold.is_none_or(cold_holds), "cold", "an overage from 1 and a slack from 0")?;
+        let evacuation = self.evacuation_s.is_none_or(|time| (1.0..=600.0).contains(&time));
+        bound(evacuation, "evacuation_s", "from 1 to 600")?;
         let renewal = (0.1..=ownership.hold_s / 2.0).contains(&ownership.renewal_s);
         bound(renewal, "ownership.renewal_s", "from 0.1 to half of hold_s")
     }
--- a/crates/nickellead_gateway/src/targets.rs
+++ b/crates/nickellead_gateway/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that are listed, and how a list changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,8 +18,11 @@
 /// One life of one target.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct TargetEntry {
-    /// Identity of this life; a restart gets another.
+    /// Identity; a target that starts again may keep it.
     pub id: String,
+    /// When it started, as it says itself: with the identity it names one life. `None` for targets that
+    /// never keep an identity.
+    pub born: Option<u64>,
     /// Its service.
     pub service: String,
     /// Where it listens.
@@ -37,6 +40,18 @@
 /// All listed targets by identity.
 pub type TargetList = BTreeMap<String, TargetEntry>;
 
+/// What the store lists.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TargetListing {
+    /// The targets.
+    pub targets: TargetList,
+    /// Names whose entries can't be read: none of them is a target, whatever it was before.
+    pub unreadable: BTreeSet<String>,
+}
+
+/// Availability zones whose targets are to get no new requests.
+pub type EvacuatedZones = BTreeSet<String>;
+
 /// One change of the list.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum TargetChange {
@@ -44,4 +59,6 @@
     Listed(TargetEntry),
     /// A target's entry is gone.
     Gone(String),
+    /// The entry of this name can't be read, so it names no target.
+    Unreadable(String),
 }
--- a/crates/nickellead_range/src/keeper/moves.rs
+++ b/crates/nickellead_range/src/keeper/moves.rs
@@ -48,7 +48,8 @@
             while place < ranges.len() {
                 let quiet = |range: &RangeRecord| {
                     let work = self.work.get(&(service.clone(), range.first));
-                    range.settled && work.is_some_and(|work| !work.in_flight && work.standing.is_none())
+                    range.settled
+                        && work.is_some_and(|work| !work.in_flight && work.standing.is_none())
                 };
                 let (left, right) = (&ranges[place - 1], &ranges[place]);
                 let alike = left.owner == right.owner && left.fence == right.fence;
--- a/crates/nickellead_range/src/map.rs
+++ b/crates/nickellead_range/src/map.rs
@@ -13,8 +13,11 @@
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
 )]
 pub struct HolderRecord {
-    /// Identity of the target's current life.
+    /// Identity of the target.
     pub id: String,
+    /// When this life of it started, as it says itself; `None` if it never keeps an identity.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<u64>,
     /// Where it listens, as `host:port`.
     pub address: String,
 }
--- a/crates/nickellead_range/src/stored.rs
+++ b/crates/nickellead_range/src/stored.rs
@@ -23,7 +23,7 @@
 pub struct Revision(pub u64);
 
 /// A document with the revision of its last change.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Stored<T> {
     /// Revision of its last change.
     pub revision: Revision,
