--- /dev/null
+++ b/crates/nickellead_gateway/tests/evacuated_zones.rs
@@ -0,0 +1,142 @@
+//! Availability zones that are to get no new requests.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::store::MemoryStore;
+use common::target::{Manner, TestTarget};
+use common::{TestGateway, declarations, entry, wait_until};
+use nickellead_gateway::{ColdRule, ColdSettings, TargetEntry};
+
+/// VMs know of an evacuation within this time.
+const KNOWN: Duration = Duration::from_millis(800);
+/// Nothing may reach an evacuated zone after this time.
+const BOUND: Duration = Duration::from_millis(5_000);
+
+fn in_zone(target: &TestTarget, service: &str, zone: &str) -> TargetEntry {
+    TargetEntry { zone: zone.to_owned(), ..entry(&target.id, service, target.address) }
+}
+
+fn start(name: &str, store: &MemoryStore) -> TestGateway {
+    let gateway = TestGateway::start_as(name, store, |settings| {
+        settings.evacuation_s = Some(5.0);
+        settings.cold = Some(ColdSettings { overage: 1.5, slack: 8.0 });
+    });
+    gateway.wait_ready();
+    gateway
+}
+
+fn is_served(gateway: &TestGateway) -> bool {
+    gateway.ask("GET", "/read/", "").contains(" 200 ")
+}
+
+#[test]
+fn an_evacuated_zone_gets_nothing_and_the_others_serve() {
+    let (near, far) =
+        (TestTarget::start("near", Manner::Serves), TestTarget::start("far", Manner::Serves));
+    let store = MemoryStore::default();
+    store.list(in_zone(&near, "plain", "zone-a"));
+    store.list(in_zone(&far, "plain", "zone-b"));
+    store.declare(declarations(1));
+    let gateways = [start("vm-evac-1", &store), start("vm-evac-2", &store)];
+    wait_until("both serve", || gateways.iter().all(is_served));
+    store.evacuate(&["zone-a", "a-zone-of-nobody"]);
+    std::thread::sleep(KNOWN);
+    near.forget();
+    for _ in 0..30 {
+        assert!(gateways.iter().all(is_served));
+    }
+    assert_eq!(near.seen().len(), 0, "{:?}", near.seen());
+    store.evacuate(&[]);
+    wait_until("it is used again", || gateways.iter().all(is_served) && !near.seen().is_empty());
+}
+
+#[test]
+fn when_all_zones_are_evacuated_requests_are_refused_at_once() {
+    let near = TestTarget::start("near", Manner::Serves);
+    let store = MemoryStore::default();
+    store.list(in_zone(&near, "plain", "zone-a"));
+    store.declare(declarations(1));
+    let gateway = start("vm-evac-all", &store);
+    wait_until("it serves", || is_served(&gateway));
+    store.evacuate(&["zone-a"]);
+    std::thread::sleep(KNOWN);
+    near.forget();
+    let started = Instant::now();
+    let answer = gateway.ask("GET", "/read/", "");
+    assert!(answer.contains(" 503 "), "{answer}");
+    assert!(started.elapsed() < Duration::from_millis(200));
+    assert!(near.seen().is_empty());
+}
+
+#[test]
+fn keys_leave_an_evacuated_zone_by_planned_moves_and_no_request_is_refused() {
+    let (near, far) =
+        (TestTarget::start("near", Manner::Serves), TestTarget::start("far", Manner::Serves));
+    let store = MemoryStore::default();
+    store.list(in_zone(&near, "keyed", "zone-a"));
+    store.list(in_zone(&far, "keyed", "zone-b"));
+    store.declare(declarations(1));
+    let gateway = start("vm-evac-keys", &store);
+    let ask = || gateway.ask("GET", "/key/", "x-key: 7\r\n");
+    wait_until("the key has its owner", || ask().contains(" 200 "));
+    store.evacuate(&["zone-a"]);
+    let ordered = Instant::now();
+    while ordered.elapsed() < KNOWN {
+        let answer = ask();
+        assert!(answer.contains(" 200 "), "{answer}");
+    }
+    let released = store
+        .orders()
+        .iter()
+        .any(|order| order.holder.id == "near" && order.kind.as_str() == "release");
+    assert!(released, "the keys were taken back before they were given on");
+    near.forget();
+    assert!((0..20).all(|_| ask().contains(" 200 ")));
+    assert!(near.seen().is_empty(), "{:?}", near.seen());
+}
+
+#[test]
+fn owners_of_an_evacuated_zone_are_not_asked_after_the_bound_though_nobody_moves_their_keys() {
+    let near = TestTarget::start("near", Manner::Serves);
+    let store = MemoryStore::default();
+    store.list(in_zone(&near, "keyed", "zone-a"));
+    store.declare(declarations(1));
+    let gateway = start("vm-evac-owner", &store);
+    let ask = || gateway.ask("GET", "/key/", "x-key: 7\r\n");
+    wait_until("the key has its owner", || ask().contains(" 200 "));
+    store.evacuate(&["zone-a"]);
+    std::thread::sleep(BOUND);
+    near.forget();
+    assert!(ask().contains(" 503 "));
+    assert!(near.seen().is_empty(), "{:?}", near.seen());
+}
+
+#[test]
+fn a_zone_that_is_taken_back_is_reckoned_with_as_cold() {
+    let (near, far) =
+        (TestTarget::start("near", Manner::Serves), TestTarget::start("far", Manner::Serves));
+    let store = MemoryStore::default();
+    store.list(in_zone(&near, "plain", "zone-a"));
+    store.list(in_zone(&far, "plain", "zone-b"));
+    let mut declared = declarations(1);
+    let rule = ColdRule { length: Duration::from_secs(3), rate: 6.0 };
+    declared.services.values_mut().for_each(|service| service.cold = Some(rule));
+    store.declare(declared);
+    let gateway = start("vm-evac-cold", &store);
+    wait_until("it serves", || is_served(&gateway));
+    std::thread::sleep(Duration::from_millis(2_500));
+    store.evacuate(&["zone-a"]);
+    std::thread::sleep(KNOWN);
+    store.evacuate(&[]);
+    std::thread::sleep(KNOWN);
+    near.forget();
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        assert!(is_served(&gateway));
+    }
+    assert!(near.seen().len() <= 17, "{} requests in a second", near.seen().len());
+    wait_until("it is used as before", || is_served(&gateway) && near.seen().len() > 40);
+}
