All VMs together send a cold target what it bears; fallen targets are left out; evacuated zones get nothing

Cause: each of 74 VMs knows only its own requests, so a target that came back cold got 19 requests in a second, fell over 0.7 s later, was asked for 2.4 s longer by every VM, and its load felled the next one; an evacuated zone was not known at all. Change: two VMs of a target's zone, by rendezvous hashing over the VMs that the holder of the mandate tells, send to it while it is cold, each from a bucket that needs nobody's word; every VM has an equal part of what a cold owner of keys bears. Cold targets own no keys while half of a service is warm. A VM leaves a target that refused it a connection out for 2.5 s and reckons with it being cold after that, unless four of its zone did so at once. An evacuated zone gets nothing at once, its owners for 2.5 s more, while their keys move; a zone that is taken back counts as cold. (id, born) is one life of a target. Ruled out: the same without telling cut-off zones from fallen targets: requests for keys of a zone that was cut with resets were refused for 5.5 s after it healed.

--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -8,12 +8,15 @@
 use nickellead_time::BootClock;
 
 use super::ControlDuty;
-use crate::{OrderPort, StorePort, TargetEntry, TargetList, TargetState};
+use crate::{OrderPort, ServiceRule, StorePort, TargetEntry, TargetList, TargetState};
 
 /// Targets of a new service are taken to be complete when none came for this long.
 const ARRIVAL_TIME: Duration = Duration::from_millis(1_200);
 /// Answers from which a target's speed is known: fewer may all have been long or short by chance.
 const SPEED_ANSWERS: u32 = 8;
+/// Cold targets own no keys while at least this part of a service is warm: a cold one bears a request in
+/// five or so of what a warm one does, and falls over for a hot key.
+const WARM_PART_LEAST: f64 = 0.5;
 /// No target counts as more than this many times faster or slower than the usual one.
 const SPEED_FACTOR_MOST: f64 = 3.0;
 
@@ -30,10 +33,40 @@
             false => HashMap::new(),
         };
         divided
-            .map(|(service, _)| (service.clone(), owner_candidates(service, &targets, &speeds)))
+            .map(|(service, rule)| {
+                let usable = self.usable_owners(service, rule, &targets);
+                (service.clone(), owner_candidates(&usable, &speeds))
+            })
             .collect()
     }
 
+    /// The targets of a service that may own ranges: those that stay, outside evacuated zones, and the
+    /// cold ones only while too few others are there.
+    fn usable_owners<'a>(
+        &self,
+        service: &str,
+        rule: &ServiceRule,
+        targets: &'a TargetList,
+    ) -> Vec<&'a TargetEntry> {
+        let mut zones = self.zones.borrow_mut();
+        let now = BootClock.now();
+        zones.take(&self.book.evacuations().value, now);
+        let is_open = |target: &&TargetEntry| {
+            let ready = target.service == service && target.state == TargetState::Ready;
+            ready && !zones.is_evacuated(&target.zone)
+        };
+        let open: Vec<&TargetEntry> = targets.values().filter(is_open).collect();
+        let Some(cold) = self.cold.and(rule.cold) else { return open };
+        let is_warm = |target: &&&TargetEntry| {
+            let returned = zones.returned(&target.zone);
+            let turned = returned.is_some_and(|since| now.since(since) < cold.length);
+            !turned && self.book.cold_left(target).is_zero()
+        };
+        let warm: Vec<&TargetEntry> = open.iter().filter(is_warm).copied().collect();
+        let enough = warm.len() as f64 >= open.len() as f64 * WARM_PART_LEAST;
+        if enough { warm } else { open }
+    }
+
     /// Time of an unhurried answer by target, in milliseconds, of those that have shown it.
     fn known_speeds(&self) -> HashMap<String, f64> {
         let figures = self.figures.borrow();
@@ -72,16 +105,8 @@
     }
 }
 
-/// The targets of a service that may own ranges: those that stay.
-fn owner_candidates(
-    service: &str,
-    targets: &TargetList,
-    speeds: &HashMap<String, f64>,
-) -> Vec<OwnerCandidate> {
-    let usable: Vec<_> = targets
-        .values()
-        .filter(|target| target.service == service && target.state == TargetState::Ready)
-        .collect();
+/// These targets as owners, with what each can take.
+fn owner_candidates(usable: &[&TargetEntry], speeds: &HashMap<String, f64>) -> Vec<OwnerCandidate> {
     let known: Vec<f64> =
         usable.iter().filter_map(|target| speeds.get(&target.id).copied()).collect();
     let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
@@ -91,7 +116,7 @@
         _ => 1.0,
     };
     usable
-        .into_iter()
+        .iter()
         .map(|target| OwnerCandidate {
             holder: HolderRecord {
                 id: target.id.clone(),
--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use bincode::{Decode, Encode};
+use nickellead_limit::is_cold_sender;
 
 use crate::load_count::VmMark;
 
@@ -21,3 +22,22 @@
     pub(crate) stamp: HolderStamp,
     pub(crate) vms: BTreeSet<VmMark>,
 }
+
+impl FleetTable {
+    /// Whether a VM is one of those that send to a target of this availability zone while it is cold.
+    ///
+    /// They are the VMs of the zone whose hashes with the target are highest, or of all zones if the zone
+    /// has none: VMs that know the same fleet agree without asking each other, also while they are cut
+    /// off, and a VM that comes or goes changes few of them.
+    pub(crate) fn is_sender(&self, vm: VmMark, target: &str, zone: &str) -> bool {
+        if !self.vms.contains(&vm) {
+            return false;
+        }
+        let has_near = self.vms.iter().any(|one| one.is_of(zone));
+        if has_near && !vm.is_of(zone) {
+            return false;
+        }
+        let rivals = self.vms.iter().filter(|one| !has_near || one.is_of(zone));
+        is_cold_sender(vm.rank(target), rivals.map(|one| one.rank(target)))
+    }
+}
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -100,6 +100,7 @@
         state: Arc::clone(&state),
         drain: Arc::clone(&drain),
         policy: settings.policy,
+        cold: settings.cold,
     })?;
     let parts = ControlParts {
         vm: settings.vm.clone(),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -16,7 +16,7 @@
 use crate::load_count::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::worker::{RequestWorker, WorkerParts};
-use crate::{HeaderNames, PolicySettings};
+use crate::{ColdSettings, HeaderNames, PolicySettings};
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
@@ -41,6 +41,7 @@
     pub(crate) state: Arc<ServeState>,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) policy: PolicySettings,
+    pub(crate) cold: Option<ColdSettings>,
 }
 
 /// Starts the thread.
@@ -69,6 +70,7 @@
         drain: Arc::clone(&parts.drain),
         metrics,
         policy: parts.policy,
+        cold: parts.cold,
     });
     follow_beliefs(&worker, &parts.beliefs);
     for listener in std::iter::once(parts.readiness).chain(parts.metrics) {
@@ -135,9 +137,25 @@
     actix_rt::spawn(async move {
         while targets.changed().await.is_ok() {
             let newest = Arc::clone(&targets.borrow_and_update());
-            updated.set_targets(&newest);
+            updated.set_targets(newest);
         }
     });
+    let (updated, mut evacuations) = (Rc::clone(worker), beliefs.evacuations.clone());
+    actix_rt::spawn(async move {
+        while evacuations.changed().await.is_ok() {
+            let newest = Arc::clone(&evacuations.borrow_and_update());
+            updated.set_evacuations(&newest);
+        }
+    });
+    let (updated, mut fleet) = (Rc::clone(worker), beliefs.fleet.clone());
+    actix_rt::spawn(async move {
+        while fleet.changed().await.is_ok() {
+            let newest = Arc::clone(&fleet.borrow_and_update());
+            updated.set_fleet(newest);
+        }
+    });
+    let warmed = Rc::clone(worker);
+    actix_rt::spawn(async move { warmed.take_in_warmed().await });
     let (updated, mut ranges) = (Rc::clone(worker), beliefs.ranges.clone());
     actix_rt::spawn(async move {
         while ranges.changed().await.is_ok() {
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -1,17 +1,22 @@
 //! The targets of each service as the request path uses them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use nickellead_balance::{TargetOutcome, TargetScore};
 use nickellead_core::Timestamp;
-use nickellead_limit::{AdaptiveLimit, TurnQueue};
+use nickellead_limit::{AdaptiveLimit, ColdBound, ColdGate, ColdShare, TurnQueue};
+use nickellead_range::HolderRecord;
+use nickellead_time::BootClock;
 
 use crate::connections::SharedPool;
-use crate::{TargetEntry, TargetList, TargetState};
+use crate::evacuation::ZoneStates;
+use crate::fleet::FleetTable;
+use crate::load_count::VmMark;
+use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetList, TargetState};
 
 /// What an unknown target is taken to need for an answer, until it has shown it.
 const USUAL_LATENCY: Duration = Duration::from_millis(80);
@@ -31,14 +36,30 @@
 /// The same for members of other zones, for when the near ones are full.
 const FAR_MEMBERS: usize = 4;
 
+/// How long a target that refused this VM a connection is left out while others are there: nobody listens
+/// at its address, and its entry goes after three heartbeats, some three seconds.
+const DOWN_TIME: Duration = Duration::from_millis(2_500);
+
+/// Targets of one zone that may have fallen at the same moment; more are rather cut off.
+const FALLEN_MOST: usize = 3;
+
 /// One target with what this VM has learned of it.
 pub(crate) struct TargetMember {
     pub(crate) id: String,
+    pub(crate) born: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) zone: String,
     pub(crate) slots: u32,
     pub(crate) state: Cell<TargetState>,
-    pub(crate) cold_until: Cell<Instant>,
+    /// What its entry last said of how much longer it is cold.
+    told_cold: Cell<Duration>,
+    /// What its targets bear while they are cold.
+    cold_rule: Cell<Option<ColdRule>>,
+    pub(crate) cold: ColdGate,
+    /// Whether it owns keys.
+    divided: Cell<bool>,
+    /// Until when it is left out because it refused a connection.
+    down_until: Cell<Timestamp>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) limit: Cell<AdaptiveLimit>,
     /// Requests that wait for this very target.
@@ -57,6 +78,33 @@
         self.limit.get().has_room(self.score.borrow().running)
     }
 
+    /// Whether it refused this VM a connection a moment ago.
+    pub(crate) fn is_down(&self, now: Timestamp) -> bool {
+        now < self.down_until.get()
+    }
+
+    /// Learns that nobody listens at its address.
+    fn note_down(&self, now: Timestamp) {
+        self.down_until.set(now + DOWN_TIME);
+    }
+
+    /// Reckons with it being cold until then.
+    fn expect_cold(&self, until: Timestamp, now: Timestamp) {
+        if self.cold.until() < until {
+            self.cold.set_until(until, now);
+        }
+    }
+
+    /// Takes over its entry as it is listed now.
+    fn note_listed(&self, entry: &TargetEntry, now: Timestamp) {
+        self.state.set(entry.state);
+        // An old entry's time does not begin again with each list.
+        if self.told_cold.replace(entry.cold_left) != entry.cold_left {
+            self.cold.set_until(now + entry.cold_left, now);
+            self.down_until.set(Timestamp::ZERO);
+        }
+    }
+
     /// Learns how a try ended.
     pub(crate) fn note_outcome(&self, outcome: TargetOutcome, now: Timestamp) {
         self.score.borrow_mut().note(outcome, now);
@@ -103,6 +151,42 @@
     }
 }
 
+/// What decides which targets get requests, beside their entries.
+pub(crate) struct RosterRules<'a> {
+    pub(crate) services: &'a BTreeMap<String, ServiceRule>,
+    pub(crate) bounds: Option<ColdSettings>,
+    pub(crate) fleet: &'a FleetTable,
+    pub(crate) zones: &'a ZoneStates,
+}
+
+impl RosterRules<'_> {
+    /// What the targets of a service bear while they are cold, if that is bounded.
+    fn cold_rule(&self, service: &str) -> Option<ColdRule> {
+        self.bounds.and(self.services.get(service)?.cold)
+    }
+
+    /// Whether each key of a service has one owner.
+    fn is_divided(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|rule| rule.divided)
+    }
+
+    /// This VM's share of what a target bears while it is cold.
+    fn cold_share(&self, vm: VmMark, entry: &TargetEntry) -> ColdShare {
+        let (Some(bounds), Some(rule)) = (self.bounds, self.cold_rule(&entry.service)) else {
+            return ColdShare::Unbounded;
+        };
+        let most = rule.rate * bounds.overage + bounds.slack;
+        let bound = ColdBound { rate: rule.rate, most };
+        if self.is_divided(&entry.service) {
+            return ColdShare::of_everyone(bound, self.fleet.vms.len());
+        }
+        match self.fleet.is_sender(vm, &entry.id, &entry.zone) {
+            true => ColdShare::of_sender(bound),
+            false => ColdShare::Nothing,
+        }
+    }
+}
+
 /// All members by service and by identity.
 #[derive(Default)]
 pub(crate) struct TargetRoster {
@@ -121,32 +205,57 @@
     }
 
     /// The roster of a new list; members that stay keep what was learned.
-    pub(crate) fn rebuild(&self, list: &TargetList) -> Self {
+    pub(crate) fn rebuild(&self, list: &TargetList, rules: &RosterRules<'_>) -> Self {
+        let now = BootClock.now();
+        let mark = VmMark::of(&self.vm, &self.zone);
         let mut roster = Self::new(self.vm.clone(), self.zone.clone());
         for entry in list.values() {
-            let member = match self.by_id.get(&entry.id) {
-                Some(member) if member.address == entry.address => Rc::clone(member),
-                _ => Rc::new(new_member(entry)),
-            };
-            member.state.set(entry.state);
-            member.cold_until.set(Instant::now() + entry.cold_left);
+            let member = self.member_of(entry, now);
+            member.cold_rule.set(rules.cold_rule(&entry.service));
+            member.divided.set(rules.is_divided(&entry.service));
+            member.cold.set_share(rules.cold_share(mark, entry), now);
+            if let (Some(rule), Some(returned)) =
+                (member.cold_rule.get(), rules.zones.returned(&entry.zone))
+            {
+                member.expect_cold(returned + rule.length, now);
+            }
             roster.by_id.insert(entry.id.clone(), Rc::clone(&member));
-            if entry.state == TargetState::Ready {
+            if rules.zones.is_evacuated(&entry.zone) {
+                member.pool.clear();
+            } else if entry.state == TargetState::Ready {
                 roster.by_service.entry(entry.service.clone()).or_default().push(member);
             }
         }
         for (service, members) in &roster.by_service {
-            let subset = choose_subset(&roster.vm, &roster.zone, members);
+            let subset = choose_subset(&roster.vm, &roster.zone, members, now);
             roster.subsets.insert(service.clone(), subset);
         }
         for (id, member) in &self.by_id {
-            if !roster.by_id.contains_key(id) {
+            if !roster.by_id.get(id).is_some_and(|kept| Rc::ptr_eq(kept, member)) {
                 member.pool.clear();
             }
         }
         roster
     }
 
+    /// The member of an entry; another life of a target is another member.
+    fn member_of(&self, entry: &TargetEntry, now: Timestamp) -> Rc<TargetMember> {
+        let known = self.by_id.get(&entry.id);
+        match known.filter(|one| one.address == entry.address && one.born == entry.born) {
+            Some(member) => {
+                member.note_listed(entry, now);
+                Rc::clone(member)
+            }
+            None => Rc::new(new_member(entry, phase(&self.vm, &entry.id), now)),
+        }
+    }
+
+    /// When the next target that is bounded while it is cold gets warm.
+    pub(crate) fn next_warm(&self, now: Timestamp) -> Option<Timestamp> {
+        let cold = self.by_id.values().filter(|member| member.cold_rule.get().is_some());
+        cold.map(|member| member.cold.until()).filter(|until| *until > now).min()
+    }
+
     /// Whether no target at all is known.
     pub(crate) fn is_empty(&self) -> bool {
         self.by_id.is_empty()
@@ -162,9 +271,25 @@
         self.subsets.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// One member, if it takes requests.
-    pub(crate) fn find(&self, id: &str) -> Option<&Rc<TargetMember>> {
-        self.by_id.get(id).filter(|member| member.state.get() == TargetState::Ready)
+    /// The member that is this holder of keys, if it takes requests.
+    pub(crate) fn find(&self, holder: &HolderRecord) -> Option<&Rc<TargetMember>> {
+        let member = self.by_id.get(&holder.id)?;
+        let same = member.born == holder.born;
+        (same && member.state.get() == TargetState::Ready).then_some(member)
+    }
+
+    /// Learns that nobody listens at a member's address: if it has fallen, it is cold once it is back.
+    ///
+    /// Its entry tells so, but not while it is cut off from the store. Several in one zone at once are
+    /// rather cut off from this VM, and then to reckon with cold ones would leave the zone unused after
+    /// the cut. An owner of keys that starts again holds none until its entry is known.
+    pub(crate) fn note_down(&self, member: &TargetMember, now: Timestamp) {
+        member.note_down(now);
+        let Some(rule) = member.cold_rule.get().filter(|_| !member.divided.get()) else { return };
+        let in_zone = self.by_id.values().filter(|one| one.zone == member.zone);
+        if in_zone.filter(|one| one.is_down(now)).count() <= FALLEN_MOST {
+            member.expect_cold(now + DOWN_TIME + rule.length, now);
+        }
     }
 
     /// Connections opened to all members.
@@ -174,15 +299,30 @@
 }
 
 /// The members with the highest hash of VM and target: VMs get different parts, and a member that
-/// comes or goes changes few of them.
-fn choose_subset(vm: &str, zone: &str, members: &[Rc<TargetMember>]) -> Vec<Rc<TargetMember>> {
-    let mut ranked: Vec<_> = members.iter().map(|member| (rank(vm, &member.id), member)).collect();
+/// comes or goes changes few of them. Besides, the cold ones that this VM helps to warm.
+fn choose_subset(
+    vm: &str,
+    zone: &str,
+    members: &[Rc<TargetMember>],
+    now: Timestamp,
+) -> Vec<Rc<TargetMember>> {
+    let is_bounded =
+        |member: &&Rc<TargetMember>| member.cold_rule.get().is_some() && member.cold.is_cold(now);
+    let (cold, warm): (Vec<_>, Vec<_>) = members.iter().partition(is_bounded);
+    let warmed = cold.into_iter().filter(|member| member.cold.sends()).map(Rc::clone);
+    let mut ranked: Vec<_> =
+        warm.into_iter().map(|member| (rank(vm, &member.id), member)).collect();
     ranked.sort_by_key(|(rank, _)| *rank);
     let of_zone = |near: bool, most: usize| {
         let chosen = ranked.iter().filter(move |(_, member)| (member.zone == zone) == near);
         chosen.take(most).map(|(_, member)| Rc::clone(member))
     };
-    of_zone(true, NEAR_MEMBERS).chain(of_zone(false, FAR_MEMBERS)).collect()
+    of_zone(true, NEAR_MEMBERS).chain(of_zone(false, FAR_MEMBERS)).chain(warmed).collect()
+}
+
+/// A part of one that differs from VM to VM.
+fn phase(vm: &str, target: &str) -> f64 {
+    rank(vm, target) as f64 / u64::MAX as f64
 }
 
 fn rank(vm: &str, target: &str) -> u64 {
@@ -192,14 +332,19 @@
     )
 }
 
-fn new_member(entry: &TargetEntry) -> TargetMember {
+fn new_member(entry: &TargetEntry, phase: f64, now: Timestamp) -> TargetMember {
     TargetMember {
         id: entry.id.clone(),
+        born: entry.born,
         address: entry.address,
         zone: entry.zone.clone(),
         slots: entry.slots,
         state: Cell::new(entry.state),
-        cold_until: Cell::new(Instant::now() + entry.cold_left),
+        divided: Cell::new(false),
+        told_cold: Cell::new(entry.cold_left),
+        cold_rule: Cell::new(None),
+        cold: ColdGate::new(now + entry.cold_left, phase, now),
+        down_until: Cell::new(Timestamp::ZERO),
         score: RefCell::new(TargetScore::new(USUAL_LATENCY)),
         limit: Cell::new(AdaptiveLimit::new(LIMIT_START, entry.slots * LIMIT_FACTOR)),
         turns: TurnQueue::default(),
--- a/crates/nickellead_gateway/src/worker/answers.rs
+++ b/crates/nickellead_gateway/src/worker/answers.rs
@@ -148,7 +148,7 @@
     beliefs: &WorkerBeliefs,
     planned: &'a PlannedRequest,
 ) -> Option<(&'a str, &'a u16)> {
-    let divided = |part: &&RoutePart| beliefs.divided.contains(&part.service);
+    let divided = |part: &&RoutePart| beliefs.is_divided(&part.service);
     let part = planned.route.rule.parts.iter().find(divided)?;
     Some((&part.service, planned.key.as_ref()?))
 }
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -34,10 +34,16 @@
                 continue;
             }
             let member = chosen?;
+            let now = BootClock.now();
+            if !member.cold.may_send(now) {
+                // Its keys have no other owner, and it would fall over for more.
+                return Err(ErrorKind::Overloaded);
+            }
             if member.has_room() {
+                member.cold.note_sent(now);
                 return Ok(member);
             }
-            let divided = self.beliefs.borrow().divided.contains(service);
+            let divided = self.beliefs.borrow().is_divided(service);
             let service_queue = self.queue(service);
             let queue = if divided { &member.turns } else { &*service_queue };
             let ahead = match divided {
@@ -101,31 +107,35 @@
         service: &str,
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
-        let divided = self.beliefs.borrow().divided.contains(service);
-        if divided {
+        if self.beliefs.borrow().is_divided(service) {
             let key = planned.key.ok_or(ErrorKind::KeyMissing)?;
             return self.wait_for_owner(planned, service, key, state).await;
         }
-        self.balance(service, &state.tried).ok_or(ErrorKind::NoTarget)
+        self.balance(service, &state.tried)
     }
 
-    fn balance(&self, service: &str, tried: &[String]) -> Option<Rc<TargetMember>> {
+    fn balance(&self, service: &str, tried: &[String]) -> Result<Rc<TargetMember>, ErrorKind> {
         let beliefs = self.beliefs.borrow();
+        let now = BootClock.now();
+        let usable =
+            |member: &&Rc<TargetMember>| !tried.contains(&member.id) && member.cold.may_send(now);
         let part = match self.policy.subsets.is_on() {
             true => beliefs.roster.subset(service),
             false => beliefs.roster.members(service),
         };
-        let mut fresh: Vec<&Rc<TargetMember>> =
-            part.iter().filter(|member| !tried.contains(&member.id)).collect();
-        if !fresh.iter().any(|member| member.has_room()) {
-            let all = beliefs.roster.members(service);
-            fresh = all.iter().filter(|member| !tried.contains(&member.id)).collect();
+        let all = beliefs.roster.members(service);
+        let mut fresh: Vec<&Rc<TargetMember>> = part.iter().filter(usable).collect();
+        let has_room = |member: &&Rc<TargetMember>| member.has_room() && !member.is_down(now);
+        if !fresh.iter().any(has_room) {
+            fresh = all.iter().filter(usable).collect();
+        }
+        if fresh.iter().any(|member| !member.is_down(now)) {
+            fresh.retain(|member| !member.is_down(now));
         }
         if fresh.iter().any(|member| member.has_room()) {
             fresh.retain(|member| member.has_room());
         }
         let scores: Vec<_> = fresh.iter().map(|member| member.score.borrow()).collect();
-        let now = Instant::now();
         let candidates: Vec<Candidate<'_>> = fresh
             .iter()
             .zip(&scores)
@@ -133,7 +143,7 @@
                 score,
                 slots: member.slots,
                 near: member.zone == self.zone,
-                cold: now < member.cold_until.get(),
+                cold: member.cold.is_cold(now),
             })
             .collect();
         let rules = ChoiceRules {
@@ -141,8 +151,9 @@
             near_first: self.policy.near_preference.is_on(),
             cold_last: self.policy.cold_avoidance.is_on(),
         };
-        let place = choose(&candidates, rules, BootClock.now(), &mut self.rng.borrow_mut())?;
-        Some(Rc::clone(fresh[place]))
+        let chosen = choose(&candidates, rules, now, &mut self.rng.borrow_mut());
+        let kind = if all.is_empty() { ErrorKind::NoTarget } else { ErrorKind::Overloaded };
+        chosen.map(|place| Rc::clone(fresh[place])).ok_or(kind)
     }
 
     /// The owner of a key; waits a bounded time while its range moves.
@@ -172,7 +183,7 @@
         let Some(range) = beliefs.ranges.find(service, key) else { return false };
         let owner = range.owner.as_ref().filter(|_| range.settled);
         let mut ownerless = self.ownerless.borrow_mut();
-        if owner.is_some_and(|owner| beliefs.roster.find(&owner.id).is_some()) {
+        if owner.is_some_and(|owner| beliefs.roster.find(owner).is_some()) {
             ownerless.remove(&range.fence);
             return false;
         }
@@ -185,6 +196,8 @@
         let beliefs = self.beliefs.borrow();
         let range = beliefs.ranges.find(service, key).filter(|range| range.settled)?;
         let owner = range.owner.as_ref().filter(|owner| !state.misdirected.contains(&owner.id))?;
-        beliefs.roster.find(&owner.id).map(Rc::clone)
+        let member = beliefs.roster.find(owner)?;
+        let asked = !beliefs.zones.is_closed(&member.zone, BootClock.now());
+        asked.then(|| Rc::clone(member))
     }
 }
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -10,6 +10,7 @@
 
 use super::{NextStep, RequestWorker, TryState};
 use crate::RepeatClass;
+use crate::connections::ConnectFailure;
 use crate::exchange::{LossReason, TargetAnswer, TryResult};
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
@@ -67,7 +68,12 @@
             }
             // Its beliefs about keys differ, which says nothing of its health.
             TryResult::Misdirected => {}
-            TryResult::NotSent(_) => member.note_outcome(TargetOutcome::Broken, now),
+            TryResult::NotSent(failure) => {
+                if *failure == ConnectFailure::Refused {
+                    self.beliefs.borrow().roster.note_down(member, now);
+                }
+                member.note_outcome(TargetOutcome::Broken, now);
+            }
             TryResult::Lost(_) => {
                 self.keys.note_lost(&member.id);
                 member.note_refusal();
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -14,7 +14,7 @@
 mod tries;
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,20 +25,26 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::TurnQueue;
 use nickellead_range::RangeMap;
+use nickellead_time::BootClock;
 use tokio::sync::Notify;
 
 use self::answers::pass_on;
 use crate::admission::{AdmissionBelief, AdmissionTable};
 use crate::drain::DrainState;
+use crate::evacuation::ZoneStates;
 use crate::exchange::TargetAnswer;
+use crate::fleet::FleetTable;
 use crate::incoming::{PlannedRequest, plan_request};
 use crate::load_count::LoadCounter;
 use crate::metrics::GatewayMetrics;
 use crate::retry_share::RetryShare;
-use crate::roster::TargetRoster;
+use crate::roster::{RosterRules, TargetRoster};
 use crate::route_table::RouteTable;
 use crate::waiting::wait_for;
-use crate::{CallerLimits, Declarations, HeaderNames, PolicySettings, TargetList};
+use crate::{
+    CallerLimits, ColdSettings, Declarations, EvacuatedZones, HeaderNames, PolicySettings,
+    ServiceRule, TargetList,
+};
 
 /// Kept of the caller's time for the way back of an answer.
 const RETURN_TIME: Duration = Duration::from_millis(4);
@@ -55,8 +61,10 @@
 struct WorkerBeliefs {
     /// Version of the declarations; `None` before the first ones.
     version: Option<u64>,
-    /// Services whose keys have one owner each.
-    divided: HashSet<String>,
+    services: BTreeMap<String, ServiceRule>,
+    list: Arc<TargetList>,
+    fleet: Arc<FleetTable>,
+    zones: ZoneStates,
     limits: CallerLimits,
     table: Rc<RouteTable>,
     roster: TargetRoster,
@@ -65,6 +73,24 @@
     taken: BeliefTimes,
 }
 
+impl WorkerBeliefs {
+    /// Makes the roster anew of what is believed now.
+    fn rebuild_roster(&mut self, bounds: Option<ColdSettings>) {
+        let rules = RosterRules {
+            services: &self.services,
+            bounds,
+            fleet: &self.fleet,
+            zones: &self.zones,
+        };
+        self.roster = self.roster.rebuild(&self.list, &rules);
+    }
+
+    /// Whether each key of a service has one owner.
+    fn is_divided(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|rule| rule.divided)
+    }
+}
+
 /// When each belief was taken over, for logs.
 #[derive(Clone, Copy)]
 struct BeliefTimes {
@@ -83,6 +109,7 @@
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) policy: PolicySettings,
+    pub(crate) cold: Option<ColdSettings>,
 }
 
 /// The request path of one VM.
@@ -102,6 +129,8 @@
     drain: Arc<DrainState>,
     metrics: GatewayMetrics,
     policy: PolicySettings,
+    /// What all VMs together may send a cold target.
+    cold: Option<ColdSettings>,
 }
 
 /// What is known of a request between its tries.
@@ -133,7 +162,10 @@
         let started = Instant::now();
         let beliefs = WorkerBeliefs {
             version: None,
-            divided: HashSet::new(),
+            services: BTreeMap::new(),
+            list: Arc::default(),
+            fleet: Arc::default(),
+            zones: ZoneStates::default(),
             limits: CallerLimits::default(),
             table: Rc::default(),
             roster: TargetRoster::new(parts.vm, parts.zone.clone()),
@@ -154,6 +186,7 @@
             drain: parts.drain,
             metrics: parts.metrics,
             policy: parts.policy,
+            cold: parts.cold,
         })
     }
 
@@ -166,8 +199,10 @@
         let started = Instant::now();
         beliefs.table = Rc::new(RouteTable::build(declarations, &beliefs.table));
         log_built(declarations, started.elapsed());
-        let divided = declarations.services.iter().filter(|(_, rule)| rule.divided);
-        beliefs.divided = divided.map(|(name, _)| name.clone()).collect();
+        if beliefs.services != declarations.services {
+            beliefs.services.clone_from(&declarations.services);
+            beliefs.rebuild_roster(self.cold);
+        }
         beliefs.limits = declarations.limits;
         beliefs.version = Some(declarations.version);
         beliefs.taken.declarations = Instant::now();
@@ -175,13 +210,39 @@
     }
 
     /// Takes over the list of targets.
-    pub(crate) fn set_targets(&self, list: &TargetList) {
+    pub(crate) fn set_targets(&self, list: Arc<TargetList>) {
         let mut beliefs = self.beliefs.borrow_mut();
-        beliefs.roster = beliefs.roster.rebuild(list);
+        beliefs.list = list;
+        beliefs.rebuild_roster(self.cold);
         beliefs.taken.targets = Instant::now();
         self.changed.notify_waiters();
     }
 
+    /// Takes over which availability zones are evacuated.
+    pub(crate) fn set_evacuations(&self, zones: &EvacuatedZones) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.zones.take(zones, BootClock.now());
+        beliefs.rebuild_roster(self.cold);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes over which VMs take requests.
+    pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.fleet = fleet;
+        beliefs.rebuild_roster(self.cold);
+    }
+
+    /// Takes targets into this VM's part of their services as they get warm.
+    pub(crate) async fn take_in_warmed(&self) {
+        loop {
+            let next = || self.beliefs.borrow().roster.next_warm(BootClock.now());
+            let warm = wait_for(&self.changed, next).await;
+            tokio::time::sleep(warm.since(BootClock.now())).await;
+            self.beliefs.borrow_mut().rebuild_roster(self.cold);
+        }
+    }
+
     /// Takes over the map of ranges.
     pub(crate) fn set_ranges(&self, ranges: Arc<RangeMap>) {
         {
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -66,7 +66,7 @@
     fn note_request(&self, planned: &PlannedRequest, service: &str) {
         self.retries.borrow_mut().note_request(service);
         if let Some(key) = planned.key
-            && self.beliefs.borrow().divided.contains(service)
+            && self.beliefs.borrow().is_divided(service)
         {
             self.keys.note(service, key);
         }
--- /dev/null
+++ b/crates/nickellead_limit/src/cold.rs
@@ -0,0 +1,188 @@
+//! What one VM may send a target that is cold: its share of what the target bears from all VMs.
+//!
+//! A cold target falls over for a few times what it bears, and what it would have served then falls on
+//! others. Hundreds of VMs each see a part of the requests, and some may be cut off from all others, so a
+//! bound on what all of them send can't rest on what any of them hears: it rests on who they are. For a
+//! target that any VM may leave out, a few VMs send and all others send nothing. An owner of keys is asked
+//! by every VM, each of which has an equal part of what it bears.
+
+use std::cell::Cell;
+
+use nickellead_core::Timestamp;
+
+/// VMs that send to a cold target which others can stand in for.
+///
+/// One of them may stop or be cut off, and the target is warmed all the same; each more has a request of
+/// its own to begin with, which is what a target that bears six a second bears in a sixth of one.
+pub const COLD_SENDERS: usize = 2;
+/// Part of what may reach a cold target in a second that VMs of one mind send it: while they learn of a
+/// VM that came or went, there are two minds about who sends.
+const AGREED_PART: f64 = 0.5;
+
+/// What a target bears from all VMs together while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBound {
+    /// Requests a second, on average.
+    pub rate: f64,
+    /// Most requests in any one second.
+    pub most: f64,
+}
+
+impl ColdBound {
+    /// Requests a second that VMs of one mind send.
+    fn agreed_rate(&self) -> f64 {
+        self.rate.min(self.most * AGREED_PART)
+    }
+}
+
+/// Whether a VM is one of the [`COLD_SENDERS`] of a target, by its rank there and the ranks of all others.
+pub fn is_cold_sender(rank: u64, others: impl Iterator<Item = u64>) -> bool {
+    others.filter(|other| *other > rank).take(COLD_SENDERS).count() < COLD_SENDERS
+}
+
+/// What a VM may send a cold target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ColdShare {
+    /// As much as a warm one.
+    Unbounded,
+    /// Nothing: other VMs warm it.
+    Nothing,
+    /// One request at once and this many a second.
+    Sender(f64),
+    /// This many a second, and a part of a request to begin with: every VM may have requests for the keys
+    /// that the target owns.
+    Everyone(f64),
+}
+
+impl ColdShare {
+    /// The share of one of [`COLD_SENDERS`] VMs.
+    #[must_use]
+    pub fn of_sender(bound: ColdBound) -> Self {
+        let senders = COLD_SENDERS as f64;
+        // Each of them may begin with a whole request.
+        let rate = bound.rate.min(bound.most * AGREED_PART - senders).max(0.0);
+        Self::Sender(rate / senders)
+    }
+
+    /// The share of one of this many VMs that ask an owner for its keys.
+    #[must_use]
+    pub fn of_everyone(bound: ColdBound, vms: usize) -> Self {
+        match vms {
+            0 => Self::Nothing,
+            _ => Self::Everyone(bound.agreed_rate() / vms as f64),
+        }
+    }
+
+    /// Requests a second.
+    fn rate(self) -> f64 {
+        match self {
+            Self::Unbounded => f64::INFINITY,
+            Self::Nothing => 0.0,
+            Self::Sender(rate) | Self::Everyone(rate) => rate,
+        }
+    }
+
+    /// Requests to begin with.
+    fn first(self, phase: f64) -> f64 {
+        match self {
+            Self::Unbounded | Self::Sender(_) => 1.0,
+            Self::Nothing => 0.0,
+            Self::Everyone(_) => phase,
+        }
+    }
+}
+
+/// A bucket of requests for one target that refills while the target is cold.
+#[derive(Debug)]
+pub struct ColdGate {
+    until: Cell<Timestamp>,
+    share: Cell<ColdShare>,
+    phase: f64,
+    tokens: Cell<f64>,
+    filled: Cell<Timestamp>,
+}
+
+impl ColdGate {
+    /// The gate of a target that is cold until then.
+    ///
+    /// `phase` from 0 to 1 differs from VM to VM, so that their parts of a request are not whole all at
+    /// the same time.
+    #[must_use]
+    pub fn new(until: Timestamp, phase: f64, now: Timestamp) -> Self {
+        Self {
+            until: Cell::new(until),
+            share: Cell::new(ColdShare::Unbounded),
+            phase,
+            tokens: Cell::new(0.0),
+            filled: Cell::new(now),
+        }
+    }
+
+    /// Until when the target is cold.
+    #[must_use]
+    pub fn until(&self) -> Timestamp {
+        self.until.get()
+    }
+
+    /// Whether the target is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.until.get()
+    }
+
+    /// Whether the target is cold, and what it is sent meanwhile is bounded.
+    #[must_use]
+    pub fn is_bounded(&self, now: Timestamp) -> bool {
+        self.is_cold(now) && self.share.get() != ColdShare::Unbounded
+    }
+
+    /// Whether this VM sends to the target at all while it is cold.
+    #[must_use]
+    pub fn sends(&self) -> bool {
+        self.share.get() != ColdShare::Nothing
+    }
+
+    /// Notes until when the target is cold; one that was warm begins with a new bucket.
+    pub fn set_until(&self, until: Timestamp, now: Timestamp) {
+        if !self.is_cold(now) {
+            self.restart(now);
+        }
+        self.until.set(until);
+    }
+
+    /// Notes this VM's share; another kind of share begins with a new bucket.
+    pub fn set_share(&self, share: ColdShare, now: Timestamp) {
+        let known = self.share.replace(share);
+        if std::mem::discriminant(&known) != std::mem::discriminant(&share) {
+            self.restart(now);
+        }
+    }
+
+    fn restart(&self, now: Timestamp) {
+        self.tokens.set(self.share.get().first(self.phase));
+        self.filled.set(now);
+    }
+
+    /// Whether one more request may be sent now.
+    #[must_use]
+    pub fn may_send(&self, now: Timestamp) -> bool {
+        if !self.is_bounded(now) {
+            return true;
+        }
+        self.refill(now);
+        self.tokens.get() >= 1.0
+    }
+
+    /// Counts a request that is sent.
+    pub fn note_sent(&self, now: Timestamp) {
+        if self.is_bounded(now) {
+            self.tokens.set(self.tokens.get() - 1.0);
+        }
+    }
+
+    fn refill(&self, now: Timestamp) {
+        let grown = now.since(self.filled.replace(now)).as_secs_f64();
+        let tokens = self.tokens.get() + grown * self.share.get().rate();
+        self.tokens.set(tokens.min(1.0));
+    }
+}
--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -5,14 +5,17 @@
 //! that find no target with room wait in a [`TurnQueue`], the most urgent first.
 //! [`OwnerAdmission`] is what all VMs together may send to an owner of keys, for fleets on which no
 //! VM sees enough of it.
+//! [`ColdGate`] bounds what all VMs together send a target that has just started.
 //! [`CallerPatience`] tells how long a caller has been trying before.
 
 mod adaptive;
 mod admission;
+mod cold;
 mod patience;
 mod queue;
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionShares, OwnerAdmission, OwnerReport, share_out};
+pub use cold::{COLD_SENDERS, ColdBound, ColdGate, ColdShare, is_cold_sender};
 pub use patience::CallerPatience;
 pub use queue::{Turn, TurnQueue};
