--- a/crates/nickellead_range/tests/lateness.rs
+++ b/crates/nickellead_range/tests/lateness.rs
@@ -125,3 +125,29 @@
     };
     assert!(verdict(40, 2, outcome));
 }
+
+/// Pattern: a holder takes over while a few owners have more than they can do: their queues hold its orders up
+/// for longer than it waits, round after round.
+///
+/// Six of 66 were taken for late orders at all targets, and the keys of 38 targets that were lost at that
+/// moment had no owner for 16 s.
+#[test]
+fn a_few_busy_owners_are_not_lateness() {
+    let outcome = |place: u32, round: u64| match place {
+        0 if round < 3 => OrderOutcome::Unanswered,
+        place if place < 6 && round == 0 => OrderOutcome::Unanswered,
+        _ => OrderOutcome::Done(None),
+    };
+    assert!(!verdict(66, 2, outcome));
+    assert!(!verdict(66, 4, outcome));
+}
+
+/// A tenth of the orders to 66 targets is left unanswered.
+#[test]
+fn few_late_orders_at_many_targets_are_seen() {
+    let outcome = |place: u32, round: u64| match (place + round as u32 * 7).is_multiple_of(10) {
+        true => OrderOutcome::Unanswered,
+        false => OrderOutcome::Done(None),
+    };
+    assert!(verdict(66, 4, outcome));
+}
