A target's silence counts as a late order once the target has answered after it

Cause: targets that had answered a new holder once and were lost a moment later counted as working, so their silence, beside a few busy owners that answered late, was taken for late orders at all targets; the keys of lost targets then waited 12.5 s and more (late_orders=true from 5.6 s to 24 s in the trace). Change: silences are counted only of targets that answered later. Ruled out: a least part of the targets beside the part of the orders (the lost ones exceed it as well).

--- a/crates/nickellead_range/src/lateness.rs
+++ b/crates/nickellead_range/src/lateness.rs
@@ -18,7 +18,7 @@
 const WINDOW: Duration = Duration::from_millis(4_000);
 /// Targets that must show the sign within the window.
 const TARGETS_LEAST: usize = 2;
-/// Part of the grants to targets that answered in the window that must be silent.
+/// Part of the grants to targets that work on, in the window, that must be silent.
 const SILENT_PART: f64 = 0.08;
 
 /// What became of one grant.
@@ -119,13 +119,20 @@
         self.outcomes.push_back(GrantOutcome { at, target: target.to_owned(), silent });
     }
 
-    /// Whether a good part of the grants to targets that work met silence.
+    /// Whether a good part of the grants to targets that work on met silence.
+    ///
+    /// A target's silence counts once it has answered after it: one that was lost answered before.
     fn are_many_silent(&self) -> bool {
-        let answered = self.outcomes.iter().filter(|one| !one.silent);
-        let working: BTreeSet<&str> = answered.map(|one| one.target.as_str()).collect();
-        let to_working = self.outcomes.iter().filter(|one| working.contains(one.target.as_str()));
-        let (silent, all) = to_working
-            .fold((0_u32, 0_u32), |(silent, all), one| (silent + u32::from(one.silent), all + 1));
+        let mut works_on = BTreeSet::new();
+        let (mut silent, mut all) = (0_u32, 0_u32);
+        for outcome in self.outcomes.iter().rev() {
+            if !outcome.silent {
+                works_on.insert(outcome.target.as_str());
+            }
+            let counts = works_on.contains(outcome.target.as_str());
+            silent += u32::from(counts && outcome.silent);
+            all += u32::from(counts);
+        }
         f64::from(silent) >= SILENT_PART * f64::from(all)
     }
 }
