--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -1,6 +1,7 @@
 //! Connections to one target: few are opened, and they are used again while sound.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -75,8 +76,11 @@
 /// Why no connection could be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
-    /// The target's machine refused it, or the network has no way there.
+    /// Nobody listens at the address.
     Refused,
+    /// It was broken as it began, before a byte of the request left: a target may do so to connections
+    /// beyond those that it takes.
+    Broken,
     /// Nothing answered in time.
     Silent,
 }
@@ -85,6 +89,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Refused => "connection-refused",
+            Self::Broken => "connection-broken",
             Self::Silent => "connection-silent",
         }
     }
@@ -121,7 +126,10 @@
         }
         match opened {
             Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
-            Ok(Err(_)) => Err(ConnectFailure::Refused),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Err(ConnectFailure::Refused)
+            }
+            Ok(Err(_)) => Err(ConnectFailure::Broken),
             Err(_) => Err(ConnectFailure::Silent),
         }
     }
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -104,7 +104,7 @@
                 }
                 // The connection had ended before a byte left: take another.
                 if !connection.reused {
-                    return TryResult::NotSent(ConnectFailure::Refused);
+                    return TryResult::NotSent(ConnectFailure::Broken);
                 }
             }
         }
