Targets are shared out evenly by the number of VMs; a zone that is cut off is told by two silences

Change: the holder of the mandate tells which VMs take requests (on all fleets now), and each uses as many targets as come to two requests a slot over all VMs, neighbours on a ring, so that every target has as many VMs as any other; a VM whose part is full waits or refuses instead of going to the others'. Small fleets use eight and four as before. Change: two silent targets with none that answered since speak for their zone; until one answers, a request is let through each 0.3 s and the others go elsewhere or are refused at once.

--- a/crates/nickellead_gateway/src/control/fleet.rs
+++ b/crates/nickellead_gateway/src/control/fleet.rs
@@ -25,11 +25,8 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
-    /// Tells which VMs take requests, if that has changed and anything depends on it.
+    /// Tells which VMs take requests, if that has changed.
     pub(super) fn tell_fleet(&self) {
-        if self.cold.is_none() {
-            return;
-        }
         let Some(taken) = self.book.mandate().map(|mandate| mandate.value.taken) else { return };
         let now = BootClock.now();
         let word = self.fleet_word.get().filter(|word| word.taken == taken);
--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -24,6 +24,18 @@
 }
 
 impl FleetTable {
+    /// Place of a VM among those of its availability zone, and how many these are; `None` for a VM that
+    /// the fleet does not name.
+    pub(crate) fn place_in_zone(&self, vm: VmMark) -> Option<(usize, usize)> {
+        let near = self.vms.iter().filter(|one| one.is_beside(vm));
+        place_among(vm, near)
+    }
+
+    /// The same among all VMs.
+    pub(crate) fn place(&self, vm: VmMark) -> Option<(usize, usize)> {
+        place_among(vm, self.vms.iter())
+    }
+
     /// Whether a VM is one of those that send to a target of this availability zone while it is cold.
     ///
     /// They are the VMs of the zone whose hashes with the target are highest, or of all zones if the zone
@@ -41,3 +53,11 @@
         is_cold_sender(vm.rank(target), rivals.map(|one| one.rank(target)))
     }
 }
+
+fn place_among<'a>(
+    vm: VmMark,
+    all: impl Iterator<Item = &'a VmMark> + Clone,
+) -> Option<(usize, usize)> {
+    let place = all.clone().position(|one| *one == vm)?;
+    Some((place, all.count()))
+}
--- a/crates/nickellead_gateway/src/load_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -41,7 +41,12 @@
         self.zone == short_hash(zone)
     }
 
-    /// The VM's place for a target among all VMs.
+    /// Whether both VMs are in one availability zone.
+    pub(crate) fn is_beside(self, other: Self) -> bool {
+        self.zone == other.zone
+    }
+
+    /// The VM's rank for a target among all VMs.
     pub(crate) fn rank(self, target: &str) -> u64 {
         xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), u64::from(self.vm))
     }
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -1,12 +1,12 @@
 //! The targets of each service as the request path uses them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use nickellead_balance::{TargetOutcome, TargetScore};
+use nickellead_balance::{TargetOutcome, TargetScore, even_part, part_size};
 use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, ColdBound, ColdGate, ColdShare, TurnQueue};
 use nickellead_range::HolderRecord;
@@ -35,6 +35,8 @@
 const NEAR_MEMBERS: usize = 8;
 /// The same for members of other zones, for when the near ones are full.
 const FAR_MEMBERS: usize = 4;
+/// The least members of either kind, however many VMs there are.
+const MEMBERS_LEAST: usize = 2;
 
 /// How long a target that refused this VM a connection is left out while others are there: nobody listens
 /// at its address, and its entry goes after three heartbeats, some three seconds.
@@ -196,6 +198,8 @@
     by_service: HashMap<String, Vec<Rc<TargetMember>>>,
     /// This VM's part of each service.
     subsets: HashMap<String, Vec<Rc<TargetMember>>>,
+    /// Services of which this VM's part is smaller than it would be on a small fleet.
+    shared_out: HashSet<String>,
 }
 
 impl TargetRoster {
@@ -227,7 +231,12 @@
             }
         }
         for (service, members) in &roster.by_service {
-            let subset = choose_subset(&roster.vm, &roster.zone, members, now);
+            let subset = choose_subset(mark, &roster.zone, members, rules.fleet, now);
+            let near = members.iter().filter(|member| member.zone == roster.zone).count();
+            let usual = near.min(NEAR_MEMBERS) + (members.len() - near).min(FAR_MEMBERS);
+            if subset.len() < usual {
+                roster.shared_out.insert(service.clone());
+            }
             roster.subsets.insert(service.clone(), subset);
         }
         for (id, member) in &self.by_id {
@@ -240,13 +249,14 @@
 
     /// The member of an entry; another life of a target is another member.
     fn member_of(&self, entry: &TargetEntry, now: Timestamp) -> Rc<TargetMember> {
+        let phase = VmMark::of(&self.vm, &self.zone).rank(&entry.id) as f64 / u64::MAX as f64;
         let known = self.by_id.get(&entry.id);
         match known.filter(|one| one.address == entry.address && one.born == entry.born) {
             Some(member) => {
                 member.note_listed(entry, now);
                 Rc::clone(member)
             }
-            None => Rc::new(new_member(entry, phase(&self.vm, &entry.id), now)),
+            None => Rc::new(new_member(entry, phase, now)),
         }
     }
 
@@ -271,6 +281,12 @@
         self.subsets.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether VMs are so many for a service that its targets are shared out among them: then a VM whose
+    /// part is full does not go to the others' targets, which would be full as well.
+    pub(crate) fn shares_out(&self, service: &str) -> bool {
+        self.shared_out.contains(service)
+    }
+
     /// The member that is this holder of keys, if it takes requests.
     pub(crate) fn find(&self, holder: &HolderRecord) -> Option<&Rc<TargetMember>> {
         let member = self.by_id.get(&holder.id)?;
@@ -298,38 +314,52 @@
     }
 }
 
-/// The members with the highest hash of VM and target: VMs get different parts, and a member that
-/// comes or goes changes few of them. Besides, the cold ones that this VM helps to warm.
+/// This VM's part of a service: near and far members, and the cold ones that it helps to warm.
 fn choose_subset(
-    vm: &str,
+    vm: VmMark,
     zone: &str,
     members: &[Rc<TargetMember>],
+    fleet: &FleetTable,
     now: Timestamp,
 ) -> Vec<Rc<TargetMember>> {
-    let is_bounded =
-        |member: &&Rc<TargetMember>| member.cold_rule.get().is_some() && member.cold.is_cold(now);
+    let is_bounded = |member: &&Rc<TargetMember>| member.cold.is_bounded(now);
     let (cold, warm): (Vec<_>, Vec<_>) = members.iter().partition(is_bounded);
-    let warmed = cold.into_iter().filter(|member| member.cold.sends()).map(Rc::clone);
-    let mut ranked: Vec<_> =
-        warm.into_iter().map(|member| (rank(vm, &member.id), member)).collect();
-    ranked.sort_by_key(|(rank, _)| *rank);
-    let of_zone = |near: bool, most: usize| {
-        let chosen = ranked.iter().filter(move |(_, member)| (member.zone == zone) == near);
-        chosen.take(most).map(|(_, member)| Rc::clone(member))
+    let warmed = cold.into_iter().filter(|member| member.cold.sends());
+    let (near, far): (Vec<_>, Vec<_>) = warm.into_iter().partition(|member| member.zone == zone);
+    let near_part = match fleet.place_in_zone(vm) {
+        Some((place, vms)) => even_members(near, place, vms, NEAR_MEMBERS),
+        None => ranked_members(vm, near, NEAR_MEMBERS),
+    };
+    let far_part = match fleet.place(vm) {
+        Some((place, vms)) => even_members(far, place, vms, FAR_MEMBERS),
+        None => ranked_members(vm, far, FAR_MEMBERS),
     };
-    of_zone(true, NEAR_MEMBERS).chain(of_zone(false, FAR_MEMBERS)).chain(warmed).collect()
+    near_part.into_iter().chain(far_part).chain(warmed).map(Rc::clone).collect()
 }
 
-/// A part of one that differs from VM to VM.
-fn phase(vm: &str, target: &str) -> f64 {
-    rank(vm, target) as f64 / u64::MAX as f64
+/// An even part of the members for one of `vms` VMs.
+fn even_members<'a>(
+    mut members: Vec<&'a Rc<TargetMember>>,
+    place: usize,
+    vms: usize,
+    most: usize,
+) -> Vec<&'a Rc<TargetMember>> {
+    members.sort_by_cached_key(|member| xxhash_rust::xxh3::xxh3_64(member.id.as_bytes()));
+    let slots = members.iter().map(|member| member.slots).sum();
+    let size = part_size(slots, vms, members.len(), MEMBERS_LEAST, most);
+    even_part(place, vms, members.len(), size).map(|place| members[place]).collect()
 }
 
-fn rank(vm: &str, target: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(
-        target.as_bytes(),
-        xxhash_rust::xxh3::xxh3_64(vm.as_bytes()),
-    )
+/// The members with the highest hash of VM and target: a VM that does not know the fleet takes others than
+/// most VMs do, and a member that comes or goes changes few of them.
+fn ranked_members(
+    vm: VmMark,
+    mut members: Vec<&Rc<TargetMember>>,
+    most: usize,
+) -> Vec<&Rc<TargetMember>> {
+    members.sort_by_cached_key(|member| vm.rank(&member.id));
+    members.truncate(most);
+    members
 }
 
 fn new_member(entry: &TargetEntry, phase: f64, now: Timestamp) -> TargetMember {
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -39,8 +39,12 @@
                 // Its keys have no other owner, and it would fall over for more.
                 return Err(ErrorKind::Overloaded);
             }
+            if !self.reach.may_try(&member.zone, now) {
+                return Err(ErrorKind::TargetUnreachable);
+            }
             if member.has_room() {
                 member.cold.note_sent(now);
+                self.reach.note_try(&member.zone, now);
                 return Ok(member);
             }
             let divided = self.beliefs.borrow().is_divided(service);
@@ -119,18 +123,21 @@
         let now = BootClock.now();
         let usable =
             |member: &&Rc<TargetMember>| !tried.contains(&member.id) && member.cold.may_send(now);
+        let reached = |member: &&Rc<TargetMember>| {
+            usable(member) && !member.is_down(now) && self.reach.may_try(&member.zone, now)
+        };
         let part = match self.policy.subsets.is_on() {
             true => beliefs.roster.subset(service),
             false => beliefs.roster.members(service),
         };
         let all = beliefs.roster.members(service);
-        let mut fresh: Vec<&Rc<TargetMember>> = part.iter().filter(usable).collect();
-        let has_room = |member: &&Rc<TargetMember>| member.has_room() && !member.is_down(now);
-        if !fresh.iter().any(has_room) {
-            fresh = all.iter().filter(usable).collect();
+        let mut fresh: Vec<&Rc<TargetMember>> = part.iter().filter(reached).collect();
+        let full = !fresh.iter().any(|member| member.has_room());
+        if fresh.is_empty() || full && !beliefs.roster.shares_out(service) {
+            fresh = all.iter().filter(reached).collect();
         }
-        if fresh.iter().any(|member| !member.is_down(now)) {
-            fresh.retain(|member| !member.is_down(now));
+        if fresh.is_empty() {
+            fresh = all.iter().filter(usable).collect();
         }
         if fresh.iter().any(|member| member.has_room()) {
             fresh.retain(|member| member.has_room());
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -53,6 +53,7 @@
             false => Duration::MAX,
         };
         let now = BootClock.now();
+        self.learn_reach(member, result, now);
         match result {
             TryResult::Answered(answer) if answer.status.is_server_error() => {
                 member.note_outcome(TargetOutcome::Failed, now);
@@ -83,6 +84,21 @@
     }
 }
 
+impl RequestWorker {
+    /// Learns whether the target's zone can be reached.
+    fn learn_reach(&self, member: &TargetMember, result: &TryResult, now: Timestamp) {
+        match result {
+            TryResult::NotSent(ConnectFailure::Silent) => {
+                self.reach.note_silent(&member.zone, &member.id, now);
+            }
+            TryResult::Answered(_) | TryResult::Shed | TryResult::Misdirected => {
+                self.reach.note_answer(&member.zone);
+            }
+            TryResult::NotSent(_) | TryResult::Lost(_) => {}
+        }
+    }
+}
+
 /// Learns from an answer: how fast the target is, and that it may take more.
 fn note_answer(member: &TargetMember, length: Duration, goal: Duration, now: Timestamp) {
     // The try itself has ended and is counted no more.
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -21,6 +21,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
+use nickellead_balance::ZoneReach;
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::TurnQueue;
@@ -124,6 +125,7 @@
     keys: LoadCounter,
     /// Requests that wait for any target of a service.
     queues: RefCell<HashMap<String, Rc<TurnQueue>>>,
+    reach: ZoneReach,
     /// Ranges that nobody could be asked for, by fence, and since when.
     ownerless: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
@@ -182,6 +184,7 @@
             rng: RefCell::new(fastrand::Rng::new()),
             keys: parts.keys,
             queues: RefCell::default(),
+            reach: ZoneReach::default(),
             ownerless: RefCell::default(),
             drain: parts.drain,
             metrics: parts.metrics,
