--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -24,6 +24,8 @@
 struct StoreState {
     revision: u64,
     calls: u64,
+    /// Those for declarations, targets, ranges and evacuated zones.
+    part_calls: u64,
     /// Questions for declarations, by VM.
     declaration_calls: BTreeMap<String, u64>,
     /// Watches of declarations under way, by VM.
@@ -163,6 +165,11 @@
         *self.state().declaration_calls.entry(self.vm.clone()).or_default() += 1;
     }
 
+    /// Calls for declarations, targets, ranges and evacuated zones.
+    pub fn part_calls_made(&self) -> u64 {
+        self.state().part_calls
+    }
+
     pub fn calls_made(&self) -> u64 {
         self.state().calls
     }
@@ -194,6 +201,12 @@
         Ok(read(&mut state))
     }
 
+    /// A call for a part, counted as such whether it is answered or not.
+    fn call_part<T>(&self, read: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
+        self.state().part_calls += 1;
+        self.call(read)
+    }
+
     async fn watch<T>(
         &self,
         from: Revision,
@@ -201,7 +214,7 @@
         read: impl Fn(&StoreState) -> Option<T>,
         empty: T,
     ) -> Result<Snapshot<T>, StoreError> {
-        self.call(|_| ())?;
+        self.call_part(|_| ())?;
         let end = std::time::Instant::now() + wait;
         loop {
             {
@@ -244,7 +257,7 @@
     async fn declarations(&self) -> Result<Snapshot<Option<Declarations>>, StoreError> {
         self.count_declaration_call();
         self.until_told(StorePart::Declarations).await;
-        self.call(|state| Snapshot {
+        self.call_part(|state| Snapshot {
             as_of: Revision(state.revision),
             value: state.declarations.as_ref().map(|(_, value)| value.clone()),
         })
@@ -268,7 +281,7 @@
 
     async fn targets(&self) -> Result<Snapshot<TargetListing>, StoreError> {
         self.until_told(StorePart::Targets).await;
-        self.call(|state| Snapshot {
+        self.call_part(|state| Snapshot {
             as_of: Revision(state.revision),
             value: TargetListing {
                 targets: state.targets.clone(),
@@ -278,7 +291,7 @@
     }
 
     async fn evacuations(&self) -> Result<Snapshot<EvacuatedZones>, StoreError> {
-        self.call(|state| Snapshot {
+        self.call_part(|state| Snapshot {
             as_of: Revision(state.revision),
             value: state.evacuations.1.clone(),
         })
@@ -309,7 +322,10 @@
     }
 
     async fn ranges(&self) -> Result<Snapshot<Option<Stored<RangeMap>>>, StoreError> {
-        self.call(|state| Snapshot { as_of: Revision(state.revision), value: state.ranges.clone() })
+        self.call_part(|state| Snapshot {
+            as_of: Revision(state.revision),
+            value: state.ranges.clone(),
+        })
     }
 
     async fn watch_ranges(
--- a/crates/nickellead_gateway/tests/store_away.rs
+++ b/crates/nickellead_gateway/tests/store_away.rs
@@ -56,3 +56,26 @@
     assert!(calls as f64 <= most, "{calls} calls");
     assert!(took <= IN_FORCE, "in force after {took:?}");
 }
+
+/// A VM that follows the store asks for nothing but the mandate while the store is away: refused calls are
+/// paid for as well, and those for targets, ranges and declarations tell no more than the mandate's.
+#[test]
+fn parts_of_a_store_that_is_away_are_not_asked_for() {
+    let store = MemoryStore::default();
+    store.declare(declarations(1));
+    let gateway = TestGateway::start("vm-alone", &store);
+    wait_until("it knows the declarations", || gateway.knows(1));
+    std::thread::sleep(SETTLED);
+    store.set_away(true);
+    // What is under way then ends first.
+    std::thread::sleep(Duration::from_millis(1_000));
+    let before = store.part_calls_made();
+    std::thread::sleep(AWAY);
+    let calls = store.part_calls_made() - before;
+    store.set_away(false);
+    assert_eq!(calls, 0, "calls for parts in the outage");
+    store.declare(declarations(2));
+    let returned = Instant::now();
+    wait_until("it knows the new declarations", || gateway.knows(2));
+    assert!(returned.elapsed() <= IN_FORCE, "in force after {:?}", returned.elapsed());
+}
