Parts' size without a detour; evacuated zones are taken in once a look, not once a service

The slots were divided by the targets and multiplied by them again; the list of evacuated zones was copied and compared for each divided service at each look of the mandate's holder. Same decisions. Run before the commit: fmt, clippy of both crates, and the tests parts, cold_targets, evacuated_zones and control (30 passed).

--- a/crates/nickellead_balance/src/part.rs
+++ b/crates/nickellead_balance/src/part.rs
@@ -15,8 +15,7 @@
 /// requests over hundreds of targets would use no connection twice before its target closes it.
 #[must_use]
 pub fn part_size(slots: u32, vms: usize, targets: usize, least: usize, most: usize) -> usize {
-    let a_target = f64::from(slots) / targets.max(1) as f64;
-    let size = (targets as f64 * a_target * REQUESTS_A_SLOT / vms.max(1) as f64).ceil();
+    let size = (f64::from(slots) * REQUESTS_A_SLOT / vms.max(1) as f64).ceil();
     (size as usize).clamp(least, most).min(targets)
 }
 
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -27,6 +27,7 @@
         let Some(declared) = self.book.declarations() else {
             return Vec::new();
         };
+        self.zones.borrow_mut().take(&self.book.evacuations().value, BootClock.now());
         let divided = declared.services.iter().filter(|(_, rule)| rule.divided);
         let speeds = match self.policy.measured_speeds.is_on() {
             true => self.known_speeds(),
@@ -48,9 +49,8 @@
         rule: &ServiceRule,
         targets: &'a TargetList,
     ) -> Vec<&'a TargetEntry> {
-        let mut zones = self.zones.borrow_mut();
+        let zones = self.zones.borrow();
         let now = BootClock.now();
-        zones.take(&self.book.evacuations().value, now);
         let is_open = |target: &&TargetEntry| {
             let ready = target.service == service && target.state == TargetState::Ready;
             ready && !zones.is_evacuated(&target.zone)
--- a/crates/nickellead_gateway/src/control/fleet.rs
+++ b/crates/nickellead_gateway/src/control/fleet.rs
@@ -1,4 +1,5 @@
-//! Telling all VMs which VMs take requests, so that few of them send to a cold target.
+//! Telling all VMs which VMs take requests, so that few of them send to a cold target, and each to its part
+//! of a service.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
