Sight: what targets tell of themselves on answers is read, logged and counted

Nothing could tell whether a VM had been told that a target leaves or rests. Events target-leaving and target-resting and the figure target_signs tell now; nothing is decided by it yet.

--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -16,14 +16,14 @@
 mod ranges;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
-use nickellead_range::{KeyLoad, LatenessWatch, MandateState, RangeKeeper};
+use nickellead_range::{HolderRecord, KeyLoad, LatenessWatch, MandateState, RangeKeeper};
 use tokio::sync::watch;
 
 use self::admission::TargetFigures;
@@ -95,6 +95,8 @@
     reporters: RefCell<HashMap<VmMark, Timestamp>>,
     /// Number of the last word about crowded owners.
     admission_word: Cell<u64>,
+    /// Targets that said that they leave.
+    leaving: RefCell<BTreeSet<HolderRecord>>,
     /// What this process saw of late orders, over all its keepers.
     lateness: RefCell<LatenessWatch>,
     /// Number of a service's targets, and since when it stands.
@@ -148,6 +150,7 @@
             figures: RefCell::default(),
             reporters: RefCell::default(),
             admission_word: Cell::new(0),
+            leaving: RefCell::default(),
             lateness: RefCell::default(),
             arrivals: RefCell::default(),
             keys: parts.keys,
--- a/crates/nickellead_gateway/src/control/orders.rs
+++ b/crates/nickellead_gateway/src/control/orders.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use nickellead_event::{EventName, log_event};
-use nickellead_range::{MandatePower, OrderKind, OrderOutcome, RangeOrder};
+use nickellead_range::{HolderRecord, MandatePower, OrderKind, OrderOutcome, RangeOrder};
 use nickellead_time::BootClock;
 
 use super::ControlDuty;
 use super::ranges::keeper_settings;
-use crate::{OrderPort, StorePort};
+use crate::{OrderPort, OrderReply, StorePort};
 
 /// How long a target may take to answer a grant.
 const GRANT_WAIT: Duration = Duration::from_millis(500);
@@ -30,7 +30,9 @@
         for order in orders {
             let duty = Rc::clone(self);
             actix_rt::spawn(async move {
-                let outcome = duty.send_order(&order).await;
+                let reply = duty.send_order(&order).await;
+                duty.note_leaving(&order.holder, &reply);
+                let outcome = reply.outcome;
                 let now = BootClock.now();
                 let longest = keeper_settings(&duty.ownership).longest_debt(now);
                 duty.lateness.borrow_mut().note(&order, &outcome, now, longest);
@@ -46,23 +48,30 @@
     }
 
     /// Sends one order, if the mandate still allows it at this moment.
-    async fn send_order(&self, order: &RangeOrder) -> OrderOutcome {
+    async fn send_order(&self, order: &RangeOrder) -> OrderReply {
         let now = BootClock.now();
         let power = self.mandate.borrow().power(now);
         let stale = now.since(order.decided) > ORDER_AGE_MOST;
         if power == MandatePower::None || stale {
-            return OrderOutcome::NotSent;
+            return OrderOutcome::NotSent.into();
         }
         let wait = match order.kind {
             OrderKind::Grant(_) => GRANT_WAIT,
             OrderKind::Release => RELEASE_WAIT,
         };
-        let outcome = self.orders.send(order, self.ownership.hold(), wait).await;
-        self.metrics.count_order(&order.kind, &outcome);
-        if !matches!(outcome, OrderOutcome::Done(_)) {
-            log_order_failure(order, &outcome);
+        let reply = self.orders.send(order, self.ownership.hold(), wait).await;
+        self.metrics.count_order(&order.kind, &reply.outcome);
+        if !matches!(reply.outcome, OrderOutcome::Done(_)) {
+            log_order_failure(order, &reply.outcome);
+        }
+        reply
+    }
+
+    /// Notes an owner whose answer says that it leaves.
+    fn note_leaving(&self, holder: &HolderRecord, reply: &OrderReply) {
+        if reply.leaving && self.leaving.borrow_mut().insert(holder.clone()) {
+            log_event(EventName::TargetLeaving, &[("target", &holder.id), ("told_on", &"order")]);
         }
-        outcome
     }
 }
 
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::target_signs::AnswerSigns;
 use crate::{HeaderNames, RepeatClass};
 
 /// Largest body of an answer, in bytes: it is read whole before the caller gets any of it.
@@ -56,6 +58,20 @@
     Lost(LossReason),
 }
 
+/// The end of a try, and what the target told of itself by then.
+#[derive(Debug)]
+pub(crate) struct TryEnd {
+    pub(crate) result: TryResult,
+    pub(crate) signs: AnswerSigns,
+}
+
+impl From<TryResult> for TryEnd {
+    /// The end of a try in which the target told nothing of itself.
+    fn from(result: TryResult) -> Self {
+        Self { result, signs: AnswerSigns::default() }
+    }
+}
+
 /// Why the outcome of a try is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LossReason {
@@ -82,29 +98,29 @@
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
     plan: &TryPlan<'_>,
-) -> TryResult {
+) -> TryEnd {
     let left = |until: Instant| until.saturating_duration_since(Instant::now());
     loop {
         let taking = plan.pool.take(plan.address, left(plan.until), plan.repeat);
         let mut connection = match taking.await {
             Ok(connection) => connection,
-            Err(failure) => return TryResult::NotSent(failure),
+            Err(failure) => return TryResult::NotSent(failure).into(),
         };
         let request = build_request(names, outgoing, plan, left(plan.until));
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(left(plan.until), sending).await;
         match sent {
-            Err(_) => return TryResult::Lost(LossReason::Late),
+            Err(_) => return TryResult::Lost(LossReason::Late).into(),
             Ok(Ok(response)) => {
                 return read_answer(names, outgoing, plan, connection, response).await;
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
-                    return TryResult::Lost(LossReason::Broken);
+                    return TryResult::Lost(LossReason::Broken).into();
                 }
                 // The connection had ended before a byte left: take another.
                 if !connection.reused {
-                    return TryResult::NotSent(ConnectFailure::Broken);
+                    return TryResult::NotSent(ConnectFailure::Broken).into();
                 }
             }
         }
@@ -134,14 +150,47 @@
     request
 }
 
+/// Reads an answer; what its head tells of the target counts also when the rest is lost.
 async fn read_answer(
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
     plan: &TryPlan<'_>,
     connection: ReadyConnection,
     response: Response<Incoming>,
-) -> TryResult {
+) -> TryEnd {
     let (head, body) = response.into_parts();
+    let signs = match is_of_target(names, outgoing, plan, &head) {
+        true => AnswerSigns::read(names, head.status, &head.headers),
+        false => AnswerSigns::default(),
+    };
+    let result = read_body(names, outgoing, plan, connection, head, body).await;
+    TryEnd { result, signs }
+}
+
+/// Whether the asked target made an answer: another one may have its address by now, and an extra answer
+/// may come in the place of the next one.
+fn is_of_target(
+    names: &HeaderNames,
+    outgoing: &OutgoingRequest,
+    plan: &TryPlan<'_>,
+    head: &Parts,
+) -> bool {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        let answering = head.headers.get(names.answering_target);
+        return answering.is_some_and(|id| id.as_bytes() == plan.target_id.as_bytes());
+    }
+    let owned = head.headers.get(names.request_id) == Some(&outgoing.request_id);
+    owned || head.headers.contains_key(names.not_run)
+}
+
+async fn read_body(
+    names: &HeaderNames,
+    outgoing: &OutgoingRequest,
+    plan: &TryPlan<'_>,
+    connection: ReadyConnection,
+    head: Parts,
+    body: Incoming,
+) -> TryResult {
     let owned = head.headers.get(names.request_id) == Some(&outgoing.request_id);
     let shed = head.headers.contains_key(names.not_run);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod route_table;
 mod settings;
 mod store_health;
+mod target_signs;
 mod targets;
 mod waiting;
 mod worker;
@@ -50,8 +51,9 @@
 pub use order_call::{CallFailure, OrderCaller};
 pub use packed::{Packed, PackedError, UNPACKED_LIMIT};
 pub use policy::{PolicySettings, PolicySwitch};
-pub use port::{HeaderNames, OrderPort, Snapshot, StoreError, StorePort};
+pub use port::{HeaderNames, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
 pub use settings::{ColdSettings, GatewaySettings, OwnershipSettings, SettingsError};
+pub use target_signs::says_leaving;
 pub use targets::{
     EvacuatedZones, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
 };
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,6 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::target_signs::AnswerSigns;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 /// Label of requests that end before a service is chosen.
@@ -20,6 +22,11 @@
     error: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SignLabel {
+    sign: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
     service: String,
@@ -38,6 +45,7 @@
     answers: Histogram,
     errors: Family<ErrorLabel, Counter>,
     outcomes: Family<OutcomeLabels, Counter>,
+    signs: Family<SignLabel, Counter>,
 }
 
 impl GatewayMetrics {
@@ -53,6 +61,7 @@
             answers: Histogram::new(LATENCY_BUCKETS),
             errors: Family::default(),
             outcomes: Family::default(),
+            signs: Family::default(),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register("retries", "Tries after the first one", metrics.retries.clone());
@@ -67,6 +76,8 @@
         registry.register("answer_seconds", "Time to a target's answer", metrics.answers.clone());
         registry.register("errors", "Requests ended by this VM", metrics.errors.clone());
         registry.register("outcomes", "Requests by service and outcome", metrics.outcomes.clone());
+        let signs = metrics.signs.clone();
+        registry.register("target_signs", "Answers by what they tell of their target", signs);
         metrics
     }
 
@@ -83,6 +94,18 @@
         self.count_outcome(service.unwrap_or(NO_SERVICE), answer.outcome.as_str());
     }
 
+    /// Counts an answer that tells something of its target.
+    pub(crate) fn count_signs(&self, signs: AnswerSigns) {
+        let told = [
+            ("leaving", signs.leaving),
+            ("rest", signs.rest.is_some()),
+            ("unreadable-rest", signs.unreadable),
+        ];
+        for (sign, _) in told.into_iter().filter(|(_, told)| *told) {
+            self.signs.get_or_create(&SignLabel { sign }).inc();
+        }
+    }
+
     fn count_outcome(&self, service: &str, outcome: &'static str) {
         let labels = OutcomeLabels { service: service.to_owned(), outcome };
         self.outcomes.get_or_create(&labels).inc();
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -92,11 +92,27 @@
     ) -> Result<Revision, StoreError>;
 }
 
+/// What a target made of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderReply {
+    /// What became of the order.
+    pub outcome: OrderOutcome,
+    /// Whether the answer says that the target leaves.
+    pub leaving: bool,
+}
+
+impl From<OrderOutcome> for OrderReply {
+    /// The reply of a target that says nothing of itself.
+    fn from(outcome: OrderOutcome) -> Self {
+        Self { outcome, leaving: false }
+    }
+}
+
 /// Orders about ranges to targets.
 #[allow(async_fn_in_trait, reason = "all parts of a process run on one thread each")]
 pub trait OrderPort: 'static {
     /// Sends one order and waits for its answer, `wait` at most.
-    async fn send(&self, order: &RangeOrder, hold: Duration, wait: Duration) -> OrderOutcome;
+    async fn send(&self, order: &RangeOrder, hold: Duration, wait: Duration) -> OrderReply;
 }
 
 /// Names of the headers that the request path reads and writes, in lower case.
@@ -110,8 +126,12 @@
     pub shard_key: &'static str,
     /// Identity of the only target that may run the request.
     pub expected_target: &'static str,
+    /// Identity of the target that refuses a request meant for another one.
+    pub answering_target: &'static str,
     /// Marks an answer as made by a target.
     pub target_proof: &'static str,
     /// Marks a refusal by a target that did not run the request.
     pub not_run: &'static str,
+    /// Marks each answer of a target that leaves.
+    pub leaving: &'static str,
 }
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -16,6 +16,7 @@
 use crate::evacuation::ZoneStates;
 use crate::fleet::FleetTable;
 use crate::load_count::VmMark;
+use crate::target_signs::SignState;
 use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetList, TargetState};
 
 /// What an unknown target is taken to need for an answer, until it has shown it.
@@ -62,6 +63,8 @@
     divided: Cell<bool>,
     /// Until when it is left out because it refused a connection.
     down_until: Cell<Timestamp>,
+    /// What it told of itself.
+    pub(crate) signs: Rc<SignState>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) limit: Cell<AdaptiveLimit>,
     /// Requests that wait for this very target.
@@ -375,6 +378,7 @@
         cold_rule: Cell::new(None),
         cold: ColdGate::new(now + entry.cold_left, phase, now),
         down_until: Cell::new(Timestamp::ZERO),
+        signs: Rc::default(),
         score: RefCell::new(TargetScore::new(USUAL_LATENCY)),
         limit: Cell::new(AdaptiveLimit::new(LIMIT_START, entry.slots * LIMIT_FACTOR)),
         turns: TurnQueue::default(),
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -14,6 +14,7 @@
 use crate::exchange::{LossReason, TargetAnswer, TryResult};
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
+use crate::target_signs::AnswerSigns;
 
 impl RequestWorker {
     /// Learns from the outcome of a try and says what follows.
@@ -85,6 +86,20 @@
 }
 
 impl RequestWorker {
+    /// Takes in what a target told of itself on an answer.
+    pub(super) fn note_signs(&self, member: &TargetMember, signs: AnswerSigns) {
+        self.metrics.count_signs(signs);
+        let new = member.signs.note(signs, BootClock.now());
+        if new.leaving {
+            log_event(EventName::TargetLeaving, &[("target", &member.id), ("told_on", &"answer")]);
+        }
+        if let Some(rest) = new.rest {
+            let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                [("target", &member.id), ("rest_ms", &rest.as_millis())];
+            log_event(EventName::TargetResting, &pairs);
+        }
+    }
+
     /// Learns whether the target's zone can be reached.
     fn learn_reach(&self, member: &TargetMember, result: &TryResult, now: Timestamp) {
         match result {
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -8,7 +8,7 @@
 use nickellead_time::BootClock;
 
 use super::{NextStep, RETURN_TIME, RequestWorker, TryState};
-use crate::exchange::{TargetAnswer, TryPlan, TryResult, try_target};
+use crate::exchange::{TargetAnswer, TryEnd, TryPlan, try_target};
 use crate::incoming::PlannedRequest;
 use crate::roster::{RunningGuard, TargetMember};
 
@@ -32,14 +32,15 @@
             };
             let since = Instant::now();
             let trying = self.try_member(planned, &part.service, &member);
-            let result = match self.until_last_moment(trying).await {
-                Ok(result) => result,
+            let end = match self.until_last_moment(trying).await {
+                Ok(end) => end,
                 Err(kind) => {
                     state.may_have_run = true;
                     return finish(state, kind);
                 }
             };
-            match self.judge(planned, &member, &mut state, result, since.elapsed()) {
+            self.note_signs(&member, end.signs);
+            match self.judge(planned, &member, &mut state, end.result, since.elapsed()) {
                 NextStep::Done(answer) => return Ok(answer),
                 NextStep::Fail(kind) => return finish(state, kind),
                 NextStep::Again => {}
@@ -99,7 +100,7 @@
         planned: &PlannedRequest,
         service: &str,
         member: &Rc<TargetMember>,
-    ) -> TryResult {
+    ) -> TryEnd {
         let _running = RunningGuard::new(member, &self.queue(service));
         let until = planned.until.checked_sub(RETURN_TIME).unwrap_or(planned.until);
         let plan = TryPlan {
@@ -112,8 +113,8 @@
         let watch = AbandonWatch { member, since: Instant::now(), armed: true };
         let goal = planned.route.rule.latency_target;
         let mut trying = std::pin::pin!(try_target(&self.names, &planned.outgoing, &plan));
-        let result = match tokio::time::timeout(goal, &mut trying).await {
-            Ok(result) => result,
+        let end = match tokio::time::timeout(goal, &mut trying).await {
+            Ok(end) => end,
             Err(_) => {
                 // A target that swallows requests is known by their age, long before their end.
                 if self.policy.answer_time_limit.is_on() {
@@ -123,7 +124,7 @@
             }
         };
         watch.disarm();
-        result
+        end
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -28,8 +28,10 @@
     deadline_ms: "x-deadline-ms",
     shard_key: "x-key",
     expected_target: "x-target",
+    answering_target: "x-answers",
     target_proof: "x-proof",
     not_run: "x-not-run",
+    leaving: "x-leaving",
 };
 
 /// Ports that the system gives to no connection, so that a free one stays free until it is bound.
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use nickellead_gateway::{
-    Declarations, EvacuatedZones, MandateRecord, OrderPort, Revision, Snapshot, StoreError,
-    StorePort, Stored, TargetChange, TargetEntry, TargetList, TargetListing,
+    Declarations, EvacuatedZones, MandateRecord, OrderPort, OrderReply, Revision, Snapshot,
+    StoreError, StorePort, Stored, TargetChange, TargetEntry, TargetList, TargetListing,
 };
 use nickellead_range::{OrderKind, OrderOutcome, RangeMap, RangeOrder};
 
@@ -46,6 +46,8 @@
     /// Orders sent, and the outcomes for targets that don't just do what they are told.
     orders: Vec<RangeOrder>,
     outcomes: BTreeMap<String, OrderOutcome>,
+    /// Targets that say on their answers to orders that they leave.
+    leaving: BTreeSet<String>,
 }
 
 impl StoreState {
@@ -146,6 +148,11 @@
         self.state().outcomes.insert(id.to_owned(), outcome);
     }
 
+    /// Makes a target say on its answers to orders that it leaves.
+    pub fn set_leaving(&self, id: &str) {
+        self.state().leaving.insert(id.to_owned());
+    }
+
     /// The same store, as this VM asks it.
     pub fn seen_by(&self, vm: &str) -> Self {
         Self { state: Arc::clone(&self.state), vm: vm.to_owned() }
@@ -391,15 +398,16 @@
 }
 
 impl OrderPort for MemoryOrders {
-    async fn send(&self, order: &RangeOrder, _: Duration, _: Duration) -> OrderOutcome {
+    async fn send(&self, order: &RangeOrder, _: Duration, _: Duration) -> OrderReply {
         let mut state = self.0.state();
         state.orders.push(order.clone());
-        match (state.outcomes.get(&order.holder.id), &order.kind) {
+        let outcome = match (state.outcomes.get(&order.holder.id), &order.kind) {
             (Some(outcome), _) => outcome.clone(),
             (None, OrderKind::Grant(_)) => OrderOutcome::Done(None),
             (None, OrderKind::Release) => {
                 OrderOutcome::Done(Some(format!("token-{}", order.first)))
             }
-        }
+        };
+        OrderReply { outcome, leaving: state.leaving.contains(&order.holder.id) }
     }
 }
