What a target tells of itself on an answer binds the VM that was told, at once

Cause: a VM went by the store's list for leaving and by nothing for a pause. Ruled out: that lists came late (the store took the word of leaving 13 s after the target had said it) and that second tries alone were too many (100 first tries a second). Change: signs are kept with one life of a target, also while it is not listed, and asked again when its connection is there. Who leaves is chosen no more where others serve; an owner of keys is sent requests for half of the drain time, while its keys move: the holder of the mandate learns of it by the answers to its own orders and by all VMs, with their loads. If they can't move, requests are refused at once. Who wants a pause is left out, and an owner's requests are refused at once, with the time at which it wants them again; no second try is made then.

--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
-use nickellead_range::{HolderRecord, KeyLoad, OwnerCandidate};
+use nickellead_range::{KeyLoad, OwnerCandidate};
 use nickellead_time::BootClock;
 
 use super::ControlDuty;
@@ -41,7 +41,7 @@
             .collect()
     }
 
-    /// The targets of a service that may own ranges: those that stay, outside evacuated zones, and the
+    /// The targets of a service that may own ranges: those that stay, by their entries and by their own word, outside evacuated zones, and the
     /// cold ones only while too few others are there.
     fn usable_owners<'a>(
         &self,
@@ -50,10 +50,11 @@
         targets: &'a TargetList,
     ) -> Vec<&'a TargetEntry> {
         let zones = self.zones.borrow();
+        let leaving = self.leaving.borrow();
         let now = BootClock.now();
         let is_open = |target: &&TargetEntry| {
             let ready = target.service == service && target.state == TargetState::Ready;
-            ready && !zones.is_evacuated(&target.zone)
+            ready && !zones.is_evacuated(&target.zone) && !leaving.contains(&target.holder())
         };
         let open: Vec<&TargetEntry> = targets.values().filter(is_open).collect();
         let Some(cold) = self.cold.and(rule.cold) else { return open };
@@ -118,11 +119,7 @@
     usable
         .iter()
         .map(|target| OwnerCandidate {
-            holder: HolderRecord {
-                id: target.id.clone(),
-                born: target.born,
-                address: target.address.to_string(),
-            },
+            holder: target.holder(),
             capacity: f64::from(target.slots.max(1)) * factor(target),
         })
         .collect()
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -95,7 +95,7 @@
     reporters: RefCell<HashMap<VmMark, Timestamp>>,
     /// Number of the last word about crowded owners.
     admission_word: Cell<u64>,
-    /// Targets that said that they leave.
+    /// Listed targets that said that they leave, on answers to requests of any VM or to orders.
     leaving: RefCell<BTreeSet<HolderRecord>>,
     /// What this process saw of late orders, over all its keepers.
     lateness: RefCell<LatenessWatch>,
--- a/crates/nickellead_gateway/src/control/orders.rs
+++ b/crates/nickellead_gateway/src/control/orders.rs
@@ -31,7 +31,9 @@
             let duty = Rc::clone(self);
             actix_rt::spawn(async move {
                 let reply = duty.send_order(&order).await;
-                duty.note_leaving(&order.holder, &reply);
+                if reply.leaving {
+                    duty.note_leaving(&order.holder, "order");
+                }
                 let outcome = reply.outcome;
                 let now = BootClock.now();
                 let longest = keeper_settings(&duty.ownership).longest_debt(now);
@@ -67,10 +69,24 @@
         reply
     }
 
-    /// Notes an owner whose answer says that it leaves.
-    fn note_leaving(&self, holder: &HolderRecord, reply: &OrderReply) {
-        if reply.leaving && self.leaving.borrow_mut().insert(holder.clone()) {
-            log_event(EventName::TargetLeaving, &[("target", &holder.id), ("told_on", &"order")]);
+    /// Takes in which targets told any VM that they leave.
+    pub(super) fn take_in_leaving(&self) {
+        for holder in self.keys.take_leaving() {
+            self.note_leaving(&holder, "request");
+        }
+        let listed = self.book.targets();
+        let is_listed = |holder: &HolderRecord| {
+            listed.get(&holder.id).is_some_and(|entry| entry.holder() == *holder)
+        };
+        self.leaving.borrow_mut().retain(is_listed);
+    }
+
+    /// Notes a target that said that it leaves: it is to own no keys.
+    fn note_leaving(&self, holder: &HolderRecord, told_on: &str) {
+        if self.leaving.borrow_mut().insert(holder.clone()) {
+            let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                [("target", &holder.id), ("told_on", &told_on)];
+            log_event(EventName::OwnerLeaving, &pairs);
         }
     }
 }
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -68,6 +68,7 @@
             return;
         }
         if power == MandatePower::Full {
+            self.take_in_leaving();
             self.update_candidates();
             if balance_due {
                 self.balance();
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -8,8 +8,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::roster::SharedSigns;
 use crate::target_signs::AnswerSigns;
 use crate::{HeaderNames, RepeatClass};
 
@@ -31,6 +33,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) pool: &'a SharedPool,
     pub(crate) repeat: RepeatClass,
+    /// What the target tells of itself, also to other requests meanwhile.
+    pub(crate) signs: &'a SharedSigns,
+    /// For how long it is sent requests after it said that it leaves.
+    pub(crate) stay: Duration,
     /// When the try is given up.
     pub(crate) until: Instant,
 }
@@ -54,6 +60,8 @@
     Misdirected,
     /// Nothing was sent: no connection, or it had ended before.
     NotSent(ConnectFailure),
+    /// Nothing was sent: while the connection was made, the target told that it wants no more.
+    Withheld,
     /// It was sent, and what came back is no answer to it, or nothing came.
     Lost(LossReason),
 }
@@ -106,6 +114,10 @@
             Ok(connection) => connection,
             Err(failure) => return TryResult::NotSent(failure).into(),
         };
+        if !plan.signs.get().may_send(plan.stay, BootClock.now()) {
+            plan.pool.put(connection.sender, None);
+            return TryResult::Withheld.into();
+        }
         let request = build_request(names, outgoing, plan, left(plan.until));
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(left(plan.until), sending).await;
--- a/crates/nickellead_gateway/src/load_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use nickellead_range::HolderRecord;
 
 /// Most keys counted between two looks of one service; the rest is not counted.
 const KEYS_MAX: usize = 8_192;
@@ -19,6 +20,8 @@
     pub(crate) keys: KeyCounts,
     /// What became of requests, by target.
     pub(crate) answers: HashMap<String, AnswerCounts>,
+    /// Targets that said that they leave.
+    pub(crate) leaving: BTreeSet<HolderRecord>,
     /// The VMs that counted.
     pub(crate) vms: BTreeSet<VmMark>,
 }
@@ -124,6 +127,16 @@
         }
     }
 
+    /// Notes a target that said that it leaves.
+    pub(crate) fn note_leaving(&self, target: HolderRecord) {
+        self.lock().leaving.insert(target);
+    }
+
+    /// Takes the targets that said so since the last look.
+    pub(crate) fn take_leaving(&self) -> BTreeSet<HolderRecord> {
+        std::mem::take(&mut self.lock().leaving)
+    }
+
     /// Adds what another VM has seen.
     pub(crate) fn add(&self, other: LoadCounts) {
         let mut counts = self.lock();
@@ -132,6 +145,7 @@
             keys.into_iter().for_each(|(key, count)| add_count(known, key, count));
         }
         counts.vms.extend(other.vms);
+        counts.leaving.extend(other.leaving);
         for (target, new) in other.answers {
             counts.answers.entry(target).or_default().add(new);
         }
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -29,6 +29,9 @@
 const ANSWER_PART: f64 = 0.92;
 /// Part of the grace time after which the process ends in any case.
 const END_PART: f64 = 0.97;
+/// Part of the drain time for which a target that said that it leaves is sent requests that nobody else can
+/// serve: a planned move of its keys takes 0.2 s to 1 s, and what is under way must arrive within the rest.
+const LEAVING_STAY_PART: f64 = 0.5;
 /// Between two looks at whether callers have left.
 const LOOK: Duration = Duration::from_millis(50);
 /// Between two looks whether a thread has ended.
@@ -101,6 +104,7 @@
         drain: Arc::clone(&drain),
         policy: settings.policy,
         cold: settings.cold,
+        leaving_stay: Duration::from_secs_f64(settings.drain_s * LEAVING_STAY_PART),
     })?;
     let parts = ControlParts {
         vm: settings.vm.clone(),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -42,6 +42,7 @@
     pub(crate) drain: Arc<DrainState>,
     pub(crate) policy: PolicySettings,
     pub(crate) cold: Option<ColdSettings>,
+    pub(crate) leaving_stay: Duration,
 }
 
 /// Starts the thread.
@@ -71,6 +72,7 @@
         metrics,
         policy: parts.policy,
         cold: parts.cold,
+        leaving_stay: parts.leaving_stay,
     });
     follow_beliefs(&worker, &parts.beliefs);
     for listener in std::iter::once(parts.readiness).chain(parts.metrics) {
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nickellead_balance::{TargetOutcome, TargetScore, even_part, part_size};
+use nickellead_balance::{TargetOutcome, TargetScore, TargetSigns, even_part, part_size};
 use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, ColdBound, ColdGate, ColdShare, TurnQueue};
 use nickellead_range::HolderRecord;
@@ -16,7 +16,6 @@
 use crate::evacuation::ZoneStates;
 use crate::fleet::FleetTable;
 use crate::load_count::VmMark;
-use crate::target_signs::SignState;
 use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetList, TargetState};
 
 /// What an unknown target is taken to need for an answer, until it has shown it.
@@ -43,9 +42,17 @@
 /// at its address, and its entry goes after three heartbeats, some three seconds.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Most lives that are not listed and told something of themselves; beyond it all are forgotten.
+///
+/// A fleet of a thousand targets that is replaced once an hour leaves as many in four hours.
+const UNLISTED_MOST: usize = 4_096;
+
 /// Targets of one zone that may have fallen at the same moment; more are rather cut off.
 const FALLEN_MOST: usize = 3;
 
+/// Kept by all who ask one life of a target, and beyond the time that it is listed.
+pub(crate) type SharedSigns = Rc<Cell<TargetSigns>>;
+
 /// One target with what this VM has learned of it.
 pub(crate) struct TargetMember {
     pub(crate) id: String,
@@ -63,8 +70,8 @@
     divided: Cell<bool>,
     /// Until when it is left out because it refused a connection.
     down_until: Cell<Timestamp>,
-    /// What it told of itself.
-    pub(crate) signs: Rc<SignState>,
+    /// What it told this VM of itself.
+    pub(crate) signs: SharedSigns,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) limit: Cell<AdaptiveLimit>,
     /// Requests that wait for this very target.
@@ -83,6 +90,16 @@
         self.limit.get().has_room(self.score.borrow().running)
     }
 
+    /// Whether it said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.signs.get().leaving_since().is_some()
+    }
+
+    /// This life of it.
+    pub(crate) fn life(&self) -> HolderRecord {
+        HolderRecord { id: self.id.clone(), born: self.born, address: self.address.to_string() }
+    }
+
     /// Whether it refused this VM a connection a moment ago.
     pub(crate) fn is_down(&self, now: Timestamp) -> bool {
         now < self.down_until.get()
@@ -199,6 +216,8 @@
     zone: String,
     by_id: HashMap<String, Rc<TargetMember>>,
     by_service: HashMap<String, Vec<Rc<TargetMember>>>,
+    /// What lives told of themselves that are not listed now: they may be listed once more.
+    unlisted_signs: HashMap<HolderRecord, SharedSigns>,
     /// This VM's part of each service.
     subsets: HashMap<String, Vec<Rc<TargetMember>>>,
     /// Services of which this VM's part is smaller than it would be on a small fleet.
@@ -242,11 +261,17 @@
             }
             roster.subsets.insert(service.clone(), subset);
         }
+        roster.unlisted_signs = self.unlisted_signs.clone();
         for (id, member) in &self.by_id {
             if !roster.by_id.get(id).is_some_and(|kept| Rc::ptr_eq(kept, member)) {
                 member.pool.clear();
+                roster.unlisted_signs.insert(member.life(), Rc::clone(&member.signs));
             }
         }
+        roster.unlisted_signs.retain(|_, signs| signs.get().is_told(now));
+        if roster.unlisted_signs.len() > UNLISTED_MOST {
+            roster.unlisted_signs.clear();
+        }
         roster
     }
 
@@ -259,7 +284,10 @@
                 member.note_listed(entry, now);
                 Rc::clone(member)
             }
-            None => Rc::new(new_member(entry, phase, now)),
+            None => {
+                let signs = self.unlisted_signs.get(&entry.holder()).cloned();
+                Rc::new(new_member(entry, signs.unwrap_or_default(), phase, now))
+            }
         }
     }
 
@@ -365,7 +393,7 @@
     members
 }
 
-fn new_member(entry: &TargetEntry, phase: f64, now: Timestamp) -> TargetMember {
+fn new_member(entry: &TargetEntry, signs: SharedSigns, phase: f64, now: Timestamp) -> TargetMember {
     TargetMember {
         id: entry.id.clone(),
         born: entry.born,
@@ -378,7 +406,7 @@
         cold_rule: Cell::new(None),
         cold: ColdGate::new(now + entry.cold_left, phase, now),
         down_until: Cell::new(Timestamp::ZERO),
-        signs: Rc::default(),
+        signs,
         score: RefCell::new(TargetScore::new(USUAL_LATENCY)),
         limit: Cell::new(AdaptiveLimit::new(LIMIT_START, entry.slots * LIMIT_FACTOR)),
         turns: TurnQueue::default(),
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -73,6 +73,9 @@
     /// not evacuated here.
     #[serde(default)]
     pub evacuation_s: Option<f64>,
+    /// Seconds after which nothing new may reach a target that said that it leaves.
+    #[serde(default = "default_drain")]
+    pub drain_s: f64,
     /// Times of ownership.
     #[serde(default)]
     pub ownership: OwnershipSettings,
@@ -85,6 +88,11 @@
     1.0
 }
 
+/// The shortest time that the users' deployments set.
+const fn default_drain() -> f64 {
+    2.0
+}
+
 const fn default_connections() -> usize {
     2_000
 }
@@ -170,6 +178,7 @@
         bound((0.5..=60.0).contains(&ownership.hold_s), "ownership.hold_s", "from 0.5 to 60")?;
         let cold_holds = |cold: ColdSettings| cold.overage >= 1.0 && cold.slack >= 0.0;
         bound(self.cold.is_none_or(cold_holds), "cold", "an overage from 1 and a slack from 0")?;
+        bound((0.2..=600.0).contains(&self.drain_s), "drain_s", "from 0.2 to 600")?;
         let evacuation = self.evacuation_s.is_none_or(|time| (1.0..=600.0).contains(&time));
         bound(evacuation, "evacuation_s", "from 1 to 600")?;
         let renewal = (0.1..=ownership.hold_s / 2.0).contains(&ownership.renewal_s);
--- a/crates/nickellead_gateway/src/target_signs.rs
+++ b/crates/nickellead_gateway/src/target_signs.rs
@@ -1,11 +1,9 @@
-//! What targets tell of themselves on their answers, beside the answers.
+//! Reading what targets tell of themselves on their answers, beside the answers.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
-use nickellead_core::Timestamp;
 
 use crate::HeaderNames;
 
@@ -44,27 +42,6 @@
 /// A time in seconds, with a fraction or without; `None` when it is none.
 fn parse_seconds(text: &str) -> Option<Duration> {
     let seconds: f64 = text.trim().parse().ok()?;
-    (seconds >= 0.0).then(|| Duration::from_secs_f64(seconds.min(REST_MOST.as_secs_f64())))
-}
-
-/// What this VM was told by one life of a target.
-#[derive(Debug, Default)]
-pub(crate) struct SignState {
-    leaving_since: Cell<Option<Timestamp>>,
-    rest_until: Cell<Timestamp>,
-}
-
-impl SignState {
-    /// Takes in what an answer tells; gives what was not known before.
-    pub(crate) fn note(&self, signs: AnswerSigns, now: Timestamp) -> AnswerSigns {
-        let leaving = signs.leaving && self.leaving_since.get().is_none();
-        if leaving {
-            self.leaving_since.set(Some(now));
-        }
-        let rested = now < self.rest_until.get();
-        if let Some(rest) = signs.rest {
-            self.rest_until.set(self.rest_until.get().max(now + rest));
-        }
-        AnswerSigns { leaving, rest: signs.rest.filter(|_| !rested), ..signs }
-    }
+    let sound = seconds.is_finite() && seconds >= 0.0;
+    sound.then(|| Duration::from_secs_f64(seconds.min(REST_MOST.as_secs_f64())))
 }
--- a/crates/nickellead_gateway/src/targets.rs
+++ b/crates/nickellead_gateway/src/targets.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use nickellead_range::HolderRecord;
 
 /// Whether a target stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -37,6 +38,13 @@
     pub cold_left: Duration,
 }
 
+impl TargetEntry {
+    /// This life of it, as an owner of keys.
+    pub(crate) fn holder(&self) -> HolderRecord {
+        HolderRecord { id: self.id.clone(), born: self.born, address: self.address.to_string() }
+    }
+}
+
 /// All listed targets by identity.
 pub type TargetList = BTreeMap<String, TargetEntry>;
 
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -9,6 +9,7 @@
 use nickellead_time::BootClock;
 
 use super::{RequestWorker, TryState};
+use crate::RoutePart;
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
 use crate::waiting::wait_for;
@@ -35,6 +36,9 @@
             }
             let member = chosen?;
             let now = BootClock.now();
+            if member.signs.get().rests(now) {
+                return Err(ErrorKind::TargetResting);
+            }
             if !member.cold.may_send(now) {
                 // Its keys have no other owner, and it would fall over for more.
                 return Err(ErrorKind::Overloaded);
@@ -118,13 +122,42 @@
         self.balance(service, &state.tried)
     }
 
+    /// Whether a member owns keys and wants nothing now: nobody else can serve them.
+    pub(super) fn owner_rests(&self, service: &str, member: &TargetMember) -> bool {
+        let divided = self.beliefs.borrow().is_divided(service);
+        divided && member.signs.get().rests(BootClock.now())
+    }
+
+    /// How long it takes until a target that could serve a request wants requests again.
+    pub(super) fn rest_left(&self, planned: &PlannedRequest) -> Duration {
+        let now = BootClock.now();
+        let beliefs = self.beliefs.borrow();
+        let part_rest =
+            |part: &RoutePart| match planned.key.filter(|_| beliefs.is_divided(&part.service)) {
+                Some(key) => {
+                    let range = beliefs.ranges.find(&part.service, key);
+                    let owner = range.and_then(|range| beliefs.roster.find(range.owner.as_ref()?));
+                    owner.map(|owner| owner.signs.get().rest_left(now))
+                }
+                None => {
+                    let members = beliefs.roster.members(&part.service).iter();
+                    members.map(|member| member.signs.get().rest_left(now)).min()
+                }
+            };
+        planned.route.rule.parts.iter().filter_map(part_rest).min().unwrap_or_default()
+    }
+
     fn balance(&self, service: &str, tried: &[String]) -> Result<Rc<TargetMember>, ErrorKind> {
         let beliefs = self.beliefs.borrow();
         let now = BootClock.now();
-        let usable =
-            |member: &&Rc<TargetMember>| !tried.contains(&member.id) && member.cold.may_send(now);
+        let stay = self.leaving_stay;
+        let may_send = |member: &Rc<TargetMember>| {
+            member.cold.may_send(now) && member.signs.get().may_send(stay, now)
+        };
+        let usable = |member: &&Rc<TargetMember>| !tried.contains(&member.id) && may_send(member);
         let reached = |member: &&Rc<TargetMember>| {
-            usable(member) && !member.is_down(now) && self.reach.may_try(&member.zone, now)
+            let in_reach = !member.is_down(now) && self.reach.may_try(&member.zone, now);
+            usable(member) && in_reach && !member.is_leaving()
         };
         let part = match self.policy.subsets.is_on() {
             true => beliefs.roster.subset(service),
@@ -159,7 +192,11 @@
             cold_last: self.policy.cold_avoidance.is_on(),
         };
         let chosen = choose(&candidates, rules, now, &mut self.rng.borrow_mut());
-        let kind = if all.is_empty() { ErrorKind::NoTarget } else { ErrorKind::Overloaded };
+        let kind = match all {
+            [] => ErrorKind::NoTarget,
+            _ if all.iter().any(|member| member.signs.get().rests(now)) => ErrorKind::TargetResting,
+            _ => ErrorKind::Overloaded,
+        };
         chosen.map(|place| Rc::clone(fresh[place])).ok_or(kind)
     }
 
@@ -190,7 +227,13 @@
         let Some(range) = beliefs.ranges.find(service, key) else { return false };
         let owner = range.owner.as_ref().filter(|_| range.settled);
         let mut ownerless = self.ownerless.borrow_mut();
-        if owner.is_some_and(|owner| beliefs.roster.find(owner).is_some()) {
+        let now = BootClock.now();
+        let owner = owner.and_then(|owner| beliefs.roster.find(owner));
+        if let Some(leaving) = owner.and_then(|owner| owner.signs.get().leaving_since()) {
+            // Its keys have been about to move since it said that it leaves.
+            return now.since(leaving) >= self.leaving_stay.max(OWNERLESS_LONG);
+        }
+        if owner.is_some() {
             ownerless.remove(&range.fence);
             return false;
         }
@@ -204,7 +247,10 @@
         let range = beliefs.ranges.find(service, key).filter(|range| range.settled)?;
         let owner = range.owner.as_ref().filter(|owner| !state.misdirected.contains(&owner.id))?;
         let member = beliefs.roster.find(owner)?;
-        let asked = !beliefs.zones.is_closed(&member.zone, BootClock.now());
+        let now = BootClock.now();
+        let leaving = member.signs.get().leaving_since();
+        let stays = leaving.is_none_or(|since| now.since(since) < self.leaving_stay);
+        let asked = stays && !beliefs.zones.is_closed(&member.zone, now);
         asked.then(|| Rc::clone(member))
     }
 }
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -11,11 +11,14 @@
 use super::{NextStep, RequestWorker, TryState};
 use crate::RepeatClass;
 use crate::connections::ConnectFailure;
-use crate::exchange::{LossReason, TargetAnswer, TryResult};
+use crate::exchange::{LossReason, TargetAnswer, TryEnd, TryResult};
 use crate::incoming::PlannedRequest;
 use crate::roster::TargetMember;
 use crate::target_signs::AnswerSigns;
 
+/// VMs that were asked for a pause at the same moment come back spread over this part of it.
+const REST_SPREAD: f64 = 0.1;
+
 impl RequestWorker {
     /// Learns from the outcome of a try and says what follows.
     pub(super) fn judge(
@@ -23,10 +26,11 @@
         planned: &PlannedRequest,
         member: &Rc<TargetMember>,
         state: &mut TryState,
-        result: TryResult,
+        end: TryEnd,
         length: Duration,
     ) -> NextStep {
-        self.learn(planned, member, &result, length);
+        let TryEnd { result, signs } = end;
+        self.learn(planned, member, &result, signs, length);
         count_try(state, member, &result);
         if let Some(reason) = retry_reason(&result) {
             log_retry(planned, member, reason);
@@ -36,7 +40,10 @@
                 after_failure(planned, state, answer)
             }
             TryResult::Answered(answer) => NextStep::Done(answer),
-            TryResult::Shed | TryResult::Misdirected | TryResult::NotSent(_) => NextStep::Again,
+            TryResult::Shed
+            | TryResult::Misdirected
+            | TryResult::NotSent(_)
+            | TryResult::Withheld => NextStep::Again,
             TryResult::Lost(reason) => after_loss(planned, reason),
         }
     }
@@ -47,6 +54,7 @@
         planned: &PlannedRequest,
         member: &TargetMember,
         result: &TryResult,
+        signs: AnswerSigns,
         length: Duration,
     ) {
         let goal = match self.policy.answer_time_limit.is_on() {
@@ -66,10 +74,13 @@
             TryResult::Shed => {
                 self.keys.note_lost(&member.id);
                 member.note_refusal();
-                member.note_outcome(TargetOutcome::Shed, now);
+                // A pause has its own end, and says nothing of the target's health.
+                if signs.rest.is_none() {
+                    member.note_outcome(TargetOutcome::Shed, now);
+                }
             }
             // Its beliefs about keys differ, which says nothing of its health.
-            TryResult::Misdirected => {}
+            TryResult::Misdirected | TryResult::Withheld => {}
             TryResult::NotSent(failure) => {
                 if *failure == ConnectFailure::Refused {
                     self.beliefs.borrow().roster.note_down(member, now);
@@ -89,15 +100,23 @@
     /// Takes in what a target told of itself on an answer.
     pub(super) fn note_signs(&self, member: &TargetMember, signs: AnswerSigns) {
         self.metrics.count_signs(signs);
-        let new = member.signs.note(signs, BootClock.now());
-        if new.leaving {
-            log_event(EventName::TargetLeaving, &[("target", &member.id), ("told_on", &"answer")]);
+        let now = BootClock.now();
+        let mut known = member.signs.get();
+        if signs.leaving {
+            // Told on each answer, as the holder that was told before may be gone.
+            self.keys.note_leaving(member.life());
+            if known.note_leaving(now) {
+                log_event(EventName::TargetLeaving, &[("target", &member.id)]);
+            }
         }
-        if let Some(rest) = new.rest {
+        if let Some(rest) = signs.rest
+            && known.note_rest(rest.mul_f64(1.0 + self.rng.borrow_mut().f64() * REST_SPREAD), now)
+        {
             let pairs: [(&str, &dyn std::fmt::Display); 2] =
                 [("target", &member.id), ("rest_ms", &rest.as_millis())];
             log_event(EventName::TargetResting, &pairs);
         }
+        member.signs.set(known);
     }
 
     /// Learns whether the target's zone can be reached.
@@ -109,7 +128,7 @@
             TryResult::Answered(_) | TryResult::Shed | TryResult::Misdirected => {
                 self.reach.note_answer(&member.zone);
             }
-            TryResult::NotSent(_) | TryResult::Lost(_) => {}
+            TryResult::NotSent(_) | TryResult::Withheld | TryResult::Lost(_) => {}
         }
     }
 }
@@ -136,7 +155,7 @@
             state.misdirected.push(member.id.clone());
             state.sent += 1;
         }
-        TryResult::NotSent(_) => state.unsent += 1,
+        TryResult::NotSent(_) | TryResult::Withheld => state.unsent += 1,
         TryResult::Lost(_) => {
             state.sent += 1;
             state.may_have_run = true;
@@ -151,6 +170,7 @@
         TryResult::Shed => Some("shed"),
         TryResult::Misdirected => Some("not-owner"),
         TryResult::NotSent(failure) => Some(failure.as_str()),
+        TryResult::Withheld => Some("withheld"),
         TryResult::Lost(reason) => Some(reason.as_str()),
     }
 }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -111,6 +111,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) policy: PolicySettings,
     pub(crate) cold: Option<ColdSettings>,
+    pub(crate) leaving_stay: Duration,
 }
 
 /// The request path of one VM.
@@ -133,6 +134,8 @@
     policy: PolicySettings,
     /// What all VMs together may send a cold target.
     cold: Option<ColdSettings>,
+    /// For how long a target that said that it leaves is sent what nobody else can serve.
+    leaving_stay: Duration,
 }
 
 /// What is known of a request between its tries.
@@ -190,6 +193,7 @@
             metrics: parts.metrics,
             policy: parts.policy,
             cold: parts.cold,
+            leaving_stay: parts.leaving_stay,
         })
     }
 
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -40,11 +40,14 @@
                 }
             };
             self.note_signs(&member, end.signs);
-            match self.judge(planned, &member, &mut state, end.result, since.elapsed()) {
+            match self.judge(planned, &member, &mut state, end, since.elapsed()) {
                 NextStep::Done(answer) => return Ok(answer),
                 NextStep::Fail(kind) => return finish(state, kind),
                 NextStep::Again => {}
             }
+            if self.owner_rests(&part.service, &member) {
+                return finish(state, ErrorKind::TargetResting);
+            }
             if !self.take_retry(planned, &part.service, &state) {
                 let kind = state.refusal();
                 return finish(state, kind);
@@ -108,6 +111,8 @@
             address: member.address,
             pool: &member.pool,
             repeat: planned.route.rule.repeat,
+            signs: &member.signs,
+            stay: self.leaving_stay,
             until,
         };
         let watch = AbandonWatch { member, since: Instant::now(), armed: true };
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -128,6 +128,7 @@
             retry_burst: 5.0,
             cold: None,
             evacuation_s: None,
+            drain_s: 2.0,
             ownership: OwnershipSettings::default(),
             policy: PolicySettings::default(),
         };
