--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nickellead_balance::UnhurriedTime;
+use nickellead_core::Timestamp;
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::{AdmissionShares, OwnerAdmission, OwnerReport, share_out};
 use nickellead_range::{KeyLoad, RangeRecord};
@@ -30,6 +31,9 @@
 const VMS_A_SLOT: usize = 3;
 /// A VM that has not reported for this long takes no requests.
 const REPORTER_SILENCE: Duration = Duration::from_millis(2_500);
+/// A target that serves nobody and asks for a pause is to own keys again after so many of them: it often asks for
+/// the next one, and keys that came back would wait for one more move.
+const RETURN_PAUSES: u32 = 2;
 /// Most ranges of crowded owners that are told: each costs every VM about ten bytes a word.
 const RANGES_TOLD: usize = 256;
 
@@ -42,6 +46,8 @@
     /// What it did since the last look.
     counts: AnswerCounts,
     admission: OwnerAdmission,
+    /// Until when the pauses that it asked for count.
+    rests_until: Timestamp,
 }
 
 impl Default for TargetFigures {
@@ -51,13 +57,18 @@
             goal_ms: 0.0,
             counts: AnswerCounts::default(),
             admission: OwnerAdmission::default(),
+            rests_until: Timestamp::ZERO,
         }
     }
 }
 
 impl TargetFigures {
-    fn note(&mut self, counts: AnswerCounts) {
+    fn note(&mut self, counts: AnswerCounts, now: Timestamp) {
         self.counts = counts;
+        if counts.rest_ms > 0 {
+            let pause = Duration::from_millis(counts.rest_ms.into());
+            self.rests_until = self.rests_until.max(now + pause * RETURN_PAUSES);
+        }
         if counts.answered == 0 {
             return;
         }
@@ -66,6 +77,12 @@
         self.goal_ms = counts.total_ms / counts.goal_parts.max(f64::EPSILON);
     }
 
+    /// Whether it asked for pauses and serves nobody now: one that serves others is overrun, and moves by load
+    /// relieve it.
+    pub(super) fn rests(&self, now: Timestamp) -> bool {
+        now < self.rests_until && self.counts.answered == 0
+    }
+
     /// The report of the last period, for an owner with these slots and this demand a second.
     fn report(&self, slots: u32, demand: f64) -> OwnerReport {
         let millis = self.unhurried.millis();
@@ -84,14 +101,15 @@
     /// Takes in what became of requests since the last look.
     pub(super) fn note_answers(&self, mut answers: HashMap<String, AnswerCounts>) {
         let listed = self.book.targets();
+        let now = BootClock.now();
         let mut figures = self.figures.borrow_mut();
         figures.retain(|target, _| listed.contains_key(target));
         for (target, one) in figures.iter_mut() {
-            one.note(answers.remove(target).unwrap_or_default());
+            one.note(answers.remove(target).unwrap_or_default(), now);
         }
         for (target, counts) in answers {
             if listed.contains_key(&target) {
-                figures.entry(target).or_default().note(counts);
+                figures.entry(target).or_default().note(counts, now);
             }
         }
     }
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -17,6 +17,9 @@
 /// Cold targets own no keys while at least this part of a service is warm: a cold one bears a request in
 /// five or so of what a warm one does, and falls over for a hot key.
 const WARM_PART_LEAST: f64 = 0.5;
+/// Targets that serve nobody for a while own no keys while at least this part of a service serves: the keys
+/// of more would overrun the others, and their pauses would go round.
+const SERVING_PART_LEAST: f64 = 0.5;
 /// No target counts as more than this many times faster or slower than the usual one.
 const SPEED_FACTOR_MOST: f64 = 3.0;
 
@@ -57,15 +60,29 @@
             ready && !zones.is_evacuated(&target.zone) && !leaving.contains(&target.holder())
         };
         let open: Vec<&TargetEntry> = targets.values().filter(is_open).collect();
+        let open = self.without_resting(open, now);
         let Some(cold) = self.cold.and(rule.cold) else { return open };
-        let is_warm = |target: &&&TargetEntry| {
+        let is_warm = |target: &TargetEntry| {
             let returned = zones.returned(&target.zone);
             let turned = returned.is_some_and(|since| now.since(since) < cold.length);
             !turned && self.book.cold_left(target).is_zero()
         };
-        let warm: Vec<&TargetEntry> = open.iter().filter(is_warm).copied().collect();
-        let enough = warm.len() as f64 >= open.len() as f64 * WARM_PART_LEAST;
-        if enough { warm } else { open }
+        unless_too_few(open, WARM_PART_LEAST, is_warm)
+    }
+
+    /// Leaves out targets that serve nobody for a while, unless they are many.
+    fn without_resting<'a>(
+        &self,
+        open: Vec<&'a TargetEntry>,
+        now: Timestamp,
+    ) -> Vec<&'a TargetEntry> {
+        if !self.policy.rest_moves.is_on() {
+            return open;
+        }
+        let figures = self.figures.borrow();
+        let serves =
+            |target: &TargetEntry| figures.get(&target.id).is_none_or(|one| !one.rests(now));
+        unless_too_few(open, SERVING_PART_LEAST, serves)
     }
 
     /// Time of an unhurried answer by target, in milliseconds, of those that have shown it.
@@ -106,6 +123,18 @@
     }
 }
 
+/// Those of the targets that are wanted, or all when those are less than this part of them.
+fn unless_too_few(
+    targets: Vec<&TargetEntry>,
+    least: f64,
+    wanted: impl Fn(&TargetEntry) -> bool,
+) -> Vec<&TargetEntry> {
+    let chosen: Vec<&TargetEntry> =
+        targets.iter().copied().filter(|target| wanted(target)).collect();
+    let enough = chosen.len() as f64 >= targets.len() as f64 * least;
+    if enough { chosen } else { targets }
+}
+
 /// These targets as owners, with what each can take.
 fn owner_candidates(usable: &[&TargetEntry], speeds: &HashMap<String, f64>) -> Vec<OwnerCandidate> {
     let known: Vec<f64> =
--- a/crates/nickellead_gateway/src/load_count.rs
+++ b/crates/nickellead_gateway/src/load_count.rs
@@ -70,6 +70,8 @@
     pub(crate) goal_parts: f64,
     /// Tries that were sent and met a refusal, a broken connection or no answer in time.
     pub(crate) lost: u32,
+    /// Longest pause that it asked for, in milliseconds; 0 for none.
+    pub(crate) rest_ms: u32,
 }
 
 impl AnswerCounts {
@@ -78,6 +80,7 @@
         self.total_ms += other.total_ms;
         self.goal_parts += other.goal_parts;
         self.lost = self.lost.saturating_add(other.lost);
+        self.rest_ms = self.rest_ms.max(other.rest_ms);
     }
 }
 
@@ -109,7 +112,10 @@
     pub(crate) fn note_answer(&self, target: &str, length: Duration, goal: Duration) {
         let goal_parts = length.as_secs_f64() / goal.as_secs_f64().max(f64::EPSILON);
         let total_ms = length.as_secs_f64() * 1_000.0;
-        self.add_answers(target, AnswerCounts { answered: 1, total_ms, goal_parts, lost: 0 });
+        self.add_answers(
+            target,
+            AnswerCounts { answered: 1, total_ms, goal_parts, ..AnswerCounts::default() },
+        );
     }
 
     /// Counts a request that a target left without a usable answer.
@@ -117,6 +123,12 @@
         self.add_answers(target, AnswerCounts { lost: 1, ..AnswerCounts::default() });
     }
 
+    /// Counts a pause that a target asked for.
+    pub(crate) fn note_rest(&self, target: &str, rest: Duration) {
+        let rest_ms = u32::try_from(rest.as_millis()).unwrap_or(u32::MAX);
+        self.add_answers(target, AnswerCounts { rest_ms, ..AnswerCounts::default() });
+    }
+
     fn add_answers(&self, target: &str, new: AnswerCounts) {
         let mut counts = self.lock();
         match counts.answers.get_mut(target) {
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -109,6 +109,9 @@
                 log_event(EventName::TargetLeaving, &[("target", &member.id)]);
             }
         }
+        if let Some(rest) = signs.rest {
+            self.keys.note_rest(&member.id, rest);
+        }
         if let Some(rest) = signs.rest
             && known.note_rest(rest.mul_f64(1.0 + self.rng.borrow_mut().f64() * REST_SPREAD), now)
         {
--- a/crates/nickellead_gateway/tests/target_signs.rs
+++ b/crates/nickellead_gateway/tests/target_signs.rs
@@ -186,6 +186,35 @@
     assert!(told.elapsed() < Duration::from_millis(2_500), "{:?}", told.elapsed());
 }
 
+#[test]
+fn keys_of_an_owner_that_wants_a_pause_move_to_others() {
+    let targets = ["t1", "t2"].map(|id| TestTarget::start(id, Manner::Serves));
+    let (gateway, _store) = owners("vm-pause-keys", &[&targets[0], &targets[1]]);
+    let [owner, other] = owner_of(&gateway, [&targets[0], &targets[1]]);
+    owner.behave(Manner::Sheds);
+    owner.tell("retry-after: 5\r\n");
+    let refused = Instant::now();
+    wait_until("the key is served again", || ask_key(&gateway).ends_with(&other.id));
+    // The pause is told within half a second, and a move takes less.
+    assert!(refused.elapsed() < Duration::from_millis(1_500), "{:?}", refused.elapsed());
+}
+
+/// A pause says nothing of its holds: they are renewed, and its keys stay when nobody else can have them.
+#[test]
+fn the_only_owner_keeps_its_keys_though_it_wants_a_pause() {
+    let target = TestTarget::start("t1", Manner::Serves);
+    let (gateway, store) = owners("vm-pause-only", &[&target]);
+    target.behave(Manner::Sheds);
+    target.tell("retry-after: 2.5\r\n");
+    ask_key(&gateway);
+    std::thread::sleep(Duration::from_millis(1_000));
+    let orders = store.orders().len();
+    std::thread::sleep(Duration::from_millis(1_500));
+    let later = store.orders().split_off(orders);
+    assert!(!later.is_empty(), "its hold is renewed each second");
+    assert!(later.iter().all(|order| order.kind.as_str() == "grant"), "{later:?}");
+}
+
 #[test]
 fn many_callers_at_once_do_not_break_a_pause() {
     let target = TestTarget::start("t1", Manner::Serves);
