--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -57,7 +57,8 @@
         let now = BootClock.now();
         let is_open = |target: &&TargetEntry| {
             let ready = target.service == service && target.state == TargetState::Ready;
-            ready && !zones.is_evacuated(&target.zone) && !leaving.contains(&target.holder())
+            let leaves = !leaving.is_empty() && leaving.contains(&target.holder());
+            ready && !leaves && !zones.is_evacuated(&target.zone)
         };
         let open: Vec<&TargetEntry> = targets.values().filter(is_open).collect();
         let open = self.without_resting(open, now);
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -39,6 +39,8 @@
     pub(crate) requests: Counter,
     pub(crate) retries: Counter,
     pub(crate) connections: Gauge,
+    pub(crate) leaving: Gauge,
+    pub(crate) resting: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -55,6 +57,8 @@
             requests: Counter::default(),
             retries: Counter::default(),
             connections: Gauge::default(),
+            leaving: Gauge::default(),
+            resting: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -67,6 +71,10 @@
         registry.register("retries", "Tries after the first one", metrics.retries.clone());
         let opened = metrics.connections.clone();
         registry.register("target_connections_opened", "Opened to targets that are listed", opened);
+        let told = "Listed targets that told this VM that they leave";
+        registry.register("targets_leaving", told, metrics.leaving.clone());
+        let told = "Listed targets that told this VM that they want nothing now";
+        registry.register("targets_resting", told, metrics.resting.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Declarations in force", version);
         let age = metrics.config_age.clone();
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -339,6 +339,14 @@
         }
     }
 
+    /// How many members told that they leave, and how many that they want nothing now.
+    pub(crate) fn count_signs(&self, now: Timestamp) -> (i64, i64) {
+        let members = || self.by_id.values();
+        let leaving = members().filter(|member| member.is_leaving()).count();
+        let resting = members().filter(|member| member.signs.get().rests(now)).count();
+        (leaving as i64, resting as i64)
+    }
+
     /// Connections opened to all members.
     pub(crate) fn opened(&self) -> u64 {
         self.by_id.values().map(|member| member.pool.opened()).sum()
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_balance::{Candidate, ChoiceRules, choose};
-use nickellead_core::ErrorKind;
+use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::TurnQueue;
 use nickellead_time::BootClock;
 
@@ -192,12 +192,7 @@
             cold_last: self.policy.cold_avoidance.is_on(),
         };
         let chosen = choose(&candidates, rules, now, &mut self.rng.borrow_mut());
-        let kind = match all {
-            [] => ErrorKind::NoTarget,
-            _ if all.iter().any(|member| member.signs.get().rests(now)) => ErrorKind::TargetResting,
-            _ => ErrorKind::Overloaded,
-        };
-        chosen.map(|place| Rc::clone(fresh[place])).ok_or(kind)
+        chosen.map(|place| Rc::clone(fresh[place])).ok_or_else(|| lacks_target(all, now))
     }
 
     /// The owner of a key; waits a bounded time while its range moves.
@@ -254,3 +249,15 @@
         asked.then(|| Rc::clone(member))
     }
 }
+
+/// Why none of a service's targets can be sent a request now.
+fn lacks_target(members: &[Rc<TargetMember>], now: Timestamp) -> ErrorKind {
+    let staying = || members.iter().filter(|member| !member.is_leaving());
+    if staying().next().is_none() {
+        ErrorKind::NoTarget
+    } else if staying().any(|member| member.signs.get().rests(now)) {
+        ErrorKind::TargetResting
+    } else {
+        ErrorKind::Overloaded
+    }
+}
--- a/crates/nickellead_gateway/tests/common/target.rs
+++ b/crates/nickellead_gateway/tests/common/target.rs
@@ -38,6 +38,18 @@
     pub length: Duration,
 }
 
+/// One request that a target answered.
+#[derive(Clone, Debug)]
+pub struct TargetArrival {
+    pub at: Instant,
+    /// The id that the caller gave it.
+    pub request: String,
+    /// The header lines that the target put on its answer.
+    pub told: String,
+    /// Whether it was turned away.
+    pub shed: bool,
+}
+
 /// One target.
 pub struct TestTarget {
     pub id: String,
@@ -47,6 +59,14 @@
     manner: Arc<Mutex<Manner>>,
     broken: Arc<AtomicUsize>,
     told: Arc<Mutex<String>>,
+    arrivals: Arc<Mutex<Vec<TargetArrival>>>,
+}
+
+/// What a target tells of itself, and what it told.
+#[derive(Clone)]
+struct TargetWords {
+    told: Arc<Mutex<String>>,
+    arrivals: Arc<Mutex<Vec<TargetArrival>>>,
 }
 
 /// Ends of the work in each slot of a bounded target.
@@ -63,19 +83,21 @@
             manner: Arc::new(Mutex::new(manner)),
             broken: Arc::default(),
             told: Arc::default(),
+            arrivals: Arc::default(),
         };
         let (ends, broken) = (Arc::new(SlotEnds::default()), Arc::clone(&target.broken));
         let (id, seen) = (target.id.clone(), Arc::clone(&target.seen));
         let (ended, manner) = (Arc::clone(&target.ended), Arc::clone(&target.manner));
-        let told = Arc::clone(&target.told);
+        let words =
+            TargetWords { told: Arc::clone(&target.told), arrivals: Arc::clone(&target.arrivals) };
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (id, seen) = (id.clone(), Arc::clone(&seen));
                 let (ended, manner) = (Arc::clone(&ended), Arc::clone(&manner));
                 let (ends, broken) = (Arc::clone(&ends), Arc::clone(&broken));
-                let told = Arc::clone(&told);
+                let words = words.clone();
                 std::thread::spawn(move || {
-                    if !serve(stream, &id, &seen, &ended, &manner, &ends, &told) {
+                    if !serve(stream, &id, &seen, &ended, &manner, &ends, &words) {
                         broken.fetch_add(1, Ordering::Relaxed);
                     }
                 });
@@ -104,6 +126,11 @@
         self.broken.load(Ordering::Relaxed)
     }
 
+    /// Requests that it answered, in the order of their arrival.
+    pub fn arrivals(&self) -> Vec<TargetArrival> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     /// Puts these header lines on all answers from now on.
     pub fn tell(&self, lines: &str) {
         lines.clone_into(&mut self.told.lock().unwrap());
@@ -136,14 +163,20 @@
     ended: &AtomicUsize,
     manner: &Mutex<Manner>,
     ends: &SlotEnds,
-    told: &Mutex<String>,
+    words: &TargetWords,
 ) -> bool {
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     while let Some(request) = read_request(&mut stream) {
         let request_id = header(&request, "x-request-id").unwrap_or_default();
         seen.lock().unwrap().push(request);
         let manner = manner.lock().unwrap().clone();
-        let told = told.lock().unwrap().clone();
+        let told = words.told.lock().unwrap().clone();
+        words.arrivals.lock().unwrap().push(TargetArrival {
+            at: Instant::now(),
+            request: request_id.clone(),
+            told: told.clone(),
+            shed: matches!(manner, Manner::Sheds),
+        });
         let whole = |status: &str, more: &str, body: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-request-id: {request_id}\r\n{told}{more}content-length: {}\r\n\r\n{body}",
--- a/crates/nickellead_report/src/cause.rs
+++ b/crates/nickellead_report/src/cause.rs
@@ -22,6 +22,7 @@
         let about: Vec<&LogLine> = near.iter().copied().filter(of_target).collect();
         told.extend(own.iter().filter(of_target).map(|line| tell_try(target, line)));
         told.extend(tell_leaving(target, &about));
+        told.extend(tell_signs(target, &about));
         told.extend(tell_orders(target, &about));
         told.extend(tell_other_tries(target, &about, request));
     }
@@ -45,6 +46,18 @@
     Some(format!("{target} was {state} from {:.3} s on", line.at))
 }
 
+/// What the target told of itself on its answers.
+fn tell_signs(target: &str, about: &[&LogLine]) -> Vec<String> {
+    let first = |event: EventName| about.iter().find(|line| line.event == event);
+    let leaves = first(EventName::TargetLeaving).or(first(EventName::OwnerLeaving));
+    let leaves = leaves.map(|line| format!("{target} said at {:.3} s that it leaves", line.at));
+    let rests = first(EventName::TargetResting).map(|line| {
+        let rest = line.field("rest_ms").unwrap_or("?");
+        format!("{target} asked at {:.3} s for a pause of {rest} ms", line.at)
+    });
+    leaves.into_iter().chain(rests).collect()
+}
+
 /// How many orders to the target failed.
 fn tell_orders(target: &str, about: &[&LogLine]) -> Option<String> {
     let orders = about.iter().filter(|line| line.event == EventName::OrderFailed).count();
