--- a/crates/nickellead_gateway/tests/target_signs.rs
+++ b/crates/nickellead_gateway/tests/target_signs.rs
@@ -199,6 +199,33 @@
     assert!(refused.elapsed() < Duration::from_millis(1_500), "{:?}", refused.elapsed());
 }
 
+#[test]
+fn the_next_life_of_an_owner_that_wanted_a_pause_gets_keys_at_once() {
+    let targets = ["t1", "t2"].map(|id| TestTarget::start(id, Manner::Serves));
+    let store = MemoryStore::default();
+    targets.iter().for_each(|target| store.list(entry(&target.id, "keyed", target.address)));
+    store.declare(declarations(1));
+    let gateway = TestGateway::start("vm-pause-life", &store);
+    gateway.wait_ready();
+    let ask = |key: u16| gateway.ask("GET", "/key/", &format!("x-key: {key}\r\n"));
+    let ask_all = || (0..=u16::MAX).step_by(4_001).map(ask).collect::<Vec<_>>();
+    let served_by = |id: &str| {
+        let answers = ask_all();
+        answers.iter().all(|answer| answer.contains(" 200 "))
+            && answers.iter().any(|answer| answer.ends_with(id))
+    };
+    wait_until("both own keys", || served_by("t1") && served_by("t2"));
+    targets[0].behave(Manner::Sheds);
+    targets[0].tell("retry-after: 5\r\n");
+    wait_until("its keys have moved", || ask_all().iter().all(|answer| answer.ends_with("t2")));
+    targets[0].behave(Manner::Serves);
+    targets[0].tell("");
+    store.list(TargetEntry { born: Some(2), ..entry("t1", "keyed", targets[0].address) });
+    let started = Instant::now();
+    wait_until("its next life owns keys", || served_by("t1"));
+    assert!(started.elapsed() < Duration::from_millis(4_000), "{:?}", started.elapsed());
+}
+
 /// A pause says nothing of its holds: they are renewed, and its keys stay when nobody else can have them.
 #[test]
 fn the_only_owner_keeps_its_keys_though_it_wants_a_pause() {
