A pause, and a sign of leaving, wakes all who wait for a turn

Cause: the end of a try wakes one of those that wait; it was refused, and nobody woke the next one. Before 0.5 s, a whole latency target; now with the answer that told it.

--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -98,29 +98,33 @@
 
 impl RequestWorker {
     /// Takes in what a target told of itself on an answer.
-    pub(super) fn note_signs(&self, member: &TargetMember, signs: AnswerSigns) {
+    pub(super) fn note_signs(&self, service: &str, member: &TargetMember, signs: AnswerSigns) {
         self.metrics.count_signs(signs);
         let now = BootClock.now();
         let mut known = member.signs.get();
+        let mut new = false;
         if signs.leaving {
             // Told on each answer, as the holder that was told before may be gone.
             self.keys.note_leaving(member.life());
             if known.note_leaving(now) {
+                new = true;
                 log_event(EventName::TargetLeaving, &[("target", &member.id)]);
             }
         }
         if let Some(pause) = signs.pause {
             self.keys.note_pause(&member.id, pause);
-        }
-        if let Some(pause) = signs.pause
-            && known
-                .note_pause(pause.mul_f64(1.0 + self.rng.borrow_mut().f64() * PAUSE_SPREAD), now)
-        {
-            let pairs: [(&str, &dyn std::fmt::Display); 2] =
-                [("target", &member.id), ("pause_ms", &pause.as_millis())];
-            log_event(EventName::TargetPaused, &pairs);
+            let spread = 1.0 + self.rng.borrow_mut().f64() * PAUSE_SPREAD;
+            if known.note_pause(pause.mul_f64(spread), now) {
+                new = true;
+                log_pause(member, pause);
+            }
         }
         member.signs.set(known);
+        if new {
+            // Who waits for a turn there looks for another target, or is refused at once.
+            member.turns.wake_all();
+            self.queue(service).wake_all();
+        }
     }
 
     /// Learns whether the target's zone can be reached.
@@ -216,3 +220,9 @@
     ];
     log_event(EventName::RequestRetried, &pairs);
 }
+
+fn log_pause(member: &TargetMember, pause: Duration) {
+    let pairs: [(&str, &dyn std::fmt::Display); 2] =
+        [("target", &member.id), ("pause_ms", &pause.as_millis())];
+    log_event(EventName::TargetPaused, &pairs);
+}
