--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -18,6 +18,14 @@
 /// request: it waits for a lost target's hold, seconds long, and requests for it are refused at once.
 const OWNERLESS_LONG: Duration = Duration::from_millis(1_000);
 
+/// What a look for a target came to.
+enum RoomLook {
+    /// It may be sent the request now.
+    Found(Rc<TargetMember>),
+    /// It has no room now.
+    Full(Rc<TargetMember>),
+}
+
 impl RequestWorker {
     /// A target with room, or why none was found in time.
     pub(super) async fn wait_for_turn(
@@ -26,49 +34,62 @@
         service: &str,
         state: &TryState,
     ) -> Result<Rc<TargetMember>, ErrorKind> {
-        let until = planned.in_time_until();
         loop {
-            let chosen = self.choose_member(planned, service, state).await;
-            if chosen.is_err() && self.beliefs.borrow().roster.is_empty() {
-                // The VM has just started: what it is told next is the list of targets.
-                self.wait_for_targets(until).await?;
-                continue;
-            }
-            let member = chosen?;
-            let now = BootClock.now();
-            if member.signs.get().is_paused(now) {
-                return Err(ErrorKind::TargetPaused);
-            }
-            if !member.cold.may_send(now) {
-                // Its keys have no other owner, and it would fall over for more.
-                return Err(ErrorKind::Overloaded);
-            }
-            if !self.reach.may_try(&member.zone, now) {
-                return Err(ErrorKind::TargetUnreachable);
-            }
-            if member.has_room() {
-                member.cold.note_sent(now);
-                self.reach.note_try(&member.zone, now);
-                return Ok(member);
-            }
+            let member = match self.look_for_room(planned, service, state).await? {
+                RoomLook::Found(member) => return Ok(member),
+                RoomLook::Full(member) => member,
+            };
             let divided = self.beliefs.borrow().is_divided(service);
             let service_queue = self.queue(service);
-            let queue = if divided { &member.turns } else { &*service_queue };
+            let turns = if divided { &member.turns } else { &*service_queue };
             let ahead = match divided {
-                true => queue.waiting(),
+                true => turns.waiting(),
                 // The turns of all members come to the one queue.
-                false => queue.waiting() / self.part_size(service),
+                false => turns.waiting() / self.part_size(service),
             };
             let left = self.time_for_turn(planned, &member, ahead).ok_or(ErrorKind::Overloaded)?;
-            let mut turn = queue.join(planned.route.rule.priority);
+            let mut turn = turns.join(planned.route.rule.priority);
             let woken = tokio::time::timeout(left, turn.wait()).await;
             if woken.is_err() {
-                queue.give_up(&turn);
+                turns.give_up(&turn);
                 return Err(ErrorKind::Overloaded);
             }
         }
     }
 
+    /// A target that may be sent the request now, or one to wait for.
+    async fn look_for_room(
+        &self,
+        planned: &PlannedRequest,
+        service: &str,
+        state: &TryState,
+    ) -> Result<RoomLook, ErrorKind> {
+        let mut chosen = self.choose_member(planned, service, state).await;
+        while chosen.is_err() && self.beliefs.borrow().roster.is_empty() {
+            // The VM has just started: what it is told next is the list of targets.
+            self.wait_for_targets(planned.in_time_until()).await?;
+            chosen = self.choose_member(planned, service, state).await;
+        }
+        let member = chosen?;
+        let now = BootClock.now();
+        if member.signs.get().is_paused(now) {
+            return Err(ErrorKind::TargetPaused);
+        }
+        if !member.cold.may_send(now) {
+            // Its keys have no other owner, and it would fall over for more.
+            return Err(ErrorKind::Overloaded);
+        }
+        if !self.reach.may_try(&member.zone, now) {
+            return Err(ErrorKind::TargetUnreachable);
+        }
+        if !member.has_room() {
+            return Ok(RoomLook::Full(member));
+        }
+        member.cold.note_sent(now);
+        self.reach.note_try(&member.zone, now);
+        Ok(RoomLook::Found(member))
+    }
+
     /// How long a request may wait for a member's room behind `ahead` others; `None` when its answer
     /// would not be in time, so that waiting is of no use to the caller.
     fn time_for_turn(
--- a/crates/nickellead_limit/src/queue.rs
+++ b/crates/nickellead_limit/src/queue.rs
@@ -65,8 +65,10 @@
     /// Wakes all that wait, the most urgent ones first: what they wait for may never come.
     pub fn wake_all(&self) {
         let turns = std::mem::take(&mut self.waiting.borrow_mut().turns);
-        // One that gave up needs no turn.
-        turns.into_values().for_each(|sender| drop(sender.send(())));
+        for sender in turns.into_values() {
+            // One that gave up needs no turn.
+            let _ = sender.send(());
+        }
     }
 
     /// Wakes the most urgent request that still waits.
