--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -71,17 +71,21 @@
 
 /// A worker in front of one target, for as long as the test runs.
 fn router(target: SocketAddr) -> SocketAddr {
+    let owner = ShardOwner::Target { target: TargetKey::from(&name("board-0")), epoch: Epoch(3) };
+    let service = ServiceKey::from(&name("boards"));
+    let change = RouteChange { service, shard: ShardIndex(0), owner };
+    let config = WorkerUpdate::Config(Arc::new(declare(target)));
+    run_worker(vec![config, WorkerUpdate::Routes(vec![change].into())])
+}
+
+/// Runs a worker that has been told these updates, for as long as the test runs.
+fn run_worker(updates: Vec<WorkerUpdate>) -> SocketAddr {
     let listener = bind_listener(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         actix_rt::Runtime::new().unwrap().block_on(async move {
             let worker = ProxyWorker::new(ProxyLimits::default(), 1, ProxyMetrics::default());
-            worker.update(&WorkerUpdate::Config(Arc::new(declare(target))));
-            let owner =
-                ShardOwner::Target { target: TargetKey::from(&name("board-0")), epoch: Epoch(3) };
-            let service = ServiceKey::from(&name("boards"));
-            let change = RouteChange { service, shard: ShardIndex(0), owner };
-            worker.update(&WorkerUpdate::Routes(vec![change].into()));
+            updates.iter().for_each(|update| worker.update(update));
             let handler = move |request| {
                 let worker = std::rc::Rc::clone(&worker);
                 async move { worker.answer(request).await }
@@ -92,6 +96,14 @@
     address
 }
 
+/// A VM that has just started said that the service does not exist, and its caller gave up.
+#[test]
+fn a_worker_that_knows_no_declarations_says_so() {
+    let answer = book(run_worker(Vec::new()));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("not-configured") && answer.contains("retry-after"), "{answer}");
+}
+
 fn send(router: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(router).unwrap();
     stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -26,6 +26,8 @@
     pub targets_per_zone: usize,
     pub shards: u32,
     pub service_us: u32,
+    /// Request workers of each VM.
+    pub workers: u16,
 }
 
 impl Default for FleetSpec {
@@ -37,6 +39,7 @@
             targets_per_zone: 3,
             shards: 64,
             service_us: 300,
+            workers: 1,
         }
     }
 }
@@ -154,7 +157,8 @@
             r#"{{"vm": "{name}", "zone": "{zone}", "callers_address": "{callers}",
                 "operators_address": "{operators}", "peers_address": "{peers}",
                 "platform_address": "{platform}", "limits": {{"vms": {count}}},
-                "stop_linger_ms": 300}}"#
+                "stop_linger_ms": 300, "workers": {}}}"#,
+            self.spec.workers
         );
         let settings = write_file(&format!("{}-{name}.json", self.spec.label), &settings);
         self.vms.push(FleetVm { name, zone, process: None, callers, operators, peers, settings });
