A VM is ready when its request workers have taken over what they need, not when it was sent to them

Cause: readiness, and the revision in force, were noted by the thread that tells the workers; on a busy machine they take it over later by milliseconds, and callers that came then got 404 unknown-service or 503 owner-unknown. Ruled out: lost updates (rings were not full), the VM that stops (each refusal came from the one that had just started). Now each worker notes what it has taken over; and one that knows nothing says not-configured.

--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -68,6 +68,8 @@
 pub struct ProxyWorker {
     limits: ProxyLimits,
     table: RefCell<RoutingTable>,
+    /// Whether any declarations are known.
+    configured: Cell<bool>,
     changed: Notify,
     gates: RefCell<HashMap<TargetKey, TargetGate>>,
     budget: RefCell<RetryBudget>,
@@ -114,6 +116,7 @@
         Rc::new(Self {
             limits,
             table: RefCell::default(),
+            configured: Cell::new(false),
             changed: Notify::new(),
             gates: RefCell::default(),
             budget: RefCell::default(),
@@ -131,6 +134,7 @@
         match update {
             WorkerUpdate::Config(config) => {
                 table.apply_config(config);
+                self.configured.set(true);
             }
             WorkerUpdate::Routes(changes) => {
                 changes.iter().for_each(|change| table.apply_change(*change));
@@ -156,6 +160,9 @@
     }
 
     async fn serve(&self, mut request: Request) -> Result<TargetAnswer, ErrorKind> {
+        if !self.configured.get() {
+            return Err(ErrorKind::NotConfigured);
+        }
         let call = PlannedCall::read(&request, &self.table.borrow())?;
         let deadline = Deadline::after(call.deadline);
         let body = match request.take_payload() {
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -19,6 +19,7 @@
 use crate::peers::PeerRings;
 use crate::platform::PlatformRings;
 use crate::readiness::Readiness;
+use crate::requests::WorkerUpdates;
 use crate::ring::{RingSender, offer, ring};
 use crate::settings::NodeSettings;
 use crate::{coordination, operators, orders, peers, platform, requests};
@@ -86,19 +87,23 @@
     metrics.register(&mut registry);
     let callers = Arc::new(ServeState::default());
     let operators = Arc::new(ServeState::default());
-    let readiness = Arc::new(Readiness::default());
+    let readiness = Arc::new(Readiness::of_workers(settings.workers));
 
     let mut workers = Vec::new();
     let mut to_workers = Vec::new();
     for place in 0..settings.workers {
-        let (to_worker, worker_ring) = ring();
+        let (to_worker, receiver) = ring();
         to_workers.push(to_worker);
+        let updates = WorkerUpdates {
+            receiver,
+            readiness: Arc::clone(&readiness),
+            place: usize::from(place),
+        };
         workers.push(requests::build(
-            place,
+            updates,
             listen("callers_address", settings.callers_address)?,
             settings.limits.to_limits(settings.workers),
             incarnation.0.wrapping_add(u64::from(place)),
-            worker_ring,
             metrics.clone(),
             Arc::clone(&callers),
         )?);
--- a/crates/nickellead_run/src/peers/hub.rs
+++ b/crates/nickellead_run/src/peers/hub.rs
@@ -20,6 +20,7 @@
 use super::PeerRings;
 use crate::coordination::CoordinationMessage;
 use crate::orders::OrderMessage;
+use crate::requests::WorkerMessage;
 use crate::ring::{RingSender, offer};
 use nickellead_event::{EventName, log_event};
 
@@ -178,9 +179,7 @@
     fn put_in_force(&self, config: Arc<DeclaredConfig>) {
         log_event(EventName::ConfigInForce, &[("revision", &config.revision)]);
         offer(&self.rings.orders, OrderMessage::Config(Arc::clone(&config)));
-        let revision = config.revision;
         self.tell_workers(&WorkerUpdate::Config(config));
-        self.rings.readiness.set_revision(revision);
         self.notify();
     }
 
@@ -254,7 +253,7 @@
         from_coordinator
     }
 
-    /// Becomes ready once the owners in this zone are known, and those in the
+    /// Lets the workers call themselves informed once the owners in this zone are known, and those in the
     /// others too or a while has passed: a zone that is cut off serves what it can.
     pub(super) fn check_readiness(&self) {
         let config = self.config.borrow();
@@ -267,7 +266,17 @@
         }
         let mut wanted = config.services.iter().flat_map(|service| &service.spec.zones);
         if wanted.all(knows) || self.started.elapsed() > OTHER_ZONES_WAIT {
-            self.rings.readiness.inform();
+            self.inform_workers();
+        }
+    }
+
+    /// Tells workers that they have been told enough to serve; one whose ring was full is told later.
+    fn inform_workers(&self) {
+        let lagging = self.lagging.borrow();
+        for (place, worker) in self.rings.workers.iter().enumerate() {
+            if !lagging[place] && !self.rings.readiness.worker(place).is_informed() {
+                offer(worker, WorkerMessage::Informed);
+            }
         }
     }
 
@@ -279,19 +288,20 @@
     fn tell_workers(&self, update: &WorkerUpdate) {
         let mut lagging = self.lagging.borrow_mut();
         for (place, worker) in self.rings.workers.iter().enumerate() {
-            if lagging[place] || !offer(worker, update.clone()) {
+            if lagging[place] || !offer(worker, WorkerMessage::Update(update.clone())) {
                 lagging[place] = !self.tell_all(worker);
             }
         }
     }
 
     /// Tells a worker everything; tells whether it all went in.
-    fn tell_all(&self, worker: &RingSender<WorkerUpdate>) -> bool {
+    fn tell_all(&self, worker: &RingSender<WorkerMessage>) -> bool {
+        let offer = |update| offer(worker, WorkerMessage::Update(update));
         let config = self.config.borrow().newest().cloned();
-        let config_in = config.is_none_or(|config| offer(worker, WorkerUpdate::Config(config)));
+        let config_in = config.is_none_or(|config| offer(WorkerUpdate::Config(config)));
         let zones = self.zones.borrow();
         let mut deltas = zones.values().filter_map(|table| table.delta(None));
-        config_in && deltas.all(|delta| offer(worker, WorkerUpdate::Routes(delta.changes.into())))
+        config_in && deltas.all(|delta| offer(WorkerUpdate::Routes(delta.changes.into())))
     }
 }
 
--- a/crates/nickellead_run/src/peers/mod.rs
+++ b/crates/nickellead_run/src/peers/mod.rs
@@ -16,13 +16,13 @@
 use nickellead_lease::{RecordBatch, StandbyVm, ZoneDelta, ZoneEvent};
 use nickellead_peer::{PEER_PATH, PeerClient, PeerReply, PeerRequest, PeerVm, serve_peers};
 use nickellead_platform::ListedVm;
-use nickellead_proxy::WorkerUpdate;
 use nickellead_route::ZoneSummary;
 use tokio::sync::oneshot;
 
 use crate::coordination::CoordinationMessage;
 use crate::orders::OrderMessage;
 use crate::readiness::Readiness;
+use crate::requests::WorkerMessage;
 use crate::ring::{RingReceiver, RingSender, offer};
 use hub::PeerHub;
 
@@ -54,7 +54,7 @@
 pub(crate) struct PeerRings {
     pub(crate) coordination: RingSender<CoordinationMessage>,
     pub(crate) orders: RingSender<OrderMessage>,
-    pub(crate) workers: Vec<RingSender<WorkerUpdate>>,
+    pub(crate) workers: Vec<RingSender<WorkerMessage>>,
     pub(crate) readiness: Arc<Readiness>,
 }
 
--- a/crates/nickellead_run/src/readiness.rs
+++ b/crates/nickellead_run/src/readiness.rs
@@ -4,28 +4,56 @@
 
 use nickellead_core::Version;
 
-/// Readiness: the VM knows where requests go, and is not stopping.
+/// What one request worker has taken over.
+///
+/// The worker itself notes it: what was only sent to it is taken over milliseconds later on a busy machine, and
+/// callers that came meanwhile were refused.
 #[derive(Debug, Default)]
-pub(crate) struct Readiness {
+pub(crate) struct WorkerProgress {
     informed: AtomicBool,
-    stopping: AtomicBool,
     revision: AtomicU64,
 }
 
-impl Readiness {
+impl WorkerProgress {
     /// Notes that declarations and owners are known.
     pub(crate) fn inform(&self) {
         self.informed.store(true, Ordering::Relaxed);
     }
 
-    /// Notes which revision of the declarations the request workers were told.
+    /// Notes which revision of the declarations decides about requests.
     pub(crate) fn set_revision(&self, revision: Version) {
         self.revision.store(revision.0, Ordering::Relaxed);
     }
 
-    /// The revision of the declarations in force here.
+    /// Whether it can serve.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.informed.load(Ordering::Relaxed)
+    }
+}
+
+/// Readiness: every request worker knows where requests go, and the VM is not stopping.
+#[derive(Debug)]
+pub(crate) struct Readiness {
+    workers: Vec<WorkerProgress>,
+    stopping: AtomicBool,
+}
+
+impl Readiness {
+    /// A VM whose workers know nothing yet.
+    pub(crate) fn of_workers(count: u16) -> Self {
+        let workers = (0..count).map(|_| WorkerProgress::default()).collect();
+        Self { workers, stopping: AtomicBool::new(false) }
+    }
+
+    /// What one worker has taken over.
+    pub(crate) fn worker(&self, place: usize) -> &WorkerProgress {
+        &self.workers[place]
+    }
+
+    /// The revision of the declarations in force here: on every worker.
     pub(crate) fn revision(&self) -> Version {
-        Version(self.revision.load(Ordering::Relaxed))
+        let revisions = self.workers.iter().map(|worker| worker.revision.load(Ordering::Relaxed));
+        Version(revisions.min().unwrap_or_default())
     }
 
     /// Notes that the VM is stopping.
@@ -35,6 +63,7 @@
 
     /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.informed.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
+        let informed = self.workers.iter().all(WorkerProgress::is_informed);
+        informed && !self.stopping.load(Ordering::Relaxed)
     }
 }
--- a/crates/nickellead_run/src/requests.rs
+++ b/crates/nickellead_run/src/requests.rs
@@ -9,42 +9,72 @@
     ProxyLimits, ProxyMetrics, ProxyWorker, ServeState, WorkerUpdate, serve_http,
 };
 
+use crate::readiness::Readiness;
 use crate::ring::RingReceiver;
 
+/// What reaches a worker over its ring.
+pub(crate) enum WorkerMessage {
+    /// Something to take over.
+    Update(WorkerUpdate),
+    /// All that it needs to serve went before this.
+    Informed,
+}
+
 /// Starts one worker's thread.
 ///
 /// # Errors
 /// The system's error when it refuses a thread.
 pub(crate) fn build(
-    place: u16,
+    updates: WorkerUpdates,
     listener: TcpListener,
     limits: ProxyLimits,
     seed: u64,
-    receiver: RingReceiver<WorkerUpdate>,
     metrics: ProxyMetrics,
     state: Arc<ServeState>,
 ) -> std::io::Result<JoinHandle<()>> {
+    let place = updates.place;
     std::thread::Builder::new().name(format!("requests-{place}")).spawn(move || {
         if let Ok(runtime) = actix_rt::Runtime::new() {
             let worker = ProxyWorker::new(limits, seed, metrics);
-            runtime.block_on(run(worker, listener, limits, receiver, state));
+            runtime.block_on(run(worker, listener, limits, updates, state));
         }
     })
 }
 
+/// What a worker is told, and where it notes what it has taken over.
+pub(crate) struct WorkerUpdates {
+    pub(crate) receiver: RingReceiver<WorkerMessage>,
+    pub(crate) readiness: Arc<Readiness>,
+    /// The worker's place among those of the VM.
+    pub(crate) place: usize,
+}
+
+impl WorkerUpdates {
+    /// Takes over all that comes.
+    async fn take_all(mut self, worker: Rc<ProxyWorker>) {
+        let progress = self.readiness.worker(self.place);
+        while let Some(message) = self.receiver.recv().await {
+            match message {
+                WorkerMessage::Update(update) => {
+                    worker.update(&update);
+                    if let WorkerUpdate::Config(config) = update {
+                        progress.set_revision(config.revision);
+                    }
+                }
+                WorkerMessage::Informed => progress.inform(),
+            }
+        }
+    }
+}
+
 async fn run(
     worker: Rc<ProxyWorker>,
     listener: TcpListener,
     limits: ProxyLimits,
-    mut receiver: RingReceiver<WorkerUpdate>,
+    updates: WorkerUpdates,
     state: Arc<ServeState>,
 ) {
-    let updated = Rc::clone(&worker);
-    actix_rt::spawn(async move {
-        while let Some(update) = receiver.recv().await {
-            updated.update(&update);
-        }
-    });
+    actix_rt::spawn(updates.take_all(Rc::clone(&worker)));
     let handler = move |request| {
         let worker = Rc::clone(&worker);
         async move { worker.answer(request).await }
