--- a/crates/nickellead_balance/src/lib.rs
+++ b/crates/nickellead_balance/src/lib.rs
@@ -3,7 +3,8 @@
 //! A [`TargetScore`] learns from the outcomes of this VM's own requests; traffic
 //! itself is the probe. [`choose`] compares a few members drawn at random and
 //! takes the one that promises the shortest answer. [`even_part`] shares targets out among VMs.
-//! [`TargetSigns`] is what a target told of itself; [`ZoneReach`] tells a zone that is cut off by the silence of a few of its targets.
+//! [`TargetSigns`] is what a target told of itself; [`ZoneReach`] tells a zone that is cut off by the
+//! silence of a few of its targets.
 
 mod choose;
 mod part;
--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -31,8 +31,8 @@
 const VMS_A_SLOT: usize = 3;
 /// A VM that has not reported for this long takes no requests.
 const REPORTER_SILENCE: Duration = Duration::from_millis(2_500);
-/// A target that serves nobody and asks for a pause is to own keys again after so many of them: it often asks for
-/// the next one, and keys that came back would wait for one more move.
+/// A target that serves nobody and asks for a pause is to own keys again after so many of them: it often
+/// asks for the next one, and keys that came back would wait for one more move.
 const RETURN_PAUSES: u32 = 2;
 /// Most ranges of crowded owners that are told: each costs every VM about ten bytes a word.
 const RANGES_TOLD: usize = 256;
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -44,8 +44,8 @@
             .collect()
     }
 
-    /// The targets of a service that may own ranges: those that stay, by their entries and by their own word, outside evacuated zones, and the
-    /// cold ones only while too few others are there.
+    /// The targets of a service that may own ranges: those that stay, by their entries and by their own
+    /// word, outside evacuated zones; those that are cold or serve nobody only while too few others are there.
     fn usable_owners<'a>(
         &self,
         service: &str,
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -29,12 +29,12 @@
 const ANSWER_PART: f64 = 0.92;
 /// Part of the grace time after which the process ends in any case.
 const END_PART: f64 = 0.97;
-/// Part of the drain time for which a target that said that it leaves is sent requests that nobody else can
-/// serve.
+/// Part of the drain time for which a target that said that it leaves is sent requests that nobody else
+/// can serve.
 ///
 /// Its keys are with another owner after 0.2 s where the holder of the mandate is told itself, after 0.7 s
-/// where another VM tells it, and after 1.2 s where only an answer to an order does (tests with three VMs). The rest is for what is
-/// under way to a target.
+/// where another VM tells it, and after 1.2 s where only an answer to an order does, in tests with two
+/// VMs. The rest of the time is for what is under way to the target.
 const LEAVING_STAY_PART: f64 = 0.5;
 /// Between two looks at whether callers have left.
 const LOOK: Duration = Duration::from_millis(50);
--- a/crates/nickellead_run/src/readiness.rs
+++ b/crates/nickellead_run/src/readiness.rs
@@ -6,8 +6,8 @@
 
 /// What one request worker has taken over.
 ///
-/// The worker itself notes it: what was only sent to it is taken over milliseconds later on a busy machine, and
-/// callers that came meanwhile were refused.
+/// The worker itself notes it: what was only sent to it is taken over milliseconds later on a busy
+/// machine, and callers that came meanwhile were refused.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerProgress {
     informed: AtomicBool,
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -1,5 +1,5 @@
-//! Callers that reach a VM as soon as it says that it is ready, on a machine that is kept busy: alone in its file, so that
-//! no other test runs beside it.
+//! Callers that reach a VM as soon as it says that it is ready, on a machine that is kept busy: alone in its
+//! file, so that no other test runs beside it.
 #![allow(clippy::unwrap_used)]
 
 mod common;
