Sight: limits that targets name on answers are read, logged and counted

Nothing could tell whether a VM had been told a limit. The event target-limited and the figures target_signs and targets_limited tell now, and explain names it; nothing is decided by it yet.

--- a/crates/nickellead_balance/src/signs.rs
+++ b/crates/nickellead_balance/src/signs.rs
@@ -9,10 +9,20 @@
 use nickellead_core::Timestamp;
 
 /// Signs of one life of one target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetSigns {
     leaving_since: Option<Timestamp>,
     paused_until: Timestamp,
+    limit: Option<NamedLimit>,
+}
+
+/// A limit that a target named, and still names as far as this VM knows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct NamedLimit {
+    /// Requests a second from all VMs together.
+    rate: f64,
+    /// When the last answer came that named it.
+    heard: Timestamp,
 }
 
 impl TargetSigns {
@@ -32,6 +42,28 @@
         new
     }
 
+    /// Notes the requests a second that the target takes from all VMs together, or that it names no limit,
+    /// as an answer says to a request that was sent at `sent`; tells whether that is new.
+    ///
+    /// Answers overtake each other, so one that allows more counts only if its request was sent after the last
+    /// answer came that allowed less.
+    pub fn note_limit(&mut self, limit: Option<f64>, sent: Timestamp, now: Timestamp) -> bool {
+        let known = self.limit;
+        if known
+            .is_some_and(|known| limit.is_none_or(|rate| rate > known.rate) && sent <= known.heard)
+        {
+            return false;
+        }
+        self.limit = limit.map(|rate| NamedLimit { rate, heard: now });
+        known.map(|known| known.rate) != limit
+    }
+
+    /// Requests a second that the target takes from all VMs together, if it names a limit.
+    #[must_use]
+    pub fn limit(&self) -> Option<f64> {
+        self.limit.map(|limit| limit.rate)
+    }
+
     /// Since when the target is known to leave.
     #[must_use]
     pub fn leaving_since(&self) -> Option<Timestamp> {
@@ -53,7 +85,7 @@
     /// Whether anything that it told still counts.
     #[must_use]
     pub fn is_told(&self, now: Timestamp) -> bool {
-        self.leaving_since.is_some() || self.is_paused(now)
+        self.leaving_since.is_some() || self.limit.is_some() || self.is_paused(now)
     }
 
     /// Whether a request that nobody else can serve may be sent now: for `stay` after it said that it leaves
--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -67,6 +67,7 @@
     TargetLeaving, "target-leaving", Info, ["target"], "an answer said that this target leaves: it gets no new requests but those for keys that it owns, and these for a moment only";
     OwnerLeaving, "owner-leaving", Info, ["target", "told_on"], "the mandate's holder learned by the answer to an order, or by a VM whose request was answered so, that a target leaves: it is to own no keys";
     TargetPaused, "target-paused", Info, ["target", "pause_ms"], "a target turned a request away and wants nothing from this VM for so long; not logged again until that is over";
+    TargetLimited, "target-limited", Info, ["target", "rate"], "answers of this target name the requests a second that it takes from all VMs together, or name none any more (none)";
     ZoneEvacuated, "zone-evacuated", Info, ["zone", "evacuated"], "an availability zone is to get no new requests, or takes them again, as known here from now on";
     TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM told so many changes of targets; the VM that follows the store has a target-changed line for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves began";
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use nickellead_core::Timestamp;
 use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
@@ -71,12 +72,14 @@
 pub(crate) struct TryEnd {
     pub(crate) result: TryResult,
     pub(crate) signs: AnswerSigns,
+    /// When the request was sent last.
+    pub(crate) sent: Timestamp,
 }
 
 impl From<TryResult> for TryEnd {
     /// The end of a try in which the target told nothing of itself.
     fn from(result: TryResult) -> Self {
-        Self { result, signs: AnswerSigns::default() }
+        Self { result, signs: AnswerSigns::default(), sent: Timestamp::ZERO }
     }
 }
 
@@ -119,12 +122,15 @@
             return TryResult::Withheld.into();
         }
         let request = build_request(names, outgoing, plan, left(plan.until));
+        let started = BootClock.now();
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(left(plan.until), sending).await;
         match sent {
             Err(_) => return TryResult::Lost(LossReason::Late).into(),
             Ok(Ok(response)) => {
-                return read_answer(names, outgoing, plan, connection, response).await;
+                let (result, signs) =
+                    read_answer(names, outgoing, plan, connection, response).await;
+                return TryEnd { result, signs, sent: started };
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
@@ -169,14 +175,14 @@
     plan: &TryPlan<'_>,
     connection: ReadyConnection,
     response: Response<Incoming>,
-) -> TryEnd {
+) -> (TryResult, AnswerSigns) {
     let (head, body) = response.into_parts();
     let signs = match is_of_target(names, outgoing, plan, &head) {
         true => AnswerSigns::read(names, head.status, &head.headers),
         false => AnswerSigns::default(),
     };
     let result = read_body(names, outgoing, plan, connection, head, body).await;
-    TryEnd { result, signs }
+    (result, signs)
 }
 
 /// Whether the asked target made an answer: another one may have its address by now, and an extra answer
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::target_signs::AnswerSigns;
+use crate::target_signs::{AnswerSigns, LimitWord};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
@@ -41,6 +41,7 @@
     pub(crate) connections: Gauge,
     pub(crate) leaving: Gauge,
     pub(crate) paused: Gauge,
+    pub(crate) limited: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -59,6 +60,7 @@
             connections: Gauge::default(),
             leaving: Gauge::default(),
             paused: Gauge::default(),
+            limited: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -75,6 +77,8 @@
         registry.register("targets_leaving", told, metrics.leaving.clone());
         let told = "Listed targets that told this VM that they want nothing now";
         registry.register("targets_paused", told, metrics.paused.clone());
+        let told = "Listed targets that named this VM a limit of requests a second";
+        registry.register("targets_limited", told, metrics.limited.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Declarations in force", version);
         let age = metrics.config_age.clone();
@@ -108,6 +112,8 @@
             ("leaving", signs.leaving),
             ("pause", signs.pause.is_some()),
             ("unreadable-pause", signs.unreadable),
+            ("limit", matches!(signs.limit, LimitWord::Limited(_))),
+            ("unreadable-limit", signs.limit == LimitWord::Unreadable),
         ];
         for (sign, _) in told.into_iter().filter(|(_, told)| *told) {
             self.signs.get_or_create(&SignLabel { sign }).inc();
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -134,4 +134,6 @@
     pub not_run: &'static str,
     /// Marks each answer of a target that leaves.
     pub leaving: &'static str,
+    /// Requests a second that a target takes from all VMs together, on each of its answers meanwhile.
+    pub limit: &'static str,
 }
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -79,6 +79,17 @@
     pub(crate) pool: SharedPool,
 }
 
+/// Members by what they told this VM of themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SignCounts {
+    /// They leave.
+    pub(crate) leaving: i64,
+    /// They want nothing now.
+    pub(crate) paused: i64,
+    /// They name a limit.
+    pub(crate) limited: i64,
+}
+
 /// Requests under way at a member, counted also when their future is dropped.
 ///
 /// Its end wakes a request that waits for the target, and one that waits for any of the service.
@@ -339,12 +350,15 @@
         }
     }
 
-    /// How many members told that they leave, and how many that they want nothing now.
-    pub(crate) fn count_signs(&self, now: Timestamp) -> (i64, i64) {
-        let members = || self.by_id.values();
-        let leaving = members().filter(|member| member.is_leaving()).count();
-        let paused = members().filter(|member| member.signs.get().is_paused(now)).count();
-        (leaving as i64, paused as i64)
+    /// How many members told what still counts.
+    pub(crate) fn count_signs(&self, now: Timestamp) -> SignCounts {
+        let mut counts = SignCounts::default();
+        for signs in self.by_id.values().map(|member| member.signs.get()) {
+            counts.leaving += i64::from(signs.leaving_since().is_some());
+            counts.paused += i64::from(signs.is_paused(now));
+            counts.limited += i64::from(signs.limit().is_some());
+        }
+        counts
     }
 
     /// Connections opened to all members.
--- a/crates/nickellead_gateway/src/target_signs.rs
+++ b/crates/nickellead_gateway/src/target_signs.rs
@@ -21,6 +21,22 @@
     pub(crate) pause: Option<Duration>,
     /// Whether it named a time that can't be read.
     pub(crate) unreadable: bool,
+    /// What it says of the requests that it takes.
+    pub(crate) limit: LimitWord,
+}
+
+/// What an answer says of the requests a second that its target takes from all VMs together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum LimitWord {
+    /// Nothing that counts: no answer of the target came.
+    #[default]
+    Unheard,
+    /// There is no limit.
+    Unlimited,
+    /// So many.
+    Limited(f64),
+    /// A limit that can't be read, which says nothing.
+    Unreadable,
 }
 
 impl AnswerSigns {
@@ -29,7 +45,25 @@
         let told = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
         let pause = told.and_then(|value| parse_seconds(value.to_str().ok()?));
         let unreadable = told.is_some() && pause.is_none();
-        Self { leaving: says_leaving(names, headers), pause, unreadable }
+        let limit = LimitWord::read(names, headers);
+        Self { leaving: says_leaving(names, headers), pause, unreadable, limit }
+    }
+}
+
+impl LimitWord {
+    /// The limit that it names, or that there is none; nothing if it says nothing.
+    pub(crate) fn told(self) -> Option<Option<f64>> {
+        match self {
+            Self::Unheard | Self::Unreadable => None,
+            Self::Unlimited => Some(None),
+            Self::Limited(rate) => Some(Some(rate)),
+        }
+    }
+
+    fn read(names: &HeaderNames, headers: &HeaderMap) -> Self {
+        let Some(value) = headers.get(names.limit) else { return Self::Unlimited };
+        let rate = value.to_str().ok().and_then(parse_amount);
+        rate.map_or(Self::Unreadable, Self::Limited)
     }
 }
 
@@ -41,7 +75,12 @@
 
 /// A time in seconds, with a fraction or without; `None` when it is none.
 fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.trim().parse().ok()?;
-    let sound = seconds.is_finite() && seconds >= 0.0;
-    sound.then(|| Duration::from_secs_f64(seconds.min(PAUSE_MOST.as_secs_f64())))
+    let seconds = parse_amount(text)?;
+    Some(Duration::from_secs_f64(seconds.min(PAUSE_MOST.as_secs_f64())))
+}
+
+/// A decimal number from 0 on; `None` when it is none.
+fn parse_amount(text: &str) -> Option<f64> {
+    let amount: f64 = text.trim().parse().ok()?;
+    (amount.is_finite() && amount >= 0.0).then_some(amount)
 }
--- a/crates/nickellead_gateway/src/worker/judge.rs
+++ b/crates/nickellead_gateway/src/worker/judge.rs
@@ -29,7 +29,7 @@
         end: TryEnd,
         length: Duration,
     ) -> NextStep {
-        let TryEnd { result, signs } = end;
+        let TryEnd { result, signs, .. } = end;
         self.learn(planned, member, &result, signs, length);
         count_try(state, member, &result);
         if let Some(reason) = retry_reason(&result) {
@@ -98,7 +98,15 @@
 
 impl RequestWorker {
     /// Takes in what a target told of itself on an answer.
-    pub(super) fn note_signs(&self, service: &str, member: &TargetMember, signs: AnswerSigns) {
+    ///
+    /// `sent` is when the answered request was sent.
+    pub(super) fn note_signs(
+        &self,
+        service: &str,
+        member: &TargetMember,
+        signs: AnswerSigns,
+        sent: Timestamp,
+    ) {
         self.metrics.count_signs(signs);
         let now = BootClock.now();
         let mut known = member.signs.get();
@@ -119,6 +127,12 @@
                 log_pause(member, pause);
             }
         }
+        if let Some(limit) = signs.limit.told()
+            && known.note_limit(limit, sent, now)
+        {
+            new = true;
+            log_limit(member, limit);
+        }
         member.signs.set(known);
         if new {
             // Who waits for a turn there looks for another target, or is refused at once.
@@ -221,6 +235,12 @@
     log_event(EventName::RequestRetried, &pairs);
 }
 
+fn log_limit(member: &TargetMember, limit: Option<f64>) {
+    let rate = limit.map_or("none".to_owned(), |rate| rate.to_string());
+    let pairs: [(&str, &dyn std::fmt::Display); 2] = [("target", &member.id), ("rate", &rate)];
+    log_event(EventName::TargetLimited, &pairs);
+}
+
 fn log_pause(member: &TargetMember, pause: Duration) {
     let pairs: [(&str, &dyn std::fmt::Display); 2] =
         [("target", &member.id), ("pause_ms", &pause.as_millis())];
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -312,9 +312,10 @@
         let metrics = &self.metrics;
         let opened = i64::try_from(beliefs.roster.opened()).unwrap_or(i64::MAX);
         metrics.connections.set(opened);
-        let (leaving, paused) = beliefs.roster.count_signs(BootClock.now());
-        metrics.leaving.set(leaving);
-        metrics.paused.set(paused);
+        let signs = beliefs.roster.count_signs(BootClock.now());
+        metrics.leaving.set(signs.leaving);
+        metrics.paused.set(signs.paused);
+        metrics.limited.set(signs.limited);
         let version = beliefs.version.unwrap_or_default();
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(beliefs.taken.declarations.elapsed().as_secs_f64());
--- a/crates/nickellead_gateway/src/worker/tries.rs
+++ b/crates/nickellead_gateway/src/worker/tries.rs
@@ -39,7 +39,7 @@
                     return finish(state, kind);
                 }
             };
-            self.note_signs(&part.service, &member, end.signs);
+            self.note_signs(&part.service, &member, end.signs, end.sent);
             match self.judge(planned, &member, &mut state, end, since.elapsed()) {
                 NextStep::Done(answer) => return Ok(answer),
                 NextStep::Fail(kind) => return finish(state, kind),
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -32,6 +32,7 @@
     target_proof: "x-proof",
     not_run: "x-not-run",
     leaving: "x-leaving",
+    limit: "x-limit",
 };
 
 /// Ports that the system gives to no connection, so that a free one stays free until it is bound.
--- a/crates/nickellead_report/src/cause.rs
+++ b/crates/nickellead_report/src/cause.rs
@@ -55,7 +55,11 @@
         let pause = line.field("pause_ms").unwrap_or("?");
         format!("{target} asked at {:.3} s for a pause of {pause} ms", line.at)
     });
-    leaves.into_iter().chain(pauses).collect()
+    let limits = first(EventName::TargetLimited).map(|line| {
+        let rate = line.field("rate").unwrap_or("?");
+        format!("{target} named at {:.3} s a limit of {rate} requests a second", line.at)
+    });
+    leaves.into_iter().chain(pauses).chain(limits).collect()
 }
 
 /// How many orders to the target failed.
