--- a/crates/nickellead_gateway/src/control/limits.rs
+++ b/crates/nickellead_gateway/src/control/limits.rs
@@ -30,7 +30,6 @@
 impl<S: StorePort, O: OrderPort> ControlDuty<S, O> {
     /// Takes in what targets said of limits since the last look.
     pub(super) fn note_limits(&self, counts: BTreeMap<HolderRecord, LimitCounts>) {
-        let listed = self.book.targets();
         let now = BootClock.now();
         let mut limits = self.limits.borrow_mut();
         for (life, new) in counts {
