Test: keys of an owner that is in need only while it has them; it fails (all keys move 2.80 times over in 20 s)

Ruled out: a limit on two owners that stands (a trial on a scratch copy in which two owners seemed to name limits,: 296 requests refused in 32 s, 158 of them in the first two), limits on all owners, chance in the planner. What shows the same signs, keys that move all the time and a map that grows (23 -> 110 ranges), is a need that ends when the limit is kept.

--- a/crates/nickellead_gateway/tests/target_limits.rs
+++ b/crates/nickellead_gateway/tests/target_limits.rs
@@ -159,6 +159,58 @@
     assert!(part >= 0.95, "{part:.3} of the requests served");
 }
 
+/// Part of all keys that change their owner while `work` goes on, each as often as it does.
+fn moved_part(store: &MemoryStore, ended: &AtomicBool) -> f64 {
+    let owners = || -> Vec<Option<String>> {
+        let map = store.map().unwrap();
+        let owner = |key| Some(map.find("keyed", key)?.owner.as_ref()?.id.clone());
+        (0..=u16::MAX).step_by(64).map(owner).collect()
+    };
+    let (mut known, mut moved) = (owners(), 0);
+    let whole = known.len() as f64;
+    while !ended.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(50));
+        let now = owners();
+        moved += now.iter().zip(&known).filter(|(now, known)| now != known).count();
+        known = now;
+    }
+    moved as f64 / whole
+}
+
+/// Pattern: a target is in need while it gets more than it bears, and no longer once it is relieved.
+///
+/// Seen: 22 and 28 in 100 requests of a divided service were not served, and all keys moved three and five times
+/// over in two minutes. Its keys came back as soon as it named no limit, and brought the need back.
+#[test]
+fn keys_of_an_owner_that_is_in_need_only_while_it_has_them_do_not_go_to_and_fro() {
+    let targets = ["t1", "t2", "t3"].map(|id| TestTarget::start(id, Manner::Serves));
+    let all: Vec<&TestTarget> = targets.iter().collect();
+    let (gateways, store) = start_fleet("vm-limit-again", 3, "keyed", &all, PolicySwitch::On);
+    ask_all(&gateways, "/key/", Duration::from_secs(2));
+    let (ended, limit) = (AtomicBool::new(false), 12);
+    let (answers, moved) = std::thread::scope(|scope| {
+        let counting = scope.spawn(|| moved_part(&store, &ended));
+        scope.spawn(|| {
+            while !ended.load(Ordering::Relaxed) {
+                let before = targets[0].seen().len();
+                std::thread::sleep(Duration::from_secs(1));
+                let in_need = targets[0].seen().len() - before > limit;
+                targets[0].tell(&if in_need {
+                    format!("x-limit: {limit}\r\n")
+                } else {
+                    String::new()
+                });
+            }
+        });
+        let answers = ask_all(&gateways, "/key/", Duration::from_secs(20));
+        ended.store(true, Ordering::Relaxed);
+        (answers, counting.join().unwrap())
+    });
+    assert!(moved <= 1.0, "all keys moved {moved:.2} times over");
+    let part = served_part(answers.iter());
+    assert!(part >= 0.95, "{part:.3} of the requests served");
+}
+
 #[test]
 fn a_target_that_names_a_limit_is_left_for_others_but_not_wholly() {
     let targets = ["t1", "t2"].map(|id| TestTarget::start(id, Manner::Serves));
