--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -67,7 +67,7 @@
     pub platform_address: SocketAddr,
     pub vms: Vec<FleetVm>,
     pub targets: Vec<FleetTarget>,
-    _platform: Process,
+    platform: Process,
 }
 
 fn zone_name(number: usize) -> String {
@@ -101,13 +101,8 @@
             vms.to_str().unwrap(),
         ]);
         platform.wait_for(&["standin-started"]);
-        let mut fleet = Self {
-            spec,
-            platform_address,
-            vms: Vec::new(),
-            targets: Vec::new(),
-            _platform: platform,
-        };
+        let mut fleet =
+            Self { spec, platform_address, vms: Vec::new(), targets: Vec::new(), platform };
         for number in 0..spec.zones * spec.targets_per_zone {
             fleet.add_target(number);
         }
@@ -333,6 +328,10 @@
         self.targets[number].process.as_ref().unwrap().signal(signal);
     }
 
+    pub fn signal_platform(&self, signal: &str) {
+        self.platform.signal(signal);
+    }
+
     pub fn signal_vm(&self, number: usize, signal: &str) {
         self.vms[number].process.as_ref().unwrap().signal(signal);
     }
