--- a/crates/nickellead_limit/tests/rate.rs
+++ b/crates/nickellead_limit/tests/rate.rs
@@ -121,7 +121,7 @@
                 }
             }
         }
-        assert!(sent <= 46, "{sent} requests of {vms} VMs in four seconds");
+        assert!((13..=46).contains(&sent), "{sent} requests of {vms} VMs in four seconds");
     }
 }
 
