--- a/crates/nickellead_limit/tests/cold.rs
+++ b/crates/nickellead_limit/tests/cold.rs
@@ -121,3 +121,14 @@
     gate.set_until(Timestamp(9_500), Timestamp(6_001));
     assert!(!gate.may_send(Timestamp(6_002)));
 }
+
+#[test]
+fn a_request_that_was_not_sent_after_all_leaves_its_place_to_the_next_one() {
+    let now = Timestamp(1_000);
+    let gate = ColdGate::new(Timestamp(10_000), 0.0, now);
+    gate.set_share(ColdShare::Sender(0.1), now);
+    gate.note_sent(now);
+    assert!(!gate.may_send(now));
+    gate.give_back(now);
+    assert!(gate.may_send(now));
+}
