One place for a life of a target, for whether a leaving one stays, and for how many VMs there are

TargetMember and TargetEntry built the same record, the owner's check repeated half of TargetSigns::may_send, and two looks counted the reporters and this VM. How many VMs share a limit is worked out once a rebuild, not once a target.

--- a/crates/nickellead_balance/src/signs.rs
+++ b/crates/nickellead_balance/src/signs.rs
@@ -123,11 +123,16 @@
         self.leaving_since.is_some() || self.limit.is_some() || self.is_paused(now)
     }
 
+    /// Whether the target still serves what it alone can: it does for `stay` after it said that it leaves.
+    #[must_use]
+    pub fn stays(&self, stay: Duration, now: Timestamp) -> bool {
+        self.leaving_since.is_none_or(|since| now.since(since) < stay)
+    }
+
     /// Whether a request that nobody else can serve may be sent now: for `stay` after it said that it leaves
     /// the target goes on serving what it alone can.
     #[must_use]
     pub fn may_send(&self, stay: Duration, now: Timestamp) -> bool {
-        let stays = self.leaving_since.is_none_or(|since| now.since(since) < stay);
-        stays && !self.is_paused(now)
+        self.stays(stay, now) && !self.is_paused(now)
     }
 }
--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -359,7 +359,7 @@
         self.targets().get(&life.id).is_some_and(|entry| entry.holder() == *life)
     }
 
-    /// Whether no owner is known to be crowded.
+    /// Whether no owner is known to be crowded, and no target to name a limit.
     pub(crate) fn has_no_admissions(&self) -> bool {
         let told = self.told.admissions.borrow();
         told.services.is_empty() && told.limits.is_empty()
--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -130,6 +130,11 @@
         reporters.retain(|_, seen| now.since(*seen) < REPORTER_SILENCE);
     }
 
+    /// How many VMs take requests; this one does not report to itself.
+    pub(super) fn count_vms(&self) -> usize {
+        self.reporters.borrow().len() + 1
+    }
+
     /// Decides what crowded owners may be sent, and tells it with the limits that targets name.
     pub(super) fn tell_admissions(&self) {
         let Some(taken) = self.book.mandate().map(|mandate| mandate.value.taken) else { return };
@@ -196,9 +201,7 @@
         let (Some(known), Some(target)) = (figures.get_mut(owner), targets.get(owner)) else {
             return Vec::new();
         };
-        // This VM does not report to itself.
-        let vms = self.reporters.borrow().len() + 1;
-        if vms <= VMS_A_SLOT * target.slots as usize {
+        if self.count_vms() <= VMS_A_SLOT * target.slots as usize {
             return Vec::new();
         }
         let counts = ranges.iter().flat_map(|range| load.counts(range.first, range.last));
--- a/crates/nickellead_gateway/src/control/limits.rs
+++ b/crates/nickellead_gateway/src/control/limits.rs
@@ -100,11 +100,9 @@
         if !self.policy.limit_moves.is_on() {
             return None;
         }
-        // This VM does not report to itself.
-        let vms = self.reporters.borrow().len() + 1;
         let now = BootClock.now();
         let limits = self.limits.borrow();
         let limit = limits.get(owner).filter(|limit| limit.relieves(now));
-        limit.map(|limit| kept_rate(limit.rate, vms) * LOAD_LENGTH)
+        limit.map(|limit| kept_rate(limit.rate, self.count_vms()) * LOAD_LENGTH)
     }
 }
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -4,8 +4,7 @@
 //! renews and watches the mandate; `ranges` is what its holder does at each
 //! look: `candidates` says who may own ranges, `loads` counts load and starts
 //! moves, `admission` limits what crowded owners are sent, `limits` knows what targets
-//! name, `map_writes` writes
-//! the map, `orders` sends what is due.
+//! name, `map_writes` writes the map, `orders` sends what is due.
 
 mod admission;
 mod candidates;
--- a/crates/nickellead_gateway/src/roster.rs
+++ b/crates/nickellead_gateway/src/roster.rs
@@ -19,6 +19,7 @@
 use crate::evacuation::ZoneStates;
 use crate::fleet::FleetTable;
 use crate::load_count::VmMark;
+use crate::targets::life_of;
 use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetList, TargetState};
 
 /// What an unknown target is taken to need for an answer, until it has shown it.
@@ -153,7 +154,7 @@
 
     /// This life of it.
     pub(crate) fn life(&self) -> HolderRecord {
-        HolderRecord { id: self.id.clone(), born: self.born, address: self.address.to_string() }
+        life_of(&self.id, self.born, self.address)
     }
 
     /// Whether it refused this VM a connection a moment ago.
@@ -290,13 +291,14 @@
     pub(crate) fn rebuild(&self, list: &TargetList, rules: &RosterRules<'_>) -> Self {
         let now = BootClock.now();
         let mark = VmMark::of(&self.vm, &self.zone);
+        let sharers = rules.fleet.sharers(mark);
         let mut roster = Self::new(self.vm.clone(), self.zone.clone());
         for entry in list.values() {
             let member = self.member_of(entry, now);
             member.cold_rule.set(rules.cold_rule(&entry.service));
             member.divided.set(rules.is_divided(&entry.service));
             member.cold.set_share(rules.cold_share(mark, entry), now);
-            member.sharers.set(rules.fleet.sharers(mark));
+            member.sharers.set(sharers);
             if let (Some(rule), Some(returned)) =
                 (member.cold_rule.get(), rules.zones.returned(&entry.zone))
             {
--- a/crates/nickellead_gateway/src/targets.rs
+++ b/crates/nickellead_gateway/src/targets.rs
@@ -41,10 +41,15 @@
 impl TargetEntry {
     /// This life of it, as an owner of keys.
     pub(crate) fn holder(&self) -> HolderRecord {
-        HolderRecord { id: self.id.clone(), born: self.born, address: self.address.to_string() }
+        life_of(&self.id, self.born, self.address)
     }
 }
 
+/// A life of a target, as an owner of keys.
+pub(crate) fn life_of(id: &str, born: Option<u64>, address: SocketAddr) -> HolderRecord {
+    HolderRecord { id: id.to_owned(), born, address: address.to_string() }
+}
+
 /// All listed targets by identity.
 pub type TargetList = BTreeMap<String, TargetEntry>;
 
--- a/crates/nickellead_gateway/src/worker/choose.rs
+++ b/crates/nickellead_gateway/src/worker/choose.rs
@@ -264,8 +264,7 @@
         let owner = range.owner.as_ref().filter(|owner| !state.misdirected.contains(&owner.id))?;
         let member = beliefs.roster.find(owner)?;
         let now = BootClock.now();
-        let leaving = member.signs.get().leaving_since();
-        let stays = leaving.is_none_or(|since| now.since(since) < self.leaving_stay);
+        let stays = member.signs.get().stays(self.leaving_stay, now);
         let asked = stays && !beliefs.zones.is_closed(&member.zone, now);
         asked.then(|| Rc::clone(member))
     }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -262,7 +262,7 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes over the holder's word about crowded owners.
+    /// Takes over the holder's word about crowded owners and targets that name limits.
     pub(crate) fn set_admissions(&self, admissions: Arc<AdmissionTable>) {
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.roster.note_told_limits(&admissions);
