--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -60,6 +60,8 @@
     declared: RefCell<DeclaredPart>,
     announced: Cell<Option<DeclaredLack>>,
     targets: RefCell<TargetPart>,
+    /// Whether the last list of targets was older than what was known.
+    list_outdated: Cell<bool>,
     ranges: RefCell<RangesHistory>,
     /// A whole map of ranges, packed for the first reader that needed it.
     packed_ranges: RefCell<Option<(Revision, Packed<Stored<RangeMap>>)>>,
@@ -79,6 +81,7 @@
             declared: RefCell::default(),
             announced: Cell::default(),
             targets: RefCell::default(),
+            list_outdated: Cell::default(),
             ranges: RefCell::default(),
             packed_ranges: RefCell::default(),
             mandate: RefCell::new(None),
@@ -244,7 +247,12 @@
         lapse: Option<Instant>,
         origin: ChangeOrigin,
     ) -> bool {
-        if self.targets_reached().is_some_and(|reached| reached > as_of) {
+        let reached = self.targets_reached().filter(|reached| *reached > as_of);
+        let was_outdated = self.list_outdated.replace(reached.is_some());
+        if let Some(reached) = reached {
+            if !was_outdated {
+                log_list_outdated(as_of, reached);
+            }
             return false;
         }
         let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
@@ -434,6 +442,11 @@
     }
 }
 
+fn log_list_outdated(read: Revision, known: Revision) {
+    let pairs: [(&str, &dyn std::fmt::Display); 2] = [("read", &read.0), ("known", &known.0)];
+    log_event(EventName::ListOutdated, &pairs);
+}
+
 /// Logs which zones are evacuated from now on, and which no longer are.
 fn log_evacuations(known: &EvacuatedZones, new: &EvacuatedZones) {
     for (zones, evacuated) in [(new.difference(known), true), (known.difference(new), false)] {
