--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -20,9 +20,25 @@
     Targets,
 }
 
+/// What the store keeps, and loses when it comes back from a copy.
+#[derive(Clone, Default)]
+struct StoreContent {
+    revision: u64,
+    declarations: Option<(u64, Declarations)>,
+    changes: Vec<(u64, TargetChange)>,
+    targets: TargetList,
+    unreadable: BTreeSet<String>,
+    evacuations: (u64, EvacuatedZones),
+    ranges: Option<Stored<RangeMap>>,
+    mandate: Option<Stored<MandateRecord>>,
+}
+
+/// A copy of what the store held at some moment.
+pub struct StoreCopy(StoreContent);
+
 #[derive(Default)]
 struct StoreState {
-    revision: u64,
+    content: StoreContent,
     calls: u64,
     /// Those for declarations, targets, ranges and evacuated zones.
     part_calls: u64,
@@ -36,13 +52,6 @@
     deaf_watches: bool,
     /// VMs whose reads and watches of a part are not answered.
     held_from: BTreeSet<(String, StorePart)>,
-    declarations: Option<(u64, Declarations)>,
-    changes: Vec<(u64, TargetChange)>,
-    targets: TargetList,
-    unreadable: BTreeSet<String>,
-    evacuations: (u64, EvacuatedZones),
-    ranges: Option<Stored<RangeMap>>,
-    mandate: Option<Stored<MandateRecord>>,
     /// Orders sent, and the outcomes for targets that don't just do what they are told.
     orders: Vec<RangeOrder>,
     outcomes: BTreeMap<String, OrderOutcome>,
@@ -71,43 +80,53 @@
 
     fn change(&self, edit: impl FnOnce(&mut StoreState, u64)) {
         let mut state = self.state();
-        state.revision += 1;
-        let revision = state.revision;
+        state.content.revision += 1;
+        let revision = state.content.revision;
         edit(&mut state, revision);
     }
 
+    /// What the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state().content.clone())
+    }
+
+    /// Makes the store hold what it held when this copy was made: its revisions go back with it.
+    pub fn come_back_from(&self, copy: &StoreCopy) {
+        self.state().content = copy.0.clone();
+    }
+
     pub fn declare(&self, declarations: Declarations) {
-        self.change(|state, revision| state.declarations = Some((revision, declarations)));
+        self.change(|state, revision| state.content.declarations = Some((revision, declarations)));
     }
 
     pub fn list(&self, entry: TargetEntry) {
         self.change(|state, revision| {
-            state.unreadable.remove(&entry.id);
-            state.targets.insert(entry.id.clone(), entry.clone());
-            state.changes.push((revision, TargetChange::Listed(entry)));
+            state.content.unreadable.remove(&entry.id);
+            state.content.targets.insert(entry.id.clone(), entry.clone());
+            state.content.changes.push((revision, TargetChange::Listed(entry)));
         });
     }
 
     pub fn unlist(&self, id: &str) {
         self.change(|state, revision| {
-            state.targets.remove(id);
-            state.changes.push((revision, TargetChange::Gone(id.to_owned())));
+            state.content.targets.remove(id);
+            state.content.changes.push((revision, TargetChange::Gone(id.to_owned())));
         });
     }
 
     /// Makes a target's entry one that can't be read.
     pub fn spoil(&self, id: &str) {
         self.change(|state, revision| {
-            state.targets.remove(id);
-            state.unreadable.insert(id.to_owned());
-            state.changes.push((revision, TargetChange::Unreadable(id.to_owned())));
+            state.content.targets.remove(id);
+            state.content.unreadable.insert(id.to_owned());
+            state.content.changes.push((revision, TargetChange::Unreadable(id.to_owned())));
         });
     }
 
     /// Evacuates these availability zones and no others.
     pub fn evacuate(&self, zones: &[&str]) {
         let zones = zones.iter().map(|zone| (*zone).to_owned()).collect();
-        self.change(|state, revision| state.evacuations = (revision, zones));
+        self.change(|state, revision| state.content.evacuations = (revision, zones));
     }
 
     /// Makes the store answer nobody, or answer again.
@@ -182,17 +201,17 @@
     }
 
     pub fn map(&self) -> Option<RangeMap> {
-        self.state().ranges.as_ref().map(|stored| stored.value.clone())
+        self.state().content.ranges.as_ref().map(|stored| stored.value.clone())
     }
 
     /// The VM that holds the mandate, once one does.
     pub fn mandate_holder(&self) -> Option<String> {
-        self.state().mandate.as_ref().map(|stored| stored.value.vm.clone())
+        self.state().content.mandate.as_ref().map(|stored| stored.value.vm.clone())
     }
 
     /// Whether the last holder of the mandate gave it back.
     pub fn mandate_is_vacant(&self) -> bool {
-        self.state().mandate.as_ref().is_some_and(|stored| stored.value.vacant)
+        self.state().content.mandate.as_ref().is_some_and(|stored| stored.value.vacant)
     }
 
     pub fn orders(&self) -> Vec<RangeOrder> {
@@ -229,11 +248,14 @@
                 if state.is_away_from(&self.vm) {
                     return Err(StoreError::Silent("away".to_owned()));
                 }
-                if state.revision > from.0
+                if from.0 > state.content.revision {
+                    return Err(StoreError::Forgotten);
+                }
+                if state.content.revision > from.0
                     && !state.deaf_watches
                     && let Some(value) = read(&state)
                 {
-                    return Ok(Snapshot { as_of: Revision(state.revision), value });
+                    return Ok(Snapshot { as_of: Revision(state.content.revision), value });
                 }
                 if std::time::Instant::now() >= end {
                     return Ok(Snapshot { as_of: from, value: empty });
@@ -265,8 +287,8 @@
         self.count_declaration_call();
         self.until_told(StorePart::Declarations).await;
         self.call_part(|state| Snapshot {
-            as_of: Revision(state.revision),
-            value: state.declarations.as_ref().map(|(_, value)| value.clone()),
+            as_of: Revision(state.content.revision),
+            value: state.content.declarations.as_ref().map(|(_, value)| value.clone()),
         })
     }
 
@@ -278,7 +300,7 @@
         self.count_declaration_call();
         let _under_way = WatchUnderWay::begin(self);
         let read = |state: &StoreState| {
-            let (revision, value) = state.declarations.as_ref()?;
+            let (revision, value) = state.content.declarations.as_ref()?;
             (*revision > from.0).then(|| Some(value.clone()))
         };
         let seen = self.watch(from, wait, read, None).await;
@@ -289,18 +311,18 @@
     async fn targets(&self) -> Result<Snapshot<TargetListing>, StoreError> {
         self.until_told(StorePart::Targets).await;
         self.call_part(|state| Snapshot {
-            as_of: Revision(state.revision),
+            as_of: Revision(state.content.revision),
             value: TargetListing {
-                targets: state.targets.clone(),
-                unreadable: state.unreadable.clone(),
+                targets: state.content.targets.clone(),
+                unreadable: state.content.unreadable.clone(),
             },
         })
     }
 
     async fn evacuations(&self) -> Result<Snapshot<EvacuatedZones>, StoreError> {
         self.call_part(|state| Snapshot {
-            as_of: Revision(state.revision),
-            value: state.evacuations.1.clone(),
+            as_of: Revision(state.content.revision),
+            value: state.content.evacuations.1.clone(),
         })
     }
 
@@ -309,7 +331,7 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Snapshot<bool>, StoreError> {
-        let read = |state: &StoreState| (state.evacuations.0 > from.0).then_some(true);
+        let read = |state: &StoreState| (state.content.evacuations.0 > from.0).then_some(true);
         self.watch(from, wait, read, false).await
     }
 
@@ -319,7 +341,7 @@
         wait: Duration,
     ) -> Result<Snapshot<Vec<TargetChange>>, StoreError> {
         let read = |state: &StoreState| {
-            let new = state.changes.iter().filter(|(revision, _)| *revision > from.0);
+            let new = state.content.changes.iter().filter(|(revision, _)| *revision > from.0);
             let new: Vec<TargetChange> = new.map(|(_, change)| change.clone()).collect();
             (!new.is_empty()).then_some(new)
         };
@@ -330,8 +352,8 @@
 
     async fn ranges(&self) -> Result<Snapshot<Option<Stored<RangeMap>>>, StoreError> {
         self.call_part(|state| Snapshot {
-            as_of: Revision(state.revision),
-            value: state.ranges.clone(),
+            as_of: Revision(state.content.revision),
+            value: state.content.ranges.clone(),
         })
     }
 
@@ -341,7 +363,7 @@
         wait: Duration,
     ) -> Result<Snapshot<Option<Stored<RangeMap>>>, StoreError> {
         let read = |state: &StoreState| {
-            let stored = state.ranges.as_ref()?;
+            let stored = state.content.ranges.as_ref()?;
             (stored.revision > from).then(|| Some(stored.clone()))
         };
         self.watch(from, wait, read, None).await
@@ -353,12 +375,12 @@
         map: &RangeMap,
     ) -> Result<Revision, StoreError> {
         self.call(|state| {
-            if state.ranges.as_ref().map(|stored| stored.revision) != expected {
+            if state.content.ranges.as_ref().map(|stored| stored.revision) != expected {
                 return Err(StoreError::Conflict);
             }
-            state.revision += 1;
-            let revision = Revision(state.revision);
-            state.ranges = Some(Stored { revision, value: map.clone() });
+            state.content.revision += 1;
+            let revision = Revision(state.content.revision);
+            state.content.ranges = Some(Stored { revision, value: map.clone() });
             Ok(revision)
         })?
     }
@@ -368,7 +390,7 @@
     }
 
     async fn mandate(&self) -> Result<Option<Stored<MandateRecord>>, StoreError> {
-        self.call(|state| state.mandate.clone())
+        self.call(|state| state.content.mandate.clone())
     }
 
     async fn write_mandate(
@@ -377,12 +399,12 @@
         mandate: &MandateRecord,
     ) -> Result<Revision, StoreError> {
         self.call(|state| {
-            if state.mandate.as_ref().map(|stored| stored.revision) != expected {
+            if state.content.mandate.as_ref().map(|stored| stored.revision) != expected {
                 return Err(StoreError::Conflict);
             }
-            state.revision += 1;
-            let revision = Revision(state.revision);
-            state.mandate = Some(Stored { revision, value: mandate.clone() });
+            state.content.revision += 1;
+            let revision = Revision(state.content.revision);
+            state.content.mandate = Some(Stored { revision, value: mandate.clone() });
             Ok(revision)
         })?
     }
