--- a/crates/nickellead_range/tests/schedules.rs
+++ b/crates/nickellead_range/tests/schedules.rs
@@ -29,6 +29,18 @@
     (106_139, "a keeper made anew did not know which targets had answered after a silence"),
 ];
 
+/// Schedules with a store that comes back older which failed once, each with its cause.
+const FOUND_OLDER: [(u64, &str); 8] = [
+    (3, "a VM that had just started took the mandate that a copy had lost at once"),
+    (21, "a holder that had stood still went before the one that had followed it"),
+    (24, "a holder did not hear that the mandate it renewed was lost"),
+    (428, "a map written in doubt was taken for a sure one by the next keeper"),
+    (638, "an answer under a fence that had been confirmed was taken for another keeper's"),
+    (1_891, "a keeper that knew nothing renewed what a copy named"),
+    (2_828, "a range on the move was given on below a fence of the lost time"),
+    (3_573, "a fence that no owner had confirmed was taken for a standing one"),
+];
+
 /// Schedules in which orders are late, only the holder sees it, and it is lost before it can write it
 /// down: killed while the store is away, or cut off in its grace. Its successor knows nothing of the
 /// orders that it left unanswered, and can't reach the target that carries them out.
@@ -135,6 +147,15 @@
     }
 }
 
+/// Guards against: what a lost mandate or map may have led to is forgotten again, in one of these ways.
+#[test]
+fn schedules_with_a_store_that_comes_back_older_and_failed_once_pass() {
+    for (seed, cause) in FOUND_OLDER {
+        let play = || play_with(seed, random_trouble_or_older, GRANTS_LEAST_OLDER);
+        assert!(std::panic::catch_unwind(play).is_ok(), "seed {seed} fails again: {cause}");
+    }
+}
+
 #[test]
 fn schedules_that_failed_once_pass() {
     for (seed, cause) in FOUND {
