A store that keeps no history is read with pauses; eras rise by any news of targets

Also: a holder whose mandate may have a rival does not say that it gave it back whole; an era that comes with changes counts like one that comes with a list; what another VM's list lacks has not lapsed.

--- a/crates/nickellead_gateway/src/book/mod.rs
+++ b/crates/nickellead_gateway/src/book/mod.rs
@@ -255,7 +255,9 @@
             }
             return false;
         }
-        let lapse = self.enter_targets_era(as_of.era).max(lapse);
+        // Another VM's list holds what may only have lapsed.
+        let lost = self.enter_targets_era(as_of.era).filter(|_| origin == ChangeOrigin::Store);
+        let lapse = lapse.max(lost);
         let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
         let TargetListing { targets, unreadable } = listing;
         let missing = |id: &String| !targets.contains_key(id) && !unreadable.contains(id);
@@ -269,14 +271,13 @@
         true
     }
 
-    /// Notes the store's era of a whole list; gives until when entries that it lacks may only have been
-    /// lost, if the store came back from a copy after the list that is known.
+    /// Notes the store's era in which targets are told; gives until when entries that a whole list lacks may
+    /// only have been lost, if the store came back from a copy after what is known.
     fn enter_targets_era(&self, era: StoreEra) -> Option<Instant> {
-        let reached = self.targets_reached().filter(|reached| reached.era < era)?;
         let now = Instant::now();
-        self.targets.borrow_mut().enter_era(now);
+        let before = self.targets.borrow_mut().enter_era(era, now)?;
         let pairs: [(&str, &dyn std::fmt::Display); 3] =
-            [("era", &era), ("before", &reached.era), ("reached", &reached.number)];
+            [("era", &era), ("before", &before.era), ("reached", &before.number)];
         log_event(EventName::StoreOlder, &pairs);
         Some(now + LAPSE_TIME)
     }
@@ -288,6 +289,7 @@
         lapse: Option<Instant>,
         origin: ChangeOrigin,
     ) {
+        self.enter_targets_era(as_of.era);
         self.raise(|known| &mut known.targets, as_of);
         let mut part = self.targets.borrow_mut();
         part.reached = part.reached.max(Some(as_of));
--- a/crates/nickellead_gateway/src/book/targets.rs
+++ b/crates/nickellead_gateway/src/book/targets.rs
@@ -7,7 +7,7 @@
 use nickellead_range::HolderRecord;
 
 use crate::packed::{Packed, PackedError};
-use crate::{Revision, TargetChange, TargetEntry, TargetList, TargetState};
+use crate::{Revision, StoreEra, TargetChange, TargetEntry, TargetList, TargetState};
 
 /// Changes of targets kept for other VMs; a VM that is further behind gets the whole list.
 const CHANGES_KEPT: usize = 512;
@@ -51,7 +51,9 @@
     departed: BTreeMap<String, (HolderRecord, Instant)>,
     /// Entries of such lives that a copy of the store brought back, and when they are listed all the same.
     withheld: BTreeMap<String, (TargetEntry, Instant)>,
-    /// When the store last came back from a copy.
+    /// The store's era in which targets were last told.
+    era: StoreEra,
+    /// When that era began, as far as is known here; `None` in the first one.
     returned: Option<Instant>,
     /// When each entry was heard as it is: what it says of being cold counts from then.
     heard: BTreeMap<String, Instant>,
@@ -120,9 +122,14 @@
         }
     }
 
-    /// Notes that the store came back from a copy.
-    pub(super) fn enter_era(&mut self, now: Instant) {
+    /// Notes the store's era; gives up to where the list told everything if the store came back from a copy
+    /// since.
+    pub(super) fn enter_era(&mut self, era: StoreEra, now: Instant) -> Option<Revision> {
+        let rose = self.era < era;
+        self.era = self.era.max(era);
+        let reached = self.reached.filter(|_| rose)?;
         self.returned = Some(now);
+        Some(reached)
     }
 
     /// The changes that a whole list brings, without entries of targets that went in the time which the store
@@ -159,8 +166,9 @@
         let lapsed = self.lapsing.iter().filter(|(_, until)| **until <= now);
         let lapsed: Vec<String> = lapsed.map(|(id, _)| id.clone()).collect();
         lapsed.into_iter().for_each(|id| self.remove(&id, ChangeOrigin::Store));
-        let stands = self.withheld.extract_if(.., |_, (_, due)| *due <= now);
-        let stands: Vec<TargetEntry> = stands.map(|(_, (entry, _))| entry).collect();
+        let stands = self.withheld.values().filter(|(_, due)| *due <= now);
+        let stands: Vec<TargetEntry> = stands.map(|(entry, _)| entry.clone()).collect();
+        // Listed ones are withheld no more.
         stands.into_iter().for_each(|entry| self.list_entry(entry, ChangeOrigin::Store));
     }
 
--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -264,7 +264,7 @@
             // A successor must not take it that this VM left nothing unsaid.
             return log_event(EventName::MandateHandedOver, &[("done", &false)]);
         }
-        let write = self.mandate.borrow_mut().vacating_write();
+        let write = self.mandate.borrow_mut().vacating_write(BootClock.now());
         if let Some(write) = write {
             let answer = self.store.write_mandate(write.expected, &write.record).await;
             let done = answer.is_ok();
--- a/crates/nickellead_gateway/src/follow.rs
+++ b/crates/nickellead_gateway/src/follow.rs
@@ -45,6 +45,9 @@
 const LISTS_CHECK: Duration = Duration::from_millis(2_500);
 /// The same for evacuated zones, which are to get nothing after five seconds.
 const EVACUATIONS_CHECK: Duration = Duration::from_millis(1_500);
+/// A part that can't be watched from what was just read is read anew after this time: whatever keeps it from that,
+/// the store is not asked without end, and changes are known well within the two seconds that they may take.
+const FORGOTTEN_PAUSE: Duration = Duration::from_millis(600);
 /// On a VM that follows the store for itself only, checks are this many times rarer.
 const ALONE_FACTOR: f64 = 4.0;
 /// On a VM that follows the store because its source was lost, and tells others, they are this many
@@ -113,6 +116,7 @@
     {
         let mut anew = false;
         let mut led = false;
+        let mut forgotten: Option<Instant> = None;
         loop {
             self.relay.follows_store().await;
             // Others rely on this VM once it leads, and a watch that was begun during an outage hangs.
@@ -129,7 +133,13 @@
                 Ok(FollowStep::Continue) => {}
                 Ok(FollowStep::After(pause)) => tokio::time::sleep(pause).await,
                 Ok(FollowStep::ReadAnew) => anew = true,
-                Err(StoreError::Forgotten) => anew = true,
+                Err(StoreError::Forgotten) => {
+                    anew = true;
+                    let last = forgotten.replace(Instant::now());
+                    if last.is_some_and(|last| last.elapsed() < FORGOTTEN_PAUSE * 2) {
+                        tokio::time::sleep(FORGOTTEN_PAUSE).await;
+                    }
+                }
                 Err(_) => self.wait_for_store().await,
             }
         }
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -72,6 +72,8 @@
     /// VMs that the store does not answer.
     away_from: BTreeSet<String>,
     deaf_watches: bool,
+    /// Whether no watch can go on from where it was.
+    forgets: bool,
     /// VMs whose reads and watches of a part are not answered.
     held_from: BTreeSet<(String, StorePart)>,
     /// Orders sent, and the outcomes for targets that don't just do what they are told.
@@ -183,6 +185,11 @@
         self.state().deaf_watches = deaf;
     }
 
+    /// Makes the store keep no history: each watch is to read anew.
+    pub fn set_forgets(&self, forgets: bool) {
+        self.state().forgets = forgets;
+    }
+
     /// Leaves a VM's reads and watches of a part unanswered, as over a full link, or answers them.
     pub fn hold_from(&self, vm: &str, part: StorePart, held: bool) {
         let mut state = self.state();
@@ -289,7 +296,8 @@
                     return Err(StoreError::Silent("away".to_owned()));
                 }
                 let told = self.tell_era(&state);
-                if from.number > state.content.revision || from.era < told {
+                let unknown = from.number > state.content.revision || from.era < told;
+                if unknown || state.forgets {
                     return Err(StoreError::Forgotten);
                 }
                 if state.content.revision > from.number
--- a/crates/nickellead_gateway/tests/store_older.rs
+++ b/crates/nickellead_gateway/tests/store_older.rs
@@ -34,6 +34,9 @@
 const WRITTEN_AGAIN: Duration = Duration::from_millis(1_000);
 /// Calls of the store for its parts that a VM may make a second, many times what it makes in calm.
 const CALLS_A_SECOND: u64 = 5;
+/// The same for both VMs, while each watch is to read anew: half a second apart, for three parts of which one VM
+/// follows the store.
+const CALLS_FORGOTTEN: u64 = 24;
 /// A holder's keys are another's after this time at the latest: its hold and a grace of the mandate.
 const KEYS_BACK: Duration = Duration::from_millis(10_000);
 
@@ -183,6 +186,22 @@
     assert!(older.gateways.iter().all(|gateway| gateway.knows(2)), "in force after {BOUND:?}");
 }
 
+/// Guards against: whatever makes a store forget its history over and over, all VMs ask it without a pause.
+#[test]
+fn a_store_that_keeps_no_history_is_read_with_pauses() {
+    let older = OlderStore::start("vm-forgets", "plain");
+    older.store.set_forgets(true);
+    std::thread::sleep(KNOWN);
+    let before = older.store.part_calls_made();
+    std::thread::sleep(SETTLED);
+    let calls = older.store.part_calls_made() - before;
+    let most = CALLS_FORGOTTEN * SETTLED.as_secs();
+    assert!(calls <= most, "{calls} calls for parts in {SETTLED:?}, at most {most}");
+    older.store.list(draining(older.entries("plain")[1].clone()));
+    std::thread::sleep(BOUND);
+    assert_eq!(older.second_target_gets(KNOWN), 0, "requests to a target that left");
+}
+
 /// Guards against: nobody could write the mandate any more, and all keys lost their owners.
 #[test]
 fn keys_move_again_after_the_store_came_back_older() {
--- a/crates/nickellead_range/src/mandate.rs
+++ b/crates/nickellead_range/src/mandate.rs
@@ -464,15 +464,16 @@
         !last.vacant && (self.was_unreached() || !self.written_in_time)
     }
 
-    /// The write that gives the mandate back.
-    pub fn vacating_write(&mut self) -> Option<MandateWrite> {
+    /// The write that gives the mandate back; none while another VM may have held it in the time that the store
+    /// lost: a successor must not take it that nobody else sends orders.
+    pub fn vacating_write(&mut self, now: Timestamp) -> Option<MandateWrite> {
+        let has_rival = self.rival_until().is_some_and(|until| now < until);
         if !self.held {
             return None;
         }
         self.held = false;
         let (seen, _) = self.seen.as_ref()?;
-        if self.lost || self.is_outdated() || !self.is_mine(&seen.value) {
-            // The store has lost that this VM held it.
+        if has_rival || self.lost || self.is_outdated() || seen.is_of_copy() {
             return None;
         }
         let record = MandateRecord { vacant: true, era: self.era, ..seen.value.clone() };
