--- a/crates/nickellead_gateway/tests/store_soak.rs
+++ b/crates/nickellead_gateway/tests/store_soak.rs
@@ -138,7 +138,8 @@
             }
             let number = random.usize(..targets.len());
             let target = &mut targets[number];
-            let may_leave = number % TARGETS > 0 && target.state == TargetState::Ready;
+            let stays = number.is_multiple_of(TARGETS);
+            let may_leave = !stays && target.state == TargetState::Ready;
             match random.u8(..16) {
                 0..=2 if may_leave => {
                     target.state = TargetState::Draining;
--- a/crates/nickellead_range/src/lib.rs
+++ b/crates/nickellead_range/src/lib.rs
@@ -16,6 +16,7 @@
 mod map;
 mod piece;
 mod plan;
+mod predecessors;
 mod stored;
 
 pub use change::{MapChange, MapChangeError};
@@ -24,9 +25,10 @@
 pub use lateness::LatenessWatch;
 pub use load::KeyLoad;
 pub use mandate::{
-    LastOrder, MANDATE_LOOK, MANDATE_MARGIN, MANDATE_RENEWAL, MANDATE_TIME, MandatePower,
-    MandateState, MandateWrite, PredecessorBounds, RENEWAL_GRACE, RETURN_PRECEDENCE,
+    MANDATE_LOOK, MANDATE_MARGIN, MANDATE_RENEWAL, MANDATE_TIME, MandatePower, MandateState,
+    MandateWrite, RENEWAL_GRACE, RETURN_PRECEDENCE,
 };
 pub use map::{HolderRecord, RangeMap, RangeRecord, ServiceRanges};
 pub use plan::{MoveProposal, OwnerCandidate, lightest_owner, plan_moves};
+pub use predecessors::{LastOrder, PredecessorBounds};
 pub use stored::{MandateRecord, Revision, StoreEra, Stored};
--- a/crates/nickellead_report/src/context.rs
+++ b/crates/nickellead_report/src/context.rs
@@ -51,6 +51,7 @@
         event,
         EventName::StoreLost
             | EventName::StoreRegained
+            | EventName::StoreOlder
             | EventName::NewsSource
             | EventName::ConfigInForce
             | EventName::NodeStarted
