A map without services is a new one in any era

A store whose eras begin above 1 would have kept a new fleet's keys without owners for 24 s. What that rule guarded against needs a copy from before the first map and a fleet that starts whole just then; it is listed in the postmortem.

--- a/crates/nickellead_range/src/found.rs
+++ b/crates/nickellead_range/src/found.rs
@@ -72,7 +72,7 @@
                 Self { is_stale: found.is_of_copy(), map: found.value, era }
             }
             _ => Self {
-                is_stale: known.is_none() && !era.may_be_first(),
+                is_stale: false,
                 map: known.map(|known| known.value).unwrap_or_default(),
                 era,
             },
--- a/crates/nickellead_range/src/keeper/mod.rs
+++ b/crates/nickellead_range/src/keeper/mod.rs
@@ -161,7 +161,8 @@
         let InheritedMap { mut map, era, is_stale } = inherited;
         map.writer = writer;
         map.edit = 1;
-        let is_new = map.services.is_empty() && era.may_be_first();
+        // One without services was never written, or its writer would have gone on with it.
+        let is_new = map.services.is_empty();
         map.doubtful |= map.enter_era(era) && !is_new;
         let mut keeper = Self {
             settings,
