--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -88,7 +88,7 @@
     StoreRegained, "store-regained", Info, [], "the store answers this VM again";
     ListOutdated, "list-outdated", Warn, ["read", "known"], "the store's list of targets is as of an older revision than what is known here, and is not taken over; not logged again until one is";
     StoreOlder, "store-older", Warn, ["era", "before", "reached"], "the store came back from an older copy: its revisions have begun anew in this era; what this VM knew up to the revision reached stays until it is told anew";
-    StoreEraOdd, "store-era-odd", Warn, ["reason", "told", "known"], "an answer of the store tells no era, or one that can't be (missing, unreadable, fallen, jumped); nothing is lost by it";
+    EraOdd, "era-odd", Warn, ["reason", "told", "known"], "an answer of the store tells no era, or one that can't be (missing, unreadable, fallen, jumped); nothing is lost by it";
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's answer was passed on; one in 64 is logged, chosen by its id";
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "a try failed at this target and another one may follow";
     RequestFailed, "request-failed", Info, ["request", "route", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms"], "the request ended without a target's answer, decided by beliefs of these ages";
--- a/crates/nickellead_gateway/src/store_era.rs
+++ b/crates/nickellead_gateway/src/store_era.rs
@@ -104,7 +104,7 @@
         self.odd.set(self.odd.get() + 1);
         let pairs: [(&str, &dyn std::fmt::Display); 3] =
             [("reason", &odd.as_str()), ("told", &told), ("known", &self.era.get())];
-        log_event(EventName::StoreEraOdd, &pairs);
+        log_event(EventName::EraOdd, &pairs);
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod link;
 pub mod owners;
+pub mod seeds;
 pub mod store;
 pub mod target;
 
--- a/crates/nickellead_gateway/tests/signs_soak.rs
+++ b/crates/nickellead_gateway/tests/signs_soak.rs
@@ -8,9 +8,10 @@
 mod common;
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use common::seeds::play_seeds;
 use common::store::MemoryStore;
 use common::target::{Manner, TargetArrival, TestTarget};
 use common::{TestGateway, declarations, entry, exchange};
@@ -294,32 +295,7 @@
     broken
 }
 
-fn number_from(variable: &str, usual: u64) -> u64 {
-    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
-}
-
 #[test]
 fn no_vm_sends_what_a_target_told_it_not_to_send() {
-    let first = number_from("NICKELLEAD_FIRST_SIGN_SEED", 1);
-    let seeds = number_from("NICKELLEAD_SIGN_SEEDS", 3);
-    let next = AtomicUsize::new(0);
-    let found = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..3 {
-            scope.spawn(|| {
-                loop {
-                    let seed = first + next.fetch_add(1, Ordering::Relaxed) as u64;
-                    if seed >= first + seeds {
-                        return;
-                    }
-                    let broken = play(seed);
-                    if !broken.is_empty() {
-                        found.lock().unwrap().push((seed, broken));
-                    }
-                }
-            });
-        }
-    });
-    let found = found.into_inner().unwrap();
-    assert!(found.is_empty(), "{found:#?}");
+    play_seeds("NICKELLEAD_FIRST_SIGN_SEED", "NICKELLEAD_SIGN_SEEDS", play);
 }
--- a/crates/nickellead_gateway/tests/store_soak.rs
+++ b/crates/nickellead_gateway/tests/store_soak.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use common::owners::broken_ownership;
+use common::seeds::play_seeds;
 use common::store::{MemoryStore, StoreCopy};
 use common::target::{Manner, TestTarget};
 use common::{TestGateway, declarations, entry, exchange};
@@ -266,32 +267,7 @@
     broken
 }
 
-fn number_from(variable: &str, usual: u64) -> u64 {
-    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
-}
-
 #[test]
 fn no_vm_goes_by_what_the_store_has_lost() {
-    let first = number_from("NICKELLEAD_FIRST_STORE_SEED", 1);
-    let seeds = number_from("NICKELLEAD_STORE_SEEDS", 3);
-    let next = AtomicUsize::new(0);
-    let found = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..3 {
-            scope.spawn(|| {
-                loop {
-                    let seed = first + next.fetch_add(1, Ordering::Relaxed) as u64;
-                    if seed >= first + seeds {
-                        return;
-                    }
-                    let broken = play(seed);
-                    if !broken.is_empty() {
-                        found.lock().unwrap().push((seed, broken));
-                    }
-                }
-            });
-        }
-    });
-    let found = found.into_inner().unwrap();
-    assert!(found.is_empty(), "{found:#?}");
+    play_seeds("NICKELLEAD_FIRST_STORE_SEED", "NICKELLEAD_STORE_SEEDS", play);
 }
