nickellead_limit: model of quotas that all VMs keep together

Cause: workspaces (the wire's tenants) have a rate for all VMs together, and nothing counts it.

Change: TokenBucket on one VM grants tokens, QuotaLimit::token_validity says for how long a VM may use one, so that the sum over any window stays within (rate x window + burst) x (1 + overage) + slack through late messages and through takeovers, after which a bucket begins with one token. No sockets yet.

Weighed on paper: equal shares of the rate for each VM (what RateLimiter does for limits of targets). With 80 VMs and 5 requests a second a share is a token each 16 s, so most requests inside a quota would be refused.

--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -7,12 +7,13 @@
 //! Three limiters bound what all VMs together send to one target. [`OwnerAdmission`] computes the
 //! rate that an overloaded owner of keys can serve, [`ColdLimiter`] bounds requests to a target that
 //! has just started, and [`RateLimiter`] enforces one VM's share of a rate that the target requests.
-//! [`WaitTolerance`] estimates how long a caller has been retrying.
+//! A [`TokenBucket`] bounds what all VMs together send for one workspace. [`WaitTolerance`] estimates how long a caller has been retrying.
 
 mod adaptive;
 mod admission;
 mod cold;
 mod queue;
+mod quota;
 mod rate;
 mod wait_tolerance;
 
@@ -20,5 +21,6 @@
 pub use admission::{AdmissionFractions, OwnerAdmission, OwnerReport, allocate_rate};
 pub use cold::{COLD_SENDERS, ColdBounds, ColdLimiter, ColdQuota, is_cold_sender};
 pub use queue::{QueueTicket, WaitQueue};
+pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenGrant};
 pub use rate::{RateLimiter, sustainable_rate};
 pub use wait_tolerance::WaitTolerance;
