--- a/crates/nickellead_core/src/time.rs
+++ b/crates/nickellead_core/src/time.rs
@@ -17,6 +17,14 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time `duration` before this, rounded down to a millisecond; `None` if it is before the
+    /// start of the clock.
+    #[must_use]
+    pub fn checked_sub(self, duration: Duration) -> Option<Self> {
+        let millis = duration.as_nanos().div_ceil(1_000_000);
+        self.0.checked_sub(u64::try_from(millis).ok()?).map(Self)
+    }
 }
 
 impl std::ops::Add<Duration> for Timestamp {
--- a/crates/nickellead_gateway/src/declared/change.rs
+++ b/crates/nickellead_gateway/src/declared/change.rs
@@ -5,6 +5,7 @@
 use bincode::{Decode, Encode};
 use nickellead_peer::{ChangeError, DeclaredState};
 
+use super::workspace::WorkspacesChange;
 use super::{CallerLimits, Declarations, ServiceRule, SharedRoute};
 
 /// The difference between two versions of the declarations.
@@ -22,6 +23,8 @@
     pub services: Option<BTreeMap<String, ServiceRule>>,
     /// The limits, if any of them changed.
     pub limits: Option<CallerLimits>,
+    /// The workspaces that changed.
+    pub workspaces: WorkspacesChange,
 }
 
 impl DeclarationsChange {
@@ -42,6 +45,7 @@
             set: set.cloned().collect(),
             services: (old.services != new.services).then(|| new.services.clone()),
             limits: (old.limits != new.limits).then_some(new.limits),
+            workspaces: WorkspacesChange::between(&old.workspaces, &new.workspaces),
         })
     }
 
@@ -62,13 +66,14 @@
 
     /// Applies the change to declarations whose state was checked with [`Self::check_base`].
     pub(super) fn applied_to(&self, old: Declarations) -> Result<Declarations, ChangeError> {
-        let Declarations { mut routes, services, limits, version: _ } = old;
+        let Declarations { mut routes, services, limits, workspaces, version: _ } = old;
         self.change_routes(&mut routes);
         let declarations = Declarations {
             version: self.to.version,
             routes,
             services: self.services.clone().unwrap_or(services),
             limits: self.limits.unwrap_or(limits),
+            workspaces: self.workspaces.applied_to(workspaces),
         };
         ChangeError::check_result(self.to, declarations.state())?;
         Ok(declarations)
--- a/crates/nickellead_gateway/src/declared/mod.rs
+++ b/crates/nickellead_gateway/src/declared/mod.rs
@@ -1,4 +1,4 @@
-//! Declarations of operators: routes, services and limits for callers.
+//! Declarations of operators: routes, services, workspaces and limits for callers.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,16 +6,20 @@
 use bincode::{Decode, Encode};
 
 mod change;
+mod freshness;
 mod history;
 mod route;
 mod state;
 mod updates;
+mod workspace;
 
 pub use change::DeclarationsChange;
+pub use freshness::{DeclarationsFreshness, RESTORE_GRACE, RelayedConfirmation, StateConfirmation};
 pub use history::{DeclarationsHistory, DeclaredStep, MAX_HISTORY_BYTES, MAX_HISTORY_STEPS};
 pub use nickellead_peer::{ChangeError, DeclaredState};
 pub use route::{RepeatClass, RouteRule, SharedRoute, WeightedService};
 pub use updates::{AppliedUpdate, DeclaredUpdate, UpdateError};
+pub use workspace::{KeyDigest, WorkspaceQuota, WorkspaceRule, WorkspaceRules, WorkspacesChange};
 
 /// All declarations of one version.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -28,6 +32,8 @@
     pub services: BTreeMap<String, ServiceRule>,
     /// Limits for requests of callers.
     pub limits: CallerLimits,
+    /// Workspaces by name; `None` if requests need no key.
+    pub workspaces: Option<WorkspaceRules>,
 }
 
 /// Rules of one service.
--- a/crates/nickellead_gateway/src/declared/route.rs
+++ b/crates/nickellead_gateway/src/declared/route.rs
@@ -41,6 +41,10 @@
     pub attempts: u32,
     /// Services among which the requests are split by weight.
     pub split: Vec<WeightedService>,
+    /// Whether its requests need no key of a workspace.
+    pub public: bool,
+    /// Regions in which its requests may be served; `None` for all regions.
+    pub regions: Option<Vec<String>>,
 }
 
 /// A service in the traffic split of a route.
--- a/crates/nickellead_gateway/src/declared/state.rs
+++ b/crates/nickellead_gateway/src/declared/state.rs
@@ -13,7 +13,7 @@
 
     /// Sum of all digests, which is independent of the order of routes.
     fn digest(&self) -> u64 {
-        let rest = digest_of(&(&self.services, &self.limits));
+        let rest = digest_of(&(&self.services, &self.limits, &self.workspaces));
         self.routes.iter().map(SharedRoute::digest).fold(rest, u64::wrapping_add)
     }
 }
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -42,9 +42,10 @@
 pub use cluster_state::{RangesHistory, RangesStep, RangesUpdate, StepsError};
 pub use declared::{
     AppliedUpdate, CallerLimits, ChangeError, ColdRule, Declarations, DeclarationsChange,
-    DeclarationsHistory, DeclaredState, DeclaredStep, DeclaredUpdate, MAX_HISTORY_BYTES,
-    MAX_HISTORY_STEPS, RepeatClass, RouteRule, ServiceRule, SharedRoute, UpdateError,
-    WeightedService,
+    DeclarationsFreshness, DeclarationsHistory, DeclaredState, DeclaredStep, DeclaredUpdate,
+    KeyDigest, MAX_HISTORY_BYTES, MAX_HISTORY_STEPS, RESTORE_GRACE, RelayedConfirmation,
+    RepeatClass, RouteRule, ServiceRule, SharedRoute, StateConfirmation, UpdateError,
+    WeightedService, WorkspaceQuota, WorkspaceRule, WorkspaceRules, WorkspacesChange,
 };
 pub use nickellead_range::{MandateRecord, Revision, StoreEra, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
@@ -53,7 +54,9 @@
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
 pub use response_signals::signals_leaving;
-pub use settings::{ColdSettings, GatewaySettings, OwnershipSettings, SettingsError};
+pub use settings::{
+    ColdSettings, GatewaySettings, OwnershipSettings, QuotaSettings, SettingsError,
+};
 pub use store_era::EraMonitor;
 pub use targets::{
     EvacuatedZones, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -135,6 +135,8 @@
     pub deadline_ms: &'static str,
     /// Key of a request to a sharded service.
     pub shard_key: &'static str,
+    /// Name of the workspace of a request; callers can't set it.
+    pub workspace: &'static str,
     /// Identity of the only target that may run the request.
     pub expected_target: &'static str,
     /// Identity of a target that refuses a request for another target.
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one gateway VM, read from a JSON file and validated before the gateway starts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,6 +78,19 @@
     /// Seconds after which a target that signalled that it is leaving may get no new requests.
     #[serde(default = "default_drain")]
     pub drain_s: f64,
+    /// Seconds after which a key that was taken away may not be served anywhere, also while the store
+    /// can't be reached; `None` for no such limit.
+    #[serde(default)]
+    pub revocation_s: Option<f64>,
+    /// How quotas of workspaces are counted.
+    #[serde(default)]
+    pub quota: QuotaSettings,
+    /// Region of the VM; `None` if unknown.
+    #[serde(default)]
+    pub region: Option<String>,
+    /// Regions by availability zone.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<String, String>,
     /// Lease duration and renewal interval of key ownership.
     #[serde(default)]
     pub ownership: OwnershipSettings,
@@ -113,6 +127,25 @@
     pub slack: f64,
 }
 
+/// How quotas of workspaces are counted: the requests of all VMs in any window stay within
+/// (rate x window + burst) x (1 + overage) + slack.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct QuotaSettings {
+    /// Length of the window in seconds.
+    pub window_s: f64,
+    /// Permitted excess, as a fraction of the quota.
+    pub overage: f64,
+    /// Permitted excess in requests.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window_s: 5.0, overage: 0.1, slack: 10.0 }
+    }
+}
+
 /// Lease duration and renewal interval of key ownership.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -186,6 +219,12 @@
         bound((0.2..=600.0).contains(&self.drain_s), "drain_s", "from 0.2 to 600")?;
         let evacuation = self.evacuation_s.is_none_or(|time| (1.0..=600.0).contains(&time));
         bound(evacuation, "evacuation_s", "from 1 to 600")?;
+        let revocation = self.revocation_s.is_none_or(|time| (0.5..=600.0).contains(&time));
+        bound(revocation, "revocation_s", "from 0.5 to 600")?;
+        let QuotaSettings { window_s, overage, slack } = self.quota;
+        bound((0.1..=600.0).contains(&window_s), "quota.window_s", "from 0.1 to 600")?;
+        bound((0.0..=10.0).contains(&overage), "quota.overage", "from 0 to 10")?;
+        bound((0.0..=1e6).contains(&slack), "quota.slack", "from 0 to 1000000")?;
         let renewal = (0.1..=ownership.hold_s / 2.0).contains(&ownership.renewal_s);
         bound(renewal, "ownership.renewal_s", "from 0.1 to half of hold_s")
     }
--- a/crates/nickellead_gateway/tests/common/many_routes.rs
+++ b/crates/nickellead_gateway/tests/common/many_routes.rs
@@ -16,6 +16,8 @@
         priority: 1,
         attempts: 2,
         split: vec![WeightedService { service: "plain".to_owned(), weight }],
+        public: false,
+        regions: None,
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -15,8 +15,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_gateway::{
-    CallerLimits, Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings,
-    PolicySettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry, TargetState,
+    Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings, PolicySettings,
+    QuotaSettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry, TargetState,
     WeightedService, start_gateway,
 };
 
@@ -29,6 +29,7 @@
     request_id: "x-request-id",
     deadline_ms: "x-deadline-ms",
     shard_key: "x-key",
+    workspace: "x-workspace",
     expected_target: "x-target",
     answering_target: "x-answers",
     target_proof: "x-proof",
@@ -64,6 +65,8 @@
         priority: 1,
         attempts: 2,
         split: vec![WeightedService { service: service.to_owned(), weight: 1.0 }],
+        public: false,
+        regions: None,
     }
 }
 
@@ -79,7 +82,7 @@
         route("key", "keyed", RepeatClass::Safe),
     ];
     let routes = routes.into_iter().map(SharedRoute::from).collect();
-    Declarations { version, routes, services, limits: CallerLimits::default() }
+    Declarations { version, routes, services, ..Declarations::default() }
 }
 
 /// The entry of a ready target in `zone-a`.
@@ -133,6 +136,10 @@
             cold: None,
             evacuation_s: None,
             drain_s: 2.0,
+            revocation_s: None,
+            quota: QuotaSettings::default(),
+            region: None,
+            zone_regions: BTreeMap::new(),
             ownership: OwnershipSettings::default(),
             policy: PolicySettings::default(),
         };
--- a/crates/nickellead_gateway/tests/declared_changes.rs
+++ b/crates/nickellead_gateway/tests/declared_changes.rs
@@ -4,14 +4,16 @@
 #[path = "common/many_routes.rs"]
 mod many_routes;
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bincode::{Decode, Encode};
 use many_routes::{random_declarations, route};
 use nickellead_gateway::{
     CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory, DeclaredStep,
-    DeclaredUpdate, MAX_HISTORY_BYTES, MAX_HISTORY_STEPS, MAX_UNPACKED_BYTES, Packed, PackedError,
-    ServiceRule, SharedRoute, UpdateError,
+    DeclaredUpdate, KeyDigest, MAX_HISTORY_BYTES, MAX_HISTORY_STEPS, MAX_UNPACKED_BYTES, Packed,
+    PackedError, ServiceRule, SharedRoute, UpdateError, WorkspaceRule, WorkspaceRules,
+    WorkspacesChange,
 };
 use nickellead_peer::{decode, encode};
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -36,10 +38,28 @@
         let services = [("plain".to_owned(), rule)].into();
         let header_bytes = usize::from(bool::arbitrary(generator));
         let limits = CallerLimits { header_bytes, ..CallerLimits::default() };
-        Self(Declarations { version: u64::arbitrary(generator) % 2, routes, services, limits })
+        let version = u64::arbitrary(generator) % 2;
+        let workspaces = bool::arbitrary(generator).then(|| random_workspaces(generator));
+        Self(Declarations { version, routes, services, limits, workspaces })
     }
 }
 
+/// Some of four workspaces, each with some of three keys.
+fn random_workspaces(generator: &mut Gen) -> WorkspaceRules {
+    let names: Vec<u8> = (0..4).filter(|_| bool::arbitrary(generator)).collect();
+    let rules = names.into_iter().map(|name| {
+        let keys: Vec<u8> = (0..3).filter(|_| bool::arbitrary(generator)).collect();
+        let rule = WorkspaceRule {
+            keys: keys.into_iter().map(|key| KeyDigest::of(&[name, key])).collect(),
+            priority: Option::<bool>::arbitrary(generator).map(u8::from),
+            quota: None,
+            regions: None,
+        };
+        (format!("workspace-{name}"), Arc::new(rule))
+    });
+    rules.collect()
+}
+
 /// The same declarations with routes sorted by name.
 fn ordered(declarations: &Declarations) -> Declarations {
     let mut ordered = declarations.clone();
@@ -73,6 +93,7 @@
             && names == names_after(&old, &new)
             && again.removed.is_empty() && again.set.is_empty()
             && again.services.is_none() && again.limits.is_none()
+            && again.workspaces == WorkspacesChange::Same
     }
 
     fn a_state_depends_on_content_and_not_on_order(
@@ -83,7 +104,8 @@
         reversed.routes.reverse();
         let change = DeclarationsChange::between(&one.0, &other.0).unwrap();
         let same = one.0.version == other.0.version && change.removed.is_empty()
-            && change.set.is_empty() && change.services.is_none() && change.limits.is_none();
+            && change.set.is_empty() && change.services.is_none() && change.limits.is_none()
+            && change.workspaces == WorkspacesChange::Same;
         one.0.state() == reversed.state() && (one.0.state() == other.0.state()) == same
     }
 
