--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -87,6 +87,11 @@
 error_table! {
     UnknownService, "unknown-service", 404, NotRun, None, Debug, "no service of this name is declared: check the first part of the path";
     UnknownRoute, "unknown-route", 404, NotRun, None, Debug, "no route is declared for this host and path";
+    Unauthenticated, "unauthenticated", 401, NotRun, None, Debug, "the request has no key of a workspace: send exactly one header `authorization: Bearer KEY`";
+    KeysOutdated, "keys-outdated", 503, NotRun, Some(500), Warn, "this VM has not confirmed for too long which keys are valid: another one may answer";
+    QuotaExceeded, "quota-exceeded", 429, NotRun, Some(1_000), Debug, "all VMs together have sent as many requests as the workspace's quota allows";
+    QuotaUnknown, "quota-unknown", 503, NotRun, Some(250), Warn, "the VM that counts the workspace's requests did not respond in time";
+    RegionNotAllowed, "region-not-allowed", 421, NotRun, None, Info, "the route or the workspace may not be served in the region of this VM or of the target";
     HeadTooLarge, "head-too-large", 431, NotRun, None, Debug, "the request's head is larger than the declared limit";
     NotConfigured, "not-configured", 503, NotRun, Some(100), Info, "this VM knows no declarations or no targets yet";
     Overloaded, "overloaded", 503, NotRun, Some(60), Info, "the service has more requests than it can serve in time";
--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -91,7 +91,7 @@
     EraOdd, "era-odd", Warn, ["reason", "told", "known"], "a response of the store has no era or an unexpected one (missing, unreadable, fallen, jumped); no state is discarded because of it";
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's response was forwarded to the caller; one in 64 is logged, selected by request id";
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "an attempt at this target failed and another one may follow";
-    RequestFailed, "request-failed", Info, ["request", "route", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms"], "the request ended without a response from a target; the ages are those of the state that the decision was based on";
+    RequestFailed, "request-failed", Info, ["request", "route", "workspace", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms", "keys_age_ms"], "the request ended without a response from a target; the ages are those of the state that the decision was based on, and keys_age_ms is the age of the knowledge of which keys of workspaces are valid";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "the log output was too slow and lines were lost";
 }
 
--- a/crates/nickellead_gateway/src/cluster_state/mod.rs
+++ b/crates/nickellead_gateway/src/cluster_state/mod.rs
@@ -20,12 +20,11 @@
 use nickellead_range::{RangeMap, TargetInstance};
 use tokio::sync::Notify;
 
-use self::declared::DeclarationsCache;
 pub(crate) use self::declared::DeclarationsUpdate;
+use self::declared::{DeclarationsCache, MissingDeclarations};
 pub use self::ranges::{RangesHistory, RangesStep, RangesUpdate, StepsError};
 pub(crate) use self::targets::EXPIRY_GRACE;
 use self::targets::{ChangeOrigin, TargetsState};
-use self::updates::log_unusable;
 pub(crate) use self::updates::{StateCursor, StateUpdate};
 use crate::admission::AdmissionTable;
 use crate::fleet::{AnnouncementStamp, FleetTable};
@@ -33,8 +32,8 @@
 use crate::state_channels::StateSenders;
 use crate::waiting::wait_for;
 use crate::{
-    Declarations, DeclaredState, EvacuatedZones, MandateRecord, Revision, StoreEra, Stored,
-    TargetChange, TargetEntry, TargetList, TargetListing,
+    Declarations, DeclarationsFreshness, DeclaredState, EvacuatedZones, MandateRecord, Revision,
+    StoreEra, Stored, TargetChange, TargetEntry, TargetList, TargetListing,
 };
 
 /// The store's revisions up to which parts of the state are known; `None` if a part has to be read
@@ -47,19 +46,15 @@
     pub(crate) evacuations: Option<Revision>,
 }
 
-/// Declarations that another VM has announced and this one does not have yet.
-#[derive(Clone, Copy)]
-struct MissingDeclarations {
-    state: DeclaredState,
-    /// Since when any newer declarations have been missing.
-    since: Instant,
-}
-
 /// One VM's copy of the cluster's state.
 pub(crate) struct ClusterState {
     incarnation: u64,
     known: Cell<KnownRevisions>,
     declared: RefCell<DeclarationsCache>,
+    /// How old the active declarations can be; kept only if they have workspaces.
+    freshness: RefCell<DeclarationsFreshness<DeclaredState>>,
+    /// The store's era of the last read of declarations.
+    declarations_era: Cell<StoreEra>,
     announced: Cell<Option<MissingDeclarations>>,
     targets: RefCell<TargetsState>,
     /// Whether the last list of targets was older than the known one.
@@ -82,6 +77,8 @@
             incarnation,
             known: Cell::default(),
             declared: RefCell::default(),
+            freshness: RefCell::default(),
+            declarations_era: Cell::default(),
             announced: Cell::default(),
             targets: RefCell::default(),
             list_outdated: Cell::default(),
@@ -125,100 +122,6 @@
         self.mandate.borrow().clone()
     }
 
-    /// The known content of the declarations.
-    pub(crate) fn declared_state(&self) -> Option<DeclaredState> {
-        self.declared.borrow().state()
-    }
-
-    /// The newest content of the declarations that is known or announced.
-    pub(crate) fn newest_declared(&self) -> Option<DeclaredState> {
-        self.announced.get().map(|missing| missing.state).or_else(|| self.declared_state())
-    }
-
-    /// Records content of the declarations that another VM has announced.
-    pub(crate) fn record_announced_declarations(&self, state: DeclaredState) {
-        let newest = self.newest_declared();
-        if newest.is_some_and(|newest| newest.version >= state.version) {
-            return;
-        }
-        let since = self.announced.get().map_or_else(Instant::now, |missing| missing.since);
-        self.announced.set(Some(MissingDeclarations { state, since }));
-        self.changed.notify_waiters();
-    }
-
-    /// Whether newer declarations are announced than are known.
-    pub(crate) fn is_missing_declarations(&self) -> bool {
-        self.announced.get().is_some()
-    }
-
-    /// Whether newer declarations have been missing ever since `since`.
-    pub(crate) fn is_missing_since(&self, since: Instant) -> bool {
-        self.announced.get().is_some_and(|missing| missing.since == since)
-    }
-
-    /// Waits until newer declarations are announced than are known, and returns since when.
-    pub(crate) async fn wait_for_missing_declarations(&self) -> Instant {
-        wait_for(&self.changed, || self.announced.get().map(|missing| missing.since)).await
-    }
-
-    fn is_newer(&self, version: u64) -> bool {
-        self.declared_state().is_none_or(|known| known.version < version)
-    }
-
-    /// Applies declarations from the store; older ones are ignored.
-    pub(crate) fn apply_stored_declarations(&self, as_of: Revision, new: Option<Declarations>) {
-        self.raise_revision(|known| &mut known.declarations, as_of);
-        let Some(new) = new.filter(|new| self.is_newer(new.version)) else { return };
-        self.declared.borrow_mut().record_stored(self.declarations().as_deref(), &new);
-        self.activate_declarations(new);
-    }
-
-    /// Applies declarations from another VM; older ones are ignored. Returns whether they apply to
-    /// the known ones.
-    pub(crate) fn apply_declarations_update(&self, update: DeclarationsUpdate) -> bool {
-        let applied = match update.content.apply(self.declarations().as_deref()) {
-            Ok(applied) => applied,
-            Err(error) => {
-                log_unusable("declarations", &error);
-                return false;
-            }
-        };
-        if self.is_newer(applied.state.version) {
-            self.declared.borrow_mut().record_update(&applied);
-            self.activate_declarations(applied.declarations);
-        }
-        if self.declared_state() == Some(applied.state) {
-            self.raise_revision(|known| &mut known.declarations, update.as_of);
-        }
-        true
-    }
-
-    fn activate_declarations(&self, new: Declarations) {
-        let version = new.version;
-        if self.announced.get().is_some_and(|missing| missing.state.version <= version) {
-            self.announced.set(None);
-        }
-        self.senders.declarations.send_replace(Some(Arc::new(new)));
-        log_event(EventName::ConfigInForce, &[("version", &version)]);
-        self.changed.notify_waiters();
-    }
-
-    /// Whether newer declarations are known than the given ones.
-    pub(crate) fn has_newer_than(&self, known: Option<DeclaredState>) -> bool {
-        let own = self.declared_state().map(|own| own.version);
-        own > known.map(|known| known.version)
-    }
-
-    /// What a subscriber with this content of the declarations, or with none, needs.
-    pub(crate) fn declarations_since(
-        &self,
-        known: Option<DeclaredState>,
-    ) -> Option<DeclarationsUpdate> {
-        let newest = self.declarations()?;
-        let content = self.declared.borrow_mut().since(known, &newest)?;
-        Some(DeclarationsUpdate { as_of: self.known().declarations.unwrap_or_default(), content })
-    }
-
     /// Applies the whole list of targets from the store, unless a newer one is known; returns
     /// whether it was applied.
     ///
--- a/crates/nickellead_gateway/src/cluster_state/updates.rs
+++ b/crates/nickellead_gateway/src/cluster_state/updates.rs
@@ -278,7 +278,7 @@
         if self.declared_state() == Some(state) {
             // Only for known content: a watch of the store must not skip declarations that are
             // announced but missing.
-            self.apply_stored_declarations(as_of, None);
+            self.raise_declarations_revision(as_of);
         }
     }
 
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -4,8 +4,8 @@
 //! This module holds the loop's state, its start and its end. `mandate` acquires, renews and
 //! watches the mandate, and `ranges` is the loop of the mandate holder: `candidates` selects the
 //! targets that may own ranges, `loads` records load and starts moves, `admission` limits the
-//! requests for overloaded owners, `limits` tracks the limits that targets report, `fleet`
-//! announces the VMs that take requests, `map_writes` writes the map, and `orders` sends orders.
+//! requests for overloaded owners, `limits` tracks the limits that targets report, `quotas` grants tokens for
+//! requests of limited workspaces, `fleet` announces the VMs that take requests, `map_writes` writes the map, and `orders` sends orders.
 
 mod admission;
 mod candidates;
@@ -15,6 +15,7 @@
 mod mandate;
 mod map_writes;
 mod orders;
+mod quotas;
 mod ranges;
 
 use std::cell::{Cell, RefCell};
@@ -26,17 +27,19 @@
 
 use nickellead_core::Timestamp;
 use nickellead_range::{KeyLoad, LateOrderDetector, MandateState, RangeController, TargetInstance};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use self::admission::TargetStats;
 use self::fleet::FleetAnnouncement;
 use self::limits::ReportedTargetLimit;
 use self::mandate::run_mandate_loop;
+use self::quotas::{TokenBuckets, receive_needs, run_quota_loop};
 use self::ranges::run_ranges_loop;
 use crate::cluster_state::ClusterState;
 use crate::evacuation::ZoneStates;
 use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::ControlMetrics;
+use crate::quota::TokenNeed;
 use crate::relay::{UpdateRelay, serve_updates};
 use crate::state_channels::StateSenders;
 use crate::store_health::StoreHealth;
@@ -74,6 +77,10 @@
     pub(crate) cold_settings: Option<ColdSettings>,
     /// Whether availability zones may be evacuated.
     pub(crate) evacuations_enabled: bool,
+    /// Most age of the declarations with which keys may be checked; `None` for no limit.
+    pub(crate) max_key_age: Option<Duration>,
+    /// Needs of the request thread for tokens of limited workspaces.
+    pub(crate) token_needs: mpsc::Receiver<TokenNeed>,
 }
 
 /// The control loop of one VM.
@@ -120,6 +127,9 @@
     policy: PolicySettings,
     cold_settings: Option<ColdSettings>,
     evacuations_enabled: bool,
+    max_key_age: Option<Duration>,
+    /// Tokens of limited workspaces, while this VM holds the mandate.
+    token_buckets: RefCell<TokenBuckets>,
     /// Evacuated availability zones, and when others returned.
     zones: RefCell<ZoneStates>,
     /// This VM in the announcements of VMs that take requests.
@@ -132,7 +142,7 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
-    fn new(context: ControlContext, store: S, orders: O) -> Rc<Self> {
+    fn new(context: ControlContext, store: S, orders: O) -> (Rc<Self>, mpsc::Receiver<TokenNeed>) {
         let health = Rc::new(StoreHealth::new(context.metrics.clone()));
         let cluster = Rc::new(ClusterState::new(context.incarnation, context.senders));
         let address = context.announced_address;
@@ -148,7 +158,7 @@
         let takeover_delay = takeover_delay(context.cpu_share, context.link_mbps);
         let mandate =
             MandateState::new(context.vm.clone(), address, context.incarnation, takeover_delay);
-        Rc::new(Self {
+        let control = Rc::new(Self {
             store: Rc::new(store),
             orders: Rc::new(orders),
             health,
@@ -175,12 +185,15 @@
             policy: context.policy,
             cold_settings: context.cold_settings,
             evacuations_enabled: context.evacuations_enabled,
+            max_key_age: context.max_key_age,
+            token_buckets: RefCell::default(),
             zones: RefCell::default(),
             vm_id,
             fleet_announcement: Cell::new(None),
             vm: context.vm,
             takeover_delay,
-        })
+        });
+        (control, context.token_needs)
     }
 
     /// Starts to serve updates to other VMs, and to watch the store when no VM provides updates.
@@ -195,6 +208,7 @@
             cluster_state: Rc::clone(&self.cluster),
             relay: Rc::clone(&self.relay),
             evacuations_enabled: self.evacuations_enabled,
+            max_key_age: self.max_key_age,
         };
         follower.start();
     }
@@ -217,7 +231,8 @@
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(async move {
                 let (store, orders) = ports();
-                run(ControlLoop::new(context, store, orders), peers, stopping).await;
+                let (control, token_needs) = ControlLoop::new(context, store, orders);
+                run(control, token_needs, peers, stopping).await;
             });
         }
     })
@@ -226,10 +241,14 @@
 /// Runs the control loop until the VM stops, and then serves updates until the process ends.
 async fn run<S: StorePort, O: OrderPort>(
     control: Rc<ControlLoop<S, O>>,
+    token_needs: mpsc::Receiver<TokenNeed>,
     peers: TcpListener,
     mut stopping: watch::Receiver<bool>,
 ) {
     control.start_updates(peers);
+    // Requests are served until the process ends, and so are their tokens.
+    actix_rt::spawn(receive_needs(Rc::clone(&control), token_needs));
+    actix_rt::spawn(run_quota_loop(Rc::clone(&control)));
     let mandate = actix_rt::spawn(run_mandate_loop(Rc::clone(&control)));
     let ranges = actix_rt::spawn(run_ranges_loop(Rc::clone(&control)));
     // An error means that the VM's handle is gone, and then this thread may end too.
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use nickellead_core::Timestamp;
+use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
@@ -36,6 +36,16 @@
     pub(crate) leaving_window: Duration,
     /// When the attempt times out.
     pub(crate) deadline: Instant,
+    /// Checks, directly before the request is sent, whether it may be.
+    pub(crate) permit: &'a dyn Fn() -> Result<SendPermission, ErrorKind>,
+}
+
+/// What a request that may be sent tells the target about its workspace.
+pub(crate) struct SendPermission {
+    /// Name of the workspace, if the request has one.
+    pub(crate) workspace: Option<HeaderValue>,
+    /// Whether the caller's key is removed, because it belongs to a workspace.
+    pub(crate) hides_key: bool,
 }
 
 /// A complete response of a target.
@@ -60,10 +70,19 @@
     NotSent(ConnectFailure),
     /// Nothing was sent, because the target's limits or signals changed while connecting.
     Withheld,
+    /// Nothing was sent, because the request may no longer be served.
+    Forbidden(ErrorKind),
     /// The request was sent, but no valid response arrived; it may have run.
     Lost(LossReason),
 }
 
+impl AttemptResult {
+    /// Whether the target may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        matches!(self, Self::Responded(_) | Self::Lost(_))
+    }
+}
+
 /// The result of an attempt, with the signals that the target sent by then.
 #[derive(Debug)]
 pub(crate) struct AttemptEnd {
@@ -115,12 +134,19 @@
             Ok(connection) => connection,
             Err(failure) => return AttemptResult::NotSent(failure).into(),
         };
+        let permission = match (plan.permit)() {
+            Ok(permission) => permission,
+            Err(kind) => {
+                plan.target.pool.put(connection.sender, None);
+                return AttemptResult::Forbidden(kind).into();
+            }
+        };
         let sent_at = BootClock.now();
         if !plan.target.try_take_token(plan.leaving_window, sent_at) {
             plan.target.pool.put(connection.sender, None);
             return AttemptResult::Withheld.into();
         }
-        let request = build_request(names, outgoing, plan, remaining(plan.deadline));
+        let request = build_request(names, outgoing, plan, permission, remaining(plan.deadline));
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
         match sent {
@@ -148,6 +174,7 @@
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
     plan: &AttemptPlan<'_>,
+    permission: SendPermission,
     remaining: Duration,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
@@ -159,6 +186,12 @@
     }
     let headers = request.headers_mut();
     *headers = outgoing.headers.clone();
+    if permission.hides_key {
+        headers.remove(http::header::AUTHORIZATION);
+    }
+    if let Some(workspace) = permission.workspace {
+        headers.insert(HeaderName::from_static(names.workspace), workspace);
+    }
     let deadline = HeaderValue::from(remaining.as_millis() as u64);
     headers.insert(HeaderName::from_static(names.deadline_ms), deadline);
     if let Ok(id) = HeaderValue::from_str(&plan.target.id) {
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -1,5 +1,6 @@
 //! Parsing a caller's request: route, key, deadline, headers, body.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,13 +11,20 @@
 use nickellead_core::ErrorKind;
 use nickellead_proxy::is_connection_header;
 
+use crate::authentication::Credential;
 use crate::exchange::OutgoingRequest;
 use crate::route_table::{RouteEntry, RouteTable};
-use crate::{CallerLimits, HeaderNames};
+use crate::workspace_table::WorkspaceEntry;
+use crate::{CallerLimits, HeaderNames, RouteRule};
 
 /// A parsed request with its route.
 pub(crate) struct IncomingRequest {
     pub(crate) route: Rc<RouteEntry>,
+    pub(crate) credential: Credential,
+    /// The workspace that the key belonged to when the request arrived.
+    pub(crate) workspace: Option<Rc<WorkspaceEntry>>,
+    /// When the quota of the workspace is expected to allow the request, once it was refused.
+    pub(crate) quota_retry_after: Cell<Duration>,
     pub(crate) outgoing: OutgoingRequest,
     /// The shard key, if the caller sent one.
     pub(crate) key: Option<u16>,
@@ -38,23 +46,34 @@
         self.arrived_at + self.route.rule.latency_target.saturating_sub(self.caller_age)
     }
 
+    /// Priority of the workspace, or else of the route; 0 is the highest.
+    pub(crate) fn priority(&self) -> u8 {
+        let by_workspace = self.workspace.as_ref().and_then(|workspace| workspace.rule.priority);
+        by_workspace.unwrap_or(self.route.rule.priority)
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
 
-/// Reads a complete request and finds its route.
+/// Reads a complete request and finds its route and, by `identify`, its workspace.
+///
+/// The body is read only if the request may be served.
 pub(crate) async fn read_request(
     mut request: Request,
     names: &HeaderNames,
     limits: CallerLimits,
     table: &RouteTable,
+    identify: impl Fn(&RouteRule, Credential) -> Result<Option<Rc<WorkspaceEntry>>, ErrorKind>,
 ) -> Result<IncomingRequest, ErrorKind> {
     let arrived_at = Instant::now();
     check_head(&request, limits)?;
     let host = read_host(&request)?;
     let route = table.find(&host, request.path()).ok_or(ErrorKind::UnknownRoute)?;
+    let credential = Credential::read(request.headers());
+    let workspace = identify(&route.rule, credential)?;
     let headers = forwarded_headers(&request, names, &host)?;
     let id = HeaderName::from_static(names.request_id);
     let request_id = headers.get(&id).cloned().ok_or(ErrorKind::RequestMalformed)?;
@@ -70,7 +89,17 @@
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
     let body = read_body_before(request.take_payload(), limits.body_bytes, deadline).await?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
-    Ok(IncomingRequest { route, outgoing, key, arrived_at, caller_age, deadline })
+    Ok(IncomingRequest {
+        route,
+        credential,
+        workspace,
+        quota_retry_after: Cell::default(),
+        outgoing,
+        key,
+        arrived_at,
+        caller_age,
+        deadline,
+    })
 }
 
 fn check_head(request: &Request, limits: CallerLimits) -> Result<(), ErrorKind> {
@@ -105,9 +134,9 @@
     let mut headers = HeaderMap::new();
     for (name, value) in request.headers() {
         let name = name.as_str();
-        let is_expected_target = name == names.expected_target;
+        let is_set_by_vms = name == names.expected_target || name == names.workspace;
         if is_connection_header(name)
-            || is_expected_target
+            || is_set_by_vms
             || hop_by_hop.iter().any(|token| token == name)
         {
             continue;
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! The traits of the `port` module translate the platform's terms.
 
 mod admission;
+mod authentication;
 mod cluster_state;
 mod connections;
 mod control;
@@ -24,6 +25,8 @@
 mod packed;
 mod policy;
 mod port;
+mod quota;
+mod regions;
 mod relay;
 mod requests;
 mod response_signals;
@@ -38,6 +41,7 @@
 mod targets;
 mod waiting;
 mod worker;
+mod workspace_table;
 
 pub use cluster_state::{RangesHistory, RangesStep, RangesUpdate, StepsError};
 pub use declared::{
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -45,6 +45,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    pub(crate) keys_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     response_latency: Histogram,
     errors: Family<ErrorLabel, Counter>,
     outcomes: Family<OutcomeLabels, Counter>,
@@ -64,6 +65,7 @@
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
+            keys_age: Gauge::default(),
             response_latency: Histogram::new(LATENCY_BUCKETS),
             errors: Family::default(),
             outcomes: Family::default(),
@@ -101,6 +103,11 @@
             "Time since the list of targets was last updated",
             age,
         );
+        registry.register(
+            "keys_age_seconds",
+            "Age of the knowledge of which keys of workspaces are valid",
+            metrics.keys_age.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Latency of responses of targets",
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -8,12 +8,14 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_proxy::{ServeState, bind_listener};
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::control::{self, ControlContext};
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::ControlMetrics;
+use crate::quota::MAX_QUEUED_NEEDS;
+use crate::regions::RegionMap;
 use crate::requests::{self, RequestContext};
 use crate::state_channels::state_channels;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
@@ -91,6 +93,7 @@
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
+    let (needs_sender, token_needs) = mpsc::channel(MAX_QUEUED_NEEDS);
     let request_thread = requests::start(RequestContext {
         names,
         vm: settings.vm.clone(),
@@ -108,6 +111,10 @@
         policy: settings.policy,
         cold: settings.cold,
         leaving_window: Duration::from_secs_f64(settings.drain_s * LEAVING_WINDOW_FRACTION),
+        max_key_age: settings.max_key_age(),
+        token_needs: needs_sender,
+        quota_tolerance: settings.quota.into(),
+        regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
@@ -123,6 +130,8 @@
         policy: settings.policy,
         cold_settings: settings.cold,
         evacuations_enabled: settings.evacuation_s.is_some(),
+        max_key_age: settings.max_key_age(),
+        token_needs,
     };
     let control_thread = control::start(context, listeners.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -1,17 +1,19 @@
 //! Requests and responses of the relay protocol between VMs.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use nickellead_limit::TokenGrant;
 
-use crate::DeclaredState;
 use crate::cluster_state::{DeclarationsUpdate, StateCursor, StateUpdate};
 use crate::load_counter::LoadCounts;
+use crate::{DeclaredState, RelayedConfirmation};
 
 /// HTTP path of the protocol; it ends in the protocol version. VMs of different versions watch the
 /// store instead of each other.
-pub(super) const RELAY_PATH: &str = "/relay/7";
+pub(super) const RELAY_PATH: &str = "/relay/8";
 
 /// A request of one VM to another.
 #[derive(Clone, Debug, Encode, Decode)]
@@ -22,6 +24,8 @@
     ///
     /// They have a request of their own so that a large change does not delay other updates.
     Declarations(Option<DeclaredState>),
+    /// Requests tokens, by workspace.
+    Tokens(BTreeMap<String, u32>),
 }
 
 /// A long poll for updates from a cursor.
@@ -36,13 +40,46 @@
     pub(super) load: LoadCounts,
 }
 
+/// Ages of an update when it is sent, on the clock of its sender.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+pub(super) struct UpdateAges {
+    /// Time since the store last responded to the VM at the root.
+    pub(super) root_contact: Duration,
+    /// The confirmation of the sender's declarations, if they have workspaces.
+    pub(super) declarations: Option<RelayedConfirmation<DeclaredState>>,
+}
+
+/// A grant of tokens to another VM.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+pub(super) struct TokenAnswer {
+    granted: u32,
+    /// When refused callers should return, in milliseconds.
+    retry_after_ms: u32,
+}
+
+impl From<TokenGrant> for TokenAnswer {
+    fn from(grant: TokenGrant) -> Self {
+        let retry_after_ms = u32::try_from(grant.retry_after.as_millis()).unwrap_or(u32::MAX);
+        Self { granted: grant.granted, retry_after_ms }
+    }
+}
+
+impl From<TokenAnswer> for TokenGrant {
+    fn from(answer: TokenAnswer) -> Self {
+        let retry_after = Duration::from_millis(u64::from(answer.retry_after_ms));
+        Self { granted: answer.granted, retry_after }
+    }
+}
+
 /// The response to a [`RelayRequest`].
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) enum RelayResponse {
-    /// Updates, possibly empty, and the time since the store last responded to the VM at the root.
-    Update(Box<StateUpdate>, Duration),
+    /// Updates, possibly empty, and how old they are.
+    Update(Box<StateUpdate>, UpdateAges),
     /// Newer declarations; `None` if this VM has no newer ones.
     Declarations(Option<DeclarationsUpdate>),
+    /// Granted tokens, by workspace; workspaces without an answer are missing.
+    Tokens(BTreeMap<String, TokenAnswer>),
     /// Another VM to poll instead.
     Redirect(SocketAddr),
     /// This VM has no fresh state itself.
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -6,11 +6,12 @@
 //! watches the store until it finds an upstream again.
 //!
 //! This module tracks the VM's upstream. `messages` defines the protocol, `subscribing` polls an
-//! upstream, and `publishing` responds to subscribers.
+//! upstream, `publishing` responds to subscribers, and `tokens` requests tokens for quotas.
 
 mod messages;
 mod publishing;
 mod subscribing;
+mod tokens;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -23,8 +24,10 @@
 
 use self::publishing::UpdateSubscriber;
 pub(crate) use self::publishing::serve_updates;
+pub(crate) use self::tokens::TokenClient;
 use crate::cluster_state::ClusterState;
 use crate::load_counter::{LoadCounter, VmId};
+use crate::quota::QuotaDesk;
 use crate::store_health::StoreHealth;
 use crate::waiting::wait_for;
 
@@ -81,6 +84,7 @@
     /// When another VM last polled this one.
     last_poll: Cell<Option<Instant>>,
     load_counter: LoadCounter,
+    quota_desk: QuotaDesk,
     /// This VM in its load reports.
     vm_id: VmId,
     /// Notified when the upstream or the mandate changes.
@@ -108,6 +112,7 @@
             subscribers: RefCell::default(),
             last_poll: Cell::new(None),
             load_counter,
+            quota_desk: QuotaDesk::default(),
             vm_id,
             changed: Notify::new(),
         })
--- a/crates/nickellead_gateway/src/relay/publishing.rs
+++ b/crates/nickellead_gateway/src/relay/publishing.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use nickellead_peer::{PeerHandler, serve_peers};
+use nickellead_time::BootClock;
 
-use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, UpdateRequest};
+use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, UpdateAges, UpdateRequest};
 use super::{LONG_POLL_TIMEOUT, UpdateRelay, UpdateUpstream};
 use crate::DeclaredState;
 use crate::waiting::wait_for;
@@ -96,6 +97,7 @@
         match request {
             RelayRequest::Updates(request) => self.respond_updates(*request).await,
             RelayRequest::Declarations(known) => self.respond_declarations(known).await,
+            RelayRequest::Tokens(wanted) => self.respond_tokens(wanted).await,
         }
     }
 
@@ -111,6 +113,7 @@
 
     /// Responds at once when there are updates, and otherwise after [`LONG_POLL_TIMEOUT`].
     async fn respond_updates(&self, mut request: UpdateRequest) -> RelayResponse {
+        let arrived_at = BootClock.now();
         self.load_counter.merge(std::mem::take(&mut request.load));
         self.last_poll.set(Some(Instant::now()));
         if let Some(other) = self.redirect_for(&request) {
@@ -136,7 +139,11 @@
             let update = self.cluster.update_since(request.cursor);
             let left = until.saturating_duration_since(Instant::now());
             if !update.is_empty() || left.is_zero() {
-                return RelayResponse::Update(Box::new(update), age);
+                let confirmation = self.cluster.declarations_confirmation();
+                let declarations =
+                    confirmation.map(|known| known.relay(arrived_at, BootClock.now()));
+                let ages = UpdateAges { root_contact: age, declarations };
+                return RelayResponse::Update(Box::new(update), ages);
             }
             if tokio::time::timeout(left.min(CONNECTIVITY_CHECK_INTERVAL), changed).await.is_ok() {
                 tokio::time::sleep(UPDATE_BATCH_DELAY).await;
--- a/crates/nickellead_gateway/src/relay/subscribing.rs
+++ b/crates/nickellead_gateway/src/relay/subscribing.rs
@@ -5,6 +5,7 @@
 
 use nickellead_event::{EventName, log_event};
 use nickellead_peer::{ExchangeProgress, PeerClient};
+use nickellead_time::BootClock;
 
 use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, UpdateRequest};
 use super::{
@@ -141,6 +142,7 @@
                 avoid: avoid.to_vec(),
                 load,
             };
+            let sent_at = BootClock.now();
             match client
                 .call(
                     &RelayRequest::Updates(Box::new(request)),
@@ -148,9 +150,12 @@
                 )
                 .await
             {
-                Ok(RelayResponse::Update(update, age)) => {
+                Ok(RelayResponse::Update(update, ages)) => {
                     log_large_response(client.address(), client.progress());
-                    let age = age + client.progress().transfer_time;
+                    if let Some(confirmed) = ages.declarations {
+                        self.cluster.confirm_declarations(confirmed.receive(sent_at));
+                    }
+                    let age = ages.root_contact + client.progress().transfer_time;
                     cursor = match self.apply_update(*update, age) {
                         Ok(cursor) => cursor,
                         Err(reason) => return PollEnd::Lost(reason),
@@ -170,7 +175,9 @@
                 Ok(RelayResponse::Disconnected) => {
                     return PollEnd::Lost(UpstreamLoss::Disconnected);
                 }
-                Ok(RelayResponse::Declarations(_)) => return PollEnd::Lost(UpstreamLoss::Unusable),
+                Ok(RelayResponse::Declarations(_) | RelayResponse::Tokens(_)) => {
+                    return PollEnd::Lost(UpstreamLoss::Unusable);
+                }
                 Err(_) => return PollEnd::Lost(UpstreamLoss::NoResponse),
             }
         }
--- /dev/null
+++ b/crates/nickellead_gateway/src/relay/tokens.rs
@@ -0,0 +1,52 @@
+//! Requests for tokens of limited workspaces between VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nickellead_limit::TokenGrant;
+use nickellead_peer::PeerClient;
+
+use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, TokenAnswer};
+use super::{UpdateRelay, UpdateUpstream};
+use crate::quota::QuotaDesk;
+
+/// How long a response with tokens may take to begin; it passes at most one other VM.
+const TOKENS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Connection to the VM from which this one requests tokens.
+#[derive(Default)]
+pub(crate) struct TokenClient(Option<PeerClient<RelayRequest, RelayResponse>>);
+
+impl UpdateRelay {
+    /// Needs for tokens of this VM and its subscribers.
+    pub(crate) fn quota_desk(&self) -> &QuotaDesk {
+        &self.quota_desk
+    }
+
+    /// Requests tokens from the upstream; there are none without one.
+    pub(crate) async fn request_tokens(
+        &self,
+        client: &mut TokenClient,
+        wanted: BTreeMap<String, u32>,
+    ) -> BTreeMap<String, TokenGrant> {
+        let UpdateUpstream::Vm(address) = self.upstream.get() else { return BTreeMap::new() };
+        let client = match &mut client.0 {
+            Some(client) if client.address() == address => client,
+            other => other.insert(PeerClient::new(address, RELAY_PATH)),
+        };
+        match client.call(&RelayRequest::Tokens(wanted), TOKENS_TIMEOUT).await {
+            Ok(RelayResponse::Tokens(answers)) => {
+                answers.into_iter().map(|(workspace, answer)| (workspace, answer.into())).collect()
+            }
+            // The upstream is about to be replaced, which polls for updates detect.
+            _ => BTreeMap::new(),
+        }
+    }
+
+    /// Responds to a subscriber that needs tokens.
+    pub(super) async fn respond_tokens(&self, wanted: BTreeMap<String, u32>) -> RelayResponse {
+        let granted = self.quota_desk.request(wanted).await;
+        let answers = granted.into_iter().map(|(workspace, grant)| (workspace, grant.into()));
+        RelayResponse::Tokens(answers.collect::<BTreeMap<String, TokenAnswer>>())
+    }
+}
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -8,12 +8,16 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
+use nickellead_limit::QuotaTolerance;
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
+use tokio::sync::mpsc;
 
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
+use crate::quota::{QuotaClient, TokenNeed};
+use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
 use crate::worker::{RequestWorker, WorkerContext};
 use crate::{ColdSettings, HeaderNames, PolicySettings};
@@ -43,6 +47,10 @@
     pub(crate) policy: PolicySettings,
     pub(crate) cold: Option<ColdSettings>,
     pub(crate) leaving_window: Duration,
+    pub(crate) max_key_age: Option<Duration>,
+    pub(crate) regions: RegionMap,
+    pub(crate) token_needs: mpsc::Sender<TokenNeed>,
+    pub(crate) quota_tolerance: QuotaTolerance,
 }
 
 /// Starts the request thread.
@@ -73,6 +81,9 @@
         policy: context.policy,
         cold_settings: context.cold,
         leaving_window: context.leaving_window,
+        max_key_age: context.max_key_age,
+        regions: context.regions,
+        quotas: QuotaClient::new(context.token_needs, context.quota_tolerance),
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
@@ -118,7 +129,7 @@
     let handler = move |request: Request| {
         let has_state =
             receivers.declarations.borrow().is_some() && !receivers.targets.borrow().is_empty();
-        let ready = has_state && !drain.is_draining();
+        let ready = has_state && !drain.is_draining() && worker.can_check_keys();
         let response = readiness_response(&request, ready, &registry, &worker);
         async move { response }
     };
@@ -137,6 +148,15 @@
             }
         }
     });
+    let (updated, mut confirmation) = (Rc::clone(worker), receivers.confirmation.clone());
+    actix_rt::spawn(async move {
+        while confirmation.changed().await.is_ok() {
+            let newest = *confirmation.borrow_and_update();
+            if let Some(newest) = newest {
+                updated.confirm_declarations(newest);
+            }
+        }
+    });
     let (updated, mut targets) = (Rc::clone(worker), receivers.targets.clone());
     actix_rt::spawn(async move {
         while targets.changed().await.is_ok() {
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -4,11 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use nickellead_limit::QuotaTolerance;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::PolicySettings;
 
+/// Most age of the declarations with which keys may be checked, as a fraction of the time after
+/// which a key that was taken away may not be served. The rest covers clocks of different speeds.
+const KEY_AGE_FRACTION: f64 = 0.9;
+
 /// Why settings were rejected.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -146,6 +151,13 @@
     }
 }
 
+impl From<QuotaSettings> for QuotaTolerance {
+    fn from(settings: QuotaSettings) -> Self {
+        let QuotaSettings { window_s, overage, slack } = settings;
+        Self { window: Duration::from_secs_f64(window_s), overage, slack }
+    }
+}
+
 /// Lease duration and renewal interval of key ownership.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -179,6 +191,11 @@
 }
 
 impl GatewaySettings {
+    /// Most age of the declarations with which keys may be checked; `None` for no limit.
+    pub(crate) fn max_key_age(&self) -> Option<Duration> {
+        self.revocation_s.map(|time| Duration::from_secs_f64(time * KEY_AGE_FRACTION))
+    }
+
     /// The address that this VM publishes to other VMs.
     pub(crate) fn announced_address(&self) -> SocketAddr {
         self.peers_announced.unwrap_or(self.peers_address)
--- a/crates/nickellead_gateway/src/store_watch.rs
+++ b/crates/nickellead_gateway/src/store_watch.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use nickellead_time::BootClock;
+
 use crate::cluster_state::{ClusterState, EXPIRY_GRACE};
 use crate::relay::UpdateRelay;
 use crate::store_health::StoreHealth;
@@ -42,6 +44,10 @@
 const LISTS_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// The same for evacuated zones.
 const EVACUATIONS_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Full reads of the declarations within the time for which keys may be checked with one of them.
+const KEY_CHECKS_PER_MAX_AGE: u32 = 4;
+/// Delay after a failed read of declarations on which the check of keys depends.
+const FAILED_CHECK_DELAY: Duration = Duration::from_millis(250);
 /// Delay before another full read if the revision of the last one is already compacted.
 const COMPACTED_DELAY: Duration = Duration::from_millis(600);
 /// Factor on the check intervals of a VM that is not the mandate holder and has no subscribers.
@@ -58,6 +64,8 @@
     pub(crate) relay: Rc<UpdateRelay>,
     /// Whether evacuations of availability zones are enabled.
     pub(crate) evacuations_enabled: bool,
+    /// Most age of the declarations with which keys may be checked; `None` for no limit.
+    pub(crate) max_key_age: Option<Duration>,
 }
 
 impl<S> Clone for StoreWatcher<S> {
@@ -68,6 +76,7 @@
             cluster_state: Rc::clone(&self.cluster_state),
             relay: Rc::clone(&self.relay),
             evacuations_enabled: self.evacuations_enabled,
+            max_key_age: self.max_key_age,
         }
     }
 }
@@ -159,6 +168,7 @@
 
     async fn step_declarations(&self, read_all: bool) -> Result<WatchStep, StoreError> {
         let known = self.cluster_state.known().declarations.filter(|_| !read_all);
+        let started = BootClock.now();
         let result = match known {
             None => self.store.declarations().await,
             Some(from) => match self.watch_declarations(from).await? {
@@ -169,7 +179,7 @@
         self.health.record(&result);
         let snapshot = result?;
         let changed = snapshot.value.is_some();
-        self.cluster_state.apply_stored_declarations(snapshot.as_of, snapshot.value);
+        self.cluster_state.apply_stored_declarations(snapshot.as_of, snapshot.value, started);
         // The first read needs no delay.
         let changed = changed && known.is_some();
         Ok(if changed { WatchStep::After(DECLARATIONS_DELAY) } else { WatchStep::Continue })
@@ -184,20 +194,28 @@
     ) -> Result<Option<Snapshot<Option<Declarations>>>, StoreError> {
         let mut watching = std::pin::pin!(self.store.watch_declarations(from, WATCH_TIMEOUT));
         let version = || self.cluster_state.declarations().map(|known| known.version);
+        let mut interval = self.declarations_check_interval();
         loop {
             let known = version();
             let checking = async {
-                tokio::time::sleep(self.check_interval(DECLARATIONS_CHECK_INTERVAL)).await;
-                self.store.declarations().await
+                tokio::time::sleep(interval).await;
+                let started = BootClock.now();
+                (self.store.declarations().await, started)
             };
             // The watch continues during a check and after a failed one.
-            let read = tokio::select! {
+            let (read, started) = tokio::select! {
                 watched = &mut watching => return watched.map(Some),
-                read = checking => read,
+                checked = checking => checked,
             };
             self.health.record(&read);
-            if let Ok(read) = read {
-                self.cluster_state.apply_stored_declarations(read.as_of, read.value);
+            interval = self.declarations_check_interval();
+            match read {
+                Ok(Snapshot { as_of, value }) => {
+                    self.cluster_state.apply_stored_declarations(as_of, value, started);
+                }
+                // Keys are refused if reads fail for long.
+                Err(_) if self.max_key_age.is_some() => interval = FAILED_CHECK_DELAY,
+                Err(_) => {}
             }
             if version() != known {
                 return Ok(None);
@@ -213,10 +231,13 @@
             if !self.cluster_state.is_missing_since(since) {
                 continue;
             }
+            let started = BootClock.now();
             let read = self.store.declarations().await;
             self.health.record(&read);
             match read {
-                Ok(read) => self.cluster_state.apply_stored_declarations(read.as_of, read.value),
+                Ok(Snapshot { as_of, value }) => {
+                    self.cluster_state.apply_stored_declarations(as_of, value, started);
+                }
                 Err(_) => self.wait_for_store().await,
             }
             // The read may return an older version than the announced one: do not repeat it at
@@ -316,6 +337,18 @@
         }
     }
 
+    /// Interval of full reads of the declarations. Keys are checked only while the declarations are
+    /// known to be recent, which other VMs learn later than this one.
+    fn declarations_check_interval(&self) -> Duration {
+        let interval = self.check_interval(DECLARATIONS_CHECK_INTERVAL);
+        let declarations = self.cluster_state.declarations();
+        let has_workspaces = declarations.is_some_and(|known| known.workspaces.is_some());
+        match self.max_key_age.filter(|_| has_workspaces) {
+            Some(max_age) => interval.min(max_age / KEY_CHECKS_PER_MAX_AGE),
+            None => interval,
+        }
+    }
+
     fn targets_delay(&self) -> Duration {
         if self.relay.holds_mandate() { TARGETS_DELAY } else { TARGETS_DELAY_NOT_LEADING }
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -24,18 +24,24 @@
         &self,
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
+        let mut attempts = AttemptState::default();
+        self.ensure_token(incoming, &mut attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
         if !self.is_admitted(incoming, &weighted.service) {
             return Err(ErrorKind::Overloaded);
         }
-        let mut attempts = AttemptState::default();
         loop {
             let waiting = self.wait_for_target(incoming, &weighted.service, &attempts);
             let target = match self.until_drain_end(waiting).await.flatten() {
                 Ok(target) => target,
                 Err(kind) => return finish(attempts, kind),
             };
+            // The request may have waited for longer than its token is valid.
+            let has_token = self.ensure_token(incoming, &mut attempts);
+            if let Err(kind) = self.until_drain_end(has_token).await.flatten() {
+                return finish(attempts, kind);
+            }
             let since = Instant::now();
             let sending = self.attempt(incoming, &weighted.service, &target);
             let end = match self.until_drain_end(sending).await {
@@ -121,11 +127,13 @@
         let _running = InFlightGuard::new(target, &self.queue(service));
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
+        let permit = || self.permit_sending(incoming, &target.zone);
         let plan = AttemptPlan {
             target,
             repeat: incoming.route.rule.repeat,
             leaving_window: self.leaving_window,
             deadline: until,
+            permit: &permit,
         };
         let guard = AbandonGuard { target, since: Instant::now(), armed: true };
         let latency_target = incoming.route.rule.latency_target;
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -3,9 +3,11 @@
 //! A request is read and matched to a route. Then the worker selects a target and sends the request
 //! there, until a response is accepted or no further attempt is allowed.
 //!
-//! This module holds the worker and its cached state. `attempts` is the attempt loop, `selection`
+//! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
+//! is the attempt loop, `selection`
 //! selects targets, `outcome` evaluates attempts, and `responses` builds what the caller receives.
 
+mod access;
 mod attempts;
 mod outcome;
 mod responses;
@@ -36,13 +38,16 @@
 use crate::incoming::{IncomingRequest, read_request};
 use crate::load_counter::LoadCounter;
 use crate::metrics::GatewayMetrics;
+use crate::quota::{QuotaClient, QuotaToken};
+use crate::regions::RegionMap;
 use crate::retry_budget::RetryBudget;
 use crate::route_table::RouteTable;
 use crate::target_registry::{RegistryRules, TargetRegistry};
 use crate::waiting::wait_for;
+use crate::workspace_table::WorkspaceTable;
 use crate::{
-    CallerLimits, ColdSettings, Declarations, EvacuatedZones, HeaderNames, PolicySettings,
-    ServiceRule, TargetList,
+    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, EvacuatedZones, HeaderNames,
+    PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
 };
 
 /// Part of the caller's deadline that is reserved for returning the response.
@@ -64,6 +69,10 @@
     zones: ZoneStates,
     limits: CallerLimits,
     routes: Rc<RouteTable>,
+    /// Workspaces of the declarations; `None` if requests need no key.
+    workspaces: Option<WorkspaceTable>,
+    /// How old the declarations can be, by version.
+    freshness: DeclarationsFreshness<u64>,
     registry: TargetRegistry,
     ranges: Arc<RangeMap>,
     admissions: CachedAdmission,
@@ -108,6 +117,9 @@
     pub(crate) policy: PolicySettings,
     pub(crate) cold_settings: Option<ColdSettings>,
     pub(crate) leaving_window: Duration,
+    pub(crate) max_key_age: Option<Duration>,
+    pub(crate) regions: RegionMap,
+    pub(crate) quotas: Rc<QuotaClient>,
 }
 
 /// The request path of one VM.
@@ -132,6 +144,10 @@
     cold_settings: Option<ColdSettings>,
     /// How long an owner that announced that it leaves still receives the requests for its keys.
     leaving_window: Duration,
+    /// Most age of the declarations with which keys may be checked; `None` for no limit.
+    max_key_age: Option<Duration>,
+    regions: RegionMap,
+    quotas: Rc<QuotaClient>,
 }
 
 /// State of a request across its attempts.
@@ -149,6 +165,8 @@
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
     response: Option<TargetResponse>,
+    /// The quota token of the next attempt.
+    token: Option<QuotaToken>,
 }
 
 /// The next step after an attempt.
@@ -169,6 +187,8 @@
             zones: ZoneStates::default(),
             limits: CallerLimits::default(),
             routes: Rc::default(),
+            workspaces: None,
+            freshness: DeclarationsFreshness::default(),
             registry: TargetRegistry::new(context.vm, context.zone.clone()),
             ranges: Arc::default(),
             admissions: CachedAdmission::new(Arc::default()),
@@ -190,6 +210,9 @@
             policy: context.policy,
             cold_settings: context.cold_settings,
             leaving_window: context.leaving_window,
+            max_key_age: context.max_key_age,
+            regions: context.regions,
+            quotas: context.quotas,
         })
     }
 
@@ -207,11 +230,20 @@
             state.rebuild_registry(self.cold_settings);
         }
         state.limits = declarations.limits;
+        state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
+        state.freshness.activate(declarations.version);
+        let workspaces = declarations.workspaces.as_ref();
+        self.quotas.retain(|name| workspaces.is_some_and(|known| known.contains_key(name)));
         state.version = Some(declarations.version);
         state.updated.declarations = Instant::now();
         self.changed.notify_waiters();
     }
 
+    /// Applies a confirmation of a version of the declarations.
+    pub(crate) fn confirm_declarations(&self, confirmation: StateConfirmation<u64>) {
+        self.state.borrow_mut().freshness.confirm(confirmation);
+    }
+
     /// Replaces the list of targets.
     pub(crate) fn set_targets(&self, list: Arc<TargetList>) {
         let mut state = self.state.borrow_mut();
@@ -278,7 +310,9 @@
             let state = self.state.borrow();
             (Rc::clone(&state.routes), state.limits)
         };
-        let incoming = match read_request(request, &self.header_names, limits, &routes).await {
+        let identify = |route: &RouteRule, credential| self.identify(route, credential);
+        let reading = read_request(request, &self.header_names, limits, &routes, identify);
+        let incoming = match reading.await {
             Ok(incoming) if self.policy.caller_age.is_on() => incoming,
             Ok(incoming) => IncomingRequest { caller_age: Duration::ZERO, ..incoming },
             Err(kind) => return self.refuse_unread(kind, &id),
@@ -322,6 +356,7 @@
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(state.updated.declarations.elapsed().as_secs_f64());
         metrics.targets_age.set(state.updated.targets.elapsed().as_secs_f64());
+        metrics.keys_age.set(self.keys_age(&state).as_secs_f64());
     }
 }
 
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -33,6 +33,9 @@
         let (result, signals) = (end.result, end.signals);
         self.record_outcome(incoming, target, &result, signals, latency);
         count_attempt(attempts, target, &result);
+        if result.may_have_run() {
+            attempts.token = None;
+        }
         if let Some(reason) = retry_reason(&result) {
             log_retry(incoming, target, reason);
         }
@@ -45,6 +48,7 @@
             | AttemptResult::Misdirected
             | AttemptResult::NotSent(_)
             | AttemptResult::Withheld => NextStep::Retry,
+            AttemptResult::Forbidden(kind) => NextStep::Fail(kind),
             AttemptResult::Lost(reason) => after_loss(incoming, reason),
         }
     }
@@ -86,6 +90,7 @@
             }
             // A different view of key ownership says nothing about health.
             AttemptResult::Misdirected | AttemptResult::Withheld => {}
+            AttemptResult::Forbidden(_) => {}
             AttemptResult::NotSent(failure) => {
                 if *failure == ConnectFailure::Refused {
                     self.state.borrow().registry.mark_down(target, now);
@@ -166,7 +171,10 @@
             AttemptResult::Responded(_) | AttemptResult::Shed | AttemptResult::Misdirected => {
                 self.reachability.record_response(&target.zone);
             }
-            AttemptResult::NotSent(_) | AttemptResult::Withheld | AttemptResult::Lost(_) => {}
+            AttemptResult::NotSent(_)
+            | AttemptResult::Withheld
+            | AttemptResult::Forbidden(_)
+            | AttemptResult::Lost(_) => {}
         }
     }
 }
@@ -198,7 +206,9 @@
             attempts.misdirected.push(target.id.clone());
             attempts.sent += 1;
         }
-        AttemptResult::NotSent(_) | AttemptResult::Withheld => attempts.unsent += 1,
+        AttemptResult::NotSent(_) | AttemptResult::Withheld | AttemptResult::Forbidden(_) => {
+            attempts.unsent += 1;
+        }
         AttemptResult::Lost(_) => {
             attempts.sent += 1;
             attempts.may_have_run = true;
@@ -209,7 +219,7 @@
 /// The log text for why an attempt gave no response.
 fn retry_reason(result: &AttemptResult) -> Option<&'static str> {
     match result {
-        AttemptResult::Responded(_) => None,
+        AttemptResult::Responded(_) | AttemptResult::Forbidden(_) => None,
         AttemptResult::Shed => Some("shed"),
         AttemptResult::Misdirected => Some("not-owner"),
         AttemptResult::NotSent(failure) => Some(failure.as_str()),
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
@@ -14,6 +14,8 @@
 use crate::exchange::TargetResponse;
 use crate::incoming::IncomingRequest;
 
+/// Shortest delay before a retry of a request that exceeded the quota of its workspace.
+const MIN_QUOTA_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Delay before a retry when a response can no longer meet the latency target, as a fraction of the
 /// time until the caller's deadline. Most callers can then retry more than once.
 const LATE_RETRY_FRACTION_OF_REMAINING: f64 = 0.25;
@@ -64,6 +66,10 @@
         self.metrics.count_error(kind, incoming.map(IncomingRequest::main_service));
         self.log_failure(id, incoming, kind);
         let mut response = error_response(kind);
+        if kind == ErrorKind::Unauthenticated {
+            let scheme = HeaderValue::from_static("Bearer");
+            response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         let jitter =
             1.0 - RETRY_JITTER_FRACTION / 2.0 + self.rng.borrow_mut().f64() * RETRY_JITTER_FRACTION;
         if let Some(wait) = self.retry_after(kind, incoming) {
@@ -94,6 +100,9 @@
                     .div_f64(1.0 - RETRY_JITTER_FRACTION / 2.0),
             );
         }
+        if kind == ErrorKind::QuotaExceeded {
+            return Some(incoming.quota_retry_after.get().max(MIN_QUOTA_RETRY_DELAY));
+        }
         let response_time =
             incoming.route.rule.latency_target.mul_f64(RESPONSE_FRACTION_OF_LATENCY_TARGET);
         let spare =
@@ -109,9 +118,14 @@
         let state = self.state.borrow();
         let code = kind.response().code;
         let version = state.version.unwrap_or_default();
+        let keys_age = self.keys_age(&state).as_millis();
         let Some(incoming) = incoming else {
-            let pairs: [(&str, &dyn std::fmt::Display); 3] =
-                [("request", &id), ("error", &code), ("version", &version)];
+            let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+                ("request", &id),
+                ("error", &code),
+                ("version", &version),
+                ("keys_age_ms", &keys_age),
+            ];
             return log_event(EventName::RequestFailed, &pairs);
         };
         let after = incoming.arrived_at.elapsed().as_millis();
@@ -127,7 +141,11 @@
             ("version", &version),
             ("config_age_ms", &ages[0]),
             ("targets_age_ms", &ages[1]),
+            ("keys_age_ms", &keys_age),
         ];
+        if let Some(workspace) = &incoming.workspace {
+            pairs.push(("workspace", &workspace.name));
+        }
         if let Some((service, key)) = owned_key(&state, incoming) {
             pairs.extend([("key", key as &dyn std::fmt::Display), ("ranges_age_ms", &ages[2])]);
             if let Some(range) = state.ranges.find(service, *key) {
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -50,7 +50,7 @@
                 false => queue.waiting() / self.subset_size(service),
             };
             let left = self.queue_timeout(incoming, &target, ahead).ok_or(ErrorKind::Overloaded)?;
-            let mut ticket = queue.join(incoming.route.rule.priority);
+            let mut ticket = queue.join(incoming.priority());
             let waited = tokio::time::timeout(left, ticket.wait()).await;
             if waited.is_err() {
                 queue.leave(&ticket);
@@ -73,6 +73,10 @@
             chosen = self.choose_target(incoming, service, attempts).await;
         }
         let target = chosen?;
+        if !self.allows_zone(incoming, &target.zone) {
+            // The keys have no other owner.
+            return Err(ErrorKind::RegionNotAllowed);
+        }
         let now = BootClock.now();
         if target.signals.get().is_paused(now) {
             return Err(ErrorKind::TargetPaused);
@@ -145,7 +149,7 @@
             let key = incoming.key.ok_or(ErrorKind::KeyMissing)?;
             return self.wait_for_owner(incoming, service, key, attempts).await;
         }
-        self.select_balanced(service, &attempts.tried)
+        self.select_balanced(incoming, service, &attempts.tried)
     }
 
     /// Whether the target owns keys and is paused, so that no other target can serve the request.
@@ -180,6 +184,7 @@
     /// are reachable and have capacity.
     fn select_balanced(
         &self,
+        incoming: &IncomingRequest,
         service: &str,
         tried: &[String],
     ) -> Result<Rc<RegisteredTarget>, ErrorKind> {
@@ -187,7 +192,9 @@
         let now = BootClock.now();
         let leaving_window = self.leaving_window;
         let usable = |target: &&Rc<RegisteredTarget>| {
-            !tried.contains(&target.id) && target.may_send(leaving_window, now)
+            !tried.contains(&target.id)
+                && target.may_send(leaving_window, now)
+                && self.allows_zone(incoming, &target.zone)
         };
         let reachable = |target: &&Rc<RegisteredTarget>| {
             let is_reachable =
