A VM without an upstream asks the mandate holder for tokens; a refusal over the quota is not told too early

Cause: a VM that stops leaves its upstream, so requests of limited workspaces got 503 until it ended. Retry-After was randomized to both sides of the time of the next token. Found by reading. Test: a_vm_that_stops_still_gets_tokens (written with the mend, not seen failing).

--- a/crates/nickellead_gateway/src/relay/tokens.rs
+++ b/crates/nickellead_gateway/src/relay/tokens.rs
@@ -1,6 +1,7 @@
 //! Requests for tokens of limited workspaces between VMs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nickellead_limit::TokenGrant;
@@ -23,13 +24,14 @@
         &self.quota_desk
     }
 
-    /// Requests tokens from the upstream; there are none without one.
+    /// Requests tokens from the upstream, or from the VM that holds the mandate (leader lease) while
+    /// there is no upstream, as on a VM that stops.
     pub(crate) async fn request_tokens(
         &self,
         client: &mut TokenClient,
         wanted: BTreeMap<String, u32>,
     ) -> BTreeMap<String, TokenGrant> {
-        let UpdateUpstream::Vm(address) = self.upstream.get() else { return BTreeMap::new() };
+        let Some(address) = self.token_source() else { return BTreeMap::new() };
         let client = match &mut client.0 {
             Some(client) if client.address() == address => client,
             other => other.insert(PeerClient::new(address, RELAY_PATH)),
@@ -43,7 +45,16 @@
         }
     }
 
-    /// Responds to a subscriber that needs tokens.
+    /// The VM from which this one requests tokens.
+    fn token_source(&self) -> Option<SocketAddr> {
+        if let UpdateUpstream::Vm(address) = self.upstream.get() {
+            return Some(address);
+        }
+        let mandate = self.cluster.mandate()?.value;
+        (!mandate.vacant && mandate.address != self.address).then_some(mandate.address)
+    }
+
+    /// Responds to a VM that needs tokens.
     pub(super) async fn respond_tokens(&self, wanted: BTreeMap<String, u32>) -> RelayResponse {
         let granted = self.quota_desk.request(wanted).await;
         let answers = granted.into_iter().map(|(workspace, grant)| (workspace, grant.into()));
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -101,7 +101,9 @@
             );
         }
         if kind == ErrorKind::QuotaExceeded {
-            return Some(incoming.quota_retry_after.get().max(MIN_QUOTA_RETRY_DELAY));
+            // An earlier retry would be refused again.
+            let delay = incoming.quota_retry_after.get().max(MIN_QUOTA_RETRY_DELAY);
+            return Some(delay.div_f64(1.0 - RETRY_JITTER_FRACTION / 2.0));
         }
         let response_time =
             incoming.route.rule.latency_target.mul_f64(RESPONSE_FRACTION_OF_LATENCY_TARGET);
--- a/crates/nickellead_gateway/tests/quotas.rs
+++ b/crates/nickellead_gateway/tests/quotas.rs
@@ -194,6 +194,28 @@
     fleet.wait_for_tokens();
 }
 
+/// A VM that stops leaves its upstream and still serves callers for a while.
+#[test]
+fn a_vm_that_stops_still_gets_tokens() {
+    let mut fleet = Fleet::start("vm-stops", 3);
+    let holder = fleet.store.mandate_holder().unwrap();
+    let index: usize = holder.rsplit('-').next().unwrap().parse().unwrap();
+    let stopping = &mut fleet.gateways[(index + 1) % 3];
+    let handle = stopping.handle.take().unwrap();
+    let statuses: Vec<String> = std::thread::scope(|scope| {
+        let stopped = scope.spawn(move || handle.stop());
+        std::thread::sleep(Duration::from_millis(100));
+        let statuses = (0..7).map(|_| {
+            std::thread::sleep(Duration::from_millis(100));
+            status(&send(stopping, "limited")).to_owned()
+        });
+        let statuses = statuses.collect();
+        stopped.join().unwrap();
+        statuses
+    });
+    assert!(statuses.iter().all(|status| status == "200"), "{statuses:?}");
+}
+
 #[test]
 fn without_the_vm_that_counts_requests_are_refused_as_not_run() {
     let fleet = Fleet::start("vm-alone", 3);
