Tokens of requests that no target ran are given back, and buckets fill from the start of the term

A token was spent by each request that was refused later, as for an overloaded key, and a bucket began to fill at the first request of its workspace.

Change: a VM gives unused tokens back with its next demand (TokenDemand), which changes no bound: what is sent with the others could have been granted without them. Buckets count from when the VM began to grant.

Tests: tokens_of_requests_that_are_not_run_serve_others (model) and requests_that_no_target_ran_do_not_use_the_quota (sockets) fail with the return taken out, and pass; a_bucket_fills_from_when_its_vm_began_to_grant, a_workspace_may_send_its_burst_as_soon_as_it_is_declared. The sum over any window is played with unused tokens too. Two of these failed first for a reason of their own: the VM that grants had just begun, and had to take its burst for spent; they wait for it now.

--- a/crates/nickellead_gateway/src/control/quotas.rs
+++ b/crates/nickellead_gateway/src/control/quotas.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 
 use nickellead_core::Timestamp;
-use nickellead_limit::{QuotaLimit, TokenBucket, TokenGrant};
+use nickellead_limit::{QuotaLimit, TokenBucket, TokenDemand, TokenGrant};
 use nickellead_range::MandateAuthority;
 use nickellead_time::BootClock;
 use tokio::sync::mpsc;
 
 use super::ControlLoop;
 use crate::fleet::MandateTerm;
-use crate::quota::TokenNeed;
+use crate::quota::{TokenDemands, TokenNeed};
 use crate::relay::TokenClient;
 use crate::{OrderPort, StorePort};
 
@@ -20,26 +20,33 @@
 #[derive(Default)]
 pub(super) struct TokenBuckets {
     term: MandateTerm,
+    /// When this VM first saw that it holds the mandate in this term.
+    since: Timestamp,
     buckets: BTreeMap<String, TokenBucket>,
 }
 
 impl TokenBuckets {
-    /// Grants up to `wanted` tokens of a workspace; buckets of another term are dropped, because
-    /// another VM may have granted tokens since.
+    /// Begins a term; buckets of another one are dropped, because another VM may have granted tokens
+    /// since.
+    fn enter_term(&mut self, term: MandateTerm, now: Timestamp) {
+        if self.term != term {
+            *self = Self { term, since: now, buckets: BTreeMap::new() };
+        }
+    }
+
+    /// Grants tokens of a workspace.
     fn grant(
         &mut self,
-        term: MandateTerm,
         workspace: String,
         limit: QuotaLimit,
-        wanted: u32,
+        demand: TokenDemand,
         now: Timestamp,
     ) -> TokenGrant {
-        if self.term != term {
-            *self = Self { term, buckets: BTreeMap::new() };
-        }
-        let bucket = self.buckets.entry(workspace).or_insert_with(|| TokenBucket::new(limit, now));
+        let since = self.since;
+        let bucket =
+            self.buckets.entry(workspace).or_insert_with(|| TokenBucket::new(limit, since));
         bucket.set_limit(limit, now);
-        bucket.grant(wanted, now)
+        bucket.grant(demand, now)
     }
 }
 
@@ -58,35 +65,44 @@
     let mut upstream = TokenClient::default();
     loop {
         let needs = control.relay.quota_desk().take().await;
-        let wanted = needs.totals();
+        let demands = needs.totals();
         let granted = match control.relay.holds_mandate() {
-            true => control.grant_tokens(wanted),
-            false => control.relay.request_tokens(&mut upstream, wanted).await,
+            true => control.grant_tokens(demands),
+            false => control.relay.request_tokens(&mut upstream, demands).await,
         };
         needs.distribute(granted);
     }
 }
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
-    /// Grants tokens, if this VM's mandate is certainly valid.
-    fn grant_tokens(&self, wanted: BTreeMap<String, u32>) -> BTreeMap<String, TokenGrant> {
-        let now = BootClock.now();
+    /// Begins to count the time from which buckets fill, if this VM's mandate is certainly valid;
+    /// returns whether it is.
+    pub(super) fn enter_token_term(&self, now: Timestamp) -> bool {
         let mandate = self.mandate.borrow();
         let is_valid = mandate.authority(now) == MandateAuthority::Full;
         let term = mandate.seen().map(MandateTerm::of).filter(|_| is_valid);
+        term.map(|term| self.token_buckets.borrow_mut().enter_term(term, now)).is_some()
+    }
+
+    /// Grants tokens, if this VM's mandate is certainly valid.
+    fn grant_tokens(&self, demands: TokenDemands) -> BTreeMap<String, TokenGrant> {
+        let now = BootClock.now();
+        if !self.enter_token_term(now) {
+            return BTreeMap::new();
+        }
         let declarations = self.cluster.declarations();
         let workspaces = declarations.as_ref().and_then(|known| known.workspaces.as_ref());
-        let (Some(term), Some(workspaces)) = (term, workspaces) else { return BTreeMap::new() };
+        let Some(workspaces) = workspaces else { return BTreeMap::new() };
         let mut buckets = self.token_buckets.borrow_mut();
         let mut granted = BTreeMap::new();
-        for (workspace, count) in wanted {
+        for (workspace, demand) in demands {
             // A VM with other declarations may know a quota that this one does not.
             let Some(rule) = workspaces.get(&workspace) else { continue };
             let grant = match rule.quota {
-                None => TokenGrant { granted: count, ..TokenGrant::default() },
+                None => TokenGrant { granted: demand.wanted, ..TokenGrant::default() },
                 Some(quota) => {
                     let limit = QuotaLimit { rate: quota.rate, burst: quota.burst };
-                    buckets.grant(term, workspace.clone(), limit, count, now)
+                    buckets.grant(workspace.clone(), limit, demand, now)
                 }
             };
             granted.insert(workspace, grant);
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -71,6 +71,7 @@
             return;
         }
         if authority == MandateAuthority::Full {
+            self.enter_token_term(now);
             self.enter_era();
             self.record_reported_leaving();
             self.update_candidates();
--- a/crates/nickellead_gateway/src/quota/client.rs
+++ b/crates/nickellead_gateway/src/quota/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nickellead_core::{ErrorKind, Timestamp};
-use nickellead_limit::{QuotaLimit, QuotaTolerance, TokenGrant};
+use nickellead_limit::{QuotaLimit, QuotaTolerance, TokenDemand, TokenGrant};
 use nickellead_time::BootClock;
 use tokio::sync::{mpsc, oneshot};
 
@@ -60,6 +60,8 @@
     waiting: RefCell<VecDeque<oneshot::Sender<TokenResult>>>,
     /// Whether tokens are being requested.
     requesting: Cell<bool>,
+    /// Tokens with which no request was run, to be given back with the next demand.
+    unused: Cell<u32>,
     /// Until when requests are refused without asking, and when a token is expected.
     refused: Cell<Option<(Timestamp, Timestamp)>>,
 }
@@ -105,6 +107,14 @@
         answer.await.unwrap_or(Err(QuotaRefusal::UNKNOWN))
     }
 
+    /// Gives back a token with which no request was run.
+    pub(crate) fn give_back(&self, workspace: &WorkspaceEntry, token: QuotaToken) {
+        if token.expires_at.is_some() {
+            let account = self.account(&workspace.name);
+            account.unused.set(account.unused.get().saturating_add(1));
+        }
+    }
+
     fn account(&self, workspace: &str) -> Rc<QuotaAccount> {
         let mut accounts = self.accounts.borrow_mut();
         match accounts.get(workspace) {
@@ -123,16 +133,17 @@
             }
             // Tokens are granted later than this, so they expire in time on this VM's clock.
             let expires_at = BootClock.now() + limit.token_validity(self.tolerance);
-            let count = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
-            let grant = self.request(workspace, count).await;
+            let wanted = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
+            let demand = TokenDemand { wanted, unused: account.unused.take() };
+            let grant = self.request(workspace, demand).await;
             account.answer(waiting, grant, expires_at);
         }
     }
 
     /// Requests tokens once; `None` without an answer.
-    async fn request(&self, workspace: &str, count: u32) -> Option<TokenGrant> {
+    async fn request(&self, workspace: &str, demand: TokenDemand) -> Option<TokenGrant> {
         let (reply, answer) = oneshot::channel();
-        self.needs.try_send(TokenNeed { workspace: workspace.to_owned(), count, reply }).ok()?;
+        self.needs.try_send(TokenNeed { workspace: workspace.to_owned(), demand, reply }).ok()?;
         tokio::time::timeout(TOKEN_TIMEOUT, answer).await.ok()?.ok()
     }
 }
@@ -166,5 +177,6 @@
                 left -= 1;
             }
         }
+        self.unused.set(self.unused.get().saturating_add(left));
     }
 }
--- a/crates/nickellead_gateway/src/quota/desk.rs
+++ b/crates/nickellead_gateway/src/quota/desk.rs
@@ -4,16 +4,19 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use nickellead_limit::TokenGrant;
+use nickellead_limit::{TokenDemand, TokenGrant};
 use tokio::sync::{Notify, oneshot};
 
 use crate::waiting::wait_for;
 
+/// Demand for tokens by workspace.
+pub(crate) type TokenDemands = BTreeMap<String, TokenDemand>;
+
 /// Tokens that are needed for requests of one workspace.
 pub(crate) struct TokenNeed {
     /// Name of the workspace.
     pub(crate) workspace: String,
-    pub(crate) count: u32,
+    pub(crate) demand: TokenDemand,
     /// Receives the answer; it is dropped if none can be had.
     pub(crate) reply: oneshot::Sender<TokenGrant>,
 }
@@ -34,14 +37,11 @@
 
     /// Adds needs of a subscriber and waits for the answers. Workspaces without an answer are
     /// missing from the result.
-    pub(crate) async fn request(
-        &self,
-        wanted: BTreeMap<String, u32>,
-    ) -> BTreeMap<String, TokenGrant> {
+    pub(crate) async fn request(&self, demands: TokenDemands) -> BTreeMap<String, TokenGrant> {
         let mut answers = Vec::new();
-        for (workspace, count) in wanted {
+        for (workspace, demand) in demands {
             let (reply, answer) = oneshot::channel();
-            self.add(TokenNeed { workspace: workspace.clone(), count, reply });
+            self.add(TokenNeed { workspace: workspace.clone(), demand, reply });
             answers.push((workspace, answer));
         }
         let mut granted = BTreeMap::new();
@@ -67,12 +67,11 @@
 pub(crate) struct TokenNeeds(Vec<TokenNeed>);
 
 impl TokenNeeds {
-    /// Number of tokens by workspace.
-    pub(crate) fn totals(&self) -> BTreeMap<String, u32> {
-        let mut totals: BTreeMap<String, u32> = BTreeMap::new();
+    /// Demand of all needs, by workspace.
+    pub(crate) fn totals(&self) -> TokenDemands {
+        let mut totals = TokenDemands::new();
         for need in &self.0 {
-            let total = totals.entry(need.workspace.clone()).or_default();
-            *total = total.saturating_add(need.count);
+            totals.entry(need.workspace.clone()).or_default().add(need.demand);
         }
         totals
     }
@@ -82,9 +81,10 @@
     pub(crate) fn distribute(self, mut granted: BTreeMap<String, TokenGrant>) {
         for need in self.0 {
             let Some(left) = granted.get_mut(&need.workspace) else { continue };
-            let count = need.count.min(left.granted);
+            let wanted = need.demand.wanted;
+            let count = wanted.min(left.granted);
             left.granted -= count;
-            let retry_after = if count == need.count { Duration::ZERO } else { left.retry_after };
+            let retry_after = if count == wanted { Duration::ZERO } else { left.retry_after };
             // A requester that is gone leaves its tokens unused.
             let _ = need.reply.send(TokenGrant { granted: count, retry_after });
         }
@@ -97,7 +97,8 @@
 
     fn need(workspace: &str, count: u32) -> (TokenNeed, oneshot::Receiver<TokenGrant>) {
         let (reply, answer) = oneshot::channel();
-        (TokenNeed { workspace: workspace.to_owned(), count, reply }, answer)
+        let demand = TokenDemand { wanted: count, unused: 1 };
+        (TokenNeed { workspace: workspace.to_owned(), demand, reply }, answer)
     }
 
     #[test]
@@ -108,7 +109,10 @@
                 .unzip();
         let needs = TokenNeeds(needs);
         let totals = needs.totals();
-        assert_eq!(totals, [("a", 6), ("b", 1), ("c", 1)].map(|(n, c)| (n.to_owned(), c)).into());
+        let total = |(name, wanted, unused): (&str, u32, u32)| {
+            (name.to_owned(), TokenDemand { wanted, unused })
+        };
+        assert_eq!(totals, [("a", 6, 3), ("b", 1, 1), ("c", 1, 1)].map(total).into());
         let later = Duration::from_millis(70);
         let grant = |granted| TokenGrant { granted, retry_after: later };
         needs.distribute([("a".to_owned(), grant(4)), ("b".to_owned(), grant(1))].into());
--- a/crates/nickellead_gateway/src/quota/mod.rs
+++ b/crates/nickellead_gateway/src/quota/mod.rs
@@ -9,7 +9,7 @@
 mod desk;
 
 pub(crate) use self::client::{QuotaClient, QuotaToken};
-pub(crate) use self::desk::{QuotaDesk, TokenNeed};
+pub(crate) use self::desk::{QuotaDesk, TokenDemands, TokenNeed};
 
 /// Most needs of the request thread that wait for the control thread.
 pub(crate) const MAX_QUEUED_NEEDS: usize = 1_024;
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
-use nickellead_limit::TokenGrant;
+use nickellead_limit::{TokenDemand, TokenGrant};
 
 use crate::cluster_state::{DeclarationsUpdate, StateCursor, StateUpdate};
 use crate::load_counter::LoadCounts;
@@ -25,7 +25,7 @@
     /// They have a request of their own so that a large change does not delay other updates.
     Declarations(Option<DeclaredState>),
     /// Requests tokens, by workspace.
-    Tokens(BTreeMap<String, u32>),
+    Tokens(BTreeMap<String, WireDemand>),
 }
 
 /// A long poll for updates from a cursor.
@@ -49,23 +49,42 @@
     pub(super) declarations: Option<RelayedConfirmation<DeclaredState>>,
 }
 
+/// A demand for tokens of another VM.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+pub(super) struct WireDemand {
+    wanted: u32,
+    unused: u32,
+}
+
+impl From<TokenDemand> for WireDemand {
+    fn from(demand: TokenDemand) -> Self {
+        Self { wanted: demand.wanted, unused: demand.unused }
+    }
+}
+
+impl From<WireDemand> for TokenDemand {
+    fn from(demand: WireDemand) -> Self {
+        Self { wanted: demand.wanted, unused: demand.unused }
+    }
+}
+
 /// A grant of tokens to another VM.
 #[derive(Clone, Copy, Debug, Encode, Decode)]
-pub(super) struct TokenAnswer {
+pub(super) struct WireGrant {
     granted: u32,
     /// When refused callers should return, in milliseconds.
     retry_after_ms: u32,
 }
 
-impl From<TokenGrant> for TokenAnswer {
+impl From<TokenGrant> for WireGrant {
     fn from(grant: TokenGrant) -> Self {
         let retry_after_ms = u32::try_from(grant.retry_after.as_millis()).unwrap_or(u32::MAX);
         Self { granted: grant.granted, retry_after_ms }
     }
 }
 
-impl From<TokenAnswer> for TokenGrant {
-    fn from(answer: TokenAnswer) -> Self {
+impl From<WireGrant> for TokenGrant {
+    fn from(answer: WireGrant) -> Self {
         let retry_after = Duration::from_millis(u64::from(answer.retry_after_ms));
         Self { granted: answer.granted, retry_after }
     }
@@ -79,7 +98,7 @@
     /// Newer declarations; `None` if this VM has no newer ones.
     Declarations(Option<DeclarationsUpdate>),
     /// Granted tokens, by workspace; workspaces without an answer are missing.
-    Tokens(BTreeMap<String, TokenAnswer>),
+    Tokens(BTreeMap<String, WireGrant>),
     /// Another VM to poll instead.
     Redirect(SocketAddr),
     /// This VM has no fresh state itself.
--- a/crates/nickellead_gateway/src/relay/tokens.rs
+++ b/crates/nickellead_gateway/src/relay/tokens.rs
@@ -7,9 +7,9 @@
 use nickellead_limit::TokenGrant;
 use nickellead_peer::PeerClient;
 
-use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, TokenAnswer};
+use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, WireDemand, WireGrant};
 use super::{UpdateRelay, UpdateUpstream};
-use crate::quota::QuotaDesk;
+use crate::quota::{QuotaDesk, TokenDemands};
 
 /// How long a response with tokens may take to begin; it passes at most one other VM.
 const TOKENS_TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,14 +29,16 @@
     pub(crate) async fn request_tokens(
         &self,
         client: &mut TokenClient,
-        wanted: BTreeMap<String, u32>,
+        demands: TokenDemands,
     ) -> BTreeMap<String, TokenGrant> {
         let Some(address) = self.token_source() else { return BTreeMap::new() };
         let client = match &mut client.0 {
             Some(client) if client.address() == address => client,
             other => other.insert(PeerClient::new(address, RELAY_PATH)),
         };
-        match client.call(&RelayRequest::Tokens(wanted), TOKENS_TIMEOUT).await {
+        let demands =
+            demands.into_iter().map(|(workspace, demand)| (workspace, demand.into())).collect();
+        match client.call(&RelayRequest::Tokens(demands), TOKENS_TIMEOUT).await {
             Ok(RelayResponse::Tokens(answers)) => {
                 answers.into_iter().map(|(workspace, answer)| (workspace, answer.into())).collect()
             }
@@ -55,9 +57,13 @@
     }
 
     /// Responds to a VM that needs tokens.
-    pub(super) async fn respond_tokens(&self, wanted: BTreeMap<String, u32>) -> RelayResponse {
-        let granted = self.quota_desk.request(wanted).await;
+    pub(super) async fn respond_tokens(
+        &self,
+        demands: BTreeMap<String, WireDemand>,
+    ) -> RelayResponse {
+        let demands = demands.into_iter().map(|(workspace, demand)| (workspace, demand.into()));
+        let granted = self.quota_desk.request(demands.collect()).await;
         let answers = granted.into_iter().map(|(workspace, grant)| (workspace, grant.into()));
-        RelayResponse::Tokens(answers.collect::<BTreeMap<String, TokenAnswer>>())
+        RelayResponse::Tokens(answers.collect::<BTreeMap<String, WireGrant>>())
     }
 }
--- a/crates/nickellead_gateway/src/worker/access.rs
+++ b/crates/nickellead_gateway/src/worker/access.rs
@@ -61,6 +61,7 @@
         if attempts.token.is_some_and(|token| token.is_usable(BootClock.now())) {
             return Ok(());
         }
+        self.give_back_token(incoming, attempts);
         let taken = self.quotas.take(workspace).await;
         attempts.token = Some(taken.map_err(|refusal| {
             incoming.quota_retry_after.set(refusal.retry_after);
@@ -69,6 +70,13 @@
         Ok(())
     }
 
+    /// Gives back the token of an attempt that was not sent, if there is one.
+    pub(super) fn give_back_token(&self, incoming: &IncomingRequest, attempts: &mut AttemptState) {
+        if let (Some(workspace), Some(token)) = (&incoming.workspace, attempts.token.take()) {
+            self.quotas.give_back(workspace, token);
+        }
+    }
+
     /// Whether a request may be served by a target in `zone`.
     pub(super) fn allows_zone(&self, incoming: &IncomingRequest, zone: &str) -> bool {
         let (route, workspace) = (&incoming.route.rule, incoming.workspace.as_deref());
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -25,20 +25,30 @@
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
         let mut attempts = AttemptState::default();
-        self.ensure_token(incoming, &mut attempts).await?;
+        let served = self.serve_attempts(incoming, &mut attempts).await;
+        self.give_back_token(incoming, &mut attempts);
+        served
+    }
+
+    async fn serve_attempts(
+        &self,
+        incoming: &IncomingRequest,
+        attempts: &mut AttemptState,
+    ) -> Result<TargetResponse, ErrorKind> {
+        self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
         if !self.is_admitted(incoming, &weighted.service) {
             return Err(ErrorKind::Overloaded);
         }
         loop {
-            let waiting = self.wait_for_target(incoming, &weighted.service, &attempts);
+            let waiting = self.wait_for_target(incoming, &weighted.service, attempts);
             let target = match self.until_drain_end(waiting).await.flatten() {
                 Ok(target) => target,
                 Err(kind) => return finish(attempts, kind),
             };
             // The request may have waited for longer than its token is valid.
-            let has_token = self.ensure_token(incoming, &mut attempts);
+            let has_token = self.ensure_token(incoming, attempts);
             if let Err(kind) = self.until_drain_end(has_token).await.flatten() {
                 return finish(attempts, kind);
             }
@@ -48,11 +58,12 @@
                 Ok(end) => end,
                 Err(kind) => {
                     attempts.may_have_run = true;
+                    attempts.token = None;
                     return finish(attempts, kind);
                 }
             };
             self.apply_signals(&weighted.service, &target, end.signals, end.sent_at);
-            match self.next_step(incoming, &target, &mut attempts, end, since.elapsed()) {
+            match self.next_step(incoming, &target, attempts, end, since.elapsed()) {
                 NextStep::Done(response) => return Ok(response),
                 NextStep::Fail(kind) => return finish(attempts, kind),
                 NextStep::Retry => {}
@@ -60,7 +71,7 @@
             if self.owner_is_paused(&weighted.service, &target) {
                 return finish(attempts, ErrorKind::TargetPaused);
             }
-            if !self.take_retry_permit(incoming, &weighted.service, &attempts) {
+            if !self.take_retry_permit(incoming, &weighted.service, attempts) {
                 let kind = attempts.refusal_kind();
                 return finish(attempts, kind);
             }
@@ -168,8 +179,8 @@
 
 /// Ends a request without a successful response: with an error response of a target if there is
 /// one, and otherwise with `kind`.
-fn finish(attempts: AttemptState, kind: ErrorKind) -> Result<TargetResponse, ErrorKind> {
-    if let Some(response) = attempts.response {
+fn finish(attempts: &mut AttemptState, kind: ErrorKind) -> Result<TargetResponse, ErrorKind> {
+    if let Some(response) = attempts.response.take() {
         return Ok(response);
     }
     let refused = kind.response().outcome == OutcomeClass::NotRun;
--- a/crates/nickellead_gateway/tests/quotas.rs
+++ b/crates/nickellead_gateway/tests/quotas.rs
@@ -91,6 +91,11 @@
     }
 }
 
+/// Waits for as long as the VM that grants tokens has to know of its predecessors' bursts.
+fn wait_for_burst() {
+    std::thread::sleep(Duration::from_secs_f64(2.0 * LIMITED.burst / LIMITED.rate));
+}
+
 fn allowed(quota: WorkspaceQuota) -> usize {
     let quota = quota.rate * QUOTA.window_s + quota.burst;
     (quota * (1.0 + QUOTA.overage) + QUOTA.slack) as usize
@@ -194,6 +199,32 @@
     fleet.wait_for_tokens();
 }
 
+/// Heavy load: a target that sheds takes nothing from the quota of its callers.
+#[test]
+fn requests_that_no_target_ran_do_not_use_the_quota() {
+    let fleet = Fleet::start("vm-shed", 1);
+    wait_for_burst();
+    fleet.target.set_behavior(Behavior::Shed);
+    let statuses = fleet.send_at("limited", LIMITED.rate * 2.0, Duration::from_secs(3));
+    let refused = statuses.iter().filter(|status| *status == "429").count();
+    assert_eq!(refused, 0, "of {}", statuses.len());
+    assert!(statuses.iter().all(|status| status == "503"), "{statuses:?}");
+}
+
+#[test]
+fn a_workspace_may_send_its_burst_as_soon_as_it_is_declared() {
+    let fleet = Fleet::start("vm-first", 2);
+    wait_for_burst();
+    let mut declared = with_quota(2, LIMITED);
+    let workspaces = declared.workspaces.as_mut().unwrap();
+    workspaces.insert("new".to_owned(), workspace("new", Some(LIMITED)));
+    fleet.store.declare(declared);
+    wait_until("version 2 is active", || fleet.gateways.iter().all(|one| one.is_version_active(2)));
+    let responses: Vec<String> =
+        (0..LIMITED.burst as usize).map(|_| send(&fleet.gateways[0], "new")).collect();
+    assert!(responses.iter().all(|response| status(response) == "200"), "{responses:?}");
+}
+
 /// A VM that stops leaves its upstream and still serves callers for a while.
 #[test]
 fn a_vm_that_stops_still_gets_tokens() {
--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -21,6 +21,6 @@
 pub use admission::{AdmissionFractions, OwnerAdmission, OwnerReport, allocate_rate};
 pub use cold::{COLD_SENDERS, ColdBounds, ColdLimiter, ColdQuota, is_cold_sender};
 pub use queue::{QueueTicket, WaitQueue};
-pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenGrant};
+pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
 pub use rate::{RateLimiter, sustainable_rate};
 pub use wait_tolerance::WaitTolerance;
--- a/crates/nickellead_limit/src/quota.rs
+++ b/crates/nickellead_limit/src/quota.rs
@@ -70,6 +70,23 @@
     pub retry_after: Duration,
 }
 
+/// Tokens that a VM needs, and those that it no longer does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TokenDemand {
+    /// Tokens for requests that wait.
+    pub wanted: u32,
+    /// Tokens of an earlier grant with which no request was run.
+    pub unused: u32,
+}
+
+impl TokenDemand {
+    /// Adds another demand.
+    pub fn add(&mut self, other: Self) {
+        self.wanted = self.wanted.saturating_add(other.wanted);
+        self.unused = self.unused.saturating_add(other.unused);
+    }
+}
+
 /// Bucket of one workspace's tokens on the VM that grants them.
 #[derive(Clone, Copy, Debug)]
 pub struct TokenBucket {
@@ -81,10 +98,11 @@
 }
 
 impl TokenBucket {
-    /// Creates a bucket that is almost empty.
+    /// Creates a bucket that was almost empty at `since`, when this VM became the one that grants
+    /// tokens.
     #[must_use]
-    pub fn new(limit: QuotaLimit, now: Timestamp) -> Self {
-        Self { limit, tokens: INITIAL_TOKENS, returning: 0.0, refilled_at: now }
+    pub fn new(limit: QuotaLimit, since: Timestamp) -> Self {
+        Self { limit, tokens: INITIAL_TOKENS, returning: 0.0, refilled_at: since }
     }
 
     /// Changes the limit, from now on.
@@ -94,9 +112,13 @@
         self.tokens = self.tokens.min(limit.capacity());
     }
 
-    /// Grants up to `wanted` tokens.
-    pub fn grant(&mut self, wanted: u32, now: Timestamp) -> TokenGrant {
+    /// Takes back unused tokens and grants as many of the wanted ones as there are.
+    ///
+    /// What is sent with the other tokens could have been granted without the unused ones.
+    pub fn grant(&mut self, demand: TokenDemand, now: Timestamp) -> TokenGrant {
         self.refill(now);
+        self.tokens = (self.tokens + f64::from(demand.unused)).min(self.limit.capacity());
+        let wanted = demand.wanted;
         let granted = wanted.min(self.tokens.max(0.0) as u32);
         self.tokens -= f64::from(granted);
         if granted == wanted {
--- a/crates/nickellead_limit/tests/quota.rs
+++ b/crates/nickellead_limit/tests/quota.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
-use nickellead_limit::{QuotaLimit, QuotaTolerance, TokenBucket};
+use nickellead_limit::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
 
 const TOLERANCE: QuotaTolerance =
     QuotaTolerance { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
@@ -22,7 +22,7 @@
 
 /// A message of a VM to the one that grants tokens, or its answer; `sent` is when the VM asked.
 enum Message {
-    Request { sent: u64, wanted: u32 },
+    Request { sent: u64, demand: TokenDemand },
     Answer { sent: u64, granted: u32 },
 }
 
@@ -36,6 +36,8 @@
     takeover_interval: u64,
     /// Whether VMs use tokens as late as they may.
     late_use: bool,
+    /// Share of the granted tokens with which no request is run.
+    unused: f64,
 }
 
 /// Times at which requests were sent, number of requests that were refused, and of all.
@@ -52,7 +54,7 @@
     let mut bucket = TokenBucket::new(limit, Timestamp(0));
     let mut queue: BTreeMap<(u64, u64), Message> = BTreeMap::new();
     let mut outcome = Outcome { sent: Vec::new(), refused: 0, asked: 0 };
-    let (mut number, mut due) = (0, 0.0);
+    let (mut number, mut due, mut unused) = (0, 0.0, 0);
     for now in 0..PLAYED_MS {
         if faults.takeover_interval > 0 && random.u64(0..faults.takeover_interval) == 0 {
             // The new holder knows nothing of what its predecessor granted.
@@ -66,13 +68,14 @@
             outcome.asked += wanted as usize;
             number += 1;
             let at = now + random.u64(0..=faults.max_delay);
-            queue.insert((at, number), Message::Request { sent: now, wanted });
+            let demand = TokenDemand { wanted, unused: std::mem::take(&mut unused) };
+            queue.insert((at, number), Message::Request { sent: now, demand });
         }
         while let Some(entry) = queue.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
-                Message::Request { sent, wanted } => {
-                    let granted = bucket.grant(wanted, Timestamp(now)).granted;
-                    outcome.refused += (wanted - granted) as usize;
+                Message::Request { sent, demand } => {
+                    let granted = bucket.grant(demand, Timestamp(now)).granted;
+                    outcome.refused += (demand.wanted - granted) as usize;
                     number += 1;
                     let at = now + random.u64(0..=faults.max_delay);
                     queue.insert((at, number), Message::Answer { sent, granted });
@@ -80,7 +83,8 @@
                 Message::Answer { sent, granted } => {
                     let expiry = sent + validity;
                     for _ in 0..granted {
-                        let usable = now <= expiry;
+                        let usable = now <= expiry && random.f64() >= faults.unused;
+                        unused += u32::from(!usable);
                         let at = if faults.late_use { expiry } else { now };
                         outcome.sent.extend(usable.then_some(at));
                     }
@@ -113,6 +117,7 @@
             max_delay: [0, 5, 100, 2_000][random.usize(0..4)],
             takeover_interval: [0, 2_000, 8_000][random.usize(0..3)],
             late_use: random.bool(),
+            unused: [0.0, 0.0, 0.5][random.usize(0..3)],
         };
         let outcome = play(limit, &faults, seed);
         let (most, allowed) = busiest_window(limit, &outcome.sent);
@@ -123,7 +128,8 @@
 /// Guards against a quota that is kept by refusing what is inside it.
 #[test]
 fn requests_inside_the_quota_are_granted_wherever_they_arrive() {
-    let faults = Faults { demand: 0.7, max_delay: 5, takeover_interval: 0, late_use: false };
+    let faults =
+        Faults { demand: 0.7, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.0 };
     for limit in LIMITS.into_iter().filter(|limit| limit.burst >= 5.0) {
         let outcomes: Vec<Outcome> = (0..10).map(|seed| play(limit, &faults, seed)).collect();
         let asked: usize = outcomes.iter().map(|one| one.asked).sum();
@@ -134,7 +140,8 @@
 
 #[test]
 fn a_workspace_far_over_its_quota_still_gets_its_quota() {
-    let faults = Faults { demand: 7.5, max_delay: 5, takeover_interval: 0, late_use: false };
+    let faults =
+        Faults { demand: 7.5, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.0 };
     for limit in LIMITS.into_iter().filter(|limit| limit.rate >= 5.0) {
         let sent = play(limit, &faults, 1).sent.len() as f64;
         let quota = limit.rate * PLAYED_MS as f64 / 1_000.0;
@@ -142,16 +149,39 @@
     }
 }
 
+fn grant(bucket: &mut TokenBucket, wanted: u32, at: u64) -> TokenGrant {
+    bucket.grant(TokenDemand { wanted, unused: 0 }, Timestamp(at))
+}
+
+/// Heavy load: targets are full, so that most requests inside the quota are not run.
+#[test]
+fn tokens_of_requests_that_are_not_run_serve_others() {
+    let faults =
+        Faults { demand: 1.8, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.6 };
+    for limit in LIMITS.into_iter().filter(|limit| limit.burst >= 5.0) {
+        let outcome = play(limit, &faults, 1);
+        let (refused, asked) = (outcome.refused, outcome.asked);
+        assert!(refused * 50 <= asked, "{limit:?}: {refused} of {asked} refused");
+    }
+}
+
+#[test]
+fn a_bucket_fills_from_when_its_vm_began_to_grant() {
+    let limit = QuotaLimit { rate: 10.0, burst: 20.0 };
+    let mut bucket = TokenBucket::new(limit, Timestamp(1_000));
+    assert_eq!(grant(&mut bucket, 50, 9_000).granted, 20);
+}
+
 #[test]
 fn refused_callers_are_told_when_a_token_is_free_for_them() {
     let limit = QuotaLimit { rate: 10.0, burst: 5.0 };
     let mut bucket = TokenBucket::new(limit, Timestamp(0));
-    assert_eq!(bucket.grant(1, Timestamp(0)).granted, 1);
+    assert_eq!(grant(&mut bucket, 1, 0).granted, 1);
     let told: Vec<u128> =
-        (0..3).map(|_| bucket.grant(1, Timestamp(0)).retry_after.as_millis()).collect();
+        (0..3).map(|_| grant(&mut bucket, 1, 0).retry_after.as_millis()).collect();
     assert_eq!(told, [100, 200, 300]);
     for at in [100, 200, 300] {
-        assert_eq!(bucket.grant(1, Timestamp(at)).granted, 1, "at {at} ms");
+        assert_eq!(grant(&mut bucket, 1, at).granted, 1, "at {at} ms");
     }
 }
 
@@ -159,6 +189,6 @@
 fn a_lower_limit_takes_effect_at_once() {
     let mut bucket = TokenBucket::new(QuotaLimit { rate: 100.0, burst: 100.0 }, Timestamp(0));
     bucket.set_limit(QuotaLimit { rate: 1.0, burst: 2.0 }, Timestamp(10_000));
-    assert_eq!(bucket.grant(50, Timestamp(10_000)).granted, 2);
-    assert_eq!(bucket.grant(50, Timestamp(11_000)).granted, 1);
+    assert_eq!(grant(&mut bucket, 50, 10_000).granted, 2);
+    assert_eq!(grant(&mut bucket, 50, 11_000).granted, 1);
 }
