Unused quota tokens are given back only while they are valid, and tokens are valid for half as long

Change: expired tokens are not given back, and the validity uses 0.4 of the permitted excess, the return another 0.4.

--- a/crates/nickellead_gateway/src/quota/client.rs
+++ b/crates/nickellead_gateway/src/quota/client.rs
@@ -52,6 +52,36 @@
     }
 }
 
+/// Tokens with which no request was run.
+#[derive(Clone, Copy, Debug, Default)]
+struct UnusedTokens {
+    count: u32,
+    /// When the first of them expires. Expired tokens are not given back, because the bucket may
+    /// have been full again since they were granted.
+    expires_at: Timestamp,
+}
+
+impl UnusedTokens {
+    /// Adds tokens that expire at `expires_at`.
+    fn with(self, count: u32, expires_at: Timestamp, now: Timestamp) -> Self {
+        let valid = self.valid(now);
+        let added = if now <= expires_at { count } else { 0 };
+        match (valid, added) {
+            (_, 0) => self,
+            (0, _) => Self { count: added, expires_at },
+            _ => Self {
+                count: valid.saturating_add(added),
+                expires_at: self.expires_at.min(expires_at),
+            },
+        }
+    }
+
+    /// Number of tokens if they are valid.
+    fn valid(self, now: Timestamp) -> u32 {
+        if now <= self.expires_at { self.count } else { 0 }
+    }
+}
+
 type TokenResult = Result<QuotaToken, QuotaRefusal>;
 
 /// Requests of one workspace that wait for tokens.
@@ -61,7 +91,7 @@
     /// Whether tokens are being requested.
     requesting: Cell<bool>,
     /// Tokens with which no request was run, to be given back with the next demand.
-    unused: Cell<u32>,
+    unused: Cell<UnusedTokens>,
     /// Until when requests are refused without asking, and when a token is expected.
     refused: Cell<Option<(Timestamp, Timestamp)>>,
 }
@@ -109,9 +139,8 @@
 
     /// Gives back a token with which no request was run.
     pub(crate) fn give_back(&self, workspace: &WorkspaceEntry, token: QuotaToken) {
-        if token.expires_at.is_some() {
-            let account = self.account(&workspace.name);
-            account.unused.set(account.unused.get().saturating_add(1));
+        if let Some(expires_at) = token.expires_at {
+            self.account(&workspace.name).give_back(1, expires_at);
         }
     }
 
@@ -134,7 +163,8 @@
             // Tokens are granted later than this, so they expire in time on this VM's clock.
             let expires_at = BootClock.now() + limit.token_validity(self.tolerance);
             let wanted = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
-            let demand = TokenDemand { wanted, unused: account.unused.take() };
+            let unused = account.unused.take().valid(BootClock.now());
+            let demand = TokenDemand { wanted, unused };
             let grant = self.request(workspace, demand).await;
             account.answer(waiting, grant, expires_at);
         }
@@ -149,6 +179,10 @@
 }
 
 impl QuotaAccount {
+    fn give_back(&self, count: u32, expires_at: Timestamp) {
+        self.unused.set(self.unused.get().with(count, expires_at, BootClock.now()));
+    }
+
     /// Answers the requests that waited for a grant.
     fn answer(
         &self,
@@ -177,6 +211,6 @@
                 left -= 1;
             }
         }
-        self.unused.set(self.unused.get().saturating_add(left));
+        self.give_back(left, expires_at);
     }
 }
--- a/crates/nickellead_limit/src/quota.rs
+++ b/crates/nickellead_limit/src/quota.rs
@@ -9,9 +9,10 @@
 
 use nickellead_core::Timestamp;
 
-/// Share of the permitted excess that the validity of tokens may use. The rest covers the time
-/// between the check of a token and the arrival of its request, and takeovers.
-const VALIDITY_FRACTION: f64 = 0.8;
+/// Share of the permitted excess that the validity of tokens may use. As much again is used when
+/// tokens are given back, and the rest covers takeovers and the time between the check of a token
+/// and the arrival of its request.
+const VALIDITY_FRACTION: f64 = 0.4;
 /// Shortest validity of tokens, for which a VM can still use them.
 const MIN_VALIDITY: Duration = Duration::from_millis(100);
 /// Longest validity of tokens, for workspaces with a small rate.
@@ -75,7 +76,7 @@
 pub struct TokenDemand {
     /// Tokens for requests that wait.
     pub wanted: u32,
-    /// Tokens of an earlier grant with which no request was run.
+    /// Tokens of earlier grants that are still valid and with which no request was run.
     pub unused: u32,
 }
 
@@ -114,7 +115,8 @@
 
     /// Takes back unused tokens and grants as many of the wanted ones as there are.
     ///
-    /// What is sent with the other tokens could have been granted without the unused ones.
+    /// While tokens were out, the bucket may have gained what it could not have held with them: at
+    /// most the refill within their validity.
     pub fn grant(&mut self, demand: TokenDemand, now: Timestamp) -> TokenGrant {
         self.refill(now);
         self.tokens = (self.tokens + f64::from(demand.unused)).min(self.limit.capacity());
--- a/crates/nickellead_limit/tests/quota.rs
+++ b/crates/nickellead_limit/tests/quota.rs
@@ -18,7 +18,9 @@
     QuotaLimit { rate: 313.0, burst: 0.0 },
 ];
 const PLAYED_MS: u64 = 40_000;
-const SEEDS: u64 = 60;
+const SEEDS: u64 = 120;
+/// Time between two moments at which VMs use the tokens that they kept.
+const HOARD_INTERVAL_MS: u64 = 5_700;
 
 /// A message of a VM to the one that grants tokens, or its answer; `sent` is when the VM asked.
 enum Message {
@@ -34,8 +36,10 @@
     max_delay: u64,
     /// Mean time between two takeovers in milliseconds; 0 for none.
     takeover_interval: u64,
-    /// Whether VMs use tokens as late as they may.
-    late_use: bool,
+    /// Whether VMs keep tokens and then use all of them at the same time.
+    hoard: bool,
+    /// Whether requests come in bursts seconds apart.
+    pauses: bool,
     /// Share of the granted tokens with which no request is run.
     unused: f64,
 }
@@ -54,21 +58,25 @@
     let mut bucket = TokenBucket::new(limit, Timestamp(0));
     let mut queue: BTreeMap<(u64, u64), Message> = BTreeMap::new();
     let mut outcome = Outcome { sent: Vec::new(), refused: 0, asked: 0 };
-    let (mut number, mut due, mut unused) = (0, 0.0, 0);
+    let (mut number, mut due) = (0, 0.0);
+    // Expiry of each token that can be given back.
+    let mut unused: Vec<u64> = Vec::new();
     for now in 0..PLAYED_MS {
         if faults.takeover_interval > 0 && random.u64(0..faults.takeover_interval) == 0 {
             // The new holder knows nothing of what its predecessor granted.
             bucket = TokenBucket::new(limit, Timestamp(now));
         }
-        // Requests arrive in bunches, at random.
+        // Requests arrive in bunches, at random, and some pause until the bucket is full.
         due += limit.rate * faults.demand / 1_000.0;
-        if due >= 1.0 && random.u8(0..8) == 0 {
+        let paused = faults.pauses && now % 4_000 < 2_500;
+        if due >= 1.0 && !paused && random.u8(0..8) == 0 {
             let wanted = due as u32;
             due -= f64::from(wanted);
             outcome.asked += wanted as usize;
             number += 1;
             let at = now + random.u64(0..=faults.max_delay);
-            let demand = TokenDemand { wanted, unused: std::mem::take(&mut unused) };
+            let valid = unused.drain(..).filter(|expiry| now <= *expiry).count() as u32;
+            let demand = TokenDemand { wanted, unused: valid };
             queue.insert((at, number), Message::Request { sent: now, demand });
         }
         while let Some(entry) = queue.first_entry().filter(|entry| entry.key().0 <= now) {
@@ -84,8 +92,10 @@
                     let expiry = sent + validity;
                     for _ in 0..granted {
                         let usable = now <= expiry && random.f64() >= faults.unused;
-                        unused += u32::from(!usable);
-                        let at = if faults.late_use { expiry } else { now };
+                        unused.extend((!usable).then_some(expiry));
+                        // The next of some moments at which all VMs use what they have.
+                        let moment = now.next_multiple_of(HOARD_INTERVAL_MS);
+                        let at = if faults.hoard && moment <= expiry { moment } else { now };
                         outcome.sent.extend(usable.then_some(at));
                     }
                 }
@@ -116,8 +126,9 @@
             demand: [0.8, 1.5, 7.5, 20.0][random.usize(0..4)],
             max_delay: [0, 5, 100, 2_000][random.usize(0..4)],
             takeover_interval: [0, 2_000, 8_000][random.usize(0..3)],
-            late_use: random.bool(),
-            unused: [0.0, 0.0, 0.5][random.usize(0..3)],
+            hoard: random.bool(),
+            unused: [0.0, 0.0, 0.5, 0.9][random.usize(0..4)],
+            pauses: random.bool(),
         };
         let outcome = play(limit, &faults, seed);
         let (most, allowed) = busiest_window(limit, &outcome.sent);
@@ -128,8 +139,14 @@
 /// Guards against a quota that is kept by refusing what is inside it.
 #[test]
 fn requests_inside_the_quota_are_granted_wherever_they_arrive() {
-    let faults =
-        Faults { demand: 0.7, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.0 };
+    let faults = Faults {
+        demand: 0.7,
+        max_delay: 5,
+        takeover_interval: 0,
+        hoard: false,
+        unused: 0.0,
+        pauses: false,
+    };
     for limit in LIMITS.into_iter().filter(|limit| limit.burst >= 5.0) {
         let outcomes: Vec<Outcome> = (0..10).map(|seed| play(limit, &faults, seed)).collect();
         let asked: usize = outcomes.iter().map(|one| one.asked).sum();
@@ -140,8 +157,14 @@
 
 #[test]
 fn a_workspace_far_over_its_quota_still_gets_its_quota() {
-    let faults =
-        Faults { demand: 7.5, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.0 };
+    let faults = Faults {
+        demand: 7.5,
+        max_delay: 5,
+        takeover_interval: 0,
+        hoard: false,
+        unused: 0.0,
+        pauses: false,
+    };
     for limit in LIMITS.into_iter().filter(|limit| limit.rate >= 5.0) {
         let sent = play(limit, &faults, 1).sent.len() as f64;
         let quota = limit.rate * PLAYED_MS as f64 / 1_000.0;
@@ -156,8 +179,14 @@
 /// Heavy load: targets are full, so that most requests inside the quota are not run.
 #[test]
 fn tokens_of_requests_that_are_not_run_serve_others() {
-    let faults =
-        Faults { demand: 1.8, max_delay: 5, takeover_interval: 0, late_use: false, unused: 0.6 };
+    let faults = Faults {
+        demand: 1.8,
+        max_delay: 5,
+        takeover_interval: 0,
+        hoard: false,
+        unused: 0.6,
+        pauses: false,
+    };
     for limit in LIMITS.into_iter().filter(|limit| limit.burst >= 5.0) {
         let outcome = play(limit, &faults, 1);
         let (refused, asked) = (outcome.refused, outcome.asked);
