--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -33,13 +33,13 @@
 use self::fleet::FleetAnnouncement;
 use self::limits::ReportedTargetLimit;
 use self::mandate::run_mandate_loop;
-use self::quotas::{TokenBuckets, receive_needs, run_quota_loop};
+use self::quotas::{TokenBuckets, receive_requests, run_quota_loop};
 use self::ranges::run_ranges_loop;
 use crate::cluster_state::ClusterState;
 use crate::evacuation::ZoneStates;
 use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::ControlMetrics;
-use crate::quota::TokenNeed;
+use crate::quota::TokenRequest;
 use crate::relay::{UpdateRelay, serve_updates};
 use crate::state_channels::StateSenders;
 use crate::store_health::StoreHealth;
@@ -79,8 +79,8 @@
     pub(crate) evacuations_enabled: bool,
     /// Most age of the declarations with which keys may be checked; `None` for no limit.
     pub(crate) max_key_age: Option<Duration>,
-    /// Needs of the request thread for tokens of limited workspaces.
-    pub(crate) token_needs: mpsc::Receiver<TokenNeed>,
+    /// Token requests of the request thread.
+    pub(crate) token_requests: mpsc::Receiver<TokenRequest>,
 }
 
 /// The control loop of one VM.
@@ -142,7 +142,11 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
-    fn new(context: ControlContext, store: S, orders: O) -> (Rc<Self>, mpsc::Receiver<TokenNeed>) {
+    fn new(
+        context: ControlContext,
+        store: S,
+        orders: O,
+    ) -> (Rc<Self>, mpsc::Receiver<TokenRequest>) {
         let health = Rc::new(StoreHealth::new(context.metrics.clone()));
         let cluster = Rc::new(ClusterState::new(context.incarnation, context.senders));
         let address = context.announced_address;
@@ -193,7 +197,7 @@
             vm: context.vm,
             takeover_delay,
         });
-        (control, context.token_needs)
+        (control, context.token_requests)
     }
 
     /// Starts to serve updates to other VMs, and to watch the store when no VM provides updates.
@@ -231,8 +235,8 @@
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(async move {
                 let (store, orders) = ports();
-                let (control, token_needs) = ControlLoop::new(context, store, orders);
-                run(control, token_needs, peers, stopping).await;
+                let (control, token_requests) = ControlLoop::new(context, store, orders);
+                run(control, token_requests, peers, stopping).await;
             });
         }
     })
@@ -241,13 +245,13 @@
 /// Runs the control loop until the VM stops, and then serves updates until the process ends.
 async fn run<S: StorePort, O: OrderPort>(
     control: Rc<ControlLoop<S, O>>,
-    token_needs: mpsc::Receiver<TokenNeed>,
+    token_requests: mpsc::Receiver<TokenRequest>,
     peers: TcpListener,
     mut stopping: watch::Receiver<bool>,
 ) {
     control.start_updates(peers);
     // Requests are served until the process ends, and so are their tokens.
-    actix_rt::spawn(receive_needs(Rc::clone(&control), token_needs));
+    actix_rt::spawn(receive_requests(Rc::clone(&control), token_requests));
     actix_rt::spawn(run_quota_loop(Rc::clone(&control)));
     let mandate = actix_rt::spawn(run_mandate_loop(Rc::clone(&control)));
     let ranges = actix_rt::spawn(run_ranges_loop(Rc::clone(&control)));
--- a/crates/nickellead_gateway/src/control/quotas.rs
+++ b/crates/nickellead_gateway/src/control/quotas.rs
@@ -12,7 +12,7 @@
 
 use super::ControlLoop;
 use crate::fleet::MandateTerm;
-use crate::quota::{TokenDemands, TokenNeed};
+use crate::quota::{TokenDemands, TokenRequest};
 use crate::relay::TokenClient;
 use crate::{OrderPort, StorePort};
 
@@ -50,27 +50,27 @@
     }
 }
 
-/// Forwards the needs of the request thread to the desk.
-pub(super) async fn receive_needs<S: StorePort, O: OrderPort>(
+/// Forwards the token requests of the request thread to the queue.
+pub(super) async fn receive_requests<S: StorePort, O: OrderPort>(
     control: Rc<ControlLoop<S, O>>,
-    mut needs: mpsc::Receiver<TokenNeed>,
+    mut requests: mpsc::Receiver<TokenRequest>,
 ) {
-    while let Some(need) = needs.recv().await {
-        control.relay.quota_desk().add(need);
+    while let Some(request) = requests.recv().await {
+        control.relay.token_queue().add(request);
     }
 }
 
-/// Gets tokens for all needs, one request at a time.
+/// Answers all token requests; at most one message to the upstream is in flight.
 pub(super) async fn run_quota_loop<S: StorePort, O: OrderPort>(control: Rc<ControlLoop<S, O>>) {
     let mut upstream = TokenClient::default();
     loop {
-        let needs = control.relay.quota_desk().take().await;
-        let demands = needs.totals();
+        let requests = control.relay.token_queue().take().await;
+        let demands = requests.totals();
         let granted = match control.relay.holds_mandate() {
             true => control.grant_tokens(demands),
             false => control.relay.request_tokens(&mut upstream, demands).await,
         };
-        needs.distribute(granted);
+        requests.distribute(granted);
     }
 }
 
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -14,7 +14,7 @@
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::ControlMetrics;
-use crate::quota::MAX_QUEUED_NEEDS;
+use crate::quota::MAX_QUEUED_REQUESTS;
 use crate::regions::RegionMap;
 use crate::requests::{self, RequestContext};
 use crate::state_channels::state_channels;
@@ -93,7 +93,7 @@
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
-    let (needs_sender, token_needs) = mpsc::channel(MAX_QUEUED_NEEDS);
+    let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
     let request_thread = requests::start(RequestContext {
         names,
         vm: settings.vm.clone(),
@@ -112,7 +112,7 @@
         cold: settings.cold,
         leaving_window: Duration::from_secs_f64(settings.drain_s * LEAVING_WINDOW_FRACTION),
         max_key_age: settings.max_key_age(),
-        token_needs: needs_sender,
+        token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
     })?;
@@ -131,7 +131,7 @@
         cold_settings: settings.cold,
         evacuations_enabled: settings.evacuation_s.is_some(),
         max_key_age: settings.max_key_age(),
-        token_needs,
+        token_requests,
     };
     let control_thread = control::start(context, listeners.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_gateway/src/quota/client.rs
+++ b/crates/nickellead_gateway/src/quota/client.rs
@@ -10,7 +10,7 @@
 use nickellead_time::BootClock;
 use tokio::sync::{mpsc, oneshot};
 
-use super::TokenNeed;
+use super::TokenRequest;
 use crate::workspace_table::WorkspaceEntry;
 
 /// How long a VM waits for tokens before it refuses the requests that need them.
@@ -98,14 +98,14 @@
 
 /// Takes tokens from the VM that grants them.
 pub(crate) struct QuotaClient {
-    needs: mpsc::Sender<TokenNeed>,
+    requests: mpsc::Sender<TokenRequest>,
     tolerance: QuotaTolerance,
     accounts: RefCell<HashMap<String, Rc<QuotaAccount>>>,
 }
 
 impl QuotaClient {
-    pub(crate) fn new(needs: mpsc::Sender<TokenNeed>, tolerance: QuotaTolerance) -> Rc<Self> {
-        Rc::new(Self { needs, tolerance, accounts: RefCell::default() })
+    pub(crate) fn new(requests: mpsc::Sender<TokenRequest>, tolerance: QuotaTolerance) -> Rc<Self> {
+        Rc::new(Self { requests, tolerance, accounts: RefCell::default() })
     }
 
     /// Forgets workspaces that are no longer declared, except those with waiting requests.
@@ -173,7 +173,9 @@
     /// Requests tokens once; `None` without an answer.
     async fn request(&self, workspace: &str, demand: TokenDemand) -> Option<TokenGrant> {
         let (reply, answer) = oneshot::channel();
-        self.needs.try_send(TokenNeed { workspace: workspace.to_owned(), demand, reply }).ok()?;
+        self.requests
+            .try_send(TokenRequest { workspace: workspace.to_owned(), demand, reply })
+            .ok()?;
         tokio::time::timeout(TOKEN_TIMEOUT, answer).await.ok()?.ok()
     }
 }
--- a/crates/nickellead_gateway/src/quota/desk.rs
+++ b/crates/nickellead_gateway/src/quota/queue.rs
@@ -1,4 +1,4 @@
-//! Collects the needs for tokens of this VM and of its subscribers.
+//! Collects the token requests of this VM and of its subscribers.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -12,8 +12,8 @@
 /// Demand for tokens by workspace.
 pub(crate) type TokenDemands = BTreeMap<String, TokenDemand>;
 
-/// Tokens that are needed for requests of one workspace.
-pub(crate) struct TokenNeed {
+/// A request for tokens of one workspace.
+pub(crate) struct TokenRequest {
     /// Name of the workspace.
     pub(crate) workspace: String,
     pub(crate) demand: TokenDemand,
@@ -21,27 +21,27 @@
     pub(crate) reply: oneshot::Sender<TokenGrant>,
 }
 
-/// Needs that wait for the next request for tokens.
+/// Token requests that have not been sent to the upstream yet.
 #[derive(Default)]
-pub(crate) struct QuotaDesk {
-    needs: RefCell<Vec<TokenNeed>>,
+pub(crate) struct TokenQueue {
+    requests: RefCell<Vec<TokenRequest>>,
     added: Notify,
 }
 
-impl QuotaDesk {
-    /// Adds a need.
-    pub(crate) fn add(&self, need: TokenNeed) {
-        self.needs.borrow_mut().push(need);
+impl TokenQueue {
+    /// Adds a token request.
+    pub(crate) fn add(&self, request: TokenRequest) {
+        self.requests.borrow_mut().push(request);
         self.added.notify_waiters();
     }
 
-    /// Adds needs of a subscriber and waits for the answers. Workspaces without an answer are
+    /// Adds requests of a subscriber and waits for the answers. Workspaces without an answer are
     /// missing from the result.
     pub(crate) async fn request(&self, demands: TokenDemands) -> BTreeMap<String, TokenGrant> {
         let mut answers = Vec::new();
         for (workspace, demand) in demands {
             let (reply, answer) = oneshot::channel();
-            self.add(TokenNeed { workspace: workspace.clone(), demand, reply });
+            self.add(TokenRequest { workspace: workspace.clone(), demand, reply });
             answers.push((workspace, answer));
         }
         let mut granted = BTreeMap::new();
@@ -53,40 +53,40 @@
         granted
     }
 
-    /// Waits for needs and takes all of them.
-    pub(crate) async fn take(&self) -> TokenNeeds {
+    /// Waits for requests and takes all of them.
+    pub(crate) async fn take(&self) -> TokenRequests {
         let taken = || {
-            let needs = std::mem::take(&mut *self.needs.borrow_mut());
-            (!needs.is_empty()).then_some(TokenNeeds(needs))
+            let requests = std::mem::take(&mut *self.requests.borrow_mut());
+            (!requests.is_empty()).then_some(TokenRequests(requests))
         };
         wait_for(&self.added, taken).await
     }
 }
 
-/// Needs that are requested together.
-pub(crate) struct TokenNeeds(Vec<TokenNeed>);
+/// Token requests that are sent and answered together.
+pub(crate) struct TokenRequests(Vec<TokenRequest>);
 
-impl TokenNeeds {
-    /// Demand of all needs, by workspace.
+impl TokenRequests {
+    /// Demand of all requests, by workspace.
     pub(crate) fn totals(&self) -> TokenDemands {
         let mut totals = TokenDemands::new();
-        for need in &self.0 {
-            totals.entry(need.workspace.clone()).or_default().add(need.demand);
+        for request in &self.0 {
+            totals.entry(request.workspace.clone()).or_default().add(request.demand);
         }
         totals
     }
 
-    /// Divides granted tokens among the needs, in the order in which they were added. Needs of
+    /// Divides granted tokens among the requests, in the order in which they were added. Requests of
     /// workspaces without a grant get no answer.
     pub(crate) fn distribute(self, mut granted: BTreeMap<String, TokenGrant>) {
-        for need in self.0 {
-            let Some(left) = granted.get_mut(&need.workspace) else { continue };
-            let wanted = need.demand.wanted;
+        for request in self.0 {
+            let Some(left) = granted.get_mut(&request.workspace) else { continue };
+            let wanted = request.demand.wanted;
             let count = wanted.min(left.granted);
             left.granted -= count;
             let retry_after = if count == wanted { Duration::ZERO } else { left.retry_after };
             // A requester that is gone leaves its tokens unused.
-            let _ = need.reply.send(TokenGrant { granted: count, retry_after });
+            let _ = request.reply.send(TokenGrant { granted: count, retry_after });
         }
     }
 }
@@ -95,27 +95,27 @@
 mod tests {
     use super::*;
 
-    fn need(workspace: &str, count: u32) -> (TokenNeed, oneshot::Receiver<TokenGrant>) {
+    fn request(workspace: &str, count: u32) -> (TokenRequest, oneshot::Receiver<TokenGrant>) {
         let (reply, answer) = oneshot::channel();
         let demand = TokenDemand { wanted: count, unused: 1 };
-        (TokenNeed { workspace: workspace.to_owned(), demand, reply }, answer)
+        (TokenRequest { workspace: workspace.to_owned(), demand, reply }, answer)
     }
 
     #[test]
     fn grants_are_divided_in_order_and_never_exceeded() {
-        let (needs, answers): (Vec<_>, Vec<_>) =
-            [need("a", 2), need("b", 1), need("a", 3), need("a", 1), need("c", 1)]
+        let (requests, answers): (Vec<_>, Vec<_>) =
+            [request("a", 2), request("b", 1), request("a", 3), request("a", 1), request("c", 1)]
                 .into_iter()
                 .unzip();
-        let needs = TokenNeeds(needs);
-        let totals = needs.totals();
+        let requests = TokenRequests(requests);
+        let totals = requests.totals();
         let total = |(name, wanted, unused): (&str, u32, u32)| {
             (name.to_owned(), TokenDemand { wanted, unused })
         };
         assert_eq!(totals, [("a", 6, 3), ("b", 1, 1), ("c", 1, 1)].map(total).into());
         let later = Duration::from_millis(70);
         let grant = |granted| TokenGrant { granted, retry_after: later };
-        needs.distribute([("a".to_owned(), grant(4)), ("b".to_owned(), grant(1))].into());
+        requests.distribute([("a".to_owned(), grant(4)), ("b".to_owned(), grant(1))].into());
         let received: Vec<Option<(u32, Duration)>> = answers
             .into_iter()
             .map(|mut answer| answer.try_recv().ok().map(|one| (one.granted, one.retry_after)))
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) use self::tokens::TokenClient;
 use crate::cluster_state::ClusterState;
 use crate::load_counter::{LoadCounter, VmId};
-use crate::quota::QuotaDesk;
+use crate::quota::TokenQueue;
 use crate::store_health::StoreHealth;
 use crate::waiting::wait_for;
 
@@ -84,7 +84,7 @@
     /// When another VM last polled this one.
     last_poll: Cell<Option<Instant>>,
     load_counter: LoadCounter,
-    quota_desk: QuotaDesk,
+    token_queue: TokenQueue,
     /// This VM in its load reports.
     vm_id: VmId,
     /// Notified when the upstream or the mandate changes.
@@ -112,7 +112,7 @@
             subscribers: RefCell::default(),
             last_poll: Cell::new(None),
             load_counter,
-            quota_desk: QuotaDesk::default(),
+            token_queue: TokenQueue::default(),
             vm_id,
             changed: Notify::new(),
         })
--- a/crates/nickellead_gateway/src/relay/tokens.rs
+++ b/crates/nickellead_gateway/src/relay/tokens.rs
@@ -9,7 +9,7 @@
 
 use super::messages::{RELAY_PATH, RelayRequest, RelayResponse, WireDemand, WireGrant};
 use super::{UpdateRelay, UpdateUpstream};
-use crate::quota::{QuotaDesk, TokenDemands};
+use crate::quota::{TokenDemands, TokenQueue};
 
 /// How long a response with tokens may take to begin; it passes at most one other VM.
 const TOKENS_TIMEOUT: Duration = Duration::from_millis(400);
@@ -19,9 +19,9 @@
 pub(crate) struct TokenClient(Option<PeerClient<RelayRequest, RelayResponse>>);
 
 impl UpdateRelay {
-    /// Needs for tokens of this VM and its subscribers.
-    pub(crate) fn quota_desk(&self) -> &QuotaDesk {
-        &self.quota_desk
+    /// Token requests of this VM and its subscribers.
+    pub(crate) fn token_queue(&self) -> &TokenQueue {
+        &self.token_queue
     }
 
     /// Requests tokens from the upstream, or from the VM that holds the mandate (leader lease) while
@@ -62,7 +62,7 @@
         demands: BTreeMap<String, WireDemand>,
     ) -> RelayResponse {
         let demands = demands.into_iter().map(|(workspace, demand)| (workspace, demand.into()));
-        let granted = self.quota_desk.request(demands.collect()).await;
+        let granted = self.token_queue.request(demands.collect()).await;
         let answers = granted.into_iter().map(|(workspace, grant)| (workspace, grant.into()));
         RelayResponse::Tokens(answers.collect::<BTreeMap<String, WireGrant>>())
     }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -16,7 +16,7 @@
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
-use crate::quota::{QuotaClient, TokenNeed};
+use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
 use crate::worker::{RequestWorker, WorkerContext};
@@ -49,7 +49,7 @@
     pub(crate) leaving_window: Duration,
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) regions: RegionMap,
-    pub(crate) token_needs: mpsc::Sender<TokenNeed>,
+    pub(crate) token_requests: mpsc::Sender<TokenRequest>,
     pub(crate) quota_tolerance: QuotaTolerance,
 }
 
@@ -83,7 +83,7 @@
         leaving_window: context.leaving_window,
         max_key_age: context.max_key_age,
         regions: context.regions,
-        quotas: QuotaClient::new(context.token_needs, context.quota_tolerance),
+        quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
