--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -4,8 +4,9 @@
 //! This module holds the loop's state, its start and its end. `mandate` acquires, renews and
 //! watches the mandate, and `ranges` is the loop of the mandate holder: `candidates` selects the
 //! targets that may own ranges, `loads` records load and starts moves, `admission` limits the
-//! requests for overloaded owners, `limits` tracks the limits that targets report, `quotas` grants tokens for
-//! requests of limited workspaces, `fleet` announces the VMs that take requests, `map_writes` writes the map, and `orders` sends orders.
+//! requests for overloaded owners, `limits` tracks the limits that targets report, `quotas` grants
+//! tokens for requests of limited workspaces, `fleet` announces the VMs that take requests,
+//! `map_writes` writes the map, and `orders` sends orders.
 
 mod admission;
 mod candidates;
@@ -79,8 +80,6 @@
     pub(crate) evacuations_enabled: bool,
     /// Most age of the declarations with which keys may be checked; `None` for no limit.
     pub(crate) max_key_age: Option<Duration>,
-    /// Token requests of the request thread.
-    pub(crate) token_requests: mpsc::Receiver<TokenRequest>,
 }
 
 /// The control loop of one VM.
@@ -142,11 +141,7 @@
 }
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
-    fn new(
-        context: ControlContext,
-        store: S,
-        orders: O,
-    ) -> (Rc<Self>, mpsc::Receiver<TokenRequest>) {
+    fn new(context: ControlContext, store: S, orders: O) -> Rc<Self> {
         let health = Rc::new(StoreHealth::new(context.metrics.clone()));
         let cluster = Rc::new(ClusterState::new(context.incarnation, context.senders));
         let address = context.announced_address;
@@ -162,7 +157,7 @@
         let takeover_delay = takeover_delay(context.cpu_share, context.link_mbps);
         let mandate =
             MandateState::new(context.vm.clone(), address, context.incarnation, takeover_delay);
-        let control = Rc::new(Self {
+        Rc::new(Self {
             store: Rc::new(store),
             orders: Rc::new(orders),
             health,
@@ -196,8 +191,7 @@
             fleet_announcement: Cell::new(None),
             vm: context.vm,
             takeover_delay,
-        });
-        (control, context.token_requests)
+        })
     }
 
     /// Starts to serve updates to other VMs, and to watch the store when no VM provides updates.
@@ -220,13 +214,15 @@
 
 /// Starts the control thread.
 ///
-/// `peers` accepts other VMs' requests for updates, `stopping` becomes true when the VM stops, and
-/// `ports` creates the store and order ports on the thread itself.
+/// `token_requests` come from the request thread, `peers` accepts other VMs' requests for updates,
+/// `stopping` becomes true when the VM stops, and `ports` creates the store and order ports on the
+/// thread itself.
 ///
 /// # Errors
 /// The error of the operating system if it can't create a thread.
 pub(crate) fn start<S: StorePort, O: OrderPort>(
     context: ControlContext,
+    token_requests: mpsc::Receiver<TokenRequest>,
     peers: TcpListener,
     stopping: watch::Receiver<bool>,
     ports: impl FnOnce() -> (S, O) + Send + 'static,
@@ -235,7 +231,7 @@
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(async move {
                 let (store, orders) = ports();
-                let (control, token_requests) = ControlLoop::new(context, store, orders);
+                let control = ControlLoop::new(context, store, orders);
                 run(control, token_requests, peers, stopping).await;
             });
         }
--- a/crates/nickellead_gateway/src/control/quotas.rs
+++ b/crates/nickellead_gateway/src/control/quotas.rs
@@ -100,10 +100,7 @@
             let Some(rule) = workspaces.get(&workspace) else { continue };
             let grant = match rule.quota {
                 None => TokenGrant { granted: demand.wanted, ..TokenGrant::default() },
-                Some(quota) => {
-                    let limit = QuotaLimit { rate: quota.rate, burst: quota.burst };
-                    buckets.grant(workspace.clone(), limit, demand, now)
-                }
+                Some(quota) => buckets.grant(workspace.clone(), quota.into(), demand, now),
             };
             granted.insert(workspace, grant);
         }
--- a/crates/nickellead_gateway/src/declared/workspace.rs
+++ b/crates/nickellead_gateway/src/declared/workspace.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bincode::{Decode, Encode};
+use nickellead_limit::QuotaLimit;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
@@ -69,6 +70,12 @@
     pub burst: f64,
 }
 
+impl From<WorkspaceQuota> for QuotaLimit {
+    fn from(quota: WorkspaceQuota) -> Self {
+        Self { rate: quota.rate, burst: quota.burst }
+    }
+}
+
 /// The difference between the workspaces of two versions of the declarations.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum WorkspacesChange {
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod worker;
 mod workspace_table;
 
+pub use authentication::{Credential, MAX_KEY_BYTES};
 pub use cluster_state::{RangesHistory, RangesStep, RangesUpdate, StepsError};
 pub use declared::{
     AppliedUpdate, CallerLimits, ChangeError, ColdRule, Declarations, DeclarationsChange,
@@ -57,6 +58,8 @@
 pub use packed::{MAX_UNPACKED_BYTES, Packed, PackedError};
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
+pub use quota::{TokenDemands, TokenQueue, TokenRequest, TokenRequests};
+pub use regions::is_region_allowed;
 pub use response_signals::signals_leaving;
 pub use settings::{
     ColdSettings, GatewaySettings, OwnershipSettings, QuotaSettings, SettingsError,
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -131,9 +131,8 @@
         cold_settings: settings.cold,
         evacuations_enabled: settings.evacuation_s.is_some(),
         max_key_age: settings.max_key_age(),
-        token_requests,
     };
-    let control_thread = control::start(context, listeners.peers, stopped, ports)?;
+    let control_thread = control::start(context, token_requests, listeners.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("vm", &settings.vm), ("zone", &settings.zone), ("incarnation", &incarnation)];
     log_event(EventName::NodeStarted, &pairs);
--- a/crates/nickellead_gateway/src/quota/client.rs
+++ b/crates/nickellead_gateway/src/quota/client.rs
@@ -131,8 +131,9 @@
         account.waiting.borrow_mut().push_back(sender);
         if !account.requesting.replace(true) {
             let (client, name) = (Rc::clone(self), workspace.name.clone());
-            let limit = QuotaLimit { rate: quota.rate, burst: quota.burst };
-            actix_rt::spawn(async move { client.request_tokens(&account, &name, limit).await });
+            actix_rt::spawn(async move {
+                client.request_tokens(&account, &name, quota.into()).await;
+            });
         }
         answer.await.unwrap_or(Err(QuotaRefusal::UNKNOWN))
     }
--- a/crates/nickellead_gateway/src/quota/mod.rs
+++ b/crates/nickellead_gateway/src/quota/mod.rs
@@ -9,7 +9,7 @@
 mod queue;
 
 pub(crate) use self::client::{QuotaClient, QuotaToken};
-pub(crate) use self::queue::{TokenDemands, TokenQueue, TokenRequest};
+pub use self::queue::{TokenDemands, TokenQueue, TokenRequest, TokenRequests};
 
 /// Most token requests of the request thread that wait for the control thread.
 pub(crate) const MAX_QUEUED_REQUESTS: usize = 1_024;
--- a/crates/nickellead_gateway/src/quota/queue.rs
+++ b/crates/nickellead_gateway/src/quota/queue.rs
@@ -10,34 +10,35 @@
 use crate::waiting::wait_for;
 
 /// Demand for tokens by workspace.
-pub(crate) type TokenDemands = BTreeMap<String, TokenDemand>;
+pub type TokenDemands = BTreeMap<String, TokenDemand>;
 
 /// A request for tokens of one workspace.
-pub(crate) struct TokenRequest {
+pub struct TokenRequest {
     /// Name of the workspace.
-    pub(crate) workspace: String,
-    pub(crate) demand: TokenDemand,
+    pub workspace: String,
+    /// Tokens that it needs, and those that it gives back.
+    pub demand: TokenDemand,
     /// Receives the answer; it is dropped if none can be had.
-    pub(crate) reply: oneshot::Sender<TokenGrant>,
+    pub reply: oneshot::Sender<TokenGrant>,
 }
 
 /// Token requests that have not been sent to the upstream yet.
 #[derive(Default)]
-pub(crate) struct TokenQueue {
+pub struct TokenQueue {
     requests: RefCell<Vec<TokenRequest>>,
     added: Notify,
 }
 
 impl TokenQueue {
     /// Adds a token request.
-    pub(crate) fn add(&self, request: TokenRequest) {
+    pub fn add(&self, request: TokenRequest) {
         self.requests.borrow_mut().push(request);
         self.added.notify_waiters();
     }
 
     /// Adds requests of a subscriber and waits for the answers. Workspaces without an answer are
     /// missing from the result.
-    pub(crate) async fn request(&self, demands: TokenDemands) -> BTreeMap<String, TokenGrant> {
+    pub async fn request(&self, demands: TokenDemands) -> BTreeMap<String, TokenGrant> {
         let mut answers = Vec::new();
         for (workspace, demand) in demands {
             let (reply, answer) = oneshot::channel();
@@ -54,7 +55,7 @@
     }
 
     /// Waits for requests and takes all of them.
-    pub(crate) async fn take(&self) -> TokenRequests {
+    pub async fn take(&self) -> TokenRequests {
         let taken = || {
             let requests = std::mem::take(&mut *self.requests.borrow_mut());
             (!requests.is_empty()).then_some(TokenRequests(requests))
@@ -64,11 +65,12 @@
 }
 
 /// Token requests that are sent and answered together.
-pub(crate) struct TokenRequests(Vec<TokenRequest>);
+pub struct TokenRequests(Vec<TokenRequest>);
 
 impl TokenRequests {
     /// Demand of all requests, by workspace.
-    pub(crate) fn totals(&self) -> TokenDemands {
+    #[must_use]
+    pub fn totals(&self) -> TokenDemands {
         let mut totals = TokenDemands::new();
         for request in &self.0 {
             totals.entry(request.workspace.clone()).or_default().add(request.demand);
@@ -78,7 +80,7 @@
 
     /// Divides granted tokens among the requests, in the order in which they were added. Requests of
     /// workspaces without a grant get no answer.
-    pub(crate) fn distribute(self, mut granted: BTreeMap<String, TokenGrant>) {
+    pub fn distribute(self, mut granted: BTreeMap<String, TokenGrant>) {
         for request in self.0 {
             let Some(left) = granted.get_mut(&request.workspace) else { continue };
             let wanted = request.demand.wanted;
@@ -90,38 +92,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn request(workspace: &str, count: u32) -> (TokenRequest, oneshot::Receiver<TokenGrant>) {
-        let (reply, answer) = oneshot::channel();
-        let demand = TokenDemand { wanted: count, unused: 1 };
-        (TokenRequest { workspace: workspace.to_owned(), demand, reply }, answer)
-    }
-
-    #[test]
-    fn grants_are_divided_in_order_and_never_exceeded() {
-        let (requests, answers): (Vec<_>, Vec<_>) =
-            [request("a", 2), request("b", 1), request("a", 3), request("a", 1), request("c", 1)]
-                .into_iter()
-                .unzip();
-        let requests = TokenRequests(requests);
-        let totals = requests.totals();
-        let total = |(name, wanted, unused): (&str, u32, u32)| {
-            (name.to_owned(), TokenDemand { wanted, unused })
-        };
-        assert_eq!(totals, [("a", 6, 3), ("b", 1, 1), ("c", 1, 1)].map(total).into());
-        let later = Duration::from_millis(70);
-        let grant = |granted| TokenGrant { granted, retry_after: later };
-        requests.distribute([("a".to_owned(), grant(4)), ("b".to_owned(), grant(1))].into());
-        let received: Vec<Option<(u32, Duration)>> = answers
-            .into_iter()
-            .map(|mut answer| answer.try_recv().ok().map(|one| (one.granted, one.retry_after)))
-            .collect();
-        let all = Duration::ZERO;
-        let expected = [Some((2, all)), Some((1, all)), Some((2, later)), Some((0, later)), None];
-        assert_eq!(received, expected);
-    }
-}
--- a/crates/nickellead_gateway/src/regions.rs
+++ b/crates/nickellead_gateway/src/regions.rs
@@ -25,22 +25,7 @@
 
 /// Whether a list of allowed regions allows a region; no list allows all, and an unknown region is
 /// only allowed by no list.
-pub(crate) fn is_allowed(allowed: Option<&[String]>, region: Option<&str>) -> bool {
+#[must_use]
+pub fn is_region_allowed(allowed: Option<&[String]>, region: Option<&str>) -> bool {
     allowed.is_none_or(|allowed| allowed.iter().any(|one| Some(one.as_str()) == region))
 }
-
-#[cfg(test)]
-mod tests {
-    use quickcheck::quickcheck;
-
-    use super::*;
-
-    quickcheck! {
-        fn an_allowed_region_is_listed(allowed: Option<Vec<String>>, region: Option<String>) -> bool {
-            let listed = allowed.as_ref().map(|allowed| {
-                region.as_ref().is_some_and(|region| allowed.contains(region))
-            });
-            is_allowed(allowed.as_deref(), region.as_deref()) == listed.unwrap_or(true)
-        }
-    }
-}
--- a/crates/nickellead_gateway/src/worker/access.rs
+++ b/crates/nickellead_gateway/src/worker/access.rs
@@ -11,7 +11,7 @@
 use crate::authentication::Credential;
 use crate::exchange::SendPermission;
 use crate::incoming::IncomingRequest;
-use crate::regions::is_allowed;
+use crate::regions::is_region_allowed;
 use crate::workspace_table::WorkspaceEntry;
 
 impl RequestWorker {
@@ -25,7 +25,7 @@
         credential: Credential,
     ) -> Result<Option<Rc<WorkspaceEntry>>, ErrorKind> {
         let workspace = self.find_workspace(route, credential)?;
-        self.check_region(route, workspace.as_deref(), self.regions.of_vm())?;
+        check_region(route, workspace.as_deref(), self.regions.of_vm())?;
         Ok(workspace)
     }
 
@@ -41,7 +41,7 @@
     ) -> Result<SendPermission, ErrorKind> {
         let route = &incoming.route.rule;
         let workspace = self.identify(route, incoming.credential)?;
-        self.check_region(route, workspace.as_deref(), self.regions.of_zone(zone))?;
+        check_region(route, workspace.as_deref(), self.regions.of_zone(zone))?;
         Ok(SendPermission {
             workspace: workspace.map(|workspace| workspace.header.clone()),
             hides_key: self.state.borrow().workspaces.is_some(),
@@ -83,7 +83,7 @@
         let is_unrestricted = route.regions.is_none()
             && workspace.is_none_or(|workspace| workspace.rule.regions.is_none());
         // This runs for every target, and most requests may be served anywhere.
-        is_unrestricted || self.check_region(route, workspace, self.regions.of_zone(zone)).is_ok()
+        is_unrestricted || check_region(route, workspace, self.regions.of_zone(zone)).is_ok()
     }
 
     fn find_workspace(
@@ -106,18 +106,6 @@
         }
     }
 
-    fn check_region(
-        &self,
-        route: &RouteRule,
-        workspace: Option<&WorkspaceEntry>,
-        region: Option<&str>,
-    ) -> Result<(), ErrorKind> {
-        let by_workspace = workspace.and_then(|workspace| workspace.rule.regions.as_deref());
-        let allowed =
-            is_allowed(route.regions.as_deref(), region) && is_allowed(by_workspace, region);
-        if allowed { Ok(()) } else { Err(ErrorKind::RegionNotAllowed) }
-    }
-
     /// Whether keys may have been taken away that this VM had to refuse by now.
     fn has_outdated_keys(&self, state: &WorkerState) -> bool {
         let now = BootClock.now();
@@ -136,3 +124,15 @@
         confirmation.map(|known| BootClock.now().since(known.at)).unwrap_or_default()
     }
 }
+
+/// Checks that route and workspace allow a region.
+fn check_region(
+    route: &RouteRule,
+    workspace: Option<&WorkspaceEntry>,
+    region: Option<&str>,
+) -> Result<(), ErrorKind> {
+    let by_workspace = workspace.and_then(|workspace| workspace.rule.regions.as_deref());
+    let allowed = is_region_allowed(route.regions.as_deref(), region)
+        && is_region_allowed(by_workspace, region);
+    if allowed { Ok(()) } else { Err(ErrorKind::RegionNotAllowed) }
+}
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -4,8 +4,8 @@
 //! there, until a response is accepted or no further attempt is allowed.
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
-//! is the attempt loop, `selection`
-//! selects targets, `outcome` evaluates attempts, and `responses` builds what the caller receives.
+//! is the attempt loop, `selection` selects targets, `outcome` evaluates attempts, and `responses`
+//! builds what the caller receives.
 
 mod access;
 mod attempts;
--- a/crates/nickellead_gateway/tests/workspaces.rs
+++ b/crates/nickellead_gateway/tests/workspaces.rs
@@ -51,11 +51,20 @@
 
 /// A ready gateway with one target and the declarations of [`protected`].
 fn protected_gateway(name: &str, behavior: Behavior) -> (TestGateway, MemoryStore, TestTarget) {
+    revoking_gateway(name, behavior, None)
+}
+
+/// The same with a time after which revoked keys may not be served.
+fn revoking_gateway(
+    name: &str,
+    behavior: Behavior,
+    revocation_s: Option<f64>,
+) -> (TestGateway, MemoryStore, TestTarget) {
     let store = MemoryStore::default();
     let target = TestTarget::start("t1", behavior);
     store.list(entry(&target.id, "plain", target.address));
     store.declare(protected(1));
-    let gateway = start(name, &store, None);
+    let gateway = start(name, &store, revocation_s);
     (gateway, store, target)
 }
 
@@ -231,11 +240,7 @@
 
 #[test]
 fn a_vm_that_cannot_confirm_its_keys_refuses_them_and_serves_public_routes() {
-    let store = MemoryStore::default();
-    let target = TestTarget::start("t1", Behavior::Serve);
-    store.list(entry(&target.id, "plain", target.address));
-    store.declare(protected(1));
-    let gateway = start("vm-cut", &store, Some(1.0));
+    let (gateway, store, target) = revoking_gateway("vm-cut", Behavior::Serve, Some(1.0));
     let send = |path: &str, key: &str| gateway.send("GET", path, &bearer(key));
     assert_eq!(status(&send("/read/a", KEY)), "200");
     store.set_unavailable(true);
@@ -271,11 +276,7 @@
 /// A watch without events proves nothing while the store drops its history.
 #[test]
 fn a_key_is_refused_in_time_although_the_watch_reports_nothing() {
-    let store = MemoryStore::default();
-    let target = TestTarget::start("t1", Behavior::Serve);
-    store.list(entry(&target.id, "plain", target.address));
-    store.declare(protected(1));
-    let gateway = start("vm-silent", &store, Some(1.0));
+    let (gateway, store, _target) = revoking_gateway("vm-silent", Behavior::Serve, Some(1.0));
     store.set_stalled_watches(true);
     for _ in 0..10 {
         assert_eq!(status(&gateway.send("GET", "/read/a", &bearer(KEY))), "200");
