nickellead_dispatch: DispatchQueue, first working version

Cause: no VM can tell from its own requests whether a target has room. Change: the decision of a dispatcher (queue, targets, expected durations, return times) without sockets and clock. TargetScore tells its failure factor, which its own cost uses as well.

--- a/crates/nickellead_balance/src/score.rs
+++ b/crates/nickellead_balance/src/score.rs
@@ -137,6 +137,12 @@
     #[must_use]
     pub fn cost(&self, slots: u32) -> f64 {
         let queued = f64::from(self.in_flight) / f64::from(slots.max(1));
-        self.latency_ms * (1.0 + queued) * (1.0 + COST_PER_FAILURE_RATE * self.failure_rate)
+        self.latency_ms * (1.0 + queued) * self.failure_factor()
+    }
+
+    /// Factor by which the target's failures increase its cost; 1 without failures.
+    #[must_use]
+    pub fn failure_factor(&self) -> f64 {
+        1.0 + COST_PER_FAILURE_RATE * self.failure_rate
     }
 }
--- a/crates/nickellead_dispatch/src/lib.rs
+++ b/crates/nickellead_dispatch/src/lib.rs
@@ -7,12 +7,19 @@
 //!
 //! This crate holds the decision only. It has no sockets and no clock: times are arguments.
 
+mod choice;
+mod duration_model;
 mod keys;
 mod load;
+mod queue;
 mod request;
+mod return_times;
+mod target_state;
+mod waiting_list;
 
 pub use keys::{PermitId, RouteKey, TargetKey, TicketId};
 pub use load::ReportedLoad;
+pub use queue::DispatchQueue;
 pub use request::{
     DispatchDecision, DispatchEvent, DispatchPermit, DispatchRefusal, DispatchRequest, MAX_AVOIDED,
     PermitOutcome, RefusalReason,
