--- a/crates/nickellead_dispatch/src/choice.rs
+++ b/crates/nickellead_dispatch/src/choice.rs
@@ -1,9 +1,11 @@
 //! Choice of a target for one request.
 
 use crate::PermitId;
-use crate::target_state::{TargetEstimate, TargetRoom};
+use crate::target_outlook::{TargetEstimate, TargetRoom};
 
-/// Multiple of its expected duration within which a request of usual spread ends.
+/// Multiple of its expected duration within which nineteen of twenty requests of usual spread end.
+pub(crate) const WIDE_SPREAD: f64 = 2.0;
+/// Multiple within which most requests of usual spread end.
 pub(crate) const USUAL_SPREAD: f64 = 1.25;
 /// Multiple within which half of the requests end.
 pub(crate) const NO_SPREAD: f64 = 1.0;
@@ -15,6 +17,8 @@
     pub(crate) index: usize,
     /// When it got a request last; of equal targets the least recently used one is chosen.
     pub(crate) last_permit: PermitId,
+    /// Requests that it runs concurrently.
+    pub(crate) slots: u32,
     /// The request's expected times there.
     pub(crate) estimate: TargetEstimate,
 }
@@ -25,6 +29,11 @@
         by_cost.then(self.last_permit.cmp(&other.last_permit)).is_lt()
     }
 
+    fn has_room(&self, room: TargetRoom) -> bool {
+        self.estimate.room == room
+    }
+
+    /// Time until its end if it takes `spread` times as long as expected.
     fn finish_ms(&self, spread: f64) -> f64 {
         self.estimate.wait_ms + self.estimate.duration_ms * spread
     }
@@ -54,65 +63,84 @@
     Hopeless,
 }
 
-/// Chooses among the candidates; `spreads` are the multiples of the expected duration that have to fit
-/// into the request's time, the preferred one first.
-pub(crate) fn choose(
-    candidates: impl Iterator<Item = TargetCandidate> + Clone,
-    limits: TimeLimits,
-    spreads: &[f64],
-) -> TargetChoice {
-    for spread in spreads {
-        let choice = choose_in_time(candidates.clone(), limits, *spread);
-        if choice != TargetChoice::Hopeless {
-            return choice;
-        }
-    }
-    choose_late(candidates, limits)
+/// Targets that may serve one request.
+#[derive(Debug, Default)]
+pub(crate) struct CandidateList {
+    candidates: Vec<TargetCandidate>,
 }
 
-/// Chooses a target at which the request is expected to be in time.
-fn choose_in_time(
-    candidates: impl Iterator<Item = TargetCandidate> + Clone,
-    limits: TimeLimits,
-    spread: f64,
-) -> TargetChoice {
-    let has_free_slot = candidates.clone().any(|one| one.estimate.room == TargetRoom::Free);
-    let may_send = |one: &TargetCandidate| match one.estimate.room {
-        TargetRoom::Free => true,
-        TargetRoom::Extra => !has_free_slot,
-        TargetRoom::Full => false,
-    };
-    let in_time = |one: &TargetCandidate| one.finish_ms(spread) <= limits.due_ms;
-    let sendable = candidates.clone().filter(may_send).filter(in_time);
-    if let Some(target) = best(sendable) {
-        return TargetChoice::Send(target.index);
+impl CandidateList {
+    /// Replaces the candidates.
+    pub(crate) fn refill(&mut self, candidates: impl Iterator<Item = TargetCandidate>) {
+        self.candidates.clear();
+        self.candidates.extend(candidates);
+    }
+
+    /// Whether no target may serve the request.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.candidates.is_empty()
     }
-    let in_time_later = |one: TargetCandidate| {
-        one.estimate.room != TargetRoom::Free
-            && one.finish_ms(spread) + limits.backlog_ms <= limits.due_ms
-    };
-    if candidates.into_iter().any(in_time_later) {
-        TargetChoice::Wait
-    } else {
-        TargetChoice::Hopeless
+
+    /// Requests like this one that the targets serve per millisecond.
+    pub(crate) fn service_rate(&self) -> f64 {
+        let rate = |one: &TargetCandidate| f64::from(one.slots.max(1)) / one.estimate.duration_ms;
+        self.candidates.iter().map(rate).sum()
+    }
+
+    /// Least time until a slot is free.
+    pub(crate) fn least_wait_ms(&self) -> f64 {
+        let waits = self.candidates.iter().map(|one| one.estimate.wait_ms);
+        waits.fold(f64::INFINITY, f64::min)
     }
-}
 
-/// Chooses a free target at which the request is late but ends before its caller leaves, if no other
-/// request waits.
-fn choose_late(
-    candidates: impl Iterator<Item = TargetCandidate>,
-    limits: TimeLimits,
-) -> TargetChoice {
-    if !limits.nobody_waits {
-        return TargetChoice::Hopeless;
+    /// Least duration of the request.
+    pub(crate) fn least_duration_ms(&self) -> f64 {
+        let durations = self.candidates.iter().map(|one| one.estimate.duration_ms);
+        durations.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Chooses a target; `spreads` are the multiples of the expected duration that have to fit into the
+    /// request's time, the preferred one first.
+    pub(crate) fn choose(&self, limits: TimeLimits, spreads: &[f64]) -> TargetChoice {
+        let in_time = spreads.iter().map(|spread| self.choose_in_time(limits, *spread));
+        in_time
+            .into_iter()
+            .find(|choice| *choice != TargetChoice::Hopeless)
+            .unwrap_or_else(|| self.choose_late(limits))
+    }
+
+    /// Chooses a target at which the request is expected to be in time.
+    fn choose_in_time(&self, limits: TimeLimits, spread: f64) -> TargetChoice {
+        let has_free_slot = self.candidates.iter().any(|one| one.has_room(TargetRoom::Free));
+        let room = if has_free_slot { TargetRoom::Free } else { TargetRoom::Extra };
+        let in_time = |one: &&TargetCandidate| one.finish_ms(spread) <= limits.due_ms;
+        if let Some(target) =
+            best(self.candidates.iter().filter(|one| one.has_room(room)).filter(in_time))
+        {
+            return TargetChoice::Send(target.index);
+        }
+        let busy = self.candidates.iter().filter(|one| !one.has_room(TargetRoom::Free));
+        let in_time_later =
+            |one: &TargetCandidate| one.finish_ms(spread) + limits.backlog_ms <= limits.due_ms;
+        if busy.into_iter().any(in_time_later) {
+            TargetChoice::Wait
+        } else {
+            TargetChoice::Hopeless
+        }
+    }
+
+    /// Chooses a free target at which the request is late but ends before its caller leaves, if nobody
+    /// else waits.
+    fn choose_late(&self, limits: TimeLimits) -> TargetChoice {
+        if !limits.nobody_waits {
+            return TargetChoice::Hopeless;
+        }
+        let free = self.candidates.iter().filter(|one| one.has_room(TargetRoom::Free));
+        let useful = free.filter(|one| one.finish_ms(NO_SPREAD) <= limits.deadline_ms);
+        best(useful).map_or(TargetChoice::Hopeless, |target| TargetChoice::Send(target.index))
     }
-    let useful = candidates.filter(|one| {
-        one.estimate.room == TargetRoom::Free && one.finish_ms(NO_SPREAD) <= limits.deadline_ms
-    });
-    best(useful).map_or(TargetChoice::Hopeless, |target| TargetChoice::Send(target.index))
 }
 
-fn best(candidates: impl Iterator<Item = TargetCandidate>) -> Option<TargetCandidate> {
-    candidates.reduce(|best, one| if one.is_better_than(&best) { one } else { best })
+fn best<'a>(candidates: impl Iterator<Item = &'a TargetCandidate>) -> Option<&'a TargetCandidate> {
+    candidates.reduce(|best, one| if one.is_better_than(best) { one } else { best })
 }
--- a/crates/nickellead_dispatch/src/duration_model.rs
+++ b/crates/nickellead_dispatch/src/duration_model.rs
@@ -124,21 +124,25 @@
         is_valid.then_some(Self { slowness, at })
     }
 
-    /// Duration of work that takes `work_ms` at usual speed.
-    ///
-    /// The slowness holds for a while, and the rest of the work proceeds at usual speed.
-    pub(crate) fn stretch(&self, work_ms: f64, now: Timestamp) -> f64 {
+    /// The slowness that is left of it now.
+    pub(crate) fn value(&self, now: Timestamp) -> f64 {
         let age_ms = millis_between(self.at, now);
         if age_ms > MAX_SLOWNESS_AGE_MS {
-            return work_ms;
+            return 1.0;
         }
         let persistence = (-age_ms / SLOWNESS_PERSISTENCE_MS).exp();
-        let slowness = 1.0 + (self.slowness - 1.0) * persistence;
-        let slow_work_ms = SLOWNESS_PERSISTENCE_MS / slowness;
-        if work_ms <= slow_work_ms {
-            work_ms * slowness
-        } else {
-            SLOWNESS_PERSISTENCE_MS + work_ms - slow_work_ms
-        }
+        1.0 + (self.slowness - 1.0) * persistence
+    }
+}
+
+/// Duration of work that takes `work_ms` at usual speed and starts while the target is slow.
+///
+/// The slowness holds for a while, and the rest of the work proceeds at usual speed.
+pub(crate) fn stretched_ms(work_ms: f64, slowness: f64) -> f64 {
+    let slow_work_ms = SLOWNESS_PERSISTENCE_MS / slowness;
+    if work_ms <= slow_work_ms {
+        work_ms * slowness
+    } else {
+        SLOWNESS_PERSISTENCE_MS + work_ms - slow_work_ms
     }
 }
--- a/crates/nickellead_dispatch/src/lib.rs
+++ b/crates/nickellead_dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod request;
 mod return_times;
+mod target_outlook;
 mod target_state;
 mod waiting_list;
 
--- a/crates/nickellead_dispatch/src/queue.rs
+++ b/crates/nickellead_dispatch/src/queue.rs
@@ -4,9 +4,12 @@
 
 use nickellead_core::Timestamp;
 
-use crate::choice::{NO_SPREAD, TargetCandidate, TargetChoice, TimeLimits, USUAL_SPREAD, choose};
-use crate::duration_model::{RouteDurations, millis_between};
+use crate::choice::{
+    CandidateList, NO_SPREAD, TargetCandidate, TargetChoice, TimeLimits, USUAL_SPREAD, WIDE_SPREAD,
+};
+use crate::duration_model::{RouteDurations, millis, millis_between};
 use crate::return_times::ReturnTimes;
+use crate::target_outlook::TargetOutlook;
 use crate::target_state::{TargetState, TargetUse};
 use crate::waiting_list::{OwnedKey, WaitingList, WaitingRequest};
 use crate::{
@@ -21,9 +24,9 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Multiples of the expected duration that must fit for a new request, which may still go elsewhere.
-const NEW_SPREADS: [f64; 1] = [USUAL_SPREAD];
+const NEW_SPREADS: [f64; 2] = [WIDE_SPREAD, USUAL_SPREAD];
 /// Multiples of the expected duration that must fit for a request that has waited.
-const WAITING_SPREADS: [f64; 2] = [USUAL_SPREAD, NO_SPREAD];
+const WAITING_SPREADS: [f64; 3] = [WIDE_SPREAD, USUAL_SPREAD, NO_SPREAD];
 
 /// Decides which request each target of a group runs next.
 ///
@@ -32,6 +35,10 @@
 #[derive(Debug)]
 pub struct DispatchQueue {
     targets: Vec<TargetState>,
+    /// What to expect of each of the targets, in the same order; refreshed before each decision.
+    outlooks: Vec<TargetOutlook>,
+    /// Targets for the request that is being decided on.
+    candidates: CandidateList,
     durations: RouteDurations,
     waiting: WaitingList,
     /// Places promised to callers that any target can serve.
@@ -51,6 +58,8 @@
     pub fn new(first_id: u64) -> Self {
         Self {
             targets: Vec::new(),
+            outlooks: Vec::new(),
+            candidates: CandidateList::default(),
             durations: RouteDurations::default(),
             waiting: WaitingList::default(),
             return_times: ReturnTimes::default(),
@@ -88,28 +97,53 @@
 
     /// Decides on a new request.
     pub fn request(&mut self, request: DispatchRequest, now: Timestamp) -> DispatchDecision {
-        if !self.has_candidate(&request) {
+        self.refresh_outlooks(now);
+        self.refill_candidates(&request, now);
+        if self.candidates.is_empty() {
             return DispatchDecision::Refused(no_target());
         }
-        let entry = WaitingRequest::new(TicketId(self.next_id), request, self.limit(&request, now));
-        let backlog_ms = self.backlog_ms(&entry, now);
-        let limits = time_limits(&entry, backlog_ms, self.waiting.is_empty(), now);
-        let choice = choose(self.candidates(&request, now), limits, &NEW_SPREADS);
+        let mut entry = WaitingRequest::new(TicketId(self.next_id), request, request.due);
+        let backlog_ms = self.backlog_ms(&entry);
+        let mut choice = self.choose_for_new(&entry, backlog_ms, now);
+        if choice == TargetChoice::Hopeless && self.claim_place(&request, now) {
+            entry.limit = request.deadline;
+            choice = self.choose_for_new(&entry, backlog_ms, now);
+        }
         match choice {
-            TargetChoice::Send(_) | TargetChoice::Wait if self.must_queue(choice) => {
-                self.next_id = self.next_id.wrapping_add(1);
-                self.waiting.push(entry);
-                DispatchDecision::Queued(entry.ticket)
-            }
-            TargetChoice::Send(index) => {
+            TargetChoice::Send(index) if !self.must_queue() => {
                 DispatchDecision::Granted(self.grant(index, &request, now))
             }
-            TargetChoice::Wait | TargetChoice::Hopeless => {
+            TargetChoice::Send(_) | TargetChoice::Wait => {
+                DispatchDecision::Queued(self.enqueue(entry))
+            }
+            TargetChoice::Hopeless => {
                 DispatchDecision::Refused(self.refuse(&request, backlog_ms, now))
             }
         }
     }
 
+    fn choose_for_new(
+        &self,
+        entry: &WaitingRequest,
+        backlog_ms: f64,
+        now: Timestamp,
+    ) -> TargetChoice {
+        let limits = time_limits(entry, backlog_ms, self.waiting.is_empty(), now);
+        self.candidates.choose(limits, &NEW_SPREADS)
+    }
+
+    /// Whether a new request has to wait although it may be sent: others may go before it.
+    fn must_queue(&self) -> bool {
+        self.has_changed && !self.waiting.is_empty()
+    }
+
+    fn enqueue(&mut self, entry: WaitingRequest) -> TicketId {
+        self.next_id = self.next_id.wrapping_add(1);
+        self.has_changed = true;
+        self.waiting.push(entry);
+        entry.ticket
+    }
+
     /// Ends the waiting of a request whose caller left.
     pub fn cancel(&mut self, ticket: TicketId) {
         self.has_changed = true;
@@ -137,15 +171,20 @@
 
     /// Decides on the waiting requests, and returns what was decided.
     pub fn poll(&mut self, now: Timestamp) -> Vec<DispatchEvent> {
-        self.has_changed = false;
-        self.polled_at = now;
         for target in &mut self.targets {
-            target.expire_permits(now);
+            self.has_changed |= target.expire_permits(now);
         }
         self.drop_removed_targets();
+        let is_due = self.has_changed || self.next_recheck().is_some_and(|at| at <= now);
+        if !is_due {
+            return Vec::new();
+        }
+        self.has_changed = false;
+        self.polled_at = now;
         if self.waiting.is_empty() {
             return Vec::new();
         }
+        self.refresh_outlooks(now);
         self.poll_waiting(now)
     }
 
@@ -172,14 +211,15 @@
         now: Timestamp,
     ) -> Option<DispatchEvent> {
         let request = &entry.request;
-        if !self.has_candidate(request) {
+        self.refill_candidates(request, now);
+        if self.candidates.is_empty() {
             return Some(DispatchEvent::Refused(entry.ticket, no_target()));
         }
         let competing = ahead.iter().filter(|other| competes(&other.request, request)).count();
-        let backlog_ms = competing as f64 / self.service_rate(request, now);
+        let backlog_ms = competing as f64 / self.candidates.service_rate();
         let choice = if now < request.deadline {
             let limits = time_limits(entry, backlog_ms, ahead.is_empty(), now);
-            choose(self.candidates(request, now), limits, &WAITING_SPREADS)
+            self.candidates.choose(limits, &WAITING_SPREADS)
         } else {
             TargetChoice::Hopeless
         };
@@ -199,9 +239,14 @@
     /// When [`poll`](Self::poll) has to be called next, if nothing changes before.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Timestamp> {
-        let recheck = (!self.waiting.is_empty()).then(|| self.polled_at + RECHECK_INTERVAL);
         let expiries = self.targets.iter().filter_map(TargetState::next_expiry);
-        expiries.chain(recheck).min()
+        expiries.chain(self.next_recheck()).min()
+    }
+
+    /// When the waiting requests have to be decided on again without a change.
+    fn next_recheck(&self) -> Option<Timestamp> {
+        let first_deadline = self.waiting.first_deadline()?;
+        Some(first_deadline.min(self.polled_at + RECHECK_INTERVAL))
     }
 
     /// Number of waiting requests.
@@ -235,73 +280,45 @@
         self.targets.retain(|target| target.usage != TargetUse::Removed || target.permits() > 0);
     }
 
-    /// Whether a new request has to wait although it may be sent: others may go before it.
-    fn must_queue(&self, choice: TargetChoice) -> bool {
-        match choice {
-            TargetChoice::Wait => true,
-            TargetChoice::Send(_) => self.has_changed && !self.waiting.is_empty(),
-            TargetChoice::Hopeless => false,
-        }
-    }
-
-    /// Whether the request may be sent to a target, apart from its load and failures.
-    fn has_candidate(&self, request: &DispatchRequest) -> bool {
-        self.targets.iter().any(|target| may_serve(target, request))
+    fn refresh_outlooks(&mut self, now: Timestamp) {
+        self.outlooks.clear();
+        self.outlooks.extend(self.targets.iter().map(|target| target.outlook(now)));
     }
 
-    /// Targets that may get the request, with its expected times there.
+    /// Finds the targets that may serve the request, and its expected times there.
     ///
     /// Targets that fail are left out unless they are most of the group: the cause is then probably not in
     /// the targets.
-    fn candidates<'a>(
-        &'a self,
-        request: &'a DispatchRequest,
-        now: Timestamp,
-    ) -> impl Iterator<Item = TargetCandidate> + Clone + 'a {
-        let usable = self.targets.iter().filter(|target| may_serve(target, request));
-        let ejected = usable.clone().filter(|target| target.is_ejected(now)).count();
-        let leaves_out = ejected * 2 <= usable.count();
+    fn refill_candidates(&mut self, request: &DispatchRequest, now: Timestamp) {
         let usual_ms = self.durations.expected_ms(request, now);
-        let targets = self.targets.iter().enumerate();
-        targets
-            .filter(move |(_, target)| may_serve(target, request))
-            .filter(move |(_, target)| !(leaves_out && target.is_ejected(now)))
-            .map(move |(index, target)| TargetCandidate {
-                index,
-                last_permit: target.last_permit,
-                estimate: target.estimate(usual_ms, now),
-            })
+        let targets = self.targets.iter().zip(&self.outlooks).enumerate();
+        let usable = targets.filter(|(_, (target, _))| may_serve(target, request));
+        let ejected = usable.clone().filter(|(_, (_, outlook))| outlook.is_ejected).count();
+        let leaves_out = ejected * 2 <= usable.clone().count();
+        let chosen = usable.filter(|(_, (_, outlook))| !(leaves_out && outlook.is_ejected));
+        self.candidates.refill(chosen.map(|(index, (target, outlook))| TargetCandidate {
+            index,
+            last_permit: target.last_permit,
+            slots: outlook.slots,
+            estimate: outlook.estimate(usual_ms),
+        }));
     }
 
-    /// When the response to a new request has to arrive.
-    fn limit(&mut self, request: &DispatchRequest, now: Timestamp) -> Timestamp {
-        let durations = self.candidates(request, now).map(|one| one.estimate.duration_ms);
-        let least_ms = durations.fold(f64::INFINITY, f64::min);
-        let is_late = least_ms > millis_between(now, request.due);
-        if is_late && self.return_times_of(request).is_some_and(|times| times.claim(now)) {
-            request.deadline
-        } else {
-            request.due
-        }
+    /// Whether a place was promised to the caller, who can still use it.
+    fn claim_place(&mut self, request: &DispatchRequest, now: Timestamp) -> bool {
+        let has_time = self.candidates.least_duration_ms() <= millis_between(now, request.deadline);
+        has_time && self.return_times_of(request).is_some_and(|times| times.claim(request, now))
     }
 
     /// Expected time until the targets have started those that go before a new request.
-    fn backlog_ms(&self, entry: &WaitingRequest, now: Timestamp) -> f64 {
+    fn backlog_ms(&self, entry: &WaitingRequest) -> f64 {
         if self.waiting.is_empty() {
             return 0.0;
         }
         let running = |key| permits_of_key(&self.targets, key);
         let is_competing = |other: &DispatchRequest| competes(other, &entry.request);
         let ahead = self.waiting.ahead_of(entry, running, is_competing);
-        f64::from(ahead) / self.service_rate(&entry.request, now)
-    }
-
-    /// Requests like this one that its targets serve per millisecond.
-    fn service_rate(&self, request: &DispatchRequest, now: Timestamp) -> f64 {
-        let rate = |one: TargetCandidate| {
-            f64::from(self.targets[one.index].slots().max(1)) / one.estimate.duration_ms
-        };
-        self.candidates(request, now).map(rate).sum()
+        f64::from(ahead) / self.candidates.service_rate()
     }
 
     fn grant(&mut self, index: usize, request: &DispatchRequest, now: Timestamp) -> DispatchPermit {
@@ -309,7 +326,8 @@
         self.next_id = self.next_id.wrapping_add(1);
         let usual_ms = self.durations.expected_ms(request, now);
         let target = &mut self.targets[index];
-        target.grant(id, request, usual_ms, now);
+        target.grant(id, request, &self.outlooks[index], usual_ms, now);
+        self.outlooks[index] = target.outlook(now);
         DispatchPermit { id, target: target.key }
     }
 
@@ -320,18 +338,16 @@
         backlog_ms: f64,
         now: Timestamp,
     ) -> DispatchRefusal {
-        let rate = self.service_rate(request, now);
-        let waits = self.candidates(request, now).map(|one| one.estimate.wait_ms);
-        let wait_ms = waits.fold(f64::INFINITY, f64::min);
-        let durations = self.candidates(request, now).map(|one| one.estimate.duration_ms);
-        let duration_ms = durations.fold(f64::INFINITY, f64::min);
+        let rate = self.candidates.service_rate();
+        let wait_ms = self.candidates.least_wait_ms();
+        let duration_ms = self.candidates.least_duration_ms();
         let stay_ms = millis_between(now, request.deadline);
         let mut retry_after = RETRY_WITHOUT_TARGET;
         if let Some(times) = self.return_times_of(request) {
             let time = times.next(now, wait_ms + backlog_ms, rate);
             retry_after = time.retry_after;
-            if retry_after.as_secs_f64() * 1_000.0 + duration_ms <= stay_ms {
-                times.book(time, now);
+            if millis(retry_after) + duration_ms <= stay_ms {
+                times.book(request, time, now);
             }
         }
         DispatchRefusal { reason: RefusalReason::NoCapacity, retry_after }
--- a/crates/nickellead_dispatch/src/return_times.rs
+++ b/crates/nickellead_dispatch/src/return_times.rs
@@ -5,6 +5,9 @@
 
 use nickellead_core::Timestamp;
 
+use crate::duration_model::millis_between;
+use crate::{DispatchRequest, RouteKey};
+
 /// Part of the service rate that is booked for returning callers. They may return when a response in
 /// time is no longer possible, so most of the capacity stays with requests that can be in time.
 const BOOKABLE_SHARE: f64 = 0.25;
@@ -15,11 +18,35 @@
 /// How long a booked place is kept for a caller who returns later than told.
 const PLACE_LIFETIME_MS: u64 = 500;
 
+/// By how much the times of a request that returns differ from those that it had: they are relative in
+/// messages, which take different times.
+const DUE_TOLERANCE_MS: f64 = 20.0;
+
+/// A place that was promised to a refused caller.
+#[derive(Clone, Copy, Debug)]
+struct BookedPlace {
+    at: Timestamp,
+    route: RouteKey,
+    rank: u8,
+    /// When the response was due, by which the caller is known again.
+    due: Timestamp,
+}
+
+impl BookedPlace {
+    fn is_for(&self, request: &DispatchRequest) -> bool {
+        let due_difference_ms =
+            millis_between(self.due, request.due).max(millis_between(request.due, self.due));
+        self.route == request.route
+            && self.rank == request.rank
+            && due_difference_ms <= DUE_TOLERANCE_MS
+    }
+}
+
 /// Places that were promised to refused callers, at one target or at all of a group.
 #[derive(Debug, Default)]
 pub(crate) struct ReturnTimes {
-    /// Return times of promised places, in order.
-    places: VecDeque<Timestamp>,
+    /// Promised places by their return times.
+    places: VecDeque<BookedPlace>,
     /// The last promised return time in milliseconds of the clock.
     last_ms: f64,
 }
@@ -36,24 +63,31 @@
         ReturnTime { at_ms, retry_after: wait.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1) }
     }
 
-    /// Promises a place at this time.
-    pub(crate) fn book(&mut self, time: ReturnTime, now: Timestamp) {
+    /// Promises the caller of a request a place at this time.
+    pub(crate) fn book(&mut self, request: &DispatchRequest, time: ReturnTime, now: Timestamp) {
+        self.drop_expired(now);
         self.last_ms = time.at_ms;
-        self.places.push_back(now + time.retry_after);
+        self.places.push_back(BookedPlace {
+            at: now + time.retry_after,
+            route: request.route,
+            rank: request.rank,
+            due: request.due,
+        });
     }
 
-    /// Uses a promised place; false if there is none for a caller who returns now.
-    pub(crate) fn claim(&mut self, now: Timestamp) -> bool {
+    /// Uses the place that was promised to this caller; false if there is none now.
+    pub(crate) fn claim(&mut self, request: &DispatchRequest, now: Timestamp) -> bool {
         self.drop_expired(now);
-        let is_claimable = self.places.front().is_some_and(|at| at.0 <= now.0 + EARLY_RETURN_MS);
-        if is_claimable {
-            self.places.pop_front();
-        }
-        is_claimable
+        let ripe = self.places.iter().take_while(|place| place.at.0 <= now.0 + EARLY_RETURN_MS);
+        let Some(index) = ripe.into_iter().position(|place| place.is_for(request)) else {
+            return false;
+        };
+        self.places.remove(index);
+        true
     }
 
     fn drop_expired(&mut self, now: Timestamp) {
-        while self.places.front().is_some_and(|at| at.0 + PLACE_LIFETIME_MS < now.0) {
+        while self.places.front().is_some_and(|place| place.at.0 + PLACE_LIFETIME_MS < now.0) {
             self.places.pop_front();
         }
     }
--- a/crates/nickellead_dispatch/src/target_state.rs
+++ b/crates/nickellead_dispatch/src/target_state.rs
@@ -6,18 +6,17 @@
 use nickellead_core::Timestamp;
 
 use crate::duration_model::{
-    ReportedSlowness, RouteDurations, TargetFactor, millis, millis_between,
+    ReportedSlowness, RouteDurations, TargetFactor, millis, millis_between, stretched_ms,
 };
 use crate::return_times::ReturnTimes;
+use crate::target_outlook::{TargetOutlook, TargetRoom};
 use crate::{DispatchRequest, PermitId, PermitOutcome, ReportedLoad, RouteKey, TargetKey};
 
 /// Permits above the number of slots: the next permit travels while a response does.
 const EXTRA_PERMITS: u32 = 1;
 /// How long after its deadline a permit is kept for a release that is on its way.
 const PERMIT_GRACE: Duration = Duration::from_millis(200);
-/// Multiple of its expected duration after which a running request shows that its target is slow.
-const OVERDUE_RATIO: f64 = 2.0;
-/// Least expected remaining time of a running request, as a part of the duration of a new one.
+/// Least expected remaining time of a running request, as a part of its expected duration or its age.
 const LEAST_REMAINING_SHARE: f64 = 0.25;
 /// Part of a request's duration for which a target that shed one counts as full.
 const FULL_AFTER_SHED_SHARE: f64 = 0.25;
@@ -35,17 +34,6 @@
     Removed,
 }
 
-/// Room at a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum TargetRoom {
-    /// A slot is free.
-    Free,
-    /// All slots are in use, but one more request may be sent.
-    Extra,
-    /// No request may be sent.
-    Full,
-}
-
 /// A permit in use.
 #[derive(Clone, Copy, Debug)]
 struct HeldPermit {
@@ -64,9 +52,11 @@
 }
 
 impl HeldPermit {
-    /// Expected time until its end; negative if it is overdue.
+    /// Expected time until its end.
     fn remaining_ms(&self, now: Timestamp) -> f64 {
-        self.expected_ms - millis_between(self.granted_at, now)
+        let age_ms = millis_between(self.granted_at, now);
+        let least_ms = self.expected_ms.max(age_ms) * LEAST_REMAINING_SHARE;
+        (self.expected_ms - age_ms).max(least_ms)
     }
 
     /// Ratio between its age and its expected duration.
@@ -90,19 +80,6 @@
     }
 }
 
-/// Expected times of one request at one target, from now.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct TargetEstimate {
-    /// Room at the target.
-    pub(crate) room: TargetRoom,
-    /// Time until a slot is free for it.
-    pub(crate) wait_ms: f64,
-    /// Duration of the request in its slot.
-    pub(crate) duration_ms: f64,
-    /// Time until its end with a penalty for failures, to compare targets.
-    pub(crate) cost: f64,
-}
-
 /// One target.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -154,11 +131,6 @@
         self.usage == TargetUse::Usable
     }
 
-    /// Whether it is left out for its failures.
-    pub(crate) fn is_ejected(&self, now: Timestamp) -> bool {
-        self.score.is_ejected(now)
-    }
-
     /// Number of requests that it runs concurrently.
     pub(crate) fn slots(&self) -> u32 {
         self.reported_slots.map_or(self.declared_slots, |slots| slots.min(self.declared_slots))
@@ -174,20 +146,27 @@
         self.permits.iter().filter(|permit| permit.key == Some(key)).count() as u32
     }
 
-    /// Estimates a request whose usual duration is `usual_ms`.
-    pub(crate) fn estimate(&self, usual_ms: f64, now: Timestamp) -> TargetEstimate {
-        let duration_ms = self.duration_ms(usual_ms, now);
-        let room = self.room(now);
-        let wait_ms = match room {
-            TargetRoom::Free => 0.0,
-            TargetRoom::Extra | TargetRoom::Full => self.wait_ms(duration_ms, now),
-        };
-        let cost = wait_ms + duration_ms * self.score.failure_factor();
-        TargetEstimate { room, wait_ms, duration_ms, cost }
+    /// What to expect of the target now.
+    pub(crate) fn outlook(&self, now: Timestamp) -> TargetOutlook {
+        let running = self.permits.len() as u32 + self.foreign.requests(now);
+        let ends_needed = (running + 1).saturating_sub(self.slots());
+        let known_ends = ends_needed.min(self.permits.len() as u32);
+        let unknown_ends = ends_needed - known_ends;
+        let overdue_ratios = self.permits.iter().map(|permit| permit.overdue_ratio(now));
+        TargetOutlook {
+            room: self.room(running, now),
+            is_ejected: self.score.is_ejected(now),
+            slots: self.slots(),
+            wait_ms: self.nth_end_ms(known_ends, now).max(millis_between(now, self.full_until)),
+            wait_durations: f64::from(unknown_ends) / f64::from(self.slots().max(1)),
+            factor: self.factor.value(now),
+            slowness: self.slowness.map_or(1.0, |slowness| slowness.value(now)),
+            overdue_ratio: overdue_ratios.fold(0.0, f64::max),
+            failure_factor: self.score.failure_factor(),
+        }
     }
 
-    fn room(&self, now: Timestamp) -> TargetRoom {
-        let running = self.running(now);
+    fn room(&self, running: u32, now: Timestamp) -> TargetRoom {
         if now < self.full_until {
             TargetRoom::Full
         } else if running < self.slots() {
@@ -199,63 +178,25 @@
         }
     }
 
-    fn running(&self, now: Timestamp) -> u32 {
-        self.permits.len() as u32 + self.foreign.requests(now)
-    }
-
-    /// Expected duration of a request in a slot.
-    fn duration_ms(&self, usual_ms: f64, now: Timestamp) -> f64 {
-        let work_ms = self.work_ms(usual_ms, now);
-        let overdue_ratio = self.overdue_ratio(now);
-        let overdue_ms = if overdue_ratio > OVERDUE_RATIO { work_ms * overdue_ratio } else { 0.0 };
-        self.stretched_ms(work_ms, now).max(overdue_ms)
-    }
-
-    /// Duration of a request while the target has its own usual speed.
-    fn work_ms(&self, usual_ms: f64, now: Timestamp) -> f64 {
-        usual_ms * self.factor.value(now)
-    }
-
-    /// Duration of work at the reported slowness.
-    fn stretched_ms(&self, work_ms: f64, now: Timestamp) -> f64 {
-        self.slowness.map_or(work_ms, |slowness| slowness.stretch(work_ms, now))
-    }
-
-    /// Highest ratio between the age and the expected duration of a running request.
-    fn overdue_ratio(&self, now: Timestamp) -> f64 {
-        self.permits.iter().map(|permit| permit.overdue_ratio(now)).fold(0.0, f64::max)
-    }
-
-    /// Expected time until a slot is free for one more request.
-    fn wait_ms(&self, duration_ms: f64, now: Timestamp) -> f64 {
-        let ends_needed = (self.running(now) + 1).saturating_sub(self.slots());
-        let slot_ms = self.nth_end_ms(ends_needed, duration_ms, now);
-        slot_ms.max(millis_between(now, self.full_until))
-    }
-
     /// Expected time until `count` running requests have ended.
-    fn nth_end_ms(&self, count: u32, duration_ms: f64, now: Timestamp) -> f64 {
-        if count as usize > self.permits.len() {
-            // Of requests that others sent only their number is known.
-            return duration_ms * f64::from(count) / f64::from(self.slots().max(1));
-        }
-        let least_ms = duration_ms * LEAST_REMAINING_SHARE;
-        let ends = || self.permits.iter().map(|permit| permit.remaining_ms(now).max(least_ms));
+    fn nth_end_ms(&self, count: u32, now: Timestamp) -> f64 {
+        let ends = || self.permits.iter().map(|permit| permit.remaining_ms(now));
         let ended_by = |time: f64| ends().filter(|end| *end <= time).count() as u32;
-        let enough = ends().filter(|end| ended_by(*end) >= count);
+        let enough = ends().filter(|end| count > 0 && ended_by(*end) >= count);
         enough.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// Records a permit.
+    /// Records a permit, given what was expected of the target.
     pub(crate) fn grant(
         &mut self,
         id: PermitId,
         request: &DispatchRequest,
+        outlook: &TargetOutlook,
         usual_ms: f64,
         now: Timestamp,
     ) {
-        let estimate = self.estimate(usual_ms, now);
-        let work_ms = self.work_ms(usual_ms, now);
+        let estimate = outlook.estimate(usual_ms);
+        let work_ms = usual_ms * outlook.factor;
         self.last_permit = id;
         self.permits.push(HeldPermit {
             id,
@@ -264,7 +205,7 @@
             granted_at: now,
             expires_at: request.deadline + PERMIT_GRACE,
             expected_ms: estimate.wait_ms + estimate.duration_ms,
-            slowness: self.stretched_ms(work_ms, now) / work_ms,
+            slowness: stretched_ms(work_ms, outlook.slowness) / work_ms,
             in_slot: estimate.room == TargetRoom::Free,
         });
     }
@@ -344,9 +285,11 @@
         }
     }
 
-    /// Ends the permits whose requests are over for certain.
-    pub(crate) fn expire_permits(&mut self, now: Timestamp) {
+    /// Ends the permits whose requests are over for certain; false if there are none.
+    pub(crate) fn expire_permits(&mut self, now: Timestamp) -> bool {
+        let permits = self.permits.len();
         self.permits.retain(|permit| now < permit.expires_at);
+        self.permits.len() < permits
     }
 
     /// When the next permit expires.
--- a/crates/nickellead_dispatch/src/waiting_list.rs
+++ b/crates/nickellead_dispatch/src/waiting_list.rs
@@ -70,6 +70,11 @@
         self.entries.is_empty()
     }
 
+    /// When the first caller leaves.
+    pub(crate) fn first_deadline(&self) -> Option<Timestamp> {
+        self.entries.iter().map(|entry| entry.request.deadline).min()
+    }
+
     /// Adds a request.
     pub(crate) fn push(&mut self, entry: WaitingRequest) {
         self.entries.push(entry);
