nickellead_dispatch: when each slot of a target is free, and when a request that was sent early starts

Change: SlotStarts holds the next start of each slot; an extra request starts when a slot is seen to end. Its latency without the wait is learned from as well: at full load all requests are extra ones.

--- a/crates/nickellead_dispatch/src/choice.rs
+++ b/crates/nickellead_dispatch/src/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of a target for one request.
 
 use crate::PermitId;
-use crate::target_outlook::{TargetEstimate, TargetRoom};
+use crate::target_outlook::{TargetEstimate, TargetOutlook, TargetRoom};
 
 /// Multiple of its expected duration within which most requests of usual spread end.
 pub(crate) const USUAL_SPREAD: f64 = 1.25;
@@ -35,6 +35,16 @@
     fn finish_ms(&self, spread: f64) -> f64 {
         self.estimate.wait_ms + self.estimate.duration_ms * spread
     }
+
+    /// The same, after those that go before it.
+    fn turn_finish_ms(&self, spread: f64) -> f64 {
+        self.estimate.turn_ms + self.estimate.duration_ms * spread
+    }
+
+    /// Requests like this one that the target serves per millisecond.
+    fn service_rate(&self) -> f64 {
+        f64::from(self.slots.max(1)) / self.estimate.duration_ms
+    }
 }
 
 /// Time that a request has, from now.
@@ -44,8 +54,6 @@
     pub(crate) due_ms: f64,
     /// Until its caller leaves.
     pub(crate) deadline_ms: f64,
-    /// Until the targets have started those that go before it.
-    pub(crate) backlog_ms: f64,
     /// Whether nobody waits whom it would keep from a slot.
     pub(crate) nobody_waits: bool,
 }
@@ -81,14 +89,26 @@
 
     /// Requests like this one that the targets serve per millisecond.
     pub(crate) fn service_rate(&self) -> f64 {
-        let rate = |one: &TargetCandidate| f64::from(one.slots.max(1)) / one.estimate.duration_ms;
-        self.candidates.iter().map(rate).sum()
+        self.candidates.iter().map(TargetCandidate::service_rate).sum()
+    }
+
+    /// Counts in that `ahead` requests go before this one, each target serving its part of them.
+    pub(crate) fn place_behind(&mut self, ahead: usize, outlooks: &[TargetOutlook]) {
+        if ahead == 0 {
+            return;
+        }
+        let ahead_per_rate = ahead as f64 / self.service_rate();
+        for one in &mut self.candidates {
+            let ahead_there = ahead_per_rate * one.service_rate();
+            one.estimate.turn_ms =
+                outlooks[one.index].turn_ms(ahead_there, one.estimate.duration_ms);
+        }
     }
 
-    /// Least time until a slot is free.
-    pub(crate) fn least_wait_ms(&self) -> f64 {
-        let waits = self.candidates.iter().map(|one| one.estimate.wait_ms);
-        waits.fold(f64::INFINITY, f64::min)
+    /// Least time until a slot is free for the request, after those that go before it.
+    pub(crate) fn least_turn_ms(&self) -> f64 {
+        let turns = self.candidates.iter().map(|one| one.estimate.turn_ms);
+        turns.fold(f64::INFINITY, f64::min)
     }
 
     /// Least duration of the request.
@@ -118,8 +138,7 @@
             return TargetChoice::Send(target.index);
         }
         let busy = self.candidates.iter().filter(|one| !one.has_room(TargetRoom::Free));
-        let in_time_later =
-            |one: &TargetCandidate| one.finish_ms(spread) + limits.backlog_ms <= limits.due_ms;
+        let in_time_later = |one: &TargetCandidate| one.turn_finish_ms(spread) <= limits.due_ms;
         if busy.into_iter().any(in_time_later) {
             TargetChoice::Wait
         } else {
--- a/crates/nickellead_dispatch/src/lib.rs
+++ b/crates/nickellead_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod choice;
 mod duration_model;
+mod held_permit;
 mod keys;
 mod load;
 mod queue;
--- a/crates/nickellead_dispatch/src/queue.rs
+++ b/crates/nickellead_dispatch/src/queue.rs
@@ -103,11 +103,12 @@
             return DispatchDecision::Refused(no_target());
         }
         let mut entry = WaitingRequest::new(TicketId(self.next_id), request, request.due);
-        let backlog_ms = self.backlog_ms(&entry);
-        let mut choice = self.choose_for_new(&entry, backlog_ms, now);
+        let ahead = self.ahead_of(&entry);
+        self.candidates.place_behind(ahead, &self.outlooks);
+        let mut choice = self.choose_for_new(&entry, now);
         if choice == TargetChoice::Hopeless && self.claim_place(&request, now) {
             entry.limit = request.deadline;
-            choice = self.choose_for_new(&entry, backlog_ms, now);
+            choice = self.choose_for_new(&entry, now);
         }
         match choice {
             TargetChoice::Send(index) if !self.must_queue() => {
@@ -116,19 +117,12 @@
             TargetChoice::Send(_) | TargetChoice::Wait => {
                 DispatchDecision::Queued(self.enqueue(entry))
             }
-            TargetChoice::Hopeless => {
-                DispatchDecision::Refused(self.refuse(&request, backlog_ms, now))
-            }
+            TargetChoice::Hopeless => DispatchDecision::Refused(self.refuse(&request, now)),
         }
     }
 
-    fn choose_for_new(
-        &self,
-        entry: &WaitingRequest,
-        backlog_ms: f64,
-        now: Timestamp,
-    ) -> TargetChoice {
-        let limits = time_limits(entry, backlog_ms, self.waiting.is_empty(), now);
+    fn choose_for_new(&self, entry: &WaitingRequest, now: Timestamp) -> TargetChoice {
+        let limits = time_limits(entry, self.waiting.is_empty(), now);
         self.candidates.choose(limits, &NEW_SPREADS)
     }
 
@@ -216,9 +210,9 @@
             return Some(DispatchEvent::Refused(entry.ticket, no_target()));
         }
         let competing = ahead.iter().filter(|other| competes(&other.request, request)).count();
-        let backlog_ms = competing as f64 / self.candidates.service_rate();
+        self.candidates.place_behind(competing, &self.outlooks);
         let choice = if now < request.deadline {
-            let limits = time_limits(entry, backlog_ms, ahead.is_empty(), now);
+            let limits = time_limits(entry, ahead.is_empty(), now);
             self.candidates.choose(limits, &WAITING_SPREADS)
         } else {
             TargetChoice::Hopeless
@@ -230,7 +224,7 @@
             }
             TargetChoice::Wait => None,
             TargetChoice::Hopeless => {
-                let refusal = self.refuse(request, backlog_ms, now);
+                let refusal = self.refuse(request, now);
                 Some(DispatchEvent::Refused(entry.ticket, refusal))
             }
         }
@@ -310,15 +304,11 @@
         has_time && self.return_times_of(request).is_some_and(|times| times.claim(request, now))
     }
 
-    /// Expected time until the targets have started those that go before a new request.
-    fn backlog_ms(&self, entry: &WaitingRequest) -> f64 {
-        if self.waiting.is_empty() {
-            return 0.0;
-        }
+    /// Number of waiting requests that go before a new one.
+    fn ahead_of(&self, entry: &WaitingRequest) -> usize {
         let running = |key| permits_of_key(&self.targets, key);
         let is_competing = |other: &DispatchRequest| competes(other, &entry.request);
-        let ahead = self.waiting.ahead_of(entry, running, is_competing);
-        f64::from(ahead) / self.candidates.service_rate()
+        self.waiting.ahead_of(entry, running, is_competing)
     }
 
     fn grant(&mut self, index: usize, request: &DispatchRequest, now: Timestamp) -> DispatchPermit {
@@ -332,19 +322,14 @@
     }
 
     /// Refuses a request, and promises a place to its caller if it can still use one.
-    fn refuse(
-        &mut self,
-        request: &DispatchRequest,
-        backlog_ms: f64,
-        now: Timestamp,
-    ) -> DispatchRefusal {
+    fn refuse(&mut self, request: &DispatchRequest, now: Timestamp) -> DispatchRefusal {
         let rate = self.candidates.service_rate();
-        let wait_ms = self.candidates.least_wait_ms();
+        let turn_ms = self.candidates.least_turn_ms();
         let duration_ms = self.candidates.least_duration_ms();
         let stay_ms = millis_between(now, request.deadline);
         let mut retry_after = RETRY_WITHOUT_TARGET;
         if let Some(times) = self.return_times_of(request) {
-            let time = times.next(now, wait_ms + backlog_ms, rate);
+            let time = times.next(now, turn_ms, rate);
             retry_after = time.retry_after;
             if millis(retry_after) + duration_ms <= stay_ms {
                 times.book(request, time, now);
@@ -371,16 +356,10 @@
     is_listed && target.is_usable()
 }
 
-fn time_limits(
-    entry: &WaitingRequest,
-    backlog_ms: f64,
-    nobody_waits: bool,
-    now: Timestamp,
-) -> TimeLimits {
+fn time_limits(entry: &WaitingRequest, nobody_waits: bool, now: Timestamp) -> TimeLimits {
     TimeLimits {
         due_ms: millis_between(now, entry.limit),
         deadline_ms: millis_between(now, entry.request.deadline),
-        backlog_ms,
         nobody_waits,
     }
 }
--- a/crates/nickellead_dispatch/src/return_times.rs
+++ b/crates/nickellead_dispatch/src/return_times.rs
@@ -54,10 +54,10 @@
 impl ReturnTimes {
     /// The next return time without a booking.
     ///
-    /// `backlog_ms` is the time that the waiting requests take, and `rate` the number of requests per
+    /// `turn_ms` is the time until the targets have started those that wait, and `rate` the number of requests per
     /// millisecond that the targets serve.
-    pub(crate) fn next(&self, now: Timestamp, backlog_ms: f64, rate: f64) -> ReturnTime {
-        let earliest_ms = now.0 as f64 + backlog_ms;
+    pub(crate) fn next(&self, now: Timestamp, turn_ms: f64, rate: f64) -> ReturnTime {
+        let earliest_ms = now.0 as f64 + turn_ms;
         let at_ms = earliest_ms.max(self.last_ms) + 1.0 / (rate * BOOKABLE_SHARE);
         let wait = Duration::from_millis((at_ms - now.0 as f64) as u64);
         ReturnTime { at_ms, retry_after: wait.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1) }
--- a/crates/nickellead_dispatch/src/target_state.rs
+++ b/crates/nickellead_dispatch/src/target_state.rs
@@ -8,16 +8,15 @@
 use crate::duration_model::{
     ReportedSlowness, RouteDurations, SlownessOutlook, TargetFactor, millis, millis_between,
 };
+use crate::held_permit::HeldPermit;
 use crate::return_times::ReturnTimes;
-use crate::target_outlook::{TargetOutlook, TargetRoom};
-use crate::{DispatchRequest, PermitId, PermitOutcome, ReportedLoad, RouteKey, TargetKey};
+use crate::target_outlook::{SlotStarts, TargetOutlook, TargetRoom};
+use crate::{DispatchRequest, PermitId, PermitOutcome, ReportedLoad, TargetKey};
 
 /// Permits above the number of slots: the next permit travels while a response does.
 const EXTRA_PERMITS: u32 = 1;
 /// How long after its deadline a permit is kept for a release that is on its way.
 const PERMIT_GRACE: Duration = Duration::from_millis(200);
-/// Least expected remaining time of a running request, as a part of its expected duration or its age.
-const LEAST_REMAINING_SHARE: f64 = 0.25;
 /// Part of a request's duration for which a target that shed one counts as full.
 const FULL_AFTER_SHED_SHARE: f64 = 0.25;
 /// Age at which requests that others sent are no longer expected to run.
@@ -34,39 +33,6 @@
     Removed,
 }
 
-/// A permit in use.
-#[derive(Clone, Copy, Debug)]
-struct HeldPermit {
-    id: PermitId,
-    route: RouteKey,
-    /// Key of a request to an owner.
-    key: Option<u16>,
-    granted_at: Timestamp,
-    expires_at: Timestamp,
-    /// Expected time until its response.
-    expected_ms: f64,
-    /// Reported slowness, averaged over the expected duration.
-    slowness: f64,
-    /// Whether a slot was free when it was granted, so that its latency contains no waiting.
-    in_slot: bool,
-    /// Whether a later request has been responded to, so that the target is not the reason if it is slow.
-    overtaken: bool,
-}
-
-impl HeldPermit {
-    /// Expected time until its end.
-    fn remaining_ms(&self, now: Timestamp) -> f64 {
-        let age_ms = millis_between(self.granted_at, now);
-        let least_ms = self.expected_ms.max(age_ms) * LEAST_REMAINING_SHARE;
-        (self.expected_ms - age_ms).max(least_ms)
-    }
-
-    /// Ratio between its age and its expected duration.
-    fn overdue_ratio(&self, now: Timestamp) -> f64 {
-        millis_between(self.granted_at, now) / self.expected_ms
-    }
-}
-
 /// Requests that others sent to a target, by its last report.
 #[derive(Clone, Copy, Debug, Default)]
 struct ForeignLoad {
@@ -151,17 +117,15 @@
     /// What to expect of the target now.
     pub(crate) fn outlook(&self, now: Timestamp) -> TargetOutlook {
         let running = self.permits.len() as u32 + self.foreign.requests(now);
-        let ends_needed = (running + 1).saturating_sub(self.slots());
-        let known_ends = ends_needed.min(self.permits.len() as u32);
-        let unknown_ends = ends_needed - known_ends;
-        let decisive = self.permits.iter().filter(|permit| !permit.overtaken);
-        let overdue_ratios = decisive.map(|permit| permit.overdue_ratio(now));
+        let free = self.slots().saturating_sub(running);
+        let taken = running.saturating_sub(self.slots());
+        let starts = SlotStarts::new(self.ends_ms(now), taken, free);
+        let overdue_ratios = self.permits.iter().map(|permit| permit.overdue_ratio(now));
         TargetOutlook {
             room: self.room(running, now),
             is_ejected: self.score.is_ejected(now),
             slots: self.slots(),
-            wait_ms: self.nth_end_ms(known_ends, now).max(millis_between(now, self.full_until)),
-            wait_durations: f64::from(unknown_ends) / f64::from(self.slots().max(1)),
+            starts: starts.not_before(millis_between(now, self.full_until)),
             factor: self.factor.value(now),
             slowness: self.slowness.map_or(SlownessOutlook::NONE, |reported| reported.outlook(now)),
             overdue_ratio: overdue_ratios.fold(0.0, f64::max),
@@ -169,6 +133,16 @@
         }
     }
 
+    /// Expected times until the ends of the requests with a permit.
+    fn ends_ms(&self, now: Timestamp) -> impl Iterator<Item = f64> {
+        let running_ms = self.permits.iter().filter_map(move |permit| permit.remaining_ms(now));
+        let first_end_ms = running_ms.fold(f64::INFINITY, f64::min);
+        let until_start_ms = if first_end_ms.is_finite() { first_end_ms } else { 0.0 };
+        self.permits.iter().map(move |permit| {
+            permit.remaining_ms(now).unwrap_or(until_start_ms + permit.duration_ms)
+        })
+    }
+
     fn room(&self, running: u32, now: Timestamp) -> TargetRoom {
         if now < self.full_until {
             TargetRoom::Full
@@ -181,14 +155,6 @@
         }
     }
 
-    /// Expected time until `count` running requests have ended.
-    fn nth_end_ms(&self, count: u32, now: Timestamp) -> f64 {
-        let ends = || self.permits.iter().map(|permit| permit.remaining_ms(now));
-        let ended_by = |time: f64| ends().filter(|end| *end <= time).count() as u32;
-        let enough = ends().filter(|end| count > 0 && ended_by(*end) >= count);
-        enough.min_by(f64::total_cmp).unwrap_or(0.0)
-    }
-
     /// Records a permit, given what was expected of the target.
     pub(crate) fn grant(
         &mut self,
@@ -206,10 +172,10 @@
             route: request.route,
             key: request.owner.and(request.key),
             granted_at: now,
+            started_at: (estimate.room == TargetRoom::Free).then_some(now),
             expires_at: request.deadline + PERMIT_GRACE,
-            expected_ms: estimate.wait_ms + estimate.duration_ms,
+            duration_ms: estimate.duration_ms,
             slowness: outlook.slowness.expected_ms(work_ms) / work_ms,
-            in_slot: estimate.room == TargetRoom::Free,
             overtaken: false,
         });
     }
@@ -229,7 +195,10 @@
         if let Some(load) = load {
             self.record_load(&load, now);
         }
-        let permit = self.permits.swap_remove(index);
+        let permit = self.permits.remove(index);
+        if permit.started_at.is_some() {
+            self.start_waiting(now);
+        }
         if matches!(outcome, PermitOutcome::Responded(_)) {
             self.mark_overtaken(permit.granted_at);
         }
@@ -246,6 +215,14 @@
         self.slowness = ReportedSlowness::new(load, now);
     }
 
+    /// Gives the slot that became free to the request that waits for one.
+    fn start_waiting(&mut self, now: Timestamp) {
+        let waiting = self.permits.iter_mut().find(|permit| permit.started_at.is_none());
+        if let Some(permit) = waiting {
+            permit.started_at = Some(now);
+        }
+    }
+
     fn mark_overtaken(&mut self, granted_at: Timestamp) {
         for earlier in self.permits.iter_mut().filter(|permit| permit.granted_at < granted_at) {
             earlier.overtaken = true;
@@ -259,11 +236,18 @@
         durations: &mut RouteDurations,
         now: Timestamp,
     ) {
-        let latency_ms = match outcome {
-            PermitOutcome::Responded(latency) => millis(latency),
+        let Some(waited_ms) = permit.waited_ms() else { return };
+        if waited_ms > 0.0 && self.foreign.requests(now) > 0 {
+            // A request of others may have had the slot in between.
+            return;
+        }
+        let duration_ms = match outcome {
+            PermitOutcome::Responded(latency) => millis(latency) - waited_ms,
             // The response would have taken longer than the caller stayed.
-            PermitOutcome::Abandoned(elapsed) if millis(elapsed) > permit.expected_ms => {
-                millis(elapsed)
+            PermitOutcome::Abandoned(elapsed)
+                if millis(elapsed) - waited_ms > permit.duration_ms =>
+            {
+                millis(elapsed) - waited_ms
             }
             PermitOutcome::Abandoned(_)
             | PermitOutcome::Failed
@@ -271,10 +255,7 @@
             | PermitOutcome::NoResponse
             | PermitOutcome::NotSent => return,
         };
-        if !permit.in_slot {
-            return;
-        }
-        let work_ms = latency_ms / permit.slowness;
+        let work_ms = duration_ms.max(0.0) / permit.slowness;
         let factor = self.factor.value(now);
         if let Some(usual_ms) = durations.learned_ms(permit.route) {
             self.factor.record(work_ms / usual_ms, now);
@@ -293,7 +274,7 @@
         };
         self.score.record(outcome, now);
         if outcome == TargetOutcome::Shed {
-            let pause_ms = permit.expected_ms * FULL_AFTER_SHED_SHARE;
+            let pause_ms = permit.duration_ms * FULL_AFTER_SHED_SHARE;
             self.full_until = now + Duration::from_millis(pause_ms as u64);
         }
     }
--- a/crates/nickellead_dispatch/src/waiting_list.rs
+++ b/crates/nickellead_dispatch/src/waiting_list.rs
@@ -110,12 +110,12 @@
         new: &WaitingRequest,
         running: impl Fn(OwnedKey) -> u32,
         competes: impl Fn(&DispatchRequest) -> bool,
-    ) -> u32 {
+    ) -> usize {
         let mut new = *new;
         new.share = share(&new, &self.entries, &running);
         let goes_before = |entry: &&WaitingRequest| entry.order() < new.order();
         let ahead = self.entries.iter().filter(|entry| competes(&entry.request));
-        ahead.filter(goes_before).count() as u32
+        ahead.filter(goes_before).count()
     }
 }
 
