nickellead_dispatch: a new request behind others needs time for more that go before it

Cause: a request that just fits into the queue is pushed out by the next one that goes before it, or by the error of its own estimate: 53 to 74 were refused after a wait where 60 requests went before. A place was promised to callers who could not use it (26 of 120 promises not kept, all with 205 ms left for 190 ms of work). Change: behind others 1.5 times the expected duration must fit, for one that goes first 1.0; a place is promised if 1.5 times the duration fits.

--- a/crates/nickellead_dispatch/src/choice.rs
+++ b/crates/nickellead_dispatch/src/choice.rs
@@ -3,8 +3,8 @@
 use crate::PermitId;
 use crate::target_outlook::{TargetEstimate, TargetOutlook, TargetRoom};
 
-/// Multiple of its expected duration within which most requests of usual spread end.
-pub(crate) const USUAL_SPREAD: f64 = 1.25;
+/// Multiple of its expected duration within which six of seven requests of usual spread end.
+pub(crate) const USUAL_SPREAD: f64 = 1.5;
 /// Multiple within which half of the requests end.
 pub(crate) const NO_SPREAD: f64 = 1.0;
 
--- a/crates/nickellead_dispatch/src/queue.rs
+++ b/crates/nickellead_dispatch/src/queue.rs
@@ -23,10 +23,11 @@
 /// how long requests have been running.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Multiples of the expected duration that must fit for a new request, which may still go elsewhere.
-const NEW_SPREADS: [f64; 1] = [USUAL_SPREAD];
-/// Multiples of the expected duration that must fit for a request that has waited.
-const WAITING_SPREADS: [f64; 2] = [USUAL_SPREAD, NO_SPREAD];
+/// Multiples of the expected duration that must fit for a new request behind others: more that go before it
+/// may follow.
+const LAST_SPREADS: [f64; 1] = [USUAL_SPREAD];
+/// Multiples of the expected duration that must fit for a request that has waited or goes first.
+const FIRST_SPREADS: [f64; 2] = [USUAL_SPREAD, NO_SPREAD];
 
 /// Decides which request each target of a group runs next.
 ///
@@ -105,10 +106,11 @@
         let mut entry = WaitingRequest::new(TicketId(self.next_id), request, request.due);
         let ahead = self.ahead_of(&entry);
         self.candidates.place_behind(ahead, &self.outlooks);
-        let mut choice = self.choose_for_new(&entry, now);
+        let spreads: &[f64] = if ahead == 0 { &FIRST_SPREADS } else { &LAST_SPREADS };
+        let mut choice = self.choose_for_new(&entry, spreads, now);
         if choice == TargetChoice::Hopeless && self.claim_place(&request, now) {
             entry.limit = request.deadline;
-            choice = self.choose_for_new(&entry, now);
+            choice = self.choose_for_new(&entry, spreads, now);
         }
         match choice {
             TargetChoice::Send(index) if !self.must_queue() => {
@@ -121,9 +123,14 @@
         }
     }
 
-    fn choose_for_new(&self, entry: &WaitingRequest, now: Timestamp) -> TargetChoice {
+    fn choose_for_new(
+        &self,
+        entry: &WaitingRequest,
+        spreads: &[f64],
+        now: Timestamp,
+    ) -> TargetChoice {
         let limits = time_limits(entry, self.waiting.is_empty(), now);
-        self.candidates.choose(limits, &NEW_SPREADS)
+        self.candidates.choose(limits, spreads)
     }
 
     /// Whether a new request has to wait although it may be sent: others may go before it.
@@ -213,7 +220,7 @@
         self.candidates.place_behind(competing, &self.outlooks);
         let choice = if now < request.deadline {
             let limits = time_limits(entry, ahead.is_empty(), now);
-            self.candidates.choose(limits, &WAITING_SPREADS)
+            self.candidates.choose(limits, &FIRST_SPREADS)
         } else {
             TargetChoice::Hopeless
         };
@@ -325,13 +332,13 @@
     fn refuse(&mut self, request: &DispatchRequest, now: Timestamp) -> DispatchRefusal {
         let rate = self.candidates.service_rate();
         let turn_ms = self.candidates.least_turn_ms();
-        let duration_ms = self.candidates.least_duration_ms();
+        let needed_ms = self.candidates.least_duration_ms() * USUAL_SPREAD;
         let stay_ms = millis_between(now, request.deadline);
         let mut retry_after = RETRY_WITHOUT_TARGET;
         if let Some(times) = self.return_times_of(request) {
             let time = times.next(now, turn_ms, rate);
             retry_after = time.retry_after;
-            if millis(retry_after) + duration_ms <= stay_ms {
+            if millis(retry_after) + needed_ms <= stay_ms {
                 times.book(request, time, now);
             }
         }
