peer: concurrent calls that are acknowledged before they are handled

Cause: PeerClient makes one call at a time, and serve_peers answers only when the handler is done, so a caller can't tell a busy VM from a lost one.

Change: PeerChannel makes up to 256 calls at once on one h2 connection, opened on demand by one call at a time. The head of the response is the acknowledgement (PeerError::NotAcknowledged without it, also when the connection can't be opened or fails before), the body follows within the call's limit. A late or dropped call resets its own stream only; a missing acknowledgement makes later calls open a new connection. serve_calls sends the head once the message has arrived, lets the connection's task read on before it starts the handler, and drops the handler when the stream is reset. PeerClient and serve_peers behave as before; opening and accepting connections moved to functions that both use.

--- /dev/null
+++ b/crates/nickellead_peer/src/call_server.rs
@@ -0,0 +1,107 @@
+//! Server of concurrent calls that acknowledges each call before it is handled.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::Poll;
+
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+use h2::SendStream;
+use h2::server::{Builder, SendResponse};
+use http::{Request, StatusCode};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::channel::{CONNECTION_WINDOW_BYTES, MAX_CALLS};
+use crate::client::{STALL_TIMEOUT, WINDOW_BYTES, connection_error, read_body};
+use crate::codec::{PeerError, decode, encode};
+use crate::server::{
+    PeerHandler, accept_connections, begin_response, open_accepted, refuse, send_paced,
+};
+
+/// Responds to calls of [`PeerChannel`](crate::PeerChannel)s for as long as the thread's runtime
+/// runs.
+///
+/// The head of a response is sent as soon as the message has arrived, and the body when the handler
+/// is done. The handler's future is dropped if the caller cancels the call or its connection ends.
+/// `path` identifies the protocol and its version; calls to other paths are refused.
+pub async fn serve_calls<Q, R>(
+    listener: TcpListener,
+    path: &'static str,
+    handler: PeerHandler<Q, R>,
+) where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
+    accept_connections(listener, |stream, from| {
+        serve_connection(stream, from, Rc::clone(&handler), path)
+    })
+    .await;
+}
+
+async fn serve_connection<Q, R>(
+    stream: TcpStream,
+    from: SocketAddr,
+    handler: PeerHandler<Q, R>,
+    path: &'static str,
+) -> Result<(), PeerError>
+where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
+    let mut builder = Builder::new();
+    builder
+        .max_concurrent_streams(MAX_CALLS)
+        // Callers may cancel all their calls while this VM stands still.
+        .max_pending_accept_reset_streams(MAX_CALLS as usize)
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+    let mut connection = open_accepted(stream, &builder).await?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, mut respond) = accepted.map_err(connection_error)?;
+        if request.uri().path() != path {
+            refuse(&mut respond, StatusCode::NOT_FOUND)?;
+            continue;
+        }
+        let handler = Rc::clone(&handler);
+        actix_rt::spawn(async move {
+            // The caller observes the end of the stream.
+            let _ = serve_call(request, respond, from, handler).await;
+        });
+    }
+    Ok(())
+}
+
+async fn serve_call<Q, R>(
+    request: Request<h2::RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    from: SocketAddr,
+    handler: PeerHandler<Q, R>,
+) -> Result<(), PeerError>
+where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+{
+    let body = read_body(request.into_body(), STALL_TIMEOUT, |_| {}).await?;
+    let Ok(message) = decode::<Q>(&body) else {
+        return refuse(&mut respond, StatusCode::BAD_REQUEST);
+    };
+    let mut stream = begin_response(&mut respond)?;
+    // The connection's task reads what arrived meanwhile, such as the end of a call whose caller
+    // gave up while this VM stood still.
+    tokio::task::yield_now().await;
+    if is_cancelled(&mut stream).await {
+        return Ok(());
+    }
+    let reply = tokio::select! {
+        biased;
+        _ = poll_fn(|context| stream.poll_reset(context)) => return Ok(()),
+        reply = handler(message, from) => encode(&reply)?,
+    };
+    send_paced(stream, reply.into()).await
+}
+
+/// Whether the caller cancelled the call, as far as this VM has read.
+async fn is_cancelled(stream: &mut SendStream<Bytes>) -> bool {
+    poll_fn(|context| Poll::Ready(stream.poll_reset(context).is_ready())).await
+}
--- /dev/null
+++ b/crates/nickellead_peer/src/channel.rs
@@ -0,0 +1,165 @@
+//! Client that makes many calls to one VM at the same time.
+
+use std::cell::{Cell, RefCell};
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::client::{Builder, SendRequest};
+use tokio::sync::{Mutex, Semaphore};
+use tokio::time::{Instant, timeout_at};
+
+use crate::client::{
+    WINDOW_BYTES, begin_body, connection_error, open_connection, read_body, start_request,
+};
+use crate::codec::{PeerError, decode, encode};
+
+/// Maximum number of concurrent calls on one connection.
+pub(crate) const MAX_CALLS: u32 = 256;
+/// Flow-control window of a connection with many calls.
+///
+/// Several times the window of one call, so that a large body does not hold up small ones.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 4 * WINDOW_BYTES;
+
+/// Client of one VM for concurrent calls, with one connection that is opened on demand and reopened
+/// after a failure.
+///
+/// `Q` is the type of requests and `R` the type of responses. The VM serves them with
+/// [`serve_calls`](crate::serve_calls).
+#[derive(Debug)]
+pub struct PeerChannel<Q, R> {
+    address: SocketAddr,
+    path: &'static str,
+    connection: RefCell<Option<ChannelConnection>>,
+    /// Held while the connection is opened.
+    opening: Mutex<()>,
+    /// Calls that may begin. More would wait inside the connection and count as not acknowledged.
+    free_calls: Semaphore,
+    opened: Cell<u64>,
+    messages: PhantomData<fn(Q) -> R>,
+}
+
+/// An open connection, as far as is known.
+#[derive(Clone, Debug)]
+struct ChannelConnection {
+    /// Number among the connections that the channel opened.
+    number: u64,
+    sender: SendRequest<Bytes>,
+}
+
+impl<Q: Encode, R: Decode<()>> PeerChannel<Q, R> {
+    /// Creates a client of the VM at `address`; `path` identifies the protocol and its version.
+    #[must_use]
+    pub fn new(address: SocketAddr, path: &'static str) -> Self {
+        Self {
+            address,
+            path,
+            connection: RefCell::default(),
+            opening: Mutex::const_new(()),
+            free_calls: Semaphore::const_new(MAX_CALLS as usize),
+            opened: Cell::default(),
+            messages: PhantomData,
+        }
+    }
+
+    /// Address on which the VM listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request, which must be acknowledged within `ack_timeout`, and receives the response,
+    /// which must be complete within `limit`; both count from now.
+    ///
+    /// Dropping the future cancels the call at the other VM.
+    ///
+    /// # Errors
+    /// [`PeerError::NotAcknowledged`] if nothing shows that the VM received the request; later calls
+    /// then open a new connection. Any other [`PeerError`] concerns this call only.
+    pub async fn call(
+        &self,
+        message: &Q,
+        ack_timeout: Duration,
+        limit: Duration,
+    ) -> Result<R, PeerError> {
+        let started = Instant::now();
+        let message = Bytes::from(encode(message)?);
+        let acknowledged_by = started + ack_timeout.min(limit);
+        let free = timeout_at(acknowledged_by, self.free_calls.acquire()).await;
+        let _call = match free {
+            Ok(call) => call.map_err(connection_error)?,
+            Err(_) => return Err(PeerError::NotAcknowledged),
+        };
+        let body = self.send_request(message, acknowledged_by).await?;
+        let response = read_body(body, limit, |_| {});
+        match timeout_at(started + limit, response).await {
+            Ok(response) => decode(&response?),
+            Err(_) => Err(PeerError::Timeout),
+        }
+    }
+
+    /// Sends a request and returns the body of the response once it is acknowledged.
+    async fn send_request(
+        &self,
+        message: Bytes,
+        acknowledged_by: Instant,
+    ) -> Result<RecvStream, PeerError> {
+        let connected = timeout_at(acknowledged_by, self.connect()).await;
+        // The reason of a failure makes no difference to callers: the VM can't be reached.
+        let Ok(Ok(mut connection)) = connected else { return Err(PeerError::NotAcknowledged) };
+        let response = start_request(&mut connection.sender, self.address, self.path, message)
+            .map_err(|_| PeerError::NotAcknowledged)?;
+        match timeout_at(acknowledged_by, begin_body(response)).await {
+            Ok(Err(PeerError::Connection(_))) => Err(PeerError::NotAcknowledged),
+            Ok(body) => body,
+            Err(_) => {
+                // The VM may be gone without a reset of the connection.
+                self.forget(connection.number);
+                Err(PeerError::NotAcknowledged)
+            }
+        }
+    }
+
+    /// Returns the open connection, or opens one unless another call has just done so.
+    async fn connect(&self) -> Result<ChannelConnection, PeerError> {
+        if let Some(connection) = self.usable_connection().await {
+            return Ok(connection);
+        }
+        let _opening = self.opening.lock().await;
+        if let Some(connection) = self.usable_connection().await {
+            return Ok(connection);
+        }
+        let mut builder = Builder::new();
+        builder
+            // Responses to cancelled calls may still arrive.
+            .max_concurrent_reset_streams(MAX_CALLS as usize)
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+        let sender = open_connection(self.address, &builder).await?;
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        let connection = ChannelConnection { number, sender };
+        self.connection.replace(Some(connection.clone()));
+        Ok(connection)
+    }
+
+    /// The open connection; forgets it if it failed.
+    async fn usable_connection(&self) -> Option<ChannelConnection> {
+        let ChannelConnection { number, sender } = self.connection.borrow().clone()?;
+        match sender.ready().await {
+            Ok(sender) => Some(ChannelConnection { number, sender }),
+            Err(_) => {
+                self.forget(number);
+                None
+            }
+        }
+    }
+
+    /// Lets later calls open a new connection; calls in progress keep this one.
+    fn forget(&self, number: u64) {
+        self.connection.borrow_mut().take_if(|connection| connection.number == number);
+    }
+}
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -7,7 +7,7 @@
 use bincode::{Decode, Encode};
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
-use h2::client::SendRequest;
+use h2::client::{Builder, ResponseFuture, SendRequest};
 use http::Request;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -107,23 +107,14 @@
         let body = encode(message)?;
         let sender = self.connect().await?;
         let mut sender = sender.ready().await.map_err(connection_error)?;
-        let request = Request::post(format!("http://{}{}", self.address, self.path))
-            .body(())
-            .map_err(connection_error)?;
-        let (response, mut stream) =
-            sender.send_request(request, false).map_err(connection_error)?;
-        stream.send_data(body.into(), true).map_err(connection_error)?;
-        let response = response.await.map_err(connection_error)?;
-        match response.status().is_success() {
-            true => Ok(response.into_body()),
-            false => Err(PeerError::Malformed(format!("status {}", response.status()))),
-        }
+        let response = start_request(&mut sender, self.address, self.path, body.into())?;
+        begin_body(response).await
     }
 
     async fn receive_response(&mut self, body: RecvStream) -> Result<R, PeerError> {
         let started = Instant::now();
         let progress = &mut self.progress;
-        let body = read_body(body, |bytes| {
+        let body = read_body(body, STALL_TIMEOUT, |bytes| {
             progress.bytes += bytes;
             progress.transfer_time = started.elapsed();
         });
@@ -134,37 +125,68 @@
         if let Some(connection) = &self.connection {
             return Ok(connection.clone());
         }
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
-            Ok(stream) => stream.map_err(connection_error)?,
-            Err(_) => return Err(PeerError::Timeout),
-        };
-        stream.set_nodelay(true).map_err(connection_error)?;
-        let (sender, connection) = h2::client::Builder::new()
-            .initial_window_size(WINDOW_BYTES)
-            .initial_connection_window_size(WINDOW_BYTES)
-            .handshake::<_, Bytes>(stream)
-            .await
-            .map_err(connection_error)?;
-        actix_rt::spawn(async move {
-            // The calls that use the connection report its errors.
-            let _ = connection.await;
-        });
+        let mut builder = Builder::new();
+        builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
+        let sender = open_connection(self.address, &builder).await?;
         self.connection = Some(sender.clone());
         Ok(sender)
     }
 }
 
+/// Opens a connection and serves it in a task of its own.
+pub(crate) async fn open_connection(
+    address: SocketAddr,
+    builder: &Builder,
+) -> Result<SendRequest<Bytes>, PeerError> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(connection_error)?,
+        Err(_) => return Err(PeerError::Timeout),
+    };
+    stream.set_nodelay(true).map_err(connection_error)?;
+    let (sender, connection) =
+        builder.handshake::<_, Bytes>(stream).await.map_err(connection_error)?;
+    actix_rt::spawn(async move {
+        // The calls that use the connection report its errors.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Starts a request whose message is `body`.
+pub(crate) fn start_request(
+    sender: &mut SendRequest<Bytes>,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<ResponseFuture, PeerError> {
+    let request =
+        Request::post(format!("http://{address}{path}")).body(()).map_err(connection_error)?;
+    let (response, mut stream) = sender.send_request(request, false).map_err(connection_error)?;
+    stream.send_data(body, true).map_err(connection_error)?;
+    Ok(response)
+}
+
+/// Waits until a response begins and returns its body.
+pub(crate) async fn begin_body(response: ResponseFuture) -> Result<RecvStream, PeerError> {
+    let response = response.await.map_err(connection_error)?;
+    match response.status().is_success() {
+        true => Ok(response.into_body()),
+        false => Err(PeerError::Malformed(format!("status {}", response.status()))),
+    }
+}
+
 /// Reads a whole body of at most [`MAX_MESSAGE_BYTES`]; fails if a chunk takes longer than
-/// [`STALL_TIMEOUT`].
+/// `chunk_timeout`.
 ///
 /// Calls `on_chunk` with the size of each chunk.
 pub(crate) async fn read_body(
     mut body: RecvStream,
+    chunk_timeout: Duration,
     mut on_chunk: impl FnMut(usize),
 ) -> Result<Bytes, PeerError> {
     let mut message = BytesMut::new();
     while let Some(chunk) =
-        timeout(STALL_TIMEOUT, body.data()).await.map_err(|_| PeerError::Timeout)?
+        timeout(chunk_timeout, body.data()).await.map_err(|_| PeerError::Timeout)?
     {
         let chunk = chunk.map_err(connection_error)?;
         on_chunk(chunk.len());
--- a/crates/nickellead_peer/src/codec.rs
+++ b/crates/nickellead_peer/src/codec.rs
@@ -22,6 +22,10 @@
     /// The other VM did not respond in time.
     #[error("response timed out")]
     Timeout,
+    /// Nothing shows that the other VM received the message: no response began in time, or the
+    /// connection could not be opened or failed before.
+    #[error("message was not acknowledged")]
+    NotAcknowledged,
 }
 
 const fn config() -> Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_BYTES>> {
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! Each exchange is one h2 stream: a POST with a [`PeerRequest`] and a response with a
 //! [`PeerReply`]. Other pairs of messages use paths of their own. The path contains the version of
-//! the protocol.
+//! the protocol. [`PeerClient`] makes one call at a time; [`PeerChannel`] makes many at once on one
+//! connection, and [`serve_calls`] acknowledges each before it is handled.
 
+mod call_server;
+mod channel;
 mod client;
 mod codec;
 mod config_change;
@@ -12,6 +15,8 @@
 mod message;
 mod server;
 
+pub use call_server::serve_calls;
+pub use channel::PeerChannel;
 pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{MAX_MESSAGE_BYTES, PeerError, decode, encode};
 pub use config_change::{ConfigChange, ListChange, config_state};
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -8,7 +8,7 @@
 
 use bincode::{Decode, Encode};
 use bytes::Bytes;
-use h2::server::SendResponse;
+use h2::server::{Builder, Connection, SendResponse};
 use h2::{Reason, SendStream};
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
@@ -50,20 +50,45 @@
     R: Encode + 'static,
 {
     let slots = Rc::new(Semaphore::new(MAX_LARGE_RESPONSES));
+    accept_connections(listener, |stream, from| {
+        serve_connection(stream, from, Rc::clone(&handler), Rc::clone(&slots), path)
+    })
+    .await;
+}
+
+/// Accepts connections and serves each of them in a task of its own.
+pub(crate) async fn accept_connections<F>(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream, SocketAddr) -> F,
+) where
+    F: Future<Output = Result<(), PeerError>> + 'static,
+{
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             // Typically out of file descriptors: wait until other connections close.
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let (handler, slots) = (Rc::clone(&handler), Rc::clone(&slots));
+        let serving = serve(stream, from);
         actix_rt::spawn(async move {
             // The other VM observes a lost connection and reconnects.
-            let _ = serve_connection(stream, from, handler, slots, path).await;
+            let _ = serving.await;
         });
     }
 }
 
+/// Performs the handshake of an accepted connection.
+pub(crate) async fn open_accepted(
+    stream: TcpStream,
+    builder: &Builder,
+) -> Result<Connection<TcpStream, Bytes>, PeerError> {
+    stream.set_nodelay(true).map_err(connection_error)?;
+    match timeout(HANDSHAKE_TIMEOUT, builder.handshake::<_, Bytes>(stream)).await {
+        Ok(connection) => connection.map_err(connection_error),
+        Err(_) => Err(PeerError::Timeout),
+    }
+}
+
 async fn serve_connection<Q, R>(
     stream: TcpStream,
     from: SocketAddr,
@@ -75,17 +100,12 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
-    stream.set_nodelay(true).map_err(connection_error)?;
-    let mut builder = h2::server::Builder::new();
+    let mut builder = Builder::new();
     builder
         .max_concurrent_streams(MAX_STREAMS)
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES);
-    let handshake = timeout(HANDSHAKE_TIMEOUT, builder.handshake::<_, Bytes>(stream)).await;
-    let mut connection = match handshake {
-        Ok(connection) => connection.map_err(connection_error)?,
-        Err(_) => return Err(PeerError::Timeout),
-    };
+    let mut connection = open_accepted(stream, &builder).await?;
     while let Some(accepted) = connection.accept().await {
         let (request, mut respond) = accepted.map_err(connection_error)?;
         if request.uri().path() != path {
@@ -112,7 +132,7 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
 {
-    let body = read_body(request.into_body(), |_| {}).await?;
+    let body = read_body(request.into_body(), STALL_TIMEOUT, |_| {}).await?;
     let Ok(message) = decode::<Q>(&body) else {
         return refuse(&mut respond, StatusCode::BAD_REQUEST);
     };
@@ -132,12 +152,17 @@
     sending.await
 }
 
-fn begin_response(respond: &mut SendResponse<Bytes>) -> Result<SendStream<Bytes>, PeerError> {
+pub(crate) fn begin_response(
+    respond: &mut SendResponse<Bytes>,
+) -> Result<SendStream<Bytes>, PeerError> {
     respond.send_response(Response::new(()), false).map_err(connection_error)
 }
 
 /// Sends a body as the receiver grants capacity; fails if none is granted for [`STALL_TIMEOUT`].
-async fn send_paced(mut stream: SendStream<Bytes>, mut body: Bytes) -> Result<(), PeerError> {
+pub(crate) async fn send_paced(
+    mut stream: SendStream<Bytes>,
+    mut body: Bytes,
+) -> Result<(), PeerError> {
     while !body.is_empty() {
         stream.reserve_capacity(body.len());
         let granted =
@@ -157,7 +182,10 @@
     Ok(())
 }
 
-fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), PeerError> {
+pub(crate) fn refuse(
+    respond: &mut SendResponse<Bytes>,
+    status: StatusCode,
+) -> Result<(), PeerError> {
     let mut response = Response::new(());
     *response.status_mut() = status;
     respond.send_response(response, true).map_err(connection_error)?;
--- /dev/null
+++ b/crates/nickellead_peer/tests/concurrent_calls.rs
@@ -0,0 +1,233 @@
+//! Many calls at once on one connection, some of them slow, large, cancelled or lost.
+#![allow(clippy::unwrap_used)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use bincode::{Decode, Encode};
+use futures_util::FutureExt;
+use nickellead_peer::{PeerChannel, PeerError, PeerHandler, serve_calls};
+use tokio::sync::oneshot;
+
+const PATH: &str = "/job/1";
+const ACK_TIMEOUT: Duration = Duration::from_millis(400);
+const LIMIT: Duration = Duration::from_secs(5);
+/// Size of a response that needs several flow-control windows.
+const LARGE_RESPONSE_BYTES: usize = 90_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+enum Job {
+    /// Respond after this time, in milliseconds.
+    Wait(u64),
+    /// Keep the server's thread busy for this time, in milliseconds.
+    Block(u64),
+    /// Respond with this number of bytes.
+    Bytes(usize),
+}
+
+#[derive(Encode, Decode)]
+struct JobResult {
+    /// The caller's port, which identifies the connection.
+    port: u16,
+    bytes: Vec<u8>,
+}
+
+type JobChannel = PeerChannel<Job, JobResult>;
+type JobLog = Arc<Mutex<Vec<(Job, &'static str)>>>;
+
+/// Logs a job that ends before it is done.
+struct JobGuard(Job, JobLog, bool);
+
+impl Drop for JobGuard {
+    fn drop(&mut self) {
+        if !self.2 {
+            self.1.lock().unwrap().push((self.0, "cancelled"));
+        }
+    }
+}
+
+async fn run(job: Job, from: SocketAddr, log: JobLog) -> JobResult {
+    log.lock().unwrap().push((job, "begun"));
+    let mut guard = JobGuard(job, log, false);
+    let size = match job {
+        Job::Wait(time) => {
+            tokio::time::sleep(Duration::from_millis(time)).await;
+            0
+        }
+        Job::Block(time) => {
+            std::thread::sleep(Duration::from_millis(time));
+            0
+        }
+        Job::Bytes(size) => size,
+    };
+    guard.2 = true;
+    JobResult { port: from.port(), bytes: vec![7; size] }
+}
+
+/// A server on a thread of its own.
+struct TestServer {
+    address: SocketAddr,
+    log: JobLog,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl TestServer {
+    fn start(address: &str) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let log = JobLog::default();
+        let handler_log = Arc::clone(&log);
+        let serve = || async move {
+            let handler: PeerHandler<Job, JobResult> =
+                Rc::new(move |job, from| Box::pin(run(job, from, Arc::clone(&handler_log))));
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            tokio::select! {
+                () = serve_calls(listener, PATH, handler) => {}
+                _ = stopped => {}
+            }
+        };
+        let thread = std::thread::spawn(|| actix_rt::Runtime::new().unwrap().block_on(serve()));
+        Self { address, log, stop, thread }
+    }
+
+    fn stop(self) {
+        self.stop.send(()).unwrap();
+        self.thread.join().unwrap();
+    }
+
+    fn has_logged(&self, entry: (Job, &'static str)) -> bool {
+        self.log.lock().unwrap().contains(&entry)
+    }
+}
+
+async fn call(channel: &JobChannel, job: Job) -> Result<JobResult, PeerError> {
+    channel.call(&job, ACK_TIMEOUT, LIMIT).await
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < LIMIT);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Begins a call and drops it once `is_due` holds.
+async fn call_until(channel: &JobChannel, job: Job, is_due: impl Fn() -> bool) {
+    tokio::select! {
+        _ = call(channel, job) => unreachable!("the call ended"),
+        () = wait_until(is_due) => {}
+    }
+}
+
+#[actix_rt::test]
+async fn calls_share_a_connection_and_end_in_any_order() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    // Longer than the acknowledgement may take.
+    let slow = call(&channel, Job::Wait(600));
+    let quick = async {
+        let small = call(&channel, Job::Wait(0)).await.unwrap();
+        let large = call(&channel, Job::Bytes(LARGE_RESPONSE_BYTES));
+        let beside = call(&channel, Job::Wait(1));
+        let (large, beside) = tokio::join!(large, beside);
+        let (large, beside) = (large.unwrap(), beside.unwrap());
+        assert_eq!(large.bytes.len(), LARGE_RESPONSE_BYTES);
+        assert_eq!((large.port, beside.port), (small.port, small.port));
+        (Instant::now(), small.port)
+    };
+    let slow = async { (slow.await, Instant::now()) };
+    let ((slow, slow_at), (quick_at, port)) = tokio::join!(slow, quick);
+    assert!(quick_at < slow_at, "the quick calls waited for the slow one");
+    assert_eq!(slow.unwrap().port, port);
+    server.stop();
+}
+
+#[actix_rt::test]
+async fn an_unread_large_response_does_not_hold_up_small_ones() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    call(&channel, Job::Wait(0)).await.unwrap();
+    let mut unread = Box::pin(call(&channel, Job::Bytes(LARGE_RESPONSE_BYTES)));
+    // Sends the request on the open connection.
+    assert!((&mut unread).now_or_never().is_none());
+    wait_until(|| server.has_logged((Job::Bytes(LARGE_RESPONSE_BYTES), "begun"))).await;
+    for _ in 0..20 {
+        call(&channel, Job::Bytes(1_000)).await.unwrap();
+    }
+    assert_eq!(unread.await.unwrap().bytes.len(), LARGE_RESPONSE_BYTES);
+    server.stop();
+}
+
+#[actix_rt::test]
+async fn a_dropped_or_late_call_cancels_its_handler_only() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    let dropped = Job::Wait(60_000);
+    call_until(&channel, dropped, || server.has_logged((dropped, "begun"))).await;
+    wait_until(|| server.has_logged((dropped, "cancelled"))).await;
+    let late = Job::Wait(60_001);
+    let other = call(&channel, Job::Wait(100));
+    let late_call = channel.call(&late, ACK_TIMEOUT, Duration::from_millis(50));
+    let (late_end, other) = tokio::join!(late_call, other);
+    assert!(matches!(late_end, Err(PeerError::Timeout)));
+    wait_until(|| server.has_logged((late, "cancelled"))).await;
+    let port = other.unwrap().port;
+    assert_eq!(call(&channel, Job::Wait(0)).await.unwrap().port, port);
+    server.stop();
+}
+
+/// A call that was cancelled while the server stood still is not handled.
+#[actix_rt::test]
+async fn a_call_that_was_cancelled_before_it_was_read_is_not_handled() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    call(&channel, Job::Wait(0)).await.unwrap();
+    let blocking = call(&channel, Job::Block(300));
+    let cancelled = async {
+        wait_until(|| server.has_logged((Job::Block(300), "begun"))).await;
+        let started = Instant::now();
+        call_until(&channel, Job::Bytes(1), || started.elapsed() > Duration::from_millis(50)).await;
+    };
+    let (blocking, ()) = tokio::join!(blocking, cancelled);
+    blocking.unwrap();
+    call(&channel, Job::Bytes(2)).await.unwrap();
+    assert!(!server.has_logged((Job::Bytes(1), "begun")));
+    server.stop();
+}
+
+#[actix_rt::test]
+async fn a_silent_server_is_noticed_and_later_calls_open_a_new_connection() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let channel = JobChannel::new(listener.local_addr().unwrap(), PATH);
+    for _ in 0..2 {
+        let started = Instant::now();
+        let (result, accepted) = tokio::join!(call(&channel, Job::Wait(0)), listener.accept());
+        assert!(matches!(result, Err(PeerError::NotAcknowledged)));
+        assert!(started.elapsed() < 2 * ACK_TIMEOUT, "{:?}", started.elapsed());
+        drop(accepted);
+    }
+}
+
+#[actix_rt::test]
+async fn a_channel_reconnects_after_the_end_of_its_server() {
+    let server = TestServer::start("127.0.0.1:0");
+    let address = server.address;
+    let channel = JobChannel::new(address, PATH);
+    call(&channel, Job::Wait(0)).await.unwrap();
+    server.stop();
+    let refused = call(&channel, Job::Wait(0)).await;
+    assert!(matches!(refused, Err(PeerError::NotAcknowledged)));
+    let server = TestServer::start(&address.to_string());
+    let calls = (0..3).map(|_| call(&channel, Job::Wait(20)));
+    let results = futures_util::future::join_all(calls).await;
+    let ports: Vec<u16> = results.into_iter().map(|result| result.unwrap().port).collect();
+    assert!(ports.iter().all(|port| *port == ports[0]), "opened several connections: {ports:?}");
+    server.stop();
+}
