gateway: the fleet announcement carries where VMs take dispatch messages

Cause: VMs must agree on the dispatcher of a group of targets without messages, and know its address.

FleetTable::dispatchers selects the two VMs of a zone with the highest rendezvous rank for a number, among those with an address. No VM reports an address yet.

--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -1,6 +1,7 @@
 //! Statistics that all VMs report about targets, and the limits of overloaded owners.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use nickellead_balance::BaselineLatency;
@@ -11,6 +12,7 @@
 use nickellead_time::BootClock;
 
 use super::ControlLoop;
+use super::fleet::FleetReporter;
 use super::loads::RECENT_LOAD_WINDOW_S;
 use super::ranges::BALANCE_INTERVAL;
 use crate::admission::{AdmissionRange, AdmissionTable};
@@ -127,11 +129,14 @@
     }
 
     /// Records which VMs reported load.
-    pub(super) fn record_reporters(&self, vms: BTreeSet<VmId>) {
+    pub(super) fn record_reporters(&self, vms: BTreeMap<VmId, Option<SocketAddr>>) {
         let now = BootClock.now();
         let mut reporters = self.reporters.borrow_mut();
-        reporters.extend(vms.into_iter().map(|vm| (vm, now)));
-        reporters.retain(|_, seen| now.since(*seen) < REPORTER_TTL);
+        let reported = vms
+            .into_iter()
+            .map(|(vm, dispatch_address)| (vm, FleetReporter { seen: now, dispatch_address }));
+        reporters.extend(reported);
+        reporters.retain(|_, reporter| now.since(reporter.seen) < REPORTER_TTL);
     }
 
     /// Number of VMs that take requests. This one does not report to itself.
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -31,14 +31,14 @@
 use tokio::sync::{mpsc, watch};
 
 use self::admission::TargetStats;
-use self::fleet::FleetAnnouncement;
+use self::fleet::{FleetAnnouncement, FleetReporter};
 use self::limits::ReportedTargetLimit;
 use self::mandate::run_mandate_loop;
 use self::quotas::{TokenBuckets, receive_requests, run_quota_loop};
 use self::ranges::run_ranges_loop;
 use crate::cluster_state::ClusterState;
 use crate::evacuation::ZoneStates;
-use crate::load_counter::{LoadCounter, VmId};
+use crate::load_counter::{LoadCounter, VmId, VmReport};
 use crate::metrics::ControlMetrics;
 use crate::quota::TokenRequest;
 use crate::relay::{UpdateRelay, serve_updates};
@@ -66,6 +66,8 @@
     pub(crate) zone: String,
     /// Address at which other VMs reach this one.
     pub(crate) announced_address: SocketAddr,
+    /// Address at which other VMs reach it with dispatch messages; `None` if it takes none.
+    pub(crate) dispatch_address: Option<SocketAddr>,
     pub(crate) cpu_share: f64,
     pub(crate) link_mbps: Option<f64>,
     pub(crate) incarnation: u64,
@@ -104,8 +106,8 @@
     recent_loads: RefCell<HashMap<String, KeyLoad>>,
     /// Statistics of targets from all VMs, by target.
     target_stats: RefCell<HashMap<String, TargetStats>>,
-    /// VMs that reported load, with the time of their last report.
-    reporters: RefCell<HashMap<VmId, Timestamp>>,
+    /// VMs that reported load.
+    reporters: RefCell<HashMap<VmId, FleetReporter>>,
     /// Sequence number of the last admission table.
     admission_sequence: Cell<u64>,
     /// Limits that listed targets report.
@@ -132,7 +134,7 @@
     /// Evacuated availability zones, and when others returned.
     zones: RefCell<ZoneStates>,
     /// This VM in the announcements of VMs that take requests.
-    vm_id: VmId,
+    own_report: VmReport,
     /// The last announcement of the VMs that take requests.
     fleet_announcement: Cell<Option<FleetAnnouncement>>,
     vm: String,
@@ -145,14 +147,17 @@
         let health = Rc::new(StoreHealth::new(context.metrics.clone()));
         let cluster = Rc::new(ClusterState::new(context.incarnation, context.senders));
         let address = context.announced_address;
-        let vm_id = VmId::new(&context.vm, &context.zone);
+        let own_report = VmReport {
+            vm: VmId::new(&context.vm, &context.zone),
+            dispatch_address: context.dispatch_address,
+        };
         let relay = UpdateRelay::new(
             context.zone,
             address,
             Rc::clone(&cluster),
             Rc::clone(&health),
             context.load_counter.clone(),
-            vm_id,
+            own_report,
         );
         let takeover_delay = takeover_delay(context.cpu_share, context.link_mbps);
         let mandate =
@@ -187,7 +192,7 @@
             max_key_age: context.max_key_age,
             token_buckets: RefCell::default(),
             zones: RefCell::default(),
-            vm_id,
+            own_report,
             fleet_announcement: Cell::new(None),
             vm: context.vm,
             takeover_delay,
--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The VMs that take requests, as announced to all VMs by the holder of the mandate (leader lease).
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
 use nickellead_limit::is_cold_sender;
@@ -36,7 +37,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub(crate) struct FleetTable {
     pub(crate) stamp: AnnouncementStamp,
-    pub(crate) vms: BTreeSet<VmId>,
+    /// The VMs, with the address where each takes dispatch messages; `None` for VMs without one.
+    pub(crate) vms: BTreeMap<VmId, Option<SocketAddr>>,
 }
 
 impl FleetTable {
@@ -44,20 +46,20 @@
     pub(crate) fn count_including(&self, vm: VmId) -> usize {
         match self.vms.len() {
             0 => 0,
-            known => known + usize::from(!self.vms.contains(&vm)),
+            known => known + usize::from(!self.vms.contains_key(&vm)),
         }
     }
 
     /// Index of a VM within its availability zone and the number of VMs there; `None` if the fleet
     /// does not contain the VM.
     pub(crate) fn index_in_zone(&self, vm: VmId) -> Option<(usize, usize)> {
-        let vms_in_zone = self.vms.iter().filter(|one| one.shares_zone_with(vm));
+        let vms_in_zone = self.vms.keys().filter(|one| one.shares_zone_with(vm));
         index_among(vm, vms_in_zone)
     }
 
     /// Index of a VM among all VMs and their number; `None` if the fleet does not contain the VM.
     pub(crate) fn index(&self, vm: VmId) -> Option<(usize, usize)> {
-        index_among(vm, self.vms.iter())
+        index_among(vm, self.vms.keys())
     }
 
     /// Whether a VM may send requests to a target of this availability zone while the target is
@@ -67,16 +69,37 @@
     /// has none. VMs with the same view of the fleet agree without communication, and a VM that
     /// joins or leaves changes few senders.
     pub(crate) fn sends_to_cold(&self, vm: VmId, target: &str, zone: &str) -> bool {
-        if !self.vms.contains(&vm) {
+        if !self.vms.contains_key(&vm) {
             return false;
         }
-        let has_vms_in_zone = self.vms.iter().any(|one| one.is_in_zone(zone));
+        let has_vms_in_zone = self.vms.keys().any(|one| one.is_in_zone(zone));
         if has_vms_in_zone && !vm.is_in_zone(zone) {
             return false;
         }
-        let candidates = self.vms.iter().filter(|one| !has_vms_in_zone || one.is_in_zone(zone));
+        let candidates = self.vms.keys().filter(|one| !has_vms_in_zone || one.is_in_zone(zone));
         is_cold_sender(vm.rank(target), candidates.map(|one| one.rank(target)))
     }
+
+    /// Where the two VMs of an availability zone that rendezvous hashing selects for `seed` take
+    /// dispatch messages, best first.
+    ///
+    /// VMs without an address are passed over. VMs with the same view of the fleet agree without
+    /// communication, and a VM that joins or leaves changes few selections.
+    #[allow(dead_code, reason = "the client of dispatchers follows")]
+    pub(crate) fn dispatchers(&self, zone: &str, seed: u64) -> [Option<SocketAddr>; 2] {
+        let in_zone = self.vms.iter().filter(|(vm, _)| vm.is_in_zone(zone));
+        let ranked =
+            in_zone.filter_map(|(vm, address)| Some((vm.rank_seed(seed), *vm, (*address)?)));
+        let mut best = [None; 2];
+        for candidate in ranked.map(Some) {
+            if candidate > best[0] {
+                best = [candidate, best[0]];
+            } else if candidate > best[1] {
+                best[1] = candidate;
+            }
+        }
+        best.map(|selected| selected.map(|(_, _, address)| address))
+    }
 }
 
 fn index_among<'a>(
@@ -86,3 +109,6 @@
     let index = all.clone().position(|one| *one == vm)?;
     Some((index, all.count()))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickellead_gateway/src/load_counter.rs
+++ b/crates/nickellead_gateway/src/load_counter.rs
@@ -1,6 +1,7 @@
 //! Load statistics that the request thread collects for the control loop.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,8 +25,9 @@
     pub(crate) leaving: BTreeSet<TargetInstance>,
     /// Limits that targets reported.
     pub(crate) limits: BTreeMap<TargetInstance, LimitCounts>,
-    /// The VMs that contributed to these counts.
-    pub(crate) vms: BTreeSet<VmId>,
+    /// The VMs that contributed to these counts, with the address where each takes dispatch messages;
+    /// `None` for VMs without one.
+    pub(crate) vms: BTreeMap<VmId, Option<SocketAddr>>,
 }
 
 /// Hashes of a VM's name and of its availability zone.
@@ -51,8 +53,25 @@
 
     /// The VM's rank for a target, for rendezvous hashing.
     pub(crate) fn rank(self, target: &str) -> u64 {
-        xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), u64::from(self.vm))
+        self.rank_bytes(target.as_bytes())
     }
+
+    /// The VM's rank for a number that stands for what is assigned, for rendezvous hashing.
+    pub(crate) fn rank_seed(self, seed: u64) -> u64 {
+        self.rank_bytes(&seed.to_le_bytes())
+    }
+
+    fn rank_bytes(self, name: &[u8]) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(name, u64::from(self.vm))
+    }
+}
+
+/// What a VM reports about itself with its load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VmReport {
+    pub(crate) vm: VmId,
+    /// Where it takes dispatch messages of other VMs.
+    pub(crate) dispatch_address: Option<SocketAddr>,
 }
 
 fn short_hash(name: &str) -> u32 {
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -120,6 +120,7 @@
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         announced_address: settings.announced_address(),
+        dispatch_address: None,
         cpu_share: settings.cpu_share,
         link_mbps: settings.link_mbps,
         incarnation,
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -26,7 +26,7 @@
 pub(crate) use self::publishing::serve_updates;
 pub(crate) use self::tokens::TokenClient;
 use crate::cluster_state::ClusterState;
-use crate::load_counter::{LoadCounter, VmId};
+use crate::load_counter::{LoadCounter, VmReport};
 use crate::quota::TokenQueue;
 use crate::store_health::StoreHealth;
 use crate::waiting::wait_for;
@@ -86,7 +86,7 @@
     load_counter: LoadCounter,
     token_queue: TokenQueue,
     /// This VM in its load reports.
-    vm_id: VmId,
+    own_report: VmReport,
     /// Notified when the upstream or the mandate changes.
     changed: Notify,
 }
@@ -98,7 +98,7 @@
         cluster: Rc<ClusterState>,
         health: Rc<StoreHealth>,
         load_counter: LoadCounter,
-        vm_id: VmId,
+        own_report: VmReport,
     ) -> Rc<Self> {
         Rc::new(Self {
             zone,
@@ -113,7 +113,7 @@
             last_poll: Cell::new(None),
             load_counter,
             token_queue: TokenQueue::default(),
-            vm_id,
+            own_report,
             changed: Notify::new(),
         })
     }
--- a/crates/nickellead_gateway/src/relay/subscribing.rs
+++ b/crates/nickellead_gateway/src/relay/subscribing.rs
@@ -134,7 +134,7 @@
         let mut cursor = self.cluster.cursor();
         while !self.holds_mandate.get() {
             let mut load = self.load_counter.take();
-            load.vms.insert(self.vm_id);
+            load.vms.insert(self.own_report.vm, self.own_report.dispatch_address);
             let request = UpdateRequest {
                 zone: self.zone.clone(),
                 address: self.address,
