settings: address and scope of dispatch; routes with large responses

Cause: dispatch takes effect only where a deployment calls for it: with an address for it, and where a route has large responses or the platform's terms bound what targets hold.

Change: settings dispatch_address, dispatch_announced, dispatch_scope and policy.dispatch; a VM announces its address unless the policy is off.

Nothing listens on the address yet.

--- a/crates/nickellead_gateway/src/declared/route.rs
+++ b/crates/nickellead_gateway/src/declared/route.rs
@@ -45,6 +45,8 @@
     pub public: bool,
     /// Regions in which its requests may be served; `None` for all regions.
     pub regions: Option<Vec<String>>,
+    /// Whether its responses are large: a few of them at a time fill a link.
+    pub large_responses: bool,
 }
 
 /// A service in the traffic split of a route.
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -63,7 +63,7 @@
 pub use regions::is_region_allowed;
 pub use response_signals::signals_leaving;
 pub use settings::{
-    ColdSettings, GatewaySettings, OwnershipSettings, QuotaSettings, SettingsError,
+    ColdSettings, DispatchScope, GatewaySettings, OwnershipSettings, QuotaSettings, SettingsError,
 };
 pub use store_era::EraMonitor;
 pub use targets::{
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -120,7 +120,7 @@
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         announced_address: settings.announced_address(),
-        dispatch_address: None,
+        dispatch_address: settings.announced_dispatch_address(),
         cpu_share: settings.cpu_share,
         link_mbps: settings.link_mbps,
         incarnation,
@@ -176,6 +176,8 @@
             || self.settings.readiness_address != settings.readiness_address
             || self.settings.peers_address != settings.peers_address
             || self.settings.peers_announced != settings.peers_announced
+            || self.settings.dispatch_address != settings.dispatch_address
+            || self.settings.dispatch_announced != settings.dispatch_announced
             || self.settings.metrics_address != settings.metrics_address
             || self.settings.store_address != settings.store_address
             || self.settings.vm != settings.vm
--- a/crates/nickellead_gateway/src/policy.rs
+++ b/crates/nickellead_gateway/src/policy.rs
@@ -60,4 +60,6 @@
     pub shared_admission: PolicySwitch,
     /// Owners are weighted by their measured latency.
     pub measured_speeds: PolicySwitch,
+    /// One VM decides for the targets of a group, where settings and declarations call for it.
+    pub dispatch: PolicySwitch,
 }
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -55,6 +55,16 @@
     /// mapping.
     #[serde(default)]
     pub peers_announced: Option<SocketAddr>,
+    /// Listen address for dispatch messages of other VMs; `None` if this VM dispatches nothing.
+    #[serde(default)]
+    pub dispatch_address: Option<SocketAddr>,
+    /// Address at which other VMs reach it with dispatch messages, if it differs from
+    /// `dispatch_address`, as with a port mapping.
+    #[serde(default)]
+    pub dispatch_announced: Option<SocketAddr>,
+    /// When requests are dispatched.
+    #[serde(default)]
+    pub dispatch_scope: DispatchScope,
     /// CPU available to the process, in cores. A VM with little of it acquires the mandate (leader
     /// lease) only if no other VM does.
     #[serde(default = "default_cpu_share")]
@@ -104,6 +114,17 @@
     pub policy: PolicySettings,
 }
 
+/// When requests are dispatched, on VMs with a `dispatch_address`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DispatchScope {
+    /// Only while a declared route has large responses.
+    #[default]
+    LargeResponses,
+    /// Always.
+    Always,
+}
+
 const fn default_cpu_share() -> f64 {
     1.0
 }
@@ -201,6 +222,13 @@
         self.peers_announced.unwrap_or(self.peers_address)
     }
 
+    /// The address for dispatch messages that this VM publishes to other VMs; `None` if it takes
+    /// none.
+    pub(crate) fn announced_dispatch_address(&self) -> Option<SocketAddr> {
+        let address = self.dispatch_address.filter(|_| self.policy.dispatch.is_on())?;
+        Some(self.dispatch_announced.unwrap_or(address))
+    }
+
     /// Parses and validates a settings file.
     ///
     /// # Errors
@@ -222,6 +250,8 @@
         };
         let ownership = &self.ownership;
         bound(!self.vm.is_empty(), "vm", "a non-empty name")?;
+        let is_dispatch_used = self.dispatch_address.is_some() || self.dispatch_announced.is_none();
+        bound(is_dispatch_used, "dispatch_announced", "absent without dispatch_address")?;
         bound((1.0..=600.0).contains(&self.grace_s), "grace_s", "from 1 to 600")?;
         bound(self.cpu_share > 0.0, "cpu_share", "above 0")?;
         bound(self.connections >= 1, "connections", "at least 1")?;
--- a/crates/nickellead_gateway/tests/common/many_routes.rs
+++ b/crates/nickellead_gateway/tests/common/many_routes.rs
@@ -18,6 +18,7 @@
         split: vec![WeightedService { service: "plain".to_owned(), weight }],
         public: false,
         regions: None,
+        large_responses: false,
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -15,9 +15,9 @@
 use std::time::{Duration, Instant};
 
 use nickellead_gateway::{
-    Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings, PolicySettings,
-    QuotaSettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry, TargetState,
-    WeightedService, start_gateway,
+    Declarations, DispatchScope, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings,
+    PolicySettings, QuotaSettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry,
+    TargetState, WeightedService, start_gateway,
 };
 
 use link::PacedLink;
@@ -67,6 +67,7 @@
         split: vec![WeightedService { service: service.to_owned(), weight: 1.0 }],
         public: false,
         regions: None,
+        large_responses: false,
     }
 }
 
@@ -127,6 +128,9 @@
             metrics_address: Some(metrics),
             peers_address: free_address(),
             peers_announced: None,
+            dispatch_address: None,
+            dispatch_announced: None,
+            dispatch_scope: DispatchScope::default(),
             cpu_share: 1.0,
             link_mbps: None,
             store_address: free_address(),
--- a/crates/nickellead_gateway/tests/declared_changes.rs
+++ b/crates/nickellead_gateway/tests/declared_changes.rs
@@ -12,7 +12,7 @@
 use nickellead_gateway::{
     CallerLimits, ChangeError, Declarations, DeclarationsChange, DeclarationsHistory, DeclaredStep,
     DeclaredUpdate, KeyDigest, MAX_HISTORY_BYTES, MAX_HISTORY_STEPS, MAX_UNPACKED_BYTES, Packed,
-    PackedError, ServiceRule, SharedRoute, UpdateError, WorkspaceRule, WorkspaceRules,
+    PackedError, RouteRule, ServiceRule, SharedRoute, UpdateError, WorkspaceRule, WorkspaceRules,
     WorkspacesChange,
 };
 use nickellead_peer::{decode, encode};
@@ -270,3 +270,13 @@
         eprintln!("  apply {apply} us");
     }
 }
+
+#[test]
+fn the_size_of_responses_is_encoded_with_a_route_and_changes_its_digest() {
+    let small = route("read".to_owned(), "a.example", "read", 1.0);
+    let large = RouteRule { large_responses: true, ..small.clone() };
+    let [small, large] = [small, large].map(SharedRoute::from);
+    assert_ne!(small.digest(), large.digest());
+    let decoded: SharedRoute = decode(&encode(&large).unwrap()).unwrap();
+    assert!(decoded.large_responses && decoded == large);
+}
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -8,7 +8,9 @@
 use actix_rt::signal::unix::{Signal, SignalKind, signal};
 use argh::FromArgs;
 use log::LevelFilter;
-use nickellead_adapter::{HEADER_NAMES, ObjectStore, SETTINGS_VARIABLE, TargetOrders};
+use nickellead_adapter::{
+    HEADER_NAMES, ObjectStore, SETTINGS_VARIABLE, TargetOrders, read_settings,
+};
 use nickellead_gateway::{GatewayHandle, GatewaySettings, start_gateway};
 use nickellead_run::{EventName, log_event};
 
@@ -38,10 +40,10 @@
     })
 }
 
-fn read_settings(path: &Path) -> Result<GatewaySettings, String> {
+fn read_file(path: &Path) -> Result<GatewaySettings, String> {
     let display = path.display();
     let text = std::fs::read(path).map_err(|error| format!("failed to read {display}: {error}"))?;
-    GatewaySettings::read(&text).map_err(|error| format!("{display}: {error}"))
+    read_settings(&text).map_err(|error| format!("{display}: {error}"))
 }
 
 /// Signal streams of the process; they replace the default action of each signal.
@@ -82,7 +84,7 @@
             continue;
         }
         last_modified = modified;
-        match read_settings(path) {
+        match read_file(path) {
             Ok(settings) => gateway.reload(settings),
             Err(reason) => log_event(EventName::SettingsRejected, &[("reason", &reason)]),
         }
@@ -100,7 +102,7 @@
     pub(super) fn run(self) -> ExitCode {
         start_logging(self.log, LogOutput::Stdout);
         let read = settings_path(self.settings)
-            .and_then(|path| read_settings(&path).map(|settings| (path, settings)));
+            .and_then(|path| read_file(&path).map(|settings| (path, settings)));
         let (path, settings) = match read {
             Ok(read) => read,
             Err(message) => return fail(EXIT_USAGE, &message),
