gateway: read the load that targets report on their responses

Cause: targets report how many requests they run, hold and can run, and how slow they are, and nothing read it.

ResponseSignals.load holds the report for what follows. A report that can't be read, or several on one response, counts as target_signs{sign="unreadable-load"} and is ignored. HeaderNames can't be compared any more, as functions can't.

--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -53,12 +53,13 @@
     RepeatClass, RouteRule, ServiceRule, SharedRoute, StateConfirmation, UpdateError,
     WeightedService, WorkspaceQuota, WorkspaceRule, WorkspaceRules, WorkspacesChange,
 };
+pub use nickellead_dispatch::ReportedLoad;
 pub use nickellead_range::{MandateRecord, Revision, StoreEra, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_client::{CallFailure, OrderClient};
 pub use packed::{MAX_UNPACKED_BYTES, Packed, PackedError};
 pub use policy::{PolicySettings, PolicySwitch};
-pub use port::{HeaderNames, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
+pub use port::{HeaderNames, LoadHeader, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
 pub use quota::{TokenDemands, TokenQueue, TokenRequest, TokenRequests};
 pub use regions::is_region_allowed;
 pub use response_signals::signals_leaving;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::response_signals::{LimitSignal, ResponseSignals};
+use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
@@ -145,6 +145,7 @@
             ("unreadable-pause", signals.unreadable_pause),
             ("limit", matches!(signals.limit, LimitSignal::Limited(_))),
             ("unreadable-limit", signals.limit == LimitSignal::Unreadable),
+            ("unreadable-load", signals.load == LoadSignal::Unreadable),
         ];
         for (sign, _) in signalled.into_iter().filter(|(_, is_set)| *is_set) {
             self.signals.get_or_create(&SignalLabel { sign }).inc();
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -10,7 +10,7 @@
 };
 use thiserror::Error;
 
-use crate::{Declarations, EvacuatedZones, TargetChange, TargetListing};
+use crate::{Declarations, EvacuatedZones, ReportedLoad, TargetChange, TargetListing};
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -126,8 +126,17 @@
     async fn send(&self, order: &RangeOrder, lease: Duration, timeout: Duration) -> OrderReply;
 }
 
+/// The header in which targets report their load.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadHeader {
+    /// Its name, in lower case.
+    pub name: &'static str,
+    /// Decodes its value; `None` for a value that can't be read.
+    pub decode: fn(&[u8]) -> Option<ReportedLoad>,
+}
+
 /// Names of the headers that the request path uses, in lower case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub struct HeaderNames {
     /// Identity of the request, which callers choose and targets return.
     pub request_id: &'static str,
@@ -150,4 +159,6 @@
     /// Requests a second that a target accepts from all VMs together; sent on each response while
     /// limited.
     pub limit: &'static str,
+    /// Load that a target reports about itself.
+    pub load: LoadHeader,
 }
--- a/crates/nickellead_gateway/src/response_signals.rs
+++ b/crates/nickellead_gateway/src/response_signals.rs
@@ -1,11 +1,11 @@
-//! Signals that targets attach to responses: leaving, pause and rate limit.
+//! Signals that targets attach to responses: leaving, pause, rate limit and load.
 
 use std::time::Duration;
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
 
-use crate::HeaderNames;
+use crate::{HeaderNames, LoadHeader, ReportedLoad};
 
 /// Longest pause that a target can request; longer ones are capped so that sums of times stay in
 /// range.
@@ -22,6 +22,20 @@
     pub(crate) unreadable_pause: bool,
     /// The rate limit that the target reports.
     pub(crate) limit: LimitSignal,
+    /// The load that the target reports.
+    pub(crate) load: LoadSignal,
+}
+
+/// The load that a response reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum LoadSignal {
+    /// The response reports none.
+    #[default]
+    Absent,
+    /// The report can't be parsed and is ignored.
+    Unreadable,
+    /// The load of the target when it responded.
+    Reported(ReportedLoad),
 }
 
 /// The rate limit that a response reports, in requests a second from all VMs together.
@@ -45,8 +59,23 @@
             headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
         let pause = retry_after.and_then(|value| parse_seconds(value.to_str().ok()?));
         let unreadable_pause = retry_after.is_some() && pause.is_none();
-        let limit = LimitSignal::read(names, headers);
-        Self { leaving: signals_leaving(names, headers), pause, unreadable_pause, limit }
+        Self {
+            leaving: signals_leaving(names, headers),
+            pause,
+            unreadable_pause,
+            limit: LimitSignal::read(names, headers),
+            load: LoadSignal::read(names.load, headers),
+        }
+    }
+}
+
+impl LoadSignal {
+    /// Several headers contradict each other, so they count as unreadable.
+    fn read(header: LoadHeader, headers: &HeaderMap) -> Self {
+        let mut values = headers.get_all(header.name).iter();
+        let Some(value) = values.next() else { return Self::Absent };
+        let load = (header.decode)(value.as_bytes()).filter(|_| values.next().is_none());
+        load.map_or(Self::Unreadable, Self::Reported)
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -15,9 +15,9 @@
 use std::time::{Duration, Instant};
 
 use nickellead_gateway::{
-    Declarations, DispatchScope, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings,
-    PolicySettings, QuotaSettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry,
-    TargetState, WeightedService, start_gateway,
+    Declarations, DispatchScope, GatewayHandle, GatewaySettings, HeaderNames, LoadHeader,
+    OwnershipSettings, PolicySettings, QuotaSettings, RepeatClass, ReportedLoad, RouteRule,
+    ServiceRule, SharedRoute, TargetEntry, TargetState, WeightedService, start_gateway,
 };
 
 use link::PacedLink;
@@ -36,8 +36,17 @@
     not_run: "x-not-run",
     leaving: "x-leaving",
     limit: "x-limit",
+    load: LoadHeader { name: "x-load", decode: decode_load },
 };
 
+/// Decodes `RUNNING,WAITING,SLOTS`.
+fn decode_load(value: &[u8]) -> Option<ReportedLoad> {
+    let figures = std::str::from_utf8(value).ok()?.split(',').map(|figure| figure.parse().ok());
+    let figures = figures.collect::<Option<Vec<u32>>>()?;
+    let [running, waiting, slots] = figures[..] else { return None };
+    Some(ReportedLoad { running, waiting, slots, slowness: 1.0 })
+}
+
 /// Ports outside the ephemeral range, so that no outgoing connection takes a free one before it is
 /// bound.
 const NON_EPHEMERAL_PORTS: std::ops::Range<u16> = 10_000..32_768;
