--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -92,6 +92,8 @@
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's response was forwarded to the caller; one in 64 is logged, selected by request id";
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "an attempt at this target failed and another one may follow";
     RequestFailed, "request-failed", Info, ["request", "route", "workspace", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms", "keys_age_ms"], "the request ended without a response from a target; the ages are those of the state that the decision was based on, and keys_age_ms is the age of the knowledge of which keys of workspaces are valid";
+    RequestForwarded, "request-forwarded", Info, ["request", "target", "waited_ms", "after_ms", "result"], "this VM, the dispatcher of the target, sent a request for another VM; logged for one in 64, selected by request id, and for each without a response";
+    DispatcherLost, "dispatcher-lost", Warn, ["address", "reason"], "the dispatcher at this address did not acknowledge a message: its stand-in is asked, or targets are used without it; logged again only after it answered";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "the log output was too slow and lines were lost";
 }
 
--- /dev/null
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -0,0 +1,359 @@
+//! Asks dispatchers for permits, and hands them requests to send.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nickellead_core::Timestamp;
+use nickellead_event::{EventName, log_event};
+use nickellead_peer::{PeerChannel, PeerError};
+use nickellead_time::BootClock;
+
+use super::groups::{GroupTable, TargetGroup};
+use super::messages::{
+    AcquireCall, DISPATCH_PATH, DispatchCall, DispatchReply, ForwardCall, GroupId, ReleaseCall,
+};
+use super::permit::{HeldPermit, PermitIssuer};
+use super::server::DispatchServer;
+use super::wire::{duration, millis};
+use crate::exchange::{AttemptEnd, LossReason, OutgoingRequest};
+
+/// Longest time until a dispatcher acknowledges a message: several round trips between VMs with a
+/// tenth of a core.
+const ACK_TIMEOUT: Duration = Duration::from_millis(120);
+/// How long a lost dispatcher is avoided before another request tries it.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+/// Longest time that the release of a permit takes; the permit expires by itself otherwise.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Answers within this time count as immediate.
+const IMMEDIATE_ANSWER: Duration = Duration::from_millis(10);
+
+/// What a dispatcher needs to know of a request.
+pub(crate) struct RequestFacts {
+    /// The owner of the request's key; `None` if any target of the group can serve it.
+    pub(crate) owner: Option<String>,
+    /// Targets that the request can't use.
+    pub(crate) avoid: Vec<String>,
+    /// Hash of the route's name.
+    pub(crate) route: u64,
+    pub(crate) key: Option<u16>,
+    /// Priority; 0 is the highest.
+    pub(crate) rank: u8,
+    /// Time until the response is due.
+    pub(crate) due_in: Duration,
+    /// Time until the response is of no more use.
+    pub(crate) deadline_in: Duration,
+}
+
+impl RequestFacts {
+    fn into_call(self, group: &TargetGroup) -> AcquireCall {
+        AcquireCall {
+            group: group.id.clone(),
+            owner: self.owner,
+            avoid: self.avoid,
+            route: self.route,
+            key: self.key,
+            rank: self.rank,
+            due_in_ms: millis(self.due_in),
+            deadline_in_ms: millis(self.deadline_in),
+        }
+    }
+}
+
+/// Result of asking for a permit.
+pub(crate) enum AcquireAnswer {
+    Granted(HeldPermit),
+    /// When there will be room.
+    Refused(Duration),
+    /// No dispatcher decides for the target.
+    Unavailable,
+}
+
+/// Result of handing a request to a dispatcher.
+pub(crate) enum ForwardAnswer {
+    /// The dispatcher made an attempt, and the target took this long.
+    Ended(AttemptEnd, Duration),
+    /// When there will be room.
+    Refused(Duration),
+    /// No dispatcher decides for the target; nothing shows that one received the request.
+    Unavailable,
+    /// The dispatcher received the request and was lost.
+    Lost(LossReason),
+}
+
+/// Whether a dispatcher is asked, by what happened to earlier messages.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct PeerHealth {
+    /// While it is lost: when the next message may be sent.
+    retry_at: Option<Timestamp>,
+}
+
+impl PeerHealth {
+    /// Whether a message may be sent now. While the dispatcher is lost, one message at a time may.
+    fn may_ask(&mut self, now: Timestamp) -> bool {
+        match &mut self.retry_at {
+            None => true,
+            Some(at) if now < *at => false,
+            Some(at) => {
+                *at = now + AVOID_TIME;
+                true
+            }
+        }
+    }
+
+    /// Records that it did not acknowledge a message; returns whether this is new.
+    fn record_lost(&mut self, now: Timestamp) -> bool {
+        self.retry_at.replace(now + AVOID_TIME).is_none()
+    }
+
+    fn record_answer(&mut self) {
+        self.retry_at = None;
+    }
+}
+
+/// Another VM that dispatches.
+pub(super) struct DispatchPeer {
+    channel: PeerChannel<DispatchCall, DispatchReply>,
+    health: Cell<PeerHealth>,
+}
+
+impl DispatchPeer {
+    fn new(address: SocketAddr) -> Self {
+        Self { channel: PeerChannel::new(address, DISPATCH_PATH), health: Cell::default() }
+    }
+
+    fn may_ask(&self) -> bool {
+        let mut health = self.health.get();
+        let may_ask = health.may_ask(BootClock.now());
+        self.health.set(health);
+        may_ask
+    }
+
+    async fn call(
+        &self,
+        call: &DispatchCall,
+        timeout: Duration,
+    ) -> Result<DispatchReply, PeerError> {
+        let answer = self.channel.call(call, ACK_TIMEOUT, timeout).await;
+        let mut health = self.health.get();
+        match &answer {
+            Ok(_) => health.record_answer(),
+            // It acknowledged the message, and the time of the request ran out.
+            Err(PeerError::Timeout) => {}
+            Err(error) => {
+                if health.record_lost(BootClock.now()) {
+                    log_lost(self.channel.address(), error);
+                }
+            }
+        }
+        self.health.set(health);
+        answer
+    }
+
+    /// Releases a permit in the background.
+    pub(super) fn release(peer: &Rc<Self>, call: ReleaseCall) {
+        let peer = Rc::clone(peer);
+        actix_rt::spawn(async move {
+            // A permit whose release is lost expires; `call` logs the lost dispatcher.
+            let _ = peer.call(&DispatchCall::Release(call), RELEASE_TIMEOUT).await;
+        });
+    }
+}
+
+/// What a group's dispatcher last told: how long a request has to wait there.
+#[derive(Clone, Copy)]
+struct ToldWait {
+    wait: Duration,
+    at: Instant,
+}
+
+/// Asks the dispatchers of groups.
+pub(crate) struct DispatchClient {
+    server: Rc<DispatchServer>,
+    /// Address at which other VMs reach this VM's dispatcher.
+    own_address: SocketAddr,
+    peers: RefCell<HashMap<SocketAddr, Rc<DispatchPeer>>>,
+    told_waits: RefCell<HashMap<GroupId, ToldWait>>,
+}
+
+impl DispatchClient {
+    pub(crate) fn new(server: Rc<DispatchServer>, own_address: SocketAddr) -> Rc<Self> {
+        Rc::new(Self {
+            server,
+            own_address,
+            peers: RefCell::default(),
+            told_waits: RefCell::default(),
+        })
+    }
+
+    /// Replaces the groups after the registry was rebuilt.
+    pub(crate) fn set_groups(&self, table: Rc<GroupTable>) {
+        self.retain(&table);
+        self.server.set_groups(table);
+    }
+
+    /// The dispatcher of this VM.
+    pub(crate) fn server(&self) -> &Rc<DispatchServer> {
+        &self.server
+    }
+
+    /// Asks for a permit.
+    pub(crate) async fn acquire(&self, group: &TargetGroup, facts: RequestFacts) -> AcquireAnswer {
+        let asked = Instant::now();
+        let call = facts.into_call(group);
+        for address in group.dispatchers.into_iter().flatten() {
+            let Some((reply, issuer)) = self.ask(address, &call, asked).await else { continue };
+            match reply {
+                DispatchReply::Granted { permit, target } => {
+                    self.record_wait(group, asked.elapsed());
+                    let held = HeldPermit::new(issuer, group.id.clone(), permit, target);
+                    return AcquireAnswer::Granted(held);
+                }
+                DispatchReply::Refused { retry_after_ms } => {
+                    let wait = duration(retry_after_ms);
+                    self.record_wait(group, wait);
+                    return AcquireAnswer::Refused(wait);
+                }
+                DispatchReply::Unavailable => return AcquireAnswer::Unavailable,
+                DispatchReply::NotServing
+                | DispatchReply::Released
+                | DispatchReply::Forwarded(_) => {}
+            }
+        }
+        AcquireAnswer::Unavailable
+    }
+
+    /// Asks one dispatcher for a permit; `None` if it gave no answer.
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        call: &AcquireCall,
+        asked: Instant,
+    ) -> Option<(DispatchReply, PermitIssuer)> {
+        if address == self.own_address {
+            let issuer = PermitIssuer::Local(Rc::clone(&self.server));
+            return Some((self.server.acquire(call).await, issuer));
+        }
+        let peer = self.peer(address);
+        if !peer.may_ask() {
+            return None;
+        }
+        let left = duration(call.deadline_in_ms).saturating_sub(asked.elapsed());
+        let reply = peer.call(&DispatchCall::Acquire(call.clone()), left).await;
+        reply.ok().map(|reply| (reply, PermitIssuer::Remote(peer)))
+    }
+
+    /// Hands a request to a dispatcher, which sends it.
+    pub(crate) async fn forward(
+        &self,
+        group: &TargetGroup,
+        facts: RequestFacts,
+        request: &OutgoingRequest,
+    ) -> ForwardAnswer {
+        let asked = Instant::now();
+        let time = facts.deadline_in;
+        let call = ForwardCall { acquire: facts.into_call(group), request: request.into() };
+        let call = DispatchCall::Forward(Box::new(call));
+        for address in group.dispatchers.into_iter().flatten() {
+            let reply = match self.hand_over(address, &call, time, asked).await {
+                Ok(Some(reply)) => reply,
+                Ok(None) => continue,
+                Err(reason) => return ForwardAnswer::Lost(reason),
+            };
+            match reply {
+                DispatchReply::Forwarded(attempt) => {
+                    let (end, latency) = attempt.into_end(BootClock.now());
+                    return ForwardAnswer::Ended(end, latency);
+                }
+                DispatchReply::Refused { retry_after_ms } => {
+                    return ForwardAnswer::Refused(duration(retry_after_ms));
+                }
+                DispatchReply::Unavailable => return ForwardAnswer::Unavailable,
+                DispatchReply::NotServing
+                | DispatchReply::Released
+                | DispatchReply::Granted { .. } => {}
+            }
+        }
+        ForwardAnswer::Unavailable
+    }
+
+    /// Hands a request to one dispatcher; `None` if nothing shows that it received the request.
+    async fn hand_over(
+        &self,
+        address: SocketAddr,
+        call: &DispatchCall,
+        time: Duration,
+        asked: Instant,
+    ) -> Result<Option<DispatchReply>, LossReason> {
+        if address == self.own_address {
+            return match call {
+                DispatchCall::Forward(call) => {
+                    Ok(Some(self.server.forward((**call).clone()).await))
+                }
+                DispatchCall::Acquire(_) | DispatchCall::Release(_) => Ok(None),
+            };
+        }
+        let peer = self.peer(address);
+        if !peer.may_ask() {
+            return Ok(None);
+        }
+        match peer.call(call, time.saturating_sub(asked.elapsed())).await {
+            Ok(reply) => Ok(Some(reply)),
+            Err(PeerError::NotAcknowledged) => Ok(None),
+            Err(PeerError::Timeout) => Err(LossReason::Late),
+            Err(_) => Err(LossReason::Broken),
+        }
+    }
+
+    /// How long a request probably has to wait at a group, by what its dispatcher last told.
+    pub(crate) fn expected_wait(&self, group: &TargetGroup) -> Duration {
+        let waits = self.told_waits.borrow();
+        waits.get(&group.id).map_or(Duration::ZERO, |told| {
+            told.wait.saturating_sub(told.at.elapsed())
+        })
+    }
+
+    /// Forgets the peers and waits of groups that no longer exist.
+    fn retain(&self, table: &GroupTable) {
+        self.told_waits.borrow_mut().retain(|id, _| table.find(id).is_some());
+        self.peers.borrow_mut().retain(|address, _| table.has_dispatcher(*address));
+    }
+
+    fn record_wait(&self, group: &TargetGroup, wait: Duration) {
+        let wait = if wait < IMMEDIATE_ANSWER { Duration::ZERO } else { wait };
+        let told = ToldWait { wait, at: Instant::now() };
+        self.told_waits.borrow_mut().insert(group.id.clone(), told);
+    }
+
+    fn peer(&self, address: SocketAddr) -> Rc<DispatchPeer> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(address).or_insert_with(|| Rc::new(DispatchPeer::new(address)));
+        Rc::clone(peer)
+    }
+}
+
+fn log_lost(address: SocketAddr, error: &PeerError) {
+    log_event(EventName::DispatcherLost, &[("address", &address), ("reason", error)]);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A frozen or cut-off dispatcher under load: it must not delay every request.
+    #[test]
+    fn a_lost_dispatcher_is_tried_by_one_request_a_second_until_it_answers() {
+        let at = |millis| Timestamp(10_000 + millis);
+        let mut health = PeerHealth::default();
+        assert!(health.may_ask(at(0)));
+        assert!(health.record_lost(at(0)), "the loss is new");
+        assert!(!health.record_lost(at(1)), "requests that were under way find the same");
+        assert!(!health.may_ask(at(900)));
+        assert!(health.may_ask(at(1_001)), "one request tries again");
+        assert!(!health.may_ask(at(1_002)), "the others do not");
+        health.record_answer();
+        assert!(health.may_ask(at(1_003)) && health.may_ask(at(1_003)));
+    }
+}
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -1,5 +1,4 @@
 //! Messages between a VM that has a request and the dispatcher of its target.
-#![allow(dead_code, reason = "client and server follow")]
 
 use bincode::{Decode, Encode};
 
@@ -74,9 +73,11 @@
 pub(super) struct ReleaseCall {
     pub(super) group: GroupId,
     pub(super) permit: u64,
+    /// Id of the target that the permit was for.
+    pub(super) target: String,
     pub(super) outcome: WireOutcome,
-    /// Load that the response reported.
-    pub(super) load: Option<WireLoad>,
+    /// Signals on the response.
+    pub(super) signals: WireSignals,
 }
 
 /// How the use of a permit ended; times in milliseconds.
@@ -106,8 +107,10 @@
     Granted { permit: u64, target: String },
     /// The request can't be served in time; when there will be room for it.
     Refused { retry_after_ms: u32 },
-    /// The target is not dispatched, or not by this VM: the request may be sent without a permit.
+    /// The target is not dispatched: the request may be sent without a permit.
     Unavailable,
+    /// This VM does not know the group, or is stopping; the stand-in may answer.
+    NotServing,
     /// The permit was returned.
     Released,
     /// The request was handled as by an attempt of the VM that received it.
--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -1,5 +1,17 @@
 //! Dispatch between VMs: one VM decides for the targets of a group.
 //!
-//! See `docs/design/dispatch.md`. `messages` defines the protocol.
+//! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
+//! `groups` divides the targets; `server` and `group_state` decide, and `client` asks.
 
+mod client;
+mod group_state;
+mod groups;
 mod messages;
+mod permit;
+mod server;
+mod wire;
+
+pub(crate) use client::{AcquireAnswer, DispatchClient, ForwardAnswer, RequestFacts};
+pub(crate) use groups::{GroupTable, TargetGroup};
+pub(crate) use permit::HeldPermit;
+pub(crate) use server::{DispatchServer, ServerContext, serve_dispatch};
--- /dev/null
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -0,0 +1,203 @@
+//! Conversion between messages and the types of the request path.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use nickellead_core::Timestamp;
+use nickellead_dispatch::{PermitOutcome, ReportedLoad};
+
+use super::messages::{
+    WireAttempt, WireHeader, WireLimit, WireLoad, WireOutcome, WireRequest, WireResult, WireSignals,
+};
+use crate::HeaderNames;
+use crate::connections::ConnectFailure;
+use crate::exchange::{AttemptEnd, AttemptResult, LossReason, OutgoingRequest, TargetResponse};
+use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
+
+/// A duration in whole milliseconds, as in messages.
+pub(super) fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// A duration from a message.
+pub(super) fn duration(millis: u32) -> Duration {
+    Duration::from_millis(u64::from(millis))
+}
+
+impl From<WireOutcome> for PermitOutcome {
+    fn from(outcome: WireOutcome) -> Self {
+        match outcome {
+            WireOutcome::Responded { latency_ms } => Self::Responded(duration(latency_ms)),
+            WireOutcome::Failed => Self::Failed,
+            WireOutcome::Shed => Self::Shed,
+            WireOutcome::NoResponse => Self::NoResponse,
+            WireOutcome::NotSent => Self::NotSent,
+            WireOutcome::Abandoned { after_ms } => Self::Abandoned(duration(after_ms)),
+        }
+    }
+}
+
+impl From<WireLoad> for ReportedLoad {
+    fn from(load: WireLoad) -> Self {
+        let WireLoad { running, waiting, slots, slowness } = load;
+        Self { running, waiting, slots, slowness }
+    }
+}
+
+impl From<ReportedLoad> for WireLoad {
+    fn from(load: ReportedLoad) -> Self {
+        let ReportedLoad { running, waiting, slots, slowness } = load;
+        Self { running, waiting, slots, slowness }
+    }
+}
+
+impl From<ResponseSignals> for WireSignals {
+    fn from(signals: ResponseSignals) -> Self {
+        let limit = match signals.limit {
+            LimitSignal::Absent | LimitSignal::Unreadable => WireLimit::Absent,
+            LimitSignal::Unlimited => WireLimit::Unlimited,
+            LimitSignal::Limited(rate) => WireLimit::Limited(rate),
+        };
+        let load = match signals.load {
+            LoadSignal::Absent | LoadSignal::Unreadable => None,
+            LoadSignal::Reported(load) => Some(load.into()),
+        };
+        Self { leaving: signals.leaving, pause_ms: signals.pause.map(millis), limit, load }
+    }
+}
+
+impl From<WireSignals> for ResponseSignals {
+    fn from(signals: WireSignals) -> Self {
+        let limit = match signals.limit {
+            WireLimit::Absent => LimitSignal::Absent,
+            WireLimit::Unlimited => LimitSignal::Unlimited,
+            WireLimit::Limited(rate) => LimitSignal::Limited(rate),
+        };
+        Self {
+            leaving: signals.leaving,
+            pause: signals.pause_ms.map(duration),
+            limit,
+            load: signals.load.map_or(LoadSignal::Absent, |load| LoadSignal::Reported(load.into())),
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&OutgoingRequest> for WireRequest {
+    fn from(request: &OutgoingRequest) -> Self {
+        Self {
+            method: request.method.as_str().to_owned(),
+            path_and_query: request.path_and_query.clone(),
+            headers: wire_headers(&request.headers),
+            body: request.body.to_vec(),
+        }
+    }
+}
+
+impl WireRequest {
+    /// The request to send to a target; `None` if it is not valid.
+    pub(super) fn into_outgoing(self, names: &HeaderNames) -> Option<OutgoingRequest> {
+        let headers = header_map(self.headers)?;
+        let request_id = headers.get(names.request_id)?.clone();
+        Some(OutgoingRequest {
+            method: Method::from_bytes(self.method.as_bytes()).ok()?,
+            path_and_query: self.path_and_query,
+            headers,
+            body: Bytes::from(self.body),
+            request_id,
+        })
+    }
+}
+
+impl From<AttemptResult> for WireResult {
+    fn from(result: AttemptResult) -> Self {
+        match result {
+            AttemptResult::Responded(response) => Self::Responded {
+                status: response.status.as_u16(),
+                headers: wire_headers(&response.headers),
+                body: response.body.to_vec(),
+            },
+            AttemptResult::Shed => Self::Shed,
+            AttemptResult::Misdirected => Self::Misdirected,
+            AttemptResult::NotSent(_) => Self::NotSent,
+            AttemptResult::Withheld | AttemptResult::Forbidden(_) => Self::Withheld,
+            AttemptResult::Lost(LossReason::Late) => Self::LostLate,
+            AttemptResult::Lost(LossReason::Broken) => Self::LostBroken,
+            AttemptResult::Lost(LossReason::Foreign) => Self::LostForeign,
+        }
+    }
+}
+
+impl From<WireResult> for AttemptResult {
+    fn from(result: WireResult) -> Self {
+        match result {
+            WireResult::Responded { status, headers, body } => response_of(status, headers, body),
+            WireResult::Shed => Self::Shed,
+            WireResult::Misdirected => Self::Misdirected,
+            WireResult::NotSent => Self::NotSent(ConnectFailure::Broken),
+            WireResult::Withheld => Self::Withheld,
+            WireResult::LostLate => Self::Lost(LossReason::Late),
+            WireResult::LostBroken => Self::Lost(LossReason::Broken),
+            WireResult::LostForeign => Self::Lost(LossReason::Foreign),
+        }
+    }
+}
+
+impl WireResult {
+    /// The result in the log.
+    pub(super) const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Responded { .. } => "responded",
+            Self::Shed => "shed",
+            Self::Misdirected => "not-owner",
+            Self::NotSent => "not-sent",
+            Self::Withheld => "withheld",
+            Self::LostLate => "late",
+            Self::LostBroken => "broken",
+            Self::LostForeign => "foreign",
+        }
+    }
+}
+
+impl WireAttempt {
+    /// The end of the attempt as if this VM had made it, and how long the target took.
+    pub(super) fn into_end(self, now: Timestamp) -> (AttemptEnd, Duration) {
+        let latency = duration(self.latency_ms);
+        let end = AttemptEnd {
+            result: self.result.into(),
+            signals: self.signals.into(),
+            sent_at: now.checked_sub(latency).unwrap_or(Timestamp::ZERO),
+        };
+        (end, latency)
+    }
+}
+
+fn response_of(status: u16, headers: Vec<WireHeader>, body: Vec<u8>) -> AttemptResult {
+    match (StatusCode::from_u16(status), header_map(headers)) {
+        (Ok(status), Some(headers)) => {
+            let body = Bytes::from(body);
+            AttemptResult::Responded(TargetResponse { status, headers, body })
+        }
+        _ => AttemptResult::Lost(LossReason::Foreign),
+    }
+}
+
+fn wire_headers(headers: &HeaderMap) -> Vec<WireHeader> {
+    let lines = headers.iter();
+    lines
+        .map(|(name, value)| WireHeader {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+fn header_map(lines: Vec<WireHeader>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(lines.len());
+    for line in lines {
+        let name = HeaderName::from_bytes(line.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&line.value).ok()?);
+    }
+    Some(headers)
+}
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -25,6 +25,8 @@
     pub(crate) workspace: Option<Rc<WorkspaceEntry>>,
     /// When the quota of the workspace is expected to allow the request, once it was refused.
     pub(crate) quota_retry_after: Cell<Duration>,
+    /// When a dispatcher expects room for the request, once it was refused.
+    pub(crate) capacity_retry_after: Cell<Option<Duration>>,
     pub(crate) outgoing: OutgoingRequest,
     /// The shard key, if the caller sent one.
     pub(crate) key: Option<u16>,
@@ -94,6 +96,7 @@
         credential,
         workspace,
         quota_retry_after: Cell::default(),
+        capacity_retry_after: Cell::default(),
         outgoing,
         key,
         arrived_at,
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 //! Label values are bounded: names of services, and fixed sets of results and errors.
 
 mod control;
+mod dispatch;
 mod requests;
 
 pub(crate) use control::ControlMetrics;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::dispatch::DispatchMetrics;
 use crate::response_signals::{LimitSignal, ResponseSignals};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -50,6 +51,7 @@
     errors: Family<ErrorLabel, Counter>,
     outcomes: Family<OutcomeLabels, Counter>,
     signals: Family<SignalLabel, Counter>,
+    pub(crate) dispatch: DispatchMetrics,
 }
 
 impl GatewayMetrics {
@@ -70,6 +72,7 @@
             errors: Family::default(),
             outcomes: Family::default(),
             signals: Family::default(),
+            dispatch: DispatchMetrics::register(registry),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register(
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -16,7 +16,7 @@
 use crate::metrics::ControlMetrics;
 use crate::quota::MAX_QUEUED_REQUESTS;
 use crate::regions::RegionMap;
-use crate::requests::{self, RequestContext};
+use crate::requests::{self, DispatchSettings, RequestContext};
 use crate::state_channels::state_channels;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
 
@@ -94,6 +94,10 @@
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
     let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
+    let announced = settings.announced_dispatch();
+    let dispatch = listeners.dispatch.zip(announced).map(|(listener, announced)| {
+        DispatchSettings { listener, announced, scope: settings.dispatch_scope }
+    });
     let request_thread = requests::start(RequestContext {
         names,
         vm: settings.vm.clone(),
@@ -115,6 +119,7 @@
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
+        dispatch,
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
@@ -145,17 +150,20 @@
     readiness: TcpListener,
     peers: TcpListener,
     metrics: Option<TcpListener>,
+    dispatch: Option<TcpListener>,
 }
 
 impl GatewayListeners {
     /// Binds all of them, or none.
     fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
         let metrics = |address| listen("metrics_address", address);
+        let dispatch = |address| listen("dispatch_address", address);
         Ok(Self {
             callers: listen("callers_address", settings.callers_address)?,
             readiness: listen("readiness_address", settings.readiness_address)?,
             peers: listen("peers_address", settings.peers_address)?,
             metrics: settings.metrics_address.map(metrics).transpose()?,
+            dispatch: settings.dispatch_address.map(dispatch).transpose()?,
         })
     }
 }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -1,6 +1,6 @@
 //! The request thread: serves callers, readiness checks and metrics.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -13,14 +13,15 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 
+use crate::dispatch::{DispatchClient, DispatchServer, ServerContext, serve_dispatch};
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
-use crate::worker::{RequestWorker, WorkerContext};
-use crate::{ColdSettings, HeaderNames, PolicySettings};
+use crate::worker::{RequestWorker, WorkerContext, WorkerDispatch};
+use crate::{ColdSettings, DispatchScope, HeaderNames, PolicySettings};
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
@@ -29,6 +30,14 @@
 /// Time for finished connections to close before the runtime ends.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
 
+/// How the request thread takes part in dispatch.
+pub(crate) struct DispatchSettings {
+    pub(crate) listener: TcpListener,
+    /// Address at which other VMs reach the listener.
+    pub(crate) announced: SocketAddr,
+    pub(crate) scope: DispatchScope,
+}
+
 /// Dependencies and settings of the request thread.
 pub(crate) struct RequestContext {
     pub(crate) names: HeaderNames,
@@ -51,6 +60,8 @@
     pub(crate) regions: RegionMap,
     pub(crate) token_requests: mpsc::Sender<TokenRequest>,
     pub(crate) quota_tolerance: QuotaTolerance,
+    /// `None` if the VM does not take part in dispatch.
+    pub(crate) dispatch: Option<DispatchSettings>,
 }
 
 /// Starts the request thread.
@@ -70,6 +81,13 @@
     let metrics = GatewayMetrics::register(&mut registry);
     context.control_metrics.register(&mut registry);
     let registry = Rc::new(registry);
+    let server = ServerContext {
+        names: context.names,
+        leaving_window: context.leaving_window,
+        drain: Arc::clone(&context.drain),
+        metrics: metrics.clone(),
+    };
+    let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, server));
     let worker = RequestWorker::new(WorkerContext {
         header_names: context.names,
         vm: context.vm,
@@ -84,6 +102,7 @@
         max_key_age: context.max_key_age,
         regions: context.regions,
         quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
+        dispatch,
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
@@ -108,6 +127,16 @@
     wait_for_responses(&context.serve_state).await;
 }
 
+/// Starts this VM's dispatcher; `None` if its listener can't be used.
+fn start_dispatch(settings: DispatchSettings, context: ServerContext) -> Option<WorkerDispatch> {
+    let listener = tokio::net::TcpListener::from_std(settings.listener).ok()?;
+    let server = DispatchServer::new(context);
+    actix_rt::spawn(serve_dispatch(listener, Rc::clone(&server)));
+    actix_rt::spawn(Rc::clone(&server).run_timer());
+    let client = DispatchClient::new(server, settings.announced);
+    Some(WorkerDispatch { client, scope: settings.scope })
+}
+
 /// Waits until every request has a response and the operating system has taken all response bytes.
 ///
 /// There is no timeout: the process exits at the end of the grace time anyway.
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -150,6 +150,11 @@
         self.rate_limiter.refund(now);
     }
 
+    /// Whether its entry says that it accepts requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.state.get() == TargetState::Ready
+    }
+
     /// Whether it signalled that it is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.signals.get().leaving_since().is_some()
@@ -165,7 +170,8 @@
         now < self.down_until.get()
     }
 
-    fn mark_down(&self, now: Timestamp) {
+    /// Avoids it for [`DOWN_WINDOW`].
+    pub(crate) fn mark_down(&self, now: Timestamp) {
         self.down_until.set(now + DOWN_WINDOW);
     }
 
@@ -368,6 +374,11 @@
         self.by_id.is_empty()
     }
 
+    /// The listed target with this id.
+    pub(crate) fn find(&self, id: &str) -> Option<&Rc<RegisteredTarget>> {
+        self.by_id.get(id)
+    }
+
     /// The targets of a service that accept requests, in all zones that are not evacuated.
     pub(crate) fn available(&self, service: &str) -> &[Rc<RegisteredTarget>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -8,6 +8,7 @@
 use nickellead_core::{ErrorKind, OutcomeClass};
 use nickellead_time::BootClock;
 
+use super::dispatching::SendEnd;
 use super::{AttemptState, NextStep, RESPONSE_RETURN_RESERVE, RequestWorker};
 use crate::exchange::{AttemptEnd, AttemptPlan, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
@@ -38,13 +39,10 @@
         self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
-        if !self.is_admitted(incoming, &weighted.service) {
-            return Err(ErrorKind::Overloaded);
-        }
         loop {
-            let waiting = self.wait_for_target(incoming, &weighted.service, attempts);
-            let target = match self.until_drain_end(waiting).await.flatten() {
-                Ok(target) => target,
+            let selecting = self.select_target(incoming, &weighted.service, attempts);
+            let selected = match self.until_drain_end(selecting).await.flatten() {
+                Ok(selected) => selected,
                 Err(kind) => return finish(attempts, kind),
             };
             // The request may have waited for longer than its token is valid.
@@ -52,10 +50,15 @@
             if let Err(kind) = self.until_drain_end(has_token).await.flatten() {
                 return finish(attempts, kind);
             }
-            let since = Instant::now();
-            let sending = self.attempt(incoming, &weighted.service, &target);
-            let end = match self.until_drain_end(sending).await {
-                Ok(end) => end,
+            let target = Rc::clone(selected.target());
+            let sending = self.send_to(incoming, &weighted.service, selected);
+            let (end, latency) = match self.until_drain_end(sending).await {
+                Ok(SendEnd::Ended(end, latency)) => (end, latency),
+                Ok(SendEnd::Undispatched) => {
+                    attempts.undispatched = true;
+                    continue;
+                }
+                Ok(SendEnd::Refused) => return finish(attempts, ErrorKind::Overloaded),
                 Err(kind) => {
                     attempts.may_have_run = true;
                     attempts.token = None;
@@ -63,7 +66,7 @@
                 }
             };
             self.apply_signals(&weighted.service, &target, end.signals, end.sent_at);
-            match self.next_step(incoming, &target, attempts, end, since.elapsed()) {
+            match self.next_step(incoming, &target, attempts, end, latency) {
                 NextStep::Done(response) => return Ok(response),
                 NextStep::Fail(kind) => return finish(attempts, kind),
                 NextStep::Retry => {}
@@ -103,7 +106,7 @@
     /// Whether a request may go to the owner of its key while the VMs together overload that owner.
     ///
     /// The decision is random, so that VMs need not coordinate.
-    fn is_admitted(&self, incoming: &IncomingRequest, service: &str) -> bool {
+    pub(super) fn is_admitted(&self, incoming: &IncomingRequest, service: &str) -> bool {
         let Some(key) = incoming.key.filter(|_| self.policy.shared_admission.is_on()) else {
             return true;
         };
@@ -129,7 +132,7 @@
     }
 
     /// Sends a request to one target, which counts it as running meanwhile.
-    async fn attempt(
+    pub(super) async fn attempt(
         &self,
         incoming: &IncomingRequest,
         service: &str,
--- /dev/null
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -0,0 +1,337 @@
+//! Targets that a dispatcher selects: permits, and requests that the dispatcher sends.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nickellead_core::ErrorKind;
+use nickellead_dispatch::MAX_AVOIDED;
+use nickellead_time::BootClock;
+
+use super::{AttemptState, RESPONSE_RETURN_RESERVE, RequestWorker};
+use crate::dispatch::{
+    AcquireAnswer, DispatchClient, ForwardAnswer, HeldPermit, RequestFacts, TargetGroup,
+};
+use crate::exchange::{AttemptEnd, AttemptResult};
+use crate::incoming::IncomingRequest;
+use crate::target_registry::RegisteredTarget;
+use crate::{DispatchScope, RepeatClass};
+
+/// Groups of the VM's own availability zone that are asked for one request.
+const MAX_NEAR_GROUPS: usize = 2;
+/// Most bytes of a request that is forwarded with its body.
+const MAX_FORWARDED_BYTES: usize = 1024 * 1024;
+
+/// The target of an attempt, and how the request gets there.
+pub(super) enum SelectedTarget {
+    /// By this VM's own limits.
+    Direct(Rc<RegisteredTarget>),
+    /// With a permit of its dispatcher.
+    Permitted(Rc<RegisteredTarget>, HeldPermit),
+    /// The dispatcher sends it.
+    Forwarded(Rc<RegisteredTarget>, Rc<TargetGroup>),
+}
+
+/// How an attempt at a selected target ended.
+pub(super) enum SendEnd {
+    /// The attempt was made, and the target took this long.
+    Ended(AttemptEnd, Duration),
+    /// Nothing was sent: the request is sent by this VM's own limits.
+    Undispatched,
+    /// Nothing was sent: there is no room for the request in time.
+    Refused,
+}
+
+impl SelectedTarget {
+    pub(super) fn target(&self) -> &Rc<RegisteredTarget> {
+        match self {
+            Self::Direct(target) | Self::Permitted(target, _) | Self::Forwarded(target, _) => target,
+        }
+    }
+}
+
+impl RequestWorker {
+    /// The client to dispatch a request with; `None` if it is sent by this VM's own limits.
+    pub(super) fn dispatch_client(&self, incoming: &IncomingRequest) -> Option<&Rc<DispatchClient>> {
+        let dispatch = self.dispatch.as_ref().filter(|_| self.policy.dispatch.is_on())?;
+        let state = self.state.borrow();
+        let is_in_scope = match dispatch.scope {
+            DispatchScope::Always => true,
+            DispatchScope::LargeResponses => state.large_responses,
+        };
+        let needs_no_key = state.workspaces.is_none() && incoming.workspace.is_none();
+        let is_fleet_known = !state.fleet.vms.is_empty();
+        (is_in_scope && needs_no_key && is_fleet_known).then_some(&dispatch.client)
+    }
+
+    /// Selects the target of the next attempt through its dispatcher, or else by this VM's own
+    /// limits.
+    ///
+    /// # Errors
+    /// The reason for refusing the request.
+    pub(super) async fn select_target(
+        &self,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &mut AttemptState,
+    ) -> Result<SelectedTarget, ErrorKind> {
+        let undispatched = std::mem::take(&mut attempts.undispatched);
+        if let Some(client) = self.dispatch_client(incoming).filter(|_| !undispatched) {
+            let sharded = self.state.borrow().is_sharded(service);
+            let dispatched = match sharded {
+                true => self.dispatch_owner(client, incoming, service, attempts).await?,
+                false => self.dispatch_any(client, incoming, service, attempts).await?,
+            };
+            if let Some(selected) = dispatched {
+                return Ok(selected);
+            }
+            self.metrics.dispatch.unavailable.inc();
+        }
+        if !attempts.admitted && !self.is_admitted(incoming, service) {
+            return Err(ErrorKind::Overloaded);
+        }
+        attempts.admitted = true;
+        self.wait_for_target(incoming, service, attempts).await.map(SelectedTarget::Direct)
+    }
+
+    /// Asks for a permit for any target of a service; `None` if no dispatcher decides.
+    async fn dispatch_any(
+        &self,
+        client: &Rc<DispatchClient>,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &AttemptState,
+    ) -> Result<Option<SelectedTarget>, ErrorKind> {
+        let mut shortest_wait: Option<Duration> = None;
+        for group in self.groups_to_ask(client, incoming, service, attempts) {
+            let avoid = self.avoided_targets(&group, attempts);
+            let facts = request_facts(incoming, None, avoid);
+            match client.acquire(&group, facts).await {
+                AcquireAnswer::Granted(permit) => {
+                    let granted = self.permitted_target(&permit, attempts);
+                    let Some(target) = granted else {
+                        permit.release_unsent();
+                        return Ok(None);
+                    };
+                    self.metrics.dispatch.spilled.inc_by(u64::from(target.zone != self.zone));
+                    return Ok(Some(SelectedTarget::Permitted(target, permit)));
+                }
+                AcquireAnswer::Refused(wait) => {
+                    shortest_wait = Some(shortest_wait.map_or(wait, |known| known.min(wait)));
+                }
+                AcquireAnswer::Unavailable => {}
+            }
+        }
+        match shortest_wait {
+            Some(wait) => Err(refuse(incoming, wait)),
+            None => Ok(None),
+        }
+    }
+
+    /// The target of a permit, if this VM may send to it.
+    fn permitted_target(
+        &self,
+        permit: &HeldPermit,
+        attempts: &AttemptState,
+    ) -> Option<Rc<RegisteredTarget>> {
+        let state = self.state.borrow();
+        let target = state.registry.find(permit.target())?;
+        self.may_use(target, attempts).then(|| Rc::clone(target))
+    }
+
+    /// Whether the next attempt may be made at a target of a plain service.
+    fn may_use(&self, target: &RegisteredTarget, attempts: &AttemptState) -> bool {
+        let now = BootClock.now();
+        target.is_ready()
+            && !target.is_leaving()
+            && !target.is_down(now)
+            && !attempts.tried.contains(&target.id)
+            && target.may_send(self.leaving_window, now)
+    }
+
+    /// Groups to ask for a permit, in this order: two of the VM's own availability zone, then one of
+    /// another zone.
+    fn groups_to_ask(
+        &self,
+        client: &DispatchClient,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &AttemptState,
+    ) -> Vec<Rc<TargetGroup>> {
+        let state = self.state.borrow();
+        let now = BootClock.now();
+        let is_usable = |group: &&Rc<TargetGroup>| {
+            group.is_dispatched()
+                && self.allows_zone(incoming, group.zone())
+                && self.reachability.may_attempt(group.zone(), now)
+                && group.targets().iter().any(|target| self.may_use(target, attempts))
+        };
+        let usable = state.groups.of_service(service).iter().filter(is_usable).map(Rc::clone);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            usable.partition(|group| group.zone() == self.zone);
+        let mut rng = self.rng.borrow_mut();
+        rng.shuffle(&mut near);
+        rng.shuffle(&mut far);
+        near.truncate(MAX_NEAR_GROUPS);
+        near.sort_by_key(|group| client.expected_wait(group));
+        near.extend(far.into_iter().next());
+        near
+    }
+
+    /// Targets of a group that the next attempt can't use: those that were tried, and those that this
+    /// VM knows not to accept requests.
+    fn avoided_targets(&self, group: &TargetGroup, attempts: &AttemptState) -> Vec<String> {
+        let unusable = group.targets().iter().filter(|target| !self.may_use(target, attempts));
+        unusable.map(|target| target.id.clone()).take(MAX_AVOIDED).collect()
+    }
+
+    /// Selects the owner of a key through its dispatcher; `None` if none decides for it.
+    async fn dispatch_owner(
+        &self,
+        client: &Rc<DispatchClient>,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &AttemptState,
+    ) -> Result<Option<SelectedTarget>, ErrorKind> {
+        if self.state.borrow().registry.is_empty() {
+            return Ok(None);
+        }
+        let key = incoming.key.ok_or(ErrorKind::KeyMissing)?;
+        loop {
+            let owner = self.wait_for_owner(incoming, service, key, attempts).await?;
+            self.check_owner(incoming, &owner)?;
+            let Some(group) = self.owner_group(&owner) else { return Ok(None) };
+            if is_forwarded(incoming) {
+                return Ok(Some(SelectedTarget::Forwarded(owner, group)));
+            }
+            let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
+            let permit = match client.acquire(&group, facts).await {
+                AcquireAnswer::Granted(permit) => permit,
+                AcquireAnswer::Refused(wait) => return Err(refuse(incoming, wait)),
+                AcquireAnswer::Unavailable => return Ok(None),
+            };
+            // The key may have moved, and the owner's signals may have changed, while the request
+            // waited.
+            let known = self.usable_owner(service, key, attempts);
+            if known.is_some_and(|known| Rc::ptr_eq(&known, &owner)) {
+                if owner.may_send(self.leaving_window, BootClock.now()) {
+                    return Ok(Some(SelectedTarget::Permitted(owner, permit)));
+                }
+                permit.release_unsent();
+                return Ok(None);
+            }
+            permit.release_unsent();
+        }
+    }
+
+    /// Checks what no other owner can make good.
+    fn check_owner(
+        &self,
+        incoming: &IncomingRequest,
+        owner: &RegisteredTarget,
+    ) -> Result<(), ErrorKind> {
+        let now = BootClock.now();
+        if !self.allows_zone(incoming, &owner.zone) {
+            return Err(ErrorKind::RegionNotAllowed);
+        }
+        if owner.signals.get().is_paused(now) {
+            return Err(ErrorKind::TargetPaused);
+        }
+        Ok(())
+    }
+
+    /// The group of an owner; `None` if requests to the owner are not dispatched now.
+    fn owner_group(&self, owner: &RegisteredTarget) -> Option<Rc<TargetGroup>> {
+        let now = BootClock.now();
+        let may_send = owner.may_send(self.leaving_window, now);
+        if !may_send || !self.reachability.may_attempt(&owner.zone, now) {
+            return None;
+        }
+        let state = self.state.borrow();
+        let group = state.groups.of_target(&owner.id).filter(|group| group.is_dispatched())?;
+        Some(Rc::clone(group))
+    }
+
+    /// Sends a request to its selected target.
+    pub(super) async fn send_to(
+        &self,
+        incoming: &IncomingRequest,
+        service: &str,
+        selected: SelectedTarget,
+    ) -> SendEnd {
+        let since = Instant::now();
+        match selected {
+            SelectedTarget::Direct(target) => {
+                let end = self.attempt(incoming, service, &target).await;
+                SendEnd::Ended(end, since.elapsed())
+            }
+            SelectedTarget::Permitted(target, permit) => {
+                let end = self.attempt(incoming, service, &target).await;
+                permit.release(&end, since.elapsed());
+                SendEnd::Ended(end, since.elapsed())
+            }
+            SelectedTarget::Forwarded(target, group) => {
+                self.forward(incoming, &target, &group).await
+            }
+        }
+    }
+
+    /// Hands a request to the dispatcher of its owner.
+    async fn forward(
+        &self,
+        incoming: &IncomingRequest,
+        owner: &RegisteredTarget,
+        group: &TargetGroup,
+    ) -> SendEnd {
+        let Some(client) = self.dispatch_client(incoming) else { return SendEnd::Undispatched };
+        self.reachability.record_attempt(&owner.zone, BootClock.now());
+        let since = Instant::now();
+        let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
+        match client.forward(group, facts, &incoming.outgoing).await {
+            ForwardAnswer::Ended(end, latency) => match end.result {
+                // The dispatcher can't reach the owner; this VM may.
+                AttemptResult::NotSent(_) => SendEnd::Undispatched,
+                _ => SendEnd::Ended(end, latency),
+            },
+            ForwardAnswer::Refused(wait) => {
+                refuse(incoming, wait);
+                SendEnd::Refused
+            }
+            ForwardAnswer::Unavailable => SendEnd::Undispatched,
+            ForwardAnswer::Lost(reason) => {
+                SendEnd::Ended(AttemptResult::Lost(reason).into(), since.elapsed())
+            }
+        }
+    }
+}
+
+/// Whether the dispatcher of its owner sends a request. A large body would pass through the links of
+/// two VMs.
+fn is_forwarded(incoming: &IncomingRequest) -> bool {
+    let rule = &incoming.route.rule;
+    rule.repeat == RepeatClass::Safe
+        && !rule.large_responses
+        && incoming.outgoing.body.len() <= MAX_FORWARDED_BYTES
+}
+
+/// Keeps when there will be room for a refused request.
+fn refuse(incoming: &IncomingRequest, wait: Duration) -> ErrorKind {
+    incoming.capacity_retry_after.set(Some(wait));
+    ErrorKind::Overloaded
+}
+
+fn request_facts(
+    incoming: &IncomingRequest,
+    owner: Option<String>,
+    avoid: Vec<String>,
+) -> RequestFacts {
+    let due = incoming.latency_deadline().saturating_duration_since(Instant::now());
+    RequestFacts {
+        owner,
+        avoid,
+        route: xxhash_rust::xxh3::xxh3_64(incoming.route.rule.name.as_bytes()),
+        key: incoming.key,
+        rank: incoming.priority(),
+        due_in: due,
+        deadline_in: incoming.remaining().saturating_sub(RESPONSE_RETURN_RESERVE),
+    }
+}
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -4,11 +4,12 @@
 //! there, until a response is accepted or no further attempt is allowed.
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
-//! is the attempt loop, `selection` selects targets, `outcome` evaluates attempts, and `responses`
-//! builds what the caller receives.
+//! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
+//! `outcome` evaluates attempts, and `responses` builds what the caller receives.
 
 mod access;
 mod attempts;
+mod dispatching;
 mod outcome;
 mod responses;
 mod selection;
@@ -31,6 +32,7 @@
 
 use self::responses::forward_response;
 use crate::admission::{AdmissionTable, CachedAdmission};
+use crate::dispatch::{DispatchClient, GroupTable};
 use crate::drain::DrainState;
 use crate::evacuation::ZoneStates;
 use crate::exchange::TargetResponse;
@@ -46,7 +48,8 @@
 use crate::waiting::wait_for;
 use crate::workspace_table::WorkspaceTable;
 use crate::{
-    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, EvacuatedZones, HeaderNames,
+    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, DispatchScope,
+    EvacuatedZones, HeaderNames,
     PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
 };
 
@@ -74,6 +77,10 @@
     /// How old the declarations can be, by version.
     freshness: DeclarationsFreshness<u64>,
     registry: TargetRegistry,
+    /// Groups of targets that dispatchers decide for.
+    groups: Rc<GroupTable>,
+    /// Whether a declared route has large responses.
+    large_responses: bool,
     ranges: Arc<RangeMap>,
     admissions: CachedAdmission,
     updated: StateTimes,
@@ -91,6 +98,14 @@
         self.registry = self.registry.rebuild(&self.target_list, &rules);
     }
 
+    /// Rebuilds the groups of targets after the registry.
+    fn rebuild_groups(&mut self) -> Rc<GroupTable> {
+        let table =
+            GroupTable::build(&self.target_list, &self.registry, &self.fleet, &self.zones);
+        self.groups = Rc::new(table);
+        Rc::clone(&self.groups)
+    }
+
     /// Whether each key of a service has one owner.
     fn is_sharded(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|rule| rule.sharded)
@@ -105,6 +120,12 @@
     ranges: Instant,
 }
 
+/// How this VM takes part in dispatch.
+pub(crate) struct WorkerDispatch {
+    pub(crate) client: Rc<DispatchClient>,
+    pub(crate) scope: DispatchScope,
+}
+
 /// Settings and shared dependencies of the request path.
 pub(crate) struct WorkerContext {
     pub(crate) header_names: HeaderNames,
@@ -120,6 +141,8 @@
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) regions: RegionMap,
     pub(crate) quotas: Rc<QuotaClient>,
+    /// `None` if the VM does not take part in dispatch.
+    pub(crate) dispatch: Option<WorkerDispatch>,
 }
 
 /// The request path of one VM.
@@ -148,6 +171,7 @@
     max_key_age: Option<Duration>,
     regions: RegionMap,
     quotas: Rc<QuotaClient>,
+    dispatch: Option<WorkerDispatch>,
 }
 
 /// State of a request across its attempts.
@@ -167,6 +191,10 @@
     response: Option<TargetResponse>,
     /// The quota token of the next attempt.
     token: Option<QuotaToken>,
+    /// Whether the next attempt is made by this VM's own limits.
+    undispatched: bool,
+    /// Whether the announced limits on overloaded owners admitted the request.
+    admitted: bool,
 }
 
 /// The next step after an attempt.
@@ -190,6 +218,8 @@
             workspaces: None,
             freshness: DeclarationsFreshness::default(),
             registry: TargetRegistry::new(context.vm, context.zone.clone()),
+            groups: Rc::default(),
+            large_responses: false,
             ranges: Arc::default(),
             admissions: CachedAdmission::new(Arc::default()),
             updated: StateTimes { declarations: started, targets: started, ranges: started },
@@ -213,9 +243,18 @@
             max_key_age: context.max_key_age,
             regions: context.regions,
             quotas: context.quotas,
+            dispatch: context.dispatch,
         })
     }
 
+    /// Rebuilds the registry and the groups of targets from the current state.
+    fn rebuild_registry(&self, state: &mut WorkerState) {
+        state.rebuild_registry(self.cold_settings);
+        let Some(dispatch) = &self.dispatch else { return };
+        let groups = state.rebuild_groups();
+        dispatch.client.set_groups(groups);
+    }
+
     /// Applies newer declarations; older ones are ignored.
     pub(crate) fn set_declarations(&self, declarations: &Declarations) {
         let mut state = self.state.borrow_mut();
@@ -227,8 +266,9 @@
         log_built(declarations, started.elapsed());
         if state.services != declarations.services {
             state.services.clone_from(&declarations.services);
-            state.rebuild_registry(self.cold_settings);
+            self.rebuild_registry(&mut state);
         }
+        state.large_responses = declarations.routes.iter().any(|route| route.large_responses);
         state.limits = declarations.limits;
         state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
         state.freshness.activate(declarations.version);
@@ -248,7 +288,7 @@
     pub(crate) fn set_targets(&self, list: Arc<TargetList>) {
         let mut state = self.state.borrow_mut();
         state.target_list = list;
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
         state.updated.targets = Instant::now();
         self.changed.notify_waiters();
     }
@@ -257,7 +297,7 @@
     pub(crate) fn set_evacuations(&self, zones: &EvacuatedZones) {
         let mut state = self.state.borrow_mut();
         state.zones.update(zones, BootClock.now());
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
         self.changed.notify_waiters();
     }
 
@@ -265,7 +305,7 @@
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
     }
 
     /// Rebuilds the registry each time a cold target becomes warm, so that it may join this VM's
@@ -275,7 +315,7 @@
             let next = || self.state.borrow().registry.next_warm(BootClock.now());
             let warm = wait_for(&self.changed, next).await;
             tokio::time::sleep(warm.since(BootClock.now())).await;
-            self.state.borrow_mut().rebuild_registry(self.cold_settings);
+            self.rebuild_registry(&mut self.state.borrow_mut());
         }
     }
 
@@ -353,6 +393,9 @@
         metrics.paused.set(signals.paused);
         metrics.limited.set(signals.limited);
         let version = state.version.unwrap_or_default();
+        if let Some(dispatch) = &self.dispatch {
+            dispatch.client.server().refresh_gauges();
+        }
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(state.updated.declarations.elapsed().as_secs_f64());
         metrics.targets_age.set(state.updated.targets.elapsed().as_secs_f64());
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -16,6 +16,8 @@
 
 /// Shortest delay before a retry of a request that exceeded the quota of its workspace.
 const MIN_QUOTA_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Shortest delay before a retry of a request for which there was no room.
+const MIN_CAPACITY_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Delay before a retry when a response can no longer meet the latency target, as a fraction of the
 /// time until the caller's deadline. Most callers can then retry more than once.
 const LATE_RETRY_FRACTION_OF_REMAINING: f64 = 0.25;
@@ -72,8 +74,9 @@
         }
         let jitter =
             1.0 - RETRY_JITTER_FRACTION / 2.0 + self.rng.borrow_mut().f64() * RETRY_JITTER_FRACTION;
-        if let Some(wait) = self.retry_after(kind, incoming) {
-            let wait = wait.mul_f64(jitter);
+        let told_wait = incoming.and_then(|incoming| self.told_retry_after(kind, incoming));
+        let estimated_wait = || Some(self.retry_after(kind, incoming)?.mul_f64(jitter));
+        if let Some(wait) = told_wait.or_else(estimated_wait) {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 response.headers_mut().insert(RETRY_AFTER, value);
@@ -82,6 +85,16 @@
         response
     }
 
+    /// The delay after which a dispatcher expects room for a refused request.
+    ///
+    /// No two callers are told the same time, so it is used as it is.
+    fn told_retry_after(&self, kind: ErrorKind, incoming: &IncomingRequest) -> Option<Duration> {
+        if kind != ErrorKind::Overloaded || !self.policy.come_back_time.is_on() {
+            return None;
+        }
+        incoming.capacity_retry_after.get().map(|wait| wait.max(MIN_CAPACITY_RETRY_DELAY))
+    }
+
     /// The delay after which the caller should retry, or `None` if the error kind has none.
     ///
     /// The caller retries while a response can still meet the latency target, and otherwise at a
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -239,7 +239,7 @@
 
     /// Returns the owner of a key. Waits while its range moves, at most until a response would miss
     /// the latency target.
-    async fn wait_for_owner(
+    pub(super) async fn wait_for_owner(
         &self,
         incoming: &IncomingRequest,
         service: &str,
@@ -281,7 +281,7 @@
 
     /// The settled owner of a key, unless it has just refused this request or does not accept
     /// requests.
-    fn usable_owner(
+    pub(super) fn usable_owner(
         &self,
         service: &str,
         key: u16,
