gateway: dispatcher polls its queue only after a change of its targets

Cause: the queue treats each set_target as a change and queues the next request. Change: a group's state keeps which targets the queue may use.

--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -310,9 +310,9 @@
     /// How long a request probably has to wait at a group, by what its dispatcher last told.
     pub(crate) fn expected_wait(&self, group: &TargetGroup) -> Duration {
         let waits = self.told_waits.borrow();
-        waits.get(&group.id).map_or(Duration::ZERO, |told| {
-            told.wait.saturating_sub(told.at.elapsed())
-        })
+        waits
+            .get(&group.id)
+            .map_or(Duration::ZERO, |told| told.wait.saturating_sub(told.at.elapsed()))
     }
 
     /// Forgets the peers and waits of groups that no longer exist.
--- a/crates/nickellead_gateway/src/dispatch/group_state.rs
+++ b/crates/nickellead_gateway/src/dispatch/group_state.rs
@@ -36,6 +36,8 @@
 struct GroupTarget {
     key: TargetKey,
     target: Rc<RegisteredTarget>,
+    /// Whether the queue may use it.
+    usable: bool,
 }
 
 /// The state of one group on its dispatcher.
@@ -59,9 +61,27 @@
         }
     }
 
-    /// Applies which targets the group has and which of them may be dispatched now.
-    pub(super) fn refresh(&mut self, group: &TargetGroup, leaving_window: Duration, now: Timestamp) {
-        let queue = &mut self.queue;
+    /// Applies which targets the group has and which of them may be dispatched now, and answers the
+    /// requests for which this matters.
+    pub(super) fn refresh(
+        &mut self,
+        group: &TargetGroup,
+        leaving_window: Duration,
+        now: Timestamp,
+    ) {
+        let mut changed = self.remove_unlisted(group);
+        for target in &group.targets {
+            let usable = !group.evacuated && may_dispatch(target, leaving_window, now);
+            changed |= self.set_usable(target, usable);
+        }
+        if changed {
+            self.poll(now);
+        }
+    }
+
+    /// Removes the targets that are not in the group any more; returns whether there were any.
+    fn remove_unlisted(&mut self, group: &TargetGroup) -> bool {
+        let (queue, before) = (&mut self.queue, self.targets.len());
         self.targets.retain(|_, known| {
             let stays = group.targets.iter().any(|target| Rc::ptr_eq(target, &known.target));
             if !stays {
@@ -69,16 +89,29 @@
             }
             stays
         });
-        for target in &group.targets {
-            let known = self.targets.entry(target.id.clone()).or_insert_with(|| {
+        self.targets.len() < before
+    }
+
+    /// Adds a target, and sets whether the queue may use it; returns whether this is new.
+    fn set_usable(&mut self, target: &Rc<RegisteredTarget>, usable: bool) -> bool {
+        let known = match self.targets.get_mut(&target.id) {
+            Some(known) => known,
+            None => {
                 self.next_key += 1;
-                GroupTarget { key: TargetKey(self.next_key), target: Rc::clone(target) }
-            });
-            match !group.evacuated && may_dispatch(target, leaving_window, now) {
-                true => queue.set_target(known.key, target.slots),
-                false => queue.suspend_target(known.key),
+                let key = TargetKey(self.next_key);
+                let added = GroupTarget { key, target: Rc::clone(target), usable: false };
+                self.targets.entry(target.id.clone()).or_insert(added)
             }
+        };
+        if known.usable == usable {
+            return false;
+        }
+        known.usable = usable;
+        match usable {
+            true => self.queue.set_target(known.key, target.slots),
+            false => self.queue.suspend_target(known.key),
         }
+        true
     }
 
     /// Asks for a permit.
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_core::Timestamp;
-use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
 use nickellead_dispatch::TicketId;
+use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
 use nickellead_peer::serve_calls;
 use nickellead_time::BootClock;
 use tokio::net::TcpListener;
@@ -109,7 +109,8 @@
                 });
                 groups.values().filter_map(GroupState::next_deadline).min()
             };
-            let wait = next.map_or(MAX_TIMER_INTERVAL, |due| due.since(now).min(MAX_TIMER_INTERVAL));
+            let wait =
+                next.map_or(MAX_TIMER_INTERVAL, |due| due.since(now).min(MAX_TIMER_INTERVAL));
             let wait = wait.max(Duration::from_millis(1));
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
@@ -151,8 +152,7 @@
                 answer
             }
             Some(GroupDecision::Waiting(ticket, receiver)) => {
-                let waiting =
-                    WaitingRequest { server: self, group: &call.group, ticket, receiver };
+                let waiting = WaitingRequest { server: self, group: &call.group, ticket, receiver };
                 let answer = waiting.wait().await;
                 metrics.waited.inc_by(u64::from(matches!(answer, GroupAnswer::Granted(_))));
                 answer
@@ -232,8 +232,6 @@
             return None;
         }
         let decision = state.request(call, now);
-        // The request may have displaced others.
-        state.poll(now);
         drop(groups);
         self.changed.notify_one();
         Some(decision)
@@ -349,15 +347,9 @@
 }
 
 /// Logs a forwarded request if no response came back, or if its id selects it, as on other VMs.
-fn log_forwarded(
-    outgoing: &OutgoingRequest,
-    target: &str,
-    attempt: &WireAttempt,
-    after: Duration,
-) {
+fn log_forwarded(outgoing: &OutgoingRequest, target: &str, attempt: &WireAttempt, after: Duration) {
     let id = outgoing.request_id.as_bytes();
-    let is_sample =
-        xxhash_rust::xxh3::xxh3_64(id).is_multiple_of(REQUEST_ANSWERED_SAMPLE_INTERVAL);
+    let is_sample = xxhash_rust::xxh3::xxh3_64(id).is_multiple_of(REQUEST_ANSWERED_SAMPLE_INTERVAL);
     if !is_sample && matches!(attempt.result, WireResult::Responded { .. }) {
         return;
     }
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -44,14 +44,19 @@
 impl SelectedTarget {
     pub(super) fn target(&self) -> &Rc<RegisteredTarget> {
         match self {
-            Self::Direct(target) | Self::Permitted(target, _) | Self::Forwarded(target, _) => target,
+            Self::Direct(target) | Self::Permitted(target, _) | Self::Forwarded(target, _) => {
+                target
+            }
         }
     }
 }
 
 impl RequestWorker {
     /// The client to dispatch a request with; `None` if it is sent by this VM's own limits.
-    pub(super) fn dispatch_client(&self, incoming: &IncomingRequest) -> Option<&Rc<DispatchClient>> {
+    pub(super) fn dispatch_client(
+        &self,
+        incoming: &IncomingRequest,
+    ) -> Option<&Rc<DispatchClient>> {
         let dispatch = self.dispatch.as_ref().filter(|_| self.policy.dispatch.is_on())?;
         let state = self.state.borrow();
         let is_in_scope = match dispatch.scope {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -48,9 +48,8 @@
 use crate::waiting::wait_for;
 use crate::workspace_table::WorkspaceTable;
 use crate::{
-    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, DispatchScope,
-    EvacuatedZones, HeaderNames,
-    PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
+    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, DispatchScope, EvacuatedZones,
+    HeaderNames, PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
 };
 
 /// Part of the caller's deadline that is reserved for returning the response.
@@ -100,8 +99,7 @@
 
     /// Rebuilds the groups of targets after the registry.
     fn rebuild_groups(&mut self) -> Rc<GroupTable> {
-        let table =
-            GroupTable::build(&self.target_list, &self.registry, &self.fleet, &self.zones);
+        let table = GroupTable::build(&self.target_list, &self.registry, &self.fleet, &self.zones);
         self.groups = Rc::new(table);
         Rc::clone(&self.groups)
     }
--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -11,9 +11,7 @@
 use common::link::PacedLink;
 use common::store::MemoryStore;
 use common::target::{Behavior, BoundedWork, TestTarget, header};
-use common::{
-    TestGateway, declarations, entry, exchange, free_address, route, wait_until,
-};
+use common::{TestGateway, declarations, entry, exchange, free_address, route, wait_until};
 use nickellead_gateway::{DispatchScope, RepeatClass, SharedRoute};
 
 const VMS: usize = 3;
