--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -74,7 +74,7 @@
 /// Result of handing a request to a dispatcher.
 pub(crate) enum ForwardAnswer {
     /// The dispatcher made an attempt, and the target took this long.
-    Ended(AttemptEnd, Duration),
+    Ended(Box<AttemptEnd>, Duration),
     /// When there will be room.
     Refused(Duration),
     /// No dispatcher decides for the target; nothing shows that one received the request.
@@ -265,7 +265,7 @@
             match reply {
                 DispatchReply::Forwarded(attempt) => {
                     let (end, latency) = attempt.into_end(BootClock.now());
-                    return ForwardAnswer::Ended(end, latency);
+                    return ForwardAnswer::Ended(Box::new(end), latency);
                 }
                 DispatchReply::Refused { retry_after_ms } => {
                     return ForwardAnswer::Refused(duration(retry_after_ms));
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -53,7 +53,7 @@
             let target = Rc::clone(selected.target());
             let sending = self.send_to(incoming, &weighted.service, selected);
             let (end, latency) = match self.until_drain_end(sending).await {
-                Ok(SendEnd::Ended(end, latency)) => (end, latency),
+                Ok(SendEnd::Ended(end, latency)) => (*end, latency),
                 Ok(SendEnd::Undispatched) => {
                     attempts.undispatched = true;
                     continue;
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -34,7 +34,7 @@
 /// How an attempt at a selected target ended.
 pub(super) enum SendEnd {
     /// The attempt was made, and the target took this long.
-    Ended(AttemptEnd, Duration),
+    Ended(Box<AttemptEnd>, Duration),
     /// Nothing was sent: the request is sent by this VM's own limits.
     Undispatched,
     /// Nothing was sent: there is no room for the request in time.
@@ -267,12 +267,12 @@
         match selected {
             SelectedTarget::Direct(target) => {
                 let end = self.attempt(incoming, service, &target).await;
-                SendEnd::Ended(end, since.elapsed())
+                SendEnd::Ended(Box::new(end), since.elapsed())
             }
             SelectedTarget::Permitted(target, permit) => {
                 let end = self.attempt(incoming, service, &target).await;
                 permit.release(&end, since.elapsed());
-                SendEnd::Ended(end, since.elapsed())
+                SendEnd::Ended(Box::new(end), since.elapsed())
             }
             SelectedTarget::Forwarded(target, group) => {
                 self.forward(incoming, &target, &group).await
@@ -303,7 +303,8 @@
             }
             ForwardAnswer::Unavailable => SendEnd::Undispatched,
             ForwardAnswer::Lost(reason) => {
-                SendEnd::Ended(AttemptResult::Lost(reason).into(), since.elapsed())
+                let end = AttemptEnd::from(AttemptResult::Lost(reason));
+                SendEnd::Ended(Box::new(end), since.elapsed())
             }
         }
     }
