--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -345,7 +345,7 @@
     /// A frozen or cut-off dispatcher under load: it must not delay every request.
     #[test]
     fn a_lost_dispatcher_is_tried_by_one_request_a_second_until_it_answers() {
-        let at = |millis| Timestamp(10_000 + millis);
+        let at = |millis: u64| Timestamp(10_000 + millis);
         let mut health = PeerHealth::default();
         assert!(health.may_ask(at(0)));
         assert!(health.record_lost(at(0)), "the loss is new");
