--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -7,11 +7,14 @@
 mod group_state;
 mod groups;
 mod messages;
+mod peer_health;
 mod permit;
 mod server;
 mod wire;
 
 pub(crate) use client::{AcquireAnswer, DispatchClient, ForwardAnswer, RequestFacts};
+pub use groups::divide_targets;
 pub(crate) use groups::{GroupTable, TargetGroup};
+pub use peer_health::PeerHealth;
 pub(crate) use permit::HeldPermit;
 pub(crate) use server::{DispatchServer, ServerContext, serve_dispatch};
