--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -85,7 +85,6 @@
     ///
     /// VMs without an address are passed over. VMs with the same view of the fleet agree without
     /// communication, and a VM that joins or leaves changes few selections.
-    #[allow(dead_code, reason = "the client of dispatchers follows")]
     pub(crate) fn dispatchers(&self, zone: &str, seed: u64) -> [Option<SocketAddr>; 2] {
         let in_zone = self.vms.iter().filter(|(vm, _)| vm.is_in_zone(zone));
         let ranked =
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -94,7 +94,7 @@
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
     let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
-    let announced = settings.announced_dispatch();
+    let announced = settings.announced_dispatch_address();
     let dispatch = listeners.dispatch.zip(announced).map(|(listener, announced)| {
         DispatchSettings { listener, announced, scope: settings.dispatch_scope }
     });
