--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -119,7 +119,7 @@
 
 /// Most requests that were at a bounded target at the same time.
 fn most_present(target: &TestTarget) -> usize {
-    let mut slots = vec![None; WORK.slots];
+    let mut slots = [None; WORK.slots];
     let mut ends: Vec<Instant> = Vec::new();
     let mut most = 0;
     for arrival in target.arrivals() {
