--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -1,5 +1,20 @@
 //! Dispatch between VMs: one VM decides for the targets of a group.
 //!
-//! See `docs/design/dispatch.md`. `messages` defines the protocol.
+//! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
+//! `groups` divides the targets; `server` and `group_state` decide, and `client` asks.
 
+mod client;
+mod group_state;
+mod groups;
 mod messages;
+mod peer_health;
+mod permit;
+mod server;
+mod wire;
+
+pub(crate) use client::{AcquireAnswer, DispatchClient, ForwardAnswer, RequestFacts};
+pub use groups::divide_targets;
+pub(crate) use groups::{GroupTable, TargetGroup};
+pub use peer_health::PeerHealth;
+pub(crate) use permit::HeldPermit;
+pub(crate) use server::{DispatchServer, ServerContext, serve_dispatch};
