Zones out of reach: refusals, resets and reports of other VMs count as well as silence

Cause: ZoneReachability counted connect timeouts only. In a cut that refuses or resets connections a VM tried each target of the lost zone again, up to four times a request, and each VM found out alone.

Change: ReachRules::AllFailures counts failures of all kinds, told from crashed targets by the fraction of the recently tried targets that failed; a closed zone gets one try in 300 ms and opens slowly. A request spends at most two failed connections in a zone, none at a target that refused it, and an attempt that is still connecting is given up when the zone is closed. ZoneReports decides what VMs of a zone tell each other; the sockets follow. ReachRules::Timeouts behaves as before and is what all deployments use until the setting for dispatch is there.

--- a/crates/nickellead_balance/src/lib.rs
+++ b/crates/nickellead_balance/src/lib.rs
@@ -3,7 +3,8 @@
 //! A [`TargetScore`] is learned from the outcomes of this VM's own requests; there are no separate
 //! health probes. [`choose`] samples a few candidates at random and takes the one with the lowest
 //! expected latency. [`even_subset`] spreads targets evenly over VMs, [`TargetSignals`] holds what a
-//! target reports about itself, and [`ZoneReachability`] detects an unreachable availability zone.
+//! target reports about itself, and [`ZoneReachability`] detects availability zones that
+//! are out of reach.
 
 mod baseline;
 mod reachability;
@@ -13,7 +14,9 @@
 mod subset;
 
 pub use baseline::BaselineLatency;
-pub use reachability::ZoneReachability;
+pub use reachability::{
+    FailedTry, ReachChange, ReachFailure, ReachReport, ReachRules, ZoneReachability,
+};
 pub use score::{TargetOutcome, TargetScore};
 pub use selection::{Candidate, SelectionRules, choose};
 pub use signals::{ReportedLimit, TargetSignals};
--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -69,6 +69,7 @@
     TargetPaused, "target-paused", Info, ["target", "pause_ms"], "a target refused a request and asked this VM to pause for this time; logged again only after the pause ends";
     TargetLimited, "target-limited", Info, ["target", "rate"], "responses of this target set a limit in requests per second from all VMs together, or no longer set one (none)";
     ZoneEvacuated, "zone-evacuated", Info, ["zone", "evacuated"], "this VM learned that an availability zone is to get no new requests, or gets them again";
+    ZoneOutOfReach, "zone-out-of-reach", Warn, ["zone", "in_reach", "first_hand"], "tries to an availability zone fail, so that this VM sends only occasional requests there, or the zone is in reach again (in_reach=true); first_hand=false if reports of other VMs or their expiry were needed for the conclusion";
     TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM sent this many changes of targets; the VM that watches the store logs target-changed for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves started";
     OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in effect";
--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -80,6 +80,8 @@
     Broken,
     /// The address did not respond within [`CONNECT_TIMEOUT`] or the time that the caller waits.
     TimedOut,
+    /// The attempt was given up because the target's availability zone went out of reach.
+    OutOfReach,
 }
 
 impl ConnectFailure {
@@ -88,6 +90,7 @@
             Self::Refused => "connection-refused",
             Self::Broken => "connection-broken",
             Self::TimedOut => "connection-silent",
+            Self::OutOfReach => "zone-out-of-reach",
         }
     }
 }
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -3,6 +3,8 @@
 
 use bincode::{Decode, Encode};
 
+use crate::load_counter::VmId;
+
 /// HTTP path of the protocol; it ends in the protocol version. VMs of different versions send requests
 /// without each other's permission, by their own limits.
 pub(super) const DISPATCH_PATH: &str = "/dispatch/1";
@@ -16,6 +18,22 @@
     Forward(Box<ForwardCall>),
     /// Returns a permit. It is answered with [`DispatchReply::Released`].
     Release(ReleaseCall),
+    /// Tells a VM of the same zone about another zone. It is answered with
+    /// [`DispatchReply::Released`].
+    ZoneReport(ZoneReport),
+}
+
+/// What a VM saw of another availability zone by its own requests.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ZoneReport {
+    /// The VM that saw it.
+    pub(crate) vm: VmId,
+    /// The other availability zone.
+    pub(crate) zone: String,
+    /// Whether the zone is in reach of the VM.
+    pub(crate) in_reach: bool,
+    /// Time since the VM saw it, in milliseconds.
+    pub(crate) seen_ms_ago: u32,
 }
 
 /// Targets of one service in one availability zone that one VM dispatches.
@@ -108,7 +126,7 @@
     Refused { retry_after_ms: u32 },
     /// The target is not dispatched, or not by this VM: the request may be sent without a permit.
     Unavailable,
-    /// The permit was returned.
+    /// The permit was returned, or the report was received.
     Released,
     /// The request was handled as by an attempt of the VM that received it.
     Forwarded(Box<WireAttempt>),
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -53,6 +53,7 @@
     RepeatClass, RouteRule, ServiceRule, SharedRoute, StateConfirmation, UpdateError,
     WeightedService, WorkspaceQuota, WorkspaceRule, WorkspaceRules, WorkspacesChange,
 };
+pub use dispatch::{ZoneReport, ZoneReports};
 pub use nickellead_range::{MandateRecord, Revision, StoreEra, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
 pub use order_client::{CallFailure, OrderClient};
--- a/crates/nickellead_gateway/src/load_counter.rs
+++ b/crates/nickellead_gateway/src/load_counter.rs
@@ -41,6 +41,11 @@
         Self { vm: short_hash(vm), zone: short_hash(zone) }
     }
 
+    /// Both hashes in one number.
+    pub(crate) const fn key(self) -> u64 {
+        (self.zone as u64) << 32 | self.vm as u64
+    }
+
     pub(crate) fn is_in_zone(self, zone: &str) -> bool {
         self.zone == short_hash(zone)
     }
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -42,6 +42,7 @@
     pub(crate) leaving: Gauge,
     pub(crate) paused: Gauge,
     pub(crate) limited: Gauge,
+    pub(crate) zones_out_of_reach: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -62,6 +63,7 @@
             leaving: Gauge::default(),
             paused: Gauge::default(),
             limited: Gauge::default(),
+            zones_out_of_reach: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -89,6 +91,8 @@
         registry.register("targets_paused", help, metrics.paused.clone());
         let help = "Listed targets that reported a rate limit to this VM";
         registry.register("targets_limited", help, metrics.limited.clone());
+        let help = "Availability zones that this VM can't reach";
+        registry.register("zones_out_of_reach", help, metrics.zones_out_of_reach.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Version of the active declarations", version);
         let age = metrics.config_age.clone();
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::requests::{self, RequestContext};
 use crate::state_channels::state_channels;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
+use nickellead_balance::ReachRules;
 
 /// Fraction of the grace time during which a stopping VM still accepts connections.
 ///
@@ -115,6 +116,7 @@
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
+        reach_rules: ReachRules::Timeouts,
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -8,6 +8,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
+use nickellead_balance::ReachRules;
 use nickellead_limit::QuotaTolerance;
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
@@ -51,6 +52,7 @@
     pub(crate) regions: RegionMap,
     pub(crate) token_requests: mpsc::Sender<TokenRequest>,
     pub(crate) quota_tolerance: QuotaTolerance,
+    pub(crate) reach_rules: ReachRules,
 }
 
 /// Starts the request thread.
@@ -84,6 +86,7 @@
         max_key_age: context.max_key_age,
         regions: context.regions,
         quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
+        reach_rules: context.reach_rules,
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
@@ -180,6 +183,8 @@
     });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
+    let updated = Rc::clone(worker);
+    actix_rt::spawn(async move { updated.apply_zone_reports().await });
     let (updated, mut ranges) = (Rc::clone(worker), receivers.ranges.clone());
     actix_rt::spawn(async move {
         while ranges.changed().await.is_ok() {
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -368,6 +368,23 @@
         self.by_id.is_empty()
     }
 
+    /// The listed targets of an availability zone.
+    pub(crate) fn in_zone<'a>(
+        &'a self,
+        zone: &'a str,
+    ) -> impl Iterator<Item = &'a Rc<RegisteredTarget>> {
+        self.by_id.values().filter(move |target| target.zone == zone)
+    }
+
+    /// Number of listed targets by availability zone.
+    pub(crate) fn count_by_zone(&self) -> HashMap<&str, usize> {
+        let mut counts = HashMap::new();
+        for target in self.by_id.values() {
+            *counts.entry(target.zone.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
     /// The targets of a service that accept requests, in all zones that are not evacuated.
     pub(crate) fn available(&self, service: &str) -> &[Rc<RegisteredTarget>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -410,8 +427,8 @@
     pub(crate) fn mark_down(&self, target: &RegisteredTarget, now: Timestamp) {
         target.mark_down(now);
         let Some(rule) = target.cold_rule.get().filter(|_| !target.sharded.get()) else { return };
-        let in_zone = self.by_id.values().filter(|one| one.zone == target.zone);
-        if in_zone.filter(|one| one.is_down(now)).count() <= MAX_CRASHED_PER_ZONE {
+        let down = self.in_zone(&target.zone).filter(|one| one.is_down(now));
+        if down.count() <= MAX_CRASHED_PER_ZONE {
             target.expect_cold(now + DOWN_WINDOW + rule.duration, now);
         }
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempt loop: sends a request to targets until a response is accepted or no further attempt
 //! is allowed.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -9,7 +10,8 @@
 use nickellead_time::BootClock;
 
 use super::{AttemptState, NextStep, RESPONSE_RETURN_RESERVE, RequestWorker};
-use crate::exchange::{AttemptEnd, AttemptPlan, TargetResponse, run_attempt};
+use crate::connections::ConnectFailure;
+use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
 use crate::target_registry::{InFlightGuard, RegisteredTarget};
 
@@ -138,7 +140,11 @@
         let _running = InFlightGuard::new(target, &self.queue(service));
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
-        let permit = || self.permit_sending(incoming, &target.zone);
+        let connecting = Cell::new(true);
+        let permit = || {
+            connecting.set(false);
+            self.permit_sending(incoming, &target.zone)
+        };
         let plan = AttemptPlan {
             target,
             repeat: incoming.route.rule.repeat,
@@ -148,8 +154,16 @@
         };
         let guard = AbandonGuard { target, since: Instant::now(), armed: true };
         let latency_target = incoming.route.rule.latency_target;
-        let mut sending =
-            std::pin::pin!(run_attempt(&self.header_names, &incoming.outgoing, &plan));
+        let unless_lost = async {
+            tokio::select! {
+                biased;
+                end = run_attempt(&self.header_names, &incoming.outgoing, &plan) => end,
+                () = self.wait_for_lost_zone(&target.zone, &connecting) => {
+                    AttemptResult::NotSent(ConnectFailure::OutOfReach).into()
+                }
+            }
+        };
+        let mut sending = std::pin::pin!(unless_lost);
         let end = match tokio::time::timeout(latency_target, &mut sending).await {
             Ok(end) => end,
             Err(_) => {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -4,12 +4,13 @@
 //! there, until a response is accepted or no further attempt is allowed.
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
-//! is the attempt loop, `selection` selects targets, `outcome` evaluates attempts, and `responses`
-//! builds what the caller receives.
+//! is the attempt loop, `selection` selects targets, `outcome` evaluates attempts, `reach` applies
+//! changes of the zones in reach, and `responses` builds what the caller receives.
 
 mod access;
 mod attempts;
 mod outcome;
+mod reach;
 mod responses;
 mod selection;
 
@@ -21,7 +22,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
-use nickellead_balance::ZoneReachability;
+use nickellead_balance::{ReachRules, ZoneReachability};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::WaitQueue;
@@ -31,6 +32,8 @@
 
 use self::responses::forward_response;
 use crate::admission::{AdmissionTable, CachedAdmission};
+use crate::connections::ConnectFailure;
+use crate::dispatch::ZoneReports;
 use crate::drain::DrainState;
 use crate::evacuation::ZoneStates;
 use crate::exchange::TargetResponse;
@@ -120,6 +123,7 @@
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) regions: RegionMap,
     pub(crate) quotas: Rc<QuotaClient>,
+    pub(crate) reach_rules: ReachRules,
 }
 
 /// The request path of one VM.
@@ -134,7 +138,11 @@
     load_counter: LoadCounter,
     /// Wait queues of services, for requests that any target of the service can take.
     queues: RefCell<HashMap<String, Rc<WaitQueue>>>,
-    reachability: ZoneReachability,
+    reachability: Rc<ZoneReachability>,
+    /// Notified when a zone goes out of reach or returns.
+    reach_changed: Notify,
+    /// What this VM and others of its zone tell each other about other zones.
+    zone_reports: Rc<ZoneReports>,
     /// When ranges were first seen without a usable owner, by fence.
     ownerless_since: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
@@ -161,6 +169,8 @@
     tried: Vec<String>,
     /// Targets that reported that they do not own the key.
     misdirected: Vec<String>,
+    /// Attempts that failed while connecting.
+    unconnected: Vec<UnconnectedAttempt>,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
@@ -169,6 +179,13 @@
     token: Option<QuotaToken>,
 }
 
+/// An attempt that failed while connecting.
+struct UnconnectedAttempt {
+    target: String,
+    zone: String,
+    failure: ConnectFailure,
+}
+
 /// The next step after an attempt.
 enum NextStep {
     Done(TargetResponse),
@@ -179,6 +196,8 @@
 impl RequestWorker {
     pub(crate) fn new(context: WorkerContext) -> Rc<Self> {
         let started = Instant::now();
+        let reachability = Rc::new(ZoneReachability::new(context.reach_rules));
+        let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
         let state = WorkerState {
             version: None,
             services: BTreeMap::new(),
@@ -203,7 +222,9 @@
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
-            reachability: ZoneReachability::default(),
+            reachability,
+            reach_changed: Notify::new(),
+            zone_reports: Rc::new(zone_reports),
             ownerless_since: RefCell::default(),
             drain: context.drain,
             metrics: context.metrics,
@@ -249,6 +270,7 @@
         let mut state = self.state.borrow_mut();
         state.target_list = list;
         state.rebuild_registry(self.cold_settings);
+        self.reachability.set_targets(&state.registry.count_by_zone());
         state.updated.targets = Instant::now();
         self.changed.notify_waiters();
     }
@@ -344,6 +366,7 @@
 
     /// Updates the gauges that are derived from the cached state.
     pub(crate) fn refresh_gauges(&self) {
+        self.apply_reach_changes();
         let state = self.state.borrow();
         let metrics = &self.metrics;
         let opened = i64::try_from(state.registry.opened()).unwrap_or(i64::MAX);
@@ -352,6 +375,8 @@
         metrics.leaving.set(signals.leaving);
         metrics.paused.set(signals.paused);
         metrics.limited.set(signals.limited);
+        let out_of_reach = self.reachability.count_out_of_reach(BootClock.now());
+        metrics.zones_out_of_reach.set(i64::try_from(out_of_reach).unwrap_or(i64::MAX));
         let version = state.version.unwrap_or_default();
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(state.updated.declarations.elapsed().as_secs_f64());
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -8,7 +8,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
-use super::{AttemptState, NextStep, RequestWorker};
+use super::{AttemptState, NextStep, RequestWorker, UnconnectedAttempt};
 use crate::RepeatClass;
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptEnd, AttemptResult, LossReason, TargetResponse};
@@ -67,7 +67,8 @@
             false => Duration::MAX,
         };
         let now = BootClock.now();
-        self.record_reachability(target, result, now);
+        let began = now.checked_sub(latency).unwrap_or_default();
+        self.record_reachability(target, result, began, now);
         match result {
             AttemptResult::Responded(response) if response.status.is_server_error() => {
                 target.record_outcome(TargetOutcome::Failed, now);
@@ -91,6 +92,7 @@
             // A different view of key ownership says nothing about health.
             AttemptResult::Misdirected | AttemptResult::Withheld => {}
             AttemptResult::Forbidden(_) => {}
+            AttemptResult::NotSent(ConnectFailure::OutOfReach) => {}
             AttemptResult::NotSent(failure) => {
                 if *failure == ConnectFailure::Refused {
                     self.state.borrow().registry.mark_down(target, now);
@@ -156,27 +158,6 @@
             self.queue(service).wake_all();
         }
     }
-
-    /// Updates whether the target's availability zone is reachable.
-    fn record_reachability(
-        &self,
-        target: &RegisteredTarget,
-        result: &AttemptResult,
-        now: Timestamp,
-    ) {
-        match result {
-            AttemptResult::NotSent(ConnectFailure::TimedOut) => {
-                self.reachability.record_connect_timeout(&target.zone, &target.id, now);
-            }
-            AttemptResult::Responded(_) | AttemptResult::Shed | AttemptResult::Misdirected => {
-                self.reachability.record_response(&target.zone);
-            }
-            AttemptResult::NotSent(_)
-            | AttemptResult::Withheld
-            | AttemptResult::Forbidden(_)
-            | AttemptResult::Lost(_) => {}
-        }
-    }
 }
 
 /// Records the latency of a response, and that the target may have capacity for more requests.
@@ -206,9 +187,12 @@
             attempts.misdirected.push(target.id.clone());
             attempts.sent += 1;
         }
-        AttemptResult::NotSent(_) | AttemptResult::Withheld | AttemptResult::Forbidden(_) => {
+        AttemptResult::NotSent(failure) => {
             attempts.unsent += 1;
+            let (target, zone) = (target.id.clone(), target.zone.clone());
+            attempts.unconnected.push(UnconnectedAttempt { target, zone, failure: *failure });
         }
+        AttemptResult::Withheld | AttemptResult::Forbidden(_) => attempts.unsent += 1,
         AttemptResult::Lost(_) => {
             attempts.sent += 1;
             attempts.may_have_run = true;
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_balance::{Candidate, SelectionRules, choose};
+use nickellead_balance::{Candidate, ReachRules, SelectionRules, choose};
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::WaitQueue;
 use nickellead_time::BootClock;
@@ -88,13 +88,14 @@
         if !target.rate_allows(now) {
             return Err(ErrorKind::TargetLimited);
         }
-        if !self.reachability.may_attempt(&target.zone, now) {
+        let is_used_up = self.is_used_up(&target, attempts);
+        if is_used_up || !self.reachability.may_attempt(&target.zone, now) {
             return Err(ErrorKind::TargetUnreachable);
         }
         if !target.has_capacity() {
             return Ok(TargetCapacity::Full(target));
         }
-        self.reachability.record_attempt(&target.zone, now);
+        self.reachability.record_attempt(&target.zone, &target.id, now);
         Ok(TargetCapacity::Available(target))
     }
 
@@ -149,7 +150,7 @@
             let key = incoming.key.ok_or(ErrorKind::KeyMissing)?;
             return self.wait_for_owner(incoming, service, key, attempts).await;
         }
-        self.select_balanced(incoming, service, &attempts.tried)
+        self.select_balanced(incoming, service, attempts)
     }
 
     /// Whether the target owns keys and is paused, so that no other target can serve the request.
@@ -186,20 +187,25 @@
         &self,
         incoming: &IncomingRequest,
         service: &str,
-        tried: &[String],
+        attempts: &AttemptState,
     ) -> Result<Rc<RegisteredTarget>, ErrorKind> {
         let state = self.state.borrow();
         let now = BootClock.now();
         let leaving_window = self.leaving_window;
         let usable = |target: &&Rc<RegisteredTarget>| {
-            !tried.contains(&target.id)
+            !attempts.tried.contains(&target.id)
                 && target.may_send(leaving_window, now)
                 && self.allows_zone(incoming, &target.zone)
         };
+        let all_failures = self.reachability.rules() == ReachRules::AllFailures;
+        let may_attempt = |target: &&Rc<RegisteredTarget>| {
+            usable(target)
+                && self.reachability.may_attempt(&target.zone, now)
+                && !self.is_used_up(target, attempts)
+        };
         let reachable = |target: &&Rc<RegisteredTarget>| {
-            let is_reachable =
-                !target.is_down(now) && self.reachability.may_attempt(&target.zone, now);
-            usable(target) && is_reachable && !target.is_leaving()
+            let in_reach = !all_failures || self.reachability.is_in_reach(&target.zone, now);
+            may_attempt(target) && in_reach && !target.is_down(now) && !target.is_leaving()
         };
         let subset = match self.policy.subsets.is_on() {
             true => state.registry.subset(service),
@@ -211,7 +217,12 @@
         if eligible.is_empty() || all_full && !state.registry.is_partitioned(service) {
             eligible = all.iter().filter(reachable).collect();
         }
-        if eligible.is_empty() {
+        if eligible.is_empty() && all_failures {
+            eligible = all.iter().filter(may_attempt).collect();
+            if eligible.is_empty() && all.iter().any(|target| usable(&target)) {
+                return Err(ErrorKind::TargetUnreachable);
+            }
+        } else if eligible.is_empty() {
             eligible = all.iter().filter(usable).collect();
         }
         if eligible.iter().any(|target| target.has_capacity()) {
