tests: the listener with a full backlog is shared

Moved from tests/requests.rs to tests/common; the next test needs it too. Passed: requests (15), cold_targets (4), control (14), evacuated_zones (5), metrics (1), target_limits (8), target_signals (14), zone_reports (7).

--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -237,6 +237,18 @@
     }
 }
 
+/// A listener with a full backlog, and the connections that fill it.
+pub fn full_listener() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let filler = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let fillers = (0..4).filter_map(|_| filler()).collect();
+    (socket, address, fillers)
+}
+
 /// Polls until `condition` holds; panics after ten seconds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(10);
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -9,7 +9,10 @@
 
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget, header};
-use common::{TestGateway, declarations, entry, exchange, gateway_with_targets, route, wait_until};
+use common::{
+    TestGateway, declarations, entry, exchange, full_listener, gateway_with_targets, route,
+    wait_until,
+};
 use nickellead_gateway::{RepeatClass, WeightedService};
 
 #[test]
@@ -206,18 +209,6 @@
     assert!(response.contains(" 200 "), "{response}");
 }
 
-/// A listener with a full backlog, and the connections that fill it.
-fn full_listener() -> (socket2::Socket, std::net::SocketAddr, Vec<TcpStream>) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-    socket.bind(&any.into()).unwrap();
-    socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
-    let filler = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-    let fillers = (0..4).filter_map(|_| filler()).collect();
-    (socket, address, fillers)
-}
-
 /// Guards against holding each request for a key whose owner is unreachable.
 #[test]
 fn requests_to_an_unreachable_target_are_refused_at_once() {
