Failures of all kinds close a zone on VMs with a dispatch address

In a trial with them on, requests to a single silent owner took 803 ms each: the second attempt in its zone was spent on the same silent target (test requests_to_an_unreachable_target, bound 600 ms).

Change: GatewaySettings::reach_rules chooses ReachRules::AllFailures if dispatch_address is set. A request does not try a target again whose last connection attempts timed out, its own included; after a single timeout it may, because a packet may have been lost. The test for an unreachable target runs with both rules.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -142,7 +142,12 @@
             .last_attempt
             .get()
             .is_some_and(|last_attempt| last_attempt.elapsed() < PROBE_INTERVAL);
-        self.consecutive_timeouts.get() >= UNREACHABLE_TIMEOUTS && probe_pending
+        self.is_silent() && probe_pending
+    }
+
+    /// Whether the last connection attempts timed out.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.consecutive_timeouts.get() >= UNREACHABLE_TIMEOUTS
     }
 
     fn take_idle(&self, repeat: RepeatClass) -> Option<RequestSender> {
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -19,7 +19,6 @@
 use crate::requests::{self, RequestContext};
 use crate::state_channels::state_channels;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
-use nickellead_balance::ReachRules;
 
 /// Fraction of the grace time during which a stopping VM still accepts connections.
 ///
@@ -116,7 +115,7 @@
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
-        reach_rules: ReachRules::Timeouts,
+        reach_rules: settings.reach_rules(),
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use nickellead_balance::ReachRules;
 use nickellead_limit::QuotaTolerance;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -222,6 +223,14 @@
         self.peers_announced.unwrap_or(self.peers_address)
     }
 
+    /// Which failures close an availability zone: all on VMs that other VMs can report to.
+    pub(crate) fn reach_rules(&self) -> ReachRules {
+        match self.dispatch_address {
+            Some(_) => ReachRules::AllFailures,
+            None => ReachRules::Timeouts,
+        }
+    }
+
     /// The address for dispatch messages that this VM publishes to other VMs; `None` if it takes
     /// none.
     pub(crate) fn announced_dispatch_address(&self) -> Option<SocketAddr> {
--- a/crates/nickellead_gateway/src/worker/reach.rs
+++ b/crates/nickellead_gateway/src/worker/reach.rs
@@ -8,7 +8,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
-use super::{AttemptState, RequestWorker};
+use super::{AttemptState, RequestWorker, UnconnectedAttempt};
 use crate::connections::ConnectFailure;
 use crate::dispatch::ZoneReports;
 use crate::exchange::AttemptResult;
@@ -102,10 +102,16 @@
         }
         let failed = &attempts.unconnected;
         let in_zone = failed.iter().filter(|attempt| attempt.zone == target.zone);
-        let refused = |attempt: &super::UnconnectedAttempt| {
-            attempt.target == target.id && attempt.failure == ConnectFailure::Refused
+        let is_hopeless = |attempt: &UnconnectedAttempt| {
+            attempt.target == target.id
+                && match attempt.failure {
+                    ConnectFailure::Refused => true,
+                    // A single timeout may be due to a lost packet.
+                    ConnectFailure::TimedOut => target.pool.is_silent(),
+                    ConnectFailure::Broken | ConnectFailure::OutOfReach => false,
+                }
         };
-        in_zone.count() >= MAX_UNCONNECTED_PER_ZONE || failed.iter().any(refused)
+        in_zone.count() >= MAX_UNCONNECTED_PER_ZONE || failed.iter().any(is_hopeless)
     }
 }
 
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -10,10 +10,10 @@
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget, header};
 use common::{
-    TestGateway, declarations, entry, exchange, full_listener, gateway_with_targets, route,
-    wait_until,
+    TestGateway, declarations, entry, exchange, free_address, full_listener, gateway_with_targets,
+    route, wait_until,
 };
-use nickellead_gateway::{RepeatClass, WeightedService};
+use nickellead_gateway::{GatewaySettings, RepeatClass, WeightedService};
 
 #[test]
 fn a_request_reaches_a_target_unchanged_and_its_response_is_returned() {
@@ -212,11 +212,23 @@
 /// Guards against holding each request for a key whose owner is unreachable.
 #[test]
 fn requests_to_an_unreachable_target_are_refused_at_once() {
+    check_unreachable_target("unreachable", |_| {});
+}
+
+/// The same where failures of all kinds count for the target's zone.
+#[test]
+fn requests_to_an_unreachable_target_of_a_dispatching_vm_are_refused_at_once() {
+    check_unreachable_target("unreachable-dispatch", |settings| {
+        settings.dispatch_address = Some(free_address());
+    });
+}
+
+fn check_unreachable_target(name: &str, edit: impl FnOnce(&mut GatewaySettings)) {
     let (_socket, address, _fillers) = full_listener();
     let store = MemoryStore::default();
     store.list(entry("t-1", "keyed", address));
     store.declare(declarations(1));
-    let gateway = TestGateway::start("unreachable", &store);
+    let gateway = TestGateway::start_as(name, &store, edit);
     gateway.wait_ready();
     let settled =
         |map: nickellead_range::RangeMap| map.find("keyed", 5).is_some_and(|range| range.settled);
