A shortage of the VM itself closes no zone; explain shows zones out of reach

Cause: a VM without free descriptors or ports fails to connect everywhere, and would take all zones for lost. explain listed store and mandate changes beside a refusal, but not that the owner's zone was out of reach.

Change: ConnectFailure::Unopened for errors that no target or link causes; the reason in the log stays the same. The event zone-out-of-reach is context of requests of the VM that logs it. A test for requests whose only targets are out of reach.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -78,6 +78,8 @@
     /// The connection failed before any byte of the request was sent, as when the target has too
     /// many.
     Broken,
+    /// This VM could not open a connection, as when it has too many.
+    Unopened,
     /// The address did not respond within [`CONNECT_TIMEOUT`] or the time that the caller waits.
     TimedOut,
     /// The attempt was given up because the target's availability zone went out of reach.
@@ -88,13 +90,28 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Refused => "connection-refused",
-            Self::Broken => "connection-broken",
+            Self::Broken | Self::Unopened => "connection-broken",
             Self::TimedOut => "connection-silent",
             Self::OutOfReach => "zone-out-of-reach",
         }
     }
 }
 
+impl From<ErrorKind> for ConnectFailure {
+    /// Why opening a connection failed with this error.
+    fn from(kind: ErrorKind) -> Self {
+        match kind {
+            ErrorKind::ConnectionRefused => Self::Refused,
+            ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::TimedOut => Self::Broken,
+            _ => Self::Unopened,
+        }
+    }
+}
+
 impl ConnectionPool {
     /// An empty pool.
     pub(crate) fn new(close: CloseMode) -> Self {
@@ -128,10 +145,7 @@
         }
         match opened {
             Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                Err(ConnectFailure::Refused)
-            }
-            Ok(Err(_)) => Err(ConnectFailure::Broken),
+            Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
             Err(_) => Err(ConnectFailure::TimedOut),
         }
     }
@@ -204,3 +218,6 @@
 
 /// A connection pool that is shared by the requests to one target.
 pub(crate) type SharedPool = Rc<ConnectionPool>;
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickellead_gateway/src/worker/reach.rs
+++ b/crates/nickellead_gateway/src/worker/reach.rs
@@ -108,20 +108,23 @@
                     ConnectFailure::Refused => true,
                     // A single timeout may be due to a lost packet.
                     ConnectFailure::TimedOut => target.pool.is_silent(),
-                    ConnectFailure::Broken | ConnectFailure::OutOfReach => false,
+                    ConnectFailure::Broken
+                    | ConnectFailure::Unopened
+                    | ConnectFailure::OutOfReach => false,
                 }
         };
         in_zone.count() >= MAX_UNCONNECTED_PER_ZONE || failed.iter().any(is_hopeless)
     }
 }
 
-/// What a failure tells about the target's zone; `None` if the attempt was given up.
+/// What a failure tells about the target's zone; `None` if the cause is
+/// this VM.
 fn reach_failure(failure: ConnectFailure) -> Option<ReachFailure> {
     match failure {
         ConnectFailure::Refused => Some(ReachFailure::Refused),
         ConnectFailure::Broken => Some(ReachFailure::Broken),
         ConnectFailure::TimedOut => Some(ReachFailure::TimedOut),
-        ConnectFailure::OutOfReach => None,
+        ConnectFailure::Unopened | ConnectFailure::OutOfReach => None,
     }
 }
 
--- a/crates/nickellead_gateway/tests/lost_zones.rs
+++ b/crates/nickellead_gateway/tests/lost_zones.rs
@@ -115,6 +115,26 @@
     }
 }
 
+/// A request tried all targets of a lost zone one after the other.
+#[test]
+fn requests_whose_only_targets_are_out_of_reach_are_refused_at_once() {
+    let store = MemoryStore::default();
+    for index in 0..LOST_TARGETS {
+        store.list(lost_entry(index, "plain", refusing_address()));
+    }
+    store.declare(declarations(1));
+    let gateway = TestGateway::start_as("lost-plain", &store, |settings| {
+        settings.dispatch_address = Some(free_address());
+    });
+    gateway.wait_ready();
+    for number in 0..REQUESTS {
+        let response = gateway.send("GET", "/read/", "");
+        assert!(response.contains("target-unreachable"), "request {number}: {response}");
+    }
+    let opened = metric(&gateway, "nickellead_target_connections_opened");
+    assert!(opened < REQUESTS as u64 / 2, "{opened} connection attempts for {REQUESTS} requests");
+}
+
 /// A request that was connecting when the zone was found lost waited for its own timeout.
 #[test]
 fn a_request_that_is_connecting_is_refused_when_its_zone_is_lost() {
--- a/crates/nickellead_report/src/context.rs
+++ b/crates/nickellead_report/src/context.rs
@@ -54,6 +54,7 @@
         EventName::StoreLost
             | EventName::StoreRegained
             | EventName::StoreOlder
+            | EventName::ZoneOutOfReach
             | EventName::NewsSource
             | EventName::ConfigInForce
             | EventName::NodeStarted
--- a/crates/nickellead_report/tests/explanations.rs
+++ b/crates/nickellead_report/tests/explanations.rs
@@ -17,6 +17,8 @@
 9.3 front-a-4 event=target-paused target=i-5 pause_ms=3000
 9.4 front-a-4 event=request-failed request=r-6 route=view error=target-paused after_ms=0 key=5 owner=i-5 fence=2 version=4
 9.5 front-a-4 event=request-answered request=r-3 route=view status=200 after_ms=12 version=4
+9.52 front-a-5 event=zone-out-of-reach zone=zone-b in_reach=false first_hand=true
+9.55 front-a-5 event=request-failed request=r-7 route=view error=target-unreachable after_ms=0 key=5 owner=i-11 fence=2 version=4
 9.6 front-a-4 event=log-lines-dropped count=3
 nothing of ours
 ";
@@ -55,6 +57,14 @@
     assert!(cause.contains("i-5 requested at 9.300 s a pause of 3000 ms"), "{cause}");
 }
 
+/// The owner was never tried for this request, because its zone was out of reach.
+#[test]
+fn a_refusal_is_shown_with_the_zone_out_of_reach() {
+    let explanation = explain_request("r-7", &read_lines([LOGS]));
+    let lost = |line: &LogLine| line.text.contains("zone=zone-b in_reach=false");
+    assert!(explanation.context.iter().any(lost), "{:?}", explanation.context);
+}
+
 #[test]
 fn an_unknown_outcome_is_traced_to_the_broken_connection() {
     let cause = cause_of("r-4");
