--- a/crates/nickellead_balance/tests/zone_cuts.rs
+++ b/crates/nickellead_balance/tests/zone_cuts.rs
@@ -79,23 +79,17 @@
     }
 }
 
-/// A cut that refuses: each request used to fail at its target again.
+/// A cut that refuses or resets connections: each request used to fail at its target again.
 #[test]
-fn a_cut_by_refusal_costs_few_tries() {
-    let mut vm = Vm::serving(30);
-    vm.send_into_cut(30, ReachFailure::Refused);
-    assert!(vm.tries < 60, "{} tries", vm.tries);
-    let changes = vm.reach.take_changes(Timestamp(START + 8_000));
-    assert_eq!(changes.len(), 1, "{changes:?}");
-    assert!(!changes[0].in_reach && changes[0].first_hand);
-}
-
-/// A cut that resets connections.
-#[test]
-fn a_cut_by_reset_costs_few_tries() {
-    let mut vm = Vm::serving(30);
-    vm.send_into_cut(30, ReachFailure::Broken);
-    assert!(vm.tries < 60, "{} tries", vm.tries);
+fn a_cut_by_refusal_or_reset_costs_few_tries() {
+    for failure in [ReachFailure::Refused, ReachFailure::Broken] {
+        let mut vm = Vm::serving(30);
+        vm.send_into_cut(30, failure);
+        assert!(vm.tries < 60, "{failure:?}: {} tries", vm.tries);
+        let changes = vm.reach.take_changes(Timestamp(START + 8_000));
+        assert_eq!(changes.len(), 1, "{failure:?}: {changes:?}");
+        assert!(!changes[0].in_reach && changes[0].first_hand);
+    }
 }
 
 /// A cut that answers nothing: two silent targets are sufficient, as each costs the time of a request.
--- a/crates/nickellead_gateway/src/worker/reach.rs
+++ b/crates/nickellead_gateway/src/worker/reach.rs
@@ -81,17 +81,11 @@
     /// Waits until the zone goes out of reach while `connecting` is set. Never ends for an attempt
     /// that began while the zone was out of reach, which shows whether it has returned.
     pub(super) async fn wait_for_lost_zone(&self, zone: &str, connecting: &Cell<bool>) {
-        let is_watched = || {
-            let gives_up = self.reachability.rules() == ReachRules::AllFailures;
-            gives_up && self.reachability.is_in_reach(zone, BootClock.now())
-        };
-        if !is_watched() {
+        let is_in_reach = || self.reachability.is_in_reach(zone, BootClock.now());
+        if self.reachability.rules() == ReachRules::Timeouts || !is_in_reach() {
             return std::future::pending().await;
         }
-        let is_lost = || {
-            let in_reach = self.reachability.is_in_reach(zone, BootClock.now());
-            (connecting.get() && !in_reach).then_some(())
-        };
+        let is_lost = || (connecting.get() && !is_in_reach()).then_some(());
         wait_for(&self.reach_changed, is_lost).await;
     }
 
@@ -117,8 +111,7 @@
     }
 }
 
-/// What a failure tells about the target's zone; `None` if the cause is
-/// this VM.
+/// What a failure tells about the target's zone; `None` if the cause is this VM.
 fn reach_failure(failure: ConnectFailure) -> Option<ReachFailure> {
     match failure {
         ConnectFailure::Refused => Some(ReachFailure::Refused),
