--- a/crates/nickellead_dispatch/src/queue.rs
+++ b/crates/nickellead_dispatch/src/queue.rs
@@ -23,6 +23,9 @@
 /// how long requests have been running.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Fewest targets of a group for each one that is left out for its failures.
+const MIN_TARGETS_PER_EJECTED: usize = 4;
+
 /// Multiples of the expected duration that must fit for a new request behind others: more that go before it
 /// may follow.
 const LAST_SPREADS: [f64; 1] = [USUAL_SPREAD];
@@ -288,14 +291,14 @@
 
     /// Finds the targets that may serve the request, and its expected times there.
     ///
-    /// Targets that fail are left out unless they are most of the group: the cause is then probably not in
-    /// the targets.
+    /// Targets that fail are left out if they are few: others then have room for their requests. If many
+    /// fail, they are only chosen last.
     fn refill_candidates(&mut self, request: &DispatchRequest, now: Timestamp) {
         let usual_ms = self.durations.expected_ms(request, now);
         let targets = self.targets.iter().zip(&self.outlooks).enumerate();
         let usable = targets.filter(|(_, (target, _))| may_serve(target, request));
         let ejected = usable.clone().filter(|(_, (_, outlook))| outlook.is_ejected).count();
-        let leaves_out = ejected * 2 <= usable.clone().count();
+        let leaves_out = ejected * MIN_TARGETS_PER_EJECTED <= usable.clone().count();
         let chosen = usable.filter(|(_, (_, outlook))| !(leaves_out && outlook.is_ejected));
         self.candidates.refill(chosen.map(|(index, (target, outlook))| TargetCandidate {
             index,
--- a/crates/nickellead_dispatch/src/target_state.rs
+++ b/crates/nickellead_dispatch/src/target_state.rs
@@ -273,7 +273,9 @@
             PermitOutcome::NotSent => return,
         };
         self.score.record(outcome, now);
-        if outcome == TargetOutcome::Shed {
+        // A target that sheds with slots free sheds for another reason than its load.
+        let was_full = self.permits.len() as u32 + 1 >= self.slots();
+        if outcome == TargetOutcome::Shed && was_full {
             let pause_ms = permit.duration_ms * FULL_AFTER_SHED_SHARE;
             self.full_until = now + Duration::from_millis(pause_ms as u64);
         }
--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -13,6 +13,7 @@
 use super::groups::{GroupTable, TargetGroup};
 use super::messages::{
     AcquireCall, DISPATCH_PATH, DispatchCall, DispatchReply, ForwardCall, GroupId, ReleaseCall,
+    ZoneReport,
 };
 use super::peer_health::PeerHealth;
 use super::permit::{HeldPermit, PermitIssuer};
@@ -25,6 +26,8 @@
 const ACK_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest time that the release of a permit takes; the permit expires by itself otherwise.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time that the report of a zone takes; it counts for little longer.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Answers within this time count as immediate.
 const IMMEDIATE_ANSWER: Duration = Duration::from_millis(10);
 
@@ -260,7 +263,9 @@
                 DispatchCall::Forward(call) => {
                     Ok(Some(self.server.forward((**call).clone()).await))
                 }
-                DispatchCall::Acquire(_) | DispatchCall::Release(_) => Ok(None),
+                DispatchCall::Acquire(_)
+                | DispatchCall::Release(_)
+                | DispatchCall::ZoneReport(_) => Ok(None),
             };
         }
         let peer = self.peer(address);
@@ -283,6 +288,24 @@
             .map_or(Duration::ZERO, |told| told.wait.saturating_sub(told.at.elapsed()))
     }
 
+    /// Tells other VMs of this VM's zone what it found out about another zone.
+    ///
+    /// A VM that does not receive the report finds out by its own requests.
+    pub(crate) fn tell(&self, addresses: &[SocketAddr], reports: &[ZoneReport]) {
+        for address in addresses.iter().filter(|address| **address != self.own_address) {
+            let peer = self.peer(*address);
+            let reports = reports.to_vec();
+            actix_rt::spawn(async move {
+                for report in reports {
+                    if peer.may_ask() {
+                        // `call` logs a lost VM.
+                        let _ = peer.call(&DispatchCall::ZoneReport(report), REPORT_TIMEOUT).await;
+                    }
+                }
+            });
+        }
+    }
+
     /// Forgets the peers and waits of groups that no longer exist.
     fn retain(&self, table: &GroupTable) {
         self.told_waits.borrow_mut().retain(|id, _| table.find(id).is_some());
--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
 //! `groups` divides the targets; `server` and `group_state` decide, and `client` asks.
+//! `reports` decides what VMs of one zone tell each other about other zones.
 
 mod client;
 mod group_state;
@@ -9,12 +10,15 @@
 mod messages;
 mod peer_health;
 mod permit;
+mod reports;
 mod server;
 mod wire;
 
 pub(crate) use client::{AcquireAnswer, DispatchClient, ForwardAnswer, RequestFacts};
 pub use groups::divide_targets;
 pub(crate) use groups::{GroupTable, TargetGroup};
+pub use messages::ZoneReport;
 pub use peer_health::PeerHealth;
 pub(crate) use permit::HeldPermit;
+pub use reports::ZoneReports;
 pub(crate) use server::{DispatchServer, ServerContext, serve_dispatch};
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -22,6 +22,7 @@
     WireAttempt, WireResult, WireSignals,
 };
 use super::permit::{HeldPermit, PermitIssuer};
+use super::reports::ZoneReports;
 use super::wire::{duration, millis};
 use crate::HeaderNames;
 use crate::RepeatClass;
@@ -50,6 +51,7 @@
     pub(crate) leaving_window: Duration,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
+    pub(crate) zone_reports: Rc<ZoneReports>,
 }
 
 /// The dispatcher of one VM.
@@ -134,6 +136,10 @@
                 self.release(&call);
                 DispatchReply::Released
             }
+            DispatchCall::ZoneReport(report) => {
+                self.context.zone_reports.receive(&report, BootClock.now());
+                DispatchReply::Released
+            }
         }
     }
 
--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -80,6 +80,12 @@
         is_cold_sender(vm.rank(target), candidates.map(|one| one.rank(target)))
     }
 
+    /// Where the VMs of an availability zone take dispatch messages.
+    pub(crate) fn dispatch_addresses(&self, zone: &str) -> Vec<SocketAddr> {
+        let in_zone = self.vms.iter().filter(|(vm, _)| vm.is_in_zone(zone));
+        in_zone.filter_map(|(_, address)| *address).collect()
+    }
+
     /// Where the two VMs of an availability zone that rendezvous hashing selects for `seed` take
     /// dispatch messages, best first.
     ///
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -53,7 +53,7 @@
     RepeatClass, RouteRule, ServiceRule, SharedRoute, StateConfirmation, UpdateError,
     WeightedService, WorkspaceQuota, WorkspaceRule, WorkspaceRules, WorkspacesChange,
 };
-pub use dispatch::{PeerHealth, divide_targets};
+pub use dispatch::{PeerHealth, ZoneReport, ZoneReports, divide_targets};
 pub use nickellead_dispatch::ReportedLoad;
 pub use nickellead_range::{MandateRecord, Revision, StoreEra, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -120,6 +120,7 @@
         quota_tolerance: settings.quota.into(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
         dispatch,
+        reach_rules: settings.reach_rules(),
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -8,12 +8,13 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
+use nickellead_balance::{ReachRules, ZoneReachability};
 use nickellead_limit::QuotaTolerance;
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 
-use crate::dispatch::{DispatchClient, DispatchServer, ServerContext, serve_dispatch};
+use crate::dispatch::{DispatchClient, DispatchServer, ServerContext, ZoneReports, serve_dispatch};
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
@@ -62,6 +63,7 @@
     pub(crate) quota_tolerance: QuotaTolerance,
     /// `None` if the VM does not take part in dispatch.
     pub(crate) dispatch: Option<DispatchSettings>,
+    pub(crate) reach_rules: ReachRules,
 }
 
 /// Starts the request thread.
@@ -81,11 +83,15 @@
     let metrics = GatewayMetrics::register(&mut registry);
     context.control_metrics.register(&mut registry);
     let registry = Rc::new(registry);
+    let reachability = Rc::new(ZoneReachability::new(context.reach_rules));
+    let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
+    let zone_reports = Rc::new(zone_reports);
     let server = ServerContext {
         names: context.names,
         leaving_window: context.leaving_window,
         drain: Arc::clone(&context.drain),
         metrics: metrics.clone(),
+        zone_reports: Rc::clone(&zone_reports),
     };
     let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, server));
     let worker = RequestWorker::new(WorkerContext {
@@ -103,6 +109,8 @@
         regions: context.regions,
         quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
         dispatch,
+        reachability,
+        zone_reports,
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
@@ -209,6 +217,10 @@
     });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
+    let updated = Rc::clone(worker);
+    actix_rt::spawn(async move { updated.apply_zone_reports().await });
+    let updated = Rc::clone(worker);
+    actix_rt::spawn(async move { updated.tell_zone_reports().await });
     let (updated, mut ranges) = (Rc::clone(worker), receivers.ranges.clone());
     actix_rt::spawn(async move {
         while ranges.changed().await.is_ok() {
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -288,7 +288,7 @@
         group: &TargetGroup,
     ) -> SendEnd {
         let Some(client) = self.dispatch_client(incoming) else { return SendEnd::Undispatched };
-        self.reachability.record_attempt(&owner.zone, BootClock.now());
+        self.reachability.record_attempt(&owner.zone, &owner.id, BootClock.now());
         let since = Instant::now();
         let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
         match client.forward(group, facts, &incoming.outgoing).await {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -5,12 +5,14 @@
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
 //! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
-//! `outcome` evaluates attempts, and `responses` builds what the caller receives.
+//! `outcome` evaluates attempts, `reach` applies changes of the zones in reach, and `responses` builds
+//! what the caller receives.
 
 mod access;
 mod attempts;
 mod dispatching;
 mod outcome;
+mod reach;
 mod responses;
 mod selection;
 
@@ -32,7 +34,8 @@
 
 use self::responses::forward_response;
 use crate::admission::{AdmissionTable, CachedAdmission};
-use crate::dispatch::{DispatchClient, GroupTable};
+use crate::connections::ConnectFailure;
+use crate::dispatch::{DispatchClient, GroupTable, ZoneReports};
 use crate::drain::DrainState;
 use crate::evacuation::ZoneStates;
 use crate::exchange::TargetResponse;
@@ -141,6 +144,8 @@
     pub(crate) quotas: Rc<QuotaClient>,
     /// `None` if the VM does not take part in dispatch.
     pub(crate) dispatch: Option<WorkerDispatch>,
+    pub(crate) reachability: Rc<ZoneReachability>,
+    pub(crate) zone_reports: Rc<ZoneReports>,
 }
 
 /// The request path of one VM.
@@ -155,7 +160,11 @@
     load_counter: LoadCounter,
     /// Wait queues of services, for requests that any target of the service can take.
     queues: RefCell<HashMap<String, Rc<WaitQueue>>>,
-    reachability: ZoneReachability,
+    reachability: Rc<ZoneReachability>,
+    /// Notified when a zone goes out of reach or returns.
+    reach_changed: Notify,
+    /// What this VM and others of its zone tell each other about other zones.
+    zone_reports: Rc<ZoneReports>,
     /// When ranges were first seen without a usable owner, by fence.
     ownerless_since: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
@@ -183,6 +192,8 @@
     tried: Vec<String>,
     /// Targets that reported that they do not own the key.
     misdirected: Vec<String>,
+    /// Attempts that failed while connecting.
+    unconnected: Vec<UnconnectedAttempt>,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
@@ -195,6 +206,13 @@
     admitted: bool,
 }
 
+/// An attempt that failed while connecting.
+struct UnconnectedAttempt {
+    target: String,
+    zone: String,
+    failure: ConnectFailure,
+}
+
 /// The next step after an attempt.
 enum NextStep {
     Done(TargetResponse),
@@ -231,7 +249,9 @@
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
-            reachability: ZoneReachability::default(),
+            reachability: context.reachability,
+            reach_changed: Notify::new(),
+            zone_reports: context.zone_reports,
             ownerless_since: RefCell::default(),
             drain: context.drain,
             metrics: context.metrics,
@@ -287,6 +307,7 @@
         let mut state = self.state.borrow_mut();
         state.target_list = list;
         self.rebuild_registry(&mut state);
+        self.reachability.set_targets(&state.registry.count_by_zone());
         state.updated.targets = Instant::now();
         self.changed.notify_waiters();
     }
@@ -382,6 +403,7 @@
 
     /// Updates the gauges that are derived from the cached state.
     pub(crate) fn refresh_gauges(&self) {
+        self.apply_reach_changes();
         let state = self.state.borrow();
         let metrics = &self.metrics;
         let opened = i64::try_from(state.registry.opened()).unwrap_or(i64::MAX);
@@ -390,6 +412,8 @@
         metrics.leaving.set(signals.leaving);
         metrics.paused.set(signals.paused);
         metrics.limited.set(signals.limited);
+        let out_of_reach = self.reachability.count_out_of_reach(BootClock.now());
+        metrics.zones_out_of_reach.set(i64::try_from(out_of_reach).unwrap_or(i64::MAX));
         let version = state.version.unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
             dispatch.client.server().refresh_gauges();
