gateway: bounded targets serve what dispatchers refuse; short calls lose no dispatcher

Cause: a target that is cold or limited is not dispatched, so that it got nothing while its group had other targets. A request with less time than the acknowledgement took its dispatcher for lost. Change: a request that all dispatchers refused may go to a bounded target with room; one rule, may_dispatch, on both sides; only calls with the whole time for the acknowledgement count.

--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -110,6 +110,8 @@
             Ok(_) => health.record_answer(),
             // It acknowledged the message, and the time of the request ran out.
             Err(PeerError::Timeout) => {}
+            // The request had less time than a dispatcher may take.
+            Err(_) if timeout < ACK_TIMEOUT => {}
             Err(error) => {
                 if health.record_lost(BootClock.now()) {
                     log_lost(self.channel.address(), error);
--- a/crates/nickellead_gateway/src/dispatch/group_state.rs
+++ b/crates/nickellead_gateway/src/dispatch/group_state.rs
@@ -71,7 +71,7 @@
     ) {
         let mut changed = self.remove_unlisted(group);
         for target in &group.targets {
-            let usable = !group.evacuated && may_dispatch(target, leaving_window, now);
+            let usable = !group.evacuated && target.may_dispatch(leaving_window, now);
             changed |= self.set_usable(target, usable);
         }
         if changed {
@@ -241,16 +241,6 @@
     }
 }
 
-/// Whether requests to a target are dispatched: no bound on what all VMs send to it is in force.
-fn may_dispatch(target: &RegisteredTarget, leaving_window: Duration, now: Timestamp) -> bool {
-    target.is_ready()
-        && !target.is_leaving()
-        && !target.is_down(now)
-        && !target.cold_limiter.is_limited(now)
-        && !target.may_be_limited()
-        && target.may_send(leaving_window, now)
-}
-
 fn answer_of(refusal: DispatchRefusal) -> GroupAnswer {
     match refusal.reason {
         RefusalReason::NoCapacity => GroupAnswer::Refused(refusal.retry_after),
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -119,6 +119,17 @@
             && self.rate_allows(now)
     }
 
+    /// Whether a dispatcher may decide about requests to it: no bound on what all VMs together send to
+    /// it is in force.
+    pub(crate) fn may_dispatch(&self, leaving_window: Duration, now: Timestamp) -> bool {
+        self.is_ready()
+            && !self.is_leaving()
+            && !self.is_down(now)
+            && !self.cold_limiter.is_limited(now)
+            && !self.may_be_limited()
+            && self.may_send(leaving_window, now)
+    }
+
     /// Whether this VM's share of the rate limit allows one more request.
     pub(crate) fn rate_allows(&self, now: Timestamp) -> bool {
         let limit = self.signals.get().effective_limit(self.reported_limit.get(), now);
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -126,9 +126,10 @@
                 AcquireAnswer::Unavailable => {}
             }
         }
-        match shortest_wait {
-            Some(wait) => Err(refuse(incoming, wait)),
-            None => Ok(None),
+        let Some(wait) = shortest_wait else { return Ok(None) };
+        match self.bounded_target(incoming, service, attempts) {
+            Some(target) => Ok(Some(SelectedTarget::Direct(target))),
+            None => Err(refuse(incoming, wait)),
         }
     }
 
@@ -143,14 +144,37 @@
         self.may_use(target, attempts).then(|| Rc::clone(target))
     }
 
-    /// Whether the next attempt may be made at a target of a plain service.
+    /// Whether the next attempt may be made at a target that a dispatcher selects.
     fn may_use(&self, target: &RegisteredTarget, attempts: &AttemptState) -> bool {
+        let may_dispatch = target.may_dispatch(self.leaving_window, BootClock.now());
+        may_dispatch && !attempts.tried.contains(&target.id)
+    }
+
+    /// A target with room that no dispatcher decides for, because a bound on what all VMs send to it
+    /// is in force. This VM keeps its own part of the bound.
+    fn bounded_target(
+        &self,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &AttemptState,
+    ) -> Option<Rc<RegisteredTarget>> {
         let now = BootClock.now();
-        target.is_ready()
-            && !target.is_leaving()
-            && !target.is_down(now)
-            && !attempts.tried.contains(&target.id)
-            && target.may_send(self.leaving_window, now)
+        let state = self.state.borrow();
+        let is_usable = |target: &&Rc<RegisteredTarget>| {
+            !target.may_dispatch(self.leaving_window, now)
+                && target.may_send(self.leaving_window, now)
+                && target.has_capacity()
+                && !target.is_leaving()
+                && !target.is_down(now)
+                && !attempts.tried.contains(&target.id)
+                && self.allows_zone(incoming, &target.zone)
+                && self.reachability.may_attempt(&target.zone, now)
+        };
+        let usable: Vec<_> = state.registry.subset(service).iter().filter(is_usable).collect();
+        let near: Vec<_> = usable.iter().filter(|target| target.zone == self.zone).collect();
+        let mut rng = self.rng.borrow_mut();
+        let chosen = rng.choice(near).copied().or_else(|| rng.choice(usable));
+        chosen.map(Rc::clone)
     }
 
     /// Groups to ask for a permit, in this order: two of the VM's own availability zone, then one of
@@ -247,8 +271,8 @@
     /// The group of an owner; `None` if requests to the owner are not dispatched now.
     fn owner_group(&self, owner: &RegisteredTarget) -> Option<Rc<TargetGroup>> {
         let now = BootClock.now();
-        let may_send = owner.may_send(self.leaving_window, now);
-        if !may_send || !self.reachability.may_attempt(&owner.zone, now) {
+        let may_dispatch = owner.may_dispatch(self.leaving_window, now);
+        if !may_dispatch || !self.reachability.may_attempt(&owner.zone, now) {
             return None;
         }
         let state = self.state.borrow();
--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -244,6 +244,34 @@
     assert!(received > 100, "only {received} requests arrived");
 }
 
+/// A bound on what all VMs send to a target is kept by each VM: no dispatcher may loosen it, and the
+/// target still serves what finds no room elsewhere.
+#[test]
+fn targets_with_a_limit_are_used_without_a_dispatcher() {
+    let work = BoundedWork { duration: Duration::from_millis(300), ..WORK };
+    let (full, limited) = (
+        TestTarget::start("t5", Behavior::Bounded(work)),
+        TestTarget::start("t6", Behavior::Serve),
+    );
+    let store = store_with("plain", &full);
+    store.list(entry("t6", "plain", limited.address));
+    limited.set_signals("x-limit: 1000\r\n");
+    let fleet = TestFleet::start("limit", &store, "/read/", GRANTED);
+    for gateway in &fleet.gateways {
+        wait_until("the VM knows the limit", || {
+            gateway.send("GET", "/read/", "");
+            read_metric(gateway.metrics, "nickellead_targets_limited") > 0
+        });
+    }
+    limited.clear_requests();
+    let granted = fleet.count(GRANTED);
+    let idle = fleet.send_all(1, "/read/", 5);
+    assert_eq!(limited.requests().len(), 0, "{idle:?}");
+    assert_eq!(fleet.count(GRANTED) - granted, 5);
+    let busy = fleet.send_all(18, "/read/", 1);
+    assert!(!limited.requests().is_empty(), "{busy:?}");
+}
+
 /// Without an address, nothing is dispatched.
 #[test]
 fn a_vm_without_a_dispatch_address_sends_by_its_own_limits() {
