--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -163,11 +163,20 @@
 fn safe_requests_of_all_vms_reach_an_owner_over_the_connections_of_its_dispatcher() {
     let owner = TestTarget::start("o1", Behavior::Serve);
     let fleet = TestFleet::start("warm", &store_with("keyed", &owner), "/key/", FORWARDED);
-    let opened = || fleet.count("nickellead_target_connections_opened");
-    let before = opened();
+    let dispatcher = fleet.dispatcher();
+    let opened_by_others = || -> u64 {
+        let others = fleet.gateways.iter().enumerate().filter(|(index, _)| *index != dispatcher);
+        others
+            .map(|(_, gateway)| {
+                read_metric(gateway.metrics, "nickellead_target_connections_opened")
+            })
+            .sum()
+    };
+    let (opened, forwarded) = (opened_by_others(), fleet.count(FORWARDED));
     let counts = fleet.send_all(9, "/key/", 10);
     assert_eq!(counts.get("200"), Some(&90), "{counts:?}");
-    assert!(opened() - before < 9, "{} new connections", opened() - before);
+    assert_eq!(opened_by_others(), opened, "connections of other VMs");
+    assert_eq!(fleet.count(FORWARDED) - forwarded, 90);
 }
 
 /// A refused caller comes back at the time that it was told, so it must be told one.
