gateway: bounds on retries, leases and connections come from the settings

Cause: the platform states how many retries a fleet may send, how long a lease may be and what a machine has, but constants stood for them: 0.12 retries a request, 2.4 saved up by each VM whatever the size of the fleet, a lease of 4.5 s, 2,000 connections of callers.

Change: `retry_ratio` (default 0.2, of which VMs use 0.6 as before), `retry_extra` (shared by the VMs of the fleet, at most `retry_burst` each), `ownership.max_hold_s`, and `memory_mb` and `max_fds`, which count only where `bounded_by_machine` is set. The retry budget moves to nickellead_limit, where it is tested without a network.

The window of the retry budget has no setting: a token bucket keeps its bound over windows of any length.

With the values of today's deployments the results are today's: 0.12 retries a request, 2.4 a VM while the fleet's extra is at least 2.4 a VM, 4.5 s, 2,000. A fleet with a smaller extra (300 VMs sharing 640) now saves up less, as its bound says.

--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -8,7 +8,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
-use nickellead_limit::QuotaTolerance;
+use nickellead_limit::{QuotaTolerance, RetryLimits};
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
@@ -34,7 +34,7 @@
     pub(crate) names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) connections: usize,
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
@@ -74,7 +74,7 @@
         header_names: context.names,
         vm: context.vm,
         zone: context.zone,
-        retry_burst: context.retry_burst,
+        retry_limits: context.retry_limits,
         load_counter: context.load_counter,
         drain: Arc::clone(&context.drain),
         metrics,
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nickellead_limit::QuotaTolerance;
+use nickellead_limit::{QuotaTolerance, RetryLimits};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::PolicySettings;
+use crate::machine_limits::{max_connections, max_held_bytes};
 
 /// Most age of the declarations with which keys may be checked, as a fraction of the time after
 /// which a key that was taken away may not be served. The rest covers clocks of different speeds.
@@ -67,12 +68,29 @@
     pub store_address: SocketAddr,
     /// Time between the stop signal and the forced termination, in seconds.
     pub grace_s: f64,
-    /// Most connections of callers that are open at the same time.
-    #[serde(default = "default_connections")]
-    pub connections: usize,
+    /// Most connections of callers that are open at the same time; `None` to derive it from the
+    /// machine.
+    #[serde(default)]
+    pub connections: Option<usize>,
+    /// Memory of the machine in MB (1,000,000 bytes), beyond which the process is killed.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Most file descriptors of the process.
+    #[serde(default)]
+    pub max_fds: Option<u64>,
+    /// Whether held bytes and connections are bounded by `memory_mb` and `max_fds`.
+    #[serde(default)]
+    pub bounded_by_machine: bool,
     /// Capacity of the retry budget of each service on this VM, in retries.
     #[serde(default = "default_retry_burst")]
     pub retry_burst: f64,
+    /// Retries of all VMs together to a service that are allowed, as a fraction of its requests.
+    #[serde(default = "default_retry_ratio")]
+    pub retry_ratio: f64,
+    /// Retries of all VMs together to a service that are allowed in addition to `retry_ratio`;
+    /// `None` if unknown. Each VM has an equal share of them, but no more than `retry_burst`.
+    #[serde(default)]
+    pub retry_extra: Option<f64>,
     /// Limit for requests of all VMs together to a cold target; `None` for no limit.
     #[serde(default)]
     pub cold: Option<ColdSettings>,
@@ -112,16 +130,16 @@
     2.0
 }
 
-const fn default_connections() -> usize {
-    2_000
-}
-
 /// The VMs do not coordinate retries, so the value per VM is the fleet's allowance divided by its
 /// size.
 const fn default_retry_burst() -> f64 {
     2.4
 }
 
+const fn default_retry_ratio() -> f64 {
+    0.2
+}
+
 /// The limit for requests of all VMs to a cold target within one second: its rate times `overage`
 /// plus `slack`.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -166,13 +184,15 @@
     pub hold_s: f64,
     /// Interval between two renewals of a lease, in seconds.
     pub renewal_s: f64,
+    /// Longest lease that targets accept, in seconds; `None` for no limit.
+    pub max_hold_s: Option<f64>,
 }
 
 impl Default for OwnershipSettings {
     /// The lease must outlast the loss of the mandate holder until its successor renews; a shorter
     /// lease frees the keys of a lost target sooner.
     fn default() -> Self {
-        Self { hold_s: 4.5, renewal_s: 1.0 }
+        Self { hold_s: 4.5, renewal_s: 1.0, max_hold_s: None }
     }
 }
 
@@ -180,13 +200,14 @@
     /// Duration of a lease.
     #[must_use]
     pub fn lease(&self) -> Duration {
-        Duration::from_secs_f64(self.hold_s)
+        let longest = self.max_hold_s.unwrap_or(f64::INFINITY);
+        Duration::from_secs_f64(self.hold_s.min(longest))
     }
 
-    /// Interval between two renewals of a lease.
+    /// Interval between two renewals of a lease; a lease is renewed at least twice.
     #[must_use]
     pub fn renewal_interval(&self) -> Duration {
-        Duration::from_secs_f64(self.renewal_s)
+        Duration::from_secs_f64(self.renewal_s).min(self.lease() / 2)
     }
 }
 
@@ -196,6 +217,25 @@
         self.revocation_s.map(|time| Duration::from_secs_f64(time * KEY_AGE_FRACTION))
     }
 
+    /// Most bytes of requests and responses that the process holds; `None` for no bound.
+    #[must_use]
+    pub fn max_held_bytes(&self) -> Option<usize> {
+        let memory = self.memory_mb.filter(|_| self.bounded_by_machine)?;
+        Some(max_held_bytes(memory))
+    }
+
+    /// Most connections of callers that are open at the same time.
+    #[must_use]
+    pub fn max_connections(&self) -> usize {
+        let descriptors = self.max_fds.filter(|_| self.bounded_by_machine);
+        self.connections.unwrap_or_else(|| max_connections(descriptors))
+    }
+
+    /// Bounds on the retries of this VM.
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
+        RetryLimits { ratio: self.retry_ratio, burst: self.retry_burst, extra: self.retry_extra }
+    }
+
     /// The address that this VM publishes to other VMs.
     pub(crate) fn announced_address(&self) -> SocketAddr {
         self.peers_announced.unwrap_or(self.peers_address)
@@ -224,9 +264,17 @@
         bound(!self.vm.is_empty(), "vm", "a non-empty name")?;
         bound((1.0..=600.0).contains(&self.grace_s), "grace_s", "from 1 to 600")?;
         bound(self.cpu_share > 0.0, "cpu_share", "above 0")?;
-        bound(self.connections >= 1, "connections", "at least 1")?;
+        bound(self.connections.is_none_or(|most| most >= 1), "connections", "at least 1")?;
+        bound(self.memory_mb.is_none_or(|memory| memory >= 1), "memory_mb", "at least 1")?;
+        bound(self.max_fds.is_none_or(|most| most >= 1), "max_fds", "at least 1")?;
         bound((0.0..=1_000.0).contains(&self.retry_burst), "retry_burst", "from 0 to 1000")?;
+        bound((0.0..=1.0).contains(&self.retry_ratio), "retry_ratio", "from 0 to 1")?;
+        let is_valid_extra = |extra: f64| (0.0..=1e6).contains(&extra);
+        bound(self.retry_extra.is_none_or(is_valid_extra), "retry_extra", "from 0 to 1000000")?;
         bound((0.5..=60.0).contains(&ownership.hold_s), "ownership.hold_s", "from 0.5 to 60")?;
+        let is_valid_hold = |longest: f64| (0.5..=3_600.0).contains(&longest);
+        let max_hold = ownership.max_hold_s.is_none_or(is_valid_hold);
+        bound(max_hold, "ownership.max_hold_s", "from 0.5 to 3600")?;
         let is_valid_cold = |cold: ColdSettings| cold.overage >= 1.0 && cold.slack >= 0.0;
         bound(
             self.cold.is_none_or(is_valid_cold),
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -24,7 +24,7 @@
 use nickellead_balance::ZoneReachability;
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
-use nickellead_limit::WaitQueue;
+use nickellead_limit::{RetryBudget, RetryLimits, WaitQueue};
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
@@ -40,7 +40,6 @@
 use crate::metrics::GatewayMetrics;
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
-use crate::retry_budget::RetryBudget;
 use crate::route_table::RouteTable;
 use crate::target_registry::{RegistryRules, TargetRegistry};
 use crate::waiting::wait_for;
@@ -110,7 +109,7 @@
     pub(crate) header_names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) load_counter: LoadCounter,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
@@ -199,7 +198,7 @@
             zone: context.zone,
             state: RefCell::new(state),
             changed: Notify::new(),
-            retry_budget: RefCell::new(RetryBudget::new(context.retry_burst)),
+            retry_budget: RefCell::new(RetryBudget::new(context.retry_limits)),
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
@@ -263,6 +262,7 @@
 
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
+        self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
         state.rebuild_registry(self.cold_settings);
--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -7,7 +7,8 @@
 //! Three limiters bound what all VMs together send to one target. [`OwnerAdmission`] computes the
 //! rate that an overloaded owner of keys can serve, [`ColdLimiter`] bounds requests to a target that
 //! has just started, and [`RateLimiter`] enforces one VM's share of a rate that the target requests.
-//! A [`TokenBucket`] bounds what all VMs together send for one workspace. [`WaitTolerance`] estimates how long a caller has been retrying.
+//! A [`TokenBucket`] bounds what all VMs together send for one workspace, and a [`RetryBudget`] the
+//! retries of one VM. [`WaitTolerance`] estimates how long a caller has been retrying.
 
 mod adaptive;
 mod admission;
@@ -15,6 +16,7 @@
 mod queue;
 mod quota;
 mod rate;
+mod retry;
 mod wait_tolerance;
 
 pub use adaptive::AdaptiveLimit;
@@ -23,4 +25,5 @@
 pub use queue::{QueueTicket, WaitQueue};
 pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
 pub use rate::{RateLimiter, sustainable_rate};
+pub use retry::{RetryBudget, RetryLimits};
 pub use wait_tolerance::WaitTolerance;
