Memory of a VM is bounded: bodies are counted, slow callers are cut

Cause: bodies of requests and responses are held whole, up to 64 MB and 16 MB each, on up to 2,000 connections; nothing bounded the sum, and a caller that read nothing of its response kept it for as long as it liked. A VM that exceeds its machine's memory is killed with all its requests.

A request is admitted when its body begins, room for the usual response of its route is held before it is sent, and a response counts until its caller's connection has taken it. What does not fit is refused at once as memory-full (503, not run); a response that has run and does not fit ends as answer-unheld (502, unknown). The HTTP server had no limit for a pending write: a caller that takes nothing for 10 s is closed, and one that has not taken its response in 10 s while more than half of the bound is held. At most 8 MiB of requests are in flight from one VM to one target.

All of it only where the settings have `bounded_by_machine` and a memory.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -105,6 +105,7 @@
     BodyTruncated, "body-truncated", 400, NotRun, None, Debug, "the body ended before its declared length";
     OwnerUnknown, "owner-unknown", 503, NotRun, Some(500), Warn, "no target owns the key now: its target was lost or its zone is silent";
     MoveTooLong, "move-too-long", 503, NotRun, Some(200), Info, "the key is moving and the bounded wait for its new owner ended";
+    MemoryFull, "memory-full", 503, NotRun, Some(250), Warn, "this VM holds as many bytes of requests and responses as its memory allows: callers or targets read slowly, or there is too much load";
     QueueFull, "queue-full", 503, NotRun, Some(250), Info, "too many requests wait for this target already";
     TargetBusy, "target-busy", 503, NotRun, Some(250), Info, "the target shed the request before running it";
     TargetPaused, "target-paused", 503, NotRun, Some(250), Info, "every target that could serve the request turned requests away and asked for a pause, which is not over yet";
@@ -115,5 +116,6 @@
     AnswerLate, "answer-late", 504, Unknown, None, Warn, "the target did not answer before the deadline";
     AnswerLost, "answer-lost", 502, Unknown, None, Warn, "the connection to the target broke after the request was sent";
     AnswerMalformed, "answer-malformed", 502, Unknown, None, Warn, "the target's answer could not be read";
+    AnswerUnheld, "answer-unheld", 502, Unknown, None, Warn, "the target's answer was larger than expected and no longer fitted into the memory of this VM";
     Internal, "internal", 500, Unknown, None, Warn, "a fault of the router itself: report it with the log line";
 }
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -5,20 +5,18 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use nickellead_core::{ErrorKind, Timestamp};
+use nickellead_limit::HeldBytes;
 use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::response_body::read_response_body;
 use crate::response_signals::ResponseSignals;
 use crate::target_registry::RegisteredTarget;
 use crate::{HeaderNames, RepeatClass};
 
-/// Most bytes of a response body, which is buffered completely before it is forwarded to the
-/// caller.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// The part of a request that is the same for all attempts.
 pub(crate) struct OutgoingRequest {
     pub(crate) method: http::Method,
@@ -54,6 +52,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The bytes of the body.
+    pub(crate) held: HeldBytes,
 }
 
 /// The result of an attempt.
@@ -108,6 +108,8 @@
     Broken,
     /// The response belongs to another request or was not made by a target.
     Foreign,
+    /// The response did not fit into the memory of this VM.
+    NoMemory,
 }
 
 impl LossReason {
@@ -116,15 +118,17 @@
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::NoMemory => "no-memory",
         }
     }
 }
 
-/// Sends a request to one target and reads the complete response.
+/// Sends a request to one target and reads the complete response, for which `held` has room.
 pub(crate) async fn run_attempt(
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
     plan: &AttemptPlan<'_>,
+    held: HeldBytes,
 ) -> AttemptEnd {
     let remaining = |deadline: Instant| deadline.saturating_duration_since(Instant::now());
     loop {
@@ -153,7 +157,7 @@
             Err(_) => return AttemptResult::Lost(LossReason::Late).into(),
             Ok(Ok(response)) => {
                 let (result, signals) =
-                    read_response(names, outgoing, plan, connection, response).await;
+                    read_response(names, outgoing, plan, connection, response, held).await;
                 return AttemptEnd { result, signals, sent_at };
             }
             Ok(Err(mut error)) => {
@@ -207,13 +211,14 @@
     plan: &AttemptPlan<'_>,
     connection: ReadyConnection,
     response: Response<Incoming>,
+    held: HeldBytes,
 ) -> (AttemptResult, ResponseSignals) {
     let (head, body) = response.into_parts();
     let signals = match is_from_target(names, outgoing, plan, &head) {
         true => ResponseSignals::read(names, head.status, &head.headers),
         false => ResponseSignals::default(),
     };
-    let result = read_body(names, outgoing, plan, connection, head, body).await;
+    let result = read_body(names, outgoing, plan, connection, (head, body), held).await;
     (result, signals)
 }
 
@@ -240,8 +245,8 @@
     outgoing: &OutgoingRequest,
     plan: &AttemptPlan<'_>,
     connection: ReadyConnection,
-    head: Parts,
-    body: Incoming,
+    (head, body): (Parts, Incoming),
+    mut held: HeldBytes,
 ) -> AttemptResult {
     let matches_request = head.headers.get(names.request_id) == Some(&outgoing.request_id);
     let shed = head.headers.contains_key(names.not_run);
@@ -250,12 +255,11 @@
         return AttemptResult::Lost(LossReason::Foreign);
     }
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let collected =
-        tokio::time::timeout(remaining, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
-    let body = match collected {
-        Err(_) => return unless_refused(shed, misdirected, LossReason::Late),
-        Ok(Err(_)) => return unless_refused(shed, misdirected, LossReason::Broken),
-        Ok(Ok(body)) => body.to_bytes(),
+    let reading = read_response_body(body, &mut held);
+    let read = tokio::time::timeout(remaining, reading).await.unwrap_or(Err(LossReason::Late));
+    let body = match read {
+        Err(reason) => return unless_refused(shed, misdirected, reason),
+        Ok(body) => body,
     };
     return_connection(&plan.target.pool, connection, &head.headers);
     if misdirected {
@@ -267,7 +271,8 @@
     if head.status.is_success() && !head.headers.contains_key(names.target_proof) {
         return AttemptResult::Lost(LossReason::Foreign);
     }
-    AttemptResult::Responded(TargetResponse { status: head.status, headers: head.headers, body })
+    let (status, headers) = (head.status, head.headers);
+    AttemptResult::Responded(TargetResponse { status, headers, body, held })
 }
 
 /// A refusal is valid even if its body is truncated.
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use nickellead_core::ErrorKind;
+use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes};
 use nickellead_proxy::is_connection_header;
 
 use crate::authentication::Credential;
@@ -26,6 +27,8 @@
     /// When the quota of the workspace is expected to allow the request, once it was refused.
     pub(crate) quota_retry_after: Cell<Duration>,
     pub(crate) outgoing: OutgoingRequest,
+    /// The bytes of the body.
+    pub(crate) held: HeldBytes,
     /// The shard key, if the caller sent one.
     pub(crate) key: Option<u16>,
     pub(crate) arrived_at: Instant,
@@ -60,12 +63,13 @@
 
 /// Reads a complete request and finds its route and, by `identify`, its workspace.
 ///
-/// The body is read only if the request may be served.
+/// The body is read only if the request may be served and `budget` has room for it.
 pub(crate) async fn read_request(
     mut request: Request,
     names: &HeaderNames,
     limits: CallerLimits,
     table: &RouteTable,
+    budget: &ByteBudget,
     identify: impl Fn(&RouteRule, Credential) -> Result<Option<Rc<WorkspaceEntry>>, ErrorKind>,
 ) -> Result<IncomingRequest, ErrorKind> {
     let arrived_at = Instant::now();
@@ -87,7 +91,12 @@
         .map_err(|_| ErrorKind::RequestMalformed)?;
     let path_and_query =
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
-    let body = read_body_before(request.take_payload(), limits.body_bytes, deadline).await?;
+    let length = content_length(&request).unwrap_or(0) as usize;
+    let mut held = budget.admit(length).map_err(|_| ErrorKind::MemoryFull)?;
+    let reading = read_body(request.take_payload(), limits.body_bytes, &mut held);
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    let read = tokio::time::timeout(remaining, reading).await;
+    let body = read.unwrap_or(Err(ErrorKind::BodyTruncated))?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
     Ok(IncomingRequest {
         route,
@@ -95,6 +104,7 @@
         workspace,
         quota_retry_after: Cell::default(),
         outgoing,
+        held,
         key,
         arrived_at,
         caller_age,
@@ -109,14 +119,18 @@
     if size + request.uri().path().len() > limits.header_bytes {
         return Err(ErrorKind::HeadTooLarge);
     }
-    let length = headers.get("content-length").and_then(|value| value.to_str().ok());
-    let length = length.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
-    if length > limits.body_bytes as u64 {
+    if content_length(request).is_some_and(|length| length > limits.body_bytes as u64) {
         return Err(ErrorKind::BodyTooLarge);
     }
     Ok(())
 }
 
+/// The length of the body, if the caller stated it.
+fn content_length(request: &Request) -> Option<u64> {
+    let length = request.headers().get("content-length")?.to_str().ok()?;
+    length.parse().ok()
+}
+
 /// The host of the request, without a port.
 fn read_host(request: &Request) -> Result<String, ErrorKind> {
     let header = request.headers().get("host").and_then(|value| value.to_str().ok());
@@ -173,26 +187,23 @@
     number.map(Some).ok_or(ErrorKind::RequestMalformed)
 }
 
-async fn read_body_before(
-    payload: Payload,
+/// Reads a body of at most `limit` bytes, for which `held` grows if the caller stated no length.
+async fn read_body(
+    mut payload: Payload,
     limit: usize,
-    deadline: Instant,
+    held: &mut HeldBytes,
 ) -> Result<Bytes, ErrorKind> {
     if matches!(payload, Payload::None) {
         return Ok(Bytes::new());
     }
-    let remaining = deadline.saturating_duration_since(Instant::now());
-    let reading = tokio::time::timeout(remaining, read_body(payload, limit)).await;
-    reading.unwrap_or(Err(ErrorKind::BodyTruncated))
-}
-
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ErrorKind> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| ErrorKind::BodyTruncated)?;
         if body.len() + chunk.len() > limit {
             return Err(ErrorKind::BodyTooLarge);
         }
+        let length = held.bytes().max(body.len() + chunk.len());
+        held.resize(length, BytePurpose::Admission).map_err(|_| ErrorKind::MemoryFull)?;
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod regions;
 mod relay;
 mod requests;
+mod response_body;
 mod response_signals;
 mod route_table;
 mod settings;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -42,6 +42,9 @@
     pub(crate) leaving: Gauge,
     pub(crate) paused: Gauge,
     pub(crate) limited: Gauge,
+    pub(crate) held_bytes: Gauge,
+    pub(crate) held_bytes_limit: Gauge,
+    pub(crate) callers_cut: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -62,6 +65,9 @@
             leaving: Gauge::default(),
             paused: Gauge::default(),
             limited: Gauge::default(),
+            held_bytes: Gauge::default(),
+            held_bytes_limit: Gauge::default(),
+            callers_cut: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -89,6 +95,12 @@
         registry.register("targets_paused", help, metrics.paused.clone());
         let help = "Listed targets that reported a rate limit to this VM";
         registry.register("targets_limited", help, metrics.limited.clone());
+        let help = "Bytes of request and response bodies that this VM holds";
+        registry.register("held_bytes", help, metrics.held_bytes.clone());
+        let help = "Most bytes of request and response bodies that this VM holds, 0 for no bound";
+        registry.register("held_bytes_limit", help, metrics.held_bytes_limit.clone());
+        let help = "Connections closed because their callers took nothing of a response";
+        registry.register("callers_cut", help, metrics.callers_cut.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Version of the active declarations", version);
         let age = metrics.config_age.clone();
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -37,6 +37,12 @@
 ///
 /// Its keys move to other owners within this window. The remaining time is for requests in flight.
 const LEAVING_WINDOW_FRACTION: f64 = 0.5;
+/// How long a caller may take nothing of its response before its connection is closed, where the
+/// memory of a VM is bounded.
+///
+/// It is longer than a transmission over a link that was interrupted for a few seconds takes to
+/// resume, because the intervals between retransmissions double.
+const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between two checks whether callers have closed their connections.
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two checks whether a thread has ended.
@@ -88,7 +94,8 @@
     let listeners = GatewayListeners::bind(&settings)?;
     let (senders, receivers) = state_channels();
     let load_counter = LoadCounter::default();
-    let serve_state = Arc::new(ServeState::default());
+    let stall_timeout = settings.max_held_bytes().map(|_| CALLER_STALL_TIMEOUT);
+    let serve_state = Arc::new(ServeState::with_stall_timeout(stall_timeout));
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
@@ -114,6 +121,7 @@
         max_key_age: settings.max_key_age(),
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
+        max_held_bytes: settings.max_held_bytes(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
     })?;
     let context = ControlContext {
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -51,6 +51,7 @@
     pub(crate) regions: RegionMap,
     pub(crate) token_requests: mpsc::Sender<TokenRequest>,
     pub(crate) quota_tolerance: QuotaTolerance,
+    pub(crate) max_held_bytes: Option<usize>,
 }
 
 /// Starts the request thread.
@@ -84,6 +85,8 @@
         max_key_age: context.max_key_age,
         regions: context.regions,
         quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
+        max_held_bytes: context.max_held_bytes,
+        serve_state: Arc::clone(&context.serve_state),
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
--- a/crates/nickellead_gateway/src/route_table.rs
+++ b/crates/nickellead_gateway/src/route_table.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use nickellead_limit::WaitTolerance;
+use nickellead_limit::{SizeEstimate, WaitTolerance};
 
 use crate::{Declarations, SharedRoute, WeightedService};
 
@@ -16,12 +16,19 @@
     credits: Vec<Cell<f64>>,
     /// Estimate of how long its callers wait.
     pub(crate) wait_tolerance: WaitTolerance,
+    /// Expected size of its responses.
+    pub(crate) response_size: SizeEstimate,
 }
 
 impl RouteEntry {
     fn new(rule: SharedRoute) -> Self {
         let credits = rule.split.iter().map(|_| Cell::new(0.0)).collect();
-        Self { rule, credits, wait_tolerance: WaitTolerance::default() }
+        Self {
+            rule,
+            credits,
+            wait_tolerance: WaitTolerance::default(),
+            response_size: SizeEstimate::default(),
+        }
     }
 
     /// The service of the next request, by smooth weighted round-robin.
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -48,6 +48,11 @@
 /// The entry of a crashed target expires after about the same time.
 const DOWN_WINDOW: Duration = Duration::from_millis(2_500);
 
+/// Most bytes of requests that this VM has in flight to one target.
+///
+/// What memory a target has is unknown; it holds the requests of several VMs.
+const MAX_REQUEST_BYTES: usize = 8 * 1024 * 1024;
+
 /// Most instances without an entry whose signals are kept; beyond it all of these are dropped.
 const MAX_UNLISTED: usize = 4_096;
 
@@ -86,6 +91,8 @@
     sharing_vms: Cell<usize>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) concurrency_limit: Cell<AdaptiveLimit>,
+    /// Bytes of the requests in flight.
+    request_bytes: Cell<usize>,
     /// Requests that can only be served by this target.
     pub(crate) wait_queue: WaitQueue,
     pub(crate) pool: SharedPool,
@@ -103,7 +110,12 @@
 ///
 /// The drop wakes one request that waits for the target and one that waits for any target of its
 /// service.
-pub(crate) struct InFlightGuard(Rc<RegisteredTarget>, Rc<WaitQueue>);
+pub(crate) struct InFlightGuard {
+    target: Rc<RegisteredTarget>,
+    service_queue: Rc<WaitQueue>,
+    /// Size of the request's body.
+    bytes: usize,
+}
 
 impl RegisteredTarget {
     /// Whether the concurrency limit allows one more request.
@@ -111,6 +123,13 @@
         self.concurrency_limit.get().has_capacity(self.score.borrow().in_flight)
     }
 
+    /// Whether the target can hold a request of this size besides those in flight. A large one is
+    /// sent alone.
+    pub(crate) fn has_byte_room(&self, bytes: usize) -> bool {
+        let in_flight = self.request_bytes.get();
+        in_flight == 0 || in_flight + bytes <= MAX_REQUEST_BYTES
+    }
+
     /// Whether the target's signals, cold limit and rate limit allow a request now;
     /// `leaving_window` as in [`TargetSignals::may_send`].
     pub(crate) fn may_send(&self, leaving_window: Duration, now: Timestamp) -> bool {
@@ -221,20 +240,26 @@
 }
 
 impl InFlightGuard {
-    pub(crate) fn new(target: &Rc<RegisteredTarget>, service: &Rc<WaitQueue>) -> Self {
+    pub(crate) fn new(
+        target: &Rc<RegisteredTarget>,
+        service: &Rc<WaitQueue>,
+        bytes: usize,
+    ) -> Self {
         target.score.borrow_mut().in_flight += 1;
-        Self(Rc::clone(target), Rc::clone(service))
+        target.request_bytes.set(target.request_bytes.get() + bytes);
+        Self { target: Rc::clone(target), service_queue: Rc::clone(service), bytes }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         {
-            let mut score = self.0.score.borrow_mut();
+            let mut score = self.target.score.borrow_mut();
             score.in_flight = score.in_flight.saturating_sub(1);
         }
-        self.0.wait_queue.wake_one();
-        self.1.wake_one();
+        self.target.request_bytes.set(self.target.request_bytes.get() - self.bytes);
+        self.target.wait_queue.wake_one();
+        self.service_queue.wake_one();
     }
 }
 
@@ -510,6 +535,7 @@
             INITIAL_CONCURRENCY_LIMIT,
             entry.slots * MAX_REQUESTS_PER_SLOT,
         )),
+        request_bytes: Cell::new(0),
         wait_queue: WaitQueue::default(),
         pool: SharedPool::default(),
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -9,7 +9,7 @@
 use nickellead_time::BootClock;
 
 use super::{AttemptState, NextStep, RESPONSE_RETURN_RESERVE, RequestWorker};
-use crate::exchange::{AttemptEnd, AttemptPlan, TargetResponse, run_attempt};
+use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
 use crate::target_registry::{InFlightGuard, RegisteredTarget};
 
@@ -35,6 +35,9 @@
         incoming: &IncomingRequest,
         attempts: &mut AttemptState,
     ) -> Result<TargetResponse, ErrorKind> {
+        if !self.memory.has_room(incoming.route.response_size.bytes()) {
+            return Err(ErrorKind::MemoryFull);
+        }
         self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
@@ -135,7 +138,14 @@
         service: &str,
         target: &Rc<RegisteredTarget>,
     ) -> AttemptEnd {
-        let _running = InFlightGuard::new(target, &self.queue(service));
+        let response_size = &incoming.route.response_size;
+        // Room for the response is held before the request is sent, so that a response is not
+        // dropped.
+        let Ok(held) = self.memory.admit(response_size.bytes()) else {
+            return AttemptResult::Forbidden(ErrorKind::MemoryFull).into();
+        };
+        let request_bytes = incoming.held.bytes();
+        let _running = InFlightGuard::new(target, &self.queue(service), request_bytes);
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
         let permit = || self.permit_sending(incoming, &target.zone);
@@ -149,7 +159,7 @@
         let guard = AbandonGuard { target, since: Instant::now(), armed: true };
         let latency_target = incoming.route.rule.latency_target;
         let mut sending =
-            std::pin::pin!(run_attempt(&self.header_names, &incoming.outgoing, &plan));
+            std::pin::pin!(run_attempt(&self.header_names, &incoming.outgoing, &plan, held));
         let end = match tokio::time::timeout(latency_target, &mut sending).await {
             Ok(end) => end,
             Err(_) => {
@@ -161,6 +171,9 @@
             }
         };
         guard.disarm();
+        if let AttemptResult::Responded(response) = &end.result {
+            response_size.record(response.body.len());
+        }
         end
     }
 }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -24,7 +24,8 @@
 use nickellead_balance::ZoneReachability;
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
-use nickellead_limit::{RetryBudget, RetryLimits, WaitQueue};
+use nickellead_limit::{ByteBudget, RetryBudget, RetryLimits, WaitQueue};
+use nickellead_proxy::ServeState;
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
@@ -119,6 +120,8 @@
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) regions: RegionMap,
     pub(crate) quotas: Rc<QuotaClient>,
+    pub(crate) max_held_bytes: Option<usize>,
+    pub(crate) serve_state: Arc<ServeState>,
 }
 
 /// The request path of one VM.
@@ -147,6 +150,9 @@
     max_key_age: Option<Duration>,
     regions: RegionMap,
     quotas: Rc<QuotaClient>,
+    /// Bytes of requests and responses that this VM holds.
+    memory: ByteBudget,
+    serve_state: Arc<ServeState>,
 }
 
 /// State of a request across its attempts.
@@ -212,6 +218,8 @@
             max_key_age: context.max_key_age,
             regions: context.regions,
             quotas: context.quotas,
+            memory: ByteBudget::new(context.max_held_bytes),
+            serve_state: context.serve_state,
         })
     }
 
@@ -311,7 +319,8 @@
             (Rc::clone(&state.routes), state.limits)
         };
         let identify = |route: &RouteRule, credential| self.identify(route, credential);
-        let reading = read_request(request, &self.header_names, limits, &routes, identify);
+        let names = &self.header_names;
+        let reading = read_request(request, names, limits, &routes, &self.memory, identify);
         let incoming = match reading.await {
             Ok(incoming) if self.policy.caller_age.is_on() => incoming,
             Ok(incoming) => IncomingRequest { caller_age: Duration::ZERO, ..incoming },
@@ -352,6 +361,9 @@
         metrics.leaving.set(signals.leaving);
         metrics.paused.set(signals.paused);
         metrics.limited.set(signals.limited);
+        metrics.held_bytes.set(gauge_value(self.memory.held()));
+        metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
+        metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
         let version = state.version.unwrap_or_default();
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(state.updated.declarations.elapsed().as_secs_f64());
@@ -360,6 +372,10 @@
     }
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn log_built(declarations: &Declarations, took: Duration) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] = [
         ("version", &declarations.version),
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -97,6 +97,8 @@
                 }
                 target.record_outcome(TargetOutcome::NoResponse, now);
             }
+            // The memory of this VM says nothing about the target.
+            AttemptResult::Lost(LossReason::NoMemory) => {}
             AttemptResult::Lost(_) => {
                 self.load_counter.record_lost(&target.id);
                 target.record_refusal();
@@ -248,13 +250,16 @@
 
 /// The next step after a request was sent and no usable response arrived.
 fn after_loss(incoming: &IncomingRequest, reason: LossReason) -> NextStep {
-    if is_repeatable(incoming) && reason != LossReason::Late {
+    // Neither more time nor more memory is expected for another attempt.
+    let may_help = !matches!(reason, LossReason::Late | LossReason::NoMemory);
+    if is_repeatable(incoming) && may_help {
         return NextStep::Retry;
     }
     NextStep::Fail(match reason {
         LossReason::Late => ErrorKind::AnswerLate,
         LossReason::Broken => ErrorKind::AnswerLost,
         LossReason::Foreign => ErrorKind::AnswerMalformed,
+        LossReason::NoMemory => ErrorKind::AnswerUnheld,
     })
 }
 
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -7,7 +7,7 @@
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
-use nickellead_proxy::{error_response, is_connection_header};
+use nickellead_proxy::{error_response, hold_until_sent, is_connection_header};
 
 use super::{RequestWorker, WorkerState};
 use crate::WeightedService;
@@ -50,6 +50,7 @@
                 | ErrorKind::HeadTooLarge
                 | ErrorKind::BodyTooLarge
                 | ErrorKind::BodyTruncated
+                | ErrorKind::MemoryFull
         ) {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
@@ -198,5 +199,7 @@
             builder.append_header((name.as_str(), value.as_bytes()));
         }
     }
-    builder.body(response.body).map_into_boxed_body()
+    let mut forwarded = builder.body(response.body).map_into_boxed_body();
+    hold_until_sent(&mut forwarded, response.held);
+    forwarded
 }
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -91,13 +91,20 @@
         if !self.reachability.may_attempt(&target.zone, now) {
             return Err(ErrorKind::TargetUnreachable);
         }
-        if !target.has_capacity() {
+        if !self.accepts(&target, incoming) {
             return Ok(TargetCapacity::Full(target));
         }
         self.reachability.record_attempt(&target.zone, now);
         Ok(TargetCapacity::Available(target))
     }
 
+    /// Whether a target has capacity for one more request and room for its body.
+    fn accepts(&self, target: &RegisteredTarget, incoming: &IncomingRequest) -> bool {
+        let has_room =
+            !self.memory.is_bounded() || target.has_byte_room(incoming.outgoing.body.len());
+        target.has_capacity() && has_room
+    }
+
     /// How long a request may wait for the target's capacity behind `ahead` others, or `None` when
     /// its response would miss the latency target.
     fn queue_timeout(
@@ -207,15 +214,15 @@
         };
         let all = state.registry.available(service);
         let mut eligible: Vec<&Rc<RegisteredTarget>> = subset.iter().filter(reachable).collect();
-        let all_full = !eligible.iter().any(|target| target.has_capacity());
+        let all_full = !eligible.iter().any(|target| self.accepts(target, incoming));
         if eligible.is_empty() || all_full && !state.registry.is_partitioned(service) {
             eligible = all.iter().filter(reachable).collect();
         }
         if eligible.is_empty() {
             eligible = all.iter().filter(usable).collect();
         }
-        if eligible.iter().any(|target| target.has_capacity()) {
-            eligible.retain(|target| target.has_capacity());
+        if eligible.iter().any(|target| self.accepts(target, incoming)) {
+            eligible.retain(|target| self.accepts(target, incoming));
         }
         let scores: Vec<_> = eligible.iter().map(|target| target.score.borrow()).collect();
         let candidates: Vec<Candidate<'_>> = eligible
--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -9,9 +9,12 @@
 //! has just started, and [`RateLimiter`] enforces one VM's share of a rate that the target requests.
 //! A [`TokenBucket`] bounds what all VMs together send for one workspace, and a [`RetryBudget`] the
 //! retries of one VM. [`WaitTolerance`] estimates how long a caller has been retrying.
+//!
+//! [`ByteBudget`] bounds the memory that requests and responses take on one VM.
 
 mod adaptive;
 mod admission;
+mod bytes;
 mod cold;
 mod queue;
 mod quota;
@@ -21,6 +24,7 @@
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionFractions, OwnerAdmission, OwnerReport, allocate_rate};
+pub use bytes::{ByteBudget, BytePurpose, HeldBytes, NoRoom, SizeEstimate};
 pub use cold::{COLD_SENDERS, ColdBounds, ColdLimiter, ColdQuota, is_cold_sender};
 pub use queue::{QueueTicket, WaitQueue};
 pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -3,29 +3,43 @@
 //! The system transmits bytes in the send buffer even after the process has ended. Bytes that did
 //! not fit are lost with the process.
 
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use crate::held_response::UnsentBytes;
+use crate::serve::ServeState;
 
 /// Connection of a caller, counted while its last write is pending.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
-    /// Number of blocked connections; shared by all connections.
-    blocked: Arc<AtomicUsize>,
-    /// Whether this connection is counted.
+    state: Arc<ServeState>,
+    /// Whether this connection is counted as blocked.
     is_blocked: bool,
+    /// Ends when the caller has taken nothing for too long; exists while a write is pending.
+    stall_timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes in the connection's write buffer; `None` for HTTP/2.
+    unsent: Option<UnsentBytes>,
 }
 
 impl CallerStream {
     /// Wraps a connection that is not blocked.
-    pub(crate) fn new(stream: TcpStream, blocked: Arc<AtomicUsize>) -> Self {
-        Self { stream, blocked, is_blocked: false }
+    pub(crate) fn new(stream: TcpStream, state: Arc<ServeState>, is_http1: bool) -> Self {
+        let unsent = is_http1.then(UnsentBytes::default);
+        Self { stream, state, is_blocked: false, stall_timer: None, unsent }
+    }
+
+    /// Bytes in the connection's write buffer; `None` for HTTP/2.
+    pub(crate) fn unsent(&self) -> Option<&UnsentBytes> {
+        self.unsent.as_ref()
     }
 
     fn set_blocked(&mut self, is_blocked: bool) {
@@ -34,10 +48,48 @@
         }
         self.is_blocked = is_blocked;
         match is_blocked {
-            true => self.blocked.fetch_add(1, Ordering::Relaxed),
-            false => self.blocked.fetch_sub(1, Ordering::Relaxed),
+            true => self.state.blocked.fetch_add(1, Ordering::Relaxed),
+            false => self.state.blocked.fetch_sub(1, Ordering::Relaxed),
         };
     }
+
+    /// Evaluates a write of `length` bytes: fails it if the caller reads too slowly.
+    fn after_write(
+        &mut self,
+        polled: Poll<io::Result<usize>>,
+        length: usize,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        self.set_blocked(polled.is_pending());
+        let is_cut = match &polled {
+            Poll::Pending => self.is_stalled(context) || self.must_give_way(),
+            Poll::Ready(written) => {
+                self.stall_timer = None;
+                if written.as_ref().is_ok_and(|written| *written == length) {
+                    self.unsent.iter().for_each(UnsentBytes::clear);
+                }
+                false
+            }
+        };
+        if is_cut {
+            self.state.stalled.fetch_add(1, Ordering::Relaxed);
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        polled
+    }
+
+    /// Whether the caller has taken nothing for too long.
+    fn is_stalled(&mut self, context: &mut Context<'_>) -> bool {
+        let Some(timeout) = self.state.stall_timeout else { return false };
+        let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        timer.as_mut().poll(context).is_ready()
+    }
+
+    /// Whether the caller takes its response so slowly that others need the memory.
+    fn must_give_way(&self) -> bool {
+        let Some(timeout) = self.state.stall_timeout else { return false };
+        self.unsent.as_ref().is_some_and(|unsent| unsent.must_give_way(timeout))
+    }
 }
 
 impl Drop for CallerStream {
@@ -63,8 +115,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.set_blocked(polled.is_pending());
-        polled
+        self.after_write(polled, bytes.len(), context)
     }
 
     fn poll_write_vectored(
@@ -73,8 +124,8 @@
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.set_blocked(polled.is_pending());
-        polled
+        let length = buffers.iter().map(|buffer| buffer.len()).sum();
+        self.after_write(polled, length, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod error_response;
 mod exchange;
 mod headers;
+mod held_response;
 mod incoming;
 mod metrics;
 mod response_body;
@@ -21,6 +22,7 @@
     DEADLINE_HEADER, EPOCH_HEADER, ERROR_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, SHARD_HEADER,
     is_connection_header,
 };
+pub use held_response::hold_until_sent;
 pub use metrics::ProxyMetrics;
 pub use serve::{ListenError, ServeState, bind_listener, serve_http};
 pub use worker::{ProxyLimits, ProxyWorker, WorkerUpdate};
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -11,12 +11,13 @@
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::caller_stream::CallerStream;
+use crate::held_response::{UnsentBytes, count_held};
 
 /// Maximum number of connections in the listen backlog.
 const BACKLOG: i32 = 1_024;
@@ -24,6 +25,11 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Unsent bytes of a connection that the operating system takes while stalled callers are cut.
+///
+/// With more, a write stays pending although the caller reads: the system accepts bytes again only
+/// once a third of its buffer is free, which may be megabytes.
+const MAX_UNSENT_BYTES: u32 = 16 * 1024;
 /// First bytes of the HTTP/2 connection preface.
 const HTTP2_PREFACE_START: &[u8] = b"PRI * HTTP/2";
 
@@ -38,7 +44,11 @@
     running: AtomicUsize,
     open: AtomicUsize,
     /// Number of connections with pending writes.
-    blocked: Arc<AtomicUsize>,
+    pub(crate) blocked: AtomicUsize,
+    /// How long a write may be pending; `None` for no limit.
+    pub(crate) stall_timeout: Option<Duration>,
+    /// Number of connections closed because of `stall_timeout`.
+    pub(crate) stalled: AtomicUsize,
 }
 
 impl Default for ServeState {
@@ -48,12 +58,21 @@
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
-            blocked: Arc::default(),
+            blocked: AtomicUsize::new(0),
+            stall_timeout: None,
+            stalled: AtomicUsize::new(0),
         }
     }
 }
 
 impl ServeState {
+    /// State of listeners that close a connection whose caller takes none of the bytes of a
+    /// response for this time, or not all of them while memory is short.
+    #[must_use]
+    pub fn with_stall_timeout(timeout: Option<Duration>) -> Self {
+        Self { stall_timeout: timeout, ..Self::default() }
+    }
+
     /// Closes each connection after its next response; new connections are still accepted.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -87,6 +106,12 @@
     pub fn blocked_connections(&self) -> usize {
         self.blocked.load(Ordering::Relaxed)
     }
+
+    /// Number of connections that were closed because their callers took nothing.
+    #[must_use]
+    pub fn stalled_connections(&self) -> usize {
+        self.stalled.load(Ordering::Relaxed)
+    }
 }
 
 /// Counts a request until its response is ready or its caller has disconnected.
@@ -135,10 +160,16 @@
         .client_request_timeout(HEAD_TIMEOUT)
         // A caller that closes its side has disconnected, so its request is cancelled.
         .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CallerStream, data| {
+            if let Some(unsent) = stream.unsent() {
+                data.insert(unsent.clone());
+            }
+        })
         .finish(fn_service(move |request: Request| {
+            let unsent = request.conn_data::<UnsentBytes>().cloned();
             let response = handler(request);
             let state = Arc::clone(&shared);
-            async move { Ok::<_, Infallible>(respond(response, &state).await) }
+            async move { Ok::<_, Infallible>(respond(response, unsent, &state).await) }
         }));
     // This only fails outside a runtime, and this function runs inside one.
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
@@ -165,12 +196,17 @@
         }
         // Nagle's algorithm would delay small responses; a failure only adds latency.
         let _ = stream.set_nodelay(true);
+        if state.stall_timeout.is_some() {
+            // A failure only makes callers seem to take nothing for longer.
+            let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        }
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
         state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
             if let Ok(protocol) = read_protocol(&stream).await {
                 let caller = stream.peer_addr().ok();
-                let stream = CallerStream::new(stream, Arc::clone(&state.blocked));
+                let is_http1 = protocol == actix_http::Protocol::Http1;
+                let stream = CallerStream::new(stream, Arc::clone(&state), is_http1);
                 // The caller observes a lost connection itself.
                 let _ = service.call((stream, protocol, caller)).await;
             }
@@ -189,7 +225,11 @@
     })
 }
 
-async fn respond<F>(response: F, state: &ServeState) -> Response<BoxBody>
+async fn respond<F>(
+    response: F,
+    unsent: Option<UnsentBytes>,
+    state: &ServeState,
+) -> Response<BoxBody>
 where
     F: Future<Output = Response<BoxBody>>,
 {
@@ -199,5 +239,5 @@
     if state.is_stopping() || state.draining.load(Ordering::Relaxed) {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
-    response
+    count_held(response, unsent)
 }
