Rooms of large responses are capped, bytes in flight to a target are a type of their own

Cause: a route whose responses took more than three quarters of the bound would have been refused for good, because nothing could be reserved for the size that it had learned; and the bound on request bytes of a target had no test. Change: at most a quarter of the bound is reserved for one response; InFlightBytes is tested without a network.

--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -27,8 +27,8 @@
     /// When the quota of the workspace is expected to allow the request, once it was refused.
     pub(crate) quota_retry_after: Cell<Duration>,
     pub(crate) outgoing: OutgoingRequest,
-    /// The bytes of the body.
-    pub(crate) held: HeldBytes,
+    /// The bytes of the body, held until the request ends.
+    pub(crate) _held: HeldBytes,
     /// The shard key, if the caller sent one.
     pub(crate) key: Option<u16>,
     pub(crate) arrived_at: Instant,
@@ -104,7 +104,7 @@
         workspace,
         quota_retry_after: Cell::default(),
         outgoing,
-        held,
+        _held: held,
         key,
         arrived_at,
         caller_age,
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -12,7 +12,9 @@
     ReportedLimit, TargetOutcome, TargetScore, TargetSignals, even_subset, subset_size,
 };
 use nickellead_core::Timestamp;
-use nickellead_limit::{AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, RateLimiter, WaitQueue};
+use nickellead_limit::{
+    AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, InFlightBytes, RateLimiter, WaitQueue,
+};
 use nickellead_range::TargetInstance;
 use nickellead_time::BootClock;
 
@@ -91,8 +93,7 @@
     sharing_vms: Cell<usize>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) concurrency_limit: Cell<AdaptiveLimit>,
-    /// Bytes of the requests in flight.
-    request_bytes: Cell<usize>,
+    pub(crate) request_bytes: InFlightBytes,
     /// Requests that can only be served by this target.
     pub(crate) wait_queue: WaitQueue,
     pub(crate) pool: SharedPool,
@@ -123,13 +124,6 @@
         self.concurrency_limit.get().has_capacity(self.score.borrow().in_flight)
     }
 
-    /// Whether the target can hold a request of this size besides those in flight. A large one is
-    /// sent alone.
-    pub(crate) fn has_byte_room(&self, bytes: usize) -> bool {
-        let in_flight = self.request_bytes.get();
-        in_flight == 0 || in_flight + bytes <= MAX_REQUEST_BYTES
-    }
-
     /// Whether the target's signals, cold limit and rate limit allow a request now;
     /// `leaving_window` as in [`TargetSignals::may_send`].
     pub(crate) fn may_send(&self, leaving_window: Duration, now: Timestamp) -> bool {
@@ -246,7 +240,7 @@
         bytes: usize,
     ) -> Self {
         target.score.borrow_mut().in_flight += 1;
-        target.request_bytes.set(target.request_bytes.get() + bytes);
+        target.request_bytes.add(bytes);
         Self { target: Rc::clone(target), service_queue: Rc::clone(service), bytes }
     }
 }
@@ -257,7 +251,7 @@
             let mut score = self.target.score.borrow_mut();
             score.in_flight = score.in_flight.saturating_sub(1);
         }
-        self.target.request_bytes.set(self.target.request_bytes.get() - self.bytes);
+        self.target.request_bytes.remove(self.bytes);
         self.target.wait_queue.wake_one();
         self.service_queue.wake_one();
     }
@@ -535,7 +529,7 @@
             INITIAL_CONCURRENCY_LIMIT,
             entry.slots * MAX_REQUESTS_PER_SLOT,
         )),
-        request_bytes: Cell::new(0),
+        request_bytes: InFlightBytes::new(MAX_REQUEST_BYTES),
         wait_queue: WaitQueue::default(),
         pool: SharedPool::default(),
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -35,7 +35,7 @@
         incoming: &IncomingRequest,
         attempts: &mut AttemptState,
     ) -> Result<TargetResponse, ErrorKind> {
-        if !self.memory.has_room(incoming.route.response_size.bytes()) {
+        if !self.memory.has_room(self.memory.reservation(&incoming.route.response_size)) {
             return Err(ErrorKind::MemoryFull);
         }
         self.ensure_token(incoming, attempts).await?;
@@ -141,10 +141,10 @@
         let response_size = &incoming.route.response_size;
         // Room for the response is held before the request is sent, so that a response is not
         // dropped.
-        let Ok(held) = self.memory.admit(response_size.bytes()) else {
+        let Ok(held) = self.memory.admit(self.memory.reservation(response_size)) else {
             return AttemptResult::Forbidden(ErrorKind::MemoryFull).into();
         };
-        let request_bytes = incoming.held.bytes();
+        let request_bytes = incoming.outgoing.body.len();
         let _running = InFlightGuard::new(target, &self.queue(service), request_bytes);
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -100,8 +100,8 @@
 
     /// Whether a target has capacity for one more request and room for its body.
     fn accepts(&self, target: &RegisteredTarget, incoming: &IncomingRequest) -> bool {
-        let has_room =
-            !self.memory.is_bounded() || target.has_byte_room(incoming.outgoing.body.len());
+        let has_room = !self.memory.is_bounded()
+            || target.request_bytes.has_room(incoming.outgoing.body.len());
         target.has_capacity() && has_room
     }
 
--- a/crates/nickellead_limit/src/bytes.rs
+++ b/crates/nickellead_limit/src/bytes.rs
@@ -12,6 +12,9 @@
 /// New requests are admitted up to the bound less the bound divided by this; the rest is for
 /// responses that are larger than expected.
 const COMPLETION_DIVISOR: usize = 4;
+/// Room for one response is reserved up to the bound divided by this. A route whose responses are
+/// larger would be refused for good otherwise.
+const RESERVATION_DIVISOR: usize = 4;
 /// Memory is short while more is held than the bound divided by this. Then whoever takes its bytes
 /// slowly gives way, so that some room for other requests is always left.
 const SHORTAGE_DIVISOR: usize = 2;
@@ -72,6 +75,12 @@
         self.0.held.get()
     }
 
+    /// Bytes to reserve for a response of this expected size.
+    #[must_use]
+    pub fn reservation(&self, expected: &SizeEstimate) -> usize {
+        expected.bytes().min(self.0.bound / RESERVATION_DIVISOR)
+    }
+
     /// Whether a request that needs this many bytes would be admitted.
     #[must_use]
     pub fn has_room(&self, bytes: usize) -> bool {
@@ -150,6 +159,39 @@
     }
 }
 
+/// Bytes of the requests in flight to one target, within a bound.
+#[derive(Debug)]
+pub struct InFlightBytes {
+    bound: usize,
+    bytes: Cell<usize>,
+}
+
+impl InFlightBytes {
+    /// No requests in flight, with a bound in bytes.
+    #[must_use]
+    pub const fn new(bound: usize) -> Self {
+        Self { bound, bytes: Cell::new(0) }
+    }
+
+    /// Whether one more request of this size may be sent. One that is larger than the bound is
+    /// sent alone.
+    #[must_use]
+    pub fn has_room(&self, bytes: usize) -> bool {
+        let in_flight = self.bytes.get();
+        in_flight == 0 || in_flight.saturating_add(bytes) <= self.bound
+    }
+
+    /// Records that a request of this size is sent.
+    pub fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get().saturating_add(bytes));
+    }
+
+    /// Records that a request of this size has ended.
+    pub fn remove(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get().saturating_sub(bytes));
+    }
+}
+
 /// Expected size of a route's responses, learned from earlier ones.
 #[derive(Debug)]
 pub struct SizeEstimate {
--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionFractions, OwnerAdmission, OwnerReport, allocate_rate};
-pub use bytes::{ByteBudget, BytePurpose, HeldBytes, NoRoom, SizeEstimate};
+pub use bytes::{ByteBudget, BytePurpose, HeldBytes, InFlightBytes, NoRoom, SizeEstimate};
 pub use cold::{COLD_SENDERS, ColdBounds, ColdLimiter, ColdQuota, is_cold_sender};
 pub use queue::{QueueTicket, WaitQueue};
 pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
--- a/crates/nickellead_limit/tests/bytes.rs
+++ b/crates/nickellead_limit/tests/bytes.rs
@@ -1,6 +1,6 @@
 //! Accounting of held bytes under any sequence of requests, responses and ends.
 
-use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes, NoRoom, SizeEstimate};
+use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes, InFlightBytes, NoRoom, SizeEstimate};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 const BOUND: usize = 1_000;
@@ -69,6 +69,19 @@
     assert_eq!((admitted[1].bytes(), budget.held()), (50, 1_000));
 }
 
+/// Load: a route whose responses take nearly all of the memory.
+#[test]
+fn a_route_with_large_responses_is_still_served() {
+    let budget = ByteBudget::new(Some(BOUND));
+    let estimate = SizeEstimate::default();
+    for _ in 0..10 {
+        let held = budget.admit(budget.reservation(&estimate));
+        let grown = held.and_then(|mut held| held.resize(BOUND, BytePurpose::Completion));
+        assert_eq!(grown, Ok(()));
+        estimate.record(BOUND);
+    }
+}
+
 #[test]
 fn without_a_bound_everything_fits() {
     let budget = ByteBudget::new(None);
@@ -76,6 +89,19 @@
     assert!(held.is_ok() && !budget.is_bounded() && budget.bound().is_none());
 }
 
+/// Load: large requests to a target that reads slowly.
+#[test]
+fn a_target_gets_no_more_than_it_may_hold_but_any_request_alone() {
+    let in_flight = InFlightBytes::new(BOUND);
+    assert!(in_flight.has_room(2 * BOUND), "a large request goes alone");
+    in_flight.add(600);
+    assert!(in_flight.has_room(400) && !in_flight.has_room(401));
+    in_flight.add(400);
+    assert!(!in_flight.has_room(1));
+    in_flight.remove(600);
+    assert!(in_flight.has_room(600) && !in_flight.has_room(601));
+}
+
 /// Load: one in ten responses of a route is large.
 #[test]
 fn the_expected_size_covers_large_responses_and_forgets_them() {
