--- a/crates/nickellead_balance/src/reachability/mod.rs
+++ b/crates/nickellead_balance/src/reachability/mod.rs
@@ -88,6 +88,16 @@
     AllFailures(HashMap<String, ZoneReach>),
 }
 
+impl ReachState {
+    /// All zones are in reach.
+    fn new(rules: ReachRules) -> Self {
+        match rules {
+            ReachRules::Timeouts => Self::Timeouts(HashMap::new()),
+            ReachRules::AllFailures => Self::AllFailures(HashMap::new()),
+        }
+    }
+}
+
 /// Reachability of availability zones.
 pub struct ZoneReachability {
     state: RefCell<ReachState>,
@@ -104,11 +114,7 @@
     /// All zones are in reach.
     #[must_use]
     pub fn new(rules: ReachRules) -> Self {
-        let state = match rules {
-            ReachRules::Timeouts => ReachState::Timeouts(HashMap::new()),
-            ReachRules::AllFailures => ReachState::AllFailures(HashMap::new()),
-        };
-        Self { state: RefCell::new(state), changes: RefCell::default() }
+        Self { state: RefCell::new(ReachState::new(rules)), changes: RefCell::default() }
     }
 
     /// The rules by which failures are counted.
@@ -120,6 +126,16 @@
         }
     }
 
+    /// Changes the rules, given the number of listed targets by zone. What was learned by other rules is
+    /// forgotten.
+    pub fn set_rules(&self, rules: ReachRules, listed: &HashMap<&str, usize>) {
+        if self.rules() == rules {
+            return;
+        }
+        self.state.replace(ReachState::new(rules));
+        self.set_targets(listed);
+    }
+
     /// Sets the number of listed targets by zone; zones without targets are forgotten.
     pub fn set_targets(&self, listed: &HashMap<&str, usize>) {
         let mut state = self.state.borrow_mut();
--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_event::{EventName, log_event};
+use nickellead_limit::HeldBytes;
 use nickellead_peer::{PeerChannel, PeerError};
 use nickellead_time::BootClock;
 
@@ -218,12 +219,13 @@
         reply.ok().map(|reply| (reply, PermitIssuer::Remote(peer)))
     }
 
-    /// Hands a request to a dispatcher, which sends it.
+    /// Hands a request to a dispatcher, which sends it; `held` has room for the response.
     pub(crate) async fn forward(
         &self,
         group: &TargetGroup,
         facts: RequestFacts,
         request: &OutgoingRequest,
+        held: HeldBytes,
     ) -> ForwardAnswer {
         let asked = Instant::now();
         let time = facts.deadline_in;
@@ -237,7 +239,7 @@
             };
             match reply {
                 DispatchReply::Forwarded(attempt) => {
-                    let (end, latency) = attempt.into_end(BootClock.now());
+                    let (end, latency) = attempt.into_end(held, BootClock.now());
                     return ForwardAnswer::Ended(Box::new(end), latency);
                 }
                 DispatchReply::Refused { retry_after_ms } => {
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -166,6 +166,8 @@
     LostBroken,
     /// The request was sent and the response was not valid.
     LostForeign,
+    /// The request was sent, and the dispatcher had no memory for its response.
+    LostUnheld,
 }
 
 /// Signals on the response of a target.
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -10,6 +10,7 @@
 use nickellead_core::Timestamp;
 use nickellead_dispatch::TicketId;
 use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
+use nickellead_limit::{ByteBudget, HeldBytes, SizeEstimate};
 use nickellead_peer::serve_calls;
 use nickellead_time::BootClock;
 use tokio::net::TcpListener;
@@ -52,6 +53,8 @@
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) zone_reports: Rc<ZoneReports>,
+    /// Bytes that this VM holds, for its own callers and for other VMs.
+    pub(crate) memory: ByteBudget,
 }
 
 /// The dispatcher of one VM.
@@ -59,6 +62,8 @@
     context: ServerContext,
     table: RefCell<Rc<GroupTable>>,
     groups: RefCell<HashMap<GroupId, GroupState>>,
+    /// Expected size of the response to a forwarded request.
+    response_size: SizeEstimate,
     /// Notified when a group may need the timer earlier than before.
     changed: Notify,
 }
@@ -80,6 +85,7 @@
             context,
             table: RefCell::default(),
             groups: RefCell::default(),
+            response_size: SizeEstimate::default(),
             changed: Notify::new(),
         })
     }
@@ -189,8 +195,16 @@
             held.release_unsent();
             return DispatchReply::Unavailable;
         };
+        let reservation = self.context.memory.reservation(&self.response_size);
+        let Ok(room) = self.context.memory.admit(reservation) else {
+            held.release_unsent();
+            return DispatchReply::Unavailable;
+        };
         let started = Instant::now();
-        let end = self.send(&registered, &outgoing, deadline).await;
+        let end = self.send(&registered, &outgoing, deadline, room).await;
+        if let AttemptResult::Responded(response) = &end.result {
+            self.response_size.record(response.body.len());
+        }
         let latency = started.elapsed();
         held.release(&end, latency);
         self.context.metrics.dispatch.forwarded.inc();
@@ -285,6 +299,7 @@
         target: &RegisteredTarget,
         outgoing: &OutgoingRequest,
         deadline: Instant,
+        room: HeldBytes,
     ) -> AttemptEnd {
         // Requests of workspaces are not dispatched, so there is nothing to check.
         let permit = || Ok(SendPermission { workspace: None, hides_key: false });
@@ -295,7 +310,7 @@
             deadline: deadline.checked_sub(RETURN_RESERVE).unwrap_or(deadline),
             permit: &permit,
         };
-        let end = run_attempt(&self.context.names, outgoing, &plan).await;
+        let end = run_attempt(&self.context.names, outgoing, &plan, room).await;
         if matches!(end.result, AttemptResult::NotSent(ConnectFailure::Refused)) {
             target.mark_down(BootClock.now());
         }
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use nickellead_core::Timestamp;
 use nickellead_dispatch::{PermitOutcome, ReportedLoad};
+use nickellead_limit::{BytePurpose, HeldBytes};
 
 use super::messages::{
     WireAttempt, WireHeader, WireLimit, WireLoad, WireOutcome, WireRequest, WireResult, WireSignals,
@@ -125,26 +126,27 @@
             AttemptResult::Lost(LossReason::Late) => Self::LostLate,
             AttemptResult::Lost(LossReason::Broken) => Self::LostBroken,
             AttemptResult::Lost(LossReason::Foreign) => Self::LostForeign,
+            AttemptResult::Lost(LossReason::NoMemory) => Self::LostUnheld,
         }
     }
 }
 
-impl From<WireResult> for AttemptResult {
-    fn from(result: WireResult) -> Self {
-        match result {
-            WireResult::Responded { status, headers, body } => response_of(status, headers, body),
-            WireResult::Shed => Self::Shed,
-            WireResult::Misdirected => Self::Misdirected,
-            WireResult::NotSent => Self::NotSent(ConnectFailure::Broken),
-            WireResult::Withheld => Self::Withheld,
-            WireResult::LostLate => Self::Lost(LossReason::Late),
-            WireResult::LostBroken => Self::Lost(LossReason::Broken),
-            WireResult::LostForeign => Self::Lost(LossReason::Foreign),
+impl WireResult {
+    /// The result as if this VM had made the attempt; `held` has room for the response.
+    fn into_result(self, held: HeldBytes) -> AttemptResult {
+        match self {
+            Self::Responded { status, headers, body } => response_of(status, headers, body, held),
+            Self::Shed => AttemptResult::Shed,
+            Self::Misdirected => AttemptResult::Misdirected,
+            Self::NotSent => AttemptResult::NotSent(ConnectFailure::Broken),
+            Self::Withheld => AttemptResult::Withheld,
+            Self::LostLate => AttemptResult::Lost(LossReason::Late),
+            Self::LostBroken => AttemptResult::Lost(LossReason::Broken),
+            Self::LostForeign => AttemptResult::Lost(LossReason::Foreign),
+            Self::LostUnheld => AttemptResult::Lost(LossReason::NoMemory),
         }
     }
-}
 
-impl WireResult {
     /// The result in the log.
     pub(super) const fn as_str(&self) -> &'static str {
         match self {
@@ -156,16 +158,19 @@
             Self::LostLate => "late",
             Self::LostBroken => "broken",
             Self::LostForeign => "foreign",
+            Self::LostUnheld => LossReason::NoMemory.as_str(),
         }
     }
 }
 
 impl WireAttempt {
     /// The end of the attempt as if this VM had made it, and how long the target took.
-    pub(super) fn into_end(self, now: Timestamp) -> (AttemptEnd, Duration) {
+    ///
+    /// `held` has room for the response, and grows if it is larger than expected.
+    pub(super) fn into_end(self, held: HeldBytes, now: Timestamp) -> (AttemptEnd, Duration) {
         let latency = duration(self.latency_ms);
         let end = AttemptEnd {
-            result: self.result.into(),
+            result: self.result.into_result(held),
             signals: self.signals.into(),
             sent_at: now.checked_sub(latency).unwrap_or(Timestamp::ZERO),
         };
@@ -173,11 +178,19 @@
     }
 }
 
-fn response_of(status: u16, headers: Vec<WireHeader>, body: Vec<u8>) -> AttemptResult {
+fn response_of(
+    status: u16,
+    headers: Vec<WireHeader>,
+    body: Vec<u8>,
+    mut held: HeldBytes,
+) -> AttemptResult {
+    if held.resize(body.len(), BytePurpose::Completion).is_err() {
+        return AttemptResult::Lost(LossReason::NoMemory);
+    }
     match (StatusCode::from_u16(status), header_map(headers)) {
         (Ok(status), Some(headers)) => {
             let body = Bytes::from(body);
-            AttemptResult::Responded(TargetResponse { status, headers, body })
+            AttemptResult::Responded(TargetResponse { status, headers, body, held })
         }
         _ => AttemptResult::Lost(LossReason::Foreign),
     }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -8,8 +8,8 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
-use nickellead_balance::{ReachRules, ZoneReachability};
-use nickellead_limit::QuotaTolerance;
+use nickellead_balance::ZoneReachability;
+use nickellead_limit::{ByteBudget, QuotaTolerance, RetryLimits};
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
@@ -44,7 +44,7 @@
     pub(crate) names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) connections: usize,
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
@@ -63,7 +63,7 @@
     pub(crate) quota_tolerance: QuotaTolerance,
     /// `None` if the VM does not take part in dispatch.
     pub(crate) dispatch: Option<DispatchSettings>,
-    pub(crate) reach_rules: ReachRules,
+    pub(crate) max_held_bytes: Option<usize>,
 }
 
 /// Starts the request thread.
@@ -83,22 +83,24 @@
     let metrics = GatewayMetrics::register(&mut registry);
     context.control_metrics.register(&mut registry);
     let registry = Rc::new(registry);
-    let reachability = Rc::new(ZoneReachability::new(context.reach_rules));
+    let reachability = Rc::new(ZoneReachability::default());
     let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
     let zone_reports = Rc::new(zone_reports);
+    let memory = ByteBudget::new(context.max_held_bytes);
     let server = ServerContext {
         names: context.names,
         leaving_window: context.leaving_window,
         drain: Arc::clone(&context.drain),
         metrics: metrics.clone(),
         zone_reports: Rc::clone(&zone_reports),
+        memory: memory.clone(),
     };
     let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, server));
     let worker = RequestWorker::new(WorkerContext {
         header_names: context.names,
         vm: context.vm,
         zone: context.zone,
-        retry_burst: context.retry_burst,
+        retry_limits: context.retry_limits,
         load_counter: context.load_counter,
         drain: Arc::clone(&context.drain),
         metrics,
@@ -111,6 +113,8 @@
         dispatch,
         reachability,
         zone_reports,
+        memory,
+        serve_state: Arc::clone(&context.serve_state),
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -12,7 +12,9 @@
     ReportedLimit, TargetOutcome, TargetScore, TargetSignals, even_subset, subset_size,
 };
 use nickellead_core::Timestamp;
-use nickellead_limit::{AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, RateLimiter, WaitQueue};
+use nickellead_limit::{
+    AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, InFlightBytes, RateLimiter, WaitQueue,
+};
 use nickellead_range::TargetInstance;
 use nickellead_time::BootClock;
 
@@ -48,6 +50,11 @@
 /// The entry of a crashed target expires after about the same time.
 const DOWN_WINDOW: Duration = Duration::from_millis(2_500);
 
+/// Most bytes of requests that this VM has in flight to one target.
+///
+/// What memory a target has is unknown; it holds the requests of several VMs.
+const MAX_REQUEST_BYTES: usize = 8 * 1024 * 1024;
+
 /// Most instances without an entry whose signals are kept; beyond it all of these are dropped.
 const MAX_UNLISTED: usize = 4_096;
 
@@ -86,6 +93,7 @@
     sharing_vms: Cell<usize>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) concurrency_limit: Cell<AdaptiveLimit>,
+    pub(crate) request_bytes: InFlightBytes,
     /// Requests that can only be served by this target.
     pub(crate) wait_queue: WaitQueue,
     pub(crate) pool: SharedPool,
@@ -103,7 +111,12 @@
 ///
 /// The drop wakes one request that waits for the target and one that waits for any target of its
 /// service.
-pub(crate) struct InFlightGuard(Rc<RegisteredTarget>, Rc<WaitQueue>);
+pub(crate) struct InFlightGuard {
+    target: Rc<RegisteredTarget>,
+    service_queue: Rc<WaitQueue>,
+    /// Size of the request's body.
+    bytes: usize,
+}
 
 impl RegisteredTarget {
     /// Whether the concurrency limit allows one more request.
@@ -238,20 +251,26 @@
 }
 
 impl InFlightGuard {
-    pub(crate) fn new(target: &Rc<RegisteredTarget>, service: &Rc<WaitQueue>) -> Self {
+    pub(crate) fn new(
+        target: &Rc<RegisteredTarget>,
+        service: &Rc<WaitQueue>,
+        bytes: usize,
+    ) -> Self {
         target.score.borrow_mut().in_flight += 1;
-        Self(Rc::clone(target), Rc::clone(service))
+        target.request_bytes.add(bytes);
+        Self { target: Rc::clone(target), service_queue: Rc::clone(service), bytes }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         {
-            let mut score = self.0.score.borrow_mut();
+            let mut score = self.target.score.borrow_mut();
             score.in_flight = score.in_flight.saturating_sub(1);
         }
-        self.0.wait_queue.wake_one();
-        self.1.wake_one();
+        self.target.request_bytes.remove(self.bytes);
+        self.target.wait_queue.wake_one();
+        self.service_queue.wake_one();
     }
 }
 
@@ -549,6 +568,7 @@
             INITIAL_CONCURRENCY_LIMIT,
             entry.slots * MAX_REQUESTS_PER_SLOT,
         )),
+        request_bytes: InFlightBytes::new(MAX_REQUEST_BYTES),
         wait_queue: WaitQueue::default(),
         pool: SharedPool::default(),
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -38,6 +38,9 @@
         incoming: &IncomingRequest,
         attempts: &mut AttemptState,
     ) -> Result<TargetResponse, ErrorKind> {
+        if !self.memory.has_room(self.memory.reservation(&incoming.route.response_size)) {
+            return Err(ErrorKind::MemoryFull);
+        }
         self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
@@ -140,7 +143,14 @@
         service: &str,
         target: &Rc<RegisteredTarget>,
     ) -> AttemptEnd {
-        let _running = InFlightGuard::new(target, &self.queue(service));
+        let response_size = &incoming.route.response_size;
+        // Room for the response is held before the request is sent, so that a response is not
+        // dropped.
+        let Ok(held) = self.memory.admit(self.memory.reservation(response_size)) else {
+            return AttemptResult::Forbidden(ErrorKind::MemoryFull).into();
+        };
+        let request_bytes = incoming.outgoing.body.len();
+        let _running = InFlightGuard::new(target, &self.queue(service), request_bytes);
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
         let connecting = Cell::new(true);
@@ -160,7 +170,7 @@
         let unless_lost = async {
             tokio::select! {
                 biased;
-                end = run_attempt(&self.header_names, &incoming.outgoing, &plan) => end,
+                end = run_attempt(&self.header_names, &incoming.outgoing, &plan, held) => end,
                 () = self.wait_for_lost_zone(&target.zone, &connecting) => {
                     AttemptResult::NotSent(ConnectFailure::OutOfReach).into()
                 }
@@ -178,6 +188,9 @@
             }
         };
         guard.disarm();
+        if let AttemptResult::Responded(response) = &end.result {
+            response_size.record(response.body.len());
+        }
         end
     }
 }
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -59,10 +59,7 @@
     ) -> Option<&Rc<DispatchClient>> {
         let dispatch = self.dispatch.as_ref().filter(|_| self.policy.dispatch.is_on())?;
         let state = self.state.borrow();
-        let is_in_scope = match dispatch.scope {
-            DispatchScope::Always => true,
-            DispatchScope::LargeResponses => state.large_responses,
-        };
+        let is_in_scope = dispatch.scope == DispatchScope::Always;
         let needs_no_key = state.workspaces.is_none() && incoming.workspace.is_none();
         let is_fleet_known = !state.fleet.vms.is_empty();
         (is_in_scope && needs_no_key && is_fleet_known).then_some(&dispatch.client)
@@ -313,13 +310,23 @@
     ) -> SendEnd {
         let Some(client) = self.dispatch_client(incoming) else { return SendEnd::Undispatched };
         self.reachability.record_attempt(&owner.zone, &owner.id, BootClock.now());
+        let response_size = &incoming.route.response_size;
+        let Ok(held) = self.memory.admit(self.memory.reservation(response_size)) else {
+            let end = AttemptEnd::from(AttemptResult::Forbidden(ErrorKind::MemoryFull));
+            return SendEnd::Ended(Box::new(end), Duration::ZERO);
+        };
         let since = Instant::now();
         let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
-        match client.forward(group, facts, &incoming.outgoing).await {
+        match client.forward(group, facts, &incoming.outgoing, held).await {
             ForwardAnswer::Ended(end, latency) => match end.result {
                 // The dispatcher can't reach the owner; this VM may.
                 AttemptResult::NotSent(_) => SendEnd::Undispatched,
-                _ => SendEnd::Ended(end, latency),
+                _ => {
+                    if let AttemptResult::Responded(response) = &end.result {
+                        response_size.record(response.body.len());
+                    }
+                    SendEnd::Ended(end, latency)
+                }
             },
             ForwardAnswer::Refused(wait) => {
                 refuse(incoming, wait);
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -24,10 +24,11 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
-use nickellead_balance::ZoneReachability;
+use nickellead_balance::{ReachRules, ZoneReachability};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
-use nickellead_limit::WaitQueue;
+use nickellead_limit::{ByteBudget, RetryBudget, RetryLimits, WaitQueue};
+use nickellead_proxy::ServeState;
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
@@ -45,7 +46,6 @@
 use crate::metrics::GatewayMetrics;
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
-use crate::retry_budget::RetryBudget;
 use crate::route_table::RouteTable;
 use crate::target_registry::{RegistryRules, TargetRegistry};
 use crate::waiting::wait_for;
@@ -132,7 +132,7 @@
     pub(crate) header_names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) load_counter: LoadCounter,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
@@ -146,6 +146,9 @@
     pub(crate) dispatch: Option<WorkerDispatch>,
     pub(crate) reachability: Rc<ZoneReachability>,
     pub(crate) zone_reports: Rc<ZoneReports>,
+    /// Bytes of requests and responses that this VM holds.
+    pub(crate) memory: ByteBudget,
+    pub(crate) serve_state: Arc<ServeState>,
 }
 
 /// The request path of one VM.
@@ -179,6 +182,9 @@
     regions: RegionMap,
     quotas: Rc<QuotaClient>,
     dispatch: Option<WorkerDispatch>,
+    /// Bytes of requests and responses that this VM holds.
+    memory: ByteBudget,
+    serve_state: Arc<ServeState>,
 }
 
 /// State of a request across its attempts.
@@ -245,7 +251,7 @@
             zone: context.zone,
             state: RefCell::new(state),
             changed: Notify::new(),
-            retry_budget: RefCell::new(RetryBudget::new(context.retry_burst)),
+            retry_budget: RefCell::new(RetryBudget::new(context.retry_limits)),
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
@@ -262,6 +268,8 @@
             regions: context.regions,
             quotas: context.quotas,
             dispatch: context.dispatch,
+            memory: context.memory,
+            serve_state: context.serve_state,
         })
     }
 
@@ -286,9 +294,10 @@
             state.services.clone_from(&declarations.services);
             self.rebuild_registry(&mut state);
         }
-        state.large_responses = declarations.routes.iter().any(|route| route.large_responses);
         state.limits = declarations.limits;
         state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
+        state.large_responses = declarations.routes.iter().any(|route| route.large_responses);
+        self.set_reach_rules(&state);
         state.freshness.activate(declarations.version);
         let workspaces = declarations.workspaces.as_ref();
         self.quotas.retain(|name| workspaces.is_some_and(|known| known.contains_key(name)));
@@ -297,6 +306,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Selects the rules by which zones count as out of reach, as the settings and declarations need.
+    fn set_reach_rules(&self, state: &WorkerState) {
+        let scope = self.dispatch.as_ref().map(|dispatch| dispatch.scope);
+        let rules = match scope {
+            Some(DispatchScope::Always) => ReachRules::AllFailures,
+            // A request that is sent again to a zone out of reach would waste a large response.
+            Some(DispatchScope::Never) if state.large_responses && state.workspaces.is_none() => {
+                ReachRules::AllFailures
+            }
+            Some(DispatchScope::Never) | None => ReachRules::Timeouts,
+        };
+        self.reachability.set_rules(rules, &state.registry.count_by_zone());
+    }
+
     /// Applies a confirmation of a version of the declarations.
     pub(crate) fn confirm_declarations(&self, confirmation: StateConfirmation<u64>) {
         self.state.borrow_mut().freshness.confirm(confirmation);
@@ -322,6 +345,7 @@
 
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
+        self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
         self.rebuild_registry(&mut state);
@@ -370,7 +394,8 @@
             (Rc::clone(&state.routes), state.limits)
         };
         let identify = |route: &RouteRule, credential| self.identify(route, credential);
-        let reading = read_request(request, &self.header_names, limits, &routes, identify);
+        let names = &self.header_names;
+        let reading = read_request(request, names, limits, &routes, &self.memory, identify);
         let incoming = match reading.await {
             Ok(incoming) if self.policy.caller_age.is_on() => incoming,
             Ok(incoming) => IncomingRequest { caller_age: Duration::ZERO, ..incoming },
@@ -414,6 +439,9 @@
         metrics.limited.set(signals.limited);
         let out_of_reach = self.reachability.count_out_of_reach(BootClock.now());
         metrics.zones_out_of_reach.set(i64::try_from(out_of_reach).unwrap_or(i64::MAX));
+        metrics.held_bytes.set(gauge_value(self.memory.held()));
+        metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
+        metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
         let version = state.version.unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
             dispatch.client.server().refresh_gauges();
@@ -425,6 +453,10 @@
     }
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn log_built(declarations: &Declarations, took: Duration) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] = [
         ("version", &declarations.version),
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -95,6 +95,14 @@
     Declarations { version, routes, services, ..Declarations::default() }
 }
 
+/// [`declarations`] with a safe route `/files/` to the service `plain`, whose responses are large.
+pub fn declarations_with_large_responses(version: u64) -> Declarations {
+    let files = RouteRule { large_responses: true, ..route("files", "plain", RepeatClass::Safe) };
+    let mut declarations = declarations(version);
+    declarations.routes.push(SharedRoute::from(files));
+    declarations
+}
+
 /// The entry of a ready target in `zone-a`.
 pub fn entry(id: &str, service: &str, address: SocketAddr) -> TargetEntry {
     TargetEntry {
@@ -144,8 +152,13 @@
             link_mbps: None,
             store_address: free_address(),
             grace_s: 2.0,
-            connections: 100,
+            connections: Some(100),
+            memory_mb: None,
+            max_fds: None,
+            bounded_by_machine: false,
             retry_burst: 5.0,
+            retry_ratio: 0.2,
+            retry_extra: None,
             cold: None,
             evacuation_s: None,
             drain_s: 2.0,
--- a/crates/nickellead_gateway/tests/lost_zones.rs
+++ b/crates/nickellead_gateway/tests/lost_zones.rs
@@ -8,7 +8,10 @@
 
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
-use common::{TestGateway, declarations, entry, exchange, free_address, full_listener, wait_until};
+use common::{
+    TestGateway, declarations_with_large_responses, entry, exchange, free_address, full_listener,
+    wait_until,
+};
 use nickellead_gateway::TargetEntry;
 use nickellead_range::RangeMap;
 
@@ -83,7 +86,7 @@
         store.list(lost_entry(index, "keyed", refusing_address()));
         store.list(lost_entry(index, "plain", refusing_address()));
     }
-    store.declare(declarations(1));
+    store.declare(declarations_with_large_responses(1));
     let gateway = start("lost-zone", &store);
     let keys = |prefix| keys_of(&store.range_map().unwrap(), prefix).unwrap();
     let (lost_keys, near_keys) = (keys("lost"), keys("near"));
@@ -122,7 +125,7 @@
     for index in 0..LOST_TARGETS {
         store.list(lost_entry(index, "plain", refusing_address()));
     }
-    store.declare(declarations(1));
+    store.declare(declarations_with_large_responses(1));
     let gateway = TestGateway::start_as("lost-plain", &store, |settings| {
         settings.dispatch_address = Some(free_address());
     });
@@ -143,7 +146,7 @@
     for (index, (_, address, _)) in silent.iter().enumerate() {
         store.list(lost_entry(index, "keyed", *address));
     }
-    store.declare(declarations(1));
+    store.declare(declarations_with_large_responses(1));
     let gateway = start("silent-zone", &store);
     let map = store.range_map().unwrap();
     let key_of = |index: usize| keys_of(&map, &lost_entry(index, "keyed", silent[0].1).id);
--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -13,7 +13,7 @@
     TestGateway, declarations, entry, exchange, free_address, full_listener, gateway_with_targets,
     route, wait_until,
 };
-use nickellead_gateway::{GatewaySettings, RepeatClass, WeightedService};
+use nickellead_gateway::{DispatchScope, GatewaySettings, RepeatClass, WeightedService};
 
 #[test]
 fn a_request_reaches_a_target_unchanged_and_its_response_is_returned() {
@@ -220,6 +220,7 @@
 fn requests_to_an_unreachable_target_of_a_dispatching_vm_are_refused_at_once() {
     check_unreachable_target("unreachable-dispatch", |settings| {
         settings.dispatch_address = Some(free_address());
+        settings.dispatch_scope = DispatchScope::Always;
     });
 }
 
