nickellead_dispatch: an idle target always gets a request

Cause: a target whose learned duration exceeds the caller's time was refused although idle, and no response could correct it (an_idle_target_is_never_out_of_use failed: Refused, retry after 5 s). Change: an idle target is useful whatever is expected of it.

--- a/crates/nickellead_dispatch/src/choice.rs
+++ b/crates/nickellead_dispatch/src/choice.rs
@@ -147,13 +147,14 @@
     }
 
     /// Chooses a free target at which the request is late but ends before its caller leaves, if nobody
-    /// else waits.
+    /// else waits. An idle target is always useful: only a response shows that it has become faster.
     fn choose_late(&self, limits: TimeLimits) -> TargetChoice {
         if !limits.nobody_waits {
             return TargetChoice::Hopeless;
         }
         let free = self.candidates.iter().filter(|one| one.has_room(TargetRoom::Free));
-        let useful = free.filter(|one| one.finish_ms(NO_SPREAD) <= limits.deadline_ms);
+        let useful = free
+            .filter(|one| one.estimate.is_idle || one.finish_ms(NO_SPREAD) <= limits.deadline_ms);
         best(useful).map_or(TargetChoice::Hopeless, |target| TargetChoice::Send(target.index))
     }
 }
--- a/crates/nickellead_dispatch/src/target_outlook.rs
+++ b/crates/nickellead_dispatch/src/target_outlook.rs
@@ -21,6 +21,8 @@
 pub(crate) struct TargetOutlook {
     /// Room now.
     pub(crate) room: TargetRoom,
+    /// Whether nothing is known to run there.
+    pub(crate) is_idle: bool,
     /// Whether it is left out for its failures.
     pub(crate) is_ejected: bool,
     /// Requests that it runs concurrently.
@@ -105,6 +107,8 @@
 pub(crate) struct TargetEstimate {
     /// Room at the target.
     pub(crate) room: TargetRoom,
+    /// Whether nothing is known to run there.
+    pub(crate) is_idle: bool,
     /// Time until a slot is free.
     pub(crate) wait_ms: f64,
     /// Time until a slot is free for it, after those that go before it.
@@ -121,7 +125,14 @@
         let duration_ms = self.duration_ms(usual_ms);
         let wait_ms = self.starts.start_ms(0, duration_ms, self.slots);
         let cost = wait_ms + duration_ms * self.failure_factor;
-        TargetEstimate { room: self.room, wait_ms, turn_ms: wait_ms, duration_ms, cost }
+        TargetEstimate {
+            room: self.room,
+            is_idle: self.is_idle,
+            wait_ms,
+            turn_ms: wait_ms,
+            duration_ms,
+            cost,
+        }
     }
 
     /// Time until a slot is free for a request of this duration, after `ahead` others started.
--- a/crates/nickellead_dispatch/src/target_state.rs
+++ b/crates/nickellead_dispatch/src/target_state.rs
@@ -123,6 +123,7 @@
         let overdue_ratios = self.permits.iter().map(|permit| permit.overdue_ratio(now));
         TargetOutlook {
             room: self.room(running, now),
+            is_idle: running == 0,
             is_ejected: self.score.is_ejected(now),
             slots: self.slots(),
             starts: starts.not_before(millis_between(now, self.full_until)),
