--- a/crates/nickellead_dispatch/tests/short_requests.rs
+++ b/crates/nickellead_dispatch/tests/short_requests.rs
@@ -1,5 +1,5 @@
 //! Loads at which estimates are poor: short requests with a stall, and targets that shed without being full.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::panic)]
 
 use std::time::Duration;
 
