--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -69,6 +69,7 @@
     TargetPaused, "target-paused", Info, ["target", "pause_ms"], "a target refused a request and asked this VM to pause for this time; logged again only after the pause ends";
     TargetLimited, "target-limited", Info, ["target", "rate"], "responses of this target set a limit in requests per second from all VMs together, or no longer set one (none)";
     ZoneEvacuated, "zone-evacuated", Info, ["zone", "evacuated"], "this VM learned that an availability zone is to get no new requests, or gets them again";
+    ZoneOutOfReach, "zone-out-of-reach", Warn, ["zone", "in_reach", "first_hand"], "tries to an availability zone fail, so that this VM sends only occasional requests there, or the zone is in reach again (in_reach=true); first_hand=false if reports of other VMs or their expiry were needed for the conclusion";
     TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM sent this many changes of targets; the VM that watches the store logs target-changed for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves started";
     OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in effect";
@@ -92,6 +93,8 @@
     RequestAnswered, "request-answered", Info, ["request", "route", "status", "after_ms", "version"], "a target's response was forwarded to the caller; one in 64 is logged, selected by request id";
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "an attempt at this target failed and another one may follow";
     RequestFailed, "request-failed", Info, ["request", "route", "workspace", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms", "keys_age_ms"], "the request ended without a response from a target; the ages are those of the state that the decision was based on, and keys_age_ms is the age of the knowledge of which keys of workspaces are valid";
+    RequestForwarded, "request-forwarded", Info, ["request", "target", "waited_ms", "after_ms", "result"], "this VM, the dispatcher of the target, sent a request for another VM; logged for one in 64, selected by request id, and for each without a response";
+    DispatcherLost, "dispatcher-lost", Warn, ["address", "reason"], "the dispatcher at this address did not acknowledge a message: its stand-in is asked, or targets are used without it; logged again only after it answered";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "the log output was too slow and lines were lost";
 }
 
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,7 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::response_signals::{LimitSignal, ResponseSignals};
+use super::dispatch::DispatchMetrics;
+use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
@@ -42,6 +43,10 @@
     pub(crate) leaving: Gauge,
     pub(crate) paused: Gauge,
     pub(crate) limited: Gauge,
+    pub(crate) zones_out_of_reach: Gauge,
+    pub(crate) held_bytes: Gauge,
+    pub(crate) held_bytes_limit: Gauge,
+    pub(crate) callers_cut: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -50,6 +55,7 @@
     errors: Family<ErrorLabel, Counter>,
     outcomes: Family<OutcomeLabels, Counter>,
     signals: Family<SignalLabel, Counter>,
+    pub(crate) dispatch: DispatchMetrics,
 }
 
 impl GatewayMetrics {
@@ -62,6 +68,10 @@
             leaving: Gauge::default(),
             paused: Gauge::default(),
             limited: Gauge::default(),
+            zones_out_of_reach: Gauge::default(),
+            held_bytes: Gauge::default(),
+            held_bytes_limit: Gauge::default(),
+            callers_cut: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -70,6 +80,7 @@
             errors: Family::default(),
             outcomes: Family::default(),
             signals: Family::default(),
+            dispatch: DispatchMetrics::register(registry),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register(
@@ -89,6 +100,14 @@
         registry.register("targets_paused", help, metrics.paused.clone());
         let help = "Listed targets that reported a rate limit to this VM";
         registry.register("targets_limited", help, metrics.limited.clone());
+        let help = "Availability zones that this VM can't reach";
+        registry.register("zones_out_of_reach", help, metrics.zones_out_of_reach.clone());
+        let help = "Bytes of request and response bodies that this VM holds";
+        registry.register("held_bytes", help, metrics.held_bytes.clone());
+        let help = "Most bytes of request and response bodies that this VM holds, 0 for no bound";
+        registry.register("held_bytes_limit", help, metrics.held_bytes_limit.clone());
+        let help = "Connections closed because their callers took nothing of a response";
+        registry.register("callers_cut", help, metrics.callers_cut.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Version of the active declarations", version);
         let age = metrics.config_age.clone();
@@ -145,6 +164,7 @@
             ("unreadable-pause", signals.unreadable_pause),
             ("limit", matches!(signals.limit, LimitSignal::Limited(_))),
             ("unreadable-limit", signals.limit == LimitSignal::Unreadable),
+            ("unreadable-load", signals.load == LoadSignal::Unreadable),
         ];
         for (sign, _) in signalled.into_iter().filter(|(_, is_set)| *is_set) {
             self.signals.get_or_create(&SignalLabel { sign }).inc();
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -16,7 +16,7 @@
 use crate::metrics::ControlMetrics;
 use crate::quota::MAX_QUEUED_REQUESTS;
 use crate::regions::RegionMap;
-use crate::requests::{self, RequestContext};
+use crate::requests::{self, DispatchSettings, RequestContext};
 use crate::state_channels::state_channels;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
 
@@ -37,6 +37,12 @@
 ///
 /// Its keys move to other owners within this window. The remaining time is for requests in flight.
 const LEAVING_WINDOW_FRACTION: f64 = 0.5;
+/// How long a caller may take nothing of its response before its connection is closed, where the
+/// memory of a VM is bounded.
+///
+/// It is longer than a transmission over a link that was interrupted for a few seconds takes to
+/// resume, because the intervals between retransmissions double.
+const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between two checks whether callers have closed their connections.
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two checks whether a thread has ended.
@@ -88,18 +94,23 @@
     let listeners = GatewayListeners::bind(&settings)?;
     let (senders, receivers) = state_channels();
     let load_counter = LoadCounter::default();
-    let serve_state = Arc::new(ServeState::default());
+    let stall_timeout = settings.max_held_bytes().map(|_| CALLER_STALL_TIMEOUT);
+    let serve_state = Arc::new(ServeState::with_stall_timeout(stall_timeout));
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
     let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
+    let announced = settings.announced_dispatch_address();
+    let dispatch = listeners.dispatch.zip(announced).map(|(listener, announced)| {
+        DispatchSettings { listener, announced, scope: settings.dispatch_scope }
+    });
     let request_thread = requests::start(RequestContext {
         names,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        retry_burst: settings.retry_burst,
-        connections: settings.connections,
+        retry_limits: settings.retry_limits(),
+        connections: settings.max_connections(),
         callers: listeners.callers,
         readiness: listeners.readiness,
         metrics: listeners.metrics,
@@ -114,12 +125,15 @@
         max_key_age: settings.max_key_age(),
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
+        max_held_bytes: settings.max_held_bytes(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
+        dispatch,
     })?;
     let context = ControlContext {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
         announced_address: settings.announced_address(),
+        dispatch_address: settings.announced_dispatch_address(),
         cpu_share: settings.cpu_share,
         link_mbps: settings.link_mbps,
         incarnation,
@@ -145,17 +159,20 @@
     readiness: TcpListener,
     peers: TcpListener,
     metrics: Option<TcpListener>,
+    dispatch: Option<TcpListener>,
 }
 
 impl GatewayListeners {
     /// Binds all of them, or none.
     fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
         let metrics = |address| listen("metrics_address", address);
+        let dispatch = |address| listen("dispatch_address", address);
         Ok(Self {
             callers: listen("callers_address", settings.callers_address)?,
             readiness: listen("readiness_address", settings.readiness_address)?,
             peers: listen("peers_address", settings.peers_address)?,
             metrics: settings.metrics_address.map(metrics).transpose()?,
+            dispatch: settings.dispatch_address.map(dispatch).transpose()?,
         })
     }
 }
@@ -175,6 +192,8 @@
             || self.settings.readiness_address != settings.readiness_address
             || self.settings.peers_address != settings.peers_address
             || self.settings.peers_announced != settings.peers_announced
+            || self.settings.dispatch_address != settings.dispatch_address
+            || self.settings.dispatch_announced != settings.dispatch_announced
             || self.settings.metrics_address != settings.metrics_address
             || self.settings.store_address != settings.store_address
             || self.settings.vm != settings.vm
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -1,6 +1,6 @@
 //! The request thread: serves callers, readiness checks and metrics.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -8,19 +8,21 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response};
-use nickellead_limit::QuotaTolerance;
+use nickellead_balance::ZoneReachability;
+use nickellead_limit::{ByteBudget, QuotaTolerance, RetryLimits};
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 
+use crate::dispatch::{DispatchClient, DispatchServer, ServerContext, ZoneReports, serve_dispatch};
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
-use crate::worker::{RequestWorker, WorkerContext};
-use crate::{ColdSettings, HeaderNames, PolicySettings};
+use crate::worker::{RequestWorker, WorkerContext, WorkerDispatch};
+use crate::{ColdSettings, DispatchScope, HeaderNames, PolicySettings};
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
@@ -29,12 +31,20 @@
 /// Time for finished connections to close before the runtime ends.
 const FLUSH_DELAY: Duration = Duration::from_millis(50);
 
+/// How the request thread takes part in dispatch.
+pub(crate) struct DispatchSettings {
+    pub(crate) listener: TcpListener,
+    /// Address at which other VMs reach the listener.
+    pub(crate) announced: SocketAddr,
+    pub(crate) scope: DispatchScope,
+}
+
 /// Dependencies and settings of the request thread.
 pub(crate) struct RequestContext {
     pub(crate) names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) connections: usize,
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
@@ -51,6 +61,9 @@
     pub(crate) regions: RegionMap,
     pub(crate) token_requests: mpsc::Sender<TokenRequest>,
     pub(crate) quota_tolerance: QuotaTolerance,
+    /// `None` if the VM does not take part in dispatch.
+    pub(crate) dispatch: Option<DispatchSettings>,
+    pub(crate) max_held_bytes: Option<usize>,
 }
 
 /// Starts the request thread.
@@ -70,11 +83,24 @@
     let metrics = GatewayMetrics::register(&mut registry);
     context.control_metrics.register(&mut registry);
     let registry = Rc::new(registry);
+    let reachability = Rc::new(ZoneReachability::default());
+    let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
+    let zone_reports = Rc::new(zone_reports);
+    let memory = ByteBudget::new(context.max_held_bytes);
+    let server = ServerContext {
+        names: context.names,
+        leaving_window: context.leaving_window,
+        drain: Arc::clone(&context.drain),
+        metrics: metrics.clone(),
+        zone_reports: Rc::clone(&zone_reports),
+        memory: memory.clone(),
+    };
+    let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, server));
     let worker = RequestWorker::new(WorkerContext {
         header_names: context.names,
         vm: context.vm,
         zone: context.zone,
-        retry_burst: context.retry_burst,
+        retry_limits: context.retry_limits,
         load_counter: context.load_counter,
         drain: Arc::clone(&context.drain),
         metrics,
@@ -84,6 +110,11 @@
         max_key_age: context.max_key_age,
         regions: context.regions,
         quotas: QuotaClient::new(context.token_requests, context.quota_tolerance),
+        dispatch,
+        reachability,
+        zone_reports,
+        memory,
+        serve_state: Arc::clone(&context.serve_state),
     });
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
@@ -108,6 +139,16 @@
     wait_for_responses(&context.serve_state).await;
 }
 
+/// Starts this VM's dispatcher; `None` if its listener can't be used.
+fn start_dispatch(settings: DispatchSettings, context: ServerContext) -> Option<WorkerDispatch> {
+    let listener = tokio::net::TcpListener::from_std(settings.listener).ok()?;
+    let server = DispatchServer::new(context);
+    actix_rt::spawn(serve_dispatch(listener, Rc::clone(&server)));
+    actix_rt::spawn(Rc::clone(&server).run_timer());
+    let client = DispatchClient::new(server, settings.announced);
+    Some(WorkerDispatch { client, scope: settings.scope })
+}
+
 /// Waits until every request has a response and the operating system has taken all response bytes.
 ///
 /// There is no timeout: the process exits at the end of the grace time anyway.
@@ -180,6 +221,10 @@
     });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
+    let updated = Rc::clone(worker);
+    actix_rt::spawn(async move { updated.apply_zone_reports().await });
+    let updated = Rc::clone(worker);
+    actix_rt::spawn(async move { updated.tell_zone_reports().await });
     let (updated, mut ranges) = (Rc::clone(worker), receivers.ranges.clone());
     actix_rt::spawn(async move {
         while ranges.changed().await.is_ok() {
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -12,7 +12,9 @@
     ReportedLimit, TargetOutcome, TargetScore, TargetSignals, even_subset, subset_size,
 };
 use nickellead_core::Timestamp;
-use nickellead_limit::{AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, RateLimiter, WaitQueue};
+use nickellead_limit::{
+    AdaptiveLimit, ColdBounds, ColdLimiter, ColdQuota, InFlightBytes, RateLimiter, WaitQueue,
+};
 use nickellead_range::TargetInstance;
 use nickellead_time::BootClock;
 
@@ -48,6 +50,11 @@
 /// The entry of a crashed target expires after about the same time.
 const DOWN_WINDOW: Duration = Duration::from_millis(2_500);
 
+/// Most bytes of requests that this VM has in flight to one target.
+///
+/// What memory a target has is unknown; it holds the requests of several VMs.
+const MAX_REQUEST_BYTES: usize = 8 * 1024 * 1024;
+
 /// Most instances without an entry whose signals are kept; beyond it all of these are dropped.
 const MAX_UNLISTED: usize = 4_096;
 
@@ -86,6 +93,7 @@
     sharing_vms: Cell<usize>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) concurrency_limit: Cell<AdaptiveLimit>,
+    pub(crate) request_bytes: InFlightBytes,
     /// Requests that can only be served by this target.
     pub(crate) wait_queue: WaitQueue,
     pub(crate) pool: SharedPool,
@@ -103,7 +111,12 @@
 ///
 /// The drop wakes one request that waits for the target and one that waits for any target of its
 /// service.
-pub(crate) struct InFlightGuard(Rc<RegisteredTarget>, Rc<WaitQueue>);
+pub(crate) struct InFlightGuard {
+    target: Rc<RegisteredTarget>,
+    service_queue: Rc<WaitQueue>,
+    /// Size of the request's body.
+    bytes: usize,
+}
 
 impl RegisteredTarget {
     /// Whether the concurrency limit allows one more request.
@@ -119,6 +132,17 @@
             && self.rate_allows(now)
     }
 
+    /// Whether a dispatcher may decide about requests to it: no bound on what all VMs together send to
+    /// it is in force.
+    pub(crate) fn may_dispatch(&self, leaving_window: Duration, now: Timestamp) -> bool {
+        self.is_ready()
+            && !self.is_leaving()
+            && !self.is_down(now)
+            && !self.cold_limiter.is_limited(now)
+            && !self.may_be_limited()
+            && self.may_send(leaving_window, now)
+    }
+
     /// Whether this VM's share of the rate limit allows one more request.
     pub(crate) fn rate_allows(&self, now: Timestamp) -> bool {
         let limit = self.signals.get().effective_limit(self.reported_limit.get(), now);
@@ -150,6 +174,11 @@
         self.rate_limiter.refund(now);
     }
 
+    /// Whether its entry says that it accepts requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.state.get() == TargetState::Ready
+    }
+
     /// Whether it signalled that it is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.signals.get().leaving_since().is_some()
@@ -165,7 +194,8 @@
         now < self.down_until.get()
     }
 
-    fn mark_down(&self, now: Timestamp) {
+    /// Avoids it for [`DOWN_WINDOW`].
+    pub(crate) fn mark_down(&self, now: Timestamp) {
         self.down_until.set(now + DOWN_WINDOW);
     }
 
@@ -221,20 +251,26 @@
 }
 
 impl InFlightGuard {
-    pub(crate) fn new(target: &Rc<RegisteredTarget>, service: &Rc<WaitQueue>) -> Self {
+    pub(crate) fn new(
+        target: &Rc<RegisteredTarget>,
+        service: &Rc<WaitQueue>,
+        bytes: usize,
+    ) -> Self {
         target.score.borrow_mut().in_flight += 1;
-        Self(Rc::clone(target), Rc::clone(service))
+        target.request_bytes.add(bytes);
+        Self { target: Rc::clone(target), service_queue: Rc::clone(service), bytes }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         {
-            let mut score = self.0.score.borrow_mut();
+            let mut score = self.target.score.borrow_mut();
             score.in_flight = score.in_flight.saturating_sub(1);
         }
-        self.0.wait_queue.wake_one();
-        self.1.wake_one();
+        self.target.request_bytes.remove(self.bytes);
+        self.target.wait_queue.wake_one();
+        self.service_queue.wake_one();
     }
 }
 
@@ -368,6 +404,28 @@
         self.by_id.is_empty()
     }
 
+    /// The listed target with this id.
+    pub(crate) fn find(&self, id: &str) -> Option<&Rc<RegisteredTarget>> {
+        self.by_id.get(id)
+    }
+
+    /// The listed targets of an availability zone.
+    pub(crate) fn in_zone<'a>(
+        &'a self,
+        zone: &'a str,
+    ) -> impl Iterator<Item = &'a Rc<RegisteredTarget>> {
+        self.by_id.values().filter(move |target| target.zone == zone)
+    }
+
+    /// Number of listed targets by availability zone.
+    pub(crate) fn count_by_zone(&self) -> HashMap<&str, usize> {
+        let mut counts = HashMap::new();
+        for target in self.by_id.values() {
+            *counts.entry(target.zone.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
     /// The targets of a service that accept requests, in all zones that are not evacuated.
     pub(crate) fn available(&self, service: &str) -> &[Rc<RegisteredTarget>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -410,8 +468,8 @@
     pub(crate) fn mark_down(&self, target: &RegisteredTarget, now: Timestamp) {
         target.mark_down(now);
         let Some(rule) = target.cold_rule.get().filter(|_| !target.sharded.get()) else { return };
-        let in_zone = self.by_id.values().filter(|one| one.zone == target.zone);
-        if in_zone.filter(|one| one.is_down(now)).count() <= MAX_CRASHED_PER_ZONE {
+        let down = self.in_zone(&target.zone).filter(|one| one.is_down(now));
+        if down.count() <= MAX_CRASHED_PER_ZONE {
             target.expect_cold(now + DOWN_WINDOW + rule.duration, now);
         }
     }
@@ -510,6 +568,7 @@
             INITIAL_CONCURRENCY_LIMIT,
             entry.slots * MAX_REQUESTS_PER_SLOT,
         )),
+        request_bytes: InFlightBytes::new(MAX_REQUEST_BYTES),
         wait_queue: WaitQueue::default(),
         pool: SharedPool::default(),
     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempt loop: sends a request to targets until a response is accepted or no further attempt
 //! is allowed.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -8,8 +9,10 @@
 use nickellead_core::{ErrorKind, OutcomeClass};
 use nickellead_time::BootClock;
 
+use super::dispatching::SendEnd;
 use super::{AttemptState, NextStep, RESPONSE_RETURN_RESERVE, RequestWorker};
-use crate::exchange::{AttemptEnd, AttemptPlan, TargetResponse, run_attempt};
+use crate::connections::ConnectFailure;
+use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
 use crate::target_registry::{InFlightGuard, RegisteredTarget};
 
@@ -35,16 +38,16 @@
         incoming: &IncomingRequest,
         attempts: &mut AttemptState,
     ) -> Result<TargetResponse, ErrorKind> {
+        if !self.memory.has_room(self.memory.reservation(&incoming.route.response_size)) {
+            return Err(ErrorKind::MemoryFull);
+        }
         self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
-        if !self.is_admitted(incoming, &weighted.service) {
-            return Err(ErrorKind::Overloaded);
-        }
         loop {
-            let waiting = self.wait_for_target(incoming, &weighted.service, attempts);
-            let target = match self.until_drain_end(waiting).await.flatten() {
-                Ok(target) => target,
+            let selecting = self.select_target(incoming, &weighted.service, attempts);
+            let selected = match self.until_drain_end(selecting).await.flatten() {
+                Ok(selected) => selected,
                 Err(kind) => return finish(attempts, kind),
             };
             // The request may have waited for longer than its token is valid.
@@ -52,10 +55,15 @@
             if let Err(kind) = self.until_drain_end(has_token).await.flatten() {
                 return finish(attempts, kind);
             }
-            let since = Instant::now();
-            let sending = self.attempt(incoming, &weighted.service, &target);
-            let end = match self.until_drain_end(sending).await {
-                Ok(end) => end,
+            let target = Rc::clone(selected.target());
+            let sending = self.send_to(incoming, &weighted.service, selected);
+            let (end, latency) = match self.until_drain_end(sending).await {
+                Ok(SendEnd::Ended(end, latency)) => (*end, latency),
+                Ok(SendEnd::Undispatched) => {
+                    attempts.undispatched = true;
+                    continue;
+                }
+                Ok(SendEnd::Refused) => return finish(attempts, ErrorKind::Overloaded),
                 Err(kind) => {
                     attempts.may_have_run = true;
                     attempts.token = None;
@@ -63,7 +71,7 @@
                 }
             };
             self.apply_signals(&weighted.service, &target, end.signals, end.sent_at);
-            match self.next_step(incoming, &target, attempts, end, since.elapsed()) {
+            match self.next_step(incoming, &target, attempts, end, latency) {
                 NextStep::Done(response) => return Ok(response),
                 NextStep::Fail(kind) => return finish(attempts, kind),
                 NextStep::Retry => {}
@@ -103,7 +111,7 @@
     /// Whether a request may go to the owner of its key while the VMs together overload that owner.
     ///
     /// The decision is random, so that VMs need not coordinate.
-    fn is_admitted(&self, incoming: &IncomingRequest, service: &str) -> bool {
+    pub(super) fn is_admitted(&self, incoming: &IncomingRequest, service: &str) -> bool {
         let Some(key) = incoming.key.filter(|_| self.policy.shared_admission.is_on()) else {
             return true;
         };
@@ -129,16 +137,27 @@
     }
 
     /// Sends a request to one target, which counts it as running meanwhile.
-    async fn attempt(
+    pub(super) async fn attempt(
         &self,
         incoming: &IncomingRequest,
         service: &str,
         target: &Rc<RegisteredTarget>,
     ) -> AttemptEnd {
-        let _running = InFlightGuard::new(target, &self.queue(service));
+        let response_size = &incoming.route.response_size;
+        // Room for the response is held before the request is sent, so that a response is not
+        // dropped.
+        let Ok(held) = self.memory.admit(self.memory.reservation(response_size)) else {
+            return AttemptResult::Forbidden(ErrorKind::MemoryFull).into();
+        };
+        let request_bytes = incoming.outgoing.body.len();
+        let _running = InFlightGuard::new(target, &self.queue(service), request_bytes);
         let until =
             incoming.deadline.checked_sub(RESPONSE_RETURN_RESERVE).unwrap_or(incoming.deadline);
-        let permit = || self.permit_sending(incoming, &target.zone);
+        let connecting = Cell::new(true);
+        let permit = || {
+            connecting.set(false);
+            self.permit_sending(incoming, &target.zone)
+        };
         let plan = AttemptPlan {
             target,
             repeat: incoming.route.rule.repeat,
@@ -148,8 +167,16 @@
         };
         let guard = AbandonGuard { target, since: Instant::now(), armed: true };
         let latency_target = incoming.route.rule.latency_target;
-        let mut sending =
-            std::pin::pin!(run_attempt(&self.header_names, &incoming.outgoing, &plan));
+        let unless_lost = async {
+            tokio::select! {
+                biased;
+                end = run_attempt(&self.header_names, &incoming.outgoing, &plan, held) => end,
+                () = self.wait_for_lost_zone(&target.zone, &connecting) => {
+                    AttemptResult::NotSent(ConnectFailure::OutOfReach).into()
+                }
+            }
+        };
+        let mut sending = std::pin::pin!(unless_lost);
         let end = match tokio::time::timeout(latency_target, &mut sending).await {
             Ok(end) => end,
             Err(_) => {
@@ -161,6 +188,9 @@
             }
         };
         guard.disarm();
+        if let AttemptResult::Responded(response) = &end.result {
+            response_size.record(response.body.len());
+        }
         end
     }
 }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -4,12 +4,15 @@
 //! there, until a response is accepted or no further attempt is allowed.
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
-//! is the attempt loop, `selection` selects targets, `outcome` evaluates attempts, and `responses`
-//! builds what the caller receives.
+//! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
+//! `outcome` evaluates attempts, `reach` applies changes of the zones in reach, and `responses` builds
+//! what the caller receives.
 
 mod access;
 mod attempts;
+mod dispatching;
 mod outcome;
+mod reach;
 mod responses;
 mod selection;
 
@@ -21,16 +24,19 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response};
-use nickellead_balance::ZoneReachability;
+use nickellead_balance::{ReachRules, ZoneReachability};
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
-use nickellead_limit::WaitQueue;
+use nickellead_limit::{ByteBudget, RetryBudget, RetryLimits, WaitQueue};
+use nickellead_proxy::ServeState;
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
 
 use self::responses::forward_response;
 use crate::admission::{AdmissionTable, CachedAdmission};
+use crate::connections::ConnectFailure;
+use crate::dispatch::{DispatchClient, GroupTable, ZoneReports};
 use crate::drain::DrainState;
 use crate::evacuation::ZoneStates;
 use crate::exchange::TargetResponse;
@@ -40,14 +46,13 @@
 use crate::metrics::GatewayMetrics;
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
-use crate::retry_budget::RetryBudget;
 use crate::route_table::RouteTable;
 use crate::target_registry::{RegistryRules, TargetRegistry};
 use crate::waiting::wait_for;
 use crate::workspace_table::WorkspaceTable;
 use crate::{
-    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, EvacuatedZones, HeaderNames,
-    PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
+    CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, DispatchScope, EvacuatedZones,
+    HeaderNames, PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
 };
 
 /// Part of the caller's deadline that is reserved for returning the response.
@@ -74,6 +79,10 @@
     /// How old the declarations can be, by version.
     freshness: DeclarationsFreshness<u64>,
     registry: TargetRegistry,
+    /// Groups of targets that dispatchers decide for.
+    groups: Rc<GroupTable>,
+    /// Whether a declared route has large responses.
+    large_responses: bool,
     ranges: Arc<RangeMap>,
     admissions: CachedAdmission,
     updated: StateTimes,
@@ -91,6 +100,13 @@
         self.registry = self.registry.rebuild(&self.target_list, &rules);
     }
 
+    /// Rebuilds the groups of targets after the registry.
+    fn rebuild_groups(&mut self) -> Rc<GroupTable> {
+        let table = GroupTable::build(&self.target_list, &self.registry, &self.fleet, &self.zones);
+        self.groups = Rc::new(table);
+        Rc::clone(&self.groups)
+    }
+
     /// Whether each key of a service has one owner.
     fn is_sharded(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|rule| rule.sharded)
@@ -105,12 +121,18 @@
     ranges: Instant,
 }
 
+/// How this VM takes part in dispatch.
+pub(crate) struct WorkerDispatch {
+    pub(crate) client: Rc<DispatchClient>,
+    pub(crate) scope: DispatchScope,
+}
+
 /// Settings and shared dependencies of the request path.
 pub(crate) struct WorkerContext {
     pub(crate) header_names: HeaderNames,
     pub(crate) vm: String,
     pub(crate) zone: String,
-    pub(crate) retry_burst: f64,
+    pub(crate) retry_limits: RetryLimits,
     pub(crate) load_counter: LoadCounter,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
@@ -120,6 +142,13 @@
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) regions: RegionMap,
     pub(crate) quotas: Rc<QuotaClient>,
+    /// `None` if the VM does not take part in dispatch.
+    pub(crate) dispatch: Option<WorkerDispatch>,
+    pub(crate) reachability: Rc<ZoneReachability>,
+    pub(crate) zone_reports: Rc<ZoneReports>,
+    /// Bytes of requests and responses that this VM holds.
+    pub(crate) memory: ByteBudget,
+    pub(crate) serve_state: Arc<ServeState>,
 }
 
 /// The request path of one VM.
@@ -134,7 +163,11 @@
     load_counter: LoadCounter,
     /// Wait queues of services, for requests that any target of the service can take.
     queues: RefCell<HashMap<String, Rc<WaitQueue>>>,
-    reachability: ZoneReachability,
+    reachability: Rc<ZoneReachability>,
+    /// Notified when a zone goes out of reach or returns.
+    reach_changed: Notify,
+    /// What this VM and others of its zone tell each other about other zones.
+    zone_reports: Rc<ZoneReports>,
     /// When ranges were first seen without a usable owner, by fence.
     ownerless_since: RefCell<HashMap<u64, Instant>>,
     drain: Arc<DrainState>,
@@ -148,6 +181,10 @@
     max_key_age: Option<Duration>,
     regions: RegionMap,
     quotas: Rc<QuotaClient>,
+    dispatch: Option<WorkerDispatch>,
+    /// Bytes of requests and responses that this VM holds.
+    memory: ByteBudget,
+    serve_state: Arc<ServeState>,
 }
 
 /// State of a request across its attempts.
@@ -161,12 +198,25 @@
     tried: Vec<String>,
     /// Targets that reported that they do not own the key.
     misdirected: Vec<String>,
+    /// Attempts that failed while connecting.
+    unconnected: Vec<UnconnectedAttempt>,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
     response: Option<TargetResponse>,
     /// The quota token of the next attempt.
     token: Option<QuotaToken>,
+    /// Whether the next attempt is made by this VM's own limits.
+    undispatched: bool,
+    /// Whether the announced limits on overloaded owners admitted the request.
+    admitted: bool,
+}
+
+/// An attempt that failed while connecting.
+struct UnconnectedAttempt {
+    target: String,
+    zone: String,
+    failure: ConnectFailure,
 }
 
 /// The next step after an attempt.
@@ -190,6 +240,8 @@
             workspaces: None,
             freshness: DeclarationsFreshness::default(),
             registry: TargetRegistry::new(context.vm, context.zone.clone()),
+            groups: Rc::default(),
+            large_responses: false,
             ranges: Arc::default(),
             admissions: CachedAdmission::new(Arc::default()),
             updated: StateTimes { declarations: started, targets: started, ranges: started },
@@ -199,11 +251,13 @@
             zone: context.zone,
             state: RefCell::new(state),
             changed: Notify::new(),
-            retry_budget: RefCell::new(RetryBudget::new(context.retry_burst)),
+            retry_budget: RefCell::new(RetryBudget::new(context.retry_limits)),
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
-            reachability: ZoneReachability::default(),
+            reachability: context.reachability,
+            reach_changed: Notify::new(),
+            zone_reports: context.zone_reports,
             ownerless_since: RefCell::default(),
             drain: context.drain,
             metrics: context.metrics,
@@ -213,9 +267,20 @@
             max_key_age: context.max_key_age,
             regions: context.regions,
             quotas: context.quotas,
+            dispatch: context.dispatch,
+            memory: context.memory,
+            serve_state: context.serve_state,
         })
     }
 
+    /// Rebuilds the registry and the groups of targets from the current state.
+    fn rebuild_registry(&self, state: &mut WorkerState) {
+        state.rebuild_registry(self.cold_settings);
+        let Some(dispatch) = &self.dispatch else { return };
+        let groups = state.rebuild_groups();
+        dispatch.client.set_groups(groups);
+    }
+
     /// Applies newer declarations; older ones are ignored.
     pub(crate) fn set_declarations(&self, declarations: &Declarations) {
         let mut state = self.state.borrow_mut();
@@ -227,10 +292,12 @@
         log_built(declarations, started.elapsed());
         if state.services != declarations.services {
             state.services.clone_from(&declarations.services);
-            state.rebuild_registry(self.cold_settings);
+            self.rebuild_registry(&mut state);
         }
         state.limits = declarations.limits;
         state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
+        state.large_responses = declarations.routes.iter().any(|route| route.large_responses);
+        self.set_reach_rules(&state);
         state.freshness.activate(declarations.version);
         let workspaces = declarations.workspaces.as_ref();
         self.quotas.retain(|name| workspaces.is_some_and(|known| known.contains_key(name)));
@@ -239,6 +306,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Selects the rules by which zones count as out of reach, as the settings and declarations need.
+    fn set_reach_rules(&self, state: &WorkerState) {
+        let scope = self.dispatch.as_ref().map(|dispatch| dispatch.scope);
+        let rules = match scope {
+            Some(DispatchScope::Always) => ReachRules::AllFailures,
+            // A request that is sent again to a zone out of reach would waste a large response.
+            Some(DispatchScope::Never) if state.large_responses && state.workspaces.is_none() => {
+                ReachRules::AllFailures
+            }
+            Some(DispatchScope::Never) | None => ReachRules::Timeouts,
+        };
+        self.reachability.set_rules(rules, &state.registry.count_by_zone());
+    }
+
     /// Applies a confirmation of a version of the declarations.
     pub(crate) fn confirm_declarations(&self, confirmation: StateConfirmation<u64>) {
         self.state.borrow_mut().freshness.confirm(confirmation);
@@ -248,7 +329,8 @@
     pub(crate) fn set_targets(&self, list: Arc<TargetList>) {
         let mut state = self.state.borrow_mut();
         state.target_list = list;
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
+        self.reachability.set_targets(&state.registry.count_by_zone());
         state.updated.targets = Instant::now();
         self.changed.notify_waiters();
     }
@@ -257,15 +339,16 @@
     pub(crate) fn set_evacuations(&self, zones: &EvacuatedZones) {
         let mut state = self.state.borrow_mut();
         state.zones.update(zones, BootClock.now());
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
         self.changed.notify_waiters();
     }
 
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
+        self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
-        state.rebuild_registry(self.cold_settings);
+        self.rebuild_registry(&mut state);
     }
 
     /// Rebuilds the registry each time a cold target becomes warm, so that it may join this VM's
@@ -275,7 +358,7 @@
             let next = || self.state.borrow().registry.next_warm(BootClock.now());
             let warm = wait_for(&self.changed, next).await;
             tokio::time::sleep(warm.since(BootClock.now())).await;
-            self.state.borrow_mut().rebuild_registry(self.cold_settings);
+            self.rebuild_registry(&mut self.state.borrow_mut());
         }
     }
 
@@ -311,7 +394,8 @@
             (Rc::clone(&state.routes), state.limits)
         };
         let identify = |route: &RouteRule, credential| self.identify(route, credential);
-        let reading = read_request(request, &self.header_names, limits, &routes, identify);
+        let names = &self.header_names;
+        let reading = read_request(request, names, limits, &routes, &self.memory, identify);
         let incoming = match reading.await {
             Ok(incoming) if self.policy.caller_age.is_on() => incoming,
             Ok(incoming) => IncomingRequest { caller_age: Duration::ZERO, ..incoming },
@@ -344,6 +428,7 @@
 
     /// Updates the gauges that are derived from the cached state.
     pub(crate) fn refresh_gauges(&self) {
+        self.apply_reach_changes();
         let state = self.state.borrow();
         let metrics = &self.metrics;
         let opened = i64::try_from(state.registry.opened()).unwrap_or(i64::MAX);
@@ -352,7 +437,15 @@
         metrics.leaving.set(signals.leaving);
         metrics.paused.set(signals.paused);
         metrics.limited.set(signals.limited);
+        let out_of_reach = self.reachability.count_out_of_reach(BootClock.now());
+        metrics.zones_out_of_reach.set(i64::try_from(out_of_reach).unwrap_or(i64::MAX));
+        metrics.held_bytes.set(gauge_value(self.memory.held()));
+        metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
+        metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
         let version = state.version.unwrap_or_default();
+        if let Some(dispatch) = &self.dispatch {
+            dispatch.client.server().refresh_gauges();
+        }
         metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         metrics.config_age.set(state.updated.declarations.elapsed().as_secs_f64());
         metrics.targets_age.set(state.updated.targets.elapsed().as_secs_f64());
@@ -360,6 +453,10 @@
     }
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn log_built(declarations: &Declarations, took: Duration) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] = [
         ("version", &declarations.version),
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_balance::{Candidate, SelectionRules, choose};
+use nickellead_balance::{Candidate, ReachRules, SelectionRules, choose};
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::WaitQueue;
 use nickellead_time::BootClock;
@@ -88,16 +88,24 @@
         if !target.rate_allows(now) {
             return Err(ErrorKind::TargetLimited);
         }
-        if !self.reachability.may_attempt(&target.zone, now) {
+        let is_used_up = self.is_used_up(&target, attempts);
+        if is_used_up || !self.reachability.may_attempt(&target.zone, now) {
             return Err(ErrorKind::TargetUnreachable);
         }
-        if !target.has_capacity() {
+        if !self.accepts(&target, incoming) {
             return Ok(TargetCapacity::Full(target));
         }
-        self.reachability.record_attempt(&target.zone, now);
+        self.reachability.record_attempt(&target.zone, &target.id, now);
         Ok(TargetCapacity::Available(target))
     }
 
+    /// Whether a target has capacity for one more request and room for its body.
+    fn accepts(&self, target: &RegisteredTarget, incoming: &IncomingRequest) -> bool {
+        let has_room = !self.memory.is_bounded()
+            || target.request_bytes.has_room(incoming.outgoing.body.len());
+        target.has_capacity() && has_room
+    }
+
     /// How long a request may wait for the target's capacity behind `ahead` others, or `None` when
     /// its response would miss the latency target.
     fn queue_timeout(
@@ -149,7 +157,7 @@
             let key = incoming.key.ok_or(ErrorKind::KeyMissing)?;
             return self.wait_for_owner(incoming, service, key, attempts).await;
         }
-        self.select_balanced(incoming, service, &attempts.tried)
+        self.select_balanced(incoming, service, attempts)
     }
 
     /// Whether the target owns keys and is paused, so that no other target can serve the request.
@@ -186,20 +194,25 @@
         &self,
         incoming: &IncomingRequest,
         service: &str,
-        tried: &[String],
+        attempts: &AttemptState,
     ) -> Result<Rc<RegisteredTarget>, ErrorKind> {
         let state = self.state.borrow();
         let now = BootClock.now();
         let leaving_window = self.leaving_window;
         let usable = |target: &&Rc<RegisteredTarget>| {
-            !tried.contains(&target.id)
+            !attempts.tried.contains(&target.id)
                 && target.may_send(leaving_window, now)
                 && self.allows_zone(incoming, &target.zone)
         };
+        let all_failures = self.reachability.rules() == ReachRules::AllFailures;
+        let may_attempt = |target: &&Rc<RegisteredTarget>| {
+            usable(target)
+                && self.reachability.may_attempt(&target.zone, now)
+                && !self.is_used_up(target, attempts)
+        };
         let reachable = |target: &&Rc<RegisteredTarget>| {
-            let is_reachable =
-                !target.is_down(now) && self.reachability.may_attempt(&target.zone, now);
-            usable(target) && is_reachable && !target.is_leaving()
+            let in_reach = !all_failures || self.reachability.is_in_reach(&target.zone, now);
+            may_attempt(target) && in_reach && !target.is_down(now) && !target.is_leaving()
         };
         let subset = match self.policy.subsets.is_on() {
             true => state.registry.subset(service),
@@ -207,15 +220,29 @@
         };
         let all = state.registry.available(service);
         let mut eligible: Vec<&Rc<RegisteredTarget>> = subset.iter().filter(reachable).collect();
-        let all_full = !eligible.iter().any(|target| target.has_capacity());
+        let all_full = !eligible.iter().any(|target| self.accepts(target, incoming));
         if eligible.is_empty() || all_full && !state.registry.is_partitioned(service) {
             eligible = all.iter().filter(reachable).collect();
         }
-        if eligible.is_empty() {
+        if eligible.is_empty() && all_failures {
+            eligible = all.iter().filter(may_attempt).collect();
+            if eligible.is_empty() && all.iter().any(|target| usable(&target)) {
+                return Err(ErrorKind::TargetUnreachable);
+            }
+        } else if eligible.is_empty() {
             eligible = all.iter().filter(usable).collect();
         }
-        if eligible.iter().any(|target| target.has_capacity()) {
-            eligible.retain(|target| target.has_capacity());
+        if all_failures && incoming.route.rule.large_responses {
+            // A large response leaves its zone only if no target of the zone has room.
+            let is_near = |target: &&Rc<RegisteredTarget>| {
+                target.zone == self.zone && reachable(target) && self.accepts(target, incoming)
+            };
+            if all.iter().any(|target| is_near(&target)) {
+                eligible = all.iter().filter(is_near).collect();
+            }
+        }
+        if eligible.iter().any(|target| self.accepts(target, incoming)) {
+            eligible.retain(|target| self.accepts(target, incoming));
         }
         let scores: Vec<_> = eligible.iter().map(|target| target.score.borrow()).collect();
         let candidates: Vec<Candidate<'_>> = eligible
@@ -239,7 +266,7 @@
 
     /// Returns the owner of a key. Waits while its range moves, at most until a response would miss
     /// the latency target.
-    async fn wait_for_owner(
+    pub(super) async fn wait_for_owner(
         &self,
         incoming: &IncomingRequest,
         service: &str,
@@ -281,7 +308,7 @@
 
     /// The settled owner of a key, unless it has just refused this request or does not accept
     /// requests.
-    fn usable_owner(
+    pub(super) fn usable_owner(
         &self,
         service: &str,
         key: u16,
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -15,9 +15,9 @@
 use std::time::{Duration, Instant};
 
 use nickellead_gateway::{
-    Declarations, GatewayHandle, GatewaySettings, HeaderNames, OwnershipSettings, PolicySettings,
-    QuotaSettings, RepeatClass, RouteRule, ServiceRule, SharedRoute, TargetEntry, TargetState,
-    WeightedService, start_gateway,
+    Declarations, DispatchScope, GatewayHandle, GatewaySettings, HeaderNames, LoadHeader,
+    OwnershipSettings, PolicySettings, QuotaSettings, RepeatClass, ReportedLoad, RouteRule,
+    ServiceRule, SharedRoute, TargetEntry, TargetState, WeightedService, start_gateway,
 };
 
 use link::PacedLink;
@@ -36,8 +36,17 @@
     not_run: "x-not-run",
     leaving: "x-leaving",
     limit: "x-limit",
+    load: LoadHeader { name: "x-load", decode: decode_load },
 };
 
+/// Decodes `RUNNING,WAITING,SLOTS`.
+fn decode_load(value: &[u8]) -> Option<ReportedLoad> {
+    let figures = std::str::from_utf8(value).ok()?.split(',').map(|figure| figure.parse().ok());
+    let figures = figures.collect::<Option<Vec<u32>>>()?;
+    let [running, waiting, slots] = figures[..] else { return None };
+    Some(ReportedLoad { running, waiting, slots, slowness: 1.0 })
+}
+
 /// Ports outside the ephemeral range, so that no outgoing connection takes a free one before it is
 /// bound.
 const NON_EPHEMERAL_PORTS: std::ops::Range<u16> = 10_000..32_768;
@@ -67,6 +76,7 @@
         split: vec![WeightedService { service: service.to_owned(), weight: 1.0 }],
         public: false,
         regions: None,
+        large_responses: false,
     }
 }
 
@@ -85,6 +95,14 @@
     Declarations { version, routes, services, ..Declarations::default() }
 }
 
+/// [`declarations`] with a safe route `/files/` to the service `plain`, whose responses are large.
+pub fn declarations_with_large_responses(version: u64) -> Declarations {
+    let files = RouteRule { large_responses: true, ..route("files", "plain", RepeatClass::Safe) };
+    let mut declarations = declarations(version);
+    declarations.routes.push(SharedRoute::from(files));
+    declarations
+}
+
 /// The entry of a ready target in `zone-a`.
 pub fn entry(id: &str, service: &str, address: SocketAddr) -> TargetEntry {
     TargetEntry {
@@ -127,12 +145,20 @@
             metrics_address: Some(metrics),
             peers_address: free_address(),
             peers_announced: None,
+            dispatch_address: None,
+            dispatch_announced: None,
+            dispatch_scope: DispatchScope::default(),
             cpu_share: 1.0,
             link_mbps: None,
             store_address: free_address(),
             grace_s: 2.0,
-            connections: 100,
+            connections: Some(100),
+            memory_mb: None,
+            max_fds: None,
+            bounded_by_machine: false,
             retry_burst: 5.0,
+            retry_ratio: 0.2,
+            retry_extra: None,
             cold: None,
             evacuation_s: None,
             drain_s: 2.0,
@@ -237,6 +263,18 @@
     }
 }
 
+/// A listener with a full backlog, and the connections that fill it.
+pub fn full_listener() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let filler = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let fillers = (0..4).filter_map(|_| filler()).collect();
+    (socket, address, fillers)
+}
+
 /// Polls until `condition` holds; panics after ten seconds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(10);
