What a newcomer's reading of the diff found: attempts of dispatched requests count for reach, permits blame no target for the VM

Cause (by reading): permitted attempts were not recorded as tries of a zone, so that three crashed targets could close it; forwarding used up the trial of a closed zone; a VM's own shortage was told as a failure of the target; nothing polled a queue after a request joined or left it, so that one could wait 20 ms beside a free slot; a fleet with less than one extra retry a VM could never use those that requests earn. Change: each of these, and the texts that were unclear.

--- a/crates/nickellead_balance/src/reachability/zone.rs
+++ b/crates/nickellead_balance/src/reachability/zone.rs
@@ -12,7 +12,7 @@
 
 /// Number of different targets that must have failed in any way before a zone is out of reach.
 const MIN_FAILED_TARGETS: usize = 3;
-/// Number of targets in a zone so small that the failure of all of them is sufficient.
+/// Zones with at most this many targets are closed by this many failures.
 const SMALL_ZONE_TARGETS: usize = 2;
 /// Fraction of the recently tried targets that must have failed. A partition affects all of them, a
 /// crash of some targets only these.
--- a/crates/nickellead_dispatch/src/choice.rs
+++ b/crates/nickellead_dispatch/src/choice.rs
@@ -3,7 +3,7 @@
 use crate::PermitId;
 use crate::target_outlook::{TargetEstimate, TargetOutlook, TargetRoom};
 
-/// Multiple of its expected duration within which six of seven requests of usual spread end.
+/// Multiple of the expected duration within which most requests end.
 pub(crate) const USUAL_SPREAD: f64 = 1.5;
 /// Multiple within which half of the requests end.
 pub(crate) const NO_SPREAD: f64 = 1.0;
--- a/crates/nickellead_dispatch/src/request.rs
+++ b/crates/nickellead_dispatch/src/request.rs
@@ -14,7 +14,7 @@
 pub struct DispatchRequest {
     /// The only target that can serve it, which owns its key; `None` if any target of the group can.
     pub owner: Option<TargetKey>,
-    /// Targets that failed earlier attempts of the request.
+    /// Targets not to use: tried before, or known to the asking VM not to accept requests.
     pub avoid: [Option<TargetKey>; MAX_AVOIDED],
     /// Its route.
     pub route: RouteKey,
--- a/crates/nickellead_dispatch/src/return_times.rs
+++ b/crates/nickellead_dispatch/src/return_times.rs
@@ -17,9 +17,8 @@
 const EARLY_RETURN_MS: u64 = 5;
 /// How long a booked place is kept for a caller who returns later than told.
 const PLACE_LIFETIME_MS: u64 = 500;
-
-/// By how much the times of a request that returns differ from those that it had: they are relative in
-/// messages, which take different times.
+/// Greatest difference between the due times of a request and of its return: messages carry relative
+/// times and take different times to arrive.
 const DUE_TOLERANCE_MS: f64 = 20.0;
 
 /// A place that was promised to a refused caller.
--- a/crates/nickellead_gateway/src/dispatch/group_state.rs
+++ b/crates/nickellead_gateway/src/dispatch/group_state.rs
@@ -129,15 +129,18 @@
             DispatchDecision::Queued(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 self.waiting.insert(ticket, sender);
+                // It may go before others, or a slot may have become free.
+                self.poll(now);
                 GroupDecision::Waiting(ticket, receiver)
             }
         }
     }
 
     /// Cancels a request that waits.
-    pub(super) fn cancel(&mut self, ticket: TicketId) {
+    pub(super) fn cancel(&mut self, ticket: TicketId, now: Timestamp) {
         if self.waiting.remove(&ticket).is_some() {
             self.queue.cancel(ticket);
+            self.poll(now);
         }
     }
 
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -50,7 +50,7 @@
     pub(super) group: GroupId,
     /// The owner of the request's key; `None` if any target of the group can serve it.
     pub(super) owner: Option<String>,
-    /// Targets that failed earlier attempts.
+    /// Targets not to use: tried before, or known to the asking VM not to accept requests.
     pub(super) avoid: Vec<String>,
     /// Hash of the route's name.
     pub(super) route: u64,
--- a/crates/nickellead_gateway/src/dispatch/permit.rs
+++ b/crates/nickellead_gateway/src/dispatch/permit.rs
@@ -7,7 +7,8 @@
 use super::messages::{GroupId, ReleaseCall, WireOutcome, WireSignals};
 use super::server::DispatchServer;
 use super::wire::millis;
-use crate::exchange::{AttemptEnd, AttemptResult};
+use crate::connections::ConnectFailure;
+use crate::exchange::{AttemptEnd, AttemptResult, LossReason};
 
 /// Who granted a permit.
 pub(super) enum PermitIssuer {
@@ -81,6 +82,9 @@
         }
         AttemptResult::Responded(_) => WireOutcome::Responded { latency_ms: millis(latency) },
         AttemptResult::Shed => WireOutcome::Shed,
+        // The cause is this VM or its view of the zone.
+        AttemptResult::NotSent(ConnectFailure::OutOfReach | ConnectFailure::Unopened)
+        | AttemptResult::Lost(LossReason::NoMemory) => WireOutcome::NotSent,
         AttemptResult::NotSent(_) | AttemptResult::Lost(_) => WireOutcome::NoResponse,
         AttemptResult::Misdirected | AttemptResult::Withheld | AttemptResult::Forbidden(_) => {
             WireOutcome::NotSent
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -337,10 +337,10 @@
     fn drop(&mut self) {
         let mut groups = self.server.groups.borrow_mut();
         let Some(state) = groups.get_mut(self.group) else { return };
-        state.cancel(self.ticket);
+        let now = BootClock.now();
+        state.cancel(self.ticket, now);
         // An answer that nobody received.
         if let Ok(GroupAnswer::Granted(permit)) = self.receiver.try_recv() {
-            let now = BootClock.now();
             state.release_unsent(permit, now);
             state.poll(now);
         }
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -136,8 +136,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DispatchScope {
-    /// Each VM sends requests by its own limits. Messages between VMs wait behind large responses on
-    /// slow links.
+    /// Each VM sends requests by its own limits.
     #[default]
     Never,
     /// Dispatchers decide for all requests without a workspace.
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -114,6 +114,7 @@
                         permit.release_unsent();
                         return Ok(None);
                     };
+                    self.record_attempt(&target);
                     self.metrics.dispatch.spilled.inc_by(u64::from(target.zone != self.zone));
                     return Ok(Some(SelectedTarget::Permitted(target, permit)));
                 }
@@ -125,7 +126,10 @@
         }
         let Some(wait) = shortest_wait else { return Ok(None) };
         match self.bounded_target(incoming, service, attempts) {
-            Some(target) => Ok(Some(SelectedTarget::Direct(target))),
+            Some(target) => {
+                self.record_attempt(&target);
+                Ok(Some(SelectedTarget::Direct(target)))
+            }
             None => Err(refuse(incoming, wait)),
         }
     }
@@ -240,6 +244,7 @@
             let known = self.usable_owner(service, key, attempts);
             if known.is_some_and(|known| Rc::ptr_eq(&known, &owner)) {
                 if owner.may_send(self.leaving_window, BootClock.now()) {
+                    self.record_attempt(&owner);
                     return Ok(Some(SelectedTarget::Permitted(owner, permit)));
                 }
                 permit.release_unsent();
@@ -249,6 +254,11 @@
         }
     }
 
+    /// Records that a request is sent to a target, for the reach of its availability zone.
+    fn record_attempt(&self, target: &RegisteredTarget) {
+        self.reachability.record_attempt(&target.zone, &target.id, BootClock.now());
+    }
+
     /// Checks what no other owner can make good.
     fn check_owner(
         &self,
@@ -269,7 +279,8 @@
     fn owner_group(&self, owner: &RegisteredTarget) -> Option<Rc<TargetGroup>> {
         let now = BootClock.now();
         let may_dispatch = owner.may_dispatch(self.leaving_window, now);
-        if !may_dispatch || !self.reachability.may_attempt(&owner.zone, now) {
+        // The tries of a zone that is out of reach are left to this VM's own connections.
+        if !may_dispatch || !self.reachability.is_in_reach(&owner.zone, now) {
             return None;
         }
         let state = self.state.borrow();
@@ -309,7 +320,6 @@
         group: &TargetGroup,
     ) -> SendEnd {
         let Some(client) = self.dispatch_client(incoming) else { return SendEnd::Undispatched };
-        self.reachability.record_attempt(&owner.zone, &owner.id, BootClock.now());
         let response_size = &incoming.route.response_size;
         let Ok(held) = self.memory.admit(self.memory.reservation(response_size)) else {
             let end = AttemptEnd::from(AttemptResult::Forbidden(ErrorKind::MemoryFull));
@@ -322,6 +332,7 @@
                 // The dispatcher can't reach the owner; this VM may.
                 AttemptResult::NotSent(_) => SendEnd::Undispatched,
                 _ => {
+                    self.record_attempt(owner);
                     if let AttemptResult::Responded(response) = &end.result {
                         response_size.record(response.body.len());
                     }
--- a/crates/nickellead_limit/src/retry.rs
+++ b/crates/nickellead_limit/src/retry.rs
@@ -23,19 +23,25 @@
         self.ratio * USED_RATIO_FRACTION
     }
 
-    /// Most retries that one of `vms` VMs saves up; 0 VMs if their number is unknown.
-    fn max_tokens(&self, vms: usize) -> f64 {
+    /// Retries with which one of `vms` VMs starts; 0 VMs if their number is unknown.
+    fn initial_tokens(&self, vms: usize) -> f64 {
         match self.extra {
             Some(extra) if vms > 0 => self.burst.min(extra / vms as f64),
             _ => self.burst,
         }
     }
+
+    /// Most retries that it saves up: at least one, or those that its requests earn could never be used.
+    fn max_tokens(&self, vms: usize) -> f64 {
+        self.initial_tokens(vms).max(1.0).min(self.burst)
+    }
 }
 
 /// A token bucket for each service: requests add tokens, retries take them.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    initial_tokens: f64,
     max_tokens: f64,
     tokens: HashMap<String, f64>,
 }
@@ -44,11 +50,13 @@
     /// Each service starts with the most tokens that it may have.
     #[must_use]
     pub fn new(limits: RetryLimits) -> Self {
-        Self { limits, max_tokens: limits.max_tokens(0), tokens: HashMap::new() }
+        let (initial_tokens, max_tokens) = (limits.initial_tokens(0), limits.max_tokens(0));
+        Self { limits, initial_tokens, max_tokens, tokens: HashMap::new() }
     }
 
     /// Sets the number of VMs that share the allowance of the fleet; 0 if unknown.
     pub fn set_fleet_size(&mut self, vms: usize) {
+        self.initial_tokens = self.limits.initial_tokens(vms);
         self.max_tokens = self.limits.max_tokens(vms);
     }
 
@@ -60,7 +68,7 @@
                 *tokens = (*tokens + self.limits.tokens_per_request()).min(max_tokens);
             }
             None => {
-                self.tokens.insert(service.to_owned(), max_tokens);
+                self.tokens.insert(service.to_owned(), self.initial_tokens);
             }
         }
     }
--- a/crates/nickellead_limit/tests/retry.rs
+++ b/crates/nickellead_limit/tests/retry.rs
@@ -39,3 +39,16 @@
     assert_eq!(burst_of(100, limits), 2);
     assert_eq!(burst_of(300, limits), 0);
 }
+
+/// Load: a fleet so large that no VM may retry at the start; its requests earn retries all the same.
+#[test]
+fn retries_that_requests_earn_can_be_used_in_any_fleet() {
+    let limits = RetryLimits { ratio: 0.2, burst: 5.0, extra: Some(200.0) };
+    let mut budget = RetryBudget::new(limits);
+    budget.set_fleet_size(1_000);
+    let earned = (0..100).filter(|_| {
+        budget.record_request("s");
+        budget.try_take("s")
+    });
+    assert!((10..=12).contains(&earned.count()));
+}
--- a/crates/nickellead_peer/src/call_server.rs
+++ b/crates/nickellead_peer/src/call_server.rs
@@ -20,10 +20,10 @@
     PeerHandler, accept_connections, begin_response, open_accepted, refuse, send_paced,
 };
 
-/// A thread that took longer than this for its other tasks stood still or is overloaded. Callers wait
-/// longer for an acknowledgement.
+/// Time of one pass over the other tasks above which the thread was suspended or is overloaded; a
+/// cancellation may then still be unread.
 const STANDSTILL: Duration = Duration::from_millis(20);
-/// How often a thread that stands still again and again reads before it handles a call.
+/// Most times that arrived frames are read before a call is handled.
 const MAX_READS: u32 = 3;
 
 /// Responds to calls of [`PeerChannel`](crate::PeerChannel)s for as long as the thread's runtime
