dispatching: the clock is read once for the targets of one decision

Cause: may_use read the clock for each target of each group that is considered for a request. Change: the time is an argument. Behaviour is the same.

--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nickellead_core::ErrorKind;
+use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_dispatch::MAX_AVOIDED;
 use nickellead_time::BootClock;
 
@@ -142,12 +142,12 @@
     ) -> Option<Rc<RegisteredTarget>> {
         let state = self.state.borrow();
         let target = state.registry.find(permit.target())?;
-        self.may_use(target, attempts).then(|| Rc::clone(target))
+        self.may_use(target, attempts, BootClock.now()).then(|| Rc::clone(target))
     }
 
     /// Whether the next attempt may be made at a target that a dispatcher selects.
-    fn may_use(&self, target: &RegisteredTarget, attempts: &AttemptState) -> bool {
-        let may_dispatch = target.may_dispatch(self.leaving_window, BootClock.now());
+    fn may_use(&self, target: &RegisteredTarget, attempts: &AttemptState, now: Timestamp) -> bool {
+        let may_dispatch = target.may_dispatch(self.leaving_window, now);
         may_dispatch && !attempts.tried.contains(&target.id)
     }
 
@@ -193,7 +193,7 @@
             group.is_dispatched()
                 && self.allows_zone(incoming, group.zone())
                 && self.reachability.may_attempt(group.zone(), now)
-                && group.targets().iter().any(|target| self.may_use(target, attempts))
+                && group.targets().iter().any(|target| self.may_use(target, attempts, now))
         };
         let usable = state.groups.of_service(service).iter().filter(is_usable).map(Rc::clone);
         let (mut near, mut far): (Vec<_>, Vec<_>) =
@@ -210,7 +210,8 @@
     /// Targets of a group that the next attempt can't use: those that were tried, and those that this
     /// VM knows not to accept requests.
     fn avoided_targets(&self, group: &TargetGroup, attempts: &AttemptState) -> Vec<String> {
-        let unusable = group.targets().iter().filter(|target| !self.may_use(target, attempts));
+        let now = BootClock.now();
+        let unusable = group.targets().iter().filter(|target| !self.may_use(target, attempts, now));
         unusable.map(|target| target.id.clone()).take(MAX_AVOIDED).collect()
     }
 
