--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod seeds;
 pub mod store;
 pub mod target;
+pub mod target_link;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -171,7 +172,8 @@
         };
         edit(&mut settings);
         let (callers, readiness) = (settings.callers_address, settings.readiness_address);
-        let (store, orders) = (store.for_vm(name), MemoryOrders::new(store));
+        let store = store.for_vm(name);
+        let orders = MemoryOrders::new(&store);
         let handle = start_gateway(settings, NAMES, move || (store, orders)).unwrap();
         Self { callers, readiness, metrics, handle: Some(handle) }
     }
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -80,6 +80,8 @@
     orders: Vec<(Instant, RangeOrder)>,
     /// Outcomes of orders by target id; orders to other targets succeed.
     outcomes: BTreeMap<String, OrderOutcome>,
+    /// VMs whose orders reach no target.
+    orders_cut: BTreeSet<String>,
     /// Targets whose responses to orders signal that they leave.
     leaving: BTreeSet<String>,
 }
@@ -112,6 +114,15 @@
         edit(&mut state, revision);
     }
 
+    /// Sets whether the orders of a VM reach no target.
+    pub fn set_orders_cut(&self, vm: &str, cut: bool) {
+        let cut_off = &mut self.state().orders_cut;
+        match cut {
+            true => cut_off.insert(vm.to_owned()),
+            false => cut_off.remove(vm),
+        };
+    }
+
     /// Takes a backup of the current content.
     pub fn backup(&self) -> StoreBackup {
         StoreBackup(self.state().content.clone())
@@ -494,6 +505,9 @@
 impl OrderPort for MemoryOrders {
     async fn send(&self, order: &RangeOrder, _: Duration, _: Duration) -> OrderReply {
         let mut state = self.0.state();
+        if state.orders_cut.contains(&self.0.vm) {
+            return OrderOutcome::NotSent.into();
+        }
         state.orders.push((Instant::now(), order.clone()));
         let outcome = match (state.outcomes.get(&order.target.id), &order.kind) {
             (Some(outcome), _) => outcome.clone(),
--- /dev/null
+++ b/crates/nickellead_gateway/tests/cut_off_vms.rs
@@ -0,0 +1,218 @@
+//! VMs without a path to any target, beside VMs that reach all of them.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use common::store::MemoryStore;
+use common::target::{Behavior, TestTarget, header};
+use common::target_link::{CutManner, TargetLink};
+use common::{TestGateway, declarations, entry, exchange, free_address, wait_until};
+use nickellead_gateway::OwnershipSettings;
+use nickellead_range::OrderKind;
+
+/// Time from the beginning of a cut after which callers must be served.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// How long callers are watched after that.
+const WATCHED_TIME: Duration = Duration::from_secs(3);
+/// The kinds of requests: safe, at most once, and for the owner of a key.
+const REQUESTS: [(&str, &str); 3] = [("GET", "/read/a"), ("POST", "/write/a"), ("GET", "/key/a")];
+
+/// Two VMs with a link to each target; a cut concerns the connections of the first VM.
+struct CutFleet {
+    store: MemoryStore,
+    targets: Vec<TestTarget>,
+    links: Vec<TargetLink>,
+    cut_off: TestGateway,
+    connected: TestGateway,
+}
+
+impl CutFleet {
+    fn start(name: &str) -> Self {
+        let store = MemoryStore::default();
+        let start = |service: &str| {
+            let target = TestTarget::start(&format!("{service}-1"), Behavior::Serve);
+            let link = TargetLink::open(target.address);
+            store.list(entry(&target.id, service, link.address));
+            (target, link)
+        };
+        let (targets, links) = ["plain", "keyed"].into_iter().map(start).unzip();
+        store.declare(declarations(1));
+        let gateway = |role: &str| {
+            TestGateway::start_as(&format!("{name}-{role}"), &store, |settings| {
+                settings.dispatch_address = Some(free_address());
+            })
+        };
+        let cut_off = gateway("cut-off");
+        wait_until("the first VM holds the mandate", || {
+            store.mandate_holder() == Some(format!("{name}-cut-off"))
+        });
+        let connected = gateway("connected");
+        let fleet = Self { targets, links, cut_off, connected, store };
+        fleet.warm_up();
+        fleet
+    }
+
+    /// Opens connections of both VMs to all targets, and marks those of the first one.
+    fn warm_up(&self) {
+        for gateway in [&self.cut_off, &self.connected] {
+            gateway.wait_ready();
+            wait_until("both VMs are known", || metric(gateway, "nickellead_known_vms") == 2.0);
+        }
+        let serve_all = |gateway: &TestGateway| {
+            for (method, path) in REQUESTS {
+                wait_until("requests are served", || {
+                    gateway.send(method, path, "x-key: 7\r\n").contains(" 200 ")
+                });
+            }
+        };
+        serve_all(&self.cut_off);
+        self.links.iter().for_each(TargetLink::mark);
+        serve_all(&self.connected);
+        self.targets.iter().for_each(TestTarget::clear_requests);
+    }
+
+    fn cut(&self, manner: CutManner) {
+        self.links.iter().for_each(|link| link.cut(manner));
+    }
+
+    fn heal(&self) {
+        self.links.iter().for_each(TargetLink::heal);
+    }
+
+    /// Sends requests of all kinds to the first VM, one each `interval`, for this time. Returns
+    /// those that were not served.
+    fn send_for(&self, name: &str, interval: Duration, time: Duration) -> Vec<String> {
+        let end = Instant::now() + time;
+        let mut failures = Vec::new();
+        for number in 0.. {
+            let sent = Instant::now();
+            if sent >= end {
+                return failures;
+            }
+            let (method, path) = REQUESTS[number % REQUESTS.len()];
+            let response = send_as(&self.cut_off, method, path, &format!("{name}-{number}"));
+            if !response.starts_with("HTTP/1.1 200") {
+                failures.push(format!("{method} {path} {:?}: {response}", sent.elapsed()));
+            }
+            std::thread::sleep(interval.saturating_sub(sent.elapsed()));
+        }
+        failures
+    }
+
+    /// Ids of requests that may run once and reached targets more often.
+    fn repeated_writes(&self) -> Vec<String> {
+        let requests = self.targets.iter().flat_map(TestTarget::requests);
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for request in requests.filter(|request| request.starts_with("POST")) {
+            *counts.entry(header(&request, "x-request-id").unwrap_or_default()).or_default() += 1;
+        }
+        counts.into_iter().filter(|(_, count)| *count > 1).map(|(id, _)| id).collect()
+    }
+
+    /// Cuts the first VM off, expects that its callers are served once `CONTACT_TIME` has passed,
+    /// and that it serves by itself soon after the end of the cut.
+    fn expect_service(&self, manner: CutManner, interval: Duration) {
+        self.cut(manner);
+        self.send_for("early", interval, CONTACT_TIME);
+        let failures = self.send_for("late", interval, WATCHED_TIME);
+        assert!(
+            failures.is_empty(),
+            "{manner:?}: {} failed: {:?}",
+            failures.len(),
+            failures.last()
+        );
+        self.heal();
+        let opened = || self.links.iter().map(TargetLink::opened).sum::<usize>();
+        let opened_before = opened();
+        let failures = self.send_for("healed", interval, CONTACT_TIME);
+        assert!(failures.is_empty(), "{manner:?}, healed: {:?}", failures.last());
+        assert!(manner == CutManner::RefuseNew || opened() > opened_before, "{manner:?}");
+        assert_eq!(self.repeated_writes(), Vec::<String>::new(), "{manner:?}");
+    }
+}
+
+/// Longest time between two grants to targets from `since` on.
+fn longest_pause_of_grants(store: &MemoryStore, since: Instant) -> Duration {
+    let orders = store.timed_orders().into_iter();
+    let grants = orders.filter(|(_, order)| matches!(order.kind, OrderKind::Grant(_)));
+    let mut times: Vec<Instant> = grants.map(|(at, _)| at).filter(|at| *at >= since).collect();
+    times.insert(0, since);
+    times.push(Instant::now());
+    times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap()
+}
+
+/// Value of a metric without labels; 0 without one.
+fn metric(gateway: &TestGateway, name: &str) -> f64 {
+    let text = exchange(gateway.metrics, "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.map_or(0.0, |value| value.parse().unwrap())
+}
+
+/// Sends a request for key 7 with this id and a deadline of one second.
+fn send_as(gateway: &TestGateway, method: &str, path: &str, id: &str) -> String {
+    exchange(
+        gateway.callers,
+        &format!(
+            "{method} {path} HTTP/1.1\r\nhost: board.example\r\nx-request-id: {id}\r\nx-key: 7\r\n\
+             x-deadline-ms: 1000\r\nconnection: close\r\n\r\n"
+        ),
+    )
+}
+
+/// A VM that reached no target refused each request at once, though others could serve it.
+#[test]
+fn a_vm_whose_connections_hang_has_its_requests_served_elsewhere() {
+    let fleet = CutFleet::start("hang");
+    fleet.expect_service(CutManner::Silent, Duration::from_millis(30));
+}
+
+/// A VM that reached no target refused each request at once, though others could serve it.
+#[test]
+fn a_vm_whose_connections_are_reset_has_its_requests_served_elsewhere() {
+    let fleet = CutFleet::start("reset");
+    fleet.expect_service(CutManner::Reset, Duration::from_millis(30));
+}
+
+/// Guards the case in which some requests still succeed over old connections while no new one can be
+/// opened: these must not hide the cut.
+#[test]
+fn a_vm_with_old_connections_only_has_its_requests_served() {
+    let fleet = CutFleet::start("old");
+    fleet.expect_service(CutManner::RefuseNew, Duration::from_millis(30));
+}
+
+/// With little traffic, a VM that reached no target went on to fail one request after the other.
+#[test]
+fn a_cut_off_vm_with_few_requests_has_them_served_elsewhere() {
+    let fleet = CutFleet::start("few");
+    fleet.expect_service(CutManner::Reset, Duration::from_millis(700));
+}
+
+/// The mandate holder renewed its mandate but no lease, and no key had an owner after a lease.
+#[test]
+fn a_mandate_holder_that_reaches_no_target_hands_over_before_leases_end() {
+    let fleet = CutFleet::start("holder");
+    let cut_at = Instant::now();
+    fleet.store.set_orders_cut("holder-cut-off", true);
+    fleet.cut(CutManner::Reset);
+    fleet.send_for("cut", Duration::from_millis(100), OwnershipSettings::default().lease() * 2);
+    assert_eq!(fleet.store.mandate_holder().as_deref(), Some("holder-connected"));
+    let pause = longest_pause_of_grants(&fleet.store, cut_at);
+    assert!(pause < OwnershipSettings::default().lease(), "no lease was renewed for {pause:?}");
+}
+
+/// A mandate holder without callers noticed by no request that it reached no target.
+#[test]
+fn a_mandate_holder_without_requests_hands_over_before_leases_end() {
+    let fleet = CutFleet::start("idle-holder");
+    let cut_at = Instant::now();
+    fleet.store.set_orders_cut("idle-holder-cut-off", true);
+    fleet.cut(CutManner::Reset);
+    std::thread::sleep(OwnershipSettings::default().lease() * 2);
+    assert_eq!(fleet.store.mandate_holder().as_deref(), Some("idle-holder-connected"));
+    let pause = longest_pause_of_grants(&fleet.store, cut_at);
+    assert!(pause < OwnershipSettings::default().lease(), "no lease was renewed for {pause:?}");
+}
