A VM that reaches no target has its requests served by other VMs

Cause: what a VM can reach decided what its callers got. Failures were counted by target and by zone, never for the VM; no request of a keyed or plain service could go through another VM.

If none accepts it is cut off: it hands its requests to other VMs over their dispatch address, which serve them like those of their own callers and never hand them on. Not run is said only where nothing was sent or the other VM said so. A VM that reaches no other VM either refuses at once and is not ready.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -65,6 +65,12 @@
             /// All kinds, in the order of the table.
             pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
 
+            /// The kind with this code; `None` if this version has none.
+            #[must_use]
+            pub fn parse(code: &str) -> Option<Self> {
+                Self::ALL.iter().copied().find(|kind| kind.response().code == code)
+            }
+
             /// Response for this kind.
             #[must_use]
             pub const fn response(self) -> ErrorResponse {
--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -70,6 +70,7 @@
     TargetLimited, "target-limited", Info, ["target", "rate"], "responses of this target set a limit in requests per second from all VMs together, or no longer set one (none)";
     ZoneEvacuated, "zone-evacuated", Info, ["zone", "evacuated"], "this VM learned that an availability zone is to get no new requests, or gets them again";
     ZoneOutOfReach, "zone-out-of-reach", Warn, ["zone", "in_reach", "first_hand"], "tries to an availability zone fail, so that this VM sends only occasional requests there, or the zone is in reach again (in_reach=true); first_hand=false if reports of other VMs or their expiry were needed for the conclusion";
+    VmCutOff, "vm-cut-off", Warn, ["cut_off", "refused", "silent"], "this VM could not connect to any of several targets, so that other VMs serve its requests, or it reaches targets again (cut_off=false); refused and silent are the targets of the last check that refused or did not respond";
     TargetsTold, "targets-told", Info, ["number", "ready", "draining", "gone"], "another VM sent this many changes of targets; the VM that watches the store logs target-changed for each";
     MovesStarted, "moves-started", Info, ["zone", "service", "shards"], "planned moves started";
     OwnersCommitted, "owners-committed", Info, ["zone", "service", "shards", "by_records"], "new owners are in effect";
@@ -94,6 +95,8 @@
     RequestRetried, "request-retried", Info, ["request", "target", "reason", "after_ms"], "an attempt at this target failed and another one may follow";
     RequestFailed, "request-failed", Info, ["request", "route", "workspace", "error", "after_ms", "caller_age_ms", "key", "owner", "fence", "version", "config_age_ms", "targets_age_ms", "ranges_age_ms", "keys_age_ms"], "the request ended without a response from a target; the ages are those of the state that the decision was based on, and keys_age_ms is the age of the knowledge of which keys of workspaces are valid";
     RequestForwarded, "request-forwarded", Info, ["request", "target", "waited_ms", "after_ms", "result"], "this VM, the dispatcher of the target, sent a request for another VM; logged for one in 64, selected by request id, and for each without a response";
+    RequestHandedOver, "request-handed-over", Info, ["request", "address", "result", "after_ms"], "this VM, which is cut off from all targets, passed a request on to the VM at this address; logged for one in 64, selected by request id, and for each without a response";
+    RequestAssisted, "request-assisted", Info, ["request", "result", "after_ms"], "this VM served a request for another VM that is cut off from all targets; logged for one in 64, selected by request id, and for each without a response";
     DispatcherLost, "dispatcher-lost", Warn, ["address", "reason"], "the dispatcher at this address did not acknowledge a message: its stand-in is asked, or targets are used without it; logged again only after it answered";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "the log output was too slow and lines were lost";
 }
--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -131,8 +131,7 @@
         if self.is_unreachable() {
             return Err(ConnectFailure::TimedOut);
         }
-        self.last_attempt.set(Some(Instant::now()));
-        self.opened.set(self.opened.get() + 1);
+        self.record_opening();
         let is_full_timeout = timeout >= CONNECT_TIMEOUT;
         let opening = tokio::time::timeout(timeout.min(CONNECT_TIMEOUT), open(address, self.close));
         let opened = opening.await;
@@ -150,6 +149,29 @@
         }
     }
 
+    /// Opens a connection to find out whether the target can be reached, and keeps it.
+    pub(crate) async fn check(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<(), ConnectFailure> {
+        self.record_opening();
+        match tokio::time::timeout(timeout, open(address, self.close)).await {
+            Ok(Ok(sender)) => {
+                self.consecutive_timeouts.set(0);
+                self.put(sender, None);
+                Ok(())
+            }
+            Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
+            Err(_) => Err(ConnectFailure::TimedOut),
+        }
+    }
+
+    fn record_opening(&self) {
+        self.last_attempt.set(Some(Instant::now()));
+        self.opened.set(self.opened.get() + 1);
+    }
+
     /// Whether the last connection attempts timed out and the next probe is not due yet.
     fn is_unreachable(&self) -> bool {
         let probe_pending = self
--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -24,7 +24,7 @@
 
 /// Longest time until a dispatcher acknowledges a message: several round trips between VMs with a
 /// tenth of a core.
-const ACK_TIMEOUT: Duration = Duration::from_millis(120);
+pub(super) const ACK_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest time that the release of a permit takes; the permit expires by itself otherwise.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that the report of a zone takes; it counts for little longer.
@@ -92,11 +92,11 @@
 }
 
 impl DispatchPeer {
-    fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(address: SocketAddr) -> Self {
         Self { channel: PeerChannel::new(address, DISPATCH_PATH), health: Cell::default() }
     }
 
-    fn may_ask(&self) -> bool {
+    pub(super) fn may_ask(&self) -> bool {
         let mut health = self.health.get();
         let may_ask = health.may_ask(BootClock.now());
         self.health.set(health);
@@ -108,24 +108,49 @@
         call: &DispatchCall,
         timeout: Duration,
     ) -> Result<DispatchReply, PeerError> {
-        let answer = self.channel.call(call, ACK_TIMEOUT, timeout).await;
-        let mut health = self.health.get();
+        self.call_within(call, ACK_TIMEOUT, timeout).await
+    }
+
+    /// Opens a connection within `timeout` unless one is open.
+    pub(super) async fn prepare(&self, timeout: Duration) -> Result<(), PeerError> {
+        let prepared = self.channel.prepare(timeout).await;
+        if let Err(error) = &prepared {
+            self.record_lost(error);
+        }
+        prepared
+    }
+
+    /// Sends a message that must be acknowledged within `ack_timeout`.
+    pub(super) async fn call_within(
+        &self,
+        call: &DispatchCall,
+        ack_timeout: Duration,
+        timeout: Duration,
+    ) -> Result<DispatchReply, PeerError> {
+        let answer = self.channel.call(call, ack_timeout, timeout).await;
         match &answer {
-            Ok(_) => health.record_answer(),
+            Ok(_) => {
+                let mut health = self.health.get();
+                health.record_answer();
+                self.health.set(health);
+            }
             // It acknowledged the message, and the time of the request ran out.
             Err(PeerError::Timeout) => {}
             // The request had less time than a dispatcher may take.
             Err(_) if timeout < ACK_TIMEOUT => {}
-            Err(error) => {
-                if health.record_lost(BootClock.now()) {
-                    log_lost(self.channel.address(), error);
-                }
-            }
+            Err(error) => self.record_lost(error),
         }
-        self.health.set(health);
         answer
     }
 
+    fn record_lost(&self, error: &PeerError) {
+        let mut health = self.health.get();
+        if health.record_lost(BootClock.now()) {
+            log_lost(self.channel.address(), error);
+        }
+        self.health.set(health);
+    }
+
     /// Releases a permit in the background.
     pub(super) fn release(peer: &Rc<Self>, call: ReleaseCall) {
         let peer = Rc::clone(peer);
@@ -193,7 +218,8 @@
                 DispatchReply::Unavailable => return AcquireAnswer::Unavailable,
                 DispatchReply::NotServing
                 | DispatchReply::Released
-                | DispatchReply::Forwarded(_) => {}
+                | DispatchReply::Forwarded(_)
+                | DispatchReply::Assisted(_) => {}
             }
         }
         AcquireAnswer::Unavailable
@@ -248,7 +274,8 @@
                 DispatchReply::Unavailable => return ForwardAnswer::Unavailable,
                 DispatchReply::NotServing
                 | DispatchReply::Released
-                | DispatchReply::Granted { .. } => {}
+                | DispatchReply::Granted { .. }
+                | DispatchReply::Assisted(_) => {}
             }
         }
         ForwardAnswer::Unavailable
@@ -269,7 +296,9 @@
                 }
                 DispatchCall::Acquire(_)
                 | DispatchCall::Release(_)
-                | DispatchCall::ZoneReport(_) => Ok(None),
+                | DispatchCall::ZoneReport(_)
+                | DispatchCall::Assist(_)
+                | DispatchCall::ProbeAssist => Ok(None),
             };
         }
         let peer = self.peer(address);
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -20,6 +20,11 @@
     /// Tells a VM of the same zone about another zone. It is answered with
     /// [`DispatchReply::Released`].
     ZoneReport(ZoneReport),
+    /// Asks to serve a request of a VM that reaches no target.
+    Assist(Box<AssistCall>),
+    /// Asks whether the VM could serve such requests. It is answered with
+    /// [`DispatchReply::Released`] or [`DispatchReply::NotServing`].
+    ProbeAssist,
 }
 
 /// What a VM saw of another availability zone by its own requests.
@@ -79,6 +84,29 @@
     pub(super) body: Vec<u8>,
 }
 
+/// A request to serve for a VM that reaches no target.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(super) struct AssistCall {
+    /// Version of the declarations by which the asking VM routed the request.
+    pub(super) version: u64,
+    /// Attempts that may have reached a target.
+    pub(super) attempts_made: u32,
+    /// Time since the caller's first attempt, in milliseconds.
+    pub(super) caller_age_ms: u32,
+    /// Time until the caller stops waiting, in milliseconds.
+    pub(super) deadline_in_ms: u32,
+    pub(super) request: WireRequest,
+}
+
+/// How a request ended that was served for another VM.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(super) enum AssistAnswer {
+    /// A response of a target.
+    Responded { status: u16, headers: Vec<WireHeader>, body: Vec<u8> },
+    /// An error of the VM, by its code, and how long the caller is to wait before it retries.
+    Failed { error: String, retry_after_ms: Option<u32> },
+}
+
 /// One header line.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) struct WireHeader {
@@ -127,12 +155,14 @@
     Refused { retry_after_ms: u32 },
     /// The target is not dispatched: the request may be sent without a permit.
     Unavailable,
-    /// This VM does not know the group, or is stopping; the stand-in may answer.
+    /// This VM does not know the group, is stopping, or reaches no target; another VM may answer.
     NotServing,
-    /// The permit was returned, or the report was received.
+    /// The permit was returned, the report was received, or the VM could serve requests.
     Released,
     /// The request was handled as by an attempt of the VM that received it.
     Forwarded(Box<WireAttempt>),
+    /// The request of a VM that reaches no target was served.
+    Assisted(Box<AssistAnswer>),
 }
 
 /// The end of an attempt that a dispatcher made.
--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
 //! `groups` divides the targets; `server` and `group_state` decide, and `client` asks.
-//! `reports` decides what VMs of one zone tell each other about other zones.
+//! `assist` hands requests to other VMs while this VM reaches no target. `reports` decides what VMs of one zone tell each other about other zones.
 
+mod assist;
 mod client;
 mod group_state;
 mod groups;
@@ -14,6 +15,7 @@
 mod server;
 mod wire;
 
+pub(crate) use assist::{AssistClient, AssistEnd, AssistFacts};
 pub(crate) use client::{AcquireAnswer, DispatchClient, ForwardAnswer, RequestFacts};
 pub use groups::divide_targets;
 pub(crate) use groups::{GroupTable, TargetGroup};
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -1,9 +1,9 @@
 //! The dispatcher: decides for groups of targets and sends the requests that it is handed.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,8 +19,8 @@
 use super::group_state::{GroupAnswer, GroupDecision, GroupState};
 use super::groups::GroupTable;
 use super::messages::{
-    AcquireCall, DISPATCH_PATH, DispatchCall, DispatchReply, ForwardCall, GroupId, ReleaseCall,
-    WireAttempt, WireResult, WireSignals,
+    AcquireCall, AssistCall, DISPATCH_PATH, DispatchCall, DispatchReply, ForwardCall, GroupId,
+    ReleaseCall, WireAttempt, WireResult, WireSignals,
 };
 use super::permit::{HeldPermit, PermitIssuer};
 use super::reports::ZoneReports;
@@ -35,6 +35,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::response_signals::ResponseSignals;
 use crate::target_registry::RegisteredTarget;
+use crate::worker::RequestWorker;
 
 /// How long the state of a group is kept after the last request for it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,6 +61,8 @@
 /// The dispatcher of one VM.
 pub(crate) struct DispatchServer {
     context: ServerContext,
+    /// The request path of this VM, once it exists.
+    worker: OnceCell<Weak<RequestWorker>>,
     table: RefCell<Rc<GroupTable>>,
     groups: RefCell<HashMap<GroupId, GroupState>>,
     /// Expected size of the response to a forwarded request.
@@ -83,6 +86,7 @@
     pub(crate) fn new(context: ServerContext) -> Rc<Self> {
         Rc::new(Self {
             context,
+            worker: OnceCell::new(),
             table: RefCell::default(),
             groups: RefCell::default(),
             response_size: SizeEstimate::default(),
@@ -90,6 +94,16 @@
         })
     }
 
+    /// Sets the request path that serves requests of VMs that reach no target.
+    pub(crate) fn set_worker(&self, worker: &Rc<RequestWorker>) {
+        // It is set once, directly after its creation.
+        let _ = self.worker.set(Rc::downgrade(worker));
+    }
+
+    fn worker(&self) -> Option<Rc<RequestWorker>> {
+        self.worker.get()?.upgrade()
+    }
+
     /// Replaces the groups after the registry was rebuilt.
     pub(crate) fn set_groups(&self, table: Rc<GroupTable>) {
         self.table.replace(table);
@@ -146,6 +160,22 @@
                 self.context.zone_reports.receive(&report, BootClock.now());
                 DispatchReply::Released
             }
+            DispatchCall::Assist(call) => self.assist(*call).await,
+            DispatchCall::ProbeAssist => match self.worker() {
+                Some(worker) if worker.may_assist() => DispatchReply::Released,
+                _ => DispatchReply::NotServing,
+            },
+        }
+    }
+
+    /// Serves a request of a VM that reaches no target.
+    async fn assist(&self, call: AssistCall) -> DispatchReply {
+        let (Some(worker), Some(assisted)) = (self.worker(), call.into_assisted()) else {
+            return DispatchReply::NotServing;
+        };
+        match worker.assist(assisted).await {
+            Some(served) => DispatchReply::Assisted(Box::new(served.into())),
+            None => DispatchReply::NotServing,
         }
     }
 
@@ -175,6 +205,9 @@
 
     /// Sends a request for another VM once a permit is granted.
     pub(super) async fn forward(self: &Rc<Self>, call: ForwardCall) -> DispatchReply {
+        if self.worker().is_some_and(|worker| worker.is_cut_off()) {
+            return DispatchReply::NotServing;
+        }
         let arrived = Instant::now();
         let group = call.acquire.group.clone();
         let deadline = arrived + duration(call.acquire.deadline_in_ms);
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use actix_http::{Payload, Request};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use nickellead_core::Timestamp;
@@ -9,12 +10,14 @@
 use nickellead_limit::{BytePurpose, HeldBytes};
 
 use super::messages::{
-    WireAttempt, WireHeader, WireLimit, WireLoad, WireOutcome, WireRequest, WireResult, WireSignals,
+    AssistAnswer, AssistCall, WireAttempt, WireHeader, WireLimit, WireLoad, WireOutcome,
+    WireRequest, WireResult, WireSignals,
 };
 use crate::HeaderNames;
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptEnd, AttemptResult, LossReason, OutgoingRequest, TargetResponse};
 use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
+use crate::worker::{AssistFailure, AssistedRequest};
 
 /// A duration in whole milliseconds, as in messages.
 pub(super) fn millis(duration: Duration) -> u32 {
@@ -111,6 +114,45 @@
     }
 }
 
+impl AssistCall {
+    /// The request as if its caller had sent it to this VM; `None` if it is not valid.
+    pub(super) fn into_assisted(self) -> Option<AssistedRequest> {
+        let wire = self.request;
+        let (mut request, _) = Request::new().replace_payload(Payload::from(wire.body));
+        let head = request.head_mut();
+        head.method = actix_http::Method::from_bytes(wire.method.as_bytes()).ok()?;
+        head.uri = wire.path_and_query.parse().ok()?;
+        for line in wire.headers {
+            let name = actix_http::header::HeaderName::from_bytes(line.name.as_bytes()).ok()?;
+            let value = actix_http::header::HeaderValue::from_bytes(&line.value).ok()?;
+            head.headers.append(name, value);
+        }
+        Some(AssistedRequest {
+            request,
+            version: self.version,
+            attempts_made: self.attempts_made,
+            caller_age: duration(self.caller_age_ms),
+            deadline_in: duration(self.deadline_in_ms),
+        })
+    }
+}
+
+impl From<Result<TargetResponse, AssistFailure>> for AssistAnswer {
+    fn from(served: Result<TargetResponse, AssistFailure>) -> Self {
+        match served {
+            Ok(response) => Self::Responded {
+                status: response.status.as_u16(),
+                headers: wire_headers(&response.headers),
+                body: response.body.to_vec(),
+            },
+            Err(failure) => Self::Failed {
+                error: failure.kind.response().code.to_owned(),
+                retry_after_ms: failure.retry_after.map(millis),
+            },
+        }
+    }
+}
+
 impl From<AttemptResult> for WireResult {
     fn from(result: AttemptResult) -> Self {
         match result {
@@ -178,7 +220,8 @@
     }
 }
 
-fn response_of(
+/// A response from a message, or why it is not usable; `held` has room for it.
+pub(super) fn response_of(
     status: u16,
     headers: Vec<WireHeader>,
     body: Vec<u8>,
@@ -196,7 +239,7 @@
     }
 }
 
-fn wire_headers(headers: &HeaderMap) -> Vec<WireHeader> {
+pub(super) fn wire_headers(headers: &HeaderMap) -> Vec<WireHeader> {
     let lines = headers.iter();
     lines
         .map(|(name, value)| WireHeader {
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -113,6 +113,16 @@
 }
 
 impl LossReason {
+    /// The error for a request whose outcome is unknown for this reason.
+    pub(crate) const fn error_kind(self) -> ErrorKind {
+        match self {
+            Self::Late => ErrorKind::AnswerLate,
+            Self::Broken => ErrorKind::AnswerLost,
+            Self::Foreign => ErrorKind::AnswerMalformed,
+            Self::NoMemory => ErrorKind::AnswerUnheld,
+        }
+    }
+
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Late => "late",
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -28,6 +28,12 @@
     pub(crate) quota_retry_after: Cell<Duration>,
     /// When a dispatcher expects room for the request, once it was refused.
     pub(crate) capacity_retry_after: Cell<Option<Duration>>,
+    /// What the VM that refused the request in place of this one advises the caller to wait.
+    pub(crate) assisted_retry_after: Cell<Option<Duration>>,
+    /// Attempts of the other VM that may have reached a target.
+    pub(crate) attempts_made: u32,
+    /// Whether another VM received the request from its caller.
+    pub(crate) assisted: bool,
     pub(crate) outgoing: OutgoingRequest,
     /// The bytes of the body, held until the request ends.
     pub(crate) _held: HeldBytes,
@@ -106,6 +112,9 @@
         workspace,
         quota_retry_after: Cell::default(),
         capacity_retry_after: Cell::default(),
+        assisted_retry_after: Cell::default(),
+        attempts_made: 0,
+        assisted: false,
         outgoing,
         _held: held,
         key,
--- a/crates/nickellead_gateway/src/metrics/reach.rs
+++ b/crates/nickellead_gateway/src/metrics/reach.rs
@@ -18,6 +18,12 @@
     pub(crate) response_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     /// VMs that take requests, as announced.
     pub(crate) known_vms: Gauge,
+    /// Whether this VM reaches no target.
+    pub(crate) cut_off: Gauge,
+    /// Requests that this VM handed to other VMs.
+    pub(crate) handed_over: Counter,
+    /// Requests that this VM served for others.
+    pub(crate) assisted: Counter,
     failures: Family<ReasonLabel, Counter>,
 }
 
@@ -29,6 +35,12 @@
         registry.register("target_response_age_seconds", help, metrics.response_age.clone());
         let help = "VMs that take requests, as announced by the mandate holder";
         registry.register("known_vms", help, metrics.known_vms.clone());
+        let help = "Whether this VM can't connect to any target";
+        registry.register("vm_cut_off", help, metrics.cut_off.clone());
+        let help = "Requests that this VM, cut off from targets, handed to other VMs";
+        registry.register("requests_handed_over", help, metrics.handed_over.clone());
+        let help = "Requests that this VM served for VMs that are cut off from targets";
+        registry.register("requests_assisted", help, metrics.assisted.clone());
         let help = "Attempts that failed while connecting to a target, by reason";
         registry.register("target_connect_failures", help, metrics.failures.clone());
         metrics
--- a/crates/nickellead_gateway/src/policy.rs
+++ b/crates/nickellead_gateway/src/policy.rs
@@ -60,6 +60,8 @@
     pub shared_admission: PolicySwitch,
     /// Owners are weighted by their measured latency.
     pub measured_speeds: PolicySwitch,
+    /// A VM that reaches no target has its requests served by other VMs.
+    pub assistance: PolicySwitch,
     /// One VM decides for the targets of a group, where settings and declarations call for it.
     pub dispatch: PolicySwitch,
 }
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -14,9 +14,11 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 
-use crate::dispatch::{DispatchClient, DispatchServer, ServerContext, ZoneReports, serve_dispatch};
+use crate::dispatch::{
+    AssistClient, DispatchClient, DispatchServer, ServerContext, ZoneReports, serve_dispatch,
+};
 use crate::drain::DrainState;
-use crate::load_counter::LoadCounter;
+use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::{ControlMetrics, GatewayMetrics};
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
@@ -95,7 +97,8 @@
         zone_reports: Rc::clone(&zone_reports),
         memory: memory.clone(),
     };
-    let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, server));
+    let own_id = VmId::new(&context.vm, &context.zone);
+    let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, own_id, server));
     let worker = RequestWorker::new(WorkerContext {
         header_names: context.names,
         vm: context.vm,
@@ -116,6 +119,7 @@
         memory,
         serve_state: Arc::clone(&context.serve_state),
     });
+    worker.accept_assisted();
     forward_state(&worker, &context.receivers);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
         serve_readiness(listener, &worker, &registry, context.receivers.clone(), &context.drain);
@@ -140,13 +144,17 @@
 }
 
 /// Starts this VM's dispatcher; `None` if its listener can't be used.
-fn start_dispatch(settings: DispatchSettings, context: ServerContext) -> Option<WorkerDispatch> {
+fn start_dispatch(
+    settings: DispatchSettings,
+    vm: VmId,
+    context: ServerContext,
+) -> Option<WorkerDispatch> {
     let listener = tokio::net::TcpListener::from_std(settings.listener).ok()?;
     let server = DispatchServer::new(context);
     actix_rt::spawn(serve_dispatch(listener, Rc::clone(&server)));
     actix_rt::spawn(Rc::clone(&server).run_timer());
     let client = DispatchClient::new(server, settings.announced);
-    Some(WorkerDispatch { client, scope: settings.scope })
+    Some(WorkerDispatch { client, assist: AssistClient::new(vm), scope: settings.scope })
 }
 
 /// Waits until every request has a response and the operating system has taken all response bytes.
@@ -170,7 +178,8 @@
     let handler = move |request: Request| {
         let has_state =
             receivers.declarations.borrow().is_some() && !receivers.targets.borrow().is_empty();
-        let ready = has_state && !drain.is_draining() && worker.can_check_keys();
+        let may_serve = worker.can_check_keys() && !worker.is_isolated();
+        let ready = has_state && !drain.is_draining() && may_serve;
         let response = readiness_response(&request, ready, &registry, &worker);
         async move { response }
     };
@@ -221,6 +230,7 @@
     });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
+    actix_rt::spawn(Rc::clone(worker).run_reach_checks());
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.apply_zone_reports().await });
     let updated = Rc::clone(worker);
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -409,6 +409,11 @@
         self.by_id.get(id)
     }
 
+    /// All listed targets.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Rc<RegisteredTarget>> {
+        self.by_id.values()
+    }
+
     /// The listed targets of an availability zone.
     pub(crate) fn in_zone<'a>(
         &'a self,
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -28,6 +28,15 @@
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
         let mut attempts = AttemptState::default();
+        let elsewhere = self.serve_elsewhere(incoming, &mut attempts);
+        match self.until_drain_end(elsewhere).await {
+            Ok(None) => {}
+            Ok(Some(served)) => return served,
+            Err(kind) => {
+                attempts.may_have_run = true;
+                return finish(&mut attempts, kind);
+            }
+        }
         let served = self.serve_attempts(incoming, &mut attempts).await;
         self.give_back_token(incoming, &mut attempts);
         served
@@ -45,9 +54,23 @@
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
         self.record_request(incoming, &weighted.service);
         loop {
+            if self.must_hand_over(incoming, attempts) {
+                self.give_back_token(incoming, attempts);
+                let elsewhere = self.serve_elsewhere(incoming, attempts);
+                match self.until_drain_end(elsewhere).await {
+                    Ok(None) => {}
+                    Ok(Some(served)) => return served,
+                    Err(kind) => {
+                        attempts.may_have_run = true;
+                        return finish(attempts, kind);
+                    }
+                }
+            }
             let selecting = self.select_target(incoming, &weighted.service, attempts);
             let selected = match self.until_drain_end(selecting).await.flatten() {
                 Ok(selected) => selected,
+                // The VM was found to be cut off while the request waited.
+                Err(_) if self.must_hand_over(incoming, attempts) => continue,
                 Err(kind) => return finish(attempts, kind),
             };
             // The request may have waited for longer than its token is valid.
@@ -79,6 +102,12 @@
             if self.owner_is_paused(&weighted.service, &target) {
                 return finish(attempts, ErrorKind::TargetPaused);
             }
+            if attempts.sent == 0 {
+                self.wait_for_check(incoming).await;
+                if self.must_hand_over(incoming, attempts) {
+                    continue;
+                }
+            }
             if !self.take_retry_permit(incoming, &weighted.service, attempts) {
                 let kind = attempts.refusal_kind();
                 return finish(attempts, kind);
@@ -120,14 +149,14 @@
     }
 
     /// Whether one more attempt is allowed. If so, charges it to the service's retry budget.
-    fn take_retry_permit(
+    pub(super) fn take_retry_permit(
         &self,
         incoming: &IncomingRequest,
         service: &str,
         attempts: &AttemptState,
     ) -> bool {
-        let within =
-            attempts.sent < incoming.route.rule.attempts && attempts.unsent < MAX_UNSENT_ATTEMPTS;
+        let sent = attempts.sent + incoming.attempts_made;
+        let within = sent < incoming.route.rule.attempts && attempts.unsent < MAX_UNSENT_ATTEMPTS;
         if !within || incoming.remaining() < RESPONSE_RETURN_RESERVE * 2 {
             return false;
         }
@@ -165,6 +194,7 @@
             deadline: until,
             permit: &permit,
         };
+        let began = BootClock.now();
         let guard = AbandonGuard { target, since: Instant::now(), armed: true };
         let latency_target = incoming.route.rule.latency_target;
         let unless_lost = async {
@@ -174,6 +204,9 @@
                 () = self.wait_for_lost_zone(&target.zone, &connecting) => {
                     AttemptResult::NotSent(ConnectFailure::OutOfReach).into()
                 }
+                () = self.wait_until_cut_off(&connecting) => {
+                    AttemptResult::NotSent(ConnectFailure::OutOfReach).into()
+                }
             }
         };
         let mut sending = std::pin::pin!(unless_lost);
@@ -184,6 +217,7 @@
                 if self.policy.answer_time_limit.is_on() {
                     target.record_overdue(latency_target, BootClock.now());
                 }
+                self.suspect_cut(began);
                 sending.await
             }
         };
@@ -209,7 +243,10 @@
 
 /// Ends a request without a successful response: with an error response of a target if there is
 /// one, and otherwise with `kind`.
-fn finish(attempts: &mut AttemptState, kind: ErrorKind) -> Result<TargetResponse, ErrorKind> {
+pub(super) fn finish(
+    attempts: &mut AttemptState,
+    kind: ErrorKind,
+) -> Result<TargetResponse, ErrorKind> {
     if let Some(response) = attempts.response.take() {
         return Ok(response);
     }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -5,16 +5,19 @@
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
 //! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
-//! `outcome` evaluates attempts, `reach` applies changes of the zones in reach, and `responses` builds
+//! `vm_reach` checks whether this VM reaches any target, and `assisting` has requests served by other
+//! VMs while it does not. `outcome` evaluates attempts, `reach` applies changes of the zones in reach, and `responses` builds
 //! what the caller receives.
 
 mod access;
+mod assisting;
 mod attempts;
 mod dispatching;
 mod outcome;
 mod reach;
 mod responses;
 mod selection;
+mod vm_reach;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -33,10 +36,12 @@
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
 
+pub(crate) use self::assisting::{AssistFailure, AssistedRequest};
 use self::responses::forward_response;
+use self::vm_reach::VmReach;
 use crate::admission::{AdmissionTable, CachedAdmission};
 use crate::connections::ConnectFailure;
-use crate::dispatch::{DispatchClient, GroupTable, ZoneReports};
+use crate::dispatch::{AssistClient, DispatchClient, GroupTable, ZoneReports};
 use crate::drain::DrainState;
 use crate::evacuation::ZoneStates;
 use crate::exchange::TargetResponse;
@@ -127,6 +132,7 @@
 /// How this VM takes part in dispatch.
 pub(crate) struct WorkerDispatch {
     pub(crate) client: Rc<DispatchClient>,
+    pub(crate) assist: AssistClient,
     pub(crate) scope: DispatchScope,
 }
 
@@ -171,6 +177,9 @@
     reach_changed: Notify,
     /// When a target last responded, or when the VM started.
     last_response: Cell<Timestamp>,
+    vm_reach: VmReach,
+    /// Requests of other VMs that are being served.
+    assisted: Cell<usize>,
     /// What this VM and others of its zone tell each other about other zones.
     zone_reports: Rc<ZoneReports>,
     /// When ranges were first seen without a usable owner, by fence.
@@ -215,6 +224,8 @@
     undispatched: bool,
     /// Whether the announced limits on overloaded owners admitted the request.
     admitted: bool,
+    /// Whether no other VM took the request.
+    unassisted: bool,
 }
 
 /// An attempt that failed while connecting.
@@ -263,6 +274,8 @@
             reachability: context.reachability,
             reach_changed: Notify::new(),
             last_response: Cell::new(BootClock.now()),
+            vm_reach: VmReach::default(),
+            assisted: Cell::new(0),
             zone_reports: context.zone_reports,
             ownerless_since: RefCell::default(),
             drain: context.drain,
@@ -352,6 +365,9 @@
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
         self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
+        if let Some(dispatch) = &self.dispatch {
+            dispatch.assist.retain(&fleet);
+        }
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
         self.rebuild_registry(&mut state);
@@ -395,14 +411,7 @@
         if !known && !self.wait_for_declarations(&request).await {
             return self.refuse(ErrorKind::NotConfigured, &id, None);
         }
-        let (routes, limits) = {
-            let state = self.state.borrow();
-            (Rc::clone(&state.routes), state.limits)
-        };
-        let identify = |route: &RouteRule, credential| self.identify(route, credential);
-        let names = &self.header_names;
-        let reading = read_request(request, names, limits, &routes, &self.memory, identify);
-        let incoming = match reading.await {
+        let incoming = match self.read(request).await {
             Ok(incoming) if self.policy.caller_age.is_on() => incoming,
             Ok(incoming) => IncomingRequest { caller_age: Duration::ZERO, ..incoming },
             Err(kind) => return self.refuse_unread(kind, &id),
@@ -421,6 +430,17 @@
         }
     }
 
+    /// Reads a request by the declarations in force.
+    async fn read(&self, request: Request) -> Result<IncomingRequest, ErrorKind> {
+        let (routes, limits) = {
+            let state = self.state.borrow();
+            (Rc::clone(&state.routes), state.limits)
+        };
+        let identify = |route: &RouteRule, credential| self.identify(route, credential);
+        let names = &self.header_names;
+        read_request(request, names, limits, &routes, &self.memory, identify).await
+    }
+
     /// Waits for the first declarations of a VM that has just started; `false` on timeout.
     async fn wait_for_declarations(&self, request: &Request) -> bool {
         let deadline = request.headers().get(self.header_names.deadline_ms);
@@ -447,6 +467,7 @@
         metrics.zones_out_of_reach.set(i64::try_from(out_of_reach).unwrap_or(i64::MAX));
         let response_age = BootClock.now().since(self.last_response.get());
         metrics.reach.response_age.set(response_age.as_secs_f64());
+        metrics.reach.cut_off.set(i64::from(self.is_cut_off()));
         metrics.reach.known_vms.set(gauge_value(state.fleet.vms.len()));
         metrics.held_bytes.set(gauge_value(self.memory.held()));
         metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_balance::TargetOutcome;
-use nickellead_core::{ErrorKind, Timestamp};
+use nickellead_core::Timestamp;
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
@@ -240,12 +240,7 @@
     if is_repeatable(incoming) && may_help {
         return NextStep::Retry;
     }
-    NextStep::Fail(match reason {
-        LossReason::Late => ErrorKind::AnswerLate,
-        LossReason::Broken => ErrorKind::AnswerLost,
-        LossReason::Foreign => ErrorKind::AnswerMalformed,
-        LossReason::NoMemory => ErrorKind::AnswerUnheld,
-    })
+    NextStep::Fail(reason.error_kind())
 }
 
 fn log_retry(incoming: &IncomingRequest, target: &RegisteredTarget, reason: &str) {
--- a/crates/nickellead_gateway/src/worker/reach.rs
+++ b/crates/nickellead_gateway/src/worker/reach.rs
@@ -9,7 +9,7 @@
 
 use super::{AttemptState, RequestWorker, UnconnectedAttempt};
 use crate::connections::ConnectFailure;
-use crate::exchange::AttemptResult;
+use crate::exchange::{AttemptResult, LossReason};
 use crate::target_registry::RegisteredTarget;
 use crate::waiting::wait_for;
 
@@ -42,11 +42,14 @@
                 let Some(failure) = reach_failure(*failure) else { return };
                 let tried = FailedTry { target: &target.id, failure, began };
                 self.reachability.record_failure(&target.zone, &tried, now);
+                self.suspect_cut(began);
             }
             AttemptResult::Responded(_) | AttemptResult::Shed | AttemptResult::Misdirected => {
                 self.reachability.record_response(&target.zone, now);
                 self.last_response.set(now);
+                self.vm_reach.record_reached(now);
             }
+            AttemptResult::Lost(LossReason::Late | LossReason::Broken) => self.suspect_cut(began),
             AttemptResult::Withheld | AttemptResult::Forbidden(_) | AttemptResult::Lost(_) => {}
         }
         self.apply_reach_changes();
@@ -66,7 +69,9 @@
         let changes = self.reachability.take_changes(now);
         for change in &changes {
             log_change(change);
-            self.zone_reports.record_change(change, now);
+            if !self.is_cut_off() {
+                self.zone_reports.record_change(change, now);
+            }
             if !change.in_reach {
                 self.wake_zone(&change.zone);
             }
@@ -76,6 +81,13 @@
         }
     }
 
+    /// Wakes all requests that wait for a target.
+    pub(super) fn wake_all(&self) {
+        self.state.borrow().registry.all().for_each(|target| target.wait_queue.wake_all());
+        self.queues.borrow().values().for_each(|queue| queue.wake_all());
+        self.changed.notify_waiters();
+    }
+
     /// Wakes the requests that wait for a target of a zone, so that they select another one or are
     /// refused.
     fn wake_zone(&self, zone: &str) {
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -73,11 +73,8 @@
             let scheme = HeaderValue::from_static("Bearer");
             response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
         }
-        let jitter =
-            1.0 - RETRY_JITTER_FRACTION / 2.0 + self.rng.borrow_mut().f64() * RETRY_JITTER_FRACTION;
-        let told_wait = incoming.and_then(|incoming| self.told_retry_after(kind, incoming));
-        let estimated_wait = || Some(self.retry_after(kind, incoming)?.mul_f64(jitter));
-        if let Some(wait) = told_wait.or_else(estimated_wait) {
+        let assisted_wait = incoming.and_then(|incoming| incoming.assisted_retry_after.get());
+        if let Some(wait) = assisted_wait.or_else(|| self.advise_retry(kind, incoming)) {
             let seconds = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 response.headers_mut().insert(RETRY_AFTER, value);
@@ -86,6 +83,20 @@
         response
     }
 
+    /// How long the caller of a refused request is to wait before it retries; `None` if a retry does
+    /// not help.
+    pub(super) fn advise_retry(
+        &self,
+        kind: ErrorKind,
+        incoming: Option<&IncomingRequest>,
+    ) -> Option<Duration> {
+        let jitter =
+            1.0 - RETRY_JITTER_FRACTION / 2.0 + self.rng.borrow_mut().f64() * RETRY_JITTER_FRACTION;
+        let told_wait = incoming.and_then(|incoming| self.told_retry_after(kind, incoming));
+        let estimated_wait = || Some(self.retry_after(kind, incoming)?.mul_f64(jitter));
+        told_wait.or_else(estimated_wait)
+    }
+
     /// The delay after which a dispatcher expects room for a refused request.
     ///
     /// No two callers are told the same time, so it is used as it is.
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -73,6 +73,10 @@
             chosen = self.choose_target(incoming, service, attempts).await;
         }
         let target = chosen?;
+        let has_no_path = self.must_hand_over(incoming, attempts) || self.is_cut_off_silently();
+        if has_no_path {
+            return Err(ErrorKind::TargetUnreachable);
+        }
         if !self.allows_zone(incoming, &target.zone) {
             // The keys have no other owner.
             return Err(ErrorKind::RegionNotAllowed);
--- a/crates/nickellead_gateway/tests/cut_off_vms.rs
+++ b/crates/nickellead_gateway/tests/cut_off_vms.rs
@@ -4,8 +4,11 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use common::link::PacedLink;
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget, header};
 use common::target_link::{CutManner, TargetLink};
@@ -17,6 +20,10 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// How long callers are watched after that.
 const WATCHED_TIME: Duration = Duration::from_secs(3);
+/// A link that does not limit anything.
+const FAST_LINK: f64 = 1e9;
+/// Time in which a request that can't be served is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
 /// The kinds of requests: safe, at most once, and for the owner of a key.
 const REQUESTS: [(&str, &str); 3] = [("GET", "/read/a"), ("POST", "/write/a"), ("GET", "/key/a")];
 
@@ -27,6 +34,8 @@
     links: Vec<TargetLink>,
     cut_off: TestGateway,
     connected: TestGateway,
+    /// The way to the second VM's dispatch address.
+    vm_link: PacedLink,
 }
 
 impl CutFleet {
@@ -40,17 +49,19 @@
         };
         let (targets, links) = ["plain", "keyed"].into_iter().map(start).unzip();
         store.declare(declarations(1));
-        let gateway = |role: &str| {
-            TestGateway::start_as(&format!("{name}-{role}"), &store, |settings| {
-                settings.dispatch_address = Some(free_address());
-            })
-        };
-        let cut_off = gateway("cut-off");
+        let cut_off = TestGateway::start_as(&format!("{name}-cut-off"), &store, |settings| {
+            settings.dispatch_address = Some(free_address());
+        });
         wait_until("the first VM holds the mandate", || {
             store.mandate_holder() == Some(format!("{name}-cut-off"))
         });
-        let connected = gateway("connected");
-        let fleet = Self { targets, links, cut_off, connected, store };
+        let dispatch_address = free_address();
+        let vm_link = PacedLink::open(dispatch_address, FAST_LINK);
+        let connected = TestGateway::start_as(&format!("{name}-connected"), &store, |settings| {
+            settings.dispatch_address = Some(dispatch_address);
+            settings.dispatch_announced = Some(vm_link.address);
+        });
+        let fleet = Self { store, targets, links, cut_off, connected, vm_link };
         fleet.warm_up();
         fleet
     }
@@ -78,6 +89,12 @@
         self.links.iter().for_each(|link| link.cut(manner));
     }
 
+    /// Cuts both VMs off.
+    fn cut_both(&self, manner: CutManner) {
+        self.links.iter().for_each(TargetLink::mark);
+        self.cut(manner);
+    }
+
     fn heal(&self) {
         self.links.iter().for_each(TargetLink::heal);
     }
@@ -216,3 +233,101 @@
     let pause = longest_pause_of_grants(&fleet.store, cut_at);
     assert!(pause < OwnershipSettings::default().lease(), "no lease was renewed for {pause:?}");
 }
+
+/// Whether the readiness endpoint responds with 200.
+fn is_ready(gateway: &TestGateway) -> bool {
+    exchange(gateway.readiness, "GET /ready HTTP/1.1\r\nhost: a\r\n\r\n")
+        .starts_with("HTTP/1.1 200")
+}
+
+/// Waits until a VM knows that it reaches no target, by sending it requests.
+fn wait_until_cut_off(gateway: &TestGateway) {
+    wait_until("the VM knows that it is cut off", || {
+        send_as(gateway, "GET", "/key/a", "probe");
+        metric(gateway, "nickellead_vm_cut_off") == 1.0
+    });
+}
+
+/// A VM that reached neither a target nor another VM stayed ready, and callers kept coming.
+#[test]
+fn a_vm_without_targets_and_other_vms_is_not_ready_until_it_reaches_targets() {
+    let fleet = CutFleet::start("isolated");
+    fleet.vm_link.set_cut(true);
+    fleet.cut(CutManner::Reset);
+    wait_until_cut_off(&fleet.cut_off);
+    wait_until("the VM is not ready", || !is_ready(&fleet.cut_off));
+    let started = Instant::now();
+    let response = send_as(&fleet.cut_off, "GET", "/key/a", "isolated");
+    assert!(response.contains("target-unreachable"), "{response}");
+    assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
+    fleet.vm_link.set_cut(false);
+    fleet.heal();
+    wait_until("the VM is ready", || is_ready(&fleet.cut_off));
+}
+
+/// Guards against VMs that hand requests to each other, or all say that they are not ready, while
+/// none reaches a target.
+#[test]
+fn vms_that_all_reach_no_target_refuse_at_once_and_stay_ready() {
+    let fleet = CutFleet::start("all-cut");
+    fleet.cut_both(CutManner::Silent);
+    for gateway in [&fleet.cut_off, &fleet.connected] {
+        wait_until_cut_off(gateway);
+    }
+    for number in 0..40 {
+        for gateway in [&fleet.cut_off, &fleet.connected] {
+            let (method, path) = REQUESTS[number % REQUESTS.len()];
+            let started = Instant::now();
+            let response = send_as(gateway, method, path, &format!("all-{number}"));
+            assert!(response.contains("target-unreachable"), "{method} {path}: {response}");
+            assert!(response.contains("retry-after"), "{response}");
+            assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
+            assert!(is_ready(gateway));
+        }
+    }
+    fleet.heal();
+    for gateway in [&fleet.cut_off, &fleet.connected] {
+        for (method, path) in REQUESTS {
+            wait_until("requests are served again", || {
+                send_as(gateway, method, path, "again").contains(" 200 ")
+            });
+        }
+    }
+}
+
+/// Guards the promise of a refusal: a request that another VM may have sent must not be called not
+/// run, and must not be sent again unless it may run more than once.
+#[test]
+fn a_request_lost_at_the_other_vm_is_not_called_refused() {
+    let fleet = CutFleet::start("lost");
+    fleet.cut(CutManner::Reset);
+    wait_until_cut_off(&fleet.cut_off);
+    fleet.targets[0].set_behavior(Behavior::NeverRespond);
+    fleet.targets[0].clear_requests();
+    let sending = fleet.cut_off.send_in_background("POST", "/write/lost");
+    wait_until("the target runs the request", || fleet.targets[0].requests().len() == 1);
+    fleet.vm_link.set_cut(true);
+    let response = sending.join().unwrap();
+    assert!(response.contains("nickellead-outcome: unknown"), "{response}");
+    let status = response.split(' ').nth(1);
+    assert!(matches!(status, Some("502" | "504")), "{response}");
+    assert_eq!(fleet.targets[0].requests().len(), 1);
+}
+
+/// Guards against work that goes on at a target after a caller of another VM has left.
+#[test]
+fn a_caller_that_leaves_cancels_its_request_at_the_other_vm() {
+    let fleet = CutFleet::start("left");
+    fleet.cut(CutManner::Reset);
+    wait_until_cut_off(&fleet.cut_off);
+    fleet.targets[0].set_behavior(Behavior::NeverRespond);
+    fleet.targets[0].clear_requests();
+    let mut caller = TcpStream::connect(fleet.cut_off.callers).unwrap();
+    let head = "GET /read/left HTTP/1.1\r\nhost: board.example\r\nx-request-id: left\r\n";
+    write!(caller, "{head}x-deadline-ms: 1900\r\n\r\n").unwrap();
+    wait_until("the target runs the request", || !fleet.targets[0].requests().is_empty());
+    let started = Instant::now();
+    drop(caller);
+    wait_until("the request is abandoned", || fleet.targets[0].abandoned_requests() > 0);
+    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+}
--- a/crates/nickellead_peer/src/channel.rs
+++ b/crates/nickellead_peer/src/channel.rs
@@ -71,6 +71,18 @@
         self.address
     }
 
+    /// Opens a connection unless one is open, so that a call which must not be repeated fails before
+    /// anything is sent.
+    ///
+    /// # Errors
+    /// A [`PeerError`] if there is no connection after `limit`.
+    pub async fn prepare(&self, limit: Duration) -> Result<(), PeerError> {
+        match timeout_at(Instant::now() + limit, self.connect()).await {
+            Ok(connected) => connected.map(|_| ()),
+            Err(_) => Err(PeerError::Timeout),
+        }
+    }
+
     /// Sends a request, which must be acknowledged within `ack_timeout`, and receives the response,
     /// which must be complete within `limit`; both count from now.
     ///
--- a/crates/nickellead_report/src/context.rs
+++ b/crates/nickellead_report/src/context.rs
@@ -55,6 +55,7 @@
             | EventName::StoreRegained
             | EventName::StoreOlder
             | EventName::ZoneOutOfReach
+            | EventName::VmCutOff
             | EventName::NewsSource
             | EventName::ConfigInForce
             | EventName::NodeStarted
--- a/crates/nickellead_report/src/explain.rs
+++ b/crates/nickellead_report/src/explain.rs
@@ -82,8 +82,7 @@
 /// Adds the meaning of the error, the context and the likely cause.
 fn explain_failure(explanation: &mut RequestExplanation, failed: &LogLine, lines: &[LogLine]) {
     let code = failed.field("error").unwrap_or_default();
-    let Some(kind) = ErrorKind::ALL.iter().copied().find(|kind| kind.response().code == code)
-    else {
+    let Some(kind) = ErrorKind::parse(code) else {
         explanation
             .missing
             .push(format!("error {code:?} is not in the error table of this version"));
