A mandate holder that reaches no target leaves the mandate to one that does

Cause: the holder kept renewing its mandate at the store, which it reached, while none of its orders reached a target. Leases ended, and no VM could take over.

Change: failed orders have the request thread check targets, also without requests. After two failed checks, and if another VM answered that it reaches targets, the holder releases the mandate and does not take it while that lasts. Late orders are recorded first, as at a stop.

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -43,8 +43,15 @@
     let mut has_delayed_start = false;
     loop {
         if control.mandate.borrow().is_held() {
+            if control.reach_signal.yields() && control.yield_mandate().await {
+                continue;
+            }
             control.write_mandate().await;
-            control.probe_store(MANDATE_RENEWAL_INTERVAL).await;
+            let may_yield_later = !control.reach_signal.yields();
+            tokio::select! {
+                () = control.probe_store(MANDATE_RENEWAL_INTERVAL) => {}
+                () = control.reach_signal.wait_to_yield(), if may_yield_later => {}
+            }
             continue;
         }
         let Ok(holder) = control.read_mandate().await else {
@@ -197,7 +204,8 @@
     /// Whether this VM may take the mandate now and does not hold it.
     fn may_take_mandate(&self) -> bool {
         let mandate = self.mandate.borrow();
-        !mandate.is_held() && mandate.due_write(BootClock.now()).is_some()
+        let may_lead = !mandate.is_held() && !self.reach_signal.yields();
+        may_lead && mandate.due_write(BootClock.now()).is_some()
     }
 
     async fn write_mandate(&self) {
@@ -264,6 +272,18 @@
         }
     }
 
+    /// Releases the mandate of a VM that reaches no target, so that one that does renews the leases.
+    /// Returns whether this VM no longer holds it.
+    async fn yield_mandate(&self) -> bool {
+        // The map must record late orders first.
+        if self.has_unrecorded_late_orders() || self.health.is_unavailable() {
+            return false;
+        }
+        self.release_mandate().await;
+        self.relay.set_holds_mandate(false);
+        true
+    }
+
     /// Releases the mandate, so that another VM takes it without waiting.
     pub(super) async fn release_mandate(&self) {
         let unrecorded = self.has_unrecorded_late_orders();
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -45,6 +45,7 @@
 use crate::state_channels::StateSenders;
 use crate::store_health::StoreHealth;
 use crate::store_watch::StoreWatcher;
+use crate::vm_reach::ReachSignal;
 use crate::{
     ColdSettings, OrderPort, OwnershipSettings, PolicySettings, Revision, StoreEra, StorePort,
 };
@@ -82,6 +83,7 @@
     pub(crate) evacuations_enabled: bool,
     /// Most age of the declarations with which keys may be checked; `None` for no limit.
     pub(crate) max_key_age: Option<Duration>,
+    pub(crate) reach_signal: ReachSignal,
 }
 
 /// The control loop of one VM.
@@ -140,6 +142,8 @@
     vm: String,
     /// How much longer than others this VM waits before it takes the mandate.
     takeover_delay: Duration,
+    /// Whether this VM leaves the mandate to VMs that reach targets.
+    reach_signal: ReachSignal,
 }
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
@@ -196,6 +200,7 @@
             fleet_announcement: Cell::new(None),
             vm: context.vm,
             takeover_delay,
+            reach_signal: context.reach_signal,
         })
     }
 
--- a/crates/nickellead_gateway/src/control/orders.rs
+++ b/crates/nickellead_gateway/src/control/orders.rs
@@ -66,6 +66,9 @@
         };
         let reply = self.orders.send(order, self.ownership.lease(), timeout).await;
         self.metrics.count_order(&order.kind, &reply.outcome);
+        if !has_arrived(&reply.outcome) {
+            self.reach_signal.report_failed_order();
+        }
         if !matches!(reply.outcome, OrderOutcome::Done(_)) {
             log_order_failure(order, &reply.outcome);
         }
@@ -90,6 +93,14 @@
     }
 }
 
+/// Whether a target responded to an order.
+fn has_arrived(outcome: &OrderOutcome) -> bool {
+    match outcome {
+        OrderOutcome::Done(_) | OrderOutcome::Outranked | OrderOutcome::Ended => true,
+        OrderOutcome::NotSent | OrderOutcome::Broken | OrderOutcome::Unanswered => false,
+    }
+}
+
 fn log_order_failure(order: &RangeOrder, outcome: &OrderOutcome) {
     let pairs: [(&str, &dyn std::fmt::Display); 6] = [
         ("order", &order.kind.as_str()),
--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -27,6 +27,8 @@
 const DECLINED_TIME: Duration = Duration::from_millis(500);
 /// Longest time until a VM answers whether it could serve requests.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the last sign of a VM that reaches targets counts.
+const ASSISTANT_TTL: Duration = Duration::from_millis(1_500);
 /// Consecutive calls without an answer after which no other VM counts as reachable.
 const ISOLATING_FAILURES: u32 = 3;
 
@@ -81,13 +83,20 @@
 pub(crate) struct AssistClient {
     vm: VmId,
     peers: RefCell<HashMap<SocketAddr, Rc<AssistPeer>>>,
+    /// When a VM last showed that it reaches targets.
+    assistant_seen: Cell<Option<Timestamp>>,
     /// Calls without an answer since the last answer of any VM.
     unanswered: Cell<u32>,
 }
 
 impl AssistClient {
     pub(crate) fn new(vm: VmId) -> Self {
-        Self { vm, peers: RefCell::default(), unanswered: Cell::default() }
+        Self {
+            vm,
+            peers: RefCell::default(),
+            assistant_seen: Cell::default(),
+            unanswered: Cell::default(),
+        }
     }
 
     /// Forgets the VMs that are gone.
@@ -96,6 +105,11 @@
         self.peers.borrow_mut().retain(|address, _| is_known(address));
     }
 
+    /// Whether another VM has shown lately that it reaches targets.
+    pub(crate) fn has_assistant(&self, now: Timestamp) -> bool {
+        self.assistant_seen.get().is_some_and(|at| now.since(at) < ASSISTANT_TTL)
+    }
+
     /// Whether no other VM answers.
     pub(crate) fn is_isolated(&self) -> bool {
         self.unanswered.get() >= ISOLATING_FAILURES
@@ -189,6 +203,7 @@
         };
         match *answer {
             AssistAnswer::Responded { status, headers, body } => {
+                self.assistant_seen.set(Some(BootClock.now()));
                 match response_of(status, headers, body, held) {
                     AttemptResult::Responded(response) => AssistEnd::Responded(response),
                     AttemptResult::Lost(reason) => AssistEnd::Lost(reason),
@@ -215,6 +230,7 @@
         match assistant.peer.call_within(&probe, ACK_TIMEOUT, PROBE_TIMEOUT).await {
             Ok(DispatchReply::Released) => {
                 self.unanswered.set(0);
+                self.assistant_seen.set(Some(BootClock.now()));
             }
             Ok(_) => {
                 self.unanswered.set(0);
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod store_watch;
 mod target_registry;
 mod targets;
+mod vm_reach;
 mod waiting;
 mod worker;
 mod workspace_table;
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::regions::RegionMap;
 use crate::requests::{self, DispatchSettings, RequestContext};
 use crate::state_channels::state_channels;
+use crate::vm_reach::ReachSignal;
 use crate::{GatewaySettings, HeaderNames, OrderPort, StorePort};
 
 /// Fraction of the grace time during which a stopping VM still accepts connections.
@@ -102,6 +103,7 @@
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
+    let reach_signal = ReachSignal::default();
     let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
     let announced = settings.announced_dispatch_address();
     let dispatch = listeners.dispatch.zip(announced).map(|(listener, announced)| {
@@ -128,6 +130,7 @@
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
         max_held_bytes: settings.max_held_bytes(),
+        reach_signal: reach_signal.clone(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
         dispatch,
     })?;
@@ -147,6 +150,7 @@
         cold_settings: settings.cold,
         evacuations_enabled: settings.evacuation_s.is_some(),
         max_key_age: settings.max_key_age(),
+        reach_signal,
     };
     let control_thread = control::start(context, token_requests, listeners.peers, stopped, ports)?;
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -23,6 +23,7 @@
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
+use crate::vm_reach::ReachSignal;
 use crate::worker::{RequestWorker, WorkerContext, WorkerDispatch};
 use crate::{ColdSettings, DispatchScope, HeaderNames, PolicySettings};
 
@@ -66,6 +67,7 @@
     /// `None` if the VM does not take part in dispatch.
     pub(crate) dispatch: Option<DispatchSettings>,
     pub(crate) max_held_bytes: Option<usize>,
+    pub(crate) reach_signal: ReachSignal,
 }
 
 /// Starts the request thread.
@@ -118,6 +120,7 @@
         zone_reports,
         memory,
         serve_state: Arc::clone(&context.serve_state),
+        reach_signal: context.reach_signal,
     });
     worker.accept_assisted();
     forward_state(&worker, &context.receivers);
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -53,6 +53,7 @@
 use crate::regions::RegionMap;
 use crate::route_table::RouteTable;
 use crate::target_registry::{RegistryRules, TargetRegistry};
+use crate::vm_reach::ReachSignal;
 use crate::waiting::wait_for;
 use crate::workspace_table::WorkspaceTable;
 use crate::{
@@ -158,6 +159,7 @@
     /// Bytes of requests and responses that this VM holds.
     pub(crate) memory: ByteBudget,
     pub(crate) serve_state: Arc<ServeState>,
+    pub(crate) reach_signal: ReachSignal,
 }
 
 /// The request path of one VM.
@@ -274,7 +276,7 @@
             reachability: context.reachability,
             reach_changed: Notify::new(),
             last_response: Cell::new(BootClock.now()),
-            vm_reach: VmReach::default(),
+            vm_reach: VmReach::new(context.reach_signal),
             assisted: Cell::new(0),
             zone_reports: context.zone_reports,
             ownerless_since: RefCell::default(),
--- a/crates/nickellead_gateway/src/worker/vm_reach.rs
+++ b/crates/nickellead_gateway/src/worker/vm_reach.rs
@@ -16,6 +16,7 @@
 use crate::connections::ConnectFailure;
 use crate::incoming::IncomingRequest;
 use crate::target_registry::RegisteredTarget;
+use crate::vm_reach::ReachSignal;
 use crate::waiting::wait_for;
 
 /// Interval between checks while this VM reaches no target.
@@ -28,9 +29,10 @@
 const CHECK_STAGGER: Duration = Duration::from_millis(40);
 /// Timeout of each connection attempt of a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time that a failed order may have taken.
+const MAX_ORDER_DURATION: Duration = Duration::from_millis(500);
 
 /// What the request path knows of this VM's reach.
-#[derive(Default)]
 pub(super) struct VmReach {
     state: RefCell<VmReachability>,
     /// Whether a check is due or being made.
@@ -38,9 +40,20 @@
     due: Notify,
     /// Notified when a check ends.
     checked: Notify,
+    signal: ReachSignal,
 }
 
 impl VmReach {
+    pub(super) fn new(signal: ReachSignal) -> Self {
+        Self {
+            state: RefCell::default(),
+            checking: Cell::new(false),
+            due: Notify::new(),
+            checked: Notify::new(),
+            signal,
+        }
+    }
+
     /// Records that a target responded.
     pub(super) fn record_reached(&self, now: Timestamp) {
         self.state.borrow_mut().record_reached(now);
@@ -111,6 +124,7 @@
             if self.is_cut_off() {
                 self.probe_assistant().await;
             }
+            self.update_yielding();
         }
     }
 
@@ -122,9 +136,17 @@
                 false => std::future::pending().await,
             }
         };
+        let observing_orders = async {
+            loop {
+                self.vm_reach.signal.wait_for_failed_order().await;
+                let now = BootClock.now();
+                self.suspect_cut(now.checked_sub(MAX_ORDER_DURATION).unwrap_or(now));
+            }
+        };
         tokio::select! {
             () = self.vm_reach.due.notified() => {}
             () = repeating => {}
+            () = observing_orders => {}
         }
     }
 
@@ -183,6 +205,15 @@
             self.wake_all();
         }
     }
+
+    /// Tells the control thread whether to leave roles that need targets to other VMs.
+    fn update_yielding(&self) {
+        let reach = &self.vm_reach;
+        let is_confirmed = reach.state.borrow().is_confirmed();
+        let client = self.assist_client();
+        let has_assistant = client.is_some_and(|client| client.has_assistant(BootClock.now()));
+        reach.signal.set_yields(is_confirmed && has_assistant);
+    }
 }
 
 fn log_cut(cut_off: bool, check: ReachCheck) {
