--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Gateways under test: an in-memory store and targets on loopback sockets.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+pub mod cut_fleet;
 pub mod link;
 pub mod ownership;
 pub mod seeds;
--- a/crates/nickellead_gateway/tests/cut_off_vms.rs
+++ b/crates/nickellead_gateway/tests/cut_off_vms.rs
@@ -6,149 +6,68 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::link::PacedLink;
+use common::cut_fleet::{CutFleet, REQUESTS, metric, send_as};
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget, header};
 use common::target_link::{CutManner, TargetLink};
-use common::{TestGateway, declarations, entry, exchange, free_address, wait_until};
-use nickellead_gateway::OwnershipSettings;
+use common::{TestGateway, declarations, exchange, wait_until};
+use nickellead_gateway::{Declarations, KeyDigest, OwnershipSettings, WorkspaceRule};
 use nickellead_range::OrderKind;
 
 /// Time from the beginning of a cut after which callers must be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// How long callers are watched after that.
 const WATCHED_TIME: Duration = Duration::from_secs(3);
-/// A link that does not limit anything.
-const FAST_LINK: f64 = 1e9;
 /// Time in which a request that can't be served is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
-/// The kinds of requests: safe, at most once, and for the owner of a key.
-const REQUESTS: [(&str, &str); 3] = [("GET", "/read/a"), ("POST", "/write/a"), ("GET", "/key/a")];
 
-/// Two VMs with a link to each target; a cut concerns the connections of the first VM.
-struct CutFleet {
-    store: MemoryStore,
-    targets: Vec<TestTarget>,
-    links: Vec<TargetLink>,
-    cut_off: TestGateway,
-    connected: TestGateway,
-    /// The way to the second VM's dispatch address.
-    vm_link: PacedLink,
-}
-
-impl CutFleet {
-    fn start(name: &str) -> Self {
-        let store = MemoryStore::default();
-        let start = |service: &str| {
-            let target = TestTarget::start(&format!("{service}-1"), Behavior::Serve);
-            let link = TargetLink::open(target.address);
-            store.list(entry(&target.id, service, link.address));
-            (target, link)
-        };
-        let (targets, links) = ["plain", "keyed"].into_iter().map(start).unzip();
-        store.declare(declarations(1));
-        let cut_off = TestGateway::start_as(&format!("{name}-cut-off"), &store, |settings| {
-            settings.dispatch_address = Some(free_address());
-        });
-        wait_until("the first VM holds the mandate", || {
-            store.mandate_holder() == Some(format!("{name}-cut-off"))
-        });
-        let dispatch_address = free_address();
-        let vm_link = PacedLink::open(dispatch_address, FAST_LINK);
-        let connected = TestGateway::start_as(&format!("{name}-connected"), &store, |settings| {
-            settings.dispatch_address = Some(dispatch_address);
-            settings.dispatch_announced = Some(vm_link.address);
-        });
-        let fleet = Self { store, targets, links, cut_off, connected, vm_link };
-        fleet.warm_up();
-        fleet
-    }
-
-    /// Opens connections of both VMs to all targets, and marks those of the first one.
-    fn warm_up(&self) {
-        for gateway in [&self.cut_off, &self.connected] {
-            gateway.wait_ready();
-            wait_until("both VMs are known", || metric(gateway, "nickellead_known_vms") == 2.0);
+/// Sends requests of all kinds to the first VM, one each `interval`, for this time. Returns those that
+/// were not served.
+fn send_for(fleet: &CutFleet, name: &str, interval: Duration, time: Duration) -> Vec<String> {
+    let end = Instant::now() + time;
+    let mut failures = Vec::new();
+    for number in 0.. {
+        let sent = Instant::now();
+        if sent >= end {
+            return failures;
         }
-        let serve_all = |gateway: &TestGateway| {
-            for (method, path) in REQUESTS {
-                wait_until("requests are served", || {
-                    gateway.send(method, path, "x-key: 7\r\n").contains(" 200 ")
-                });
-            }
-        };
-        serve_all(&self.cut_off);
-        self.links.iter().for_each(TargetLink::mark);
-        serve_all(&self.connected);
-        self.targets.iter().for_each(TestTarget::clear_requests);
-    }
-
-    fn cut(&self, manner: CutManner) {
-        self.links.iter().for_each(|link| link.cut(manner));
-    }
-
-    /// Cuts both VMs off.
-    fn cut_both(&self, manner: CutManner) {
-        self.links.iter().for_each(TargetLink::mark);
-        self.cut(manner);
-    }
-
-    fn heal(&self) {
-        self.links.iter().for_each(TargetLink::heal);
-    }
-
-    /// Sends requests of all kinds to the first VM, one each `interval`, for this time. Returns
-    /// those that were not served.
-    fn send_for(&self, name: &str, interval: Duration, time: Duration) -> Vec<String> {
-        let end = Instant::now() + time;
-        let mut failures = Vec::new();
-        for number in 0.. {
-            let sent = Instant::now();
-            if sent >= end {
-                return failures;
-            }
-            let (method, path) = REQUESTS[number % REQUESTS.len()];
-            let response = send_as(&self.cut_off, method, path, &format!("{name}-{number}"));
-            if !response.starts_with("HTTP/1.1 200") {
-                failures.push(format!("{method} {path} {:?}: {response}", sent.elapsed()));
-            }
-            std::thread::sleep(interval.saturating_sub(sent.elapsed()));
+        let (method, path) = REQUESTS[number % REQUESTS.len()];
+        let response = send_as(&fleet.cut_off.gateway, method, path, &format!("{name}-{number}"));
+        if !response.starts_with("HTTP/1.1 200") {
+            failures.push(format!("{method} {path} {:?}: {response}", sent.elapsed()));
         }
-        failures
+        std::thread::sleep(interval.saturating_sub(sent.elapsed()));
     }
+    failures
+}
 
-    /// Ids of requests that may run once and reached targets more often.
-    fn repeated_writes(&self) -> Vec<String> {
-        let requests = self.targets.iter().flat_map(TestTarget::requests);
-        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-        for request in requests.filter(|request| request.starts_with("POST")) {
-            *counts.entry(header(&request, "x-request-id").unwrap_or_default()).or_default() += 1;
-        }
-        counts.into_iter().filter(|(_, count)| *count > 1).map(|(id, _)| id).collect()
+/// Ids of requests that may run once and reached targets more often.
+fn repeated_writes(fleet: &CutFleet) -> Vec<String> {
+    let requests = fleet.targets.iter().flat_map(TestTarget::requests);
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for request in requests.filter(|request| request.starts_with("POST")) {
+        *counts.entry(header(&request, "x-request-id").unwrap_or_default()).or_default() += 1;
     }
+    counts.into_iter().filter(|(_, count)| *count > 1).map(|(id, _)| id).collect()
+}
 
-    /// Cuts the first VM off, expects that its callers are served once `CONTACT_TIME` has passed,
-    /// and that it serves by itself soon after the end of the cut.
-    fn expect_service(&self, manner: CutManner, interval: Duration) {
-        self.cut(manner);
-        self.send_for("early", interval, CONTACT_TIME);
-        let failures = self.send_for("late", interval, WATCHED_TIME);
-        assert!(
-            failures.is_empty(),
-            "{manner:?}: {} failed: {:?}",
-            failures.len(),
-            failures.last()
-        );
-        self.heal();
-        let opened = || self.links.iter().map(TargetLink::opened).sum::<usize>();
-        let opened_before = opened();
-        let failures = self.send_for("healed", interval, CONTACT_TIME);
-        assert!(failures.is_empty(), "{manner:?}, healed: {:?}", failures.last());
-        assert!(manner == CutManner::RefuseNew || opened() > opened_before, "{manner:?}");
-        assert_eq!(self.repeated_writes(), Vec::<String>::new(), "{manner:?}");
-    }
+/// Cuts the first VM off, expects that its callers are served once `CONTACT_TIME` has passed, and that
+/// it serves by itself soon after the end of the cut.
+fn expect_service(fleet: &CutFleet, manner: CutManner, interval: Duration) {
+    fleet.cut(manner);
+    send_for(fleet, "early", interval, CONTACT_TIME);
+    let failures = send_for(fleet, "late", interval, WATCHED_TIME);
+    assert!(failures.is_empty(), "{manner:?}: {} failed: {:?}", failures.len(), failures.last());
+    fleet.heal();
+    let opened = || fleet.links.iter().map(TargetLink::opened).sum::<usize>();
+    let opened_before = opened();
+    let failures = send_for(fleet, "healed", interval, CONTACT_TIME);
+    assert!(failures.is_empty(), "{manner:?}, healed: {:?}", failures.last());
+    assert!(manner == CutManner::RefuseNew || opened() > opened_before, "{manner:?}");
+    assert_eq!(repeated_writes(fleet), Vec::<String>::new(), "{manner:?}");
 }
 
 /// Longest time between two grants to targets from `since` on.
@@ -161,36 +80,18 @@
     times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap()
 }
 
-/// Value of a metric without labels; 0 without one.
-fn metric(gateway: &TestGateway, name: &str) -> f64 {
-    let text = exchange(gateway.metrics, "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
-    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-    line.map_or(0.0, |value| value.parse().unwrap())
-}
-
-/// Sends a request for key 7 with this id and a deadline of one second.
-fn send_as(gateway: &TestGateway, method: &str, path: &str, id: &str) -> String {
-    exchange(
-        gateway.callers,
-        &format!(
-            "{method} {path} HTTP/1.1\r\nhost: board.example\r\nx-request-id: {id}\r\nx-key: 7\r\n\
-             x-deadline-ms: 1000\r\nconnection: close\r\n\r\n"
-        ),
-    )
-}
-
 /// A VM that reached no target refused each request at once, though others could serve it.
 #[test]
 fn a_vm_whose_connections_hang_has_its_requests_served_elsewhere() {
     let fleet = CutFleet::start("hang");
-    fleet.expect_service(CutManner::Silent, Duration::from_millis(30));
+    expect_service(&fleet, CutManner::Silent, Duration::from_millis(30));
 }
 
 /// A VM that reached no target refused each request at once, though others could serve it.
 #[test]
 fn a_vm_whose_connections_are_reset_has_its_requests_served_elsewhere() {
     let fleet = CutFleet::start("reset");
-    fleet.expect_service(CutManner::Reset, Duration::from_millis(30));
+    expect_service(&fleet, CutManner::Reset, Duration::from_millis(30));
 }
 
 /// Guards the case in which some requests still succeed over old connections while no new one can be
@@ -198,14 +99,14 @@
 #[test]
 fn a_vm_with_old_connections_only_has_its_requests_served() {
     let fleet = CutFleet::start("old");
-    fleet.expect_service(CutManner::RefuseNew, Duration::from_millis(30));
+    expect_service(&fleet, CutManner::RefuseNew, Duration::from_millis(30));
 }
 
 /// With little traffic, a VM that reached no target went on to fail one request after the other.
 #[test]
 fn a_cut_off_vm_with_few_requests_has_them_served_elsewhere() {
     let fleet = CutFleet::start("few");
-    fleet.expect_service(CutManner::Reset, Duration::from_millis(700));
+    expect_service(&fleet, CutManner::Reset, Duration::from_millis(700));
 }
 
 /// The mandate holder renewed its mandate but no lease, and no key had an owner after a lease.
@@ -215,7 +116,7 @@
     let cut_at = Instant::now();
     fleet.store.set_orders_cut("holder-cut-off", true);
     fleet.cut(CutManner::Reset);
-    fleet.send_for("cut", Duration::from_millis(100), OwnershipSettings::default().lease() * 2);
+    send_for(&fleet, "cut", Duration::from_millis(100), OwnershipSettings::default().lease() * 2);
     assert_eq!(fleet.store.mandate_holder().as_deref(), Some("holder-connected"));
     let pause = longest_pause_of_grants(&fleet.store, cut_at);
     assert!(pause < OwnershipSettings::default().lease(), "no lease was renewed for {pause:?}");
@@ -252,17 +153,17 @@
 #[test]
 fn a_vm_without_targets_and_other_vms_is_not_ready_until_it_reaches_targets() {
     let fleet = CutFleet::start("isolated");
-    fleet.vm_link.set_cut(true);
+    fleet.connected.link.set_cut(true);
     fleet.cut(CutManner::Reset);
-    wait_until_cut_off(&fleet.cut_off);
-    wait_until("the VM is not ready", || !is_ready(&fleet.cut_off));
+    wait_until_cut_off(&fleet.cut_off.gateway);
+    wait_until("the VM is not ready", || !is_ready(&fleet.cut_off.gateway));
     let started = Instant::now();
-    let response = send_as(&fleet.cut_off, "GET", "/key/a", "isolated");
+    let response = send_as(&fleet.cut_off.gateway, "GET", "/key/a", "isolated");
     assert!(response.contains("target-unreachable"), "{response}");
     assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
-    fleet.vm_link.set_cut(false);
+    fleet.connected.link.set_cut(false);
     fleet.heal();
-    wait_until("the VM is ready", || is_ready(&fleet.cut_off));
+    wait_until("the VM is ready", || is_ready(&fleet.cut_off.gateway));
 }
 
 /// Guards against VMs that hand requests to each other, or all say that they are not ready, while
@@ -271,11 +172,11 @@
 fn vms_that_all_reach_no_target_refuse_at_once_and_stay_ready() {
     let fleet = CutFleet::start("all-cut");
     fleet.cut_both(CutManner::Silent);
-    for gateway in [&fleet.cut_off, &fleet.connected] {
+    for gateway in fleet.gateways() {
         wait_until_cut_off(gateway);
     }
     for number in 0..40 {
-        for gateway in [&fleet.cut_off, &fleet.connected] {
+        for gateway in fleet.gateways() {
             let (method, path) = REQUESTS[number % REQUESTS.len()];
             let started = Instant::now();
             let response = send_as(gateway, method, path, &format!("all-{number}"));
@@ -286,13 +187,7 @@
         }
     }
     fleet.heal();
-    for gateway in [&fleet.cut_off, &fleet.connected] {
-        for (method, path) in REQUESTS {
-            wait_until("requests are served again", || {
-                send_as(gateway, method, path, "again").contains(" 200 ")
-            });
-        }
-    }
+    fleet.gateways().into_iter().for_each(|gateway| fleet.wait_until_served(gateway));
 }
 
 /// Guards the promise of a refusal: a request that another VM may have sent must not be called not
@@ -301,12 +196,12 @@
 fn a_request_lost_at_the_other_vm_is_not_called_refused() {
     let fleet = CutFleet::start("lost");
     fleet.cut(CutManner::Reset);
-    wait_until_cut_off(&fleet.cut_off);
+    wait_until_cut_off(&fleet.cut_off.gateway);
     fleet.targets[0].set_behavior(Behavior::NeverRespond);
     fleet.targets[0].clear_requests();
-    let sending = fleet.cut_off.send_in_background("POST", "/write/lost");
+    let sending = fleet.cut_off.gateway.send_in_background("POST", "/write/lost");
     wait_until("the target runs the request", || fleet.targets[0].requests().len() == 1);
-    fleet.vm_link.set_cut(true);
+    fleet.connected.link.set_cut(true);
     let response = sending.join().unwrap();
     assert!(response.contains("nickellead-outcome: unknown"), "{response}");
     let status = response.split(' ').nth(1);
@@ -314,15 +209,45 @@
     assert_eq!(fleet.targets[0].requests().len(), 1);
 }
 
+/// Guards the keys of workspaces: the VM that serves a request in place of another checks its key, and
+/// targets see the workspace instead of the key.
+#[test]
+fn the_key_of_a_request_is_checked_by_the_vm_that_serves_it() {
+    let fleet = CutFleet::start("key");
+    let rule = WorkspaceRule {
+        keys: [KeyDigest::of(b"key-of-alpha")].into(),
+        priority: None,
+        quota: None,
+        regions: None,
+    };
+    let workspaces = Some([("alpha".to_owned(), Arc::new(rule))].into());
+    fleet.store.declare(Declarations { workspaces, ..declarations(2) });
+    fleet.cut(CutManner::Reset);
+    let send = |key: &str| {
+        let headers = format!("x-key: 7\r\nauthorization: Bearer {key}\r\n");
+        fleet.cut_off.gateway.send("GET", "/key/a", &headers)
+    };
+    wait_until("requests with the key are served elsewhere", || {
+        send("key-of-alpha").contains(" 200 ")
+            && metric(&fleet.cut_off.gateway, "nickellead_vm_cut_off") == 1.0
+    });
+    assert!(send("other-key").starts_with("HTTP/1.1 401"));
+    fleet.targets[1].clear_requests();
+    assert!(send("key-of-alpha").contains(" 200 "));
+    let requests = fleet.targets[1].requests();
+    assert_eq!(header(&requests[0], "x-workspace").as_deref(), Some("alpha"));
+    assert!(!requests[0].contains("key-of-alpha"), "{}", requests[0]);
+}
+
 /// Guards against work that goes on at a target after a caller of another VM has left.
 #[test]
 fn a_caller_that_leaves_cancels_its_request_at_the_other_vm() {
     let fleet = CutFleet::start("left");
     fleet.cut(CutManner::Reset);
-    wait_until_cut_off(&fleet.cut_off);
+    wait_until_cut_off(&fleet.cut_off.gateway);
     fleet.targets[0].set_behavior(Behavior::NeverRespond);
     fleet.targets[0].clear_requests();
-    let mut caller = TcpStream::connect(fleet.cut_off.callers).unwrap();
+    let mut caller = TcpStream::connect(fleet.cut_off.gateway.callers).unwrap();
     let head = "GET /read/left HTTP/1.1\r\nhost: board.example\r\nx-request-id: left\r\n";
     write!(caller, "{head}x-deadline-ms: 1900\r\n\r\n").unwrap();
     wait_until("the target runs the request", || !fleet.targets[0].requests().is_empty());
