--- a/crates/nickellead_gateway/src/dispatch/group_state.rs
+++ b/crates/nickellead_gateway/src/dispatch/group_state.rs
@@ -14,7 +14,7 @@
 use super::groups::TargetGroup;
 use super::messages::{AcquireCall, ReleaseCall};
 use super::wire::duration;
-use crate::target_registry::RegisteredTarget;
+use crate::registered_target::RegisteredTarget;
 
 /// The answer to a request for a permit.
 #[derive(Debug)]
--- a/crates/nickellead_gateway/src/dispatch/groups.rs
+++ b/crates/nickellead_gateway/src/dispatch/groups.rs
@@ -11,7 +11,8 @@
 use crate::TargetList;
 use crate::evacuation::ZoneStates;
 use crate::fleet::FleetTable;
-use crate::target_registry::{RegisteredTarget, TargetRegistry};
+use crate::registered_target::RegisteredTarget;
+use crate::target_registry::TargetRegistry;
 
 /// Most targets of one group: enough slots to pool, and few enough decisions for a small VM.
 const MAX_GROUP_TARGETS: usize = 8;
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -9,7 +9,7 @@
 
 use nickellead_core::Timestamp;
 use nickellead_dispatch::TicketId;
-use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
+use nickellead_event::{EventName, log_event};
 use nickellead_limit::{ByteBudget, HeldBytes, SizeEstimate};
 use nickellead_peer::serve_calls;
 use nickellead_time::BootClock;
@@ -32,9 +32,10 @@
 use crate::exchange::{
     AttemptEnd, AttemptPlan, AttemptResult, OutgoingRequest, SendPermission, run_attempt,
 };
+use crate::log_sample::is_logged;
 use crate::metrics::GatewayMetrics;
+use crate::registered_target::RegisteredTarget;
 use crate::response_signals::ResponseSignals;
-use crate::target_registry::RegisteredTarget;
 use crate::worker::RequestWorker;
 
 /// How long the state of a group is kept after the last request for it.
@@ -403,8 +404,7 @@
 /// Logs a forwarded request if no response came back, or if its id selects it, as on other VMs.
 fn log_forwarded(outgoing: &OutgoingRequest, target: &str, attempt: &WireAttempt, after: Duration) {
     let id = outgoing.request_id.as_bytes();
-    let is_sample = xxhash_rust::xxh3::xxh3_64(id).is_multiple_of(REQUEST_ANSWERED_SAMPLE_INTERVAL);
-    if !is_sample && matches!(attempt.result, WireResult::Responded { .. }) {
+    if !is_logged(id) && matches!(attempt.result, WireResult::Responded { .. }) {
         return;
     }
     let pairs: [(&str, &dyn std::fmt::Display); 5] = [
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -12,9 +12,9 @@
 use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::registered_target::RegisteredTarget;
 use crate::response_body::read_response_body;
 use crate::response_signals::ResponseSignals;
-use crate::target_registry::RegisteredTarget;
 use crate::{HeaderNames, RepeatClass};
 
 /// The part of a request that is the same for all attempts.
--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -5,7 +5,7 @@
 
 use actix_http::Request;
 use nickellead_core::ErrorKind;
-use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
+use nickellead_event::{EventName, log_event};
 
 use super::attempts::finish;
 use super::{AttemptState, RESPONSE_RETURN_RESERVE, RequestWorker};
@@ -14,6 +14,7 @@
 use crate::exchange::{LossReason, TargetResponse};
 use crate::incoming::IncomingRequest;
 use crate::load_counter::VmId;
+use crate::log_sample::is_logged;
 
 /// Most requests of other VMs that this VM serves at the same time, so that its own callers keep
 /// most of its processor time and connections.
@@ -223,10 +224,6 @@
     )
 }
 
-fn is_sample(id: &[u8]) -> bool {
-    xxhash_rust::xxh3::xxh3_64(id).is_multiple_of(REQUEST_ANSWERED_SAMPLE_INTERVAL)
-}
-
 fn log_handed_over(incoming: &IncomingRequest, address: std::net::SocketAddr, end: &AssistEnd) {
     let id = incoming.outgoing.request_id.as_bytes();
     let result = match end {
@@ -235,7 +232,7 @@
         AssistEnd::Declined => "declined",
         AssistEnd::Lost(reason) => reason.as_str(),
     };
-    if matches!(end, AssistEnd::Responded(_)) && !is_sample(id) {
+    if matches!(end, AssistEnd::Responded(_)) && !is_logged(id) {
         return;
     }
     let pairs: [(&str, &dyn std::fmt::Display); 4] = [
@@ -248,7 +245,7 @@
 }
 
 fn log_assisted(id: &str, failure: Option<ErrorKind>, after: Duration) {
-    if failure.is_none() && !is_sample(id.as_bytes()) {
+    if failure.is_none() && !is_logged(id.as_bytes()) {
         return;
     }
     let result = failure.map_or("responded", |kind| kind.response().code);
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -14,7 +14,7 @@
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
-use crate::target_registry::{InFlightGuard, RegisteredTarget};
+use crate::registered_target::{InFlightGuard, RegisteredTarget};
 
 /// Maximum number of attempts that fail before anything is sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -28,14 +28,8 @@
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
         let mut attempts = AttemptState::default();
-        let elsewhere = self.serve_elsewhere(incoming, &mut attempts);
-        match self.until_drain_end(elsewhere).await {
-            Ok(None) => {}
-            Ok(Some(served)) => return served,
-            Err(kind) => {
-                attempts.may_have_run = true;
-                return finish(&mut attempts, kind);
-            }
+        if let Some(served) = self.hand_over(incoming, &mut attempts).await {
+            return served;
         }
         let served = self.serve_attempts(incoming, &mut attempts).await;
         self.give_back_token(incoming, &mut attempts);
@@ -56,14 +50,8 @@
         loop {
             if self.must_hand_over(incoming, attempts) {
                 self.give_back_token(incoming, attempts);
-                let elsewhere = self.serve_elsewhere(incoming, attempts);
-                match self.until_drain_end(elsewhere).await {
-                    Ok(None) => {}
-                    Ok(Some(served)) => return served,
-                    Err(kind) => {
-                        attempts.may_have_run = true;
-                        return finish(attempts, kind);
-                    }
+                if let Some(served) = self.hand_over(incoming, attempts).await {
+                    return served;
                 }
             }
             let selecting = self.select_target(incoming, &weighted.service, attempts);
@@ -116,6 +104,24 @@
         }
     }
 
+    /// Has a request served by another VM, if this VM reaches no target; `None` if this VM is to serve
+    /// it itself.
+    async fn hand_over(
+        &self,
+        incoming: &IncomingRequest,
+        attempts: &mut AttemptState,
+    ) -> Option<Result<TargetResponse, ErrorKind>> {
+        let elsewhere = self.serve_elsewhere(incoming, attempts);
+        match self.until_drain_end(elsewhere).await {
+            Ok(served) => served,
+            Err(kind) => {
+                // The other VM may have sent it.
+                attempts.may_have_run = true;
+                Some(finish(attempts, kind))
+            }
+        }
+    }
+
     /// Runs `work` until it completes or the VM's drain period ends.
     async fn until_drain_end<T>(&self, work: impl Future<Output = T>) -> Result<T, ErrorKind> {
         tokio::select! {
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -13,7 +13,7 @@
 };
 use crate::exchange::{AttemptEnd, AttemptResult};
 use crate::incoming::IncomingRequest;
-use crate::target_registry::RegisteredTarget;
+use crate::registered_target::RegisteredTarget;
 use crate::{DispatchScope, RepeatClass};
 
 /// Groups of the VM's own availability zone that are asked for one request.
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -13,8 +13,8 @@
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptEnd, AttemptResult, LossReason, TargetResponse};
 use crate::incoming::IncomingRequest;
+use crate::registered_target::RegisteredTarget;
 use crate::response_signals::ResponseSignals;
-use crate::target_registry::RegisteredTarget;
 
 /// Jitter added to a requested pause, as a fraction of the pause. It keeps VMs that were asked
 /// together from resuming together.
--- a/crates/nickellead_gateway/src/worker/reach.rs
+++ b/crates/nickellead_gateway/src/worker/reach.rs
@@ -10,7 +10,7 @@
 use super::{AttemptState, RequestWorker, UnconnectedAttempt};
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptResult, LossReason};
-use crate::target_registry::RegisteredTarget;
+use crate::registered_target::RegisteredTarget;
 use crate::waiting::wait_for;
 
 /// Most attempts of one request in one availability zone that fail while connecting.
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -6,13 +6,14 @@
 use actix_http::header::{HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode};
 use nickellead_core::ErrorKind;
-use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL, log_event};
+use nickellead_event::{EventName, log_event};
 use nickellead_proxy::{error_response, hold_until_sent, is_connection_header};
 
 use super::{RequestWorker, WorkerState};
 use crate::WeightedService;
 use crate::exchange::TargetResponse;
 use crate::incoming::IncomingRequest;
+use crate::log_sample::is_logged;
 
 /// Shortest delay before a retry of a request that exceeded the quota of its workspace.
 const MIN_QUOTA_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -183,17 +184,14 @@
         log_event(EventName::RequestFailed, &pairs);
     }
 
-    /// Logs one in [`REQUEST_ANSWERED_SAMPLE_INTERVAL`] answered requests. The request id selects
-    /// it, so that all VMs log the same requests.
+    /// Logs an answered request if it is one of the logged sample.
     pub(super) fn log_sample(
         &self,
         id: &str,
         incoming: &IncomingRequest,
         response: &TargetResponse,
     ) {
-        if !xxhash_rust::xxh3::xxh3_64(id.as_bytes())
-            .is_multiple_of(REQUEST_ANSWERED_SAMPLE_INTERVAL)
-        {
+        if !is_logged(id.as_bytes()) {
             return;
         }
         let pairs: [(&str, &dyn std::fmt::Display); 5] = [
--- a/crates/nickellead_gateway/src/worker/selection.rs
+++ b/crates/nickellead_gateway/src/worker/selection.rs
@@ -11,7 +11,7 @@
 use super::{AttemptState, RequestWorker};
 use crate::WeightedService;
 use crate::incoming::IncomingRequest;
-use crate::target_registry::RegisteredTarget;
+use crate::registered_target::RegisteredTarget;
 use crate::waiting::wait_for;
 
 /// Longest time that a range has no owner during a planned move. A range that has none for longer
--- a/crates/nickellead_gateway/src/worker/vm_reach.rs
+++ b/crates/nickellead_gateway/src/worker/vm_reach.rs
@@ -15,7 +15,7 @@
 use super::RequestWorker;
 use crate::connections::ConnectFailure;
 use crate::incoming::IncomingRequest;
-use crate::target_registry::RegisteredTarget;
+use crate::registered_target::RegisteredTarget;
 use crate::vm_reach::ReachSignal;
 use crate::waiting::wait_for;
 
