--- a/crates/nickellead_report/src/cause.rs
+++ b/crates/nickellead_report/src/cause.rs
@@ -36,6 +36,18 @@
     format!("the attempt at {target} ended after {after} ms: {reason}")
 }
 
+/// Describes the VMs that served the request in place of the one that received it.
+pub(crate) fn describe_assistants(own: &[LogLine]) -> Vec<String> {
+    let handed_over = own.iter().filter(|line| line.event == EventName::RequestHandedOver);
+    let describe = |line: &LogLine| {
+        let vm = line.vm.as_deref().unwrap_or("the VM");
+        let address = line.field("address").unwrap_or("?");
+        let result = line.field("result").unwrap_or("?");
+        format!("{vm} reached no target and handed it to the VM at {address}: {result}")
+    };
+    handed_over.map(describe).collect()
+}
+
 /// Describes when the target left the ready state.
 fn describe_state_change(target: &str, events: &[&LogLine]) -> Option<String> {
     let not_ready = |line: &&&LogLine| {
--- a/crates/nickellead_report/src/explain.rs
+++ b/crates/nickellead_report/src/explain.rs
@@ -6,7 +6,9 @@
 use nickellead_event::{EventName, REQUEST_ANSWERED_SAMPLE_INTERVAL};
 
 use crate::LogLine;
-use crate::cause::{describe_mandate_change, describe_similar_failures, describe_targets};
+use crate::cause::{
+    describe_assistants, describe_mandate_change, describe_similar_failures, describe_targets,
+};
 use crate::context::{find_context, involved_targets};
 
 /// Seconds of context before a failure: covers the lease of a lost target plus the grace period of a
@@ -101,6 +103,7 @@
         .collect();
     let targets = involved_targets(&explanation.lines);
     explanation.context = find_context(&nearby, &targets, failed.vm.as_deref());
+    explanation.cause.extend(describe_assistants(&explanation.lines));
     explanation.cause.extend(describe_targets(&explanation.lines, &targets, &nearby));
     if failed.field("key").is_some() {
         // Only requests for owned keys depend on the mandate holder.
--- a/crates/nickellead_report/tests/explanations.rs
+++ b/crates/nickellead_report/tests/explanations.rs
@@ -19,6 +19,10 @@
 9.5 front-a-4 event=request-answered request=r-3 route=view status=200 after_ms=12 version=4
 9.52 front-a-5 event=zone-out-of-reach zone=zone-b in_reach=false first_hand=true
 9.55 front-a-5 event=request-failed request=r-7 route=view error=target-unreachable after_ms=0 key=5 owner=i-11 fence=2 version=4
+9.56 front-a-6 event=vm-cut-off cut_off=true refused=4 silent=0
+9.57 front-a-7 event=request-assisted request=r-8 result=overloaded after_ms=5
+9.58 front-a-6 event=request-handed-over request=r-8 address=10.1.0.7:7621 result=overloaded after_ms=8
+9.58 front-a-6 event=request-failed request=r-8 route=view error=overloaded after_ms=8 key=5 owner=i-12 fence=2 version=4
 9.6 front-a-4 event=log-lines-dropped count=3
 nothing of ours
 ";
@@ -101,3 +105,16 @@
         LogLine::read("2026-12-02T15:53:22.824Z [WARN] event=store-lost reason=silent").unwrap();
     assert!(line.vm.is_none() && line.at > 1.7e9, "{line:?}");
 }
+
+/// A request that went through two VMs looked as if the first one had refused it by itself.
+#[test]
+fn a_refusal_of_another_vm_is_traced_to_the_vm_that_was_cut_off() {
+    let explanation = explain_request("r-8", &read_lines([LOGS]));
+    let cause = explanation.cause.join("\n");
+    let handed_over =
+        "front-a-6 reached no target and handed it to the VM at 10.1.0.7:7621: overloaded";
+    assert!(cause.contains(handed_over), "{cause}");
+    assert_eq!(explanation.lines.len(), 3);
+    let cut_off = |line: &LogLine| line.text.contains("event=vm-cut-off");
+    assert!(explanation.context.iter().any(cut_off), "{:?}", explanation.context);
+}
