--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -23,6 +23,9 @@
 
 /// Most VMs that one request is handed to, one after the other.
 const MAX_VMS_PER_REQUEST: usize = 3;
+/// Most VMs of this VM's availability zone that it hands requests to, and most of other zones.
+/// Connections must not grow with the fleet.
+const MAX_ASSISTANTS: usize = 12;
 /// How long a VM that declined a request is passed over.
 const DECLINED_TIME: Duration = Duration::from_millis(500);
 /// Longest time until a VM answers whether it could serve requests.
@@ -115,6 +118,25 @@
         self.unanswered.get() >= ISOLATING_FAILURES
     }
 
+    /// The VMs that this VM may hand requests to: a few of its own availability zone, and a few others.
+    ///
+    /// Rendezvous hashing selects them, so that the VMs of a zone spread their requests evenly.
+    fn select(
+        &self,
+        fleet: &FleetTable,
+        allows: impl Fn(VmId) -> bool,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let others = fleet.vms.iter().filter(|(vm, _)| **vm != self.vm && allows(**vm));
+        let others = others.filter_map(|(vm, address)| Some((*vm, (*address)?)));
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|(vm, _)| vm.shares_zone_with(self.vm));
+        let best = |mut vms: Vec<(VmId, SocketAddr)>| {
+            vms.sort_by_cached_key(|(vm, _)| vm.rank_seed(self.vm.key()));
+            vms.into_iter().map(|(_, address)| address).take(MAX_ASSISTANTS).collect()
+        };
+        (best(near), best(far))
+    }
+
     /// The VMs to hand a request to, in this order, of those that `allows` accepts.
     ///
     /// VMs of this VM's availability zone come first, unless at most half of the zone's VMs take
@@ -126,25 +148,19 @@
         rng: &mut fastrand::Rng,
     ) -> Vec<SocketAddr> {
         let now = BootClock.now();
-        let others = fleet.vms.iter().filter(|(vm, _)| **vm != self.vm && allows(**vm));
-        let others = others.filter_map(|(vm, address)| Some((*vm, (*address)?)));
-        let (near, mut far): (Vec<_>, Vec<_>) =
-            others.partition(|(vm, _)| vm.shares_zone_with(self.vm));
+        let (mut near, mut far) = self.select(fleet, allows);
         let vms_in_zone = near.len() + 1;
-        let is_willing = |address: SocketAddr| {
-            let peers = self.peers.borrow();
-            peers.get(&address).is_none_or(|peer| !peer.has_declined(now))
-        };
-        let mut willing: Vec<_> =
-            near.into_iter().filter(|(_, address)| is_willing(*address)).collect();
-        far.retain(|(_, address)| is_willing(*address));
-        if willing.len() * 2 <= vms_in_zone {
-            willing.append(&mut far);
+        let peers = self.peers.borrow();
+        let is_willing =
+            |address: &SocketAddr| peers.get(address).is_none_or(|peer| !peer.has_declined(now));
+        near.retain(is_willing);
+        far.retain(is_willing);
+        if near.len() * 2 <= vms_in_zone {
+            near.append(&mut far);
         }
-        rng.shuffle(&mut willing);
+        rng.shuffle(&mut near);
         rng.shuffle(&mut far);
-        let ordered = willing.into_iter().chain(far).map(|(_, address)| address);
-        ordered.take(MAX_VMS_PER_REQUEST).collect()
+        near.into_iter().chain(far).take(MAX_VMS_PER_REQUEST).collect()
     }
 
     /// Hands a request to another VM; `held` has room for the response.
@@ -219,9 +235,10 @@
 
     /// Asks one of the other VMs whether it could serve requests.
     pub(crate) async fn probe(&self, fleet: &FleetTable, rng: &mut fastrand::Rng) {
-        let others = fleet.vms.iter().filter(|(vm, _)| **vm != self.vm);
-        let addresses: Vec<SocketAddr> = others.filter_map(|(_, address)| *address).collect();
-        let Some(address) = rng.choice(addresses) else { return };
+        let (near, far) = self.select(fleet, |_| true);
+        let Some(address) = rng.choice(near.into_iter().chain(far).collect::<Vec<_>>()) else {
+            return;
+        };
         let assistant = self.peer(address);
         if !assistant.peer.may_ask() {
             return;
