--- a/tools/owed_runs.py
+++ b/tools/owed_runs.py
@@ -19,6 +19,10 @@
 OWED = [
     ("shifted/ngipin-sked-now-grown.toml", 16, 3),
     ("large/ngipin-sked-large.toml", 8, 1),
+    ("demands/amsau-gw-grown.toml", 8, 1),
+    ("demands/ttb-tarifas-grown.toml", 8, 1),
+    ("newcomers/abo-gateway-grown.toml", 8, 1),
+    ("newcomers/tdr-gateway-grown.toml", 8, 1),
     ("further-grown/potepin-gw-grown.toml", 8, 1),
     ("grown/ngipin-sked-grown.toml", 8, 1),
     ("grown/vnf-ops-grown.toml", 8, 1),
