--- a/crates/nickellead_gateway/tests/common/link.rs
+++ b/crates/nickellead_gateway/tests/common/link.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy in front of a VM that limits the rate of what the VM sends.
 //!
 //! All connections to the VM share the rate, as they share its network link. Traffic to the VM is
-//! not limited.
+//! not limited. What the VM sends can also be delayed.
 
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
@@ -31,6 +31,8 @@
     connections: AtomicU64,
     /// Whether connections are closed and new ones refused.
     cut: AtomicBool,
+    /// Time in milliseconds by which bytes from the VM arrive later.
+    delay_ms: AtomicU64,
 }
 
 /// A proxy from a listening address to a VM.
@@ -66,6 +68,11 @@
         self.state.cut.store(cut, Ordering::Relaxed);
     }
 
+    /// Delays what the VM sends from now on by this time.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Connections accepted so far.
     pub fn connections(&self) -> u64 {
         self.state.connections.load(Ordering::Relaxed)
@@ -133,6 +140,8 @@
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(read @ 1..) = vm_stream.read(&mut chunk).await {
         pacer.transmit(read).await;
+        let delay = Duration::from_millis(state.delay_ms.load(Ordering::Relaxed));
+        tokio::time::sleep(delay).await;
         state.bytes.fetch_add(read as u64, Ordering::Relaxed);
         let cut = state.cut.load(Ordering::Relaxed);
         if cut || peer_stream.write_all(&chunk[..read]).await.is_err() {
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
 pub mod cut_fleet;
+pub mod dispatch_fleet;
 pub mod link;
 pub mod ownership;
 pub mod seeds;
