Metrics of repeats: by cause, refused ones, tokens, VMs of the budget, unacknowledged forwards

No figure told paid repeats from attempts that were never sent (nickellead_retries_total counts both), and none showed requests that a dispatcher may have sent without an acknowledgement. New: nickellead_repeats_total{cause}, nickellead_repeats_refused_total{cause}, nickellead_retry_tokens{service}, nickellead_retry_budget_vms, nickellead_dispatch_unacknowledged_total. No logic is changed.

--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -21,6 +21,7 @@
 use super::server::DispatchServer;
 use super::wire::{duration, millis};
 use crate::exchange::{AttemptEnd, LossReason, OutgoingRequest};
+use crate::metrics::RetryMetrics;
 
 /// Longest time until a dispatcher acknowledges a message: several round trips between VMs with a
 /// tenth of a core.
@@ -175,11 +176,17 @@
     own_address: SocketAddr,
     peers: RefCell<HashMap<SocketAddr, Rc<DispatchPeer>>>,
     told_waits: RefCell<HashMap<GroupId, ToldWait>>,
+    metrics: RetryMetrics,
 }
 
 impl DispatchClient {
-    pub(crate) fn new(server: Rc<DispatchServer>, own_address: SocketAddr) -> Rc<Self> {
+    pub(crate) fn new(
+        server: Rc<DispatchServer>,
+        own_address: SocketAddr,
+        metrics: RetryMetrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            metrics,
             server,
             own_address,
             peers: RefCell::default(),
@@ -307,7 +314,10 @@
         }
         match peer.call(call, time.saturating_sub(asked.elapsed())).await {
             Ok(reply) => Ok(Some(reply)),
-            Err(PeerError::NotAcknowledged) => Ok(None),
+            Err(PeerError::NotAcknowledged) => {
+                self.metrics.unacknowledged.inc();
+                Ok(None)
+            }
             Err(PeerError::Timeout) => Err(LossReason::Late),
             Err(_) => Err(LossReason::Broken),
         }
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -6,6 +6,8 @@
 mod dispatch;
 mod reach;
 mod requests;
+mod retries;
 
 pub(crate) use control::ControlMetrics;
 pub(crate) use requests::GatewayMetrics;
+pub(crate) use retries::RetryMetrics;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -12,6 +12,7 @@
 
 use super::dispatch::DispatchMetrics;
 use super::reach::ReachMetrics;
+use super::retries::RetryMetrics;
 use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -58,6 +59,7 @@
     signals: Family<SignalLabel, Counter>,
     pub(crate) dispatch: DispatchMetrics,
     pub(crate) reach: ReachMetrics,
+    pub(crate) repeats: RetryMetrics,
 }
 
 impl GatewayMetrics {
@@ -84,11 +86,12 @@
             signals: Family::default(),
             dispatch: DispatchMetrics::register(registry),
             reach: ReachMetrics::register(registry),
+            repeats: RetryMetrics::register(registry),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register(
             "retries",
-            "Attempts after the first one of a request",
+            "Attempts after the first one of a request, sent or not",
             metrics.retries.clone(),
         );
         let opened = metrics.connections.clone();
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -153,10 +153,11 @@
     context: ServerContext,
 ) -> Option<WorkerDispatch> {
     let listener = tokio::net::TcpListener::from_std(settings.listener).ok()?;
+    let metrics = context.metrics.repeats.clone();
     let server = DispatchServer::new(context);
     actix_rt::spawn(serve_dispatch(listener, Rc::clone(&server)));
     actix_rt::spawn(Rc::clone(&server).run_timer());
-    let client = DispatchClient::new(server, settings.announced);
+    let client = DispatchClient::new(server, settings.announced, metrics);
     Some(WorkerDispatch { client, assist: AssistClient::new(vm), scope: settings.scope })
 }
 
--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -99,6 +99,7 @@
                 AssistEnd::Lost(reason) => {
                     attempts.may_have_run = true;
                     attempts.sent += 1;
+                    attempts.repeat_cause = "assist-lost";
                     if !self.may_repeat(incoming, reason, attempts) {
                         return Some(Err(reason.error_kind()));
                     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -167,8 +167,15 @@
             return false;
         }
         // Attempts that were not sent add no load to targets.
-        attempts.sent == 0
-            || self.policy.retries.is_on() && self.retry_budget.borrow_mut().try_take(service)
+        if attempts.sent == 0 {
+            return true;
+        }
+        let taken = self.policy.retries.is_on() && self.retry_budget.borrow_mut().try_take(service);
+        match taken {
+            true => self.metrics.repeats.count_repeat(attempts.repeat_cause),
+            false => self.metrics.repeats.count_refused(attempts.repeat_cause),
+        }
+        taken
     }
 
     /// Sends a request to one target, which counts it as running meanwhile.
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -216,6 +216,8 @@
     misdirected: Vec<String>,
     /// Attempts that failed while connecting.
     unconnected: Vec<UnconnectedAttempt>,
+    /// How the last attempt that may have reached a target ended.
+    repeat_cause: &'static str,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
@@ -367,6 +369,7 @@
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
         self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
+        self.metrics.repeats.budget_vms.set(gauge_value(fleet.vms.len()));
         if let Some(dispatch) = &self.dispatch {
             dispatch.assist.retain(&fleet);
         }
@@ -471,6 +474,9 @@
         metrics.reach.response_age.set(response_age.as_secs_f64());
         metrics.reach.cut_off.set(i64::from(self.is_cut_off()));
         metrics.reach.known_vms.set(gauge_value(state.fleet.vms.len()));
+        for (service, tokens) in self.retry_budget.borrow().tokens() {
+            metrics.repeats.set_tokens(service, tokens);
+        }
         metrics.held_bytes.set(gauge_value(self.memory.held()));
         metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
         metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -36,6 +36,9 @@
         if result.may_have_run() {
             attempts.token = None;
         }
+        if result.may_have_arrived() {
+            attempts.repeat_cause = retry_reason(&result).unwrap_or("failed");
+        }
         if let Some(reason) = retry_reason(&result) {
             log_retry(incoming, target, reason);
         }
--- a/crates/nickellead_gateway/tests/retry_budget.rs
+++ b/crates/nickellead_gateway/tests/retry_budget.rs
@@ -12,6 +12,7 @@
 
 /// Above the time within which a dispatcher has to acknowledge a request.
 const LATE: Duration = Duration::from_millis(300);
+const UNACKNOWLEDGED: &str = "nickellead_dispatch_unacknowledged_total";
 const CALLERS: usize = 60;
 const REQUESTS: usize = 3;
 
@@ -42,5 +43,7 @@
     let answers = fleet.send_all(CALLERS, "/key/", REQUESTS);
     let arrivals = count_arrivals(&owner, before);
     let repeats: usize = arrivals.values().map(|count| count - 1).sum();
-    assert_eq!(repeats, 0, "{} requests arrived: {answers:?}", arrivals.len());
+    let unacknowledged = fleet.count(UNACKNOWLEDGED);
+    let arrived = arrivals.len();
+    assert_eq!(repeats, 0, "{arrived} arrived, {unacknowledged} unacknowledged: {answers:?}");
 }
--- a/crates/nickellead_limit/src/retry.rs
+++ b/crates/nickellead_limit/src/retry.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// The retries that the budget of each service allows now.
+    pub fn tokens(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.tokens.iter().map(|(service, tokens)| (service.as_str(), *tokens))
+    }
+
     /// Takes a token for one retry if one is available.
     pub fn try_take(&mut self, service: &str) -> bool {
         match self.tokens.get_mut(service) {
