Retry budget: a VM starts without its share of the fleet's extra repeats

What targets saw: more repeats than the budget of the fleet. Cause: each life of a VM began with its whole share of BudgetExtra, and with its whole burst as long as it did not know how many VMs there are, so that each restart handed them out again; and in a fleet of more VMs than extra repeats each VM saved up a whole token. Class: a bound of the fleet that is dealt out anew to each life. Change: a VM starts with nothing and saves up to its share; what one request earns can always be used. A VM whose share is below one token spends what it has on a draw, so that the sum over the VMs is kept on average. Without retry_extra nothing changes.

--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -271,7 +271,7 @@
             zone: context.zone,
             state: RefCell::new(state),
             changed: Notify::new(),
-            retry_budget: RefCell::new(RetryBudget::new(context.retry_limits)),
+            retry_budget: RefCell::new(RetryBudget::new(context.retry_limits, fastrand::f64())),
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
--- a/crates/nickellead_limit/src/retry.rs
+++ b/crates/nickellead_limit/src/retry.rs
@@ -23,69 +23,112 @@
         self.ratio * USED_RATIO_FRACTION
     }
 
-    /// Retries with which one of `vms` VMs starts; 0 VMs if their number is unknown.
-    fn initial_tokens(&self, vms: usize) -> f64 {
+    /// Retries with which a VM starts. A restart must not hand out a share of `extra` again.
+    fn initial_tokens(&self) -> f64 {
         match self.extra {
-            Some(extra) if vms > 0 => self.burst.min(extra / vms as f64),
-            _ => self.burst,
+            Some(_) => 0.0,
+            None => self.burst,
         }
     }
 
-    /// Most retries that it saves up: at least one, or those that its requests earn could never be used.
+    /// Most retries that one of `vms` VMs saves up; 0 VMs if their number is unknown.
+    ///
+    /// What a request earns can always be used, even if the share of a VM is smaller.
     fn max_tokens(&self, vms: usize) -> f64 {
-        self.initial_tokens(vms).max(1.0).min(self.burst)
+        let share = match self.extra {
+            None => self.burst,
+            Some(_) if vms == 0 => 0.0,
+            Some(extra) => extra / vms as f64,
+        };
+        share.max(self.tokens_per_request()).min(self.burst)
     }
 }
 
+/// Tokens of one service.
+#[derive(Debug)]
+struct ServiceTokens {
+    saved: f64,
+    /// Sum of the parts of tokens that were drawn for and not won, from 0 to 1.
+    drawn: f64,
+}
+
 /// A token bucket for each service: requests add tokens, retries take them.
+///
+/// The retries of all VMs in any time are at most what their requests earn in that time, and what the VMs
+/// had saved up before, which is at most `extra` if each knows the size of the fleet. VMs that start add
+/// nothing to this sum.
+///
+/// A VM whose share is less than one token draws: it spends what it has and may retry with that
+/// probability, so that the sum over many VMs is kept on average.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
-    initial_tokens: f64,
+    /// Where the draws of each service start, from 0 to 1.
+    draw_phase: f64,
     max_tokens: f64,
-    tokens: HashMap<String, f64>,
+    services: HashMap<String, ServiceTokens>,
 }
 
 impl RetryBudget {
-    /// Each service starts with the most tokens that it may have.
+    /// Creates the budget of a VM that has just started. `draw_phase` must be random, from 0 to 1.
     #[must_use]
-    pub fn new(limits: RetryLimits) -> Self {
-        let (initial_tokens, max_tokens) = (limits.initial_tokens(0), limits.max_tokens(0));
-        Self { limits, initial_tokens, max_tokens, tokens: HashMap::new() }
+    pub fn new(limits: RetryLimits, draw_phase: f64) -> Self {
+        Self { limits, draw_phase, max_tokens: limits.max_tokens(0), services: HashMap::new() }
     }
 
     /// Sets the number of VMs that share the allowance of the fleet; 0 if unknown.
     pub fn set_fleet_size(&mut self, vms: usize) {
-        self.initial_tokens = self.limits.initial_tokens(vms);
         self.max_tokens = self.limits.max_tokens(vms);
+        for tokens in self.services.values_mut() {
+            tokens.saved = tokens.saved.min(self.max_tokens);
+        }
     }
 
     /// Records the first attempt of a request.
     pub fn record_request(&mut self, service: &str) {
-        let max_tokens = self.max_tokens;
-        match self.tokens.get_mut(service) {
-            Some(tokens) => {
-                *tokens = (*tokens + self.limits.tokens_per_request()).min(max_tokens);
-            }
+        let earned = self.limits.tokens_per_request();
+        match self.services.get_mut(service) {
+            Some(tokens) => tokens.saved = (tokens.saved + earned).min(self.max_tokens),
             None => {
-                self.tokens.insert(service.to_owned(), self.initial_tokens);
+                let saved = (self.limits.initial_tokens() + earned).min(self.max_tokens);
+                let tokens = ServiceTokens { saved, drawn: self.draw_phase };
+                self.services.insert(service.to_owned(), tokens);
             }
         }
     }
 
-    /// The retries that the budget of each service allows now.
+    /// The tokens that each service has saved up.
     pub fn tokens(&self) -> impl Iterator<Item = (&str, f64)> {
-        self.tokens.iter().map(|(service, tokens)| (service.as_str(), *tokens))
+        self.services.iter().map(|(service, tokens)| (service.as_str(), tokens.saved))
+    }
+
+    /// Whether [`RetryBudget::try_take`] would allow a retry now.
+    #[must_use]
+    pub fn has_token(&self, service: &str) -> bool {
+        let Some(tokens) = self.services.get(service) else { return false };
+        tokens.saved >= 1.0 || self.draws() && tokens.saved + tokens.drawn >= 1.0
     }
 
     /// Takes a token for one retry if one is available.
     pub fn try_take(&mut self, service: &str) -> bool {
-        match self.tokens.get_mut(service) {
-            Some(tokens) if *tokens >= 1.0 => {
-                *tokens -= 1.0;
-                true
-            }
-            _ => false,
+        let draws = self.draws();
+        let Some(tokens) = self.services.get_mut(service) else { return false };
+        if tokens.saved >= 1.0 {
+            tokens.saved -= 1.0;
+            return true;
+        }
+        if draws {
+            tokens.drawn += std::mem::take(&mut tokens.saved);
         }
+        let is_won = tokens.drawn >= 1.0;
+        if is_won {
+            tokens.drawn -= 1.0;
+        }
+        is_won
+    }
+
+    /// Whether a VM can't save up a whole token.
+    fn draws(&self) -> bool {
+        self.max_tokens < 1.0
     }
 }
