nickellead_peer: what has arrived is read before a timer decides; messages that were not sent are told apart

What callers and targets saw: requests sent again although their dispatcher had acknowledged them. Cause: a VM whose thread stood still (a tenth of a core) found the timer of the acknowledgement expired while the acknowledgement lay unread in the socket. The server of calls looked at what has arrived before it acts, its client did not. Class: no sign of arrival taken for a proof. Change: poll_arrived, from the server of calls, decides on both sides. PeerChannel::call is begin, wait_acknowledged and receive; NotSent and Refused prove that the VM does not handle a message, NotAcknowledged proves nothing. A response that is too large no longer looks like a request that was too large to send.

--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -314,6 +314,7 @@
         }
         match peer.call(call, time.saturating_sub(asked.elapsed())).await {
             Ok(reply) => Ok(Some(reply)),
+            Err(PeerError::NotSent) => Ok(None),
             Err(PeerError::NotAcknowledged) => {
                 self.metrics.unacknowledged.inc();
                 Ok(None)
--- a/crates/nickellead_peer/src/call_server.rs
+++ b/crates/nickellead_peer/src/call_server.rs
@@ -3,8 +3,6 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
-use std::time::{Duration, Instant};
 
 use bincode::{Decode, Encode};
 use bytes::Bytes;
@@ -13,6 +11,7 @@
 use http::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::arrived::poll_arrived;
 use crate::channel::{CONNECTION_WINDOW_BYTES, MAX_CALLS};
 use crate::client::{STALL_TIMEOUT, WINDOW_BYTES, connection_error, read_body};
 use crate::codec::{PeerError, decode, encode};
@@ -20,12 +19,6 @@
     PeerHandler, accept_connections, begin_response, open_accepted, refuse, send_paced,
 };
 
-/// Time of one pass over the other tasks above which the thread was suspended or is overloaded; a
-/// cancellation may then still be unread.
-const STANDSTILL: Duration = Duration::from_millis(20);
-/// Most times that arrived frames are read before a call is handled.
-const MAX_READS: u32 = 3;
-
 /// Responds to calls of [`PeerChannel`](crate::PeerChannel)s for as long as the thread's runtime
 /// runs.
 ///
@@ -108,16 +101,5 @@
 /// Whether the caller cancelled the call, as far as that has arrived: it may have given up while
 /// this VM or its thread stood still.
 async fn is_cancelled(stream: &mut SendStream<Bytes>) -> bool {
-    for _ in 0..MAX_READS {
-        let started = Instant::now();
-        // The connection's task reads what has arrived.
-        tokio::task::yield_now().await;
-        if poll_fn(|context| Poll::Ready(stream.poll_reset(context).is_ready())).await {
-            return true;
-        }
-        if started.elapsed() < STANDSTILL {
-            return false;
-        }
-    }
-    false
+    poll_arrived(|context| stream.poll_reset(context)).await.is_some()
 }
--- a/crates/nickellead_peer/src/channel.rs
+++ b/crates/nickellead_peer/src/channel.rs
@@ -3,18 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
 use bytes::Bytes;
 use h2::RecvStream;
 use h2::client::{Builder, SendRequest};
-use tokio::sync::{Mutex, Semaphore};
+use tokio::sync::{Mutex, Semaphore, SemaphorePermit};
 use tokio::time::{Instant, timeout_at};
 
-use crate::client::{
-    WINDOW_BYTES, begin_body, connection_error, open_connection, read_body, start_request,
-};
+use crate::arrived::poll_arrived;
+use crate::client::{WINDOW_BYTES, begin_body, open_connection, read_body, start_request};
 use crate::codec::{PeerError, decode, encode};
 
 /// Maximum number of concurrent calls on one connection.
@@ -89,8 +89,9 @@
     /// Dropping the future cancels the call at the other VM.
     ///
     /// # Errors
-    /// [`PeerError::NotAcknowledged`] if nothing shows that the VM received the request; later calls
-    /// then open a new connection. Any other [`PeerError`] concerns this call only.
+    /// [`PeerError::NotSent`], [`PeerError::Refused`] and a [`PeerError::TooLarge`] request prove that
+    /// the VM does not handle the message. After [`PeerError::NotAcknowledged`], later calls open a new
+    /// connection. Any other [`PeerError`] concerns this call only.
     pub async fn call(
         &self,
         message: &Q,
@@ -98,41 +99,34 @@
         limit: Duration,
     ) -> Result<R, PeerError> {
         let started = Instant::now();
-        let message = Bytes::from(encode(message)?);
         let acknowledged_by = started + ack_timeout.min(limit);
-        let free = timeout_at(acknowledged_by, self.free_calls.acquire()).await;
-        let _call = match free {
-            Ok(call) => call.map_err(connection_error)?,
-            Err(_) => return Err(PeerError::NotAcknowledged),
-        };
-        let body = self.send_request(message, acknowledged_by).await?;
-        let response = read_body(body, limit, |_| {});
-        match timeout_at(started + limit, response).await {
-            Ok(response) => decode(&response?),
-            Err(_) => Err(PeerError::Timeout),
+        let mut pending = self.begin(message, acknowledged_by).await?;
+        match pending.wait_acknowledged(acknowledged_by).await? {
+            Acknowledgement::Received => pending.receive(started + limit).await,
+            Acknowledgement::Late => Err(PeerError::NotAcknowledged),
         }
     }
 
-    /// Sends a request and returns the body of the response once it is acknowledged.
-    async fn send_request(
+    /// Sends a request, for which a connection must be free by `until`.
+    ///
+    /// # Errors
+    /// See [`PeerChannel::call`].
+    pub async fn begin(
         &self,
-        message: Bytes,
-        acknowledged_by: Instant,
-    ) -> Result<RecvStream, PeerError> {
-        let connected = timeout_at(acknowledged_by, self.connect()).await;
+        message: &Q,
+        until: Instant,
+    ) -> Result<PendingCall<'_, Q, R>, PeerError> {
+        let message = Bytes::from(encode(message)?);
+        let free = timeout_at(until, self.free_calls.acquire()).await;
+        let Ok(Ok(call)) = free else { return Err(PeerError::NotSent) };
         // The reason of a failure makes no difference to callers: the VM can't be reached.
-        let Ok(Ok(mut connection)) = connected else { return Err(PeerError::NotAcknowledged) };
+        let connected = timeout_at(until, self.connect()).await;
+        let Ok(Ok(mut connection)) = connected else { return Err(PeerError::NotSent) };
+        // The VM handles complete messages only.
         let response = start_request(&mut connection.sender, self.address, self.path, message)
-            .map_err(|_| PeerError::NotAcknowledged)?;
-        match timeout_at(acknowledged_by, begin_body(response)).await {
-            Ok(Err(PeerError::Connection(_))) => Err(PeerError::NotAcknowledged),
-            Ok(body) => body,
-            Err(_) => {
-                // The VM may be gone without a reset of the connection.
-                self.forget(connection.number);
-                Err(PeerError::NotAcknowledged)
-            }
-        }
+            .map_err(|_| PeerError::NotSent)?;
+        let state = CallState::Sent(Box::pin(begin_body(response)));
+        Ok(PendingCall { channel: self, connection: connection.number, state, _call: call })
     }
 
     /// Returns the open connection, or opens one unless another call has just done so.
@@ -175,3 +169,84 @@
         self.connection.borrow_mut().take_if(|connection| connection.number == number);
     }
 }
+
+/// A request that was sent. Dropping it cancels the call at the other VM.
+pub struct PendingCall<'a, Q, R> {
+    channel: &'a PeerChannel<Q, R>,
+    /// Number of the connection that the request was sent on.
+    connection: u64,
+    state: CallState,
+    _call: SemaphorePermit<'a>,
+}
+
+/// How far a call is.
+enum CallState {
+    /// The response has not begun.
+    Sent(Pin<Box<dyn Future<Output = Result<RecvStream, PeerError>>>>),
+    /// The response has begun.
+    Acknowledged(RecvStream),
+}
+
+/// Whether the other VM acknowledged a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acknowledgement {
+    /// It did.
+    Received,
+    /// It has not arrived in time. It may still arrive.
+    Late,
+}
+
+impl<Q: Encode, R: Decode<()>> PendingCall<'_, Q, R> {
+    /// Waits until the VM acknowledges the request. What arrived before `until` counts, even if this
+    /// thread stood still and has not read it yet.
+    ///
+    /// # Errors
+    /// [`PeerError::NotAcknowledged`] if the connection failed, [`PeerError::Refused`] if the VM did
+    /// not accept the message.
+    pub async fn wait_acknowledged(
+        &mut self,
+        until: Instant,
+    ) -> Result<Acknowledgement, PeerError> {
+        let CallState::Sent(response) = &mut self.state else {
+            return Ok(Acknowledgement::Received);
+        };
+        let begun = match timeout_at(until, response.as_mut()).await {
+            Ok(begun) => Some(begun),
+            Err(_) => poll_arrived(|context| response.as_mut().poll(context)).await,
+        };
+        match begun {
+            Some(Ok(body)) => {
+                self.state = CallState::Acknowledged(body);
+                Ok(Acknowledgement::Received)
+            }
+            Some(Err(PeerError::Connection(_))) => Err(PeerError::NotAcknowledged),
+            Some(Err(error)) => Err(error),
+            None => {
+                // The VM may be gone without a reset of the connection.
+                self.channel.forget(self.connection);
+                Ok(Acknowledgement::Late)
+            }
+        }
+    }
+
+    /// Receives the response, which must be complete at `until`.
+    ///
+    /// # Errors
+    /// A [`PeerError`]; the VM may have handled the message.
+    pub async fn receive(mut self, until: Instant) -> Result<R, PeerError> {
+        if self.wait_acknowledged(until).await? == Acknowledgement::Late {
+            return Err(PeerError::NotAcknowledged);
+        }
+        let CallState::Acknowledged(body) = self.state else {
+            return Err(PeerError::NotAcknowledged);
+        };
+        let response = read_body(body, until.saturating_duration_since(Instant::now()), |_| {});
+        match timeout_at(until, response).await {
+            Ok(Err(PeerError::TooLarge)) => {
+                Err(PeerError::Malformed("response too large".to_owned()))
+            }
+            Ok(response) => decode(&response?),
+            Err(_) => Err(PeerError::Timeout),
+        }
+    }
+}
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -173,7 +173,7 @@
     let response = response.await.map_err(connection_error)?;
     match response.status().is_success() {
         true => Ok(response.into_body()),
-        false => Err(PeerError::Malformed(format!("status {}", response.status()))),
+        false => Err(PeerError::Refused(response.status().as_u16())),
     }
 }
 
--- a/crates/nickellead_peer/src/codec.rs
+++ b/crates/nickellead_peer/src/codec.rs
@@ -22,10 +22,25 @@
     /// The other VM did not respond in time.
     #[error("response timed out")]
     Timeout,
-    /// Nothing shows that the other VM received the message: no response began in time, or the
-    /// connection could not be opened or failed before.
+    /// No part of the message was sent: the connection could not be opened, failed before, or has no
+    /// room for another call in time.
+    #[error("message was not sent")]
+    NotSent,
+    /// The message was sent, and nothing shows whether the other VM received it: no response began
+    /// in time, or the connection failed before.
     #[error("message was not acknowledged")]
     NotAcknowledged,
+    /// The other VM did not accept the message, and does not handle it.
+    #[error("message was refused with status {0}")]
+    Refused(u16),
+}
+
+impl PeerError {
+    /// Whether the other VM does not handle the message.
+    #[must_use]
+    pub const fn is_unhandled(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Refused(_) | Self::TooLarge)
+    }
 }
 
 const fn config() -> Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_BYTES>> {
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! the protocol. [`PeerClient`] makes one call at a time; [`PeerChannel`] makes many at once on one
 //! connection, and [`serve_calls`] acknowledges each before it is handled.
 
+mod arrived;
 mod call_server;
 mod channel;
 mod client;
@@ -16,7 +17,7 @@
 mod server;
 
 pub use call_server::serve_calls;
-pub use channel::PeerChannel;
+pub use channel::{Acknowledgement, PeerChannel, PendingCall};
 pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{MAX_MESSAGE_BYTES, PeerError, decode, encode};
 pub use config_change::{ConfigChange, ListChange, config_state};
--- a/crates/nickellead_peer/tests/concurrent_calls.rs
+++ b/crates/nickellead_peer/tests/concurrent_calls.rs
@@ -253,3 +253,36 @@
     assert!(ports.iter().all(|port| *port == ports[0]), "opened several connections: {ports:?}");
     server.stop();
 }
+
+/// Guards against calls that count as lost because the caller's thread stood still while the
+/// acknowledgement arrived.
+#[actix_rt::test]
+async fn an_acknowledgement_that_arrives_while_the_caller_stands_still_counts() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    call(&channel, Job::Wait(0)).await.unwrap();
+    let blocking = call(&channel, Job::Block(150));
+    let acknowledged = async {
+        wait_until(|| server.has_logged((Job::Block(150), "begun"))).await;
+        let stand_still = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            std::thread::sleep(ACK_TIMEOUT + Duration::from_millis(200));
+        };
+        tokio::join!(call(&channel, Job::Wait(1)), stand_still).0
+    };
+    let (blocking, acknowledged) = tokio::join!(blocking, acknowledged);
+    assert!(acknowledged.is_ok(), "{:?}", acknowledged.err());
+    blocking.unwrap();
+    server.stop();
+}
+
+/// Guards against a call that the server refused without handling it, but that counts as handled.
+#[actix_rt::test]
+async fn a_call_of_another_protocol_is_refused() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, "/job/2");
+    let refused = call(&channel, Job::Wait(0)).await;
+    assert!(matches!(refused, Err(PeerError::Refused(404))));
+    assert!(!server.has_logged((Job::Wait(0), "begun")));
+    server.stop();
+}
