Dispatch: a forwarded request that was not acknowledged counts as sent

What targets saw: requests that arrive twice although the retry budget is empty, and up to once more than their route allows. What callers saw: some were told that their request was not run although it had been. Cause: a Forward without an acknowledgement within 120 ms was taken for one that no dispatcher received. The VM handed it to the stand-in or sent it itself, without a token, without counting the attempt, and called it refused at the end. Class: no sign that something happened, taken for a proof that it did not. Change: sent, not sent and not known are three outcomes. What is not known is an attempt (LossReason::Dispatcher): it counts, is paid, is never called refused, and is not held against the target. A request that can't be paid for is waited for, up to 450 ms. A lost dispatcher is tried again by a probe in place of a caller's request.

--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -8,7 +8,7 @@
 
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::HeldBytes;
-use nickellead_peer::{PeerChannel, PeerError};
+use nickellead_peer::{Acknowledgement, PeerChannel, PeerError};
 use nickellead_time::BootClock;
 
 use super::groups::{GroupTable, TargetGroup};
@@ -26,10 +26,16 @@
 /// Longest time until a dispatcher acknowledges a message: several round trips between VMs with a
 /// tenth of a core.
 pub(super) const ACK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Longest time until a dispatcher acknowledges a request that may not be repeated. A dispatcher that
+/// stood still counts the time of the request from when it reads it, and the request must not run
+/// much longer than its caller waits.
+const MAX_ACK_TIME: Duration = Duration::from_millis(450);
 /// Longest time that the release of a permit takes; the permit expires by itself otherwise.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that the report of a zone takes; it counts for little longer.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time until a lost dispatcher answers a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Answers within this time count as immediate.
 const IMMEDIATE_ANSWER: Duration = Duration::from_millis(10);
 
@@ -80,12 +86,21 @@
     Ended(Box<AttemptEnd>, Duration),
     /// When there will be room.
     Refused(Duration),
-    /// No dispatcher decides for the target; nothing shows that one received the request.
+    /// No dispatcher decides for the target, and none has sent the request.
     Unavailable,
-    /// The dispatcher received the request and was lost.
+    /// The dispatcher may have sent the request.
     Lost(LossReason),
 }
 
+/// What became of a request that was handed to one dispatcher.
+enum HandOverEnd {
+    Replied(DispatchReply),
+    /// The dispatcher does not send the request.
+    NotTaken,
+    /// The dispatcher may have sent the request.
+    Unknown(LossReason),
+}
+
 /// Another VM that dispatches.
 pub(super) struct DispatchPeer {
     channel: PeerChannel<DispatchCall, DispatchReply>,
@@ -97,6 +112,7 @@
         Self { channel: PeerChannel::new(address, DISPATCH_PATH), health: Cell::default() }
     }
 
+    /// Whether a message may be sent now, if it may be lost.
     pub(super) fn may_ask(&self) -> bool {
         let mut health = self.health.get();
         let may_ask = health.may_ask(BootClock.now());
@@ -104,6 +120,22 @@
         may_ask
     }
 
+    /// Whether a request may be handed over, or a permit asked for. A lost dispatcher is tried again
+    /// in the background, so that no request waits for it or is lost with it.
+    fn is_usable(self: &Rc<Self>) -> bool {
+        if !self.health.get().is_lost() {
+            return true;
+        }
+        if self.may_ask() {
+            let peer = Rc::clone(self);
+            actix_rt::spawn(async move {
+                // `call` records the result.
+                let _ = peer.call(&DispatchCall::ProbeAssist, PROBE_TIMEOUT).await;
+            });
+        }
+        false
+    }
+
     async fn call(
         &self,
         call: &DispatchCall,
@@ -129,7 +161,40 @@
         timeout: Duration,
     ) -> Result<DispatchReply, PeerError> {
         let answer = self.channel.call(call, ack_timeout, timeout).await;
-        match &answer {
+        self.record_end(&answer, timeout);
+        answer
+    }
+
+    /// Hands over a request. If it is acknowledged late, it is given up if `may_repeat` allows to send
+    /// it again, and otherwise waited for.
+    async fn hand_over(
+        &self,
+        call: &DispatchCall,
+        timeout: Duration,
+        may_repeat: &dyn Fn() -> bool,
+    ) -> Result<DispatchReply, PeerError> {
+        let started = tokio::time::Instant::now();
+        let by = |time: Duration| started + time.min(timeout);
+        let answer = async {
+            let mut pending = self.channel.begin(call, by(ACK_TIMEOUT)).await?;
+            let mut acknowledged = pending.wait_acknowledged(by(ACK_TIMEOUT)).await?;
+            if acknowledged == Acknowledgement::Late && !may_repeat() {
+                self.record_lost(&PeerError::NotAcknowledged);
+                acknowledged = pending.wait_acknowledged(by(MAX_ACK_TIME)).await?;
+            }
+            match acknowledged {
+                Acknowledgement::Received => pending.receive(started + timeout).await,
+                Acknowledgement::Late => Err(PeerError::NotAcknowledged),
+            }
+        };
+        let answer = answer.await;
+        self.record_end(&answer, timeout);
+        answer
+    }
+
+    /// Records how a call ended that might have taken `timeout`.
+    fn record_end(&self, answer: &Result<DispatchReply, PeerError>, timeout: Duration) {
+        match answer {
             Ok(_) => {
                 let mut health = self.health.get();
                 health.record_answer();
@@ -141,7 +206,6 @@
             Err(_) if timeout < ACK_TIMEOUT => {}
             Err(error) => self.record_lost(error),
         }
-        answer
     }
 
     fn record_lost(&self, error: &PeerError) {
@@ -244,7 +308,7 @@
             return Some((self.server.acquire(call).await, issuer));
         }
         let peer = self.peer(address);
-        if !peer.may_ask() {
+        if !peer.is_usable() {
             return None;
         }
         let left = duration(call.deadline_in_ms).saturating_sub(asked.elapsed());
@@ -253,22 +317,26 @@
     }
 
     /// Hands a request to a dispatcher, which sends it; `held` has room for the response.
+    ///
+    /// `may_repeat` tells whether the request could be sent again after it was lost.
     pub(crate) async fn forward(
         &self,
         group: &TargetGroup,
         facts: RequestFacts,
         request: &OutgoingRequest,
         held: HeldBytes,
+        may_repeat: &dyn Fn() -> bool,
     ) -> ForwardAnswer {
         let asked = Instant::now();
         let time = facts.deadline_in;
         let call = ForwardCall { acquire: facts.into_call(group), request: request.into() };
         let call = DispatchCall::Forward(Box::new(call));
         for address in group.dispatchers.into_iter().flatten() {
-            let reply = match self.hand_over(address, &call, time, asked).await {
-                Ok(Some(reply)) => reply,
-                Ok(None) => continue,
-                Err(reason) => return ForwardAnswer::Lost(reason),
+            let time = time.saturating_sub(asked.elapsed());
+            let reply = match self.hand_over(address, &call, time, may_repeat).await {
+                HandOverEnd::Replied(reply) => reply,
+                HandOverEnd::NotTaken => continue,
+                HandOverEnd::Unknown(reason) => return ForwardAnswer::Lost(reason),
             };
             match reply {
                 DispatchReply::Forwarded(attempt) => {
@@ -288,39 +356,39 @@
         ForwardAnswer::Unavailable
     }
 
-    /// Hands a request to one dispatcher; `None` if nothing shows that it received the request.
+    /// Hands a request to one dispatcher, which has to answer within `time`.
     async fn hand_over(
         &self,
         address: SocketAddr,
         call: &DispatchCall,
         time: Duration,
-        asked: Instant,
-    ) -> Result<Option<DispatchReply>, LossReason> {
+        may_repeat: &dyn Fn() -> bool,
+    ) -> HandOverEnd {
         if address == self.own_address {
             return match call {
                 DispatchCall::Forward(call) => {
-                    Ok(Some(self.server.forward((**call).clone()).await))
+                    HandOverEnd::Replied(self.server.forward((**call).clone()).await)
                 }
                 DispatchCall::Acquire(_)
                 | DispatchCall::Release(_)
                 | DispatchCall::ZoneReport(_)
                 | DispatchCall::Assist(_)
-                | DispatchCall::ProbeAssist => Ok(None),
+                | DispatchCall::ProbeAssist => HandOverEnd::NotTaken,
             };
         }
         let peer = self.peer(address);
-        if !peer.may_ask() {
-            return Ok(None);
+        if !peer.is_usable() {
+            return HandOverEnd::NotTaken;
         }
-        match peer.call(call, time.saturating_sub(asked.elapsed())).await {
-            Ok(reply) => Ok(Some(reply)),
-            Err(PeerError::NotSent) => Ok(None),
+        match peer.hand_over(call, time, may_repeat).await {
+            Ok(reply) => HandOverEnd::Replied(reply),
+            Err(error) if error.is_unhandled() => HandOverEnd::NotTaken,
+            Err(PeerError::Timeout) => HandOverEnd::Unknown(LossReason::Late),
             Err(PeerError::NotAcknowledged) => {
                 self.metrics.unacknowledged.inc();
-                Ok(None)
+                HandOverEnd::Unknown(LossReason::Dispatcher)
             }
-            Err(PeerError::Timeout) => Err(LossReason::Late),
-            Err(_) => Err(LossReason::Broken),
+            Err(_) => HandOverEnd::Unknown(LossReason::Dispatcher),
         }
     }
 
--- a/crates/nickellead_gateway/src/dispatch/peer_health.rs
+++ b/crates/nickellead_gateway/src/dispatch/peer_health.rs
@@ -15,6 +15,12 @@
 }
 
 impl PeerHealth {
+    /// Whether the dispatcher counts as lost.
+    #[must_use]
+    pub const fn is_lost(&self) -> bool {
+        self.retry_at.is_some()
+    }
+
     /// Whether a message may be sent now. While the dispatcher is lost, one message at a time may.
     pub fn may_ask(&mut self, now: Timestamp) -> bool {
         match &mut self.retry_at {
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -166,7 +166,7 @@
             AttemptResult::NotSent(_) => Self::NotSent,
             AttemptResult::Withheld | AttemptResult::Forbidden(_) => Self::Withheld,
             AttemptResult::Lost(LossReason::Late) => Self::LostLate,
-            AttemptResult::Lost(LossReason::Broken) => Self::LostBroken,
+            AttemptResult::Lost(LossReason::Broken | LossReason::Dispatcher) => Self::LostBroken,
             AttemptResult::Lost(LossReason::Foreign) => Self::LostForeign,
             AttemptResult::Lost(LossReason::NoMemory) => Self::LostUnheld,
         }
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -115,6 +115,8 @@
     Foreign,
     /// The response did not fit into the memory of this VM.
     NoMemory,
+    /// The dispatcher that the request was handed to was lost.
+    Dispatcher,
 }
 
 impl LossReason {
@@ -122,7 +124,7 @@
     pub(crate) const fn error_kind(self) -> ErrorKind {
         match self {
             Self::Late => ErrorKind::AnswerLate,
-            Self::Broken => ErrorKind::AnswerLost,
+            Self::Broken | Self::Dispatcher => ErrorKind::AnswerLost,
             Self::Foreign => ErrorKind::AnswerMalformed,
             Self::NoMemory => ErrorKind::AnswerUnheld,
         }
@@ -134,6 +136,7 @@
             Self::Broken => "broken",
             Self::Foreign => "foreign",
             Self::NoMemory => "no-memory",
+            Self::Dispatcher => "dispatcher-lost",
         }
     }
 }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -67,7 +67,7 @@
                 return finish(attempts, kind);
             }
             let target = Rc::clone(selected.target());
-            let sending = self.send_to(incoming, &weighted.service, selected);
+            let sending = self.send_to(incoming, &weighted.service, selected, attempts);
             let (end, latency) = match self.until_drain_end(sending).await {
                 Ok(SendEnd::Ended(end, latency)) => (*end, latency),
                 Ok(SendEnd::Undispatched) => {
@@ -161,9 +161,8 @@
         service: &str,
         attempts: &AttemptState,
     ) -> bool {
-        let sent = attempts.sent + incoming.attempts_made;
-        let within = sent < incoming.route.rule.attempts && attempts.unsent < MAX_UNSENT_ATTEMPTS;
-        if !within || incoming.remaining() < RESPONSE_RETURN_RESERVE * 2 {
+        let within = attempts.unsent < MAX_UNSENT_ATTEMPTS;
+        if !within || !has_attempt_left(incoming, attempts.sent) {
             return false;
         }
         // Attempts that were not sent add no load to targets.
@@ -178,6 +177,18 @@
         taken
     }
 
+    /// Whether a request could be sent again after `sent` attempts that may have reached a target.
+    pub(super) fn may_repeat_sent(
+        &self,
+        incoming: &IncomingRequest,
+        service: &str,
+        sent: u32,
+    ) -> bool {
+        has_attempt_left(incoming, sent)
+            && self.policy.retries.is_on()
+            && self.retry_budget.borrow().has_token(service)
+    }
+
     /// Sends a request to one target, which counts it as running meanwhile.
     pub(super) async fn attempt(
         &self,
@@ -242,6 +253,13 @@
     }
 }
 
+/// Whether the route and the deadline allow another attempt after `sent` that may have reached a
+/// target.
+fn has_attempt_left(incoming: &IncomingRequest, sent: u32) -> bool {
+    sent + incoming.attempts_made < incoming.route.rule.attempts
+        && incoming.remaining() >= RESPONSE_RETURN_RESERVE * 2
+}
+
 impl AttemptState {
     /// The reason for the refusal when no further attempt is allowed.
     fn refusal_kind(&self) -> ErrorKind {
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -295,6 +295,7 @@
         incoming: &IncomingRequest,
         service: &str,
         selected: SelectedTarget,
+        attempts: &AttemptState,
     ) -> SendEnd {
         let since = Instant::now();
         match selected {
@@ -308,7 +309,7 @@
                 SendEnd::Ended(Box::new(end), since.elapsed())
             }
             SelectedTarget::Forwarded(target, group) => {
-                self.forward(incoming, &target, &group).await
+                self.forward(incoming, service, &target, &group, attempts).await
             }
         }
     }
@@ -317,8 +318,10 @@
     async fn forward(
         &self,
         incoming: &IncomingRequest,
+        service: &str,
         owner: &RegisteredTarget,
         group: &TargetGroup,
+        attempts: &AttemptState,
     ) -> SendEnd {
         let Some(client) = self.dispatch_client(incoming) else { return SendEnd::Undispatched };
         let response_size = &incoming.route.response_size;
@@ -328,7 +331,8 @@
         };
         let since = Instant::now();
         let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
-        match client.forward(group, facts, &incoming.outgoing, held).await {
+        let may_repeat = || self.may_repeat_sent(incoming, service, attempts.sent + 1);
+        match client.forward(group, facts, &incoming.outgoing, held, &may_repeat).await {
             ForwardAnswer::Ended(end, latency) => match end.result {
                 // The dispatcher can't reach the owner; this VM may.
                 AttemptResult::NotSent(_) => SendEnd::Undispatched,
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -103,8 +103,8 @@
                 }
                 target.record_outcome(TargetOutcome::NoResponse, now);
             }
-            // The memory of this VM says nothing about the target.
-            AttemptResult::Lost(LossReason::NoMemory) => {}
+            // The memory of this VM and the dispatcher say nothing about the target.
+            AttemptResult::Lost(LossReason::NoMemory | LossReason::Dispatcher) => {}
             AttemptResult::Lost(_) => {
                 self.load_counter.record_lost(&target.id);
                 target.record_refusal();
--- a/crates/nickellead_gateway/tests/retry_budget.rs
+++ b/crates/nickellead_gateway/tests/retry_budget.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::dispatch_fleet::{DispatchFleet, FORWARDED, store_with};
 use common::target::{Behavior, TestTarget};
@@ -12,9 +12,16 @@
 
 /// Above the time within which a dispatcher has to acknowledge a request.
 const LATE: Duration = Duration::from_millis(300);
+/// Below the time after which a request that may not be repeated is given up.
+const SLOW: Duration = Duration::from_millis(160);
+/// Above the deadline of requests.
+const NEVER: Duration = Duration::from_secs(5);
 const UNACKNOWLEDGED: &str = "nickellead_dispatch_unacknowledged_total";
 const CALLERS: usize = 60;
 const REQUESTS: usize = 3;
+/// Callers for all of whom the target has room at once.
+const FEW_CALLERS: usize = 3;
+const MANY_REQUESTS: usize = 60;
 
 /// No request may be sent to targets a second time.
 fn without_retries(settings: &mut GatewaySettings) {
@@ -31,6 +38,11 @@
     counts
 }
 
+/// Number of arrivals beyond the first one of each request.
+fn count_repeats(arrivals: &HashMap<String, usize>) -> usize {
+    arrivals.values().map(|count| count - 1).sum()
+}
+
 /// Guards the budget of the fleet against requests that a dispatcher received and acknowledged late:
 /// they count as sent.
 #[test]
@@ -42,8 +54,63 @@
     fleet.links.iter().for_each(|link| link.set_delay(LATE));
     let answers = fleet.send_all(CALLERS, "/key/", REQUESTS);
     let arrivals = count_arrivals(&owner, before);
-    let repeats: usize = arrivals.values().map(|count| count - 1).sum();
     let unacknowledged = fleet.count(UNACKNOWLEDGED);
     let arrived = arrivals.len();
-    assert_eq!(repeats, 0, "{arrived} arrived, {unacknowledged} unacknowledged: {answers:?}");
+    let twice: Vec<_> = arrivals.iter().filter(|(_, count)| **count > 1).collect();
+    let figures =
+        format!("{twice:?}, {arrived} arrived, {unacknowledged} unacknowledged: {answers:?}");
+    assert_eq!(count_repeats(&arrivals), 0, "{figures}");
+    let refused = answers.get("503").copied().unwrap_or_default();
+    assert!(arrived + refused <= CALLERS * REQUESTS, "called not run and arrived: {figures}");
+}
+
+/// Guards callers of VMs without retries left: their request may be at a dispatcher that is slow, and
+/// is served by it.
+#[test]
+fn requests_that_may_not_be_repeated_are_waited_for() {
+    let owner = TestTarget::start("o2", Behavior::Serve);
+    let store = store_with("keyed", &owner);
+    let fleet = DispatchFleet::start_with("wait", &store, "/key/", FORWARDED, without_retries);
+    fleet.links.iter().for_each(|link| link.set_delay(SLOW));
+    let answers = fleet.send_all(FEW_CALLERS, "/key/", 1);
+    assert_eq!(answers.get("200"), Some(&FEW_CALLERS), "{answers:?}");
+}
+
+/// Guards callers against waiting until their deadline for a dispatcher that is gone without a sign.
+#[test]
+fn requests_whose_dispatcher_never_acknowledges_end_before_their_deadline() {
+    let owner = TestTarget::start("o3", Behavior::Serve);
+    let store = store_with("keyed", &owner);
+    let fleet = DispatchFleet::start_with("gone", &store, "/key/", FORWARDED, without_retries);
+    let before = owner.arrivals().len();
+    fleet.links.iter().for_each(|link| link.set_delay(NEVER));
+    let started = Instant::now();
+    let answers = fleet.send_all(FEW_CALLERS, "/key/", 1);
+    assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
+    assert_eq!(count_repeats(&count_arrivals(&owner, before)), 0, "{answers:?}");
+    let known: usize = ["200", "502"].iter().filter_map(|status| answers.get(*status)).sum();
+    assert_eq!(known, FEW_CALLERS, "{answers:?}");
+}
+
+/// Guards the budget against dispatchers whose connections break after they received requests, and
+/// callers against failing with them while the budget allows to send the requests again.
+#[test]
+fn requests_at_a_dispatcher_that_is_cut_off_are_repeated_within_the_budget() {
+    const BURST: f64 = 100.0;
+    let owner = TestTarget::start("o4", Behavior::Serve);
+    let store = store_with("keyed", &owner);
+    let fleet = DispatchFleet::start_with("cut", &store, "/key/", FORWARDED, |settings| {
+        settings.retry_burst = BURST;
+        settings.retry_ratio = 0.0;
+    });
+    let (before, dispatcher) = (owner.arrivals().len(), fleet.dispatcher());
+    let answers = std::thread::scope(|scope| {
+        let sending = scope.spawn(|| fleet.send_all(FEW_CALLERS, "/key/", MANY_REQUESTS));
+        fleet.links[dispatcher].set_cut(true);
+        sending.join().unwrap()
+    });
+    let repeats = count_repeats(&count_arrivals(&owner, before));
+    let paid = fleet.count("nickellead_repeats_total{cause=\"dispatcher-lost\"}");
+    assert!(repeats as u64 <= paid, "{repeats} repeats, {paid} paid: {answers:?}");
+    assert_eq!(answers.get("200"), Some(&(FEW_CALLERS * MANY_REQUESTS)), "{answers:?}");
 }
