Assist: a message that the other VM refused was not handled

What callers saw: answer-lost for requests that a VM of an older build can't read and answers with status 400. It counted as lost, which for a request that may run once is the end. Change: a refused or unsent message is declined, and another VM is asked. Evidence: a_call_of_another_protocol_is_refused (nickellead_peer); no run with two builds was made.

--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -197,7 +197,10 @@
         };
         match assistant.peer.call_within(&call, ack_timeout, facts.deadline_in).await {
             Ok(reply) => self.apply_reply(&assistant, reply, held),
-            Err(PeerError::TooLarge) => AssistEnd::Declined,
+            Err(error) if error.is_unhandled() => {
+                assistant.decline();
+                AssistEnd::Declined
+            }
             Err(PeerError::Timeout) => AssistEnd::Lost(LossReason::Late),
             Err(_) => {
                 self.record_unanswered();
