Retry budget: a request earns once, at the VM that took it from its caller

What targets saw: more repeats than the budget allows while VMs are cut off from targets and have their requests served by others. Class: a bound of the fleet that is dealt out twice. And a VM that handed a request over at once did not record it, so that it could not pay for one that was lost at the other VM. Change: a request earns once, at the VM that took it from its caller, whoever serves it.

--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -75,6 +75,7 @@
             return None;
         }
         let client = self.assist_client()?;
+        self.record_budget(incoming, incoming.main_service(), attempts);
         for address in self.choose_assistants(client, incoming) {
             let Ok(held) =
                 self.memory.admit(self.memory.reservation(&incoming.route.response_size))
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -46,7 +46,8 @@
         }
         self.ensure_token(incoming, attempts).await?;
         let weighted = incoming.route.next_service().ok_or(ErrorKind::NoTarget)?;
-        self.record_request(incoming, &weighted.service);
+        self.record_budget(incoming, &weighted.service, attempts);
+        self.record_key_load(incoming, &weighted.service);
         loop {
             if self.must_hand_over(incoming, attempts) {
                 self.give_back_token(incoming, attempts);
@@ -133,9 +134,21 @@
         }
     }
 
-    /// Adds a request to the retry budget and to the load of its key.
-    fn record_request(&self, incoming: &IncomingRequest, service: &str) {
-        self.retry_budget.borrow_mut().record_request(service);
+    /// Adds a request to the retry budget, once and only at the VM that took it from its caller.
+    pub(super) fn record_budget(
+        &self,
+        incoming: &IncomingRequest,
+        service: &str,
+        attempts: &mut AttemptState,
+    ) {
+        if !incoming.assisted && !attempts.is_in_budget {
+            attempts.is_in_budget = true;
+            self.retry_budget.borrow_mut().record_request(service);
+        }
+    }
+
+    /// Adds a request to the load of its key.
+    fn record_key_load(&self, incoming: &IncomingRequest, service: &str) {
         if let Some(key) = incoming.key
             && self.state.borrow().is_sharded(service)
         {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -228,6 +228,8 @@
     undispatched: bool,
     /// Whether the announced limits on overloaded owners admitted the request.
     admitted: bool,
+    /// Whether the retry budget of this VM has recorded the request.
+    is_in_budget: bool,
     /// Whether no other VM took the request.
     unassisted: bool,
 }
--- a/crates/nickellead_gateway/tests/common/cut_fleet.rs
+++ b/crates/nickellead_gateway/tests/common/cut_fleet.rs
@@ -1,5 +1,7 @@
 //! Two VMs with links to all targets and to each other, which tests cut.
 
+use nickellead_gateway::GatewaySettings;
+
 use super::link::PacedLink;
 use super::store::MemoryStore;
 use super::target::{Behavior, TestTarget};
@@ -19,12 +21,13 @@
 }
 
 impl LinkedVm {
-    fn start(name: &str, store: &MemoryStore) -> Self {
+    fn start(name: &str, store: &MemoryStore, edit: impl Fn(&mut GatewaySettings)) -> Self {
         let address = free_address();
         let link = PacedLink::open(address, FAST_LINK);
         let gateway = TestGateway::start_as(name, store, |settings| {
             settings.dispatch_address = Some(address);
             settings.dispatch_announced = Some(link.address);
+            edit(settings);
         });
         Self { gateway, link }
     }
@@ -42,6 +45,11 @@
 
 impl CutFleet {
     pub fn start(name: &str) -> Self {
+        Self::start_with(name, |_| {})
+    }
+
+    /// Starts VMs whose settings are changed by `edit`.
+    pub fn start_with(name: &str, edit: impl Fn(&mut GatewaySettings)) -> Self {
         let store = MemoryStore::default();
         let start = |service: &str| {
             let target = TestTarget::start(&format!("{service}-1"), Behavior::Serve);
@@ -51,11 +59,11 @@
         };
         let (targets, links) = ["plain", "keyed"].into_iter().map(start).unzip();
         store.declare(declarations(1));
-        let cut_off = LinkedVm::start(&format!("{name}-cut-off"), &store);
+        let cut_off = LinkedVm::start(&format!("{name}-cut-off"), &store, &edit);
         wait_until("the first VM holds the mandate", || {
             store.mandate_holder() == Some(format!("{name}-cut-off"))
         });
-        let connected = LinkedVm::start(&format!("{name}-connected"), &store);
+        let connected = LinkedVm::start(&format!("{name}-connected"), &store, &edit);
         let fleet = Self { store, targets, links, cut_off, connected };
         fleet.warm_up();
         fleet
--- a/crates/nickellead_gateway/tests/retry_budget.rs
+++ b/crates/nickellead_gateway/tests/retry_budget.rs
@@ -6,8 +6,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use common::cut_fleet::{CutFleet, metric, send_as};
 use common::dispatch_fleet::{DispatchFleet, FORWARDED, store_with};
 use common::target::{Behavior, TestTarget};
+use common::target_link::CutManner;
 use nickellead_gateway::GatewaySettings;
 
 /// Above the time within which a dispatcher has to acknowledge a request.
@@ -114,3 +116,31 @@
     assert!(repeats as u64 <= paid, "{repeats} repeats, {paid} paid: {answers:?}");
     assert_eq!(answers.get("200"), Some(&(FEW_CALLERS * MANY_REQUESTS)), "{answers:?}");
 }
+
+/// Guards the budget of the fleet against requests that two VMs record, the one that took them from
+/// their callers and the one that serves them: they would earn twice what they may.
+#[test]
+fn a_request_that_another_vm_serves_earns_its_repeats_once() {
+    const REQUESTS: usize = 40;
+    /// What a request earns at the ratio of the settings.
+    const EARNED: f64 = 0.12;
+    let fleet = CutFleet::start_with("earn", |settings| {
+        settings.retry_burst = 1_000.0;
+        settings.retry_extra = Some(10_000.0);
+    });
+    let tokens = || -> f64 {
+        let name = "nickellead_retry_tokens{service=\"plain\"}";
+        fleet.gateways().into_iter().map(|gateway| metric(gateway, name)).sum()
+    };
+    let before = tokens();
+    fleet.cut(CutManner::Reset);
+    std::thread::scope(|scope| {
+        for number in 0..REQUESTS {
+            let gateway = fleet.gateways()[0];
+            scope.spawn(move || send_as(gateway, "GET", "/read/a", &format!("earn-{number}")));
+        }
+    });
+    assert!(metric(fleet.gateways()[0], "nickellead_requests_handed_over_total") > 0.0);
+    let earned = tokens() - before;
+    assert!(earned <= EARNED * REQUESTS as f64 + 0.01, "{REQUESTS} requests earned {earned}");
+}
