--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -47,7 +47,7 @@
 use crate::exchange::TargetResponse;
 use crate::fleet::FleetTable;
 use crate::incoming::{IncomingRequest, read_request};
-use crate::load_counter::LoadCounter;
+use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::GatewayMetrics;
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
@@ -165,6 +165,7 @@
 /// The request path of one VM.
 pub(crate) struct RequestWorker {
     header_names: HeaderNames,
+    vm: VmId,
     zone: String,
     state: RefCell<WorkerState>,
     /// Notified when the state changes.
@@ -251,6 +252,7 @@
 impl RequestWorker {
     pub(crate) fn new(context: WorkerContext) -> Rc<Self> {
         let started = Instant::now();
+        let vm = VmId::new(&context.vm, &context.zone);
         let state = WorkerState {
             version: None,
             services: BTreeMap::new(),
@@ -270,6 +272,7 @@
         };
         Rc::new(Self {
             header_names: context.header_names,
+            vm,
             zone: context.zone,
             state: RefCell::new(state),
             changed: Notify::new(),
@@ -370,8 +373,9 @@
 
     /// Replaces the VMs that take requests.
     pub(crate) fn set_fleet(&self, fleet: Arc<FleetTable>) {
-        self.retry_budget.borrow_mut().set_fleet_size(fleet.vms.len());
-        self.metrics.repeats.budget_vms.set(gauge_value(fleet.vms.len()));
+        let sharing_vms = fleet.count_including(self.vm);
+        self.retry_budget.borrow_mut().set_fleet_size(sharing_vms);
+        self.metrics.repeats.budget_vms.set(gauge_value(sharing_vms));
         if let Some(dispatch) = &self.dispatch {
             dispatch.assist.retain(&fleet);
         }
--- a/crates/nickellead_gateway/tests/common/cut_fleet.rs
+++ b/crates/nickellead_gateway/tests/common/cut_fleet.rs
@@ -14,6 +14,9 @@
 pub const REQUESTS: [(&str, &str); 3] =
     [("GET", "/read/a"), ("POST", "/write/a"), ("GET", "/key/a")];
 
+/// Id of the requests that wait until a VM serves.
+pub const WARM_UP_ID: &str = "warm";
+
 /// A VM and the way to its dispatch address.
 pub struct LinkedVm {
     pub gateway: TestGateway,
@@ -90,7 +93,7 @@
     pub fn wait_until_served(&self, gateway: &TestGateway) {
         for (method, path) in REQUESTS {
             wait_until("requests are served", || {
-                send_as(gateway, method, path, "warm").contains(" 200 ")
+                send_as(gateway, method, path, WARM_UP_ID).contains(" 200 ")
             });
         }
     }
