dispatch: a VM that is asked has a module of its own; one type for a response on the wire

A response stood twice in messages and its conversion three times, with an arm that could not be reached: WireResponse, with into_response. The bytes on the wire are the same. Whether other VMs may be asked stands in one place. Behaviour unchanged: retry_budget, dispatch, cut_off_vms and metrics pass.

--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -13,11 +13,11 @@
 use nickellead_peer::PeerError;
 use nickellead_time::BootClock;
 
-use super::client::{ACK_TIMEOUT, DispatchPeer};
 use super::messages::{AssistAnswer, AssistCall, DispatchCall, DispatchReply};
-use super::wire::{duration, millis, response_of};
+use super::peer::{ACK_TIMEOUT, DispatchPeer};
+use super::wire::{duration, millis};
 use crate::RepeatClass;
-use crate::exchange::{AttemptResult, LossReason, OutgoingRequest, TargetResponse};
+use crate::exchange::{LossReason, OutgoingRequest, TargetResponse};
 use crate::fleet::FleetTable;
 use crate::load_counter::VmId;
 
@@ -222,12 +222,11 @@
             return AssistEnd::Declined;
         };
         match *answer {
-            AssistAnswer::Responded { status, headers, body } => {
+            AssistAnswer::Responded(response) => {
                 self.assistant_seen.set(Some(BootClock.now()));
-                match response_of(status, headers, body, held) {
-                    AttemptResult::Responded(response) => AssistEnd::Responded(response),
-                    AttemptResult::Lost(reason) => AssistEnd::Lost(reason),
-                    _ => AssistEnd::Lost(LossReason::Foreign),
+                match response.into_response(held) {
+                    Ok(response) => AssistEnd::Responded(response),
+                    Err(reason) => AssistEnd::Lost(reason),
                 }
             }
             AssistAnswer::Failed { error, retry_after_ms } => match ErrorKind::parse(&error) {
--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -102,11 +102,19 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) enum AssistAnswer {
     /// A response of a target.
-    Responded { status: u16, headers: Vec<WireHeader>, body: Vec<u8> },
+    Responded(WireResponse),
     /// An error of the VM, by its code, and how long the caller is to wait before it retries.
     Failed { error: String, retry_after_ms: Option<u32> },
 }
 
+/// A response of a target.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(super) struct WireResponse {
+    pub(super) status: u16,
+    pub(super) headers: Vec<WireHeader>,
+    pub(super) body: Vec<u8>,
+}
+
 /// One header line.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) struct WireHeader {
@@ -179,11 +187,7 @@
 /// The result of an attempt that a dispatcher made.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(super) enum WireResult {
-    Responded {
-        status: u16,
-        headers: Vec<WireHeader>,
-        body: Vec<u8>,
-    },
+    Responded(WireResponse),
     Shed,
     Misdirected,
     /// Nothing was sent: the dispatcher can't reach the target.
--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -1,14 +1,16 @@
 //! Dispatch between VMs: one VM decides for the targets of a group.
 //!
 //! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
-//! `groups` divides the targets; `server` and `group_state` decide, and `client` asks.
-//! `assist` hands requests to other VMs while this VM reaches no target. `reports` decides what VMs of one zone tell each other about other zones.
+//! `groups` divides the targets; `server` and `group_state` decide, and `client` asks the VMs of `peer`.
+//! `assist` hands requests to other VMs while this VM reaches no target. `reports` decides what VMs of
+//! one zone tell each other about other zones.
 
 mod assist;
 mod client;
 mod group_state;
 mod groups;
 mod messages;
+mod peer;
 mod peer_health;
 mod permit;
 mod reports;
--- a/crates/nickellead_gateway/src/dispatch/permit.rs
+++ b/crates/nickellead_gateway/src/dispatch/permit.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::client::DispatchPeer;
 use super::messages::{GroupId, ReleaseCall, WireOutcome, WireSignals};
+use super::peer::DispatchPeer;
 use super::server::DispatchServer;
 use super::wire::millis;
 use crate::connections::ConnectFailure;
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -404,7 +404,7 @@
 /// Logs a forwarded request if no response came back, or if its id selects it, as on other VMs.
 fn log_forwarded(outgoing: &OutgoingRequest, target: &str, attempt: &WireAttempt, after: Duration) {
     let id = outgoing.request_id.as_bytes();
-    if !is_logged(id) && matches!(attempt.result, WireResult::Responded { .. }) {
+    if !is_logged(id) && matches!(attempt.result, WireResult::Responded(_)) {
         return;
     }
     let pairs: [(&str, &dyn std::fmt::Display); 5] = [
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -11,7 +11,7 @@
 
 use super::messages::{
     AssistAnswer, AssistCall, WireAttempt, WireHeader, WireLimit, WireLoad, WireOutcome,
-    WireRequest, WireResult, WireSignals,
+    WireRequest, WireResponse, WireResult, WireSignals,
 };
 use crate::HeaderNames;
 use crate::connections::ConnectFailure;
@@ -140,11 +140,7 @@
 impl From<Result<TargetResponse, AssistFailure>> for AssistAnswer {
     fn from(served: Result<TargetResponse, AssistFailure>) -> Self {
         match served {
-            Ok(response) => Self::Responded {
-                status: response.status.as_u16(),
-                headers: wire_headers(&response.headers),
-                body: response.body.to_vec(),
-            },
+            Ok(response) => Self::Responded(response.into()),
             Err(failure) => Self::Failed {
                 error: failure.kind.response().code.to_owned(),
                 retry_after_ms: failure.retry_after.map(millis),
@@ -156,11 +152,7 @@
 impl From<AttemptResult> for WireResult {
     fn from(result: AttemptResult) -> Self {
         match result {
-            AttemptResult::Responded(response) => Self::Responded {
-                status: response.status.as_u16(),
-                headers: wire_headers(&response.headers),
-                body: response.body.to_vec(),
-            },
+            AttemptResult::Responded(response) => Self::Responded(response.into()),
             AttemptResult::Shed => Self::Shed,
             AttemptResult::Misdirected => Self::Misdirected,
             AttemptResult::NotSent(_) => Self::NotSent,
@@ -177,7 +169,10 @@
     /// The result as if this VM had made the attempt; `held` has room for the response.
     fn into_result(self, held: HeldBytes) -> AttemptResult {
         match self {
-            Self::Responded { status, headers, body } => response_of(status, headers, body, held),
+            Self::Responded(response) => match response.into_response(held) {
+                Ok(response) => AttemptResult::Responded(response),
+                Err(reason) => AttemptResult::Lost(reason),
+            },
             Self::Shed => AttemptResult::Shed,
             Self::Misdirected => AttemptResult::Misdirected,
             Self::NotSent => AttemptResult::NotSent(ConnectFailure::Broken),
@@ -192,7 +187,7 @@
     /// The result in the log.
     pub(super) const fn as_str(&self) -> &'static str {
         match self {
-            Self::Responded { .. } => "responded",
+            Self::Responded(_) => "responded",
             Self::Shed => "shed",
             Self::Misdirected => "not-owner",
             Self::NotSent => "not-sent",
@@ -220,22 +215,28 @@
     }
 }
 
-/// A response from a message, or why it is not usable; `held` has room for it.
-pub(super) fn response_of(
-    status: u16,
-    headers: Vec<WireHeader>,
-    body: Vec<u8>,
-    mut held: HeldBytes,
-) -> AttemptResult {
-    if held.resize(body.len(), BytePurpose::Completion).is_err() {
-        return AttemptResult::Lost(LossReason::NoMemory);
+impl From<TargetResponse> for WireResponse {
+    fn from(response: TargetResponse) -> Self {
+        Self {
+            status: response.status.as_u16(),
+            headers: wire_headers(&response.headers),
+            body: response.body.to_vec(),
+        }
     }
-    match (StatusCode::from_u16(status), header_map(headers)) {
-        (Ok(status), Some(headers)) => {
-            let body = Bytes::from(body);
-            AttemptResult::Responded(TargetResponse { status, headers, body, held })
+}
+
+impl WireResponse {
+    /// The response, for which `held` has room.
+    ///
+    /// # Errors
+    /// Why it is not usable.
+    pub(super) fn into_response(self, mut held: HeldBytes) -> Result<TargetResponse, LossReason> {
+        if held.resize(self.body.len(), BytePurpose::Completion).is_err() {
+            return Err(LossReason::NoMemory);
         }
-        _ => AttemptResult::Lost(LossReason::Foreign),
+        let status = StatusCode::from_u16(self.status).map_err(|_| LossReason::Foreign)?;
+        let headers = header_map(self.headers).ok_or(LossReason::Foreign)?;
+        Ok(TargetResponse { status, headers, body: Bytes::from(self.body), held })
     }
 }
 
--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -61,7 +61,7 @@
         incoming: &IncomingRequest,
         attempts: &AttemptState,
     ) -> bool {
-        self.is_cut_off() && !incoming.assisted && !attempts.unassisted
+        self.is_cut_off() && may_go_elsewhere(incoming, attempts)
     }
 
     /// Has a request served by another VM, if this VM reaches no target; `None` if this VM is to
@@ -71,7 +71,7 @@
         incoming: &IncomingRequest,
         attempts: &mut AttemptState,
     ) -> Option<Result<TargetResponse, ErrorKind>> {
-        if incoming.assisted || attempts.unassisted || !self.leaves_to_others() {
+        if !may_go_elsewhere(incoming, attempts) || !self.leaves_to_others() {
             return None;
         }
         let client = self.assist_client()?;
@@ -211,6 +211,11 @@
     }
 }
 
+/// Whether other VMs may be asked to serve a request.
+fn may_go_elsewhere(incoming: &IncomingRequest, attempts: &AttemptState) -> bool {
+    !incoming.assisted && !attempts.unassisted
+}
+
 /// Whether another VM may serve a request that one VM refused for this reason.
 fn is_peculiar_to_vm(kind: ErrorKind) -> bool {
     matches!(
