--- a/crates/nickellead_gateway/src/dispatch/messages.rs
+++ b/crates/nickellead_gateway/src/dispatch/messages.rs
@@ -22,8 +22,8 @@
     ZoneReport(ZoneReport),
     /// Asks to serve a request of a VM that reaches no target.
     Assist(Box<AssistCall>),
-    /// Asks whether the VM could serve such requests. It is answered with
-    /// [`DispatchReply::Released`] or [`DispatchReply::NotServing`].
+    /// Asks whether the VM could serve such requests, or only whether it answers again. It is answered
+    /// with [`DispatchReply::Released`] or [`DispatchReply::NotServing`].
     ProbeAssist,
 }
 
--- a/crates/nickellead_gateway/src/dispatch/peer.rs
+++ b/crates/nickellead_gateway/src/dispatch/peer.rs
@@ -1,4 +1,4 @@
-//! Another VM that takes messages, and whether it acknowledges them.
+//! Another VM that takes messages, and what becomes of them.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
