dispatch: one probe of another VM; the reason of a retry is worked out once

Probing another VM stood twice, in assist.rs and peer.rs, with a constant each: DispatchPeer::probe serves both. next_step asked twice for the reason of a retry, and take_retry_permit kept half of a condition in a variable. Behaviour unchanged.

--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -28,8 +28,6 @@
 const MAX_ASSISTANTS: usize = 12;
 /// How long a VM that declined a request is passed over.
 const DECLINED_TIME: Duration = Duration::from_millis(500);
-/// Longest time until a VM answers whether it could serve requests.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the last sign of a VM that reaches targets counts.
 const ASSISTANT_TTL: Duration = Duration::from_millis(1_500);
 /// Consecutive calls without an answer after which no other VM counts as reachable.
@@ -246,8 +244,7 @@
         if !assistant.peer.may_ask() {
             return;
         }
-        let probe = DispatchCall::ProbeAssist;
-        match assistant.peer.call_within(&probe, ACK_TIMEOUT, PROBE_TIMEOUT).await {
+        match assistant.peer.probe().await {
             Ok(DispatchReply::Released) => {
                 self.unanswered.set(0);
                 self.assistant_seen.set(Some(BootClock.now()));
--- a/crates/nickellead_gateway/src/dispatch/peer.rs
+++ b/crates/nickellead_gateway/src/dispatch/peer.rs
@@ -21,7 +21,7 @@
 const MAX_ACK_TIME: Duration = Duration::from_millis(450);
 /// Longest time that the release of a permit takes; the permit expires by itself otherwise.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time until a lost dispatcher answers a probe.
+/// Longest time until a VM answers a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Another VM that dispatches.
@@ -52,13 +52,18 @@
         if self.may_ask() {
             let peer = Rc::clone(self);
             actix_rt::spawn(async move {
-                // `call` records the result.
-                let _ = peer.call(&DispatchCall::ProbeAssist, PROBE_TIMEOUT).await;
+                // `probe` records the result.
+                let _ = peer.probe().await;
             });
         }
         false
     }
 
+    /// Asks whether the VM could serve requests of others, or only whether it answers again.
+    pub(super) async fn probe(&self) -> Result<DispatchReply, PeerError> {
+        self.call(&DispatchCall::ProbeAssist, PROBE_TIMEOUT).await
+    }
+
     /// Sends a message that must be acknowledged in the usual time.
     pub(super) async fn call(
         &self,
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -174,8 +174,7 @@
         service: &str,
         attempts: &AttemptState,
     ) -> bool {
-        let within = attempts.unsent < MAX_UNSENT_ATTEMPTS;
-        if !within || !has_attempt_left(incoming, attempts.sent) {
+        if attempts.unsent >= MAX_UNSENT_ATTEMPTS || !has_attempt_left(incoming, attempts.sent) {
             return false;
         }
         // Attempts that were not sent add no load to targets.
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -36,10 +36,11 @@
         if result.may_have_run() {
             attempts.token = None;
         }
+        let reason = retry_reason(&result);
         if result.may_have_arrived() {
-            attempts.repeat_cause = retry_reason(&result).unwrap_or("failed");
+            attempts.repeat_cause = reason.unwrap_or("failed");
         }
-        if let Some(reason) = retry_reason(&result) {
+        if let Some(reason) = reason {
             log_retry(incoming, target, reason);
         }
         match result {
