--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -7,6 +7,7 @@
 
 use nickellead_balance::TargetOutcome;
 use nickellead_core::{ErrorKind, OutcomeClass};
+use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
 use super::dispatching::SendEnd;
@@ -183,7 +184,10 @@
         }
         let taken = self.policy.retries.is_on() && self.retry_budget.borrow_mut().try_take(service);
         match taken {
-            true => self.metrics.repeats.count_repeat(attempts.repeat_cause),
+            true => {
+                self.metrics.repeats.count_repeat(attempts.repeat_cause);
+                log_repeat(incoming, attempts);
+            }
             false => self.metrics.repeats.count_refused(attempts.repeat_cause),
         }
         taken
@@ -265,6 +269,13 @@
     }
 }
 
+fn log_repeat(incoming: &IncomingRequest, attempts: &AttemptState) {
+    let id = String::from_utf8_lossy(incoming.outgoing.request_id.as_bytes());
+    let pairs: [(&str, &dyn std::fmt::Display); 3] =
+        [("request", &id), ("cause", &attempts.repeat_cause), ("sent", &attempts.sent)];
+    log_event(EventName::RequestRepeated, &pairs);
+}
+
 /// Whether the route and the deadline allow another attempt after `sent` that may have reached a
 /// target.
 fn has_attempt_left(incoming: &IncomingRequest, sent: u32) -> bool {
--- /dev/null
+++ b/crates/nickellead_soak/src/gateway/mod.rs
@@ -0,0 +1,14 @@
+//! Rounds of faults against real gateways, with stand-ins for the platform, its targets and callers.
+
+mod fleet;
+mod http_get;
+mod metrics;
+mod processes;
+mod round;
+mod schedule;
+mod site;
+
+pub use metrics::VmMetrics;
+pub use round::{GatewayReport, GatewayRound, run_gateway_round};
+pub use schedule::{GatewayFault, GatewaySchedule, ScheduledGatewayFault, gateway_schedule};
+pub use site::GatewaySite;
--- /dev/null
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -0,0 +1,134 @@
+//! One round: faults, load, and checks of what callers and targets saw.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use nickellead_adapter_standin::{LoadReport, ServiceRepeats, run_callers};
+
+use super::fleet::GatewayFleet;
+use super::metrics::VmMetrics;
+use super::schedule::{GatewaySchedule, gateway_schedule};
+use super::site::GatewaySite;
+use crate::SoakError;
+
+/// Load without faults at the start, and after the last one.
+const CALM_TIME: Duration = Duration::from_secs(3);
+/// Interval between two looks at the time of the next fault.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How a VM logs that it took a token to send a request once more; the id of the request follows.
+const PAID_EVENT: &str = "event=request-repeated request=";
+
+/// What a round plays.
+#[derive(Clone, Debug)]
+pub struct GatewayRound {
+    /// Path of the program under test.
+    pub program: PathBuf,
+    /// Folder for settings and logs.
+    pub folder: PathBuf,
+    /// The deployment.
+    pub site: GatewaySite,
+    /// Time within which all faults end.
+    pub fault_duration: Duration,
+    /// Seed of the deployment, the load and the faults.
+    pub seed: u64,
+}
+
+/// What callers, targets and VMs saw in a round.
+#[derive(Clone, Debug)]
+pub struct GatewayReport {
+    /// Responses to callers.
+    pub load: LoadReport,
+    /// The retry budget of each service.
+    pub repeats: Vec<ServiceRepeats>,
+    /// Requests that arrived more than once, with the time of each further arrival.
+    pub repeated: Vec<(Duration, String)>,
+    /// Ids of requests that arrived again although no VM took a token for it, once for each arrival.
+    pub unpaid: Vec<String>,
+    /// Metrics of all VMs over all lives.
+    pub metrics: VmMetrics,
+    /// The faults that were injected.
+    pub schedule: GatewaySchedule,
+}
+
+impl GatewayReport {
+    /// Whether every guarantee was kept.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let within_budget = !self.repeats.iter().any(ServiceRepeats::is_exceeded);
+        let load = &self.load;
+        within_budget && load.broken_promises.is_empty() && load.run_twice.is_empty()
+    }
+}
+
+/// Runs one round.
+///
+/// # Errors
+/// A [`SoakError`] if the round could not run.
+pub fn run_gateway_round(round: &GatewayRound) -> Result<GatewayReport, SoakError> {
+    let mut fleet = GatewayFleet::start(&round.program, &round.folder, round.site, round.seed)?;
+    let targets = fleet.targets.count();
+    let schedule = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
+    let load_duration = round.fault_duration + 2 * CALM_TIME;
+    let (settings, factor) = fleet.callers(load_duration, round.seed);
+    let ledger = fleet.ledger.clone();
+    let callers = std::thread::spawn(move || match actix_rt::Runtime::new() {
+        Ok(runtime) => runtime.block_on(run_callers(settings, ledger, factor)),
+        // The empty report shows that nothing was sent.
+        Err(_) => LoadReport::default(),
+    });
+    std::thread::sleep(CALM_TIME);
+    fleet.set_cycle(schedule.cycle);
+    inject(&mut fleet, &schedule, round.fault_duration)?;
+    fleet.set_cycle(None);
+    let load = callers.join().map_err(|_| SoakError::NotReached("load finished".to_owned()))?;
+    let (repeated, metrics) = (fleet.ledger.repeated(), fleet.metrics());
+    let paid = fleet.count_events(PAID_EVENT)?;
+    Ok(GatewayReport {
+        load,
+        repeats: fleet.ledger.judge(round.site.budget()),
+        unpaid: find_unpaid(&repeated, paid),
+        repeated,
+        metrics,
+        schedule,
+    })
+}
+
+/// The arrivals beyond the first of each request for which no VM has logged that it took a token.
+fn find_unpaid(repeated: &[(Duration, String)], mut paid: HashMap<String, usize>) -> Vec<String> {
+    let is_unpaid = |id: &&String| match paid.get_mut(*id) {
+        Some(left) if *left > 0 => {
+            *left -= 1;
+            false
+        }
+        _ => true,
+    };
+    repeated.iter().map(|(_, id)| id).filter(is_unpaid).cloned().collect()
+}
+
+/// Injects all faults; ends when the last one has ended.
+fn inject(
+    fleet: &mut GatewayFleet,
+    schedule: &GatewaySchedule,
+    duration: Duration,
+) -> Result<(), SoakError> {
+    let started = Instant::now();
+    let starts = schedule.faults.iter().map(|fault| (fault.start, true, &fault.fault));
+    let ends = schedule.faults.iter().map(|fault| (fault.end, false, &fault.fault));
+    let mut edges: Vec<_> = starts.chain(ends).collect();
+    edges.sort_by_key(|(at, _, _)| *at);
+    let wait_until = |at: Duration| {
+        while started.elapsed() < at {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    };
+    for (at, is_start, fault) in edges {
+        wait_until(at);
+        match is_start {
+            true => fleet.start_fault(fault),
+            false => fleet.end_fault(fault)?,
+        }
+    }
+    wait_until(duration);
+    Ok(())
+}
--- a/crates/nickellead_soak/src/lib.rs
+++ b/crates/nickellead_soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod address;
 mod error;
 mod fleet;
+mod gateway;
 mod link;
 mod process;
 mod round;
@@ -20,6 +21,10 @@
 pub use address::free_address;
 pub use error::SoakError;
 pub use fleet::{FleetSize, SoakFleet};
+pub use gateway::{
+    GatewayFault, GatewayReport, GatewayRound, GatewaySchedule, GatewaySite, ScheduledGatewayFault,
+    VmMetrics, gateway_schedule, run_gateway_round,
+};
 pub use link::{FaultLink, LinkFault, LinkHost};
 pub use process::SoakProcess;
 pub use round::{RoundReport, RoundSettings, run_round};
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -1,12 +1,15 @@
 //! Runs rounds with consecutive seeds and prints one line per round.
 #![allow(clippy::print_stdout, reason = "the printed lines are the output of the program")]
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
-use nickellead_soak::{FleetSize, RoundReport, RoundSettings, SoakError, run_round};
+use nickellead_soak::{
+    FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundReport, RoundSettings, SoakError,
+    run_gateway_round, run_round,
+};
 
 /// Exit code if a round could not run.
 const EXIT_NOT_RUN: u8 = 2;
@@ -32,6 +35,15 @@
     /// duration of the faults of a round in seconds (default 15)
     #[argh(option, default = "15")]
     seconds: u64,
+    /// play gateways instead, this many of them, on the stand-ins of the users' platform
+    #[argh(option)]
+    gateways: Option<usize>,
+    /// with --gateways: part of the full load (default 1)
+    #[argh(option, default = "1.0")]
+    load: f64,
+    /// keep the logs of clean rounds too
+    #[argh(switch)]
+    keep: bool,
     /// path of the program under test (default: nickellead in the folder of this program)
     #[argh(option)]
     program: Option<PathBuf>,
@@ -52,26 +64,24 @@
     let folder = arguments.folder.clone().unwrap_or_else(temporary_folder);
     // Short seeds are easy to type when a failed round is repeated.
     let first = arguments.first_seed.unwrap_or_else(|| fastrand::u64(1_000..1_000_000));
-    let size = FleetSize {
-        zones: arguments.zones.max(1),
-        vms_per_zone: arguments.vms.max(1),
-        targets_per_zone: arguments.targets.max(1),
-    };
     let (mut broken, mut not_played) = (0, 0);
     for seed in first..first.saturating_add(arguments.seeds) {
         let folder = folder.join(seed.to_string());
-        let fault_duration = Duration::from_secs(arguments.seconds);
-        let settings =
-            RoundSettings { program: program.clone(), folder, size, fault_duration, seed };
-        let result = run_round(&settings);
-        print_round(seed, &result);
-        match result {
-            Ok(report) if report.is_clean() => {
+        let is_clean = match arguments.gateways {
+            Some(vms) => play_gateways(&arguments, &program, &folder, seed, vms),
+            None => play_vms(&arguments, &program, &folder, seed),
+        };
+        match is_clean {
+            Ok(true) if arguments.keep => {}
+            Ok(true) => {
                 // Only failed rounds keep their logs; a leftover folder is harmless.
-                let _ = std::fs::remove_dir_all(&settings.folder);
+                let _ = std::fs::remove_dir_all(&folder);
+            }
+            Ok(false) => broken += 1,
+            Err(error) => {
+                println!("seed={seed} finding={error:?}");
+                not_played += 1;
             }
-            Ok(_) => broken += 1,
-            Err(_) => not_played += 1,
         }
     }
     println!(
@@ -86,20 +96,103 @@
     }
 }
 
-fn print_round(seed: u64, result: &Result<RoundReport, SoakError>) {
-    match result {
-        Ok(report) => println!(
-            "seed={seed} clean={} faults={} sent={} answered={} refused={} unknown={} \
-             recovery_ms={} {:?}",
-            report.is_clean(),
-            report.faults,
-            report.sent,
-            report.answered,
-            report.refused,
-            report.unknown,
-            report.recovery.map_or(-1, |time| time.as_millis() as i64),
-            report.verdict
-        ),
-        Err(error) => println!("seed={seed} finding={error:?}"),
+/// Plays one round of VMs; returns whether it was clean.
+fn play_vms(
+    arguments: &SoakArguments,
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+) -> Result<bool, SoakError> {
+    let size = FleetSize {
+        zones: arguments.zones.max(1),
+        vms_per_zone: arguments.vms.max(1),
+        targets_per_zone: arguments.targets.max(1),
+    };
+    let settings = RoundSettings {
+        program: program.to_owned(),
+        folder: folder.to_owned(),
+        size,
+        fault_duration: Duration::from_secs(arguments.seconds),
+        seed,
+    };
+    let report = run_round(&settings)?;
+    print_round(seed, &report);
+    Ok(report.is_clean())
+}
+
+/// Plays one round of gateways; returns whether it was clean.
+fn play_gateways(
+    arguments: &SoakArguments,
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+    vms: usize,
+) -> Result<bool, SoakError> {
+    let round = GatewayRound {
+        program: program.to_owned(),
+        folder: folder.to_owned(),
+        site: GatewaySite { vms: vms.max(1), load: arguments.load },
+        fault_duration: Duration::from_secs(arguments.seconds),
+        seed,
+    };
+    let report = run_gateway_round(&round)?;
+    print_gateways(seed, &report);
+    let repeated: Vec<String> =
+        report.repeated.iter().map(|(at, id)| format!("{} {id}", at.as_millis())).collect();
+    // The list only helps to trace a failed round.
+    let _ = std::fs::write(folder.join("repeated"), repeated.join("\n"));
+    let _ = std::fs::write(folder.join("unpaid"), report.unpaid.join("\n"));
+    let _ = std::fs::write(folder.join("schedule"), format!("{:#?}", report.schedule));
+    Ok(report.is_clean())
+}
+
+fn print_round(seed: u64, report: &RoundReport) {
+    println!(
+        "seed={seed} clean={} faults={} sent={} answered={} refused={} unknown={} \
+         recovery_ms={} {:?}",
+        report.is_clean(),
+        report.faults,
+        report.sent,
+        report.answered,
+        report.refused,
+        report.unknown,
+        report.recovery.map_or(-1, |time| time.as_millis() as i64),
+        report.verdict
+    );
+}
+
+fn print_gateways(seed: u64, report: &GatewayReport) {
+    let load = &report.load;
+    println!(
+        "seed={seed} clean={} faults={} cycle={:?} sent={} served={} tries={} statuses={:?} \
+         broken_promises={} run_twice={}",
+        report.is_clean(),
+        report.schedule.faults.len(),
+        report.schedule.cycle.map(|cycle| cycle.period),
+        load.first_tries,
+        load.served,
+        load.tries,
+        load.statuses,
+        load.broken_promises.len(),
+        load.run_twice.len(),
+    );
+    for one in &report.repeats {
+        println!(
+            "  {} sent={} repeats={} worst={}/{:.0}",
+            one.service, one.sent, one.repeats, one.worst, one.allowed
+        );
     }
+    let sum = |name: &str| report.metrics.sum(name);
+    let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
+    println!(
+        "  unpaid={} paid={} retries={} unacknowledged={} forwarded={} handed_over={} assisted={} \
+         {causes:?}",
+        report.unpaid.len(),
+        sum("nickellead_repeats_total"),
+        sum("nickellead_retries_total"),
+        sum("nickellead_dispatch_unacknowledged_total"),
+        sum("nickellead_dispatch_forwarded_total"),
+        sum("nickellead_requests_handed_over_total"),
+        sum("nickellead_requests_assisted_total"),
+    );
 }
--- a/crates/nickellead_soak/tests/schedules.rs
+++ b/crates/nickellead_soak/tests/schedules.rs
@@ -4,7 +4,9 @@
 use std::mem::discriminant;
 use std::time::Duration;
 
-use nickellead_soak::{FleetSize, random_schedule};
+use nickellead_soak::{
+    FleetSize, GatewaySite, ScheduledGatewayFault, gateway_schedule, random_schedule,
+};
 
 const SIZE: FleetSize = FleetSize { zones: 2, vms_per_zone: 3, targets_per_zone: 4 };
 const DURATION: Duration = Duration::from_secs(15);
@@ -38,3 +40,25 @@
         .collect();
     assert_eq!(kinds.len(), 12);
 }
+
+/// Whether `first` and `second` overlap in time.
+fn overlap(first: &ScheduledGatewayFault, second: &ScheduledGatewayFault) -> bool {
+    first.start < second.end && second.start < first.end
+}
+
+#[test]
+fn faults_of_gateways_are_reproducible_overlap_and_end_in_time() {
+    let site = GatewaySite { vms: 12, load: 1.0 };
+    let schedule = |seed| gateway_schedule(seed, site, 60, DURATION);
+    assert_eq!(schedule(7), schedule(7));
+    assert_ne!(schedule(7), schedule(8));
+    for seed in 0..200 {
+        let faults = schedule(seed).faults;
+        assert!(faults.iter().all(|fault| fault.start < fault.end && fault.end <= DURATION));
+        let overlaps = faults.windows(2).filter(|pair| overlap(&pair[0], &pair[1])).count();
+        assert!(overlaps > 0, "seed {seed} has no faults at the same time");
+    }
+    let faults = (0..50).flat_map(|seed| schedule(seed).faults);
+    let kinds: HashSet<_> = faults.map(|fault| discriminant(&fault.fault)).collect();
+    assert_eq!(kinds.len(), 8);
+}
