--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -10,10 +10,9 @@
 pub mod target;
 pub mod target_link;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Mutex;
+use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -50,20 +49,9 @@
     Some(ReportedLoad { running, waiting, slots, slowness: 1.0 })
 }
 
-/// Ports outside the ephemeral range, so that no outgoing connection takes a free one before it is
-/// bound.
-const NON_EPHEMERAL_PORTS: std::ops::Range<u16> = 10_000..32_768;
-
-/// A free loopback address that no earlier call of this process returned.
+/// A free loopback address that no other test gets.
 pub fn free_address() -> SocketAddr {
-    static USED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-    loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(NON_EPHEMERAL_PORTS)));
-        // In this order: the check of a port that another thread got would keep it from binding.
-        if USED_PORTS.lock().unwrap().insert(address.port()) && TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    nickellead_ports::free_address().unwrap()
 }
 
 /// A route with the prefix `/NAME/` to one service.
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -169,13 +169,16 @@
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
-        load.first_tries,
-        load.served,
+        load.sent(),
+        load.served(),
         load.tries,
         load.statuses,
         load.broken_promises.len(),
         load.run_twice.len(),
     );
+    for (route, tally) in &load.routes {
+        println!("  {route} sent={} served={}", tally.sent, tally.served);
+    }
     for one in &report.repeats {
         println!(
             "  {} sent={} repeats={} worst={}/{:.0}",
