--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -47,6 +47,8 @@
     _link_host: LinkHost,
     processes: VmProcesses,
     load: watch::Sender<f64>,
+    /// When VMs were killed.
+    pub(super) kills: Vec<Duration>,
     /// Metrics of lives that have ended.
     ended_metrics: VmMetrics,
 }
@@ -90,6 +92,7 @@
             _link_host: link_host,
             processes,
             load: watch::channel(1.0).0,
+            kills: Vec::new(),
             ended_metrics: VmMetrics::default(),
         };
         (0..site.vms).try_for_each(|vm| fleet.processes.start(vm))?;
@@ -144,6 +147,7 @@
             GatewayFault::Kill(vms) => {
                 self.keep_metrics(vms);
                 vms.iter().for_each(|vm| self.processes.kill(*vm));
+                self.kills.push(self.ledger.now());
             }
             GatewayFault::Restart(vms) => {
                 self.keep_metrics(vms);
@@ -172,7 +176,9 @@
             GatewayFault::Kill(vms) => vms.iter().try_for_each(|vm| self.processes.start(*vm))?,
             GatewayFault::Restart(vms) => {
                 for vm in vms {
-                    self.processes.finish_stop(*vm);
+                    if !self.processes.finish_stop(*vm) {
+                        self.kills.push(self.ledger.now());
+                    }
                     self.processes.start(*vm)?;
                 }
             }
--- a/crates/nickellead_soak/src/gateway/mod.rs
+++ b/crates/nickellead_soak/src/gateway/mod.rs
@@ -9,6 +9,6 @@
 mod site;
 
 pub use metrics::VmMetrics;
-pub use round::{GatewayReport, GatewayRound, run_gateway_round};
+pub use round::{GatewayReport, GatewayRound, UnpaidArrival, run_gateway_round};
 pub use schedule::{GatewayFault, GatewaySchedule, ScheduledGatewayFault, gateway_schedule};
 pub use site::GatewaySite;
--- a/crates/nickellead_soak/src/gateway/processes.rs
+++ b/crates/nickellead_soak/src/gateway/processes.rs
@@ -125,16 +125,15 @@
         lock(&self.vms[vm]).process.is_some()
     }
 
-    /// Waits until a VM that was told to stop has ended, and kills it when its time is over.
-    pub(super) fn finish_stop(&self, vm: usize) {
+    /// Waits until a VM that was told to stop has ended, and kills it when its time is over. Returns
+    /// whether it ended by itself.
+    pub(super) fn finish_stop(&self, vm: usize) -> bool {
         let mut known = lock(&self.vms[vm]);
         let (process, stop_by) = (known.process.take(), known.stop_by.take());
         drop(known);
-        if let Some(mut process) = process {
-            process.signal(Signal::CONT);
-            let left = stop_by.map(|by| by.saturating_duration_since(Instant::now()));
-            // Dropping it kills it if it still runs.
-            process.wait_exit(left.unwrap_or_default());
+        match process {
+            Some(process) => wait_stopped(process, stop_by),
+            None => true,
         }
     }
 
@@ -172,6 +171,13 @@
     }
 }
 
+/// Waits until a process ends, and kills it at `stop_by`. Returns whether it ended by itself.
+fn wait_stopped(mut process: SoakProcess, stop_by: Option<Instant>) -> bool {
+    process.signal(Signal::CONT);
+    let left = stop_by.map(|by| by.saturating_duration_since(Instant::now()));
+    process.wait_exit(left.unwrap_or_default()).is_some()
+}
+
 /// Stops and continues processes until the round ends.
 fn drive(vms: &[Mutex<VmProcess>], ended: &AtomicBool) {
     let started = Instant::now();
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -16,6 +16,8 @@
 const CALM_TIME: Duration = Duration::from_secs(3);
 /// Interval between two looks at the time of the next fault.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest time until a VM that is starved has written what it logged: two of its periods.
+const LOG_DELAY: Duration = Duration::from_secs(1);
 /// How a VM logs that it took a token to send a request once more; the id of the request follows.
 const PAID_EVENT: &str = "event=request-repeated request=";
 
@@ -34,6 +36,18 @@
     pub seed: u64,
 }
 
+/// An arrival beyond the first of its request for which no VM has logged that it took a token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnpaidArrival {
+    /// Id of the request.
+    pub id: String,
+    /// When it arrived.
+    pub at: Duration,
+    /// Whether a VM was killed soon after. The last lines of its log are lost, so that nothing shows
+    /// whether it took a token.
+    pub before_kill: bool,
+}
+
 /// What callers, targets and VMs saw in a round.
 #[derive(Clone, Debug)]
 pub struct GatewayReport {
@@ -43,8 +57,8 @@
     pub repeats: Vec<ServiceRepeats>,
     /// Requests that arrived more than once, with the time of each further arrival.
     pub repeated: Vec<(Duration, String)>,
-    /// Ids of requests that arrived again although no VM took a token for it, once for each arrival.
-    pub unpaid: Vec<String>,
+    /// Arrivals beyond the first of each request for which no VM has logged that it took a token.
+    pub unpaid: Vec<UnpaidArrival>,
     /// Metrics of all VMs over all lives.
     pub metrics: VmMetrics,
     /// The faults that were injected.
@@ -57,7 +71,8 @@
     pub fn is_clean(&self) -> bool {
         let within_budget = !self.repeats.iter().any(ServiceRepeats::is_exceeded);
         let load = &self.load;
-        within_budget && load.broken_promises.is_empty() && load.run_twice.is_empty()
+        let promises_kept = load.broken_promises.is_empty() && load.run_twice.is_empty();
+        within_budget && promises_kept && self.unpaid.iter().all(|arrival| arrival.before_kill)
     }
 }
 
@@ -87,7 +102,7 @@
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
-        unpaid: find_unpaid(&repeated, paid),
+        unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
         metrics,
         schedule,
@@ -95,15 +110,24 @@
 }
 
 /// The arrivals beyond the first of each request for which no VM has logged that it took a token.
-fn find_unpaid(repeated: &[(Duration, String)], mut paid: HashMap<String, usize>) -> Vec<String> {
-    let is_unpaid = |id: &&String| match paid.get_mut(*id) {
+fn find_unpaid(
+    repeated: &[(Duration, String)],
+    mut paid: HashMap<String, usize>,
+    kills: &[Duration],
+) -> Vec<UnpaidArrival> {
+    let is_unpaid = |(_, id): &&(Duration, String)| match paid.get_mut(id) {
         Some(left) if *left > 0 => {
             *left -= 1;
             false
         }
         _ => true,
     };
-    repeated.iter().map(|(_, id)| id).filter(is_unpaid).cloned().collect()
+    let is_before_kill =
+        |at: Duration| kills.iter().any(|kill| (at..at + LOG_DELAY).contains(kill));
+    let unpaid = repeated.iter().filter(is_unpaid);
+    unpaid
+        .map(|(at, id)| UnpaidArrival { id: id.clone(), at: *at, before_kill: is_before_kill(*at) })
+        .collect()
 }
 
 /// Injects all faults; ends when the last one has ended.
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -141,7 +141,7 @@
         report.repeated.iter().map(|(at, id)| format!("{} {id}", at.as_millis())).collect();
     // The list only helps to trace a failed round.
     let _ = std::fs::write(folder.join("repeated"), repeated.join("\n"));
-    let _ = std::fs::write(folder.join("unpaid"), report.unpaid.join("\n"));
+    let _ = std::fs::write(folder.join("unpaid"), format!("{:#?}", report.unpaid));
     let _ = std::fs::write(folder.join("schedule"), format!("{:#?}", report.schedule));
     Ok(report.is_clean())
 }
@@ -186,11 +186,13 @@
         );
     }
     let sum = |name: &str| report.metrics.sum(name);
+    let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
     let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
     println!(
-        "  unpaid={} paid={} retries={} unacknowledged={} forwarded={} handed_over={} assisted={} \
+        "  unpaid={} before_kill={} paid={} retries={} unacknowledged={} forwarded={} handed_over={} assisted={} \
          {causes:?}",
-        report.unpaid.len(),
+        report.unpaid.len() - before_kill,
+        before_kill,
         sum("nickellead_repeats_total"),
         sum("nickellead_retries_total"),
         sum("nickellead_dispatch_unacknowledged_total"),
