Why a request is sent again is an enum; the soak of gateways judges deadlines and MaxAttempts too

repeat_cause was a text that three places wrote. RepeatCause::of tells from the result whether anything arrived, in place of AttemptResult::may_have_arrived and a default text. Logs and metrics show the same words.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -77,11 +77,6 @@
 }
 
 impl AttemptResult {
-    /// Whether the target may have received the request.
-    pub(crate) fn may_have_arrived(&self) -> bool {
-        self.may_have_run() || matches!(self, Self::Shed | Self::Misdirected)
-    }
-
     /// Whether the target may have run the request.
     pub(crate) fn may_have_run(&self) -> bool {
         matches!(self, Self::Responded(_) | Self::Lost(_))
--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -8,6 +8,7 @@
 use nickellead_event::{EventName, log_event};
 
 use super::attempts::finish;
+use super::repeat_cause::RepeatCause;
 use super::{AttemptState, RESPONSE_RETURN_RESERVE, RequestWorker};
 use crate::RepeatClass;
 use crate::dispatch::{AssistClient, AssistEnd, AssistFacts};
@@ -100,7 +101,7 @@
                 AssistEnd::Lost(reason) => {
                     attempts.may_have_run = true;
                     attempts.sent += 1;
-                    attempts.repeat_cause = "assist-lost";
+                    attempts.repeat_cause = RepeatCause::AssistLost;
                     if !self.may_repeat(incoming, reason, attempts) {
                         return Some(Err(reason.error_kind()));
                     }
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -183,12 +183,13 @@
             return true;
         }
         let taken = self.policy.retries.is_on() && self.retry_budget.borrow_mut().try_take(service);
+        let cause = attempts.repeat_cause.as_str();
         match taken {
             true => {
-                self.metrics.repeats.count_repeat(attempts.repeat_cause);
+                self.metrics.repeats.count_repeat(cause);
                 log_repeat(incoming, attempts);
             }
-            false => self.metrics.repeats.count_refused(attempts.repeat_cause),
+            false => self.metrics.repeats.count_refused(cause),
         }
         taken
     }
@@ -272,7 +273,7 @@
 fn log_repeat(incoming: &IncomingRequest, attempts: &AttemptState) {
     let id = String::from_utf8_lossy(incoming.outgoing.request_id.as_bytes());
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
-        [("request", &id), ("cause", &attempts.repeat_cause), ("sent", &attempts.sent)];
+        [("request", &id), ("cause", &attempts.repeat_cause.as_str()), ("sent", &attempts.sent)];
     log_event(EventName::RequestRepeated, &pairs);
 }
 
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -6,7 +6,7 @@
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
 //! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
 //! `vm_reach` checks whether this VM reaches any target, and `assisting` has requests served by other
-//! VMs while it does not. `outcome` evaluates attempts, `reach` applies changes of the zones in reach, `responses` builds what
+//! VMs while it does not. `outcome` evaluates attempts, `repeat_cause` names why a request is sent again, `reach` applies changes of the zones in reach, `responses` builds what
 //! the caller receives, and `gauges` reports the state.
 
 mod access;
@@ -16,6 +16,7 @@
 mod gauges;
 mod outcome;
 mod reach;
+mod repeat_cause;
 mod responses;
 mod selection;
 mod vm_reach;
@@ -39,6 +40,7 @@
 
 pub(crate) use self::assisting::{AssistFailure, AssistedRequest};
 use self::gauges::gauge_value;
+use self::repeat_cause::RepeatCause;
 use self::responses::forward_response;
 use self::vm_reach::VmReach;
 use crate::admission::{AdmissionTable, CachedAdmission};
@@ -220,7 +222,7 @@
     /// Attempts that failed while connecting.
     unconnected: Vec<UnconnectedAttempt>,
     /// How the last attempt that may have reached a target ended.
-    repeat_cause: &'static str,
+    repeat_cause: RepeatCause,
     /// Whether a target may have run the request.
     may_have_run: bool,
     /// An error response of a target, returned if no later attempt succeeds.
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -8,6 +8,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
+use super::repeat_cause::RepeatCause;
 use super::{AttemptState, NextStep, RequestWorker, UnconnectedAttempt};
 use crate::RepeatClass;
 use crate::connections::ConnectFailure;
@@ -36,11 +37,10 @@
         if result.may_have_run() {
             attempts.token = None;
         }
-        let reason = retry_reason(&result);
-        if result.may_have_arrived() {
-            attempts.repeat_cause = reason.unwrap_or("failed");
+        if let Some(cause) = RepeatCause::of(&result) {
+            attempts.repeat_cause = cause;
         }
-        if let Some(reason) = reason {
+        if let Some(reason) = retry_reason(&result) {
             log_retry(incoming, target, reason);
         }
         match result {
@@ -211,11 +211,11 @@
 fn retry_reason(result: &AttemptResult) -> Option<&'static str> {
     match result {
         AttemptResult::Responded(_) | AttemptResult::Forbidden(_) => None,
-        AttemptResult::Shed => Some("shed"),
-        AttemptResult::Misdirected => Some("not-owner"),
         AttemptResult::NotSent(failure) => Some(failure.as_str()),
         AttemptResult::Withheld => Some("withheld"),
-        AttemptResult::Lost(reason) => Some(reason.as_str()),
+        AttemptResult::Shed | AttemptResult::Misdirected | AttemptResult::Lost(_) => {
+            RepeatCause::of(result).map(RepeatCause::as_str)
+        }
     }
 }
 
--- a/crates/nickellead_ports/src/lib.rs
+++ b/crates/nickellead_ports/src/lib.rs
@@ -52,7 +52,7 @@
 pub fn free_address() -> Result<SocketAddr, Error> {
     let mut blocks = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        while let Some(port) = blocks.free.next() {
+        for port in blocks.free.by_ref() {
             // A program that claims no blocks may use it.
             if TcpListener::bind(loopback(port)).is_ok() {
                 return Ok(loopback(port));
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use nickellead_adapter_standin::{LoadReport, ServiceRepeats, run_callers};
+use nickellead_adapter_standin::{ExcessWork, LoadReport, ServiceRepeats, run_callers};
 
 use super::fleet::GatewayFleet;
 use super::metrics::VmMetrics;
@@ -55,6 +55,8 @@
     pub load: LoadReport,
     /// The retry budget of each service.
     pub repeats: Vec<ServiceRepeats>,
+    /// Work of targets beyond what callers wait for and routes allow.
+    pub excess_work: ExcessWork,
     /// Requests that arrived more than once, with the time of each further arrival.
     pub repeated: Vec<(Duration, String)>,
     /// Arrivals beyond the first of each request for which no VM has logged that it took a token.
@@ -69,7 +71,8 @@
     /// Whether every guarantee was kept.
     #[must_use]
     pub fn is_clean(&self) -> bool {
-        let within_budget = !self.repeats.iter().any(ServiceRepeats::is_exceeded);
+        let is_repeated_too_often = self.repeats.iter().any(ServiceRepeats::is_exceeded);
+        let within_budget = !is_repeated_too_often && !self.excess_work.is_exceeded();
         let load = &self.load;
         let promises_kept = load.broken_promises.is_empty() && load.run_twice.is_empty();
         within_budget && promises_kept && self.unpaid.iter().all(|arrival| arrival.before_kill)
@@ -102,6 +105,7 @@
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
+        excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
         metrics,
--- a/crates/nickellead_soak/src/gateway/site.rs
+++ b/crates/nickellead_soak/src/gateway/site.rs
@@ -45,7 +45,7 @@
         name,
         service,
         safe,
-        attempts: 3,
+        attempts: GatewaySite::ATTEMPTS,
         priority,
         work: Duration::from_millis(work),
         latency_target: Duration::from_millis(target),
@@ -64,6 +64,9 @@
 }
 
 impl GatewaySite {
+    /// Most targets that one request may be sent to, on each route.
+    pub(super) const ATTEMPTS: u32 = 3;
+
     fn scale(self) -> f64 {
         self.vms as f64 / FULL_VMS
     }
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -185,6 +185,7 @@
             one.service, one.sent, one.repeats, one.worst, one.allowed
         );
     }
+    println!("  {:?}", report.excess_work);
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
     let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
