--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -1,6 +1,6 @@
 //! Gateways as real processes, and the stand-ins that they use.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -43,7 +43,7 @@
     pub(super) targets: StandinTargets,
     store: StandinStore,
     ports: Vec<VmPorts>,
-    links: Vec<FaultLink>,
+    links: BTreeMap<usize, FaultLink>,
     _link_host: LinkHost,
     processes: VmProcesses,
     load: watch::Sender<f64>,
@@ -74,10 +74,10 @@
         let link_host = LinkHost::start()?;
         let ports = (0..site.vms).map(|_| VmPorts::allocate());
         let ports = ports.collect::<Result<Vec<VmPorts>, SoakError>>()?;
-        let links = ports.iter().map(|ports| link_host.open(ports.dispatch));
-        let links = links.collect::<Result<Vec<FaultLink>, SoakError>>()?;
+        let links = site.linked_vms().map(|vm| Ok((vm, link_host.open(ports[vm].dispatch)?)));
+        let links = links.collect::<Result<BTreeMap<usize, FaultLink>, SoakError>>()?;
         let files = (0..site.vms).map(|vm| {
-            let text = settings(site, vm, &ports[vm], links[vm].address, store.address);
+            let text = settings(site, vm, &ports[vm], links.get(&vm), store.address);
             write_settings(folder, vm, &text)
         });
         let files = files.collect::<Result<Vec<_>, SoakError>>()?;
@@ -158,7 +158,7 @@
                 vms.iter().for_each(|vm| self.processes.reload(*vm));
             }
             GatewayFault::Links(vms, fault) => {
-                vms.iter().for_each(|vm| self.links[*vm].set(*fault));
+                vms.iter().for_each(|vm| self.links[vm].set(*fault));
             }
             GatewayFault::Targets(targets, behavior) => {
                 targets.iter().for_each(|target| self.targets.set_behavior(*target, *behavior));
@@ -185,7 +185,7 @@
             GatewayFault::Pause(vms) => vms.iter().for_each(|vm| self.processes.end_pause(*vm)),
             GatewayFault::Reload(_) => {}
             GatewayFault::Links(vms, _) => {
-                vms.iter().for_each(|vm| self.links[*vm].set(LinkFault::None));
+                vms.iter().for_each(|vm| self.links[vm].set(LinkFault::None));
             }
             GatewayFault::Targets(targets, _) => {
                 targets
@@ -246,7 +246,7 @@
     site: GatewaySite,
     vm: usize,
     ports: &VmPorts,
-    dispatch_announced: SocketAddr,
+    link: Option<&FaultLink>,
     store: SocketAddr,
 ) -> String {
     let is_large = site.is_large(vm);
@@ -258,7 +258,7 @@
         "readiness_address": ports.readiness,
         "peers_address": ports.peers,
         "dispatch_address": ports.dispatch,
-        "dispatch_announced": dispatch_announced,
+        "dispatch_announced": link.map(|link| link.address),
         "dispatch_scope": "always",
         "bounded_by_machine": true,
         "cpu_share": if is_large { 0.5 } else { 0.1 },
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -75,7 +75,7 @@
     let mut faults = Vec::new();
     let mut start_ms = rng.u64(START_GAP_MS);
     while start_ms + FAULT_DURATION_MS.start < total_ms {
-        let fault = random_fault(&mut rng, site.vms, targets);
+        let fault = random_fault(&mut rng, site, targets);
         let mut add = |start_ms: u64, length_ms: u64| {
             let end_ms = (start_ms + length_ms).min(total_ms);
             let (start, end) = (Duration::from_millis(start_ms), Duration::from_millis(end_ms));
@@ -100,28 +100,32 @@
     GatewaySchedule { cycle, faults }
 }
 
-/// A random part of `count`, at least one.
-fn random_part(rng: &mut fastrand::Rng, count: usize, fraction: f64) -> Vec<usize> {
-    let mut all: Vec<usize> = (0..count).collect();
-    rng.shuffle(&mut all);
-    all.truncate(((count as f64 * fraction) as usize).max(1));
-    all
+/// A random part of `all`, at least one.
+fn random_part(
+    rng: &mut fastrand::Rng,
+    all: impl Iterator<Item = usize>,
+    fraction: f64,
+) -> Vec<usize> {
+    let mut part: Vec<usize> = all.collect();
+    rng.shuffle(&mut part);
+    part.truncate(((part.len() as f64 * fraction) as usize).max(1));
+    part
 }
 
-fn random_fault(rng: &mut fastrand::Rng, vms: usize, targets: usize) -> GatewayFault {
+fn random_fault(rng: &mut fastrand::Rng, site: GatewaySite, targets: usize) -> GatewayFault {
     let share = 0.1 + 0.5 * rng.f64();
     match rng.u8(..10) {
-        0 => GatewayFault::Kill(random_part(rng, vms, share)),
-        1 => GatewayFault::Restart(random_part(rng, vms, 0.5 * share)),
-        2 | 3 => GatewayFault::Pause(random_part(rng, vms, share)),
-        4 => GatewayFault::Reload(random_part(rng, vms, share)),
+        0 => GatewayFault::Kill(random_part(rng, 0..site.vms, share)),
+        1 => GatewayFault::Restart(random_part(rng, 0..site.vms, 0.5 * share)),
+        2 | 3 => GatewayFault::Pause(random_part(rng, 0..site.vms, share)),
+        4 => GatewayFault::Reload(random_part(rng, 0..site.vms, share)),
         5 => {
             let fault = random_link_fault(rng);
-            GatewayFault::Links(random_part(rng, vms, share), fault)
+            GatewayFault::Links(random_part(rng, site.linked_vms(), share), fault)
         }
         6 | 7 => {
             let behavior = random_behavior(rng);
-            GatewayFault::Targets(random_part(rng, targets, share), behavior)
+            GatewayFault::Targets(random_part(rng, 0..targets, share), behavior)
         }
         8 => GatewayFault::Store(random_store_fault(rng)),
         _ => GatewayFault::Load(1.7),
--- a/crates/nickellead_soak/src/gateway/site.rs
+++ b/crates/nickellead_soak/src/gateway/site.rs
@@ -13,6 +13,8 @@
 const ZONES: usize = 4;
 /// One of so many VMs has half of a core, the others a tenth.
 const VMS_PER_LARGE_VM: usize = 10;
+/// One of so many VMs is reached through a link.
+const VMS_PER_LINK: usize = 3;
 /// Allowed repeats as a fraction of the requests, and beyond it.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_EXTRA: f64 = 210.0;
@@ -88,6 +90,12 @@
         (vm / ZONES).is_multiple_of(VMS_PER_LARGE_VM)
     }
 
+    /// The VMs that others reach through links with faults. Links of all VMs would need more descriptors
+    /// than a process may have.
+    pub(super) fn linked_vms(self) -> impl Iterator<Item = usize> {
+        (0..self.vms).step_by(VMS_PER_LINK)
+    }
+
     pub(super) fn services(self) -> Vec<DeclaredService> {
         SERVICES.map(|(service, _)| service).to_vec()
     }
