--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    CallerSettings, RequestLedger, StandinStore, StandinTargets, VmAddress, declare,
+    CallerSettings, RequestLedger, StandinStore, StandinTargets, TargetSettings, VmAddress,
 };
 use serde_json::json;
 use tokio::sync::watch;
@@ -64,16 +64,10 @@
         std::fs::create_dir_all(folder).map_err(SoakError::system("a folder"))?;
         let mut rng = fastrand::Rng::with_seed(seed);
         let ledger = Arc::new(RequestLedger::default());
-        let store = StandinStore::start().map_err(SoakError::system("the store"))?;
-        let (services, routes) = (site.services(), site.routes());
-        store.put("config", "main", declare(1, &services, &routes));
-        let (plans, zones) = (site.targets(), site.zones());
-        let targets =
-            StandinTargets::start(&store, &ledger, &services, &routes, &plans, &zones, &mut rng)
-                .map_err(SoakError::system("the targets"))?;
-        let link_host = LinkHost::start()?;
+        let (store, targets) = start_standins(site, &ledger, &mut rng)?;
         let ports = (0..site.vms).map(|_| VmPorts::allocate());
         let ports = ports.collect::<Result<Vec<VmPorts>, SoakError>>()?;
+        let link_host = LinkHost::start()?;
         let links = site.linked_vms().map(|vm| Ok((vm, link_host.open(ports[vm].dispatch)?)));
         let links = links.collect::<Result<BTreeMap<usize, FaultLink>, SoakError>>()?;
         let files = (0..site.vms).map(|vm| {
@@ -241,6 +235,20 @@
     }
 }
 
+/// Starts the store, with the declarations, and all targets, which are listed there.
+fn start_standins(
+    site: GatewaySite,
+    ledger: &Arc<RequestLedger>,
+    rng: &mut fastrand::Rng,
+) -> Result<(StandinStore, StandinTargets), SoakError> {
+    let store = StandinStore::start().map_err(SoakError::system("the store"))?;
+    let (services, routes) = (site.services(), site.routes());
+    store.put_declarations(1, &services, &routes);
+    let settings = TargetSettings { services, routes, plans: site.targets(), zones: site.zones() };
+    let targets = StandinTargets::start(&store, ledger, &settings, rng);
+    Ok((store, targets.map_err(SoakError::system("the targets"))?))
+}
+
 /// The settings file of a VM.
 fn settings(
     site: GatewaySite,
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -61,7 +61,8 @@
     pub faults: Vec<ScheduledGatewayFault>,
 }
 
-/// Generates the faults of one round, all of which end within `duration`.
+/// Generates the faults of one round, all of which end within `duration`. Of faults that overlap at the
+/// same VM, target or store, the first one that ends also ends the other, except for pauses.
 #[must_use]
 pub fn gateway_schedule(
     seed: u64,
