--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -6,8 +6,9 @@
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
 //! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
 //! `vm_reach` checks whether this VM reaches any target, and `assisting` has requests served by other
-//! VMs while it does not. `outcome` evaluates attempts, `repeat_cause` names why a request is sent again, `reach` applies changes of the zones in reach, `responses` builds what
-//! the caller receives, and `gauges` reports the state.
+//! VMs while it does not. `outcome` evaluates attempts, `repeat_cause` names why a request is sent
+//! again, `reach` applies changes of the zones in reach, `responses` builds what the caller receives,
+//! and `gauges` reports the state.
 
 mod access;
 mod assisting;
