Review, case 2: keys are granted anew while an unanswered grant may still be taken

Cause: the time in which an unanswered grant may be taken late counts only where late orders were detected. A backend whose zone is cut off right after its first unanswered grant shows none, so its keys go to another backend 5.4 s after its last grant, and it takes the grant at 8 s.

Change: review/2 with its claim and script, its driver, and a proxy whose path can be cut.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod store;
 mod target;
@@ -37,6 +38,7 @@
         .note(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "extra-refusal" => cases::extra_refusal::play(&program, &folder, &record, trouble),
+        "late-grant" => cases::late_grant::play(&program, &folder, &record, trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
