Review, case 3: bodies within the limits outgrow a VM's memory

Cause: bodies are read whole, and the bytes that a VM holds are bounded only where the contracts have "pressure". On all other sites `memory_mb` has no effect.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod extra_refusal;
+pub mod large_bodies;
 pub mod late_grant;
 
 use std::time::Duration;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -39,6 +39,7 @@
     let verdict = match case.as_str() {
         "extra-refusal" => cases::extra_refusal::play(&program, &folder, &record, trouble),
         "late-grant" => cases::late_grant::play(&program, &folder, &record, trouble),
+        "large-bodies" => cases::large_bodies::play(&program, &folder, &record, trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
