Review: a case draws ports that no connection takes, and ends all if interrupted

An interrupted run.sh would have left its driver until its time was over.

Change: ports of VMs lie below those of outgoing connections; the record says when a VM was not ready; run.sh ends its driver, and with it the VMs, and removes its folder when it is interrupted. Checks, bounds and disruptions are as before.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,8 +4,12 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 folder=$(mktemp -d) || exit 2
+child=
+trap '[ -n "$child" ] && kill "$child"; rm -rf "$folder"; exit 2' HUP INT TERM
 timeout 115 "$root/target/review/release/review_standin" \
-    extra-refusal "$root/target/release/nickellead" "$folder" "$here/record.txt"
+    extra-refusal "$root/target/release/nickellead" "$folder" "$here/record.txt" &
+child=$!
+wait "$child"
 code=$?
 rm -rf "$folder"
 case $code in
--- a/review/standin/src/cases/extra_refusal.rs
+++ b/review/standin/src/cases/extra_refusal.rs
@@ -60,6 +60,7 @@
         }
     }
     if !gateways.iter().all(|gateway| gateway.wait_ready(Duration::from_secs(20))) {
+        record.note("a VM was not ready after 20 s");
         return Verdict::NotRun;
     }
     std::thread::sleep(Duration::from_secs(1));
--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::Connection;
@@ -17,10 +18,21 @@
     fn prctl(option: i32, first: u64, second: u64, third: u64, fourth: u64) -> i32;
 }
 
-/// A free loopback address.
+/// Ports of VMs: below those that the system gives to outgoing connections, so that no connection
+/// takes a port before the VM listens on it.
+const PORTS: std::ops::Range<u32> = 12_000..30_000;
+
+/// A loopback address that is free, and that no earlier call returned.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number =
+            std::process::id().wrapping_mul(97).wrapping_add(CALLS.fetch_add(1, Ordering::SeqCst));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().expect("its address");
+        }
+    }
 }
 
 /// Addresses of one VM.
