Sight: how long a thread of a VM goes without a turn, and which step keeps it busy

Nothing told a VM that stands still from one that waits: the log of the mandate holder has a gap of 1.4 s, and no line says what it did. Each thread now measures every 200 ms how late a due task runs (nickellead_thread_late_seconds, event thread-late above 100 ms), and each step that applies a part of the cluster state or decides about ranges is timed (nickellead_thread_step_seconds, event step-long above 50 ms). Two wake-ups each 200 ms a VM; no logic changes.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -99,6 +99,8 @@
     RequestHandedOver, "request-handed-over", Info, ["request", "address", "result", "after_ms"], "this VM, which is cut off from all targets, passed a request on to the VM at this address; logged for one in 64, selected by request id, and for each without a response";
     RequestAssisted, "request-assisted", Info, ["request", "result", "after_ms"], "this VM served a request for another VM that is cut off from all targets; logged for one in 64, selected by request id, and for each without a response";
     DispatcherLost, "dispatcher-lost", Warn, ["address", "reason"], "the dispatcher at this address did not acknowledge a message: its stand-in is asked, or targets are used without it; logged again only after it answered";
+    ThreadLate, "thread-late", Warn, ["thread", "late_ms"], "a due task of this thread waited this long for its turn: the thread was busy without a pause, or the VM was stopped; each thread is measured every 200 ms, and more than 100 ms are logged";
+    StepLong, "step-long", Warn, ["step", "took_ms"], "a step of a thread took more than 50 ms without a pause: applying a new part of the cluster state (declarations, targets, evacuations, fleet, ranges, admissions, update) or deciding about ranges (owners, balance)";
     LinesDropped, "log-lines-dropped", Warn, ["count"], "the log output was too slow and lines were lost";
 }
 
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -39,12 +39,13 @@
 use crate::cluster_state::ClusterState;
 use crate::evacuation::ZoneStates;
 use crate::load_counter::{LoadCounter, VmId, VmReport};
-use crate::metrics::ControlMetrics;
+use crate::metrics::{ControlMetrics, ThreadMetrics, VmThread};
 use crate::quota::TokenRequest;
 use crate::relay::{UpdateRelay, serve_updates};
 use crate::state_channels::StateSenders;
 use crate::store_health::StoreHealth;
 use crate::store_watch::StoreWatcher;
+use crate::thread_turns::measure_turns;
 use crate::vm_reach::ReachSignal;
 use crate::{
     ColdSettings, OrderPort, OwnershipSettings, PolicySettings, Revision, StoreEra, StorePort,
@@ -76,6 +77,7 @@
     pub(crate) senders: StateSenders,
     pub(crate) load_counter: LoadCounter,
     pub(crate) metrics: ControlMetrics,
+    pub(crate) thread_metrics: ThreadMetrics,
     pub(crate) policy: PolicySettings,
     /// Bounds on what all VMs together send to a cold target.
     pub(crate) cold_settings: Option<ColdSettings>,
@@ -127,6 +129,7 @@
     load_counter: LoadCounter,
     ownership: OwnershipSettings,
     metrics: ControlMetrics,
+    thread_metrics: ThreadMetrics,
     policy: PolicySettings,
     cold_settings: Option<ColdSettings>,
     evacuations_enabled: bool,
@@ -162,6 +165,7 @@
             Rc::clone(&health),
             context.load_counter.clone(),
             own_report,
+            context.thread_metrics.clone(),
         );
         let takeover_delay = takeover_delay(context.cpu_share, context.link_mbps);
         let mandate =
@@ -190,6 +194,7 @@
             load_counter: context.load_counter,
             ownership: context.ownership,
             metrics: context.metrics,
+            thread_metrics: context.thread_metrics,
             policy: context.policy,
             cold_settings: context.cold_settings,
             evacuations_enabled: context.evacuations_enabled,
@@ -241,6 +246,7 @@
         if let Ok(runtime) = actix_rt::Runtime::new() {
             runtime.block_on(async move {
                 let (store, orders) = ports();
+                actix_rt::spawn(measure_turns(VmThread::Control, context.thread_metrics.clone()));
                 let control = ControlLoop::new(context, store, orders);
                 run(control, token_requests, peers, stopping).await;
             });
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -11,6 +11,8 @@
 use nickellead_time::BootClock;
 
 use super::{ControlLoop, random_id};
+use crate::metrics::ThreadStep;
+use crate::thread_turns::run_step;
 use crate::{OrderPort, OwnershipSettings, StorePort, Stored};
 
 /// Interval between checks for due work.
@@ -74,9 +76,9 @@
             self.enter_token_term(now);
             self.enter_era();
             self.record_reported_leaving();
-            self.update_candidates();
+            run_step(ThreadStep::Owners, &self.thread_metrics, || self.update_candidates());
             if balance_due {
-                self.balance();
+                run_step(ThreadStep::Balance, &self.thread_metrics, || self.balance());
                 self.announce_admissions();
                 self.announce_fleet();
             }
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod target_registry;
 mod target_subset;
 mod targets;
+mod thread_turns;
 mod vm_reach;
 mod waiting;
 mod worker;
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -7,7 +7,9 @@
 mod reach;
 mod requests;
 mod retries;
+mod threads;
 
 pub(crate) use control::ControlMetrics;
 pub(crate) use requests::GatewayMetrics;
 pub(crate) use retries::RetryMetrics;
+pub(crate) use threads::{ThreadMetrics, ThreadStep, VmThread};
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -13,7 +13,7 @@
 use crate::control::{self, ControlContext};
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
-use crate::metrics::ControlMetrics;
+use crate::metrics::{ControlMetrics, ThreadMetrics};
 use crate::quota::MAX_QUEUED_REQUESTS;
 use crate::regions::RegionMap;
 use crate::requests::{self, DispatchSettings, RequestContext};
@@ -103,6 +103,7 @@
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
     let metrics = ControlMetrics::default();
+    let thread_metrics = ThreadMetrics::default();
     let reach_signal = ReachSignal::default();
     let (requests_sender, token_requests) = mpsc::channel(MAX_QUEUED_REQUESTS);
     let announced = settings.announced_dispatch_address();
@@ -119,6 +120,7 @@
         readiness: listeners.readiness,
         metrics: listeners.metrics,
         control_metrics: metrics.clone(),
+        thread_metrics: thread_metrics.clone(),
         receivers,
         load_counter: load_counter.clone(),
         serve_state: Arc::clone(&serve_state),
@@ -146,6 +148,7 @@
         senders,
         load_counter,
         metrics,
+        thread_metrics,
         policy: settings.policy,
         cold_settings: settings.cold,
         evacuations_enabled: settings.evacuation_s.is_some(),
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) use self::tokens::TokenClient;
 use crate::cluster_state::ClusterState;
 use crate::load_counter::{LoadCounter, VmReport};
+use crate::metrics::ThreadMetrics;
 use crate::quota::TokenQueue;
 use crate::store_health::StoreHealth;
 use crate::waiting::wait_for;
@@ -87,6 +88,7 @@
     token_queue: TokenQueue,
     /// This VM in its load reports.
     own_report: VmReport,
+    thread_metrics: ThreadMetrics,
     /// Notified when the upstream or the mandate changes.
     changed: Notify,
 }
@@ -99,6 +101,7 @@
         health: Rc<StoreHealth>,
         load_counter: LoadCounter,
         own_report: VmReport,
+        thread_metrics: ThreadMetrics,
     ) -> Rc<Self> {
         Rc::new(Self {
             zone,
@@ -114,6 +117,7 @@
             load_counter,
             token_queue: TokenQueue::default(),
             own_report,
+            thread_metrics,
             changed: Notify::new(),
         })
     }
--- a/crates/nickellead_gateway/src/relay/subscribing.rs
+++ b/crates/nickellead_gateway/src/relay/subscribing.rs
@@ -12,6 +12,8 @@
     LONG_POLL_TIMEOUT, SubscriptionEnd, UnavailableStorePolicy, UpdateRelay, UpdateUpstream,
 };
 use crate::cluster_state::{StateCursor, StateUpdate};
+use crate::metrics::ThreadStep;
+use crate::thread_turns::run_step;
 
 /// How long a response may take to begin, beyond [`LONG_POLL_TIMEOUT`], before the upstream counts
 /// as lost.
@@ -190,7 +192,9 @@
         age: Duration,
     ) -> Result<StateCursor, UpstreamLoss> {
         self.root_contact.set(Instant::now().checked_sub(age));
-        let cursor = self.cluster.apply_update(update).ok_or(UpstreamLoss::Unusable)?;
+        let apply = || self.cluster.apply_update(update);
+        let cursor = run_step(ThreadStep::Update, &self.thread_metrics, apply);
+        let cursor = cursor.ok_or(UpstreamLoss::Unusable)?;
         match self.cluster.mandate() {
             // The mandate holder is stopping, and another VM has to take the mandate now.
             Some(mandate) if mandate.value.vacant => Err(UpstreamLoss::Vacant),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -12,17 +12,18 @@
 use nickellead_limit::{ByteBudget, QuotaTolerance, RetryLimits};
 use nickellead_proxy::{ServeState, serve_http};
 use prometheus_client::registry::Registry;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::dispatch::{
     AssistClient, DispatchClient, DispatchServer, ServerContext, ZoneReports, serve_dispatch,
 };
 use crate::drain::DrainState;
 use crate::load_counter::{LoadCounter, VmId};
-use crate::metrics::{ControlMetrics, GatewayMetrics};
+use crate::metrics::{ControlMetrics, GatewayMetrics, ThreadMetrics, ThreadStep, VmThread};
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
+use crate::thread_turns::{measure_turns, run_step};
 use crate::vm_reach::ReachSignal;
 use crate::worker::{RequestWorker, WorkerContext, WorkerDispatch};
 use crate::{ColdSettings, DispatchScope, HeaderNames, PolicySettings};
@@ -53,6 +54,7 @@
     pub(crate) readiness: TcpListener,
     pub(crate) metrics: Option<TcpListener>,
     pub(crate) control_metrics: ControlMetrics,
+    pub(crate) thread_metrics: ThreadMetrics,
     pub(crate) receivers: StateReceivers,
     pub(crate) load_counter: LoadCounter,
     pub(crate) serve_state: Arc<ServeState>,
@@ -86,6 +88,8 @@
     let mut registry = Registry::with_prefix("nickellead");
     let metrics = GatewayMetrics::register(&mut registry);
     context.control_metrics.register(&mut registry);
+    context.thread_metrics.register(&mut registry);
+    actix_rt::spawn(measure_turns(VmThread::Requests, context.thread_metrics.clone()));
     let registry = Rc::new(registry);
     let reachability = Rc::new(ZoneReachability::default());
     let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
@@ -123,7 +127,7 @@
         reach_signal: context.reach_signal,
     });
     worker.accept_assisted();
-    forward_state(&worker, &context.receivers);
+    forward_state(&worker, &context.receivers, &context.thread_metrics);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
         serve_readiness(listener, &worker, &registry, context.receivers.clone(), &context.drain);
     }
@@ -191,18 +195,21 @@
     actix_rt::spawn(serve_http(listener, READINESS_CONNECTIONS, state, handler));
 }
 
-/// Forwards each state change to the worker.
-fn forward_state(worker: &Rc<RequestWorker>, receivers: &StateReceivers) {
-    let (updated, mut declarations) = (Rc::clone(worker), receivers.declarations.clone());
-    actix_rt::spawn(async move {
-        while declarations.changed().await.is_ok() {
-            let newest = declarations.borrow_and_update().clone();
-            if let Some(newest) = newest {
-                updated.set_declarations(&newest);
-            }
-        }
+/// Forwards each state change to the worker, and starts the worker's own tasks.
+fn forward_state(worker: &Rc<RequestWorker>, receivers: &StateReceivers, metrics: &ThreadMetrics) {
+    let forward = StateForwarder { worker: Rc::clone(worker), metrics: metrics.clone() };
+    let receivers = receivers.clone();
+    forward.start(ThreadStep::Declarations, receivers.declarations, |worker, newest| {
+        newest.into_iter().for_each(|newest| worker.set_declarations(&newest));
     });
-    let (updated, mut confirmation) = (Rc::clone(worker), receivers.confirmation.clone());
+    forward.start(ThreadStep::Targets, receivers.targets, RequestWorker::set_targets);
+    forward.start(ThreadStep::Evacuations, receivers.evacuations, |worker, newest| {
+        worker.set_evacuations(&newest);
+    });
+    forward.start(ThreadStep::Fleet, receivers.fleet, RequestWorker::set_fleet);
+    forward.start(ThreadStep::Ranges, receivers.ranges, RequestWorker::set_ranges);
+    forward.start(ThreadStep::Admissions, receivers.admissions, RequestWorker::set_admissions);
+    let (updated, mut confirmation) = (Rc::clone(worker), receivers.confirmation);
     actix_rt::spawn(async move {
         while confirmation.changed().await.is_ok() {
             let newest = *confirmation.borrow_and_update();
@@ -211,27 +218,6 @@
             }
         }
     });
-    let (updated, mut targets) = (Rc::clone(worker), receivers.targets.clone());
-    actix_rt::spawn(async move {
-        while targets.changed().await.is_ok() {
-            let newest = Arc::clone(&targets.borrow_and_update());
-            updated.set_targets(newest);
-        }
-    });
-    let (updated, mut evacuations) = (Rc::clone(worker), receivers.evacuations.clone());
-    actix_rt::spawn(async move {
-        while evacuations.changed().await.is_ok() {
-            let newest = Arc::clone(&evacuations.borrow_and_update());
-            updated.set_evacuations(&newest);
-        }
-    });
-    let (updated, mut fleet) = (Rc::clone(worker), receivers.fleet.clone());
-    actix_rt::spawn(async move {
-        while fleet.changed().await.is_ok() {
-            let newest = Arc::clone(&fleet.borrow_and_update());
-            updated.set_fleet(newest);
-        }
-    });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
     actix_rt::spawn(Rc::clone(worker).run_reach_checks());
@@ -239,20 +225,30 @@
     actix_rt::spawn(async move { updated.apply_zone_reports().await });
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.tell_zone_reports().await });
-    let (updated, mut ranges) = (Rc::clone(worker), receivers.ranges.clone());
-    actix_rt::spawn(async move {
-        while ranges.changed().await.is_ok() {
-            let newest = Arc::clone(&ranges.borrow_and_update());
-            updated.set_ranges(newest);
-        }
-    });
-    let (updated, mut admissions) = (Rc::clone(worker), receivers.admissions.clone());
-    actix_rt::spawn(async move {
-        while admissions.changed().await.is_ok() {
-            let newest = Arc::clone(&admissions.borrow_and_update());
-            updated.set_admissions(newest);
-        }
-    });
+}
+
+/// Applies parts of the cluster state to the worker as they change.
+struct StateForwarder {
+    worker: Rc<RequestWorker>,
+    metrics: ThreadMetrics,
+}
+
+impl StateForwarder {
+    /// Applies one part for as long as the runtime runs.
+    fn start<T: Clone + 'static>(
+        &self,
+        step: ThreadStep,
+        mut receiver: watch::Receiver<T>,
+        apply: impl Fn(&RequestWorker, T) + 'static,
+    ) {
+        let (worker, metrics) = (Rc::clone(&self.worker), self.metrics.clone());
+        actix_rt::spawn(async move {
+            while receiver.changed().await.is_ok() {
+                let newest = receiver.borrow_and_update().clone();
+                run_step(step, &metrics, || apply(&worker, newest));
+            }
+        });
+    }
 }
 
 fn readiness_response(
