Owners are picked and moves planned from loads that are summed up once

What callers saw: when many targets that own keys leave at once, as in a release of the whole fleet, requests for their keys were refused or late, and no VM learned of new targets, ranges or declarations until the mandate holder was done.

Cause: each owner that was replaced and each move that was planned summed up the load of every candidate by comparing its name with the owner of every range: candidates x ranges for one pick.

Change: the loads are summed up in one pass over the ranges, by an index of the owners. OwnerPicker keeps them while it picks one owner after another; MovePlanner keeps them, and each target's ranges, while it plans one move after another. A plan no longer asks a target again that had no suitable subrange; the next plan, half a second later, does. The outcome of an order finds its range by a binary search.

In the test the call of the picker changes with its interface; bounds and sizes stay.

--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
-use nickellead_range::{KeyLoad, OwnerCandidate};
+use nickellead_range::{KeyLoad, OwnerCandidate, OwnerPicker};
 use nickellead_time::BootClock;
 
 use super::ControlLoop;
@@ -132,8 +132,10 @@
                 continue;
             }
             let load = loads.get(&service).unwrap_or(&empty);
-            controller.set_candidates(&service, &candidates, |ranges, _, _| {
-                nickellead_range::least_loaded_owner(ranges, &candidates, load)
+            let mut picker = None;
+            controller.set_candidates(&service, &candidates, |ranges, first, last| {
+                let new_picker = || OwnerPicker::new(ranges, &candidates, load);
+                picker.get_or_insert_with(new_picker).pick(first, last)
             });
         }
     }
--- a/crates/nickellead_range/src/controller/outcomes.rs
+++ b/crates/nickellead_range/src/controller/outcomes.rs
@@ -20,10 +20,10 @@
         let settings = self.settings;
         let key = (order.service.clone(), order.first);
         let Some(state) = self.range_states.get_mut(&key) else { return };
-        let ranges = self.map.services.get_mut(&order.service);
-        let range =
-            ranges.and_then(|ranges| ranges.iter_mut().find(|range| range.first == order.first));
-        let Some(range) = range else { return };
+        let Some(ranges) = self.map.services.get_mut(&order.service) else { return };
+        let found = ranges.binary_search_by_key(&order.first, |range| range.first);
+        let Ok(index) = found else { return };
+        let range = &mut ranges[index];
         if outcome == OrderOutcome::Ended {
             self.ended.insert(order.target.clone());
         }
--- a/crates/nickellead_range/src/lib.rs
+++ b/crates/nickellead_range/src/lib.rs
@@ -28,6 +28,6 @@
     MandateAuthority, MandateState, MandateWrite, POST_OUTAGE_TAKEOVER_DELAY, RENEWAL_GRACE,
 };
 pub use map::{RangeMap, RangeRecord, ServiceRanges, TargetInstance};
-pub use plan::{MoveProposal, OwnerCandidate, least_loaded_owner, plan_moves};
+pub use plan::{MoveProposal, OwnerCandidate, OwnerPicker, plan_moves};
 pub use predecessors::{LastOrder, PredecessorBounds};
 pub use stored::{MandateRecord, Revision, StoreEra, Stored};
--- a/crates/nickellead_range/src/plan.rs
+++ b/crates/nickellead_range/src/plan.rs
@@ -1,6 +1,8 @@
 //! Planning of moves: which subranges go to which targets.
 
-use crate::subrange::{SubrangeRequest, find_subrange, weighted_load};
+use std::collections::HashMap;
+
+use crate::subrange::{FoundSubrange, SubrangeRequest, find_subrange, weighted_load};
 use crate::{KeyLoad, RangeRecord, TargetInstance};
 
 /// A target that may own ranges.
@@ -59,84 +61,131 @@
     load: &KeyLoad,
     max_moves: usize,
 ) -> Vec<MoveProposal> {
-    let mut ranges = ranges.to_vec();
-    let mut moves = Vec::new();
-    while moves.len() < max_moves {
-        let Some(proposal) = plan_one(&mut ranges, candidates, load) else {
-            break;
-        };
-        moves.push(proposal);
+    let mut planner = MovePlanner::new(ranges, candidates, load);
+    std::iter::from_fn(|| planner.plan_one()).take(max_moves).collect()
+}
+
+/// Picks owners of ranges one after another, each of which counts as load of its new owner.
+pub struct OwnerPicker<'a> {
+    candidates: &'a [OwnerCandidate],
+    load: &'a KeyLoad,
+    loads: CandidateLoads,
+}
+
+impl<'a> OwnerPicker<'a> {
+    /// A picker from these candidates, who own `ranges` in part.
+    #[must_use]
+    pub fn new(
+        ranges: &[RangeRecord],
+        candidates: &'a [OwnerCandidate],
+        load: &'a KeyLoad,
+    ) -> Self {
+        let owners = OwnerIndex::new(candidates);
+        Self { candidates, load, loads: CandidateLoads::new(ranges, candidates, &owners, load) }
+    }
+
+    /// The candidate with the lowest load relative to its fair load, which gets the keys from `first`
+    /// to `last`, both included; `None` without candidates.
+    pub fn pick(&mut self, first: u16, last: u16) -> Option<TargetInstance> {
+        let index = self.loads.least_loaded()?;
+        self.loads.add(index, weighted_load(self.load, first, last));
+        Some(self.candidates[index].target.clone())
     }
-    moves
 }
 
-/// The candidate with the lowest load relative to its fair load; `None` without candidates.
-#[must_use]
-pub fn least_loaded_owner(
-    ranges: &[RangeRecord],
-    candidates: &[OwnerCandidate],
-    load: &KeyLoad,
-) -> Option<TargetInstance> {
-    let loads = CandidateLoads::new(ranges, candidates, load);
-    Some(candidates[loads.least_loaded()?].target.clone())
+/// Index of each candidate in their list.
+struct OwnerIndex<'a>(HashMap<&'a TargetInstance, usize>);
+
+impl<'a> OwnerIndex<'a> {
+    fn new(candidates: &'a [OwnerCandidate]) -> Self {
+        let targets = candidates.iter().map(|candidate| &candidate.target);
+        Self(targets.zip(0..).collect())
+    }
+
+    /// Index of the candidate that owns a range; `None` if its owner is no candidate.
+    fn owner_of(&self, range: &RangeRecord) -> Option<usize> {
+        self.0.get(range.owner.as_ref()?).copied()
+    }
 }
 
 /// Loads of all candidates, indexed as in their list.
 struct CandidateLoads {
     /// The load that each should have.
     fair: Vec<f64>,
+    /// The load that each has.
+    owned: Vec<f64>,
     /// The load that each has, relative to its fair load.
     relative: Vec<f64>,
-    /// Whether the load of each exceeds the maximum that it accepts.
-    exceeds_max: Vec<bool>,
+    /// The load above which each is overloaded whatever the others have; infinite if there is none.
+    max_owned: Vec<f64>,
 }
 
 impl CandidateLoads {
-    fn new(ranges: &[RangeRecord], candidates: &[OwnerCandidate], load: &KeyLoad) -> Self {
+    fn new(
+        ranges: &[RangeRecord],
+        candidates: &[OwnerCandidate],
+        owners: &OwnerIndex<'_>,
+        load: &KeyLoad,
+    ) -> Self {
+        let mut owned = vec![0.0; candidates.len()];
+        for range in ranges {
+            if let Some(index) = owners.owner_of(range) {
+                owned[index] += weighted_load(load, range.first, range.last);
+            }
+        }
+        let max_owned = |candidate: &OwnerCandidate| {
+            candidate.max_load.map_or(f64::INFINITY, |max_load| max_load * OVERLOAD_RATIO)
+        };
         let fair = fair_loads(candidates, load);
-        let owned: Vec<f64> =
-            candidates.iter().map(|candidate| owned_load(ranges, candidate, load)).collect();
         let relative = owned.iter().zip(&fair).map(|(owned, fair)| owned / fair).collect();
-        let accepts = |candidate: &OwnerCandidate, owned: f64| {
-            candidate.max_load.is_none_or(|max_load| owned <= max_load * OVERLOAD_RATIO)
-        };
-        let exceeds_max =
-            candidates.iter().zip(&owned).map(|(candidate, owned)| !accepts(candidate, *owned));
-        let exceeds_max = exceeds_max.collect();
-        Self { fair, relative, exceeds_max }
+        let max_owned = candidates.iter().map(max_owned).collect();
+        Self { fair, owned, relative, max_owned }
+    }
+
+    /// Number of candidates.
+    fn len(&self) -> usize {
+        self.owned.len()
+    }
+
+    /// Adds to the load that a candidate has.
+    fn add(&mut self, index: usize, load: f64) {
+        self.owned[index] += load;
+        self.relative[index] = self.owned[index] / self.fair[index];
     }
 
     /// Index of the least loaded candidate.
     fn least_loaded(&self) -> Option<usize> {
-        (0..self.relative.len()).min_by(|a, b| self.relative[*a].total_cmp(&self.relative[*b]))
+        (0..self.len()).min_by(|a, b| self.relative[*a].total_cmp(&self.relative[*b]))
     }
 
-    /// Indices of the overloaded candidates, the most loaded one first.
-    fn givers(&self, least_loaded: usize) -> Vec<usize> {
+    /// Index of the most loaded of the overloaded candidates that `may_give`.
+    fn giver(&self, least_loaded: usize, may_give: impl Fn(usize) -> bool) -> Option<usize> {
         let has_idle = self.relative[least_loaded] < IDLE_LOAD_FRACTION;
-        let others = (0..self.relative.len()).filter(|index| *index != least_loaded);
-        let mut givers: Vec<usize> =
-            others.filter(|index| self.is_overloaded(*index, has_idle)).collect();
-        givers.sort_by(|a, b| self.relative[*b].total_cmp(&self.relative[*a]));
-        givers
+        (0..self.len())
+            .filter(|index| *index != least_loaded && may_give(*index))
+            .filter(|index| self.is_overloaded(*index, has_idle))
+            .max_by(|a, b| self.relative[*a].total_cmp(&self.relative[*b]).then(b.cmp(a)))
     }
 
     /// Whether the excess load of a candidate justifies a move; `has_idle` says that another
     /// candidate is idle.
     fn is_overloaded(&self, index: usize, has_idle: bool) -> bool {
         let (load, fair) = (self.relative[index], self.fair[index]);
-        if self.exceeds_max[index] {
-            return load >= OVERLOAD_RATIO && load * fair >= MIN_SAMPLES_ABOVE_MAX_LOAD;
+        if load < OVERLOAD_RATIO {
+            return false;
+        }
+        if self.owned[index] > self.max_owned[index] {
+            return self.owned[index] >= MIN_SAMPLES_ABOVE_MAX_LOAD;
         }
-        let is_significant =
-            has_idle || (load - 1.0) * fair >= MIN_EXCESS_STD_DEVIATIONS * fair.sqrt();
-        load >= OVERLOAD_RATIO && load * fair >= MIN_OVERLOAD_SAMPLES && is_significant
+        let excess = self.owned[index] - fair;
+        let is_significant = has_idle || excess >= MIN_EXCESS_STD_DEVIATIONS * fair.sqrt();
+        self.owned[index] >= MIN_OVERLOAD_SAMPLES && is_significant
     }
 
     /// How much load a move from `giver` should carry.
     fn subrange_request(&self, giver: usize, least_loaded: usize) -> SubrangeRequest {
-        let excess = (self.relative[giver] - 1.0) * self.fair[giver];
-        let headroom = (1.0 - self.relative[least_loaded]) * self.fair[least_loaded];
+        let excess = self.owned[giver] - self.fair[giver];
+        let headroom = self.fair[least_loaded] - self.owned[least_loaded];
         SubrangeRequest {
             load: excess.min(headroom),
             max_load: self.max_receivable(giver, MAX_RECEIVER_LOAD_FRACTION),
@@ -147,8 +196,8 @@
     /// The highest load that leaves some receiver below this fraction of the giver's relative load.
     fn max_receivable(&self, giver: usize, fraction: f64) -> f64 {
         let limit = self.relative[giver] * fraction;
-        let headroom = |index: usize| (limit - self.relative[index]) * self.fair[index];
-        (0..self.relative.len()).map(headroom).fold(0.0, f64::max)
+        let headroom = |index: usize| limit * self.fair[index] - self.owned[index];
+        (0..self.len()).map(headroom).fold(0.0, f64::max)
     }
 
     /// Index of the candidate other than `giver` that is the least loaded after taking `carried`.
@@ -156,8 +205,8 @@
     /// It may differ from the least loaded candidate before the move, because the same subrange is
     /// a smaller relative load for a faster target.
     fn receiver(&self, giver: usize, carried: f64) -> Option<usize> {
-        let after = |index: usize| self.relative[index] + carried / self.fair[index];
-        (0..self.relative.len())
+        let after = |index: usize| (self.owned[index] + carried) / self.fair[index];
+        (0..self.len())
             .filter(|index| *index != giver)
             .min_by(|a, b| after(*a).total_cmp(&after(*b)))
     }
@@ -193,45 +242,56 @@
     indices.map(|index| max_load(index).unwrap_or_else(|| by_capacity(index))).collect()
 }
 
-/// Load of all ranges that a candidate owns.
-fn owned_load(ranges: &[RangeRecord], candidate: &OwnerCandidate, load: &KeyLoad) -> f64 {
-    let owned = ranges.iter().filter(|range| range.owner.as_ref() == Some(&candidate.target));
-    owned.map(|range| weighted_load(load, range.first, range.last)).sum()
+/// Plans moves one after another; each counts as load of its receiver.
+struct MovePlanner<'a> {
+    candidates: &'a [OwnerCandidate],
+    load: &'a KeyLoad,
+    loads: CandidateLoads,
+    /// First and last keys of the settled ranges of each candidate.
+    sources: Vec<Vec<(u16, u16)>>,
+    /// Whether a candidate had no suitable subrange, so that this plan takes nothing more from it.
+    is_exhausted: Vec<bool>,
 }
 
-/// Plans one move from the most loaded target that has a suitable subrange, and applies it to
-/// `ranges`.
-fn plan_one(
-    ranges: &mut Vec<RangeRecord>,
-    candidates: &[OwnerCandidate],
-    load: &KeyLoad,
-) -> Option<MoveProposal> {
-    let loads = CandidateLoads::new(ranges, candidates, load);
-    let least_loaded = loads.least_loaded()?;
-    let givers = loads.givers(least_loaded);
-    let (giver, first, last) = givers.into_iter().find_map(|giver| {
-        let request = loads.subrange_request(giver, least_loaded);
-        let (first, last) = find_subrange(ranges, load, &candidates[giver].target, request)?;
-        Some((giver, first, last))
-    })?;
-    let receiver = loads.receiver(giver, weighted_load(load, first, last))?;
-    let proposal = MoveProposal { first, last, to: candidates[receiver].target.clone() };
-    apply_move(ranges, &proposal);
-    Some(proposal)
-}
-
-/// Splits ranges at the boundaries of a move and assigns the moved keys to their next owner.
-fn apply_move(ranges: &mut Vec<RangeRecord>, proposal: &MoveProposal) {
-    split_at(ranges, proposal.first);
-    if let Some(after) = proposal.last.checked_add(1) {
-        split_at(ranges, after);
+impl<'a> MovePlanner<'a> {
+    fn new(ranges: &[RangeRecord], candidates: &'a [OwnerCandidate], load: &'a KeyLoad) -> Self {
+        let owners = OwnerIndex::new(candidates);
+        let mut sources = vec![Vec::new(); candidates.len()];
+        for range in ranges.iter().filter(|range| range.settled) {
+            if let Some(index) = owners.owner_of(range) {
+                sources[index].push((range.first, range.last));
+            }
+        }
+        let loads = CandidateLoads::new(ranges, candidates, &owners, load);
+        Self { candidates, load, loads, sources, is_exhausted: vec![false; candidates.len()] }
     }
-    for range in ranges.iter_mut() {
-        if proposal.first <= range.first && range.last <= proposal.last {
-            range.owner = Some(proposal.to.clone());
-            range.settled = false;
+
+    /// Plans one move from the most loaded target that has a suitable subrange.
+    fn plan_one(&mut self) -> Option<MoveProposal> {
+        let least_loaded = self.loads.least_loaded()?;
+        loop {
+            let giver = self.loads.giver(least_loaded, |index| !self.is_exhausted[index])?;
+            let request = self.loads.subrange_request(giver, least_loaded);
+            match find_subrange(&self.sources[giver], self.load, request) {
+                Some(found) => return self.move_subrange(giver, found),
+                None => self.is_exhausted[giver] = true,
+            }
         }
     }
+
+    /// Moves a subrange of a giver to the target that is the least loaded with it.
+    fn move_subrange(&mut self, giver: usize, found: FoundSubrange) -> Option<MoveProposal> {
+        let FoundSubrange { source, first, last } = found;
+        let carried = weighted_load(self.load, first, last);
+        let receiver = self.loads.receiver(giver, carried)?;
+        self.loads.add(giver, -carried);
+        self.loads.add(receiver, carried);
+        let (source_first, source_last) = self.sources[giver][source];
+        let below = (source_first < first).then(|| (source_first, first - 1));
+        let above = (last < source_last).then(|| (last + 1, source_last));
+        self.sources[giver].splice(source..=source, below.into_iter().chain(above));
+        Some(MoveProposal { first, last, to: self.candidates[receiver].target.clone() })
+    }
 }
 
 /// Splits the range that contains `key` so that `key` is the first of its range.
--- a/crates/nickellead_range/src/subrange.rs
+++ b/crates/nickellead_range/src/subrange.rs
@@ -1,7 +1,7 @@
 //! Selection of the subrange of a target's keys to move: close to the requested load, few keys.
 
+use crate::KeyLoad;
 use crate::map::KEY_COUNT;
-use crate::{KeyLoad, RangeRecord, TargetInstance};
 
 /// Load, in sampled requests, that is spread evenly over all keys of a service.
 ///
@@ -29,31 +29,42 @@
     load.between(first, last) + IDLE_KEYS_LOAD * size / f64::from(KEY_COUNT)
 }
 
-/// A subrange of the heaviest range of `from` that has one matching the request.
+/// A subrange that may move.
+pub(crate) struct FoundSubrange {
+    /// Index of the range that it is part of.
+    pub(crate) source: usize,
+    /// First key.
+    pub(crate) first: u16,
+    /// Last key, included.
+    pub(crate) last: u16,
+}
+
+/// A subrange of the heaviest of these ranges that has one matching the request; ranges are given by
+/// their first and last keys.
 pub(crate) fn find_subrange(
-    ranges: &[RangeRecord],
+    sources: &[(u16, u16)],
     load: &KeyLoad,
-    from: &TargetInstance,
     request: SubrangeRequest,
-) -> Option<(u16, u16)> {
-    let owned = |range: &&RangeRecord| range.settled && range.owner.as_ref() == Some(from);
-    let mut sources: Vec<&RangeRecord> = ranges.iter().filter(owned).collect();
-    sources.sort_by(|a, b| {
-        weighted_load(load, b.first, b.last).total_cmp(&weighted_load(load, a.first, a.last))
-    });
-    sources.into_iter().find_map(|source| cut_subrange(source, load, request))
+) -> Option<FoundSubrange> {
+    let weight = |(first, last): (u16, u16)| weighted_load(load, first, last);
+    let mut by_weight: Vec<usize> = (0..sources.len()).collect();
+    by_weight.sort_by(|a, b| weight(sources[*b]).total_cmp(&weight(sources[*a])));
+    by_weight.into_iter().find_map(|source| {
+        let (first, last) = cut_subrange(sources[source], load, request)?;
+        Some(FoundSubrange { source, first, last })
+    })
 }
 
 /// The subrange at either end of a range whose load is closest to the requested one.
 fn cut_subrange(
-    source: &RangeRecord,
+    source: (u16, u16),
     load: &KeyLoad,
     request: SubrangeRequest,
 ) -> Option<(u16, u16)> {
     if request.load <= 0.0 {
         return None;
     }
-    let (first, last) = (source.first, source.last);
+    let (first, last) = source;
     let whole = weighted_load(load, first, last);
     if whole <= request.load * MAX_WHOLE_RANGE_LOAD_RATIO
         || (first == last && whole <= request.max_single_key_load)
@@ -74,8 +85,8 @@
 }
 
 /// Proper subranges at both ends of a range whose load is close to `wanted`.
-fn end_subranges(source: &RangeRecord, load: &KeyLoad, wanted: f64) -> Vec<(u16, u16)> {
-    let (first, last) = (source.first, source.last);
+fn end_subranges(source: (u16, u16), load: &KeyLoad, wanted: f64) -> Vec<(u16, u16)> {
+    let (first, last) = source;
     let middle = first + (last - first) / 2;
     // Subranges with and without the key at which the load reaches `wanted`.
     let head = load.key_reaching(first, last, wanted).unwrap_or(middle);
--- a/crates/nickellead_range/tests/large_services.rs
+++ b/crates/nickellead_range/tests/large_services.rs
@@ -6,8 +6,7 @@
 use nickellead_core::{DriftBound, Timestamp};
 use nickellead_range::{
     ControllerSettings, InheritedMap, KeyLoad, LastOrder, LateOrderDetector, OwnerCandidate,
-    PredecessorBounds, RangeController, RangeRecord, TargetInstance, least_loaded_owner,
-    plan_moves,
+    OwnerPicker, PredecessorBounds, RangeController, RangeRecord, TargetInstance, plan_moves,
 };
 
 const SERVICE: &str = "board";
@@ -84,8 +83,10 @@
     let staying = candidates(TARGETS / 5..TARGETS);
     let load = uneven_load();
     let took = computing_time(|| {
-        controller.set_candidates(SERVICE, &staying, |ranges, _, _| {
-            least_loaded_owner(ranges, &staying, &load)
+        let mut picker = None;
+        controller.set_candidates(SERVICE, &staying, |ranges, first, last| {
+            let picker = picker.get_or_insert_with(|| OwnerPicker::new(ranges, &staying, &load));
+            picker.pick(first, last)
         });
     });
     println!("owners replaced in {took:?}");
--- a/crates/nickellead_range/tests/plans.rs
+++ b/crates/nickellead_range/tests/plans.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use nickellead_range::{
-    KeyLoad, OwnerCandidate, RangeRecord, TargetInstance, least_loaded_owner, plan_moves,
+    KeyLoad, OwnerCandidate, OwnerPicker, RangeRecord, TargetInstance, plan_moves,
 };
 
 fn instance(index: usize) -> TargetInstance {
@@ -60,6 +60,18 @@
     assert_eq!(plan_moves(&owned, &candidates(5), &load, 8), []);
 }
 
+#[test]
+fn owners_that_are_picked_one_after_another_share_the_load() {
+    let mut load = KeyLoad::default();
+    (0..=u16::MAX).step_by(64).for_each(|key| load.record(key, 1));
+    let (owned, staying) = (ranges(8), candidates(4));
+    let mut picker = OwnerPicker::new(&owned, &staying, &load);
+    let mut picked: Vec<_> =
+        owned[4..].iter().map(|range| picker.pick(range.first, range.last).unwrap()).collect();
+    picked.sort();
+    assert_eq!(picked, [instance(0), instance(1), instance(2), instance(3)]);
+}
+
 #[test]
 fn the_least_loaded_target_has_the_lowest_load_for_its_capacity() {
     let mut load = KeyLoad::default();
@@ -67,7 +79,9 @@
     load.record(40_000, 30);
     let mut candidates = candidates(2);
     candidates[0].capacity = 4.0;
-    assert_eq!(least_loaded_owner(&ranges(2), &candidates, &load), Some(instance(0)));
+    let owned = ranges(2);
+    let mut picker = OwnerPicker::new(&owned, &candidates, &load);
+    assert_eq!(picker.pick(0, 9), Some(instance(0)));
 }
 
 /// Guards against planning no moves when every hot key exceeds the headroom of each target.
