A change of one target costs a VM what changed, not a copy and an index of all targets

Cause: for each new list, the control thread cloned all targets; the request thread built registry, subsets and groups of all targets anew, and asked all VMs of the fleet for the dispatchers of each group.

Change: the list is a persistent map (imbl), shared by both threads: a copy is a pointer, and two lists are compared where they differ. The registry takes the differences: targets of a service are kept in the order of their hashes, and only services that changed get a new subset, only their zones new groups. Dispatchers are selected again only when the fleet changes, from the VMs of the zone instead of all. Rules that change (services, evacuated zones) still go through all targets; a fleet does only where targets can be cold. Counts by zone are kept, and nobody looks for cold targets where no service has any.

Why it works: what a change costs follows from the change and the targets of one service in one zone. A property test holds that changes give the registry and the groups that the last list gives, another one that targets that stay keep what is known of them.

--- a/crates/nickellead_gateway/src/cluster_state/mod.rs
+++ b/crates/nickellead_gateway/src/cluster_state/mod.rs
@@ -28,12 +28,13 @@
 pub(crate) use self::updates::{StateCursor, StateUpdate};
 use crate::admission::AdmissionTable;
 use crate::fleet::{AnnouncementStamp, FleetTable};
+use crate::listed_targets::ListedTargets;
 use crate::packed::Packed;
 use crate::state_channels::StateSenders;
 use crate::waiting::wait_for;
 use crate::{
     Declarations, DeclarationsFreshness, DeclaredState, EvacuatedZones, MandateRecord, Revision,
-    StoreEra, Stored, TargetChange, TargetEntry, TargetList, TargetListing,
+    StoreEra, Stored, TargetChange, TargetEntry, TargetListing,
 };
 
 /// The store's revisions up to which parts of the state are known; `None` if a part has to be read
@@ -102,8 +103,8 @@
     }
 
     /// The listed targets.
-    pub(crate) fn targets(&self) -> Arc<TargetList> {
-        Arc::clone(&self.senders.targets.borrow())
+    pub(crate) fn targets(&self) -> ListedTargets {
+        self.senders.targets.borrow().clone()
     }
 
     /// The newest map of ranges; `None` before the first one.
@@ -169,10 +170,11 @@
         let lost_entries_due =
             self.enter_targets_era(as_of.era).filter(|_| origin == ChangeOrigin::Store);
         let remove_at = remove_at.max(lost_entries_due);
-        let known = self.targets.borrow().list.keys().cloned().collect::<Vec<_>>();
+        let known = self.targets.borrow().list.clone();
         let TargetListing { targets, unreadable } = listing;
-        let missing = |id: &String| !targets.contains_key(id) && !unreadable.contains(id);
-        let gone: Vec<_> = known.into_iter().filter(missing).map(TargetChange::Gone).collect();
+        let missing = |id: &&String| !targets.contains_key(*id) && !unreadable.contains(*id);
+        let ids = known.entries().map(|entry| &entry.id);
+        let gone: Vec<_> = ids.filter(missing).cloned().map(TargetChange::Gone).collect();
         let changes = gone
             .into_iter()
             .chain(unreadable.into_iter().map(TargetChange::Unreadable))
@@ -244,7 +246,7 @@
     /// `before`.
     fn publish_targets(&self, targets: &TargetsState, before: u64) {
         if targets.last_change != before {
-            self.senders.targets.send_replace(Arc::new(targets.list.clone()));
+            self.senders.targets.send_replace(targets.list.clone());
             self.changed.notify_waiters();
         }
     }
--- a/crates/nickellead_gateway/src/cluster_state/targets.rs
+++ b/crates/nickellead_gateway/src/cluster_state/targets.rs
@@ -6,6 +6,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_range::TargetInstance;
 
+use crate::listed_targets::ListedTargets;
 use crate::packed::{Packed, PackedError};
 use crate::{Revision, StoreEra, TargetChange, TargetEntry, TargetList, TargetState};
 
@@ -43,7 +44,7 @@
 /// The targets of one VM's cluster state.
 #[derive(Default)]
 pub(super) struct TargetsState {
-    pub(super) list: TargetList,
+    pub(super) list: ListedTargets,
     /// The store's revision up to which the list is complete; `None` before the first whole list.
     pub(super) revision: Option<Revision>,
     /// Entries that are gone from the store, and when they are removed from the list.
@@ -96,7 +97,7 @@
                 (known != Some(entry.state)).then(|| state_name(entry.state))
             }
             TargetChange::Gone(id) | TargetChange::Unreadable(id) => {
-                self.list.contains_key(id).then_some(GONE)
+                self.list.get(id).map(|_| GONE)
             }
         }
     }
@@ -155,7 +156,7 @@
 
     /// Whether this instance of a target is known to have departed before the store was restored.
     fn departed_before(&self, entry: &TargetEntry, restored_at: Instant) -> bool {
-        let departed = self.departed.get(&entry.id).filter(|_| !self.list.contains_key(&entry.id));
+        let departed = self.departed.get(&entry.id).filter(|_| self.list.get(&entry.id).is_none());
         departed.is_some_and(|(instance, departed_at)| {
             *instance == entry.instance() && *departed_at <= restored_at
         })
@@ -194,7 +195,7 @@
         }
         self.updated_at.insert(entry.id.clone(), Instant::now());
         self.push(TargetChange::Listed(entry.clone()));
-        self.list.insert(entry.id.clone(), entry);
+        self.list.insert(entry);
     }
 
     /// Removes an entry from the list and remembers its instance as departed.
@@ -235,16 +236,15 @@
     /// time changes.
     pub(super) fn packed(&mut self) -> Result<Packed<TargetList>, PackedError> {
         let is_cold = |entry: &TargetEntry| !entry.cold_left.is_zero();
-        if self.list.values().any(is_cold) {
-            let current = |(id, entry): (&String, &TargetEntry)| {
-                (id.clone(), self.with_current_cold_time(entry))
-            };
-            return Packed::pack(&self.list.iter().map(current).collect::<TargetList>());
+        if self.list.entries().any(is_cold) {
+            let current =
+                |entry: &TargetEntry| (entry.id.clone(), self.with_current_cold_time(entry));
+            return Packed::pack(&self.list.entries().map(current).collect::<TargetList>());
         }
         match &self.packed {
             Some((number, packed)) if *number == self.last_change => Ok(packed.clone()),
             _ => {
-                let packed = Packed::pack(&self.list)?;
+                let packed = Packed::pack(&self.list.to_list())?;
                 self.packed = Some((self.last_change, packed.clone()));
                 Ok(packed)
             }
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -8,7 +8,8 @@
 use nickellead_time::BootClock;
 
 use super::ControlLoop;
-use crate::{OrderPort, ServiceRule, StorePort, TargetEntry, TargetList, TargetState};
+use crate::listed_targets::ListedTargets;
+use crate::{OrderPort, ServiceRule, StorePort, TargetEntry, TargetState};
 
 /// The targets of a new service count as complete when their number has not changed for this long.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_200);
@@ -50,7 +51,7 @@
         &self,
         service: &str,
         rule: &ServiceRule,
-        targets: &'a TargetList,
+        targets: &'a ListedTargets,
     ) -> Vec<&'a TargetEntry> {
         let zones = self.zones.borrow();
         let leaving = self.leaving.borrow();
@@ -60,7 +61,7 @@
             let is_leaving = !leaving.is_empty() && leaving.contains(&target.instance());
             ready && !is_leaving && !zones.is_evacuated(&target.zone)
         };
-        let available: Vec<&TargetEntry> = targets.values().filter(is_available).collect();
+        let available: Vec<&TargetEntry> = targets.entries().filter(is_available).collect();
         let available = self.without_paused(available, now);
         let Some(cold) = self.cold_settings.and(rule.cold) else { return available };
         let is_warm = |target: &TargetEntry| {
--- a/crates/nickellead_gateway/src/fleet.rs
+++ b/crates/nickellead_gateway/src/fleet.rs
@@ -88,13 +88,28 @@
 
     /// Where the two VMs of an availability zone that rendezvous hashing selects for `seed` take
     /// dispatch messages, best first.
-    ///
-    /// VMs without an address are passed over. VMs with the same view of the fleet agree without
-    /// communication, and a VM that joins or leaves changes few selections.
     pub(crate) fn dispatchers(&self, zone: &str, seed: u64) -> [Option<SocketAddr>; 2] {
+        self.zone_dispatchers(zone).select(seed)
+    }
+
+    /// The VMs of an availability zone that may dispatch; those without an address are left out.
+    pub(crate) fn zone_dispatchers(&self, zone: &str) -> ZoneDispatchers {
         let in_zone = self.vms.iter().filter(|(vm, _)| vm.is_in_zone(zone));
-        let ranked =
-            in_zone.filter_map(|(vm, address)| Some((vm.rank_seed(seed), *vm, (*address)?)));
+        ZoneDispatchers(in_zone.filter_map(|(vm, address)| Some((*vm, (*address)?))).collect())
+    }
+}
+
+/// The VMs of one availability zone that may dispatch, with the address where each takes dispatch
+/// messages.
+pub(crate) struct ZoneDispatchers(Vec<(VmId, SocketAddr)>);
+
+impl ZoneDispatchers {
+    /// Addresses of the two VMs that rendezvous hashing selects for `seed`, best first.
+    ///
+    /// VMs with the same view of the fleet agree without communication, and a VM that joins or leaves
+    /// changes few selections.
+    pub(crate) fn select(&self, seed: u64) -> [Option<SocketAddr>; 2] {
+        let ranked = self.0.iter().map(|(vm, address)| (vm.rank_seed(seed), *vm, *address));
         let mut best = [None; 2];
         for candidate in ranked.map(Some) {
             if candidate > best[0] {
--- a/crates/nickellead_gateway/src/registered_target.rs
+++ b/crates/nickellead_gateway/src/registered_target.rs
@@ -9,6 +9,7 @@
 use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, ColdLimiter, InFlightBytes, RateLimiter, WaitQueue};
 use nickellead_range::TargetInstance;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connections::SharedPool;
 use crate::targets::instance_of;
@@ -40,6 +41,8 @@
 /// One instance of a target, with the state and statistics that this VM keeps about it.
 pub(crate) struct RegisteredTarget {
     pub(crate) id: String,
+    /// Hash of its identity.
+    hash: u64,
     pub(crate) born: Option<u64>,
     pub(crate) address: SocketAddr,
     pub(crate) zone: String,
@@ -61,7 +64,7 @@
     /// Enforces this VM's share of its rate limit.
     rate_limiter: RateLimiter,
     /// Number of VMs that share its rate limit, including this one; 0 while unknown.
-    pub(crate) sharing_vms: Cell<usize>,
+    sharing_vms: Rc<Cell<usize>>,
     pub(crate) score: RefCell<TargetScore>,
     pub(crate) concurrency_limit: Cell<AdaptiveLimit>,
     pub(crate) request_bytes: InFlightBytes,
@@ -82,16 +85,19 @@
 }
 
 impl RegisteredTarget {
-    /// Creates a target without statistics; `rank` is this VM's rank for it.
+    /// Creates a target without statistics; `rank` is this VM's rank for it, and `sharing_vms` is the
+    /// number of VMs that share its rate limit.
     pub(crate) fn new(
         entry: &TargetEntry,
         signals: SharedSignals,
         rank: u64,
+        sharing_vms: &Rc<Cell<usize>>,
         now: Timestamp,
     ) -> Self {
         let phase = rank as f64 / u64::MAX as f64;
         Self {
             id: entry.id.clone(),
+            hash: xxh3_64(entry.id.as_bytes()),
             born: entry.born,
             address: entry.address,
             zone: entry.zone.clone(),
@@ -105,7 +111,7 @@
             signals,
             reported_limit: Cell::default(),
             rate_limiter: RateLimiter::new(rank),
-            sharing_vms: Cell::new(0),
+            sharing_vms: Rc::clone(sharing_vms),
             score: RefCell::new(TargetScore::new(DEFAULT_LATENCY)),
             concurrency_limit: Cell::new(AdaptiveLimit::new(
                 INITIAL_CONCURRENCY_LIMIT,
@@ -182,6 +188,19 @@
         self.signals.get().leaving_since().is_some()
     }
 
+    /// Its position among other targets, on which all VMs agree.
+    pub(crate) fn order(&self) -> (u64, &str) {
+        (self.hash, &self.id)
+    }
+
+    /// Whether this is the instance of an entry, at the same place and with the same slots.
+    pub(crate) fn is_of(&self, entry: &TargetEntry) -> bool {
+        self.born == entry.born
+            && self.address == entry.address
+            && self.zone == entry.zone
+            && self.slots == entry.slots
+    }
+
     /// The identity of this instance.
     pub(crate) fn instance(&self) -> TargetInstance {
         instance_of(&self.id, self.born, self.address)
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -219,7 +219,7 @@
         }
     });
     let updated = Rc::clone(worker);
-    actix_rt::spawn(async move { updated.rebuild_when_targets_warm().await });
+    actix_rt::spawn(async move { updated.update_when_targets_warm().await });
     actix_rt::spawn(Rc::clone(worker).run_reach_checks());
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.apply_zone_reports().await });
--- a/crates/nickellead_gateway/src/state_channels.rs
+++ b/crates/nickellead_gateway/src/state_channels.rs
@@ -7,14 +7,15 @@
 
 use crate::admission::AdmissionTable;
 use crate::fleet::FleetTable;
-use crate::{Declarations, EvacuatedZones, StateConfirmation, TargetList};
+use crate::listed_targets::ListedTargets;
+use crate::{Declarations, EvacuatedZones, StateConfirmation};
 
 /// Senders of the control thread; each value replaces the previous one.
 pub(crate) struct StateSenders {
     pub(crate) declarations: watch::Sender<Option<Arc<Declarations>>>,
     /// The last confirmation of a version of the declarations.
     pub(crate) confirmation: watch::Sender<Option<StateConfirmation<u64>>>,
-    pub(crate) targets: watch::Sender<Arc<TargetList>>,
+    pub(crate) targets: watch::Sender<ListedTargets>,
     pub(crate) ranges: watch::Sender<Arc<RangeMap>>,
     pub(crate) admissions: watch::Sender<Arc<AdmissionTable>>,
     pub(crate) evacuations: watch::Sender<Arc<EvacuatedZones>>,
@@ -26,7 +27,7 @@
 pub(crate) struct StateReceivers {
     pub(crate) declarations: watch::Receiver<Option<Arc<Declarations>>>,
     pub(crate) confirmation: watch::Receiver<Option<StateConfirmation<u64>>>,
-    pub(crate) targets: watch::Receiver<Arc<TargetList>>,
+    pub(crate) targets: watch::Receiver<ListedTargets>,
     pub(crate) ranges: watch::Receiver<Arc<RangeMap>>,
     pub(crate) admissions: watch::Receiver<Arc<AdmissionTable>>,
     pub(crate) evacuations: watch::Receiver<Arc<EvacuatedZones>>,
@@ -37,7 +38,7 @@
 pub(crate) fn state_channels() -> (StateSenders, StateReceivers) {
     let (declarations, declarations_receiver) = watch::channel(None);
     let (confirmation, confirmation_receiver) = watch::channel(None);
-    let (targets, targets_receiver) = watch::channel(Arc::default());
+    let (targets, targets_receiver) = watch::channel(ListedTargets::default());
     let (ranges, ranges_receiver) = watch::channel(Arc::default());
     let (admissions, admissions_receiver) = watch::channel(Arc::default());
     let (evacuations, evacuations_receiver) = watch::channel(Arc::default());
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -1,8 +1,10 @@
 //! The registry of targets that the request path selects from.
 //!
-//! It is rebuilt for each new target list; statistics of targets that stay are kept.
+//! A new list of targets costs time in proportion to what changed in it, and statistics of targets that
+//! stay are kept.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 use nickellead_core::Timestamp;
@@ -13,10 +15,12 @@
 use crate::admission::AdmissionTable;
 use crate::evacuation::ZoneStates;
 use crate::fleet::FleetTable;
+use crate::listed_targets::{ListedChange, ListedTargets};
 use crate::load_counter::VmId;
 use crate::registered_target::{DOWN_WINDOW, RegisteredTarget, SharedSignals};
-use crate::target_subset::{choose_subset, largest_subset};
-use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetList, TargetState};
+use crate::sorted_targets::SortedTargets;
+use crate::target_subset::SubsetTargets;
+use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetState};
 
 /// Most instances without an entry whose signals are kept; beyond it all of these are dropped.
 const MAX_UNLISTED: usize = 4_096;
@@ -25,6 +29,10 @@
 /// partition, after which the zone would stay unused if its targets were expected to be cold.
 const MAX_CRASHED_PER_ZONE: usize = 3;
 
+/// If more than one in this many targets changed, all of them are sorted anew, which takes less time
+/// than sorting each one in.
+const SORT_ALL_DIVISOR: usize = 16;
+
 /// Number of listed targets by active signal.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct SignalCounts {
@@ -47,6 +55,11 @@
         self.cold_settings.and(self.services.get(service)?.cold)
     }
 
+    /// Whether targets of a service may be cold.
+    fn has_cold_rule(&self, service: &str) -> bool {
+        self.cold_rule(service).is_some()
+    }
+
     fn is_sharded(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|rule| rule.sharded)
     }
@@ -69,90 +82,310 @@
     }
 }
 
-/// All listed targets by service and by identity.
+/// A service in one availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ServiceZone {
+    pub(crate) service: String,
+    pub(crate) zone: String,
+}
+
+impl ServiceZone {
+    fn of(entry: &TargetEntry) -> Self {
+        Self { service: entry.service.clone(), zone: entry.zone.clone() }
+    }
+}
+
+/// The targets of one service.
 #[derive(Default)]
+struct ServiceTargets {
+    /// All listed ones by availability zone.
+    by_zone: BTreeMap<String, SortedTargets>,
+    /// Those that accept requests, in zones that are not evacuated.
+    available: SortedTargets,
+    /// The available ones of the VM's own zone.
+    near: SortedTargets,
+    /// The available ones of other zones.
+    far: SortedTargets,
+    /// The VM's subset of the available ones.
+    subset: Vec<Rc<RegisteredTarget>>,
+    /// Whether the subset is smaller than it would be in a small fleet.
+    partitioned: bool,
+}
+
+impl ServiceTargets {
+    fn add(&mut self, target: &Rc<RegisteredTarget>, placement: Placement) {
+        self.by_zone.entry(target.zone.clone()).or_default().insert(target);
+        if let Some(side) = self.side(placement) {
+            side.insert(target);
+            self.available.insert(target);
+        }
+    }
+
+    fn remove(&mut self, target: &RegisteredTarget) {
+        if let Some(targets) = self.by_zone.get_mut(&target.zone) {
+            targets.remove(target);
+            if targets.is_empty() {
+                self.by_zone.remove(&target.zone);
+            }
+        }
+        for targets in [&mut self.available, &mut self.near, &mut self.far] {
+            targets.remove(target);
+        }
+    }
+
+    /// The available targets near or far; `None` for a target that is not available.
+    fn side(&mut self, placement: Placement) -> Option<&mut SortedTargets> {
+        match placement {
+            Placement::Near => Some(&mut self.near),
+            Placement::Far => Some(&mut self.far),
+            Placement::Unavailable => None,
+        }
+    }
+
+    fn update_subset(&mut self, vm: VmId, rules: &RegistryRules<'_>, may_be_cold: bool) {
+        let targets = SubsetTargets { near: &self.near, far: &self.far, may_be_cold };
+        self.subset = targets.choose_subset(vm, rules.fleet, BootClock.now());
+        self.partitioned = self.subset.len() < targets.largest_subset();
+    }
+}
+
+/// Whether a target is available to a VM, and where.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    Near,
+    Far,
+    Unavailable,
+}
+
+/// All listed targets by service and by identity.
 pub(crate) struct TargetRegistry {
-    vm: String,
+    vm: VmId,
     zone: String,
+    /// The list of targets that the registry reflects.
+    listed: ListedTargets,
     by_id: HashMap<String, Rc<RegisteredTarget>>,
-    by_service: HashMap<String, Vec<Rc<RegisteredTarget>>>,
+    services: HashMap<String, ServiceTargets>,
+    /// Number of listed targets by availability zone.
+    zone_counts: HashMap<String, usize>,
     /// Signals of instances that are not listed now but may be listed again.
     unlisted_signals: HashMap<TargetInstance, SharedSignals>,
-    /// This VM's subset of each service.
-    subsets: HashMap<String, Vec<Rc<RegisteredTarget>>>,
-    /// Services whose subset is smaller than it would be in a small fleet.
-    partitioned: HashSet<String>,
+    /// Number of VMs that share the targets; 0 while unknown.
+    sharing_vms: Rc<Cell<usize>>,
+    /// Whether any service has a limit for cold targets.
+    has_cold_rules: bool,
 }
 
 impl TargetRegistry {
     /// A registry without targets.
-    pub(crate) fn new(vm: String, zone: String) -> Self {
-        Self { vm, zone, ..Self::default() }
+    pub(crate) fn new(vm: VmId, zone: String) -> Self {
+        Self {
+            vm,
+            zone,
+            listed: ListedTargets::default(),
+            by_id: HashMap::new(),
+            services: HashMap::new(),
+            zone_counts: HashMap::new(),
+            unlisted_signals: HashMap::new(),
+            sharing_vms: Rc::default(),
+            has_cold_rules: false,
+        }
     }
 
-    /// The registry for a new list; instances that stay keep their statistics.
-    pub(crate) fn rebuild(&self, list: &TargetList, rules: &RegistryRules<'_>) -> Self {
+    /// Applies a new list; instances that stay keep their statistics. Returns where targets changed.
+    pub(crate) fn apply_list(
+        &mut self,
+        list: ListedTargets,
+        rules: &RegistryRules<'_>,
+    ) -> BTreeSet<ServiceZone> {
         let now = BootClock.now();
-        let vm = VmId::new(&self.vm, &self.zone);
-        let sharing_vms = rules.fleet.count_including(vm);
-        let mut registry = Self::new(self.vm.clone(), self.zone.clone());
-        for entry in list.values() {
-            let target = self.target_for_entry(entry, now);
-            target.cold_rule.set(rules.cold_rule(&entry.service));
-            target.sharded.set(rules.is_sharded(&entry.service));
-            target.cold_limiter.set_quota(rules.cold_quota(vm, entry), now);
-            target.sharing_vms.set(sharing_vms);
-            if let (Some(rule), Some(returned)) =
-                (target.cold_rule.get(), rules.zones.returned_at(&entry.zone))
-            {
-                target.expect_cold(returned + rule.duration, now);
+        let earlier = std::mem::replace(&mut self.listed, list.clone());
+        let changes: Vec<_> = list.changes_since(&earlier).collect();
+        let sorts_all = changes.len() > earlier.len() / SORT_ALL_DIVISOR;
+        let mut changed = BTreeSet::new();
+        for change in changes {
+            let (old, new) = match change {
+                ListedChange::Added(new) => (None, Some(new)),
+                ListedChange::Replaced { old, new } => (Some(old), Some(new)),
+                ListedChange::Removed(old) => (Some(old), None),
+            };
+            changed.extend(old.into_iter().chain(new).map(ServiceZone::of));
+            if let Some(old) = old.filter(|_| !sorts_all) {
+                self.displace(old);
             }
-            registry.by_id.insert(entry.id.clone(), Rc::clone(&target));
-            if rules.zones.is_evacuated(&entry.zone) {
-                target.pool.clear();
-            } else if entry.state == TargetState::Ready {
-                registry.by_service.entry(entry.service.clone()).or_default().push(target);
+            self.register(old, new, now);
+            if let Some(new) = new.filter(|_| !sorts_all) {
+                self.place(new, rules, now);
             }
         }
-        for (service, targets) in &registry.by_service {
-            let subset = choose_subset(vm, &registry.zone, targets, rules.fleet, now);
-            if subset.len() < largest_subset(&registry.zone, targets) {
-                registry.partitioned.insert(service.clone());
+        match sorts_all {
+            true => self.apply_rules(rules),
+            false => {
+                let services: BTreeSet<&str> =
+                    changed.iter().map(|place| place.service.as_str()).collect();
+                services.into_iter().for_each(|service| self.update_subset(service, rules));
             }
-            registry.subsets.insert(service.clone(), subset);
         }
-        registry.unlisted_signals = self.unlisted_signals.clone();
-        for (id, target) in &self.by_id {
-            if !registry.by_id.get(id).is_some_and(|kept| Rc::ptr_eq(kept, target)) {
-                target.pool.clear();
-                registry.unlisted_signals.insert(target.instance(), Rc::clone(&target.signals));
-            }
+        self.forget_signals(now);
+        changed
+    }
+
+    /// Applies new rules to all targets.
+    pub(crate) fn apply_rules(&mut self, rules: &RegistryRules<'_>) {
+        let now = BootClock.now();
+        self.has_cold_rules = rules.services.keys().any(|service| rules.has_cold_rule(service));
+        self.sharing_vms.set(rules.fleet.count_including(self.vm));
+        self.services.clear();
+        let mut sorted: HashMap<&str, Vec<(Rc<RegisteredTarget>, Placement)>> = HashMap::new();
+        for entry in self.listed.entries() {
+            let Some(target) = self.by_id.get(&entry.id) else { continue };
+            self.apply_rules_to(target, entry, rules, now);
+            let placed = (Rc::clone(target), self.placement(entry, rules));
+            sorted.entry(&entry.service).or_default().push(placed);
         }
-        registry.unlisted_signals.retain(|_, signals| signals.get().has_active_signal(now));
-        if registry.unlisted_signals.len() > MAX_UNLISTED {
-            registry.unlisted_signals.clear();
+        for (service, targets) in sorted {
+            self.services.insert(service.to_owned(), sort_targets(targets));
         }
-        registry
+        self.update_all_subsets(rules);
     }
 
-    /// The registered target of an entry, which is created unless this very instance is known.
-    fn target_for_entry(&self, entry: &TargetEntry, now: Timestamp) -> Rc<RegisteredTarget> {
-        let rank = VmId::new(&self.vm, &self.zone).rank(&entry.id);
-        let known = self.by_id.get(&entry.id);
-        match known.filter(|one| one.address == entry.address && one.born == entry.born) {
+    /// Applies a new fleet to all targets.
+    pub(crate) fn apply_fleet(&mut self, rules: &RegistryRules<'_>) {
+        if self.has_cold_rules {
+            // The quotas of cold targets depend on the fleet.
+            return self.apply_rules(rules);
+        }
+        self.sharing_vms.set(rules.fleet.count_including(self.vm));
+        self.update_all_subsets(rules);
+    }
+
+    /// Selects the subsets of all services anew.
+    pub(crate) fn update_all_subsets(&mut self, rules: &RegistryRules<'_>) {
+        for (service, targets) in &mut self.services {
+            targets.update_subset(self.vm, rules, rules.has_cold_rule(service));
+        }
+    }
+
+    fn update_subset(&mut self, service: &str, rules: &RegistryRules<'_>) {
+        let Some(targets) = self.services.get_mut(service) else { return };
+        match targets.by_zone.is_empty() {
+            true => {
+                self.services.remove(service);
+            }
+            false => targets.update_subset(self.vm, rules, rules.has_cold_rule(service)),
+        }
+    }
+
+    /// Replaces the registered target of an old entry with that of a new one, which is the same if the
+    /// instance stays.
+    fn register(&mut self, old: Option<&TargetEntry>, new: Option<&TargetEntry>, now: Timestamp) {
+        let known = old.and_then(|old| self.by_id.remove(&old.id));
+        if let Some(known) = &known {
+            self.count_in_zone(&known.zone, false);
+        }
+        let Some(entry) = new else {
+            return known.into_iter().for_each(|target| self.retire(&target));
+        };
+        let stays = known.as_ref().filter(|target| target.is_of(entry)).map(Rc::clone);
+        let target = match stays {
             Some(target) => {
                 target.update_from_entry(entry, now);
-                Rc::clone(target)
+                target
             }
             None => {
+                known.into_iter().for_each(|target| self.retire(&target));
                 let signals = self.unlisted_signals.get(&entry.instance()).cloned();
-                Rc::new(RegisteredTarget::new(entry, signals.unwrap_or_default(), rank, now))
+                let rank = self.vm.rank(&entry.id);
+                let signals = signals.unwrap_or_default();
+                Rc::new(RegisteredTarget::new(entry, signals, rank, &self.sharing_vms, now))
             }
+        };
+        self.count_in_zone(&target.zone, true);
+        self.by_id.insert(entry.id.clone(), target);
+    }
+
+    /// Closes the idle connections of a target that is no longer listed, and keeps its signals.
+    fn retire(&mut self, target: &RegisteredTarget) {
+        target.pool.clear();
+        self.unlisted_signals.insert(target.instance(), Rc::clone(&target.signals));
+    }
+
+    /// Forgets signals of unlisted instances that have ended.
+    fn forget_signals(&mut self, now: Timestamp) {
+        self.unlisted_signals.retain(|_, signals| signals.get().has_active_signal(now));
+        if self.unlisted_signals.len() > MAX_UNLISTED {
+            self.unlisted_signals.clear();
+        }
+    }
+
+    fn count_in_zone(&mut self, zone: &str, listed: bool) {
+        let count = self.zone_counts.entry(zone.to_owned()).or_default();
+        *count = if listed { *count + 1 } else { *count - 1 };
+        if *count == 0 {
+            self.zone_counts.remove(zone);
+        }
+    }
+
+    /// Adds a registered target to its service.
+    fn place(&mut self, entry: &TargetEntry, rules: &RegistryRules<'_>, now: Timestamp) {
+        let Some(target) = self.by_id.get(&entry.id) else { return };
+        self.apply_rules_to(target, entry, rules, now);
+        let placement = self.placement(entry, rules);
+        self.services.entry(entry.service.clone()).or_default().add(target, placement);
+    }
+
+    /// Removes a registered target from its service.
+    fn displace(&mut self, entry: &TargetEntry) {
+        let Some(target) = self.by_id.get(&entry.id) else { return };
+        if let Some(service) = self.services.get_mut(&entry.service) {
+            service.remove(target);
         }
     }
 
+    /// Whether a target is available, and where.
+    fn placement(&self, entry: &TargetEntry, rules: &RegistryRules<'_>) -> Placement {
+        if rules.zones.is_evacuated(&entry.zone) || entry.state != TargetState::Ready {
+            return Placement::Unavailable;
+        }
+        if entry.zone == self.zone { Placement::Near } else { Placement::Far }
+    }
+
+    fn apply_rules_to(
+        &self,
+        target: &RegisteredTarget,
+        entry: &TargetEntry,
+        rules: &RegistryRules<'_>,
+        now: Timestamp,
+    ) {
+        target.cold_rule.set(rules.cold_rule(&entry.service));
+        target.sharded.set(rules.is_sharded(&entry.service));
+        target.cold_limiter.set_quota(rules.cold_quota(self.vm, entry), now);
+        let returned = rules.zones.returned_at(&entry.zone);
+        if let (Some(rule), Some(returned)) = (target.cold_rule.get(), returned) {
+            target.expect_cold(returned + rule.duration, now);
+        }
+        if rules.zones.is_evacuated(&entry.zone) {
+            target.pool.clear();
+        }
+    }
+
+    /// All listed targets by service and availability zone.
+    pub(crate) fn by_zone(&self) -> impl Iterator<Item = (&str, &str, &SortedTargets)> {
+        self.services.iter().flat_map(|(service, targets)| {
+            let by_zone = targets.by_zone.iter();
+            by_zone.map(|(zone, targets)| (service.as_str(), zone.as_str(), targets))
+        })
+    }
+
+    /// The listed targets of a service in an availability zone; `None` without any.
+    pub(crate) fn in_service_zone(&self, place: &ServiceZone) -> Option<&SortedTargets> {
+        self.services.get(&place.service)?.by_zone.get(&place.zone)
+    }
+
     /// When the next target with a cold limit becomes warm.
     pub(crate) fn next_warm(&self, now: Timestamp) -> Option<Timestamp> {
+        if !self.has_cold_rules {
+            return None;
+        }
         let cold = self.by_id.values().filter(|target| target.cold_rule.get().is_some());
         cold.map(|target| target.cold_limiter.cold_until()).filter(|until| *until > now).min()
     }
@@ -181,21 +414,17 @@
 
     /// Number of listed targets by availability zone.
     pub(crate) fn count_by_zone(&self) -> HashMap<&str, usize> {
-        let mut counts = HashMap::new();
-        for target in self.by_id.values() {
-            *counts.entry(target.zone.as_str()).or_default() += 1;
-        }
-        counts
+        self.zone_counts.iter().map(|(zone, count)| (zone.as_str(), *count)).collect()
     }
 
     /// The targets of a service that accept requests, in all zones that are not evacuated.
     pub(crate) fn available(&self, service: &str) -> &[Rc<RegisteredTarget>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.services.get(service).map_or(&[], |targets| targets.available.as_slice())
     }
 
     /// This VM's subset of a service's available targets.
     pub(crate) fn subset(&self, service: &str) -> &[Rc<RegisteredTarget>] {
-        self.subsets.get(service).map_or(&[], Vec::as_slice)
+        self.services.get(service).map_or(&[], |targets| &targets.subset)
     }
 
     /// Whether the fleet is so large that the service's targets are divided among the VMs.
@@ -203,7 +432,7 @@
     /// A VM whose subset is at capacity then uses no other targets, as they are at capacity as
     /// well.
     pub(crate) fn is_partitioned(&self, service: &str) -> bool {
-        self.partitioned.contains(service)
+        self.services.get(service).is_some_and(|targets| targets.partitioned)
     }
 
     /// Sets the rate limits that the mandate holder announced.
@@ -252,3 +481,28 @@
         self.by_id.values().map(|target| target.pool.opened()).sum()
     }
 }
+
+/// Sorts the targets of one service.
+fn sort_targets(targets: Vec<(Rc<RegisteredTarget>, Placement)>) -> ServiceTargets {
+    let select = |wanted: &[Placement]| -> SortedTargets {
+        let selected = targets.iter().filter(|(_, placement)| wanted.contains(placement));
+        selected.map(|(target, _)| Rc::clone(target)).collect()
+    };
+    let mut by_zone: BTreeMap<String, Vec<Rc<RegisteredTarget>>> = BTreeMap::new();
+    for (target, _) in &targets {
+        by_zone.entry(target.zone.clone()).or_default().push(Rc::clone(target));
+    }
+    ServiceTargets {
+        available: select(&[Placement::Near, Placement::Far]),
+        near: select(&[Placement::Near]),
+        far: select(&[Placement::Far]),
+        by_zone: by_zone
+            .into_iter()
+            .map(|(zone, targets)| (zone, targets.into_iter().collect()))
+            .collect(),
+        ..ServiceTargets::default()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickellead_gateway/src/target_subset.rs
+++ b/crates/nickellead_gateway/src/target_subset.rs
@@ -8,6 +8,7 @@
 use crate::fleet::FleetTable;
 use crate::load_counter::VmId;
 use crate::registered_target::RegisteredTarget;
+use crate::sorted_targets::SortedTargets;
 
 /// Most targets of a service in this VM's own zone that are in its subset.
 ///
@@ -19,56 +20,78 @@
 /// Fewest targets of either kind in a subset, however many VMs share the service.
 const MIN_TARGETS: usize = 2;
 
-/// This VM's subset of a service: near and far targets, and the cold ones that it sends requests
-/// to.
-pub(crate) fn choose_subset(
+/// The available targets of one service, as one VM sees them.
+pub(crate) struct SubsetTargets<'a> {
+    /// Targets of the VM's own availability zone.
+    pub(crate) near: &'a SortedTargets,
+    /// Targets of other zones.
+    pub(crate) far: &'a SortedTargets,
+    /// Whether targets of the service may be cold.
+    pub(crate) may_be_cold: bool,
+}
+
+impl SubsetTargets<'_> {
+    /// Size of the VM's subset in a small fleet.
+    pub(crate) fn largest_subset(&self) -> usize {
+        self.near.len().min(MAX_NEAR_TARGETS) + self.far.len().min(MAX_FAR_TARGETS)
+    }
+
+    /// The VM's subset of the service: near and far targets, and the cold ones that it sends requests
+    /// to.
+    pub(crate) fn choose_subset(
+        &self,
+        vm: VmId,
+        fleet: &FleetTable,
+        now: Timestamp,
+    ) -> Vec<Rc<RegisteredTarget>> {
+        if !self.may_be_cold {
+            return choose_warm(vm, self.near, self.far, fleet);
+        }
+        let is_cold = |target: &&Rc<RegisteredTarget>| target.cold_limiter.is_limited(now);
+        let warm = |targets: &SortedTargets| -> SortedTargets {
+            targets.as_slice().iter().filter(|target| !is_cold(target)).map(Rc::clone).collect()
+        };
+        let mut subset = choose_warm(vm, &warm(self.near), &warm(self.far), fleet);
+        let cold = self.near.as_slice().iter().chain(self.far.as_slice()).filter(is_cold);
+        subset.extend(cold.filter(|target| target.cold_limiter.has_quota()).map(Rc::clone));
+        subset
+    }
+}
+
+/// The subset of a service without cold targets.
+fn choose_warm(
     vm: VmId,
-    zone: &str,
-    targets: &[Rc<RegisteredTarget>],
+    near: &SortedTargets,
+    far: &SortedTargets,
     fleet: &FleetTable,
-    now: Timestamp,
 ) -> Vec<Rc<RegisteredTarget>> {
-    let is_bounded = |target: &&Rc<RegisteredTarget>| target.cold_limiter.is_limited(now);
-    let (cold, warm): (Vec<_>, Vec<_>) = targets.iter().partition(is_bounded);
-    let warmed = cold.into_iter().filter(|target| target.cold_limiter.has_quota());
-    let (near, far): (Vec<_>, Vec<_>) = warm.into_iter().partition(|target| target.zone == zone);
-    let near_subset = match fleet.index_in_zone(vm) {
+    let mut subset = match fleet.index_in_zone(vm) {
         Some((index, vms)) => even_targets(near, index, vms, MAX_NEAR_TARGETS),
         None => ranked_targets(vm, near, MAX_NEAR_TARGETS),
     };
-    let far_subset = match fleet.index(vm) {
+    subset.extend(match fleet.index(vm) {
         Some((index, vms)) => even_targets(far, index, vms, MAX_FAR_TARGETS),
         None => ranked_targets(vm, far, MAX_FAR_TARGETS),
-    };
-    near_subset.into_iter().chain(far_subset).chain(warmed).map(Rc::clone).collect()
-}
-
-/// Size of this VM's subset of a service in a small fleet.
-pub(crate) fn largest_subset(zone: &str, targets: &[Rc<RegisteredTarget>]) -> usize {
-    let near = targets.iter().filter(|target| target.zone == zone).count();
-    near.min(MAX_NEAR_TARGETS) + (targets.len() - near).min(MAX_FAR_TARGETS)
+    });
+    subset
 }
 
 /// An even subset of the targets for the VM with this index among `vms` VMs.
 fn even_targets(
-    mut targets: Vec<&Rc<RegisteredTarget>>,
+    targets: &SortedTargets,
     index: usize,
     vms: usize,
     max: usize,
-) -> Vec<&Rc<RegisteredTarget>> {
-    targets.sort_by_cached_key(|target| xxhash_rust::xxh3::xxh3_64(target.id.as_bytes()));
-    let slots = targets.iter().map(|target| target.slots).sum();
-    let size = subset_size(slots, vms, targets.len(), MIN_TARGETS, max);
-    even_subset(index, vms, targets.len(), size).map(|index| targets[index]).collect()
+) -> Vec<Rc<RegisteredTarget>> {
+    let size = subset_size(targets.slots(), vms, targets.len(), MIN_TARGETS, max);
+    let subset = even_subset(index, vms, targets.len(), size);
+    subset.map(|index| Rc::clone(&targets.as_slice()[index])).collect()
 }
 
 /// The targets that rendezvous hashing assigns to a VM that does not know the fleet.
-fn ranked_targets(
-    vm: VmId,
-    mut targets: Vec<&Rc<RegisteredTarget>>,
-    max: usize,
-) -> Vec<&Rc<RegisteredTarget>> {
-    targets.sort_by_cached_key(|target| vm.rank(&target.id));
-    targets.truncate(max);
-    targets
+fn ranked_targets(vm: VmId, targets: &SortedTargets, max: usize) -> Vec<Rc<RegisteredTarget>> {
+    let mut ranked: Vec<_> =
+        targets.as_slice().iter().map(|target| (vm.rank(&target.id), target)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| *rank);
+    ranked.into_iter().take(max).map(|(_, target)| Rc::clone(target)).collect()
 }
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -195,7 +195,7 @@
                 && self.reachability.may_attempt(group.zone(), now)
                 && group.targets().iter().any(|target| self.may_use(target, attempts, now))
         };
-        let usable = state.groups.of_service(service).iter().filter(is_usable).map(Rc::clone);
+        let usable = state.groups.of_service(service).filter(is_usable).map(Rc::clone);
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             usable.partition(|group| group.zone() == self.zone);
         let mut rng = self.rng.borrow_mut();
@@ -230,7 +230,7 @@
         loop {
             let owner = self.wait_for_owner(incoming, service, key, attempts).await?;
             self.check_owner(incoming, &owner)?;
-            let Some(group) = self.owner_group(&owner) else { return Ok(None) };
+            let Some(group) = self.owner_group(service, &owner) else { return Ok(None) };
             if is_forwarded(incoming) {
                 return Ok(Some(SelectedTarget::Forwarded(owner, group)));
             }
@@ -277,7 +277,7 @@
     }
 
     /// The group of an owner; `None` if requests to the owner are not dispatched now.
-    fn owner_group(&self, owner: &RegisteredTarget) -> Option<Rc<TargetGroup>> {
+    fn owner_group(&self, service: &str, owner: &RegisteredTarget) -> Option<Rc<TargetGroup>> {
         let now = BootClock.now();
         let may_dispatch = owner.may_dispatch(self.leaving_window, now);
         // The tries of a zone that is out of reach are left to this VM's own connections.
@@ -285,7 +285,7 @@
             return None;
         }
         let state = self.state.borrow();
-        let group = state.groups.of_target(&owner.id).filter(|group| group.is_dispatched())?;
+        let group = state.groups.of_target(service, owner).filter(|group| group.is_dispatched())?;
         Some(Rc::clone(group))
     }
 
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -52,6 +52,7 @@
 use crate::exchange::TargetResponse;
 use crate::fleet::FleetTable;
 use crate::incoming::{IncomingRequest, read_request};
+use crate::listed_targets::ListedTargets;
 use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::GatewayMetrics;
 use crate::quota::{QuotaClient, QuotaToken};
@@ -63,7 +64,7 @@
 use crate::workspace_table::WorkspaceTable;
 use crate::{
     CallerLimits, ColdSettings, Declarations, DeclarationsFreshness, DispatchScope, EvacuatedZones,
-    HeaderNames, PolicySettings, RouteRule, ServiceRule, StateConfirmation, TargetList,
+    HeaderNames, PolicySettings, RouteRule, ServiceRule, StateConfirmation,
 };
 
 /// Part of the caller's deadline that is reserved for returning the response.
@@ -83,7 +84,6 @@
     /// Version of the declarations; `None` before the first ones.
     version: Option<u64>,
     services: BTreeMap<String, ServiceRule>,
-    target_list: Arc<TargetList>,
     fleet: Arc<FleetTable>,
     zones: ZoneStates,
     limits: CallerLimits,
@@ -103,22 +103,19 @@
 }
 
 impl WorkerState {
-    /// Rebuilds the registry from the current state; `cold` bounds what cold targets are sent.
-    fn rebuild_registry(&mut self, cold: Option<ColdSettings>) {
+    /// The registry, and what determines how its targets are used; `cold` bounds what cold targets are
+    /// sent.
+    fn registry_with_rules(
+        &mut self,
+        cold: Option<ColdSettings>,
+    ) -> (&mut TargetRegistry, RegistryRules<'_>) {
         let rules = RegistryRules {
             services: &self.services,
             cold_settings: cold,
             fleet: &self.fleet,
             zones: &self.zones,
         };
-        self.registry = self.registry.rebuild(&self.target_list, &rules);
-    }
-
-    /// Rebuilds the groups of targets after the registry.
-    fn rebuild_groups(&mut self) -> Rc<GroupTable> {
-        let table = GroupTable::build(&self.target_list, &self.registry, &self.fleet, &self.zones);
-        self.groups = Rc::new(table);
-        Rc::clone(&self.groups)
+        (&mut self.registry, rules)
     }
 
     /// Whether each key of a service has one owner.
@@ -261,14 +258,13 @@
         let state = WorkerState {
             version: None,
             services: BTreeMap::new(),
-            target_list: Arc::default(),
             fleet: Arc::default(),
             zones: ZoneStates::default(),
             limits: CallerLimits::default(),
             routes: Rc::default(),
             workspaces: None,
             freshness: DeclarationsFreshness::default(),
-            registry: TargetRegistry::new(context.vm, context.zone.clone()),
+            registry: TargetRegistry::new(vm, context.zone.clone()),
             groups: Rc::default(),
             large_responses: false,
             ranges: Arc::default(),
@@ -306,12 +302,26 @@
         })
     }
 
-    /// Rebuilds the registry and the groups of targets from the current state.
-    fn rebuild_registry(&self, state: &mut WorkerState) {
-        state.rebuild_registry(self.cold_settings);
+    /// Applies changed services or evacuated zones to all targets.
+    fn apply_registry_rules(&self, state: &mut WorkerState) {
+        let (registry, rules) = state.registry_with_rules(self.cold_settings);
+        registry.apply_rules(&rules);
+        self.rebuild_groups(state);
+    }
+
+    /// Divides all targets into groups anew.
+    fn rebuild_groups(&self, state: &mut WorkerState) {
+        if self.dispatch.is_some() {
+            let groups = GroupTable::build(&state.registry, &state.fleet, &state.zones);
+            self.set_groups(state, groups);
+        }
+    }
+
+    /// Replaces the groups of targets after the registry changed.
+    fn set_groups(&self, state: &mut WorkerState, groups: GroupTable) {
         let Some(dispatch) = &self.dispatch else { return };
-        let groups = state.rebuild_groups();
-        dispatch.client.set_groups(groups);
+        state.groups = Rc::new(groups);
+        dispatch.client.set_groups(Rc::clone(&state.groups));
     }
 
     /// Applies newer declarations; older ones are ignored.
@@ -325,7 +335,7 @@
         log_built(declarations, started.elapsed());
         if state.services != declarations.services {
             state.services.clone_from(&declarations.services);
-            self.rebuild_registry(&mut state);
+            self.apply_registry_rules(&mut state);
         }
         state.limits = declarations.limits;
         state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
@@ -359,10 +369,15 @@
     }
 
     /// Replaces the list of targets.
-    pub(crate) fn set_targets(&self, list: Arc<TargetList>) {
+    pub(crate) fn set_targets(&self, list: ListedTargets) {
         let mut state = self.state.borrow_mut();
-        state.target_list = list;
-        self.rebuild_registry(&mut state);
+        let (registry, rules) = state.registry_with_rules(self.cold_settings);
+        let changed = registry.apply_list(list, &rules);
+        if self.dispatch.is_some() {
+            let (fleet, zones) = (&state.fleet, &state.zones);
+            let groups = state.groups.with_changes(&changed, &state.registry, fleet, zones);
+            self.set_groups(&mut state, groups);
+        }
         self.reachability.set_targets(&state.registry.count_by_zone());
         state.updated.targets = Instant::now();
         self.changed.notify_waiters();
@@ -372,7 +387,7 @@
     pub(crate) fn set_evacuations(&self, zones: &EvacuatedZones) {
         let mut state = self.state.borrow_mut();
         state.zones.update(zones, BootClock.now());
-        self.rebuild_registry(&mut state);
+        self.apply_registry_rules(&mut state);
         self.changed.notify_waiters();
     }
 
@@ -386,17 +401,23 @@
         }
         let mut state = self.state.borrow_mut();
         state.fleet = fleet;
-        self.rebuild_registry(&mut state);
+        let (registry, rules) = state.registry_with_rules(self.cold_settings);
+        registry.apply_fleet(&rules);
+        self.rebuild_groups(&mut state);
     }
 
-    /// Rebuilds the registry each time a cold target becomes warm, so that it may join this VM's
-    /// subset.
-    pub(crate) async fn rebuild_when_targets_warm(&self) {
+    /// Updates this VM's subsets each time a cold target becomes warm, so that it may join them.
+    pub(crate) async fn update_when_targets_warm(&self) {
         loop {
             let next = || self.state.borrow().registry.next_warm(BootClock.now());
             let warm = wait_for(&self.changed, next).await;
             tokio::time::sleep(warm.since(BootClock.now())).await;
-            self.rebuild_registry(&mut self.state.borrow_mut());
+            let mut state = self.state.borrow_mut();
+            let (registry, rules) = state.registry_with_rules(self.cold_settings);
+            registry.update_all_subsets(&rules);
+            if let Some(dispatch) = &self.dispatch {
+                dispatch.client.set_groups(Rc::clone(&state.groups));
+            }
         }
     }
 
