The mandate holder derives owners anew only when something has changed

Cause: each 40 ms the holder listed all targets that may own ranges, with two copies of their names, and looked up each owner among them: work in proportion to all targets, 25 times a second, while nothing had changed.

Change: it does so when targets, declarations, evacuated zones or the targets that leave have changed, as long as an owner waits to be replaced, and each half second for what follows from loads and times (pauses, cold targets), as load is recorded no more often than that.

Not measured yet.

--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -1,6 +1,7 @@
 //! Selects the targets that may own ranges, with the capacity of each.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use nickellead_core::Timestamp;
@@ -9,7 +10,7 @@
 
 use super::ControlLoop;
 use crate::listed_targets::ListedTargets;
-use crate::{OrderPort, ServiceRule, StorePort, TargetEntry, TargetState};
+use crate::{Declarations, OrderPort, Revision, ServiceRule, StorePort, TargetEntry, TargetState};
 
 /// The targets of a new service count as complete when their number has not changed for this long.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_200);
@@ -24,7 +25,39 @@
 /// Maximum factor by which a target counts as faster or slower than the mean.
 const MAX_SPEED_FACTOR: f64 = 3.0;
 
+/// What the targets that may own ranges are derived from, beside loads and times.
+pub(super) struct CandidateSources {
+    targets: ListedTargets,
+    declarations: Option<Arc<Declarations>>,
+    evacuations: Revision,
+}
+
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
+    fn candidate_sources(&self) -> CandidateSources {
+        CandidateSources {
+            targets: self.cluster.targets(),
+            declarations: self.cluster.declarations(),
+            evacuations: self.cluster.evacuations().revision,
+        }
+    }
+
+    /// Whether the controller's candidates would be the same now, but for loads and times.
+    pub(super) fn are_candidates_current(&self) -> bool {
+        let controller = self.controller.borrow();
+        let replaced =
+            controller.as_ref().is_some_and(|controller| !controller.has_unreplaced_owners());
+        let known = self.candidate_sources.borrow();
+        let Some(known) = known.as_ref().filter(|_| replaced) else { return false };
+        let newest = self.candidate_sources();
+        let same_declarations = match (&known.declarations, &newest.declarations) {
+            (Some(known), Some(newest)) => Arc::ptr_eq(known, newest),
+            (known, newest) => known.is_none() && newest.is_none(),
+        };
+        same_declarations
+            && known.targets.is_copy_of(&newest.targets)
+            && known.evacuations == newest.evacuations
+    }
+
     /// The targets that may own ranges, by service.
     pub(super) fn candidates(&self) -> Vec<(String, Vec<OwnerCandidate>)> {
         let targets = self.cluster.targets();
@@ -121,6 +154,7 @@
 
     /// Passes the candidates to the controller, which assigns the ranges of new services to them.
     pub(super) fn update_candidates(&self) {
+        self.candidate_sources.replace(Some(self.candidate_sources()));
         let candidates = self.candidates();
         let loads = self.loads.borrow();
         let mut controller = self.controller.borrow_mut();
@@ -130,6 +164,7 @@
         for (service, candidates) in candidates {
             let is_new = !controller.map().services.contains_key(&service);
             if is_new && !self.is_arrival_complete(&service, candidates.len(), now) {
+                self.candidate_sources.replace(None);
                 continue;
             }
             let load = loads.get(&service).unwrap_or(&empty);
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -31,6 +31,7 @@
 use tokio::sync::{mpsc, watch};
 
 use self::admission::TargetStats;
+use self::candidates::CandidateSources;
 use self::fleet::{FleetAnnouncement, FleetReporter};
 use self::limits::ReportedTargetLimit;
 use self::mandate::run_mandate_loop;
@@ -123,6 +124,8 @@
     leaving: RefCell<BTreeSet<TargetInstance>>,
     /// Late orders that this process has detected, across all its controllers.
     late_orders: RefCell<LateOrderDetector>,
+    /// What the candidates of the controller were last derived from; `None` if they are outdated.
+    candidate_sources: RefCell<Option<CandidateSources>>,
     /// Number of targets by new service, and since when it has not changed.
     arrivals: RefCell<HashMap<String, (usize, Timestamp)>>,
     /// What the request thread has counted since the last check.
@@ -190,6 +193,7 @@
             limits_announced_at: Cell::new(Timestamp::ZERO),
             leaving: RefCell::default(),
             late_orders: RefCell::default(),
+            candidate_sources: RefCell::default(),
             arrivals: RefCell::default(),
             load_counter: context.load_counter,
             ownership: context.ownership,
--- a/crates/nickellead_gateway/src/control/orders.rs
+++ b/crates/nickellead_gateway/src/control/orders.rs
@@ -86,6 +86,7 @@
     /// Records a target that announced that it leaves; it gets no more keys.
     fn record_leaving(&self, instance: &TargetInstance, reported_on: &str) {
         if self.leaving.borrow_mut().insert(instance.clone()) {
+            self.candidate_sources.replace(None);
             let pairs: [(&str, &dyn std::fmt::Display); 2] =
                 [("target", &instance.id), ("told_on", &reported_on)];
             log_event(EventName::OwnerLeaving, &pairs);
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -76,7 +76,9 @@
             self.enter_token_term(now);
             self.enter_era();
             self.record_reported_leaving();
-            run_step(ThreadStep::Owners, &self.thread_metrics, || self.update_candidates());
+            if balance_due || !self.are_candidates_current() {
+                run_step(ThreadStep::Owners, &self.thread_metrics, || self.update_candidates());
+            }
             if balance_due {
                 run_step(ThreadStep::Balance, &self.thread_metrics, || self.balance());
                 self.announce_admissions();
@@ -142,6 +144,7 @@
         let controller =
             RangeController::inherit(settings, predecessors, inherited, writer, late_orders, now);
         self.controller.replace(Some(controller));
+        self.candidate_sources.replace(None);
         log_event(EventName::CoordinatorLeading, &[("vm", &self.vm)]);
         true
     }
--- a/crates/nickellead_gateway/src/listed_targets.rs
+++ b/crates/nickellead_gateway/src/listed_targets.rs
@@ -30,6 +30,12 @@
         self.0.is_empty()
     }
 
+    /// Whether this is a copy of the other list. Lists that were made apart are different, whatever their
+    /// entries.
+    pub(crate) fn is_copy_of(&self, other: &Self) -> bool {
+        self.0.ptr_eq(&other.0)
+    }
+
     /// The entry with this identity.
     pub(crate) fn get(&self, id: &str) -> Option<&TargetEntry> {
         self.0.get(id).map(|entry| &**entry)
--- a/crates/nickellead_range/src/controller/candidates.rs
+++ b/crates/nickellead_range/src/controller/candidates.rs
@@ -22,6 +22,7 @@
         let allowed: BTreeSet<TargetInstance> =
             candidates.iter().filter(usable).map(|candidate| candidate.target.clone()).collect();
         self.candidates.insert(service.to_owned(), allowed.clone());
+        self.unreplaced.remove(service);
         if allowed.is_empty() {
             return;
         }
@@ -40,6 +41,7 @@
         mut pick: impl FnMut(&[RangeRecord], u16, u16) -> Option<TargetInstance>,
     ) {
         let count = self.map.services.get(service).map_or(0, Vec::len);
+        let mut all_replaced = true;
         for index in 0..count {
             let Some(ranges) = self.map.services.get(service) else { return };
             let range = &ranges[index];
@@ -49,12 +51,23 @@
                 || (range.previous.is_some() && enforced!("one_previous_holder"))
             {
                 // A later call replaces the owner once no previous owner remains.
+                all_replaced &= stays;
                 continue;
             }
-            if let Some(to) = pick(ranges, range.first, range.last) {
-                self.reassign(service, index, to);
+            match pick(ranges, range.first, range.last) {
+                Some(to) => self.reassign(service, index, to),
+                None => all_replaced = false,
             }
         }
+        if !all_replaced {
+            self.unreplaced.insert(service.to_owned());
+        }
+    }
+
+    /// Whether owners have to be replaced although the candidates stay the same.
+    #[must_use]
+    pub fn has_unreplaced_owners(&self) -> bool {
+        !self.unreplaced.is_empty()
     }
 
     /// Divides a new service's key space equally among its targets.
--- a/crates/nickellead_range/src/controller/mod.rs
+++ b/crates/nickellead_range/src/controller/mod.rs
@@ -106,6 +106,8 @@
     range_states: BTreeMap<(String, u16), RangeState>,
     /// Instances that may own ranges, by service.
     candidates: BTreeMap<String, BTreeSet<TargetInstance>>,
+    /// Services with owners that could not be replaced yet, or have ended since.
+    unreplaced: BTreeSet<String>,
     /// Instances that are known to have ended.
     ended: BTreeSet<TargetInstance>,
     /// Number of the last edit of the map.
@@ -176,6 +178,7 @@
             map,
             range_states: BTreeMap::new(),
             candidates: BTreeMap::new(),
+            unreplaced: BTreeSet::new(),
             ended: BTreeSet::new(),
             edit: 1,
             committed_edit: 0,
--- a/crates/nickellead_range/src/controller/outcomes.rs
+++ b/crates/nickellead_range/src/controller/outcomes.rs
@@ -26,6 +26,7 @@
         let range = &mut ranges[index];
         if outcome == OrderOutcome::Ended {
             self.ended.insert(order.target.clone());
+            self.unreplaced.insert(order.service.clone());
         }
         let is_confirmed_fence =
             state.confirmed_fence.is_some_and(|confirmed| confirmed.fence == order.fence);
