A VM that follows another one gets what changed in the list of targets, whoever told it that

Cause: a VM that lost the VM it follows got all targets anew from the next one, because changes were numbered by each process on its own. The class: whole copies where a difference would do, small messages behind large ones.

Change: each kept change bears the store's revision as of which it is known. A follower tells its revision, and gets the changes after it and a digest of the list that they lead to. If its own list is another one then, it asks for the whole list, so a wrong list can't stay. 2,048 changes are kept instead of 512. Followers of one process go on by its numbers as before. The protocol becomes /relay/10.

--- a/crates/nickellead_gateway/src/cluster_state/mod.rs
+++ b/crates/nickellead_gateway/src/cluster_state/mod.rs
@@ -206,7 +206,7 @@
         self.enter_targets_era(as_of.era);
         self.raise_revision(|known| &mut known.targets, as_of);
         let mut targets = self.targets.borrow_mut();
-        targets.revision = targets.revision.max(Some(as_of));
+        targets.reach_revision(as_of);
         let before = targets.last_change;
         targets.apply_all(changes, remove_at, origin);
         if targets.next_due().is_some() {
@@ -397,3 +397,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickellead_gateway/src/cluster_state/targets.rs
+++ b/crates/nickellead_gateway/src/cluster_state/targets.rs
@@ -11,7 +11,7 @@
 use crate::{Revision, StoreEra, TargetChange, TargetEntry, TargetList, TargetState};
 
 /// Changes of targets kept for other VMs; a VM that is further behind gets the whole list.
-const MAX_RECENT_CHANGES: usize = 512;
+const MAX_RECENT_CHANGES: usize = 2_048;
 /// How long missing entries are kept after the store has become available again. Live targets whose
 /// entries expired meanwhile write them again within this time.
 pub(crate) const EXPIRY_GRACE: Duration = Duration::from_millis(2_200);
@@ -41,6 +41,14 @@
     gone: usize,
 }
 
+/// A change that is kept for other VMs.
+struct RecentChange {
+    number: u64,
+    /// The store's revision up to which the list was complete with it.
+    as_of: Revision,
+    change: TargetChange,
+}
+
 /// The targets of one VM's cluster state.
 #[derive(Default)]
 pub(super) struct TargetsState {
@@ -62,8 +70,10 @@
     updated_at: BTreeMap<String, Instant>,
     /// Identities whose entries can't be decoded.
     unreadable: BTreeSet<String>,
-    /// Recent changes with their numbers, oldest first.
-    changes: VecDeque<(u64, TargetChange)>,
+    /// Recent changes, oldest first.
+    changes: VecDeque<RecentChange>,
+    /// The store's revision after which all changes are kept; `None` before the first list.
+    changes_from: Option<Revision>,
     /// Number of the last change.
     pub(super) last_change: u64,
     /// The whole list as of a change number, packed when the first subscriber needs it.
@@ -215,9 +225,11 @@
 
     fn push(&mut self, change: TargetChange) {
         self.last_change += 1;
-        self.changes.push_back((self.last_change, change));
+        let as_of = self.revision.unwrap_or_default();
+        self.changes.push_back(RecentChange { number: self.last_change, as_of, change });
         if self.changes.len() > MAX_RECENT_CHANGES {
-            self.changes.pop_front();
+            let dropped = self.changes.pop_front().map(|dropped| dropped.as_of);
+            self.changes_from = self.changes_from.max(dropped);
         }
     }
 
@@ -253,16 +265,34 @@
 
     /// The changes after a number; `None` when they are not all kept.
     pub(super) fn changes_since(&self, number: u64) -> Option<Vec<TargetChange>> {
-        let oldest = self.changes.front().map_or(self.last_change, |(first, _)| first - 1);
+        let oldest = self.changes.front().map_or(self.last_change, |first| first.number - 1);
         if number < oldest || number > self.last_change {
             return None;
         }
-        let new = self.changes.iter().filter(|(change_number, _)| *change_number > number);
-        let current = |change: &TargetChange| match change {
+        Some(self.current_changes(|kept| kept.number > number))
+    }
+
+    /// The changes after a revision of the store; `None` when they are not all kept.
+    pub(super) fn changes_after(&self, revision: Revision) -> Option<Vec<TargetChange>> {
+        let kept_from = self.changes_from.filter(|kept_from| kept_from.era == revision.era)?;
+        let is_kept =
+            revision >= kept_from && self.revision.is_some_and(|newest| revision <= newest);
+        is_kept.then(|| self.current_changes(|kept| kept.as_of > revision))
+    }
+
+    /// The kept changes that match, with the cold times as of now.
+    fn current_changes(&self, wanted: impl Fn(&RecentChange) -> bool) -> Vec<TargetChange> {
+        let current = |kept: &RecentChange| match &kept.change {
             TargetChange::Listed(entry) => TargetChange::Listed(self.with_current_cold_time(entry)),
-            TargetChange::Gone(_) | TargetChange::Unreadable(_) => change.clone(),
+            TargetChange::Gone(_) | TargetChange::Unreadable(_) => kept.change.clone(),
         };
-        Some(new.map(|(_, change)| current(change)).collect())
+        self.changes.iter().filter(|kept| wanted(kept)).map(current).collect()
+    }
+
+    /// Records up to which revision of the store the list is complete with the next changes.
+    pub(super) fn reach_revision(&mut self, as_of: Revision) {
+        self.changes_from.get_or_insert(as_of);
+        self.revision = self.revision.max(Some(as_of));
     }
 }
 
--- a/crates/nickellead_gateway/src/cluster_state/updates.rs
+++ b/crates/nickellead_gateway/src/cluster_state/updates.rs
@@ -8,6 +8,7 @@
 use super::{ClusterState, RangesStep, RangesUpdate};
 use crate::admission::AdmissionTable;
 use crate::fleet::{AnnouncementStamp, FleetTable};
+use crate::listed_targets::ListDigest;
 use crate::packed::{Packed, PackedError};
 use crate::{
     DeclaredState, EvacuatedZones, MandateRecord, Revision, Stored, TargetChange, TargetList,
@@ -23,6 +24,9 @@
     pub(crate) targets: Option<u64>,
     /// The store's revision up to which the subscriber knows the targets, from any upstream.
     pub(crate) targets_revision: Option<Revision>,
+    /// Whether the subscriber needs the whole list, because changes did not lead to the upstream's
+    /// list.
+    pub(crate) needs_whole_list: bool,
     /// Newest content of the declarations that the upstream announced or the subscriber knows.
     pub(crate) declared: Option<DeclaredState>,
     /// Revision of the subscriber's map of ranges, from any upstream; 0 for none.
@@ -82,6 +86,10 @@
     Whole(Packed<TargetList>),
     /// The changes since the subscriber's cursor, oldest first.
     Changes(Vec<TargetChange>),
+    /// The changes since the subscriber's revision of the store, oldest first, for a subscriber whose
+    /// list came from another VM. They lead to a list with this digest, unless the subscriber's list
+    /// was different.
+    Difference(Vec<TargetChange>, ListDigest),
 }
 
 /// The map of ranges as a whole or as steps.
@@ -93,6 +101,17 @@
     Whole(Packed<Stored<RangeMap>>),
 }
 
+/// What applying a targets update led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AppliedTargets {
+    /// The upstream's list.
+    Current,
+    /// Nothing, because newer targets are known.
+    Older,
+    /// Another list than the upstream's.
+    Different,
+}
+
 impl TargetsUpdate {
     fn is_empty(&self) -> bool {
         matches!(&self.payload, TargetsPayload::Changes(changes) if changes.is_empty())
@@ -154,8 +173,8 @@
         update.cursor.declared = newest;
     }
 
-    /// Adds the changes of targets, or all targets for a subscriber without a change number of this
-    /// VM.
+    /// Adds the changes of targets since the subscriber's change number or, without one of this VM,
+    /// since its revision of the store. Adds all targets if not all of these changes are kept.
     ///
     /// The subscriber may know newer targets than this VM. It then keeps its list until this VM has
     /// caught up.
@@ -166,14 +185,24 @@
         if from.is_none() && update.cursor.targets_revision.is_some_and(|reached| reached > as_of) {
             return;
         }
-        let payload = match from.and_then(|from| targets.changes_since(from)) {
-            Some(changes) => TargetsPayload::Changes(changes),
+        let changes = match from {
+            Some(number) => targets.changes_since(number).map(TargetsPayload::Changes),
+            None => {
+                let known = update.cursor.targets_revision;
+                let known = known.filter(|_| !update.cursor.needs_whole_list);
+                let changes = known.and_then(|revision| targets.changes_after(revision));
+                changes.map(|changes| TargetsPayload::Difference(changes, targets.list.digest()))
+            }
+        };
+        let payload = match changes {
+            Some(changes) => changes,
             None => match targets.packed() {
                 Ok(packed) => TargetsPayload::Whole(packed),
                 Err(error) => return log_unsendable("targets", &error),
             },
         };
         update.cursor.targets = Some(targets.last_change);
+        update.cursor.needs_whole_list = false;
         let watchable = self.known().targets.is_some() && targets.expiring.is_empty();
         update.targets = Some(TargetsUpdate { as_of, watchable, payload });
     }
@@ -247,11 +276,16 @@
     pub(crate) fn apply_update(&self, update: StateUpdate) -> Option<StateCursor> {
         let mut cursor = update.cursor;
         self.apply_announced_declarations(cursor.declared, update.declarations_as_of);
-        if let Some(targets) = update.targets
-            && !self.apply_targets_update(targets)?
-        {
-            // The list was older than the known one, and the upstream has to catch up.
-            cursor.targets = None;
+        if let Some(targets) = update.targets {
+            match self.apply_targets_update(targets)? {
+                AppliedTargets::Current => {}
+                // The upstream has to catch up.
+                AppliedTargets::Older => cursor.targets = None,
+                AppliedTargets::Different => {
+                    cursor.targets = None;
+                    cursor.needs_whole_list = true;
+                }
+            }
         }
         self.apply_ranges_update(update.ranges_as_of, update.ranges)?;
         if let Some(mandate) = &update.mandate {
@@ -282,21 +316,34 @@
         }
     }
 
-    /// Applies a targets update. Returns whether it was applied and not older than the known
-    /// targets, or `None` when it can't be decoded.
-    fn apply_targets_update(&self, update: TargetsUpdate) -> Option<bool> {
+    /// Applies a targets update; `None` when it can't be decoded.
+    fn apply_targets_update(&self, update: TargetsUpdate) -> Option<AppliedTargets> {
         let applied = match update.payload {
             TargetsPayload::Whole(packed) => {
                 let list = unpack("targets", &packed)?;
                 let listing = TargetListing { targets: list, ..TargetListing::default() };
-                self.apply_target_list(update.as_of, listing, None, ChangeOrigin::OtherVm)
+                match self.apply_target_list(update.as_of, listing, None, ChangeOrigin::OtherVm) {
+                    true => AppliedTargets::Current,
+                    false => AppliedTargets::Older,
+                }
             }
             TargetsPayload::Changes(changes) => {
                 self.apply_target_changes(update.as_of, changes, None, ChangeOrigin::OtherVm);
-                true
+                AppliedTargets::Current
+            }
+            TargetsPayload::Difference(changes, digest) => {
+                self.apply_target_changes(update.as_of, changes, None, ChangeOrigin::OtherVm);
+                match self.targets.borrow().list.digest() == digest {
+                    true => AppliedTargets::Current,
+                    false => AppliedTargets::Different,
+                }
             }
         };
-        if applied && !update.watchable {
+        if applied == AppliedTargets::Different {
+            log_unusable("targets", &"the changes lead to another list");
+        }
+        let may_watch = update.watchable || applied == AppliedTargets::Older;
+        if !may_watch || applied == AppliedTargets::Different {
             // A watch from this revision would miss the removal of entries.
             self.forget_targets_revision();
         }
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -13,7 +13,7 @@
 
 /// HTTP path of the protocol; it ends in the protocol version. VMs of different versions watch the
 /// store instead of each other.
-pub(super) const RELAY_PATH: &str = "/relay/9";
+pub(super) const RELAY_PATH: &str = "/relay/10";
 
 /// A request of one VM to another.
 #[derive(Clone, Debug, Encode, Decode)]
