--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod response_body;
 mod response_signals;
 mod route_table;
+mod service_targets;
 mod settings;
 mod sorted_targets;
 mod state_channels;
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -18,8 +18,8 @@
 use crate::listed_targets::{ListedChange, ListedTargets};
 use crate::load_counter::VmId;
 use crate::registered_target::{DOWN_WINDOW, RegisteredTarget, SharedSignals};
+use crate::service_targets::{Placement, ServiceTargets};
 use crate::sorted_targets::SortedTargets;
-use crate::target_subset::SubsetTargets;
 use crate::{ColdRule, ColdSettings, ServiceRule, TargetEntry, TargetState};
 
 /// Most instances without an entry whose signals are kept; beyond it all of these are dropped.
@@ -95,68 +95,6 @@
     }
 }
 
-/// The targets of one service.
-#[derive(Default)]
-struct ServiceTargets {
-    /// All listed ones by availability zone.
-    by_zone: BTreeMap<String, SortedTargets>,
-    /// Those that accept requests, in zones that are not evacuated.
-    available: SortedTargets,
-    /// The available ones of the VM's own zone.
-    near: SortedTargets,
-    /// The available ones of other zones.
-    far: SortedTargets,
-    /// The VM's subset of the available ones.
-    subset: Vec<Rc<RegisteredTarget>>,
-    /// Whether the subset is smaller than it would be in a small fleet.
-    partitioned: bool,
-}
-
-impl ServiceTargets {
-    fn add(&mut self, target: &Rc<RegisteredTarget>, placement: Placement) {
-        self.by_zone.entry(target.zone.clone()).or_default().insert(target);
-        if let Some(side) = self.side(placement) {
-            side.insert(target);
-            self.available.insert(target);
-        }
-    }
-
-    fn remove(&mut self, target: &RegisteredTarget) {
-        if let Some(targets) = self.by_zone.get_mut(&target.zone) {
-            targets.remove(target);
-            if targets.is_empty() {
-                self.by_zone.remove(&target.zone);
-            }
-        }
-        for targets in [&mut self.available, &mut self.near, &mut self.far] {
-            targets.remove(target);
-        }
-    }
-
-    /// The available targets near or far; `None` for a target that is not available.
-    fn side(&mut self, placement: Placement) -> Option<&mut SortedTargets> {
-        match placement {
-            Placement::Near => Some(&mut self.near),
-            Placement::Far => Some(&mut self.far),
-            Placement::Unavailable => None,
-        }
-    }
-
-    fn update_subset(&mut self, vm: VmId, rules: &RegistryRules<'_>, may_be_cold: bool) {
-        let targets = SubsetTargets { near: &self.near, far: &self.far, may_be_cold };
-        self.subset = targets.choose_subset(vm, rules.fleet, BootClock.now());
-        self.partitioned = self.subset.len() < targets.largest_subset();
-    }
-}
-
-/// Whether a target is available to a VM, and where.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Placement {
-    Near,
-    Far,
-    Unavailable,
-}
-
 /// All listed targets by service and by identity.
 pub(crate) struct TargetRegistry {
     vm: VmId,
@@ -243,7 +181,7 @@
             sorted.entry(&entry.service).or_default().push(placed);
         }
         for (service, targets) in sorted {
-            self.services.insert(service.to_owned(), sort_targets(targets));
+            self.services.insert(service.to_owned(), ServiceTargets::sort(&targets));
         }
         self.update_all_subsets(rules);
     }
@@ -261,17 +199,17 @@
     /// Selects the subsets of all services anew.
     pub(crate) fn update_all_subsets(&mut self, rules: &RegistryRules<'_>) {
         for (service, targets) in &mut self.services {
-            targets.update_subset(self.vm, rules, rules.has_cold_rule(service));
+            targets.update_subset(self.vm, rules.fleet, rules.has_cold_rule(service));
         }
     }
 
     fn update_subset(&mut self, service: &str, rules: &RegistryRules<'_>) {
         let Some(targets) = self.services.get_mut(service) else { return };
-        match targets.by_zone.is_empty() {
+        match targets.is_empty() {
             true => {
                 self.services.remove(service);
             }
-            false => targets.update_subset(self.vm, rules, rules.has_cold_rule(service)),
+            false => targets.update_subset(self.vm, rules.fleet, rules.has_cold_rule(service)),
         }
     }
 
@@ -371,14 +309,13 @@
     /// All listed targets by service and availability zone.
     pub(crate) fn by_zone(&self) -> impl Iterator<Item = (&str, &str, &SortedTargets)> {
         self.services.iter().flat_map(|(service, targets)| {
-            let by_zone = targets.by_zone.iter();
-            by_zone.map(|(zone, targets)| (service.as_str(), zone.as_str(), targets))
+            targets.by_zone().map(|(zone, targets)| (service.as_str(), zone, targets))
         })
     }
 
     /// The listed targets of a service in an availability zone; `None` without any.
     pub(crate) fn in_service_zone(&self, place: &ServiceZone) -> Option<&SortedTargets> {
-        self.services.get(&place.service)?.by_zone.get(&place.zone)
+        self.services.get(&place.service)?.in_zone(&place.zone)
     }
 
     /// When the next target with a cold limit becomes warm.
@@ -419,12 +356,12 @@
 
     /// The targets of a service that accept requests, in all zones that are not evacuated.
     pub(crate) fn available(&self, service: &str) -> &[Rc<RegisteredTarget>] {
-        self.services.get(service).map_or(&[], |targets| targets.available.as_slice())
+        self.services.get(service).map_or(&[], ServiceTargets::available)
     }
 
     /// This VM's subset of a service's available targets.
     pub(crate) fn subset(&self, service: &str) -> &[Rc<RegisteredTarget>] {
-        self.services.get(service).map_or(&[], |targets| &targets.subset)
+        self.services.get(service).map_or(&[], ServiceTargets::subset)
     }
 
     /// Whether the fleet is so large that the service's targets are divided among the VMs.
@@ -432,7 +369,7 @@
     /// A VM whose subset is at capacity then uses no other targets, as they are at capacity as
     /// well.
     pub(crate) fn is_partitioned(&self, service: &str) -> bool {
-        self.services.get(service).is_some_and(|targets| targets.partitioned)
+        self.services.get(service).is_some_and(ServiceTargets::is_partitioned)
     }
 
     /// Sets the rate limits that the mandate holder announced.
@@ -482,27 +419,5 @@
     }
 }
 
-/// Sorts the targets of one service.
-fn sort_targets(targets: Vec<(Rc<RegisteredTarget>, Placement)>) -> ServiceTargets {
-    let select = |wanted: &[Placement]| -> SortedTargets {
-        let selected = targets.iter().filter(|(_, placement)| wanted.contains(placement));
-        selected.map(|(target, _)| Rc::clone(target)).collect()
-    };
-    let mut by_zone: BTreeMap<String, Vec<Rc<RegisteredTarget>>> = BTreeMap::new();
-    for (target, _) in &targets {
-        by_zone.entry(target.zone.clone()).or_default().push(Rc::clone(target));
-    }
-    ServiceTargets {
-        available: select(&[Placement::Near, Placement::Far]),
-        near: select(&[Placement::Near]),
-        far: select(&[Placement::Far]),
-        by_zone: by_zone
-            .into_iter()
-            .map(|(zone, targets)| (zone, targets.into_iter().collect()))
-            .collect(),
-        ..ServiceTargets::default()
-    }
-}
-
 #[cfg(test)]
 mod tests;
