--- a/crates/nickellead_gateway/src/cluster_state/targets.rs
+++ b/crates/nickellead_gateway/src/cluster_state/targets.rs
@@ -6,7 +6,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_range::TargetInstance;
 
-use crate::listed_targets::ListedTargets;
+use crate::listed_targets::{ListDigest, ListedTargets};
 use crate::packed::{Packed, PackedError};
 use crate::{Revision, StoreEra, TargetChange, TargetEntry, TargetList, TargetState};
 
@@ -172,6 +172,16 @@
         })
     }
 
+    /// Whether an upstream's list with this digest is the known one. If so, entries that may have
+    /// expired are listed again: the upstream tells when one goes.
+    pub(super) fn confirm(&mut self, digest: ListDigest) -> bool {
+        let confirmed = self.list.digest() == digest;
+        if confirmed {
+            self.expiring.clear();
+        }
+        confirmed
+    }
+
     /// When the next expired entry is removed or the next withheld one is listed.
     pub(super) fn next_due(&self) -> Option<Instant> {
         let withheld = self.withheld.values().map(|(_, due)| due);
--- a/crates/nickellead_gateway/src/cluster_state/tests.rs
+++ b/crates/nickellead_gateway/src/cluster_state/tests.rs
@@ -87,6 +87,21 @@
     assert_eq!(ids(&reader), ids(&upstream));
 }
 
+/// Guards against live targets that a VM removes after an outage of the store: it kept them as expired
+/// when it read the store, and was not told that they had come back at the VM that it follows.
+#[test]
+fn targets_that_the_followed_vm_lists_do_not_expire() {
+    let (upstream, reader) = (state(1), state(2));
+    read_list(&upstream, 10, 20);
+    read_list(&reader, 10, 20);
+    let empty = TargetListing::default();
+    assert!(reader.apply_stored_targets(revision(11), empty, Some(Instant::now())));
+    read_list(&upstream, 12, 20);
+    follow(&reader, reader.cursor(), &upstream);
+    reader.apply_due_targets(Instant::now());
+    assert_eq!(ids(&reader), ids(&upstream));
+}
+
 /// One step of a fleet of two VMs that read the store and one that follows them.
 #[derive(Clone, Debug)]
 enum Step {
--- a/crates/nickellead_gateway/src/cluster_state/updates.rs
+++ b/crates/nickellead_gateway/src/cluster_state/updates.rs
@@ -333,7 +333,7 @@
             }
             TargetsPayload::Difference(changes, digest) => {
                 self.apply_target_changes(update.as_of, changes, None, ChangeOrigin::OtherVm);
-                match self.targets.borrow().list.digest() == digest {
+                match self.targets.borrow_mut().confirm(digest) {
                     true => AppliedTargets::Current,
                     false => AppliedTargets::Different,
                 }
