Reading the change: an unused conversion goes, one match says when a watch may start, one empty registry in tests

No behaviour changes: ListedTargets had a FromIterator that nothing used; whether the store may be watched from a list's revision was two conditions over three outcomes; a test built the same registry in three places.

--- a/crates/nickellead_gateway/src/cluster_state/updates.rs
+++ b/crates/nickellead_gateway/src/cluster_state/updates.rs
@@ -102,7 +102,7 @@
 }
 
 /// What applying a targets update led to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum AppliedTargets {
     /// The upstream's list.
     Current,
@@ -339,11 +339,15 @@
                 }
             }
         };
-        if applied == AppliedTargets::Different {
-            log_unusable("targets", &"the changes lead to another list");
-        }
-        let may_watch = update.watchable || applied == AppliedTargets::Older;
-        if !may_watch || applied == AppliedTargets::Different {
+        let may_watch = match applied {
+            AppliedTargets::Current => update.watchable,
+            AppliedTargets::Older => true,
+            AppliedTargets::Different => {
+                log_unusable("targets", &"the changes lead to another list");
+                false
+            }
+        };
+        if !may_watch {
             // A watch from this revision would miss the removal of entries.
             self.forget_targets_revision();
         }
--- a/crates/nickellead_gateway/src/listed_targets.rs
+++ b/crates/nickellead_gateway/src/listed_targets.rs
@@ -120,11 +120,3 @@
     }
     hasher.digest()
 }
-
-impl FromIterator<TargetEntry> for ListedTargets {
-    fn from_iter<I: IntoIterator<Item = TargetEntry>>(entries: I) -> Self {
-        let mut list = Self::default();
-        entries.into_iter().for_each(|entry| list.insert(entry));
-        list
-    }
-}
--- a/crates/nickellead_gateway/src/target_registry/tests.rs
+++ b/crates/nickellead_gateway/src/target_registry/tests.rs
@@ -72,12 +72,16 @@
     zones: ZoneStates,
 }
 
+fn empty_registry() -> TargetRegistry {
+    TargetRegistry::new(VmId::new("vm-0", ZONES[0]), ZONES[0].to_owned())
+}
+
 impl TestRegistry {
     fn new() -> Self {
         let rule = |sharded| ServiceRule { connections: 100, sharded, cold: None };
         let services = SERVICES.map(|name| (name.to_owned(), rule(name == "keyed")));
         Self {
-            registry: TargetRegistry::new(VmId::new("vm-0", ZONES[0]), ZONES[0].to_owned()),
+            registry: empty_registry(),
             groups: GroupTable::default(),
             list: ListedTargets::default(),
             services: services.into(),
@@ -88,7 +92,7 @@
 
     /// A registry and groups that are built from the present state only.
     fn rebuilt(&self) -> (TargetRegistry, GroupTable) {
-        let mut registry = TargetRegistry::new(VmId::new("vm-0", ZONES[0]), ZONES[0].to_owned());
+        let mut registry = empty_registry();
         registry.apply_list(self.list.clone(), &self.rules());
         let groups = GroupTable::build(&registry, &self.fleet, &self.zones);
         (registry, groups)
@@ -104,10 +108,7 @@
     }
 
     fn apply(&mut self, step: Step) {
-        let mut registry = std::mem::replace(
-            &mut self.registry,
-            TargetRegistry::new(VmId::new("vm-0", ZONES[0]), ZONES[0].to_owned()),
-        );
+        let mut registry = std::mem::replace(&mut self.registry, empty_registry());
         match step {
             Step::List(entries, removed) => {
                 removed.into_iter().for_each(|number| drop(self.list.remove(&id(number))));
