Each order to a target has a connection of its own

Orders went over kept connections, and the first answer on the connection counted. Targets may send an answer a second time in place of the next one, so a late copy of the answer to a grant counted for the release after it (also 409, 421, and another range's token).

Evidence: no id can show it.

Why it works: the first answer on a connection that carries one order can only answer that order. "Connection: close" tells the target that nothing else follows.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -125,9 +125,18 @@
         timeout: Duration,
         repeat: RepeatClass,
     ) -> Result<ReadyConnection, ConnectFailure> {
-        if let Some(sender) = self.take_idle(repeat) {
-            return Ok(ReadyConnection { sender, reused: true });
+        match self.take_idle(repeat) {
+            Some(sender) => Ok(ReadyConnection { sender, reused: true }),
+            None => self.open_new(address, timeout).await,
         }
+    }
+
+    /// Opens a connection; fails at once while the target is unreachable and no probe is due.
+    pub(crate) async fn open_new(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<ReadyConnection, ConnectFailure> {
         if self.is_unreachable() {
             return Err(ConnectFailure::TimedOut);
         }
--- a/crates/nickellead_gateway/src/order_client.rs
+++ b/crates/nickellead_gateway/src/order_client.rs
@@ -1,4 +1,8 @@
-//! The HTTP client for orders to targets, which discards an order's unsent bytes on a timeout.
+//! The HTTP client for orders to targets, with a connection of its own for each order.
+//!
+//! A target's response to an order bears nothing that shows which order it answers, and a target may send
+//! a response a second time in place of the next one. On a connection that has carried no other order, the
+//! response can only answer this one.
 //!
 //! An order that a network partition delays must not arrive when the partition heals, because
 //! another target may own the keys by then. The connection is therefore reset on a timeout, which
@@ -11,15 +15,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 
-use crate::RepeatClass;
 use crate::connections::{CloseMode, ConnectionPool, RequestSender, SharedPool};
 
 /// Most bytes of a response body; only the head is used.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// Most targets with a connection pool; beyond it all pools are dropped.
+/// Most targets whose reachability is remembered; beyond it all are forgotten.
 const MAX_POOLS: usize = 1_024;
 
 /// Why a call got no response.
@@ -33,9 +36,10 @@
     Unanswered,
 }
 
-/// Sends orders over pooled connections that are reset when a call times out.
+/// Sends orders over connections that are reset when a call times out.
 #[derive(Default)]
 pub struct OrderClient {
+    /// Reachability of each target; no connection is returned to a pool.
     pools: RefCell<HashMap<SocketAddr, SharedPool>>,
 }
 
@@ -54,21 +58,16 @@
     ) -> Result<(StatusCode, HeaderMap), CallFailure> {
         let deadline = Instant::now() + timeout;
         let pool = self.pool(address);
-        let connecting = pool.take(address, timeout, RepeatClass::Safe).await;
+        let connecting = pool.open_new(address, timeout).await;
         let mut connection = connecting.map_err(|_| CallFailure::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().map_err(|_| CallFailure::NotSent)?;
         *request.headers_mut() = headers;
+        request.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         let remaining = deadline.saturating_duration_since(Instant::now());
         let result = tokio::time::timeout(remaining, call(&mut connection.sender, request)).await;
-        let result = result.unwrap_or(Err(CallFailure::Unanswered));
-        match result {
-            Ok(_) => pool.put(connection.sender, None),
-            // The next call opens a new connection, which shows whether the target is reachable.
-            Err(_) => pool.clear(),
-        }
-        result
+        result.unwrap_or(Err(CallFailure::Unanswered))
     }
 
     fn pool(&self, address: SocketAddr) -> SharedPool {
