A connection carries the id of a request once, so that the id shows which attempt a response answers

Cause: compares the id, but all attempts of one request have the same id. An owner of keys that refused a request gets it again, over the connection used last, which is the one that carried the refusal. A late copy of that refusal has the right id and was taken for the response to the second attempt, which ran.

Change: each connection remembers the digests of the last ids it carried; a request with one of them goes over another idle connection, or a new one. One place (ConnectionPool::take), so all attempts share it: of VMs, of dispatchers, and of VMs that serve for another one.

Evidence: a_late_copy_of_a_refusal_is_not_taken_for_the_response_to_the_next_attempt failed before: 503 target-busy to the caller after the owner ran the second attempt. It passes now.

Why it works: a copy comes in place of a later response on its connection. There it meets another id, is foreign, and the connection is closed.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -15,6 +15,11 @@
 
 use crate::RepeatClass;
 
+mod carried_ids;
+
+use carried_ids::CarriedIds;
+pub(crate) use carried_ids::IdDigest;
+
 /// Sends requests over one connection.
 pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
 
@@ -40,10 +45,24 @@
     pub(crate) sender: RequestSender,
     /// Whether an earlier request used it.
     pub(crate) reused: bool,
+    /// Ids of the requests that used it.
+    carried: CarriedIds,
+}
+
+impl ReadyConnection {
+    fn new(sender: RequestSender) -> Self {
+        Self { sender, reused: false, carried: CarriedIds::default() }
+    }
+
+    /// Records that a request with this id is sent.
+    pub(crate) fn record_sent(&mut self, id: IdDigest) {
+        self.carried.insert(id);
+    }
 }
 
 struct IdleConnection {
     sender: RequestSender,
+    carried: CarriedIds,
     since: Instant,
     idle_timeout: Duration,
 }
@@ -118,15 +137,16 @@
         Self { close, ..Self::default() }
     }
 
-    /// Takes the most recently used idle connection, or opens a new one.
+    /// Takes the most recently used idle connection that has not carried `id`, or opens a new one.
     pub(crate) async fn take(
         &self,
         address: SocketAddr,
         timeout: Duration,
         repeat: RepeatClass,
+        id: IdDigest,
     ) -> Result<ReadyConnection, ConnectFailure> {
-        match self.take_idle(repeat) {
-            Some(sender) => Ok(ReadyConnection { sender, reused: true }),
+        match self.take_idle(repeat, id) {
+            Some(connection) => Ok(connection),
             None => self.open_new(address, timeout).await,
         }
     }
@@ -152,7 +172,7 @@
                 .set(self.consecutive_timeouts.get().saturating_add(u32::from(is_full_timeout))),
         }
         match opened {
-            Ok(Ok(sender)) => Ok(ReadyConnection { sender, reused: false }),
+            Ok(Ok(sender)) => Ok(ReadyConnection::new(sender)),
             Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
             Err(_) => Err(ConnectFailure::TimedOut),
         }
@@ -168,7 +188,7 @@
         match tokio::time::timeout(timeout, open(address, self.close)).await {
             Ok(Ok(sender)) => {
                 self.consecutive_timeouts.set(0);
-                self.put(sender, None);
+                self.put(ReadyConnection::new(sender), None);
                 Ok(())
             }
             Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
@@ -195,7 +215,7 @@
         self.consecutive_timeouts.get() >= UNREACHABLE_TIMEOUTS
     }
 
-    fn take_idle(&self, repeat: RepeatClass) -> Option<RequestSender> {
+    fn take_idle(&self, repeat: RepeatClass, id: IdDigest) -> Option<ReadyConnection> {
         let max_idle = match repeat {
             RepeatClass::Safe => MAX_IDLE_TIME,
             RepeatClass::Unsafe => MAX_IDLE_TIME_UNSAFE,
@@ -204,19 +224,24 @@
         idle.retain(|one| one.since.elapsed() < one.idle_timeout && !one.sender.is_closed());
         // The most recent ones are at the end; one whose response was just read may not be ready
         // yet.
-        let index =
-            idle.iter().rposition(|one| one.sender.is_ready() && one.since.elapsed() < max_idle)?;
-        Some(idle.remove(index).sender)
+        let is_usable = |one: &IdleConnection| {
+            one.sender.is_ready() && one.since.elapsed() < max_idle && !one.carried.contains(id)
+        };
+        let index = idle.iter().rposition(is_usable)?;
+        let IdleConnection { sender, carried, .. } = idle.remove(index);
+        Some(ReadyConnection { sender, reused: true, carried })
     }
 
-    /// Returns a connection after a complete response.
+    /// Returns a connection on which nothing was sent, or after a complete response to what was sent.
     ///
     /// `idle_timeout` is the target's idle timeout, if it sent one.
-    pub(crate) fn put(&self, sender: RequestSender, idle_timeout: Option<Duration>) {
+    pub(crate) fn put(&self, connection: ReadyConnection, idle_timeout: Option<Duration>) {
+        let ReadyConnection { sender, carried, .. } = connection;
         let idle_timeout = idle_timeout.map_or(MAX_IDLE_TIME, |idle_timeout| {
             idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN).min(MAX_IDLE_TIME)
         });
-        self.idle.borrow_mut().push(IdleConnection { sender, since: Instant::now(), idle_timeout });
+        let idle = IdleConnection { sender, carried, since: Instant::now(), idle_timeout };
+        self.idle.borrow_mut().push(idle);
     }
 
     /// Number of connection attempts so far.
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use nickellead_limit::HeldBytes;
 use nickellead_time::BootClock;
 
-use crate::connections::{ConnectFailure, ReadyConnection, SharedPool};
+use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SharedPool};
 use crate::registered_target::RegisteredTarget;
 use crate::response_body::read_response_body;
 use crate::response_signals::ResponseSignals;
@@ -144,9 +144,10 @@
     held: HeldBytes,
 ) -> AttemptEnd {
     let remaining = |deadline: Instant| deadline.saturating_duration_since(Instant::now());
+    let pool = &plan.target.pool;
+    let id = IdDigest::of(&outgoing.request_id);
     loop {
-        let acquiring =
-            plan.target.pool.take(plan.target.address, remaining(plan.deadline), plan.repeat);
+        let acquiring = pool.take(plan.target.address, remaining(plan.deadline), plan.repeat, id);
         let mut connection = match acquiring.await {
             Ok(connection) => connection,
             Err(failure) => return AttemptResult::NotSent(failure).into(),
@@ -154,16 +155,17 @@
         let permission = match (plan.permit)() {
             Ok(permission) => permission,
             Err(kind) => {
-                plan.target.pool.put(connection.sender, None);
+                pool.put(connection, None);
                 return AttemptResult::Forbidden(kind).into();
             }
         };
         let sent_at = BootClock.now();
         if !plan.target.try_take_token(plan.leaving_window, sent_at) {
-            plan.target.pool.put(connection.sender, None);
+            pool.put(connection, None);
             return AttemptResult::Withheld.into();
         }
         let request = build_request(names, outgoing, plan, permission, remaining(plan.deadline));
+        connection.record_sent(id);
         let sending = connection.sender.try_send_request(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
         match sent {
@@ -243,7 +245,7 @@
 /// Whether a response answers this request, and not an earlier one on the same connection.
 ///
 /// Targets return the id of the request with every response, refusals included, and each request that is
-/// sent has an id.
+/// sent has an id, which the connection has not carried before.
 fn answers_request(names: &HeaderNames, outgoing: &OutgoingRequest, head: &Parts) -> bool {
     let mut ids = head.headers.get_all(names.request_id).iter();
     ids.next() == Some(&outgoing.request_id) && ids.next().is_none()
@@ -303,7 +305,7 @@
         value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
     });
     if !will_close {
-        pool.put(connection.sender, idle_timeout(headers));
+        pool.put(connection, idle_timeout(headers));
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -24,7 +25,10 @@
 
 use link::PacedLink;
 use store::{MemoryOrders, MemoryStore};
-use target::TestTarget;
+use target::{TestTarget, header};
+
+/// Number in the id of the next request that a test sends.
+static NEXT_REQUEST_ID: AtomicU64 = AtomicU64::new(1);
 
 /// Header names that the gateways under test use.
 pub const NAMES: HeaderNames = HeaderNames {
@@ -226,16 +230,20 @@
         std::thread::spawn(move || client.send(method, path, ""))
     }
 
-    /// Sends a request with an id and a deadline of one second; returns head and body of the
+    /// Sends a request with an id of its own and a deadline of one second; returns head and body of the
     /// response.
     pub fn send(&self, method: &str, path: &str, extra_headers: &str) -> String {
-        exchange(
+        let id = format!("r{}", NEXT_REQUEST_ID.fetch_add(1, Ordering::Relaxed));
+        let response = exchange(
             self.callers,
             &format!(
-                "{method} {path} HTTP/1.1\r\nhost: board.example\r\nx-request-id: r1\r\n\
+                "{method} {path} HTTP/1.1\r\nhost: board.example\r\nx-request-id: {id}\r\n\
                  x-deadline-ms: 1000\r\nconnection: close\r\n{extra_headers}\r\n"
             ),
-        )
+        );
+        let returned_id = header(&response, "x-request-id");
+        assert!(returned_id.is_none_or(|returned| returned == id), "{id}: {response}");
+        response
     }
 }
 
--- a/crates/nickellead_gateway/tests/common/target.rs
+++ b/crates/nickellead_gateway/tests/common/target.rs
@@ -27,6 +27,9 @@
     RespondWithOtherId,
     /// Refuses another request with this status, and signals that it is leaving.
     RefuseWithOtherId(&'static str),
+    /// Refuses the first attempt of each request and serves the others. Sends each refusal a second time
+    /// in place of the next response on its connection.
+    RefuseFirstAttempt,
     /// Runs and queues a bounded number of requests, and closes the connections of all others.
     Bounded(BoundedWork),
 }
@@ -182,8 +185,12 @@
     signal_log: &SignalLog,
 ) -> bool {
     stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    // A response that is sent a second time in place of the next one.
+    let mut surplus: Option<String> = None;
     while let Some(request) = read_request(&mut stream) {
         let request_id = header(&request, "x-request-id").unwrap_or_default();
+        let is_known = |arrival: &TargetArrival| arrival.request_id == request_id;
+        let is_repeat = signal_log.arrivals.lock().unwrap().iter().any(is_known);
         requests.lock().unwrap().push(request);
         let behavior = behavior.lock().unwrap().clone();
         let signals = signal_log.signals.lock().unwrap().clone();
@@ -199,7 +206,7 @@
                 body.len()
             )
         };
-        let response = match behavior {
+        let response = match behavior.clone() {
             Behavior::Serve => format_response("200 OK", "x-proof: p\r\nx-more: kept\r\n", id),
             Behavior::Respond(text) => format_response(text, "x-proof: p\r\n", "own"),
             Behavior::RespondWithBody(length) => {
@@ -210,6 +217,12 @@
                 std::thread::sleep(duration);
                 format_response("503 Service Unavailable", "x-not-run: 1\r\n", "")
             }
+            Behavior::RefuseFirstAttempt if is_repeat => {
+                format_response("200 OK", "x-proof: p\r\n", id)
+            }
+            Behavior::RefuseFirstAttempt => {
+                format_response("503 Service Unavailable", "x-not-run: 1\r\n", "")
+            }
             Behavior::RefuseWithOtherId(status) => format!(
                 "HTTP/1.1 {status}\r\nx-request-id: other\r\nx-not-run: 1\r\n\
                  x-answers: {id}\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n"
@@ -233,7 +246,10 @@
                 return true;
             }
         };
-        if stream.write_all(response.as_bytes()).is_err() {
+        let sends_twice = matches!(behavior, Behavior::RefuseFirstAttempt) && !is_repeat;
+        let due = surplus.take().unwrap_or_default() + &response;
+        surplus = sends_twice.then_some(response);
+        if stream.write_all(due.as_bytes()).is_err() {
             return true;
         }
     }
--- a/crates/nickellead_gateway/tests/reported_load.rs
+++ b/crates/nickellead_gateway/tests/reported_load.rs
@@ -16,7 +16,8 @@
 /// A response without the lines that differ between equal responses, in an order of their own: headers
 /// of different names may come in any order.
 fn comparable(response: &str, signals: &str) -> Vec<String> {
-    let lines = response.split("\r\n").filter(|line| !line.starts_with("date:"));
+    let differs = |line: &str| line.starts_with("date:") || line.starts_with("x-request-id:");
+    let lines = response.split("\r\n").filter(|line| !differs(line));
     let lines = lines.filter(|line| signals.split("\r\n").all(|signal| signal != *line));
     let mut lines: Vec<_> = lines.map(str::to_owned).collect();
     lines.sort();
