A success without a target's proof is foreign from its head on

Cause: the proof was looked for after the body. By then the signals of the response had been believed (the target counted as leaving) and its connection was in the pool again, although it had just carried something that no target made.

Change: the proof is checked with the id, before signals, body and pool.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -231,7 +231,7 @@
     held: HeldBytes,
 ) -> (AttemptResult, ResponseSignals) {
     let (head, body) = response.into_parts();
-    if !answers_request(names, outgoing, &head) {
+    if !answers_request(names, outgoing, &head) || !is_proved(names, &head) {
         return (AttemptResult::Lost(LossReason::Foreign), ResponseSignals::default());
     }
     let signals = match is_from_target(names, plan, &head) {
@@ -251,6 +251,12 @@
     ids.next() == Some(&outgoing.request_id) && ids.next().is_none()
 }
 
+/// Whether a response bears the proof that a target made it, which only successes need.
+fn is_proved(names: &HeaderNames, head: &Parts) -> bool {
+    let is_success = head.status.is_success() && !head.headers.contains_key(names.not_run);
+    !is_success || head.headers.contains_key(names.target_proof)
+}
+
 /// Whether a response to this request was made by the requested target: another one may have taken over
 /// the address.
 fn is_from_target(names: &HeaderNames, plan: &AttemptPlan<'_>, head: &Parts) -> bool {
@@ -284,9 +290,6 @@
     if shed {
         return AttemptResult::Shed;
     }
-    if head.status.is_success() && !head.headers.contains_key(names.target_proof) {
-        return AttemptResult::Lost(LossReason::Foreign);
-    }
     let (status, headers) = (head.status, head.headers);
     AttemptResult::Responded(TargetResponse { status, headers, body, held })
 }
--- a/crates/nickellead_gateway/tests/common/target.rs
+++ b/crates/nickellead_gateway/tests/common/target.rs
@@ -25,6 +25,9 @@
     NeverRespond,
     /// Responds with another request's id.
     RespondWithOtherId,
+    /// Responds with 200, but without the proof that a target made the response, and signals that it is
+    /// leaving.
+    RespondWithoutProof,
     /// Refuses another request with this status, and signals that it is leaving.
     RefuseWithOtherId(&'static str),
     /// Refuses the first attempt of each request and serves the others. Sends each refusal a second time
@@ -55,6 +58,8 @@
     pub signals: String,
     /// Whether the target shed the request.
     pub shed: bool,
+    /// Number of the connection that it came over.
+    pub connection: usize,
 }
 
 pub struct TestTarget {
@@ -71,6 +76,8 @@
 /// The current signals of a target, and the signals sent on past responses.
 #[derive(Clone)]
 struct SignalLog {
+    /// Number of the connection that the signals are sent over.
+    connection: usize,
     signals: Arc<Mutex<String>>,
     arrivals: Arc<Mutex<Vec<TargetArrival>>>,
 }
@@ -97,17 +104,18 @@
         let (abandoned_requests, behavior) =
             (Arc::clone(&target.abandoned_requests), Arc::clone(&target.behavior));
         let signal_log = SignalLog {
+            connection: 0,
             signals: Arc::clone(&target.signals),
             arrivals: Arc::clone(&target.arrivals),
         };
         std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
+            for (connection, stream) in listener.incoming().map_while(Result::ok).enumerate() {
                 let (id, requests) = (id.clone(), Arc::clone(&requests));
                 let (abandoned_requests, behavior) =
                     (Arc::clone(&abandoned_requests), Arc::clone(&behavior));
                 let (ends, broken_connections) =
                     (Arc::clone(&ends), Arc::clone(&broken_connections));
-                let signal_log = signal_log.clone();
+                let signal_log = SignalLog { connection, ..signal_log.clone() };
                 std::thread::spawn(move || {
                     if !serve(
                         stream,
@@ -199,6 +207,7 @@
             request_id: request_id.clone(),
             signals: signals.clone(),
             shed: matches!(behavior, Behavior::Shed | Behavior::ShedAfter(_)),
+            connection: signal_log.connection,
         });
         let format_response = |status: &str, extra_headers: &str, body: &str| {
             format!(
@@ -217,6 +226,7 @@
                 std::thread::sleep(duration);
                 format_response("503 Service Unavailable", "x-not-run: 1\r\n", "")
             }
+            Behavior::RespondWithoutProof => format_response("200 OK", "x-leaving: 1\r\n", id),
             Behavior::RefuseFirstAttempt if is_repeat => {
                 format_response("200 OK", "x-proof: p\r\n", id)
             }
