nickellead_proxy uses no connection again that carried the response to another request

Cause: the id was checked, so nothing foreign was forwarded, but the HTTP client returns a connection to its pool as soon as a response without a body is read. The response that was due was still to come there, and the next request got it in place of its own; with responses without a body each request there got the one before.

Change: the transport tells which connection an exchange read last; after a foreign response that connection is retired: its next read fails, and the client's pool reads before it uses a connection again. Two ids in a response are none, as in the gateway.

--- a/crates/nickellead_proxy/src/exchange.rs
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -4,7 +4,6 @@
 
 use actix_http::RequestHead;
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::header::HeaderName;
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
 use nickellead_core::{Epoch, ErrorKind, ShardIndex};
@@ -14,6 +13,7 @@
 use crate::headers::{
     DEADLINE_HEADER, EPOCH_HEADER, REQUEST_ID_HEADER, SHARD_HEADER, is_forwarded,
 };
+use crate::transport::{ConnectionHandle, observe_connection};
 
 /// Header with which a target refuses a request that it did not run; its value is the reason.
 pub const REFUSAL_HEADER: &str = "nickellead-refused";
@@ -55,8 +55,13 @@
         .insert_header((EPOCH_HEADER, plan.epoch.0))
         .insert_header((DEADLINE_HEADER, remaining.as_millis() as u64))
         .insert_header((REQUEST_ID_HEADER, plan.request_id));
-    let response = request.send_body(body).await.map_err(|error| classify_error(&error))?;
-    check_response(response, plan.request_id)
+    let (sent, connection) = observe_connection(request.send_body(body)).await;
+    let response = sent.map_err(|error| classify_error(&error))?;
+    if !answers_request(&response, plan.request_id) {
+        connection.inspect(ConnectionHandle::retire);
+        return Err(ErrorKind::AnswerMalformed);
+    }
+    check_refusal(response)
 }
 
 fn classify_error(error: &SendRequestError) -> ErrorKind {
@@ -71,19 +76,20 @@
     }
 }
 
-/// Checks that the response belongs to this request and is not a refusal.
-fn check_response(response: ClientResponse, request_id: u64) -> Result<ClientResponse, ErrorKind> {
-    let header = |name: &str| {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        response.headers().get(name)?.to_str().ok()
-    };
-    let returned_id = header(REQUEST_ID_HEADER).and_then(|value| value.parse::<u64>().ok());
-    if returned_id != Some(request_id) {
-        return Err(ErrorKind::AnswerMalformed);
-    }
-    match header(REFUSAL_HEADER) {
-        Some(REFUSAL_BUSY) => Err(ErrorKind::TargetBusy),
-        Some(_) => Err(ErrorKind::TargetRefused),
+/// Whether a response answers this request, and not an earlier one on the same connection.
+///
+/// Each exchange has an id of its own, and targets return it with every response.
+fn answers_request(response: &ClientResponse, request_id: u64) -> bool {
+    let mut ids = response.headers().get_all(REQUEST_ID_HEADER);
+    let id = ids.next().and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    id == Some(request_id) && ids.next().is_none()
+}
+
+/// Returns the response unless it refuses the request.
+fn check_refusal(response: ClientResponse) -> Result<ClientResponse, ErrorKind> {
+    match response.headers().get(REFUSAL_HEADER).map(|reason| reason.as_bytes()) {
         None => Ok(response),
+        Some(reason) if reason == REFUSAL_BUSY.as_bytes() => Err(ErrorKind::TargetBusy),
+        Some(_) => Err(ErrorKind::TargetRefused),
     }
 }
--- a/crates/nickellead_proxy/src/transport.rs
+++ b/crates/nickellead_proxy/src/transport.rs
@@ -1,12 +1,17 @@
-//! Connections to targets that distinguish complete from truncated responses.
+//! Connections to targets that distinguish complete from truncated responses and can be retired.
 //!
 //! The HTTP client ends a response body without an error if the connection ends before the last
 //! chunk. A complete body ends before the end of the connection is read, so a body is truncated if
 //! its last poll read the end of the connection.
+//!
+//! The client returns a connection to its pool as soon as a response without a body is read. If that
+//! response answers another request, the one that is due is still to come there, so the connection must
+//! not be used again.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
@@ -18,6 +23,35 @@
 thread_local! {
     /// Whether the current poll on this thread read the end of a connection.
     static EOF_WAS_READ: Cell<bool> = const { Cell::new(false) };
+    /// The connection that the current poll on this thread read last.
+    static LAST_READ: RefCell<Option<ConnectionHandle>> = const { RefCell::new(None) };
+}
+
+/// Refers to an open connection.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionHandle {
+    is_retired: Rc<Cell<bool>>,
+}
+
+impl ConnectionHandle {
+    /// Keeps the connection from being used again.
+    pub(crate) fn retire(&self) {
+        self.is_retired.set(true);
+    }
+}
+
+/// Completes an exchange; returns with its result the connection that it read last.
+pub(crate) async fn observe_connection<T>(
+    exchange: impl Future<Output = T>,
+) -> (T, Option<ConnectionHandle>) {
+    let mut exchange = pin!(exchange);
+    std::future::poll_fn(|context| {
+        LAST_READ.take();
+        let polled = exchange.as_mut().poll(context);
+        let last_read = LAST_READ.take();
+        polled.map(|result| (result, last_read))
+    })
+    .await
 }
 
 /// Runs one poll and returns whether it read the end of a connection.
@@ -27,19 +61,27 @@
     (polled, EOF_WAS_READ.get())
 }
 
-/// Connection that records when its end is read.
+/// Connection that records when it and its end are read, and that fails once it is retired.
 #[derive(Debug)]
-pub(crate) struct EofAwareStream(TcpStream);
+pub(crate) struct ObservedStream {
+    stream: TcpStream,
+    handle: ConnectionHandle,
+}
 
-impl AsyncRead for EofAwareStream {
+impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // The client's pool reads from a connection before it uses it again.
+        if self.handle.is_retired.get() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        LAST_READ.set(Some(self.handle.clone()));
         let before = buffer.filled().len();
         let has_capacity = buffer.remaining() > 0;
-        let polled = Pin::new(&mut self.0).poll_read(context, buffer);
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if has_capacity && matches!(polled, Poll::Ready(Ok(()))) && buffer.filled().len() == before
         {
             EOF_WAS_READ.set(true);
@@ -48,43 +90,43 @@
     }
 }
 
-impl AsyncWrite for EofAwareStream {
+impl AsyncWrite for ObservedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(context, bytes)
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
-impl ActixStream for EofAwareStream {
+impl ActixStream for ObservedStream {
     fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, context)
+        ActixStream::poll_read_ready(&self.stream, context)
     }
 
     fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, context)
+        ActixStream::poll_write_ready(&self.stream, context)
     }
 }
 
 /// Connector of the HTTP client for connections to targets.
-pub(crate) fn eof_aware_connector()
--> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, EofAwareStream>, Error = ConnectError>
+pub(crate) fn observed_connector()
+-> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, ObservedStream>, Error = ConnectError>
 + Clone
 + 'static {
     ConnectorService::default().map(|connection: Connection<Uri, TcpStream>| {
         let (stream, request) = connection.into_parts();
         // Nagle's algorithm would delay small requests; a failure only adds latency.
         let _ = stream.set_nodelay(true);
-        Connection::new(request, EofAwareStream(stream))
+        Connection::new(request, ObservedStream { stream, handle: ConnectionHandle::default() })
     })
 }
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -27,7 +27,7 @@
 use crate::incoming::{IncomingRequest, read_body};
 use crate::metrics::ProxyMetrics;
 use crate::response_body::ResponseBody;
-use crate::transport::eof_aware_connector;
+use crate::transport::observed_connector;
 
 /// Update that a worker receives through its ring.
 #[derive(Clone, Debug)]
@@ -110,7 +110,7 @@
     /// Creates a worker without declarations.
     #[must_use]
     pub fn new(limits: ProxyLimits, seed: u64, metrics: ProxyMetrics) -> Rc<Self> {
-        let connector = awc::Connector::new().connector(eof_aware_connector());
+        let connector = awc::Connector::new().connector(observed_connector());
         let connector = connector.limit(0).timeout(Duration::from_millis(500));
         let client =
             Client::builder().connector(connector).disable_redirects().no_default_headers();
--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -317,3 +317,75 @@
     });
     assert_eq!((status.as_u16(), &body[..]), (200, &b"hello"[..]));
 }
+
+/// Runs a target that refuses the first request, sends that refusal once more in place of the next response,
+/// and runs all other requests for `WORK_TIME`. Counts the requests on each connection.
+fn target_that_refuses_twice() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut is_first = true;
+        for stream in listener.incoming() {
+            let refuses = std::mem::take(&mut is_first);
+            std::thread::spawn(move || serve_refusing_twice(stream.unwrap(), refuses));
+        }
+    });
+    address
+}
+
+/// Serves one connection; the first request is refused, and refused once more, if `refuses` is set.
+fn serve_refusing_twice(mut stream: TcpStream, mut refuses: bool) {
+    const WORK_TIME: Duration = Duration::from_millis(100);
+    let mut surplus = String::new();
+    let mut bytes = [0; 4_096];
+    while let Some(read) = stream.read(&mut bytes).ok().filter(|read| *read > 0) {
+        let request = String::from_utf8_lossy(&bytes[..read]).into_owned();
+        if stream.write_all(std::mem::take(&mut surplus).as_bytes()).is_err() {
+            return;
+        }
+        let response = complete_response(&request);
+        if std::mem::take(&mut refuses) {
+            let refusal = response.replace("200 OK", "503 Busy\r\nnickellead-refused: other");
+            surplus =
+                refusal.replace("content-length: 5\r\n\r\nhello", "content-length: 0\r\n\r\n");
+            let _ = stream.write_all(surplus.as_bytes());
+            continue;
+        }
+        std::thread::sleep(WORK_TIME);
+        let _ = stream.write_all(response.as_bytes());
+    }
+}
+
+/// Guards against a surplus response that costs every later request on its connection its response: the
+/// connection was used again although the response to the request before was still due there.
+#[test]
+fn a_late_copy_of_a_refusal_costs_one_request_at_most() {
+    let router = router(target_that_refuses_twice());
+    let responses: Vec<String> = (0..6).map(|_| book(router)).collect();
+    let failed = responses.iter().filter(|response| !response.ends_with("hello"));
+    assert!(failed.count() <= 1, "{responses:#?}");
+}
+
+/// Guards against taking a late copy of a refusal for the response to the next attempt at the same target:
+/// the identifier shows the difference only if no attempt has that of another one.
+#[test]
+fn each_attempt_of_a_request_has_an_identifier_of_its_own() {
+    let (target, requests) = raw_target(Box::new(|stream, request| {
+        let refusal = complete_response(request)
+            .replace("200 OK", "503 Busy\r\nnickellead-refused: busy\r\nconnection: close");
+        let _ = stream.write_all(refusal.as_bytes());
+    }));
+    book(router(target));
+    let mut ids: Vec<String> = requests
+        .try_iter()
+        .filter_map(|request| {
+            let id =
+                request.lines().find_map(|line| line.strip_prefix("nickellead-request-id: "))?;
+            Some(id.to_owned())
+        })
+        .collect();
+    let attempts = ids.len();
+    ids.sort();
+    ids.dedup();
+    assert!(attempts > 1 && ids.len() == attempts, "{attempts} attempts with {ids:?}");
+}
