Soak: targets that refuse some requests and send some responses twice

A round can have targets that refuse a fraction of the requests and send a fraction of all responses, to orders as well, once more as soon as the next request comes over the connection.

--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    CallerSettings, RequestLedger, StandinStore, StandinTargets, TargetSettings, VmAddress,
+    CallerSettings, RequestLedger, StandinStore, StandinTargets, TargetBehavior, TargetSettings,
+    VmAddress,
 };
 use serde_json::json;
 use tokio::sync::watch;
@@ -15,6 +16,7 @@
 use super::http_get::http_get;
 use super::metrics::VmMetrics;
 use super::processes::{DutyCycle, VmProcesses};
+use super::round::GatewayRound;
 use super::schedule::GatewayFault;
 use super::site::GatewaySite;
 use crate::{FaultLink, LinkFault, LinkHost, SoakError, free_address};
@@ -41,6 +43,8 @@
     pub(super) site: GatewaySite,
     pub(super) ledger: Arc<RequestLedger>,
     pub(super) targets: StandinTargets,
+    /// How targets handle requests while no fault changes it.
+    target_behavior: TargetBehavior,
     store: StandinStore,
     ports: Vec<VmPorts>,
     links: BTreeMap<usize, FaultLink>,
@@ -55,16 +59,13 @@
 
 impl GatewayFleet {
     /// Starts the stand-ins and all VMs, and waits until each VM is ready.
-    pub(super) fn start(
-        program: &Path,
-        folder: &Path,
-        site: GatewaySite,
-        seed: u64,
-    ) -> Result<Self, SoakError> {
+    pub(super) fn start(round: &GatewayRound) -> Result<Self, SoakError> {
+        let GatewayRound { program, folder, site, target_behavior, seed, .. } = round;
+        let (site, target_behavior) = (*site, *target_behavior);
         std::fs::create_dir_all(folder).map_err(SoakError::system("a folder"))?;
-        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut rng = fastrand::Rng::with_seed(*seed);
         let ledger = Arc::new(RequestLedger::default());
-        let (store, targets) = start_standins(site, &ledger, &mut rng)?;
+        let (store, targets) = start_standins(site, target_behavior, &ledger, &mut rng)?;
         let ports = (0..site.vms).map(|_| VmPorts::allocate());
         let ports = ports.collect::<Result<Vec<VmPorts>, SoakError>>()?;
         let link_host = LinkHost::start()?;
@@ -75,11 +76,12 @@
             write_settings(folder, vm, &text)
         });
         let files = files.collect::<Result<Vec<_>, SoakError>>()?;
-        let processes = VmProcesses::new(program.to_owned(), files, &mut rng)?;
+        let processes = VmProcesses::new(program.clone(), files, &mut rng)?;
         let fleet = Self {
             site,
             ledger,
             targets,
+            target_behavior,
             store,
             ports,
             links,
@@ -182,9 +184,8 @@
                 vms.iter().for_each(|vm| self.links[vm].set(LinkFault::None));
             }
             GatewayFault::Targets(targets, _) => {
-                targets
-                    .iter()
-                    .for_each(|target| self.targets.set_behavior(*target, Default::default()));
+                let usual = self.target_behavior;
+                targets.iter().for_each(|target| self.targets.set_behavior(*target, usual));
             }
             GatewayFault::Store(_) => self.store.set_fault(Default::default()),
             GatewayFault::Load(_) => {
@@ -238,13 +239,15 @@
 /// Starts the store, with the declarations, and all targets, which are listed there.
 fn start_standins(
     site: GatewaySite,
+    behavior: TargetBehavior,
     ledger: &Arc<RequestLedger>,
     rng: &mut fastrand::Rng,
 ) -> Result<(StandinStore, StandinTargets), SoakError> {
     let store = StandinStore::start().map_err(SoakError::system("the store"))?;
     let (services, routes) = (site.services(), site.routes());
     store.put_declarations(1, &services, &routes);
-    let settings = TargetSettings { services, routes, plans: site.targets(), zones: site.zones() };
+    let (plans, zones) = (site.targets(), site.zones());
+    let settings = TargetSettings { services, routes, plans, zones, behavior };
     let targets = StandinTargets::start(&store, ledger, &settings, rng);
     Ok((store, targets.map_err(SoakError::system("the targets"))?))
 }
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -4,7 +4,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use nickellead_adapter_standin::{ExcessWork, LoadReport, ServiceRepeats, run_callers};
+use nickellead_adapter_standin::{
+    ExcessWork, LoadReport, ServiceRepeats, TargetBehavior, run_callers,
+};
 
 use super::fleet::GatewayFleet;
 use super::metrics::VmMetrics;
@@ -30,6 +32,8 @@
     pub folder: PathBuf,
     /// The deployment.
     pub site: GatewaySite,
+    /// How targets handle requests while no fault changes it.
+    pub target_behavior: TargetBehavior,
     /// Time within which all faults end.
     pub fault_duration: Duration,
     /// Seed of the deployment, the load and the faults.
@@ -55,6 +59,8 @@
     pub load: LoadReport,
     /// The retry budget of each service.
     pub repeats: Vec<ServiceRepeats>,
+    /// Responses that targets sent twice, if another request came over their connections.
+    pub surplus_responses: usize,
     /// Work of targets beyond what callers wait for and routes allow.
     pub excess_work: ExcessWork,
     /// Requests that arrived more than once, with the time of each further arrival.
@@ -84,7 +90,7 @@
 /// # Errors
 /// A [`SoakError`] if the round could not run.
 pub fn run_gateway_round(round: &GatewayRound) -> Result<GatewayReport, SoakError> {
-    let mut fleet = GatewayFleet::start(&round.program, &round.folder, round.site, round.seed)?;
+    let mut fleet = GatewayFleet::start(round)?;
     let targets = fleet.targets.count();
     let schedule = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
     let load_duration = round.fault_duration + 2 * CALM_TIME;
@@ -105,6 +111,7 @@
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
+        surplus_responses: fleet.ledger.surplus_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
--- a/crates/nickellead_soak/src/gateway/site.rs
+++ b/crates/nickellead_soak/src/gateway/site.rs
@@ -27,10 +27,11 @@
 ];
 
 /// The routes of the full site, with their requests per second.
-const ROUTES: [(DeclaredRoute, f64); 4] = [
+const ROUTES: [(DeclaredRoute, f64); 5] = [
     (route("lookup", 0, true, 0, [190, 500, 1_500], true), 1_150.0),
     (route("accept", 1, false, 1, [250, 1_000, 2_500], false), 499.0),
     (route("pull", 2, true, 1, [480, 1_200, 3_000], false), 391.0),
+    (route("claim", 2, false, 1, [120, 500, 1_500], true), 260.0),
     (route("report", 2, true, 2, [770, 4_000, 5_000], true), 260.0),
 ];
 
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use nickellead_adapter_standin::TargetBehavior;
 use nickellead_soak::{
     FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundReport, RoundSettings, SoakError,
     run_gateway_round, run_round,
@@ -41,6 +42,9 @@
     /// with --gateways: part of the full load (default 1)
     #[argh(option, default = "1.0")]
     load: f64,
+    /// with --gateways: targets refuse a tenth of the requests and send one response in 17 twice
+    #[argh(switch)]
+    surplus: bool,
     /// keep the logs of clean rounds too
     #[argh(switch)]
     keep: bool,
@@ -132,6 +136,10 @@
         program: program.to_owned(),
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
+        target_behavior: match arguments.surplus {
+            true => TargetBehavior::RespondTwice(0.1, 1.0 / 17.0),
+            false => TargetBehavior::Serve,
+        },
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
     };
@@ -142,6 +150,9 @@
     // The list only helps to trace a failed round.
     let _ = std::fs::write(folder.join("repeated"), repeated.join("\n"));
     let _ = std::fs::write(folder.join("unpaid"), format!("{:#?}", report.unpaid));
+    let load = &report.load;
+    let broken = format!("{:#?}\n{:#?}", load.broken_promises, load.run_twice);
+    let _ = std::fs::write(folder.join("broken"), broken);
     let _ = std::fs::write(folder.join("schedule"), format!("{:#?}", report.schedule));
     Ok(report.is_clean())
 }
@@ -165,7 +176,7 @@
     let load = &report.load;
     println!(
         "seed={seed} clean={} faults={} cycle={:?} sent={} served={} tries={} statuses={:?} \
-         broken_promises={} run_twice={}",
+         broken_promises={} run_twice={} surplus={}",
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
@@ -175,6 +186,7 @@
         load.statuses,
         load.broken_promises.len(),
         load.run_twice.len(),
+        report.surplus_responses,
     );
     for (route, tally) in &load.routes {
         println!("  {route} sent={} served={}", tally.sent, tally.served);
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use nickellead_adapter_standin::TargetBehavior;
 use nickellead_soak::{GatewayRound, GatewaySite, run_gateway_round};
 
 /// Long enough for several faults to overlap.
@@ -11,19 +12,24 @@
 /// Three VMs in each availability zone, one of them with half of a core.
 const SITE: GatewaySite = GatewaySite { vms: 12, load: 0.5 };
 
-/// Guards the retry budget of the fleet against arrivals that no VM paid for, and callers against
-/// requests that run twice or are called not run, while VMs stand still, are killed and restart.
-#[test]
-fn targets_receive_no_request_again_that_no_budget_paid_for() {
-    let seed = 1;
+/// A round with a fixed seed.
+fn round(seed: u64, target_behavior: TargetBehavior) -> GatewayRound {
     let folder = format!("gateway-soak-{}-{seed}", std::process::id());
-    let round = GatewayRound {
+    GatewayRound {
         program: PathBuf::from(env!("CARGO_BIN_EXE_nickellead")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         site: SITE,
+        target_behavior,
         fault_duration: FAULT_DURATION,
         seed,
-    };
+    }
+}
+
+/// Guards the retry budget of the fleet against arrivals that no VM paid for, and callers against
+/// requests that run twice or are called not run, while VMs stand still, are killed and restart.
+#[test]
+fn targets_receive_no_request_again_that_no_budget_paid_for() {
+    let round = round(1, TargetBehavior::Serve);
     let report = run_gateway_round(&round).unwrap();
     let (repeated, folder) = (report.repeated.len(), &round.folder);
     let figures = format!("{repeated} further arrivals, {:?}, logs in {folder:?}", report.repeats);
@@ -35,3 +41,15 @@
         report.load
     );
 }
+
+/// Guards callers against requests that run twice, or are called not run though they ran, while targets
+/// refuse requests and send some responses twice.
+#[test]
+fn surplus_responses_make_no_request_run_twice_or_called_not_run() {
+    let round = round(2, TargetBehavior::RespondTwice(0.2, 0.2));
+    let report = run_gateway_round(&round).unwrap();
+    let (load, folder) = (&report.load, &round.folder);
+    assert!(load.broken_promises.is_empty(), "{:?}, logs in {folder:?}", load.broken_promises);
+    assert!(load.run_twice.is_empty(), "{:?}, logs in {folder:?}", load.run_twice);
+    assert!(load.served() > 1_000 && report.surplus_responses > 300, "{load:?}");
+}
