--- a/crates/nickellead_peer/src/call_server.rs
+++ b/crates/nickellead_peer/src/call_server.rs
@@ -13,10 +13,10 @@
 
 use crate::arrived::poll_arrived;
 use crate::channel::{CONNECTION_WINDOW_BYTES, MAX_CALLS};
-use crate::client::{STALL_TIMEOUT, WINDOW_BYTES, connection_error, read_body};
+use crate::client::{STALL_TIMEOUT, WINDOW_BYTES, read_body};
 use crate::codec::{PeerError, decode, encode};
 use crate::server::{
-    PeerHandler, accept_connections, begin_response, open_accepted, refuse, send_paced,
+    PeerHandler, accept_connections, begin_response, refuse, send_paced, serve_requests,
 };
 
 /// Responds to calls of [`PeerChannel`](crate::PeerChannel)s for as long as the thread's runtime
@@ -56,20 +56,10 @@
         .max_pending_accept_reset_streams(MAX_CALLS as usize)
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
-    let mut connection = open_accepted(stream, &builder).await?;
-    while let Some(accepted) = connection.accept().await {
-        let (request, mut respond) = accepted.map_err(connection_error)?;
-        if request.uri().path() != path {
-            refuse(&mut respond, StatusCode::NOT_FOUND)?;
-            continue;
-        }
-        let handler = Rc::clone(&handler);
-        actix_rt::spawn(async move {
-            // The caller observes the end of the stream.
-            let _ = serve_call(request, respond, from, handler).await;
-        });
-    }
-    Ok(())
+    serve_requests(stream, &builder, path, |request, respond| {
+        serve_call(request, respond, from, Rc::clone(&handler))
+    })
+    .await
 }
 
 async fn serve_call<Q, R>(
--- a/crates/nickellead_peer/src/server.rs
+++ b/crates/nickellead_peer/src/server.rs
@@ -9,7 +9,7 @@
 use bincode::{Decode, Encode};
 use bytes::Bytes;
 use h2::server::{Builder, Connection, SendResponse};
-use h2::{Reason, SendStream};
+use h2::{Reason, RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -79,8 +79,34 @@
     }
 }
 
+/// Serves each request for `path` on an accepted connection in a task of its own, and refuses others.
+pub(crate) async fn serve_requests<F>(
+    stream: TcpStream,
+    builder: &Builder,
+    path: &'static str,
+    serve: impl Fn(Request<RecvStream>, SendResponse<Bytes>) -> F,
+) -> Result<(), PeerError>
+where
+    F: Future<Output = Result<(), PeerError>> + 'static,
+{
+    let mut connection = open_accepted(stream, builder).await?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, mut respond) = accepted.map_err(connection_error)?;
+        if request.uri().path() != path {
+            refuse(&mut respond, StatusCode::NOT_FOUND)?;
+            continue;
+        }
+        let serving = serve(request, respond);
+        actix_rt::spawn(async move {
+            // The other VM observes the end of the stream.
+            let _ = serving.await;
+        });
+    }
+    Ok(())
+}
+
 /// Performs the handshake of an accepted connection.
-pub(crate) async fn open_accepted(
+async fn open_accepted(
     stream: TcpStream,
     builder: &Builder,
 ) -> Result<Connection<TcpStream, Bytes>, PeerError> {
@@ -107,24 +133,14 @@
         .max_concurrent_streams(MAX_STREAMS)
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES);
-    let mut connection = open_accepted(stream, &builder).await?;
-    while let Some(accepted) = connection.accept().await {
-        let (request, mut respond) = accepted.map_err(connection_error)?;
-        if request.uri().path() != path {
-            refuse(&mut respond, StatusCode::NOT_FOUND)?;
-            continue;
-        }
-        let (handler, slots) = (Rc::clone(&handler), Rc::clone(&slots));
-        actix_rt::spawn(async move {
-            // The other VM observes the end of the stream.
-            let _ = serve_message(request, respond, from, handler, slots).await;
-        });
-    }
-    Ok(())
+    serve_requests(stream, &builder, path, |request, respond| {
+        serve_message(request, respond, from, Rc::clone(&handler), Rc::clone(&slots))
+    })
+    .await
 }
 
 async fn serve_message<Q, R>(
-    request: Request<h2::RecvStream>,
+    request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     from: SocketAddr,
     handler: PeerHandler<Q, R>,
