Renewals share connections again; each order that moves keys keeps one of its own

Cause: gave every order a connection of its own, and most orders are renewals.

Change: the controller says whether a grant only renews what its target confirmed before. Renewals share connections, and one is shared on only after a success, so a surplus response there can only be that of a renewal that succeeded, in place of the response to a renewal that has arrived. Releases and first grants open their own.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -137,13 +137,14 @@
         Self { close, ..Self::default() }
     }
 
-    /// Takes the most recently used idle connection that has not carried `id`, or opens a new one.
+    /// Takes the most recently used idle connection that has not carried `id`, or opens a new one. Without
+    /// an id, any idle connection does.
     pub(crate) async fn take(
         &self,
         address: SocketAddr,
         timeout: Duration,
         repeat: RepeatClass,
-        id: IdDigest,
+        id: Option<IdDigest>,
     ) -> Result<ReadyConnection, ConnectFailure> {
         match self.take_idle(repeat, id) {
             Some(connection) => Ok(connection),
@@ -215,7 +216,7 @@
         self.consecutive_timeouts.get() >= UNREACHABLE_TIMEOUTS
     }
 
-    fn take_idle(&self, repeat: RepeatClass, id: IdDigest) -> Option<ReadyConnection> {
+    fn take_idle(&self, repeat: RepeatClass, id: Option<IdDigest>) -> Option<ReadyConnection> {
         let max_idle = match repeat {
             RepeatClass::Safe => MAX_IDLE_TIME,
             RepeatClass::Unsafe => MAX_IDLE_TIME_UNSAFE,
@@ -225,7 +226,8 @@
         // The most recent ones are at the end; one whose response was just read may not be ready
         // yet.
         let is_usable = |one: &IdleConnection| {
-            one.sender.is_ready() && one.since.elapsed() < max_idle && !one.carried.contains(id)
+            let has_carried = id.is_some_and(|id| one.carried.contains(id));
+            one.sender.is_ready() && one.since.elapsed() < max_idle && !has_carried
         };
         let index = idle.iter().rposition(is_usable)?;
         let IdleConnection { sender, carried, .. } = idle.remove(index);
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -147,7 +147,8 @@
     let pool = &plan.target.pool;
     let id = IdDigest::of(&outgoing.request_id);
     loop {
-        let acquiring = pool.take(plan.target.address, remaining(plan.deadline), plan.repeat, id);
+        let acquiring =
+            pool.take(plan.target.address, remaining(plan.deadline), plan.repeat, Some(id));
         let mut connection = match acquiring.await {
             Ok(connection) => connection,
             Err(failure) => return AttemptResult::NotSent(failure).into(),
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -66,7 +66,7 @@
 pub use nickellead_dispatch::ReportedLoad;
 pub use nickellead_range::{MandateRecord, Revision, StoreEra, Stored};
 pub use node::{GatewayError, GatewayHandle, start_gateway};
-pub use order_client::{CallFailure, OrderClient};
+pub use order_client::{CallFailure, ConnectionUse, OrderClient};
 pub use packed::{MAX_UNPACKED_BYTES, Packed, PackedError};
 pub use policy::{PolicySettings, PolicySwitch};
 pub use port::{HeaderNames, LoadHeader, OrderPort, OrderReply, Snapshot, StoreError, StorePort};
--- a/crates/nickellead_gateway/src/order_client.rs
+++ b/crates/nickellead_gateway/src/order_client.rs
@@ -1,8 +1,9 @@
-//! The HTTP client for orders to targets, with a connection of its own for each order.
+//! The HTTP client for orders to targets, with a connection of its own for each order that moves keys.
 //!
 //! A target's response to an order bears nothing that shows which order it answers, and a target may send
 //! a response a second time in place of the next one. On a connection that has carried no other order, the
-//! response can only answer this one.
+//! response can only answer this one. Renewals share connections, each of which has carried only renewals
+//! that succeeded: a surplus response there says no more than what the last renewals did.
 //!
 //! An order that a network partition delays must not arrive when the partition heals, because
 //! another target may own the keys by then. The connection is therefore reset on a timeout, which
@@ -18,11 +19,12 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 
+use crate::RepeatClass;
 use crate::connections::{CloseMode, ConnectionPool, RequestSender, SharedPool};
 
 /// Most bytes of a response body; only the head is used.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// Most targets whose reachability is remembered; beyond it all are forgotten.
+/// Most targets with a connection pool; beyond it all pools are dropped.
 const MAX_POOLS: usize = 1_024;
 
 /// Why a call got no response.
@@ -36,10 +38,19 @@
     Unanswered,
 }
 
+/// Which connection a call uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// One of its own, which is closed after the response.
+    Own,
+    /// One that it shares with other calls of this kind.
+    Shared,
+}
+
 /// Sends orders over connections that are reset when a call times out.
 #[derive(Default)]
 pub struct OrderClient {
-    /// Reachability of each target; no connection is returned to a pool.
+    /// Shared connections to each target, and its reachability.
     pools: RefCell<HashMap<SocketAddr, SharedPool>>,
 }
 
@@ -55,19 +66,34 @@
         headers: HeaderMap,
         body: Vec<u8>,
         timeout: Duration,
+        connection_use: ConnectionUse,
     ) -> Result<(StatusCode, HeaderMap), CallFailure> {
         let deadline = Instant::now() + timeout;
         let pool = self.pool(address);
-        let connecting = pool.open_new(address, timeout).await;
+        let connecting = match connection_use {
+            ConnectionUse::Own => pool.open_new(address, timeout).await,
+            ConnectionUse::Shared => pool.take(address, timeout, RepeatClass::Safe, None).await,
+        };
         let mut connection = connecting.map_err(|_| CallFailure::NotSent)?;
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().map_err(|_| CallFailure::NotSent)?;
         *request.headers_mut() = headers;
-        request.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        if connection_use == ConnectionUse::Own {
+            request.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         let remaining = deadline.saturating_duration_since(Instant::now());
         let result = tokio::time::timeout(remaining, call(&mut connection.sender, request)).await;
-        result.unwrap_or(Err(CallFailure::Unanswered))
+        let result = result.unwrap_or(Err(CallFailure::Unanswered));
+        match &result {
+            Ok((status, _)) if connection_use == ConnectionUse::Shared && status.is_success() => {
+                pool.put(connection, None);
+            }
+            Ok(_) => {}
+            // The next call opens a new connection, which shows whether the target is reachable.
+            Err(_) => pool.clear(),
+        }
+        result
     }
 
     fn pool(&self, address: SocketAddr) -> SharedPool {
--- a/crates/nickellead_range/src/controller/order.rs
+++ b/crates/nickellead_range/src/controller/order.rs
@@ -39,6 +39,9 @@
     pub target: TargetInstance,
     /// What the target has to do.
     pub kind: OrderKind,
+    /// Whether the target confirmed a grant of the range before and nobody else can own it, so that this
+    /// grant only renews the lease.
+    pub renews: bool,
     /// When the controller decided the order; it is sent at this time or later.
     pub decided_at: Timestamp,
 }
--- a/crates/nickellead_range/src/controller/orders.rs
+++ b/crates/nickellead_range/src/controller/orders.rs
@@ -175,6 +175,7 @@
             last: range.last,
             fence,
             target: target.clone(),
+            renews: range.settled && kind != OrderKind::Release,
             kind,
             decided_at: self.now,
         }
--- a/crates/nickellead_range/tests/late_orders.rs
+++ b/crates/nickellead_range/tests/late_orders.rs
@@ -99,6 +99,7 @@
                 fence: 1,
                 target: instance(index as usize, 1),
                 kind: OrderKind::Grant(None),
+                renews: true,
                 decided_at: now,
             };
             late_orders.observe_outcome(
--- a/crates/nickellead_range/tests/lost_targets.rs
+++ b/crates/nickellead_range/tests/lost_targets.rs
@@ -155,3 +155,27 @@
         "free at {now:?}, orders of predecessors may have an effect until {bound:?}"
     );
 }
+
+/// Guards against taking the grant that moves keys for a renewal: such a grant would share its connection
+/// with others, where a late copy of their responses could pass for its own.
+#[test]
+fn only_grants_that_their_targets_confirmed_before_are_renewals() {
+    let mut run = LostTarget::new(Timestamp(10_000), Timestamp(13_500));
+    let mut confirmed = Vec::new();
+    let (mut grants, mut renewals) = (0, 0);
+    let mut now = Timestamp::ZERO;
+    while now < Timestamp(30_000) {
+        now = now + STEP;
+        for (order, outcome) in run.step(now) {
+            let grant = (order.first, order.target.clone());
+            let was_confirmed = confirmed.contains(&grant);
+            assert!(!order.renews || was_confirmed, "{order:?}");
+            renewals += usize::from(order.renews);
+            grants += usize::from(!was_confirmed && outcome == OrderOutcome::Done(None));
+            if outcome == OrderOutcome::Done(None) && !was_confirmed {
+                confirmed.push(grant);
+            }
+        }
+    }
+    assert!(grants >= 3 && renewals > grants, "{grants} grants, {renewals} renewals");
+}
