--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -137,7 +137,7 @@
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
         target_behavior: match arguments.surplus {
-            true => TargetBehavior::RespondTwice(0.1, 1.0 / 17.0),
+            true => TargetBehavior::RespondTwice { refused: 0.1, repeated: 1.0 / 17.0 },
             false => TargetBehavior::Serve,
         },
         fault_duration: Duration::from_secs(arguments.seconds),
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -46,7 +46,7 @@
 /// refuse requests and send some responses twice.
 #[test]
 fn surplus_responses_make_no_request_run_twice_or_called_not_run() {
-    let round = round(2, TargetBehavior::RespondTwice(0.2, 0.2));
+    let round = round(2, TargetBehavior::RespondTwice { refused: 0.2, repeated: 0.2 });
     let report = run_gateway_round(&round).unwrap();
     let (load, folder) = (&report.load, &round.folder);
     assert!(load.broken_promises.is_empty(), "{:?}, logs in {folder:?}", load.broken_promises);
