--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -319,7 +319,7 @@
 }
 
 /// Runs a target that refuses the first request, sends that refusal once more in place of the next response,
-/// and runs all other requests for `WORK_TIME`. Counts the requests on each connection.
+/// and runs all other requests for a while.
 fn target_that_refuses_twice() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
