Attempts are counted by result, and refusals that targets do not mark are logged

Cause: metrics did not tell after which results of attempts a VM takes a request as not run, and a response whose status promises callers that the request did not run left no trace. Change: nickellead_attempts_total{result,repeat}; event refusal-unmarked. Result: metrics_count_attempts_by_result_and_whether_the_request_may_run_again passes; it could not be written before. No change of what callers get.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -56,6 +56,18 @@
     pub(crate) held: HeldBytes,
 }
 
+impl TargetResponse {
+    /// Whether its status tells callers that the request did not run, although the target does not say so.
+    pub(crate) fn is_unmarked_refusal(&self) -> bool {
+        matches!(
+            self.status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+    }
+}
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
@@ -81,6 +93,21 @@
     pub(crate) fn may_have_run(&self) -> bool {
         matches!(self, Self::Responded(_) | Self::Lost(_))
     }
+
+    /// The result in metrics.
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Responded(response) if response.is_unmarked_refusal() => "unmarked-refusal",
+            Self::Responded(response) if response.status.is_server_error() => "failed",
+            Self::Responded(_) => "responded",
+            Self::Shed => "shed",
+            Self::Misdirected => "not-owner",
+            Self::NotSent(failure) => failure.as_str(),
+            Self::Withheld => "withheld",
+            Self::Forbidden(_) => "forbidden",
+            Self::Lost(reason) => reason.as_str(),
+        }
+    }
 }
 
 /// The result of an attempt, with the signals that the target sent by then.
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Label values are bounded: names of services, and fixed sets of results and errors.
 
+mod attempts;
 mod control;
 mod dispatch;
 mod reach;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::attempts::AttemptMetrics;
 use super::dispatch::DispatchMetrics;
 use super::reach::ReachMetrics;
 use super::retries::RetryMetrics;
@@ -57,6 +58,7 @@
     errors: Family<ErrorLabel, Counter>,
     outcomes: Family<OutcomeLabels, Counter>,
     signals: Family<SignalLabel, Counter>,
+    pub(crate) attempts: AttemptMetrics,
     pub(crate) dispatch: DispatchMetrics,
     pub(crate) reach: ReachMetrics,
     pub(crate) repeats: RetryMetrics,
@@ -84,6 +86,7 @@
             errors: Family::default(),
             outcomes: Family::default(),
             signals: Family::default(),
+            attempts: AttemptMetrics::register(registry),
             dispatch: DispatchMetrics::register(registry),
             reach: ReachMetrics::register(registry),
             repeats: RetryMetrics::register(registry),
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -32,6 +32,8 @@
         latency: Duration,
     ) -> NextStep {
         let (result, signals) = (end.result, end.signals);
+        self.metrics.attempts.count(result.as_str(), incoming.route.rule.repeat);
+        log_unmarked_refusal(incoming, target, &result);
         self.record_outcome(incoming, target, &result, signals, latency);
         count_attempt(attempts, target, &result);
         if result.may_have_run() {
@@ -258,6 +260,22 @@
     log_event(EventName::RequestRetried, &pairs);
 }
 
+/// Logs a response whose status tells callers that the request did not run, although it may have run.
+fn log_unmarked_refusal(
+    incoming: &IncomingRequest,
+    target: &RegisteredTarget,
+    result: &AttemptResult,
+) {
+    let AttemptResult::Responded(response) = result else { return };
+    if !response.is_unmarked_refusal() {
+        return;
+    }
+    let id = String::from_utf8_lossy(incoming.outgoing.request_id.as_bytes());
+    let pairs: [(&str, &dyn std::fmt::Display); 3] =
+        [("request", &id), ("target", &target.id), ("status", &response.status.as_u16())];
+    log_event(EventName::RefusalUnmarked, &pairs);
+}
+
 fn log_limit(target: &RegisteredTarget, limit: Option<f64>) {
     let rate = limit.map_or("none".to_owned(), |rate| rate.to_string());
     let pairs: [(&str, &dyn std::fmt::Display); 2] = [("target", &target.id), ("rate", &rate)];
--- a/crates/nickellead_gateway/tests/metrics.rs
+++ b/crates/nickellead_gateway/tests/metrics.rs
@@ -60,3 +60,22 @@
     let refused = "nickellead_target_connect_failures_total{reason=\"connection-refused\"}";
     wait_until("the failure is counted", || metric_value(&scrape(), refused) >= 1.0);
 }
+
+/// Logs and metrics did not tell which results of attempts a VM takes as a sign that a request did not run.
+#[test]
+fn metrics_count_attempts_by_result_and_whether_the_request_may_run_again() {
+    let target = TestTarget::start("t-1", Behavior::Shed);
+    let (gateway, _store) = gateway_with_targets("attempts", &[&target]);
+    gateway.send("POST", "/write/", "");
+    target.set_behavior(Behavior::Respond("503 Service Unavailable"));
+    gateway.send("POST", "/write/", "");
+    target.set_behavior(Behavior::Serve);
+    gateway.send("GET", "/read/a", "");
+    let counts = [("shed", "unsafe"), ("unmarked-refusal", "unsafe"), ("responded", "safe")];
+    let text = gateway.metrics_text();
+    for (result, repeat) in counts {
+        let labels = format!("result=\"{result}\",repeat=\"{repeat}\"");
+        let count = metric_value(&text, &format!("nickellead_attempts_total{{{labels}}}"));
+        assert!(count >= 1.0, "{labels}: {text}");
+    }
+}
