--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -129,6 +129,21 @@
     }
 }
 
+/// Guards against telling a caller that its request did not run although it did: a target that does not say
+/// so itself responded with a status that promises it to callers.
+#[test]
+fn a_status_by_which_a_target_does_not_refuse_is_no_promise_to_the_caller() {
+    for status in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+        let targets = ["t1", "t2"].map(|name| TestTarget::start(name, Behavior::Respond(status)));
+        let (gateway, _store) = gateway_with_targets("vm-no-promise", &[&targets[0], &targets[1]]);
+        let response = gateway.send("POST", "/write/", "");
+        assert!(response.starts_with("HTTP/1.1 502"), "{status}: {response}");
+        assert!(!response.contains("x-proof"), "{status}: {response}");
+        let arrivals: usize = targets.iter().map(|target| target.requests().len()).sum();
+        assert_eq!(arrivals, 1, "{status}: the request may have run at the first target");
+    }
+}
+
 #[test]
 fn an_error_response_of_a_target_is_forwarded_unchanged() {
     let target = TestTarget::start("t1", Behavior::Respond("500 Internal Server Error"));
