--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    ExcessWork, LoadReport, ServiceRepeats, TargetBehavior, run_callers,
+    ExcessWork, LoadReport, ServiceRepeats, StandinLateness, TargetBehavior, run_callers,
 };
 
 use super::fleet::GatewayFleet;
@@ -63,6 +63,8 @@
     pub surplus_responses: usize,
     /// Work of targets beyond what callers wait for and routes allow.
     pub excess_work: ExcessWork,
+    /// How late the threads of callers and targets ran.
+    pub lateness: StandinLateness,
     /// Requests that arrived more than once, with the time of each further arrival.
     pub repeated: Vec<(Duration, String)>,
     /// Arrivals beyond the first of each request for which no VM has logged that it took a token.
@@ -113,6 +115,7 @@
         repeats: fleet.ledger.judge(round.site.budget()),
         surplus_responses: fleet.ledger.surplus_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
+        lateness: fleet.ledger.lateness(),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
         metrics,
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -197,7 +197,7 @@
             one.service, one.sent, one.repeats, one.worst, one.allowed
         );
     }
-    println!("  {:?}", report.excess_work);
+    println!("  {:?} {:?}", report.excess_work, report.lateness);
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
     let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
