A target's refusal that does not say that the request did not run is not passed on as a promise

What callers saw: 503, 429 or 408 for a request that may run once, although its target had run it. These statuses tell a caller that its request did not run and never will, so that it sends it again. Cause: the status of a target's response was passed on, whatever it was; of a target, only the header for a request that was not run (or 421) says so. Class: a sign with one meaning between VM and target was passed on to where it has another one. Why it works: for a request that may run once such a response ends as answer-ambiguous, 502, outcome unknown; the request is not sent again. Requests that may run again keep the target's response, with its Retry-After: a repeat does no harm there.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -122,6 +122,7 @@
     AnswerLate, "answer-late", 504, Unknown, None, Warn, "the target did not answer before the deadline";
     AnswerLost, "answer-lost", 502, Unknown, None, Warn, "the connection to the target broke after the request was sent";
     AnswerMalformed, "answer-malformed", 502, Unknown, None, Warn, "the target's answer could not be read";
+    AnswerAmbiguous, "answer-ambiguous", 502, Unknown, None, Warn, "the target refused the request without saying that it did not run it";
     AnswerUnheld, "answer-unheld", 502, Unknown, None, Warn, "the target's answer was larger than expected and no longer fitted into the memory of this VM";
     Internal, "internal", 500, Unknown, None, Warn, "a fault of the router itself: report it with the log line";
 }
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_balance::TargetOutcome;
-use nickellead_core::Timestamp;
+use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
@@ -46,6 +46,12 @@
             log_retry(incoming, target, reason);
         }
         match result {
+            // Only the target can tell callers that the request did not run, and it did not.
+            AttemptResult::Responded(response)
+                if response.is_unmarked_refusal() && !is_repeatable(incoming) =>
+            {
+                NextStep::Fail(ErrorKind::AnswerAmbiguous)
+            }
             AttemptResult::Responded(response) if response.status.is_server_error() => {
                 after_failure(incoming, attempts, response)
             }
