A test that fails: 429 for a request that another VM had sent

A VM that reaches no target hands a request to another VM, which sends it and acknowledges it late. The VM pays for a repeat, goes on with attempts of its own, and first takes a token of the workspace's quota. Without one it answers 429, the promise that the request did not run.

--- a/crates/nickellead_gateway/tests/cut_off_vms.rs
+++ b/crates/nickellead_gateway/tests/cut_off_vms.rs
@@ -14,7 +14,9 @@
 use common::target::{Behavior, TestTarget, header};
 use common::target_link::{CutManner, TargetLink};
 use common::{TestGateway, declarations, exchange, wait_until};
-use nickellead_gateway::{Declarations, KeyDigest, OwnershipSettings, WorkspaceRule};
+use nickellead_gateway::{
+    Declarations, KeyDigest, OwnershipSettings, QuotaSettings, WorkspaceQuota, WorkspaceRule,
+};
 use nickellead_range::OrderKind;
 
 /// Time from the beginning of a cut after which callers must be served.
@@ -24,6 +26,25 @@
 /// Time in which a request that can't be served is refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(150);
 
+/// Above the time within which another VM has to acknowledge a request that may be repeated.
+const LATE: Duration = Duration::from_millis(300);
+/// Time after which the quota of [`SLOW_QUOTA`] allows one more request.
+const TOKEN_TIME: Duration = Duration::from_millis(1_100);
+const SLOW_QUOTA: WorkspaceQuota = WorkspaceQuota { rate: 1.0, burst: 1.0 };
+/// Requests of a test that are lost at the other VM.
+const LOST_REQUESTS: usize = 5;
+
+/// A workspace with this key.
+fn workspace(key: &str, quota: Option<WorkspaceQuota>) -> Arc<WorkspaceRule> {
+    let keys = [KeyDigest::of(key.as_bytes())].into();
+    Arc::new(WorkspaceRule { keys, priority: None, quota, regions: None })
+}
+
+/// Whether a response promises that its request did not run.
+fn is_promise(response: &str) -> bool {
+    matches!(response.split(' ').nth(1), Some("408" | "421" | "429" | "503"))
+}
+
 /// Sends requests of all kinds to the first VM, one each `interval`, for this time. Returns those that
 /// were not served.
 fn send_for(fleet: &CutFleet, name: &str, interval: Duration, time: Duration) -> Vec<String> {
@@ -209,18 +230,54 @@
     assert_eq!(fleet.targets[0].requests().len(), 1);
 }
 
+/// A request that the other VM had sent, and acknowledged late, was refused with 429 when this VM had no
+/// token to send it again: the promise that it had not run was false.
+#[test]
+fn a_request_lost_at_the_other_vm_is_not_refused_by_the_quota() {
+    let fleet = CutFleet::start_with("spent", |settings| {
+        settings.quota = QuotaSettings { window_s: 2.0, overage: 0.0, slack: 0.0 };
+        settings.retry_ratio = 1.0;
+        settings.retry_burst = 1_000.0;
+    });
+    let workspaces = Some(
+        [
+            ("free".to_owned(), workspace("free", None)),
+            ("limited".to_owned(), workspace("limited", Some(SLOW_QUOTA))),
+        ]
+        .into(),
+    );
+    fleet.store.declare(Declarations { workspaces, ..declarations(2) });
+    let gateway = &fleet.cut_off.gateway;
+    let send =
+        |key: &str| gateway.send("GET", "/read/a", &format!("authorization: Bearer {key}\r\n"));
+    wait_until("the keys are in force", || send("free").contains(" 200 "));
+    fleet.cut(CutManner::Reset);
+    wait_until("requests are served elsewhere", || {
+        send("free").contains(" 200 ") && gateway.metric("nickellead_vm_cut_off") == 1.0
+    });
+    // Each of these requests lets one more be repeated.
+    (0..LOST_REQUESTS * 2).for_each(|_| assert!(send("free").contains(" 200 ")));
+    let mut ran = 0;
+    for _ in 0..LOST_REQUESTS {
+        fleet.connected.link.set_delay(Duration::ZERO);
+        std::thread::sleep(TOKEN_TIME);
+        wait_until("the other VM is asked again", || send("free").contains(" 200 "));
+        let before = fleet.targets[0].arrivals().len();
+        fleet.connected.link.set_delay(LATE);
+        let response = send("limited");
+        let arrivals = fleet.targets[0].arrivals().len() - before;
+        ran += arrivals;
+        assert!(arrivals == 0 || !is_promise(&response), "ran {arrivals} times: {response}");
+    }
+    assert!(ran > 0, "no request reached the target");
+}
+
 /// Guards the keys of workspaces: the VM that serves a request in place of another checks its key, and
 /// targets see the workspace instead of the key.
 #[test]
 fn the_key_of_a_request_is_checked_by_the_vm_that_serves_it() {
     let fleet = CutFleet::start("key");
-    let rule = WorkspaceRule {
-        keys: [KeyDigest::of(b"key-of-alpha")].into(),
-        priority: None,
-        quota: None,
-        regions: None,
-    };
-    let workspaces = Some([("alpha".to_owned(), Arc::new(rule))].into());
+    let workspaces = Some([("alpha".to_owned(), workspace("key-of-alpha", None))].into());
     fleet.store.declare(Declarations { workspaces, ..declarations(2) });
     fleet.cut(CutManner::Reset);
     let send = |key: &str| {
