A request that may have run is never called refused, however it ends

What callers saw: 429 for a repeatable request that another VM had sent to a target. Cause: whether an attempt may have run was looked at by each return of the attempt loop by itself (finish). Three returns before the loop did not: no memory, no token of the quota, no service. They are reached with a lost attempt when another VM took the request and did not acknowledge it in time. Change: the loop and the hand-over return plain reasons; serve() alone turns a reason into the end of the request, so that no return can bypass it. Same class as 'no sign that it ran taken for a proof that it did not'. Requests that may run once were not concerned: they are not repeated after a lost hand-over (Err at once).

--- a/crates/nickellead_gateway/src/worker/assisting.rs
+++ b/crates/nickellead_gateway/src/worker/assisting.rs
@@ -7,7 +7,6 @@
 use nickellead_core::ErrorKind;
 use nickellead_event::{EventName, log_event};
 
-use super::attempts::finish;
 use super::repeat_cause::RepeatCause;
 use super::{AttemptState, RESPONSE_RETURN_RESERVE, RequestWorker};
 use crate::RepeatClass;
@@ -81,7 +80,7 @@
             let Ok(held) =
                 self.memory.admit(self.memory.reservation(&incoming.route.response_size))
             else {
-                return Some(finish(attempts, ErrorKind::MemoryFull));
+                return Some(Err(ErrorKind::MemoryFull));
             };
             let facts = self.assist_facts(incoming, attempts);
             let end = client.assist(address, &facts, &incoming.outgoing, held).await;
@@ -95,7 +94,7 @@
                 AssistEnd::Failed(kind, _) if is_peculiar_to_vm(kind) => {}
                 AssistEnd::Failed(kind, retry_after) => {
                     incoming.assisted_retry_after.set(retry_after);
-                    return Some(finish(attempts, kind));
+                    return Some(Err(kind));
                 }
                 AssistEnd::Declined => {}
                 AssistEnd::Lost(reason) => {
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -29,14 +29,17 @@
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
         let mut attempts = AttemptState::default();
-        if let Some(served) = self.hand_over(incoming, &mut attempts).await {
-            return served;
-        }
-        let served = self.serve_attempts(incoming, &mut attempts).await;
+        let served = match self.hand_over(incoming, &mut attempts).await {
+            Some(served) => served,
+            None => self.serve_attempts(incoming, &mut attempts).await,
+        };
         self.give_back_token(incoming, &mut attempts);
-        served
+        served.or_else(|kind| attempts.finish(kind))
     }
 
+    /// Makes attempts until one succeeds.
+    ///
+    /// # Errors Why no further one is made; an earlier one may have run.
     async fn serve_attempts(
         &self,
         incoming: &IncomingRequest,
@@ -61,13 +64,11 @@
                 Ok(selected) => selected,
                 // The VM was found to be cut off while the request waited.
                 Err(_) if self.must_hand_over(incoming, attempts) => continue,
-                Err(kind) => return finish(attempts, kind),
+                Err(kind) => return Err(kind),
             };
             // The request may have waited for longer than its token is valid.
             let has_token = self.ensure_token(incoming, attempts);
-            if let Err(kind) = self.until_drain_end(has_token).await.flatten() {
-                return finish(attempts, kind);
-            }
+            self.until_drain_end(has_token).await.flatten()?;
             let target = Rc::clone(selected.target());
             let sending = self.send_to(incoming, &weighted.service, selected, attempts);
             let (end, latency) = match self.until_drain_end(sending).await {
@@ -76,21 +77,21 @@
                     attempts.undispatched = true;
                     continue;
                 }
-                Ok(SendEnd::Refused) => return finish(attempts, ErrorKind::Overloaded),
+                Ok(SendEnd::Refused) => return Err(ErrorKind::Overloaded),
                 Err(kind) => {
                     attempts.may_have_run = true;
                     attempts.token = None;
-                    return finish(attempts, kind);
+                    return Err(kind);
                 }
             };
             self.apply_signals(&weighted.service, &target, end.signals, end.sent_at);
             match self.next_step(incoming, &target, attempts, end, latency) {
                 NextStep::Done(response) => return Ok(response),
-                NextStep::Fail(kind) => return finish(attempts, kind),
+                NextStep::Fail(kind) => return Err(kind),
                 NextStep::Retry => {}
             }
             if self.owner_is_paused(&weighted.service, &target) {
-                return finish(attempts, ErrorKind::TargetPaused);
+                return Err(ErrorKind::TargetPaused);
             }
             if attempts.sent == 0 {
                 self.wait_for_check(incoming).await;
@@ -99,8 +100,7 @@
                 }
             }
             if !self.take_retry_permit(incoming, &weighted.service, attempts) {
-                let kind = attempts.refusal_kind();
-                return finish(attempts, kind);
+                return Err(attempts.refusal_kind());
             }
             self.metrics.retries.inc();
         }
@@ -119,7 +119,7 @@
             Err(kind) => {
                 // The other VM may have sent it.
                 attempts.may_have_run = true;
-                Some(finish(attempts, kind))
+                Some(Err(kind))
             }
         }
     }
@@ -294,20 +294,16 @@
             _ => ErrorKind::TargetBusy,
         }
     }
-}
 
-/// Ends a request without a successful response: with an error response of a target if there is
-/// one, and otherwise with `kind`.
-pub(super) fn finish(
-    attempts: &mut AttemptState,
-    kind: ErrorKind,
-) -> Result<TargetResponse, ErrorKind> {
-    if let Some(response) = attempts.response.take() {
-        return Ok(response);
+    /// Ends a request without a successful response: with an error response of a target if there is
+    /// one, and otherwise with `kind`.
+    ///
+    /// `NotRun` is reported only when no target may have run the request.
+    fn finish(self, kind: ErrorKind) -> Result<TargetResponse, ErrorKind> {
+        let refused = kind.response().outcome == OutcomeClass::NotRun;
+        let kind = if refused && self.may_have_run { ErrorKind::AnswerLost } else { kind };
+        self.response.ok_or(kind)
     }
-    let refused = kind.response().outcome == OutcomeClass::NotRun;
-    // `NotRun` is reported only when no target may have run the request.
-    Err(if refused && attempts.may_have_run { ErrorKind::AnswerLost } else { kind })
 }
 
 /// Records an attempt as abandoned if it is dropped before it ends, as when the caller disconnects.
