A test that fails: nickellead run calls a request not run after a lost attempt

A repeatable request is sent, runs, and its connection ends without the response. It is sent again and refused by the target as busy. The caller gets that last refusal: 503, 'nickellead-outcome: not-run'.

--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
         r#"{"zones": ["zone-a"], "shards": 1, "key": {"from": "path", "segment": 2},
             "body_limit": 64,
             "operations": [{"name": "book", "method": "POST", "repeat": "once",
+                            "deadline_ms": 400},
+                           {"name": "list", "method": "GET", "repeat": "repeatable",
                             "deadline_ms": 400}]}"#,
     );
     let target_spec = format!(
@@ -318,6 +321,26 @@
     assert_eq!((status.as_u16(), &body[..]), (200, &b"hello"[..]));
 }
 
+/// A repeatable request that was lost, and refused when it was sent again, was called not run: the target
+/// had run it.
+#[test]
+fn a_request_that_may_have_run_is_not_called_refused_after_another_attempt() {
+    let is_first = AtomicBool::new(true);
+    let (target, _requests) = raw_target(Box::new(move |stream, request| {
+        if is_first.swap(false, Ordering::Relaxed) {
+            // It ran, and the connection ends without the response.
+            return;
+        }
+        let refusal = complete_response(request)
+            .replace("200 OK", "503 Busy\r\nnickellead-refused: busy\r\nconnection: close");
+        let _ = stream.write_all(refusal.as_bytes());
+    }));
+    let list = "GET /boards/list/key-1 HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n";
+    let response = send(router(target), list);
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert!(response.contains("nickellead-outcome: unknown"), "{response}");
+}
+
 /// Runs a target that refuses the first request, sends that refusal once more in place of the next response,
 /// and runs all other requests for a while.
 fn target_that_refuses_twice() -> SocketAddr {
