nickellead run: a request that may have run is not called refused

What callers saw: 503 with 'nickellead-outcome: not-run' for a repeatable request whose first attempt had run and was lost, if the second one was refused, or no owner was found for it. Operations with repeat 'once' were not concerned, as they are not sent again after a lost attempt. Change: send_until_done keeps whether the outcome of an attempt was unknown, and turns any 'not run' after it into answer-lost, for all returns at once.

--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -181,7 +181,26 @@
     }
 
     /// Sends a request until an owner responds or no further attempt is allowed.
+    ///
+    /// The outcome of an error is "not run" only if no attempt may have run.
     async fn send_until_done(&self, state: &RequestState<'_>) -> Result<TargetResponse, ErrorKind> {
+        let mut may_have_run = false;
+        let sent = self.send_attempts(state, &mut may_have_run).await;
+        sent.map_err(|kind| match kind.response().outcome {
+            OutcomeClass::NotRun if may_have_run => ErrorKind::AnswerLost,
+            OutcomeClass::NotRun | OutcomeClass::Unknown => kind,
+        })
+    }
+
+    /// Makes attempts until one succeeds; sets `may_have_run` once the outcome of one is unknown.
+    ///
+    /// # Errors
+    /// Why no further one is made.
+    async fn send_attempts(
+        &self,
+        state: &RequestState<'_>,
+        may_have_run: &mut bool,
+    ) -> Result<TargetResponse, ErrorKind> {
         let mut attempt = 0;
         loop {
             let choice = self.wait_for_owner(state).await?;
@@ -189,6 +208,7 @@
                 Ok(response) => return Ok(response),
                 Err(kind) => kind,
             };
+            *may_have_run |= kind.response().outcome == OutcomeClass::Unknown;
             attempt += 1;
             if !self.may_retry(state, kind, attempt) {
                 return Err(kind);
