No request runs behind the last response of its connection

What callers saw: two requests sent at once on a connection, while the VM was stopping; the first response says 'connection: close', and the second request runs all the same. A caller stops reading there, takes the second one for unread, and may send it again: it runs twice, also if it may run only once. Cause: the HTTP server (actix-http) goes on with the requests that it has read, whatever the response before them said; RFC 9112, 9.6 forbids it. Change: a connection remembers that a response closed it (ConnectionEnd); what follows is refused as 'stopping' and not handed on. It holds for all ways to close: a stopping VM, a request that asks for it, a body that was not read. HTTP/2 is not concerned.

--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! bounded ring. Workers share only counters.
 
 mod caller_stream;
+mod connection_end;
 mod deadline;
 mod error_response;
 mod exchange;
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -11,12 +11,15 @@
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
+use nickellead_core::ErrorKind;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::caller_stream::CallerStream;
+use crate::connection_end::ConnectionEnd;
+use crate::error_response::error_response;
 use crate::held_response::{UnsentBytes, count_held};
 
 /// Maximum number of connections in the listen backlog.
@@ -163,13 +166,23 @@
         .on_connect_ext(|stream: &CallerStream, data| {
             if let Some(unsent) = stream.unsent() {
                 data.insert(unsent.clone());
+                data.insert(ConnectionEnd::default());
             }
         })
         .finish(fn_service(move |request: Request| {
             let unsent = request.conn_data::<UnsentBytes>().cloned();
-            let response = handler(request);
+            let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
+            let is_last = request.head().connection_type() == ConnectionType::Close;
+            let response = (!end.is_announced()).then(|| handler(request));
             let state = Arc::clone(&shared);
-            async move { Ok::<_, Infallible>(respond(response, unsent, &state).await) }
+            async move {
+                let Some(response) = response else { return Ok(refuse_after_last()) };
+                let response = respond(response, unsent, &state).await;
+                if is_last || response.head().connection_type() == ConnectionType::Close {
+                    end.announce();
+                }
+                Ok::<_, Infallible>(response)
+            }
         }));
     // This only fails outside a runtime, and this function runs inside one.
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
@@ -225,6 +238,13 @@
     })
 }
 
+/// Refuses a request that followed the last one of its connection.
+fn refuse_after_last() -> Response<BoxBody> {
+    let mut response = error_response(ErrorKind::Stopping);
+    response.head_mut().set_connection_type(ConnectionType::Close);
+    response
+}
+
 async fn respond<F>(
     response: F,
     unsent: Option<UnsentBytes>,
