--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cut_fleet;
 pub mod dispatch_fleet;
+pub mod endless_target;
 pub mod link;
 pub mod ownership;
 pub mod seeds;
