Heads of targets are bounded, informational ones included

Callers saw 504 a second after their deadline, and the VM's thread did nothing but read: the HTTP client skips informational heads (1xx) without a bound, and its task does not yield while bytes keep coming.

What is read between a request and the head of its response is bounded by 256 KB: a head (64 KB, four times what callers may send by default), two reads of the body ahead of it, and informational heads. A head itself is bounded by the client's read buffer, which is set to 64 KB instead of the client's 417 KB. The connection fails when the bound is reached. Such an attempt, and one whose bytes are no head, ends as `malformed`: 502, unknown, repeated if the request may be, counted against the target. It does not suggest that this VM is cut off, as a broken connection does. Orders use the same connections.

--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -7,8 +7,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -16,12 +18,17 @@
 use crate::RepeatClass;
 
 mod carried_ids;
+mod leading_bytes;
 
 use carried_ids::CarriedIds;
 pub(crate) use carried_ids::IdDigest;
+use leading_bytes::{BoundedStream, LeadingBytes, MAX_HEAD_BYTES};
 
 /// Sends requests over one connection.
-pub(crate) type RequestSender = http1::SendRequest<Full<Bytes>>;
+type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+/// A failed request; the request itself if not a byte of it was sent.
+pub(crate) type SendFailure = TrySendError<Request<Full<Bytes>>>;
 
 /// Longest time that a connection stays idle in the pool, below the usual idle timeout of targets.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(8_500);
@@ -42,7 +49,7 @@
 
 /// A connection on which a request can be sent.
 pub(crate) struct ReadyConnection {
-    pub(crate) sender: RequestSender,
+    stream: OpenStream,
     /// Whether an earlier request used it.
     pub(crate) reused: bool,
     /// Ids of the requests that used it.
@@ -50,8 +57,24 @@
 }
 
 impl ReadyConnection {
-    fn new(sender: RequestSender) -> Self {
-        Self { sender, reused: false, carried: CarriedIds::default() }
+    fn new(stream: OpenStream) -> Self {
+        Self { stream, reused: false, carried: CarriedIds::default() }
+    }
+
+    /// Sends a request and waits for the head of its response.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        self.stream.leading.start();
+        let response = self.stream.sender.try_send_request(request).await?;
+        self.stream.leading.end();
+        Ok(response)
+    }
+
+    /// Whether a request failed because what the target sent is no head, or more than a head may be.
+    pub(crate) fn is_head_malformed(&self, failure: &SendFailure) -> bool {
+        self.stream.leading.is_exhausted() || failure.error().is_parse()
     }
 
     /// Records that a request with this id is sent.
@@ -60,8 +83,14 @@
     }
 }
 
-struct IdleConnection {
+/// An open connection to a target.
+struct OpenStream {
     sender: RequestSender,
+    leading: LeadingBytes,
+}
+
+struct IdleConnection {
+    stream: OpenStream,
     carried: CarriedIds,
     since: Instant,
     idle_timeout: Duration,
@@ -173,7 +202,7 @@
                 .set(self.consecutive_timeouts.get().saturating_add(u32::from(is_full_timeout))),
         }
         match opened {
-            Ok(Ok(sender)) => Ok(ReadyConnection::new(sender)),
+            Ok(Ok(stream)) => Ok(ReadyConnection::new(stream)),
             Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
             Err(_) => Err(ConnectFailure::TimedOut),
         }
@@ -187,9 +216,9 @@
     ) -> Result<(), ConnectFailure> {
         self.record_opening();
         match tokio::time::timeout(timeout, open(address, self.close)).await {
-            Ok(Ok(sender)) => {
+            Ok(Ok(stream)) => {
                 self.consecutive_timeouts.set(0);
-                self.put(ReadyConnection::new(sender), None);
+                self.put(ReadyConnection::new(stream), None);
                 Ok(())
             }
             Ok(Err(error)) => Err(ConnectFailure::from(error.kind())),
@@ -222,27 +251,27 @@
             RepeatClass::Unsafe => MAX_IDLE_TIME_UNSAFE,
         };
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|one| one.since.elapsed() < one.idle_timeout && !one.sender.is_closed());
+        idle.retain(|one| one.since.elapsed() < one.idle_timeout && !one.stream.sender.is_closed());
         // The most recent ones are at the end; one whose response was just read may not be ready
         // yet.
         let is_usable = |one: &IdleConnection| {
             let has_carried = id.is_some_and(|id| one.carried.contains(id));
-            one.sender.is_ready() && one.since.elapsed() < max_idle && !has_carried
+            one.stream.sender.is_ready() && one.since.elapsed() < max_idle && !has_carried
         };
         let index = idle.iter().rposition(is_usable)?;
-        let IdleConnection { sender, carried, .. } = idle.remove(index);
-        Some(ReadyConnection { sender, reused: true, carried })
+        let IdleConnection { stream, carried, .. } = idle.remove(index);
+        Some(ReadyConnection { stream, reused: true, carried })
     }
 
     /// Returns a connection on which nothing was sent, or after a complete response to what was sent.
     ///
     /// `idle_timeout` is the target's idle timeout, if it sent one.
     pub(crate) fn put(&self, connection: ReadyConnection, idle_timeout: Option<Duration>) {
-        let ReadyConnection { sender, carried, .. } = connection;
+        let ReadyConnection { stream, carried, .. } = connection;
         let idle_timeout = idle_timeout.map_or(MAX_IDLE_TIME, |idle_timeout| {
             idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN).min(MAX_IDLE_TIME)
         });
-        let idle = IdleConnection { sender, carried, since: Instant::now(), idle_timeout };
+        let idle = IdleConnection { stream, carried, since: Instant::now(), idle_timeout };
         self.idle.borrow_mut().push(idle);
     }
 
@@ -257,7 +286,7 @@
     }
 }
 
-async fn open(address: SocketAddr, close: CloseMode) -> std::io::Result<RequestSender> {
+async fn open(address: SocketAddr, close: CloseMode) -> std::io::Result<OpenStream> {
     let stream = TcpStream::connect(address).await?;
     // Both options only reduce latency, so errors are ignored.
     let _ = stream.set_nodelay(true);
@@ -265,13 +294,15 @@
     if close == CloseMode::Reset {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     }
-    let handshake = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
+    let leading = LeadingBytes::default();
+    let io = TokioIo::new(BoundedStream::new(stream, leading.clone()));
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     actix_rt::spawn(async move {
         // Requests get the error through their senders; an idle connection is just closed.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(OpenStream { sender, leading })
 }
 
 /// A connection pool that is shared by the requests to one target.
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -159,7 +159,8 @@
             AttemptResult::Withheld | AttemptResult::Forbidden(_) => Self::Withheld,
             AttemptResult::Lost(LossReason::Late) => Self::LostLate,
             AttemptResult::Lost(LossReason::Broken | LossReason::Dispatcher) => Self::LostBroken,
-            AttemptResult::Lost(LossReason::Foreign) => Self::LostForeign,
+            // VMs of an earlier version know no other name for a response that is no answer.
+            AttemptResult::Lost(LossReason::Foreign | LossReason::Malformed) => Self::LostForeign,
             AttemptResult::Lost(LossReason::NoMemory) => Self::LostUnheld,
         }
     }
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 use nickellead_limit::HeldBytes;
 use nickellead_time::BootClock;
 
-use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SharedPool};
+use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SendFailure, SharedPool};
 use crate::registered_target::RegisteredTarget;
 use crate::response_body::read_response_body;
 use crate::response_signals::ResponseSignals;
@@ -108,6 +108,8 @@
     Broken,
     /// The response has another id or none, or was not made by a target.
     Foreign,
+    /// What came is no response, or its head or body is larger than it may be.
+    Malformed,
     /// The response did not fit into the memory of this VM.
     NoMemory,
     /// The dispatcher that the request was handed to was lost.
@@ -120,7 +122,7 @@
         match self {
             Self::Late => ErrorKind::AnswerLate,
             Self::Broken | Self::Dispatcher => ErrorKind::AnswerLost,
-            Self::Foreign => ErrorKind::AnswerMalformed,
+            Self::Foreign | Self::Malformed => ErrorKind::AnswerMalformed,
             Self::NoMemory => ErrorKind::AnswerUnheld,
         }
     }
@@ -130,6 +132,7 @@
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Malformed => "malformed",
             Self::NoMemory => "no-memory",
             Self::Dispatcher => "dispatcher-lost",
         }
@@ -167,7 +170,7 @@
         }
         let request = build_request(names, outgoing, plan, permission, remaining(plan.deadline));
         connection.record_sent(id);
-        let sending = connection.sender.try_send_request(request);
+        let sending = connection.send(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
         match sent {
             Err(_) => return AttemptResult::Lost(LossReason::Late).into(),
@@ -178,7 +181,7 @@
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
-                    return AttemptResult::Lost(LossReason::Broken).into();
+                    return AttemptResult::Lost(failure_reason(&connection, &error)).into();
                 }
                 plan.target.return_token(BootClock.now());
                 // The idle connection was already closed and nothing was sent: use another one.
@@ -190,6 +193,14 @@
     }
 }
 
+/// Why a request that was sent has no response.
+fn failure_reason(connection: &ReadyConnection, failure: &SendFailure) -> LossReason {
+    match connection.is_head_malformed(failure) {
+        true => LossReason::Malformed,
+        false => LossReason::Broken,
+    }
+}
+
 fn build_request(
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
--- a/crates/nickellead_gateway/src/order_client.rs
+++ b/crates/nickellead_gateway/src/order_client.rs
@@ -20,7 +20,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::RepeatClass;
-use crate::connections::{CloseMode, ConnectionPool, RequestSender, SharedPool};
+use crate::connections::{CloseMode, ConnectionPool, ReadyConnection, SharedPool};
 
 /// Most bytes of a response body; only the head is used.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
@@ -83,7 +83,7 @@
             request.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let result = tokio::time::timeout(remaining, call(&mut connection.sender, request)).await;
+        let result = tokio::time::timeout(remaining, call(&mut connection, request)).await;
         let result = result.unwrap_or(Err(CallFailure::Unanswered));
         match &result {
             Ok((status, _)) if connection_use == ConnectionUse::Shared && status.is_success() => {
@@ -108,10 +108,10 @@
 
 /// Sends a request, reads the complete response and returns its head.
 async fn call(
-    sender: &mut RequestSender,
+    connection: &mut ReadyConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, HeaderMap), CallFailure> {
-    let sent = sender.try_send_request(request).await;
+    let sent = connection.send(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
         Some(_) => CallFailure::NotSent,
         None => CallFailure::Broken,
