Bodies without a declared length are bounded by what a small VM can hold

Callers of honest targets got 503, memory full: a body without end was read up to 16 MB, so that a few of them filled the memory of a VM; such an attempt then ended for lack of memory, which is held against no target, so that these kept getting requests. Chunks of one byte each cost more memory (a handle of 32 bytes, not counted as held) and processor time than their byte, until the deadline.

A body without a declared length may have 1 MB on a route whose responses are not large, a fiftieth of what a VM of 160 MB holds (a third of its memory); 16 MB as before on a route with large responses, and with a declared length. A declared length beyond that ends the attempt at once. A chunk counts as at least 128 bytes, and chunks are joined as they come. A body beyond its bound is `malformed`: 502, unknown, repeated if the request may be, held against the target, connection closed.

Not served any more: a response of more than 1 MB without a length, or of more than 8,192 chunks, on a route that is not declared to have large ones.

--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -35,6 +35,7 @@
 use crate::log_sample::is_logged;
 use crate::metrics::GatewayMetrics;
 use crate::registered_target::RegisteredTarget;
+use crate::response_body::ResponseScale;
 use crate::response_signals::ResponseSignals;
 use crate::worker::RequestWorker;
 
@@ -340,6 +341,8 @@
         let plan = AttemptPlan {
             target,
             repeat: RepeatClass::Safe,
+            // Requests of routes with large responses are not forwarded.
+            scale: ResponseScale::Usual,
             leaving_window: self.context.leaving_window,
             deadline: deadline.checked_sub(RETURN_RESERVE).unwrap_or(deadline),
             permit: &permit,
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SendFailure, SharedPool};
 use crate::registered_target::RegisteredTarget;
-use crate::response_body::read_response_body;
+use crate::response_body::{ResponseScale, read_response_body};
 use crate::response_signals::ResponseSignals;
 use crate::{HeaderNames, RepeatClass};
 
@@ -30,6 +30,8 @@
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) target: &'a RegisteredTarget,
     pub(crate) repeat: RepeatClass,
+    /// How large the responses of the route are.
+    pub(crate) scale: ResponseScale,
     /// How long the target still gets requests after it signalled that it is leaving.
     pub(crate) leaving_window: Duration,
     /// When the attempt times out.
@@ -289,7 +291,7 @@
     let shed = head.headers.contains_key(names.not_run);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let reading = read_response_body(body, &mut held);
+    let reading = read_response_body(body, plan.scale, &mut held);
     let read = tokio::time::timeout(remaining, reading).await.unwrap_or(Err(LossReason::Late));
     let body = match read {
         Err(reason) => return unless_refused(shed, misdirected, reason),
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
 use crate::incoming::IncomingRequest;
 use crate::registered_target::{InFlightGuard, RegisteredTarget};
+use crate::response_body::ResponseScale;
 
 /// Maximum number of attempts that fail before anything is sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -231,6 +232,7 @@
         let plan = AttemptPlan {
             target,
             repeat: incoming.route.rule.repeat,
+            scale: ResponseScale::of(&incoming.route.rule),
             leaving_window: self.leaving_window,
             deadline: until,
             permit: &permit,
