A refusal does not wait for its body

Callers whose request was refused waited until their deadline, or while 16 MB were read, if the refusal's body had no end: the body was read like that of an answer, though a refusal is valid without it.

The body of a refusal is read only to use the connection again: 16 KB, 25 ms at most; then the connection is closed. The refusal is passed on, or the request sent to another target, at once.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SendFailure, SharedPool};
 use crate::registered_target::RegisteredTarget;
-use crate::response_body::{ResponseScale, read_response_body};
+use crate::response_body::{ResponseScale, drain_refusal, read_response_body};
 use crate::response_signals::ResponseSignals;
 use crate::{HeaderNames, RepeatClass};
 
@@ -288,33 +288,31 @@
     (head, body): (Parts, Incoming),
     mut held: HeldBytes,
 ) -> AttemptResult {
-    let shed = head.headers.contains_key(names.not_run);
-    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if let Some(refusal) = read_refusal(names, &head) {
+        // A refusal is valid without its body.
+        if drain_refusal(body).await {
+            return_connection(&plan.target.pool, connection, &head.headers);
+        }
+        return refusal;
+    }
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
     let reading = read_response_body(body, plan.scale, &mut held);
     let read = tokio::time::timeout(remaining, reading).await.unwrap_or(Err(LossReason::Late));
     let body = match read {
-        Err(reason) => return unless_refused(shed, misdirected, reason),
+        Err(reason) => return AttemptResult::Lost(reason),
         Ok(body) => body,
     };
     return_connection(&plan.target.pool, connection, &head.headers);
-    if misdirected {
-        return AttemptResult::Misdirected;
-    }
-    if shed {
-        return AttemptResult::Shed;
-    }
     let (status, headers) = (head.status, head.headers);
     AttemptResult::Responded(TargetResponse { status, headers, body, held })
 }
 
-/// A refusal is valid even if its body is truncated.
-fn unless_refused(shed: bool, misdirected: bool, reason: LossReason) -> AttemptResult {
-    match (misdirected, shed) {
-        (true, _) => AttemptResult::Misdirected,
-        (false, true) => AttemptResult::Shed,
-        (false, false) => AttemptResult::Lost(reason),
+/// The refusal that a response to this request is, if it is one.
+fn read_refusal(names: &HeaderNames, head: &Parts) -> Option<AttemptResult> {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(AttemptResult::Misdirected);
     }
+    head.headers.contains_key(names.not_run).then_some(AttemptResult::Shed)
 }
 
 fn return_connection(pool: &SharedPool, connection: ReadyConnection, headers: &HeaderMap) {
--- a/crates/nickellead_gateway/src/response_body.rs
+++ b/crates/nickellead_gateway/src/response_body.rs
@@ -1,5 +1,7 @@
 //! Reading the body of a target's response into memory.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -17,6 +19,11 @@
 /// A chunk of a body without a declared length counts as at least this many bytes, because each takes
 /// processor time.
 const MIN_CHUNK_BYTES: usize = 128;
+/// Most bytes of a refusal's body, which is read only to use the connection again.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// How long a refusal waits for its body, which usually comes with the head.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(25);
+
 /// How large the responses of a route are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ResponseScale {
@@ -100,6 +107,23 @@
     Ok(whole.freeze())
 }
 
+/// Reads the body of a refusal and drops it; returns whether the connection can be used again.
+pub(crate) async fn drain_refusal(mut body: Incoming) -> bool {
+    let draining = async {
+        let mut bytes = 0;
+        while bytes <= MAX_REFUSAL_BYTES {
+            match next_chunk(&mut body).await {
+                Ok(Some(chunk)) => bytes += chunk.len().max(MIN_CHUNK_BYTES),
+                Ok(None) => return true,
+                // Only the connection is lost.
+                Err(_) => return false,
+            }
+        }
+        false
+    };
+    tokio::time::timeout(REFUSAL_BODY_TIMEOUT, draining).await.unwrap_or(false)
+}
+
 /// The next bytes of a body; `None` after its end. Trailers are not forwarded.
 async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, LossReason> {
     while let Some(frame) = body.frame().await {
