--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -11,9 +11,9 @@
 use nickellead_limit::HeldBytes;
 use nickellead_time::BootClock;
 
-use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SharedPool};
+use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SendFailure, SharedPool};
 use crate::registered_target::RegisteredTarget;
-use crate::response_body::read_response_body;
+use crate::response_body::{ResponseScale, drain_refusal, read_response_body};
 use crate::response_signals::ResponseSignals;
 use crate::{HeaderNames, RepeatClass};
 
@@ -30,6 +30,8 @@
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) target: &'a RegisteredTarget,
     pub(crate) repeat: RepeatClass,
+    /// How large the responses of the route are.
+    pub(crate) scale: ResponseScale,
     /// How long the target still gets requests after it signalled that it is leaving.
     pub(crate) leaving_window: Duration,
     /// When the attempt times out.
@@ -135,6 +137,8 @@
     Broken,
     /// The response has another id or none, or was not made by a target.
     Foreign,
+    /// What came is no response, or its head or body is larger than it may be.
+    Malformed,
     /// The response did not fit into the memory of this VM.
     NoMemory,
     /// The dispatcher that the request was handed to was lost.
@@ -147,7 +151,7 @@
         match self {
             Self::Late => ErrorKind::AnswerLate,
             Self::Broken | Self::Dispatcher => ErrorKind::AnswerLost,
-            Self::Foreign => ErrorKind::AnswerMalformed,
+            Self::Foreign | Self::Malformed => ErrorKind::AnswerMalformed,
             Self::NoMemory => ErrorKind::AnswerUnheld,
         }
     }
@@ -157,6 +161,7 @@
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Malformed => "malformed",
             Self::NoMemory => "no-memory",
             Self::Dispatcher => "dispatcher-lost",
         }
@@ -194,7 +199,7 @@
         }
         let request = build_request(names, outgoing, plan, permission, remaining(plan.deadline));
         connection.record_sent(id);
-        let sending = connection.sender.try_send_request(request);
+        let sending = connection.send(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
         match sent {
             Err(_) => return AttemptResult::Lost(LossReason::Late).into(),
@@ -205,7 +210,7 @@
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
-                    return AttemptResult::Lost(LossReason::Broken).into();
+                    return AttemptResult::Lost(failure_reason(&connection, &error)).into();
                 }
                 plan.target.return_token(BootClock.now());
                 // The idle connection was already closed and nothing was sent: use another one.
@@ -217,6 +222,14 @@
     }
 }
 
+/// Why a request that was sent has no response.
+fn failure_reason(connection: &ReadyConnection, failure: &SendFailure) -> LossReason {
+    match connection.is_head_malformed(failure) {
+        true => LossReason::Malformed,
+        false => LossReason::Broken,
+    }
+}
+
 fn build_request(
     names: &HeaderNames,
     outgoing: &OutgoingRequest,
@@ -302,33 +315,31 @@
     (head, body): (Parts, Incoming),
     mut held: HeldBytes,
 ) -> AttemptResult {
-    let shed = head.headers.contains_key(names.not_run);
-    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if let Some(refusal) = read_refusal(names, &head) {
+        // A refusal is valid without its body.
+        if drain_refusal(body).await {
+            return_connection(&plan.target.pool, connection, &head.headers);
+        }
+        return refusal;
+    }
     let remaining = plan.deadline.saturating_duration_since(Instant::now());
-    let reading = read_response_body(body, &mut held);
+    let reading = read_response_body(body, plan.scale, &mut held);
     let read = tokio::time::timeout(remaining, reading).await.unwrap_or(Err(LossReason::Late));
     let body = match read {
-        Err(reason) => return unless_refused(shed, misdirected, reason),
+        Err(reason) => return AttemptResult::Lost(reason),
         Ok(body) => body,
     };
     return_connection(&plan.target.pool, connection, &head.headers);
-    if misdirected {
-        return AttemptResult::Misdirected;
-    }
-    if shed {
-        return AttemptResult::Shed;
-    }
     let (status, headers) = (head.status, head.headers);
     AttemptResult::Responded(TargetResponse { status, headers, body, held })
 }
 
-/// A refusal is valid even if its body is truncated.
-fn unless_refused(shed: bool, misdirected: bool, reason: LossReason) -> AttemptResult {
-    match (misdirected, shed) {
-        (true, _) => AttemptResult::Misdirected,
-        (false, true) => AttemptResult::Shed,
-        (false, false) => AttemptResult::Lost(reason),
+/// The refusal that a response to this request is, if it is one.
+fn read_refusal(names: &HeaderNames, head: &Parts) -> Option<AttemptResult> {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(AttemptResult::Misdirected);
     }
+    head.headers.contains_key(names.not_run).then_some(AttemptResult::Shed)
 }
 
 fn return_connection(pool: &SharedPool, connection: ReadyConnection, headers: &HeaderMap) {
