--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -12,6 +12,10 @@
     run_gateway_round, run_round,
 };
 
+/// Range of the fraction of requests that targets refuse with --surplus.
+const REFUSED: std::ops::Range<f64> = 0.05..0.5;
+/// Range of the fraction of responses that they send twice.
+const REPEATED: std::ops::Range<f64> = 0.05..0.5;
 /// Exit code if a round could not run.
 const EXIT_NOT_RUN: u8 = 2;
 
@@ -42,7 +46,7 @@
     /// with --gateways: part of the full load (default 1)
     #[argh(option, default = "1.0")]
     load: f64,
-    /// with --gateways: targets refuse a tenth of the requests and send one response in 17 twice
+    /// with --gateways: targets refuse some requests and send some responses twice; the seed tells how many
     #[argh(switch)]
     surplus: bool,
     /// keep the logs of clean rounds too
@@ -124,6 +128,23 @@
     Ok(report.is_clean())
 }
 
+/// How targets handle requests while no fault changes it.
+fn target_behavior(surplus: bool, seed: u64) -> TargetBehavior {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut fraction = |range: std::ops::Range<f64>| {
+        let fraction = range.start + (range.end - range.start) * rng.f64();
+        // As many digits as are printed.
+        (fraction * 1_000.0).round() / 1_000.0
+    };
+    match surplus {
+        true => TargetBehavior::RespondTwice {
+            refused: fraction(REFUSED),
+            repeated: fraction(REPEATED),
+        },
+        false => TargetBehavior::Serve,
+    }
+}
+
 /// Plays one round of gateways; returns whether it was clean.
 fn play_gateways(
     arguments: &SoakArguments,
@@ -136,15 +157,12 @@
         program: program.to_owned(),
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
-        target_behavior: match arguments.surplus {
-            true => TargetBehavior::RespondTwice { refused: 0.1, repeated: 1.0 / 17.0 },
-            false => TargetBehavior::Serve,
-        },
+        target_behavior: target_behavior(arguments.surplus, seed),
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
     };
     let report = run_gateway_round(&round)?;
-    print_gateways(seed, &report);
+    print_gateways(seed, round.target_behavior, &report);
     let repeated: Vec<String> =
         report.repeated.iter().map(|(at, id)| format!("{} {id}", at.as_millis())).collect();
     // The list only helps to trace a failed round.
@@ -172,11 +190,11 @@
     );
 }
 
-fn print_gateways(seed: u64, report: &GatewayReport) {
+fn print_gateways(seed: u64, behavior: TargetBehavior, report: &GatewayReport) {
     let load = &report.load;
     println!(
-        "seed={seed} clean={} faults={} cycle={:?} sent={} served={} tries={} statuses={:?} \
-         broken_promises={} run_twice={} surplus={}",
+        "seed={seed} clean={} targets={behavior:?} faults={} cycle={:?} sent={} served={} tries={} \
+         statuses={:?} broken_promises={} run_twice={} surplus={}",
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
