Stand-in targets: statuses of refusals for requests that ran, late copies, responses cut off or without length

Cause: targets of the rig refused with the header for requests that were not run, or not at all, and sent copies only in the next place. So no round could show whether a status alone is believed. Change: OddAnswer, for a fraction of the responses of a part of the targets, as a fault of the schedule: 503, 429, 408 with the proof and without the header for a request that was not run; a copy one to three places later, also of 421, also beside Connection: close; no length, then a close or a reset; cut off in the head or the body, refusals too; leaving, a pause, a limit. ResetWhenFull. The file odd of a round lists the unusual response to each request.

--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    ExcessWork, LoadReport, ServiceRepeats, TargetBehavior, run_callers,
+    ExcessWork, LoadReport, OddAnswer, ServiceRepeats, TargetBehavior, run_callers,
 };
 
 use super::fleet::GatewayFleet;
@@ -61,6 +61,8 @@
     pub repeats: Vec<ServiceRepeats>,
     /// Responses that targets sent twice, if another request came over their connections.
     pub surplus_responses: usize,
+    /// Unusual responses of targets, with the ids of their requests.
+    pub odd_answers: Vec<(String, OddAnswer)>,
     /// Work of targets beyond what callers wait for and routes allow.
     pub excess_work: ExcessWork,
     /// Requests that arrived more than once, with the time of each further arrival.
@@ -112,6 +114,7 @@
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
         surplus_responses: fleet.ledger.surplus_responses(),
+        odd_answers: fleet.ledger.odd_answers(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nickellead_adapter_standin::{StoreFault, TargetBehavior};
+use nickellead_adapter_standin::{OddAnswer, StoreFault, TargetBehavior};
 
 use super::processes::DutyCycle;
 use super::site::GatewaySite;
@@ -142,14 +142,20 @@
 }
 
 fn random_behavior(rng: &mut fastrand::Rng) -> TargetBehavior {
-    match rng.u8(..7) {
+    match rng.u8(..16) {
         0 => TargetBehavior::Shed,
         1 => TargetBehavior::Close,
         2 => TargetBehavior::LoseResponses(0.05 + 0.3 * rng.f64()),
         3 => TargetBehavior::Slow(2.0 + 4.0 * rng.f64()),
         4 => TargetBehavior::Fail(0.45),
         5 => TargetBehavior::Silent,
-        _ => TargetBehavior::Reset,
+        6 => TargetBehavior::Reset,
+        7 => TargetBehavior::ResetWhenFull,
+        _ => TargetBehavior::Odd {
+            refused: 0.5 * rng.f64(),
+            answer: OddAnswer::random(rng),
+            fraction: 0.05 + 0.45 * rng.f64(),
+        },
     }
 }
 
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -168,6 +168,9 @@
     // The list only helps to trace a failed round.
     let _ = std::fs::write(folder.join("repeated"), repeated.join("\n"));
     let _ = std::fs::write(folder.join("unpaid"), format!("{:#?}", report.unpaid));
+    let odd_answers: Vec<String> =
+        report.odd_answers.iter().map(|(id, answer)| format!("{id} {answer:?}")).collect();
+    let _ = std::fs::write(folder.join("odd"), odd_answers.join("\n"));
     let load = &report.load;
     let broken = format!("{:#?}\n{:#?}", load.broken_promises, load.run_twice);
     let _ = std::fs::write(folder.join("broken"), broken);
@@ -194,7 +197,7 @@
     let load = &report.load;
     println!(
         "seed={seed} clean={} targets={behavior:?} faults={} cycle={:?} sent={} served={} tries={} \
-         statuses={:?} broken_promises={} run_twice={} surplus={}",
+         statuses={:?} broken_promises={} run_twice={} surplus={} odd={}",
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
@@ -205,6 +208,7 @@
         load.broken_promises.len(),
         load.run_twice.len(),
         report.surplus_responses,
+        report.odd_answers.len(),
     );
     for (route, tally) in &load.routes {
         println!("  {route} sent={} served={}", tally.sent, tally.served);
--- a/crates/nickellead_soak/tests/schedules.rs
+++ b/crates/nickellead_soak/tests/schedules.rs
@@ -4,8 +4,9 @@
 use std::mem::discriminant;
 use std::time::Duration;
 
+use nickellead_adapter_standin::{OddAnswer, TargetBehavior};
 use nickellead_soak::{
-    FleetSize, GatewaySite, ScheduledGatewayFault, gateway_schedule, random_schedule,
+    FleetSize, GatewayFault, GatewaySite, ScheduledGatewayFault, gateway_schedule, random_schedule,
 };
 
 const SIZE: FleetSize = FleetSize { zones: 2, vms_per_zone: 3, targets_per_zone: 4 };
@@ -62,3 +63,30 @@
     let kinds: HashSet<_> = faults.map(|fault| discriminant(&fault.fault)).collect();
     assert_eq!(kinds.len(), 8);
 }
+
+/// The kinds of behavior and of unusual responses that the schedules of some seeds give targets.
+#[test]
+fn every_behavior_of_targets_and_every_unusual_response_is_generated() {
+    let site = GatewaySite { vms: 12, load: 1.0 };
+    let faults = (0..200).flat_map(|seed| gateway_schedule(seed, site, 60, DURATION).faults);
+    let behaviors: Vec<TargetBehavior> = faults
+        .filter_map(|scheduled| match scheduled.fault {
+            GatewayFault::Targets(_, behavior) => Some(behavior),
+            _ => None,
+        })
+        .collect();
+    let kinds: HashSet<_> = behaviors.iter().map(discriminant).collect();
+    assert_eq!(kinds.len(), 9);
+    let odd_answers = behaviors.iter().filter_map(|behavior| match behavior {
+        TargetBehavior::Odd { answer, .. } => Some(*answer),
+        _ => None,
+    });
+    let odd_answers: Vec<OddAnswer> = odd_answers.collect();
+    let kinds: HashSet<_> = odd_answers.iter().map(discriminant).collect();
+    assert_eq!(kinds.len(), 6);
+    let deliveries = odd_answers.iter().filter_map(|answer| match answer {
+        OddAnswer::Delivered(delivery) => Some(discriminant(delivery)),
+        _ => None,
+    });
+    assert_eq!(deliveries.collect::<HashSet<_>>().len(), 3);
+}
