--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -159,6 +159,9 @@
             GatewayFault::Targets(targets, behavior) => {
                 targets.iter().for_each(|target| self.targets.set_behavior(*target, *behavior));
             }
+            GatewayFault::Replace(targets) => {
+                targets.iter().for_each(|target| self.targets.replace(*target, &self.store));
+            }
             GatewayFault::Store(fault) => self.store.set_fault(*fault),
             GatewayFault::Load(factor) => {
                 self.load.send_replace(*factor);
@@ -179,7 +182,7 @@
                 }
             }
             GatewayFault::Pause(vms) => vms.iter().for_each(|vm| self.processes.end_pause(*vm)),
-            GatewayFault::Reload(_) => {}
+            GatewayFault::Reload(_) | GatewayFault::Replace(_) => {}
             GatewayFault::Links(vms, _) => {
                 vms.iter().for_each(|vm| self.links[vm].set(LinkFault::None));
             }
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -35,6 +35,8 @@
     Links(Vec<usize>, LinkFault),
     /// Targets behave in another way.
     Targets(Vec<usize>, TargetBehavior),
+    /// Targets end, and others of the next service start at their addresses at once.
+    Replace(Vec<usize>),
     /// The store.
     Store(StoreFault),
     /// Callers send this many times as much.
@@ -115,7 +117,7 @@
 
 fn random_fault(rng: &mut fastrand::Rng, site: GatewaySite, targets: usize) -> GatewayFault {
     let share = 0.1 + 0.5 * rng.f64();
-    match rng.u8(..10) {
+    match rng.u8(..11) {
         0 => GatewayFault::Kill(random_part(rng, 0..site.vms, share)),
         1 => GatewayFault::Restart(random_part(rng, 0..site.vms, 0.5 * share)),
         2 | 3 => GatewayFault::Pause(random_part(rng, 0..site.vms, share)),
@@ -129,6 +131,7 @@
             GatewayFault::Targets(random_part(rng, 0..targets, share), behavior)
         }
         8 => GatewayFault::Store(random_store_fault(rng)),
+        9 => GatewayFault::Replace(random_part(rng, 0..targets, 0.4 * share)),
         _ => GatewayFault::Load(1.7),
     }
 }
--- a/crates/nickellead_soak/tests/schedules.rs
+++ b/crates/nickellead_soak/tests/schedules.rs
@@ -61,7 +61,7 @@
     }
     let faults = (0..50).flat_map(|seed| schedule(seed).faults);
     let kinds: HashSet<_> = faults.map(|fault| discriminant(&fault.fault)).collect();
-    assert_eq!(kinds.len(), 8);
+    assert_eq!(kinds.len(), 9);
 }
 
 /// The kinds of behavior and of unusual responses that the schedules of some seeds give targets.
