--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -63,6 +63,8 @@
     pub surplus_responses: usize,
     /// Unusual responses of targets, with the ids of their requests.
     pub odd_answers: Vec<(String, OddAnswer)>,
+    /// Bytes sent of each response without end.
+    pub endless_responses: Vec<usize>,
     /// Work of targets beyond what callers wait for and routes allow.
     pub excess_work: ExcessWork,
     /// Requests that arrived more than once, with the time of each further arrival.
@@ -115,6 +117,7 @@
         repeats: fleet.ledger.judge(round.site.budget()),
         surplus_responses: fleet.ledger.surplus_responses(),
         odd_answers: fleet.ledger.odd_answers(),
+        endless_responses: fleet.ledger.endless_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -197,7 +197,7 @@
     let load = &report.load;
     println!(
         "seed={seed} clean={} targets={behavior:?} faults={} cycle={:?} sent={} served={} tries={} \
-         statuses={:?} broken_promises={} run_twice={} surplus={} odd={}",
+         statuses={:?} broken_promises={} run_twice={} surplus={} odd={} endless={} most_bytes={}",
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
@@ -209,6 +209,8 @@
         load.run_twice.len(),
         report.surplus_responses,
         report.odd_answers.len(),
+        report.endless_responses.len(),
+        report.endless_responses.iter().max().unwrap_or(&0),
     );
     for (route, tally) in &load.routes {
         println!("  {route} sent={} served={}", tally.sent, tally.served);
--- a/crates/nickellead_soak/tests/schedules.rs
+++ b/crates/nickellead_soak/tests/schedules.rs
@@ -88,5 +88,5 @@
         OddAnswer::Delivered(delivery) => Some(discriminant(delivery)),
         _ => None,
     });
-    assert_eq!(deliveries.collect::<HashSet<_>>().len(), 3);
+    assert_eq!(deliveries.collect::<HashSet<_>>().len(), 4);
 }
