--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    ExcessWork, LoadReport, ServiceRepeats, StandinLateness, TargetBehavior, run_callers,
+    ExcessWork, LoadReport, OddAnswer, ServiceRepeats, StandinLateness, TargetBehavior, run_callers,
 };
 
 use super::fleet::GatewayFleet;
@@ -61,6 +61,10 @@
     pub repeats: Vec<ServiceRepeats>,
     /// Responses that targets sent twice, if another request came over their connections.
     pub surplus_responses: usize,
+    /// Unusual responses of targets, with the ids of their requests.
+    pub odd_answers: Vec<(String, OddAnswer)>,
+    /// Bytes sent of each response without end.
+    pub endless_responses: Vec<usize>,
     /// Work of targets beyond what callers wait for and routes allow.
     pub excess_work: ExcessWork,
     /// How late the threads of callers and targets ran.
@@ -114,6 +118,8 @@
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
         surplus_responses: fleet.ledger.surplus_responses(),
+        odd_answers: fleet.ledger.odd_answers(),
+        endless_responses: fleet.ledger.endless_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         lateness: fleet.ledger.lateness(),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nickellead_adapter_standin::{StoreFault, TargetBehavior};
+use nickellead_adapter_standin::{OddAnswer, StoreFault, TargetBehavior};
 
 use super::processes::DutyCycle;
 use super::site::GatewaySite;
@@ -35,6 +35,8 @@
     Links(Vec<usize>, LinkFault),
     /// Targets behave in another way.
     Targets(Vec<usize>, TargetBehavior),
+    /// Targets end, and others of the next service start at their addresses at once.
+    Replace(Vec<usize>),
     /// The store.
     Store(StoreFault),
     /// Callers send this many times as much.
@@ -115,7 +117,7 @@
 
 fn random_fault(rng: &mut fastrand::Rng, site: GatewaySite, targets: usize) -> GatewayFault {
     let share = 0.1 + 0.5 * rng.f64();
-    match rng.u8(..10) {
+    match rng.u8(..11) {
         0 => GatewayFault::Kill(random_part(rng, 0..site.vms, share)),
         1 => GatewayFault::Restart(random_part(rng, 0..site.vms, 0.5 * share)),
         2 | 3 => GatewayFault::Pause(random_part(rng, 0..site.vms, share)),
@@ -129,6 +131,7 @@
             GatewayFault::Targets(random_part(rng, 0..targets, share), behavior)
         }
         8 => GatewayFault::Store(random_store_fault(rng)),
+        9 => GatewayFault::Replace(random_part(rng, 0..targets, 0.4 * share)),
         _ => GatewayFault::Load(1.7),
     }
 }
@@ -142,14 +145,20 @@
 }
 
 fn random_behavior(rng: &mut fastrand::Rng) -> TargetBehavior {
-    match rng.u8(..7) {
+    match rng.u8(..16) {
         0 => TargetBehavior::Shed,
         1 => TargetBehavior::Close,
         2 => TargetBehavior::LoseResponses(0.05 + 0.3 * rng.f64()),
         3 => TargetBehavior::Slow(2.0 + 4.0 * rng.f64()),
         4 => TargetBehavior::Fail(0.45),
         5 => TargetBehavior::Silent,
-        _ => TargetBehavior::Reset,
+        6 => TargetBehavior::Reset,
+        7 => TargetBehavior::ResetWhenFull,
+        _ => TargetBehavior::Odd {
+            refused: 0.5 * rng.f64(),
+            answer: OddAnswer::random(rng),
+            fraction: 0.05 + 0.45 * rng.f64(),
+        },
     }
 }
 
