--- a/crates/nickellead_gateway/tests/cut_off_vms.rs
+++ b/crates/nickellead_gateway/tests/cut_off_vms.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use common::cut_fleet::{CutFleet, REQUESTS, send_as};
@@ -230,6 +231,63 @@
     assert_eq!(fleet.targets[0].requests().len(), 1);
 }
 
+/// Cuts the first VM off, with requests that targets run and never answer. Returns the sender of a request
+/// that may run once, once a target runs it.
+fn send_elsewhere(fleet: &CutFleet) -> JoinHandle<String> {
+    fleet.cut(CutManner::Reset);
+    wait_until_cut_off(&fleet.cut_off.gateway);
+    fleet.targets[0].set_behavior(Behavior::NeverRespond);
+    fleet.targets[0].clear_requests();
+    let sending = fleet.cut_off.gateway.send_in_background("POST", "/write/lost");
+    wait_until("the target runs the request", || fleet.targets[0].requests().len() == 1);
+    sending
+}
+
+/// Expects that a request that ran once is neither called refused nor sent again.
+fn expect_unknown(fleet: &CutFleet, sending: JoinHandle<String>) {
+    let response = sending.join().unwrap();
+    assert!(response.contains("nickellead-outcome: unknown"), "{response}");
+    assert!(!is_promise(&response), "{response}");
+    assert_eq!(fleet.targets[0].requests().len(), 1);
+}
+
+/// Guards the promise of a refusal: the VM that serves a request in place of another is told to stop while
+/// a target runs it.
+#[test]
+fn a_request_at_another_vm_that_stops_is_not_called_refused() {
+    let mut fleet = CutFleet::start_with("stops", |settings| settings.grace_s = 0.5);
+    let sending = send_elsewhere(&fleet);
+    fleet.connected.gateway.handle.take().unwrap().stop();
+    expect_unknown(&fleet, sending);
+}
+
+/// Guards the promise of a refusal: nothing is heard of the VM that serves a request in place of another
+/// until the deadline has passed.
+#[test]
+fn a_request_at_another_vm_that_falls_silent_is_not_called_refused() {
+    let fleet = CutFleet::start("silent");
+    let sending = send_elsewhere(&fleet);
+    fleet.connected.link.set_delay(Duration::from_secs(3));
+    expect_unknown(&fleet, sending);
+}
+
+/// Guards the promise of a refusal: the VM that serves a request in place of another acknowledges nothing,
+/// but sends it.
+#[test]
+fn a_request_that_another_vm_does_not_acknowledge_is_not_called_refused() {
+    let fleet = CutFleet::start("unacknowledged");
+    fleet.cut(CutManner::Reset);
+    wait_until_cut_off(&fleet.cut_off.gateway);
+    wait_until("requests are served elsewhere", || {
+        send_as(&fleet.cut_off.gateway, "POST", "/write/a", "ready").contains(" 200 ")
+    });
+    fleet.targets[0].clear_requests();
+    fleet.connected.link.set_delay(Duration::from_secs(3));
+    let sending = fleet.cut_off.gateway.send_in_background("POST", "/write/lost");
+    wait_until("the target runs the request", || fleet.targets[0].requests().len() == 1);
+    expect_unknown(&fleet, sending);
+}
+
 /// A request that the other VM had sent, and acknowledged late, was refused with 429 when this VM had no
 /// token to send it again: the promise that it had not run was false.
 #[test]
--- a/crates/nickellead_proxy/tests/unread_requests.rs
+++ b/crates/nickellead_proxy/tests/unread_requests.rs
@@ -1,7 +1,7 @@
 //! Requests that the server answers or drops without handing them to the request path.
 //!
 //! What it answers by itself, and that a connection ended, must not hide that a request was handed on.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::print_stdout)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
