--- a/crates/nickellead_proxy/tests/unread_requests.rs
+++ b/crates/nickellead_proxy/tests/unread_requests.rs
@@ -149,3 +149,27 @@
     assert!(responses.contains("/first"), "{responses}");
     assert!(!server.has_handled("/second"), "{responses}");
 }
+
+/// A thread that stood still handed on the requests of callers that had left meanwhile: targets ran them
+/// for nobody.
+#[test]
+fn a_request_whose_caller_has_left_before_it_is_read_is_not_handed_on() {
+    let server = RecordingServer::start();
+    // Connections that the server knows, and one that it accepts too late.
+    let mut callers: Vec<TcpStream> = (0..10).map(|_| server.connect(&head("/warm"))).collect();
+    server.wait_until_handled("/warm");
+    std::thread::sleep(Duration::from_millis(100));
+    let _blocking = server.connect(&head("/block"));
+    server.wait_until_handled("/block");
+    callers.push(TcpStream::connect(server.address).unwrap());
+    for (number, stream) in callers.iter_mut().enumerate() {
+        stream.write_all(head(&format!("/left-{number}")).as_bytes()).unwrap();
+    }
+    drop(callers);
+    let last = server.connect(&head("/last"));
+    server.wait_until_handled("/last");
+    drop(last);
+    let handled = server.handled.lock().unwrap().clone();
+    let left = handled.iter().filter(|path| path.starts_with("/left"));
+    assert_eq!(left.count(), 0, "{handled:?}");
+}
