Requests whose callers have left before they are read do not run

What was seen: a thread stands still, callers give up and close, and their requests are read together with the end of their connections. Cause: the HTTP server begins what it has read before it looks at the end that it read with it; the request is cancelled one turn later, when it may have been sent. Change: the stream records the end of its connection when it reads it, ConnectionEnd refuses what is read behind it. A new connection waits one turn for its events: the runtime first reads new ones without them and does not see their end (seen with a trace: is_read_closed false 10 us after the accept).

--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use crate::connection_end::ConnectionEnd;
 use crate::held_response::UnsentBytes;
 use crate::serve::ServeState;
 
@@ -28,13 +29,16 @@
     stall_timer: Option<Pin<Box<Sleep>>>,
     /// Bytes in the connection's write buffer; `None` for HTTP/2.
     unsent: Option<UnsentBytes>,
+    /// Whether the caller still reads responses; `None` for HTTP/2.
+    end: Option<ConnectionEnd>,
 }
 
 impl CallerStream {
     /// Wraps a connection that is not blocked.
     pub(crate) fn new(stream: TcpStream, state: Arc<ServeState>, is_http1: bool) -> Self {
         let unsent = is_http1.then(UnsentBytes::default);
-        Self { stream, state, is_blocked: false, stall_timer: None, unsent }
+        let end = is_http1.then(ConnectionEnd::default);
+        Self { stream, state, is_blocked: false, stall_timer: None, unsent, end }
     }
 
     /// Bytes in the connection's write buffer; `None` for HTTP/2.
@@ -42,6 +46,11 @@
         self.unsent.as_ref()
     }
 
+    /// Whether the caller still reads responses; `None` for HTTP/2.
+    pub(crate) fn end(&self) -> Option<&ConnectionEnd> {
+        self.end.as_ref()
+    }
+
     fn set_blocked(&mut self, is_blocked: bool) {
         if is_blocked == self.is_blocked {
             return;
@@ -104,7 +113,17 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let has_left = match &polled {
+            Poll::Pending => false,
+            Poll::Ready(Ok(())) => buffer.filled().len() == filled_before,
+            Poll::Ready(Err(_)) => true,
+        };
+        if has_left {
+            self.end.iter().for_each(ConnectionEnd::record);
+        }
+        polled
     }
 }
 
--- a/crates/nickellead_proxy/src/connection_end.rs
+++ b/crates/nickellead_proxy/src/connection_end.rs
@@ -1,23 +1,24 @@
-//! Whether a caller was told that its connection closes.
+//! Whether requests that are read from a caller's connection may still run.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The last response of one HTTP/1 connection.
+/// The end of one HTTP/1 connection, as far as this VM knows.
 ///
-/// The HTTP server goes on with requests that it has read behind the last one. Their callers stop
-/// reading and take them for unread, so they must not run.
+/// The HTTP server goes on with requests that it has read behind the last response of a connection, and
+/// with those that it reads together with the connection's end. Their callers have stopped reading, and
+/// may send them again, so they must not run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConnectionEnd(Rc<Cell<bool>>);
 
 impl ConnectionEnd {
-    /// Records that a response says that the connection closes.
-    pub(crate) fn announce(&self) {
+    /// Records that a response says that the connection closes, or that the caller has left.
+    pub(crate) fn record(&self) {
         self.0.set(true);
     }
 
-    /// Whether a response has said that the connection closes.
-    pub(crate) fn is_announced(&self) -> bool {
+    /// Whether requests that are read from now on must not run.
+    pub(crate) fn is_known(&self) -> bool {
         self.0.get()
     }
 }
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -166,20 +166,22 @@
         .on_connect_ext(|stream: &CallerStream, data| {
             if let Some(unsent) = stream.unsent() {
                 data.insert(unsent.clone());
-                data.insert(ConnectionEnd::default());
+            }
+            if let Some(end) = stream.end() {
+                data.insert(end.clone());
             }
         })
         .finish(fn_service(move |request: Request| {
             let unsent = request.conn_data::<UnsentBytes>().cloned();
             let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
             let is_last = request.head().connection_type() == ConnectionType::Close;
-            let response = (!end.is_announced()).then(|| handler(request));
+            let response = (!end.is_known()).then(|| handler(request));
             let state = Arc::clone(&shared);
             async move {
-                let Some(response) = response else { return Ok(refuse_after_last()) };
+                let Some(response) = response else { return Ok(refuse_after_end()) };
                 let response = respond(response, unsent, &state).await;
                 if is_last || response.head().connection_type() == ConnectionType::Close {
-                    end.announce();
+                    end.record();
                 }
                 Ok::<_, Infallible>(response)
             }
@@ -217,6 +219,8 @@
         state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
             if let Ok(protocol) = read_protocol(&stream).await {
+                // The end of a connection is only seen once its events were taken from the system.
+                tokio::task::yield_now().await;
                 let caller = stream.peer_addr().ok();
                 let is_http1 = protocol == actix_http::Protocol::Http1;
                 let stream = CallerStream::new(stream, Arc::clone(&state), is_http1);
@@ -238,8 +242,8 @@
     })
 }
 
-/// Refuses a request that followed the last one of its connection.
-fn refuse_after_last() -> Response<BoxBody> {
+/// Refuses a request that was read behind the end of its connection.
+fn refuse_after_end() -> Response<BoxBody> {
     let mut response = error_response(ErrorKind::Stopping);
     response.head_mut().set_connection_type(ConnectionType::Close);
     response
--- a/crates/nickellead_proxy/tests/unread_requests.rs
+++ b/crates/nickellead_proxy/tests/unread_requests.rs
@@ -158,6 +158,9 @@
     // Connections that the server knows, and one that it accepts too late.
     let mut callers: Vec<TcpStream> = (0..10).map(|_| server.connect(&head("/warm"))).collect();
     server.wait_until_handled("/warm");
+    // Half of them have read the response before, so that they end the connection without a reset.
+    let mut bytes = [0; 4_096];
+    callers[..5].iter_mut().for_each(|stream| assert!(stream.read(&mut bytes).unwrap() > 0));
     std::thread::sleep(Duration::from_millis(100));
     let _blocking = server.connect(&head("/block"));
     server.wait_until_handled("/block");
