nickellead_proxy: a connection that is not used again is closed

After a response to another request, or heads without end, the connection stayed open and unread in the HTTP client's pool, for its whole idle time, while the target kept sending into the system's buffers. It is shut down at once. The handle that does it does not keep the connection open itself.

--- a/crates/nickellead_proxy/src/response_body.rs
+++ b/crates/nickellead_proxy/src/response_body.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Sleep, sleep};
 
 use crate::deadline::Deadline;
-use crate::transport::observe_eof;
+use crate::transport::observe_reads;
 
 /// Streams a response body until the request's deadline; a truncated body ends with an error.
 ///
@@ -48,7 +48,8 @@
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let response = Pin::new(&mut self.response);
-        match observe_eof(|| response.poll_next(context)) {
+        let (polled, reads) = observe_reads(|| response.poll_next(context));
+        match (polled, reads.has_eof) {
             (Poll::Ready(None), true) => {
                 let truncated = io::Error::from(io::ErrorKind::UnexpectedEof);
                 Poll::Ready(Some(Err(PayloadError::Incomplete(Some(truncated)))))
--- a/crates/nickellead_proxy/src/transport.rs
+++ b/crates/nickellead_proxy/src/transport.rs
@@ -6,37 +6,54 @@
 //!
 //! The client returns a connection to its pool as soon as a response without a body is read. If that
 //! response answers another request, the one that is due is still to come there, so the connection must
-//! not be used again.
+//! not be used again. It is closed, because more bytes than that response may still come there.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::io;
+use std::net::Shutdown;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::{Service, ServiceExt};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
 use awc::http::Uri;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 thread_local! {
-    /// Whether the current poll on this thread read the end of a connection.
-    static EOF_WAS_READ: Cell<bool> = const { Cell::new(false) };
+    /// What the current poll on this thread has read.
+    static POLL_READS: Cell<PollReads> = const { Cell::new(PollReads { has_eof: false, bytes: 0 }) };
     /// The connection that the current poll on this thread read last.
     static LAST_READ: RefCell<Option<ConnectionHandle>> = const { RefCell::new(None) };
 }
 
+/// What one poll read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PollReads {
+    /// Whether it read the end of a connection.
+    pub(crate) has_eof: bool,
+    /// Number of bytes that it read.
+    pub(crate) bytes: usize,
+}
+
 /// Refers to an open connection.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ConnectionHandle {
     is_retired: Rc<Cell<bool>>,
+    /// A handle does not keep the connection open.
+    stream: Weak<RefCell<TcpStream>>,
 }
 
 impl ConnectionHandle {
-    /// Keeps the connection from being used again.
+    /// Closes the connection, which the client's pool may still hold.
     pub(crate) fn retire(&self) {
         self.is_retired.set(true);
+        if let Some(stream) = self.stream.upgrade() {
+            // Fails only if the target has closed the connection.
+            let _ = SockRef::from(&*stream.borrow()).shutdown(Shutdown::Both);
+        }
     }
 }
 
@@ -54,23 +71,35 @@
     .await
 }
 
-/// Runs one poll and returns whether it read the end of a connection.
-pub(crate) fn observe_eof<T>(poll: impl FnOnce() -> T) -> (T, bool) {
-    EOF_WAS_READ.set(false);
+/// Runs one poll and returns what it read.
+pub(crate) fn observe_reads<T>(poll: impl FnOnce() -> T) -> (T, PollReads) {
+    POLL_READS.set(PollReads::default());
     let polled = poll();
-    (polled, EOF_WAS_READ.get())
+    (polled, POLL_READS.get())
 }
 
 /// Connection that records when it and its end are read, and that fails once it is retired.
 #[derive(Debug)]
 pub(crate) struct ObservedStream {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     handle: ConnectionHandle,
 }
 
+impl ObservedStream {
+    fn new(stream: TcpStream) -> Self {
+        let stream = Rc::new(RefCell::new(stream));
+        let handle = ConnectionHandle { is_retired: Rc::default(), stream: Rc::downgrade(&stream) };
+        Self { stream, handle }
+    }
+
+    fn stream(&self) -> RefMut<'_, TcpStream> {
+        self.stream.borrow_mut()
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -81,40 +110,40 @@
         LAST_READ.set(Some(self.handle.clone()));
         let before = buffer.filled().len();
         let has_capacity = buffer.remaining() > 0;
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if has_capacity && matches!(polled, Poll::Ready(Ok(()))) && buffer.filled().len() == before
-        {
-            EOF_WAS_READ.set(true);
-        }
+        let polled = Pin::new(&mut *self.stream()).poll_read(context, buffer);
+        let bytes = buffer.filled().len() - before;
+        let is_eof = has_capacity && matches!(polled, Poll::Ready(Ok(()))) && bytes == 0;
+        let reads = POLL_READS.get();
+        POLL_READS.set(PollReads { has_eof: reads.has_eof || is_eof, bytes: reads.bytes + bytes });
         polled
     }
 }
 
 impl AsyncWrite for ObservedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut *self.stream()).poll_write(context, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream()).poll_shutdown(context)
     }
 }
 
 impl ActixStream for ObservedStream {
     fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, context)
+        ActixStream::poll_read_ready(&*self.stream(), context)
     }
 
     fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, context)
+        ActixStream::poll_write_ready(&*self.stream(), context)
     }
 }
 
@@ -127,6 +156,6 @@
         let (stream, request) = connection.into_parts();
         // Nagle's algorithm would delay small requests; a failure only adds latency.
         let _ = stream.set_nodelay(true);
-        Connection::new(request, ObservedStream { stream, handle: ConnectionHandle::default() })
+        Connection::new(request, ObservedStream::new(stream))
     })
 }
