nickellead_proxy: no response passes as complete whose end the HTTP client does not know

Callers got a 103 with an empty body as the final response, when a target sent an informational head with the request's id. A body that ends with the connection (HTTP/1.1 without a length) was taken by the HTTP client for an empty one, and the connection with the body's bytes went back to the pool.

Both are answer-malformed now (502, unknown), the connection is closed.

Not served any more: a response by HTTP/1.1 without a length that is really empty and ends with the connection.

--- a/crates/nickellead_proxy/src/exchange.rs
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use actix_http::RequestHead;
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::{Method, StatusCode, Version, header};
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
 use nickellead_core::{Epoch, ErrorKind, ShardIndex};
@@ -57,11 +58,19 @@
         .insert_header((REQUEST_ID_HEADER, plan.request_id));
     let (sent, connection) = observe_connection(request.send_body(body)).await;
     let response = sent.map_err(|error| classify_error(&error))?;
-    if !answers_request(&response, plan.request_id) {
+    if !answers_request(&response, plan.request_id) || response.status().is_informational() {
         connection.inspect(ConnectionHandle::retire);
         return Err(ErrorKind::AnswerMalformed);
     }
-    check_refusal(response)
+    let has_end = has_end(&head.method, &response);
+    if !has_end {
+        connection.inspect(ConnectionHandle::retire);
+    }
+    let response = check_refusal(response)?;
+    match has_end {
+        true => Ok(response),
+        false => Err(ErrorKind::AnswerMalformed),
+    }
 }
 
 fn classify_error(error: &SendRequestError) -> ErrorKind {
@@ -85,6 +94,18 @@
     id == Some(request_id) && ids.next().is_none()
 }
 
+/// Whether the body of a response has an end that the HTTP client knows: it takes a body that ends with the
+/// connection for an empty one.
+fn has_end(method: &Method, response: &ClientResponse) -> bool {
+    let has_body = *method != Method::HEAD
+        && !matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let headers = response.headers();
+    !has_body
+        || response.version() == Version::HTTP_10
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the response unless it refuses the request.
 fn check_refusal(response: ClientResponse) -> Result<ClientResponse, ErrorKind> {
     match response.headers().get(REFUSAL_HEADER).map(|reason| reason.as_bytes()) {
