nickellead_proxy: chunk extensions and trailers are bounded

A chunk's extension or trailers without end were read until the deadline, with the thread's processor time: the HTTP client has no bound for them. 64 KB may be read without data among them; then the body fails and the connection closes.

Bodies with data are still streamed until the deadline, as fast as the caller reads.

--- a/crates/nickellead_proxy/src/response_body.rs
+++ b/crates/nickellead_proxy/src/response_body.rs
@@ -15,12 +15,18 @@
 use crate::deadline::Deadline;
 use crate::transport::observe_reads;
 
+/// Most bytes of a chunked body that are read without data among them: the extension of a chunk, or
+/// trailers.
+const MAX_BYTES_WITHOUT_DATA: usize = 64 * 1024;
+
 /// Streams a response body until the request's deadline; a truncated body ends with an error.
 ///
 /// Holds the target's concurrency permit until the end of the body.
 pub(crate) struct ResponseBody {
     response: ClientResponse,
     _permit: ConcurrencyPermit,
+    /// Bytes that were read since the last data.
+    bytes_without_data: usize,
     /// Time at which the stream fails if the body is not complete.
     deadline: Deadline,
     // PERF: created on the first pending poll, which small responses never reach.
@@ -33,7 +39,7 @@
         permit: ConcurrencyPermit,
         deadline: Deadline,
     ) -> Self {
-        Self { response, _permit: permit, deadline, timer: None }
+        Self { response, _permit: permit, bytes_without_data: 0, deadline, timer: None }
     }
 
     fn is_past_deadline(&mut self, context: &mut Context<'_>) -> bool {
@@ -49,11 +55,19 @@
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let response = Pin::new(&mut self.response);
         let (polled, reads) = observe_reads(|| response.poll_next(context));
+        self.bytes_without_data = match polled {
+            Poll::Pending => self.bytes_without_data + reads.bytes,
+            Poll::Ready(_) => 0,
+        };
         match (polled, reads.has_eof) {
             (Poll::Ready(None), true) => {
                 let truncated = io::Error::from(io::ErrorKind::UnexpectedEof);
                 Poll::Ready(Some(Err(PayloadError::Incomplete(Some(truncated)))))
             }
+            (Poll::Pending, _) if self.bytes_without_data > MAX_BYTES_WITHOUT_DATA => {
+                let too_many = io::Error::from(io::ErrorKind::InvalidData);
+                Poll::Ready(Some(Err(PayloadError::Io(too_many))))
+            }
             (Poll::Pending, _) if self.is_past_deadline(context) => {
                 let timed_out = io::Error::from(io::ErrorKind::TimedOut);
                 Poll::Ready(Some(Err(PayloadError::Io(timed_out))))
