Responses to orders are bounded by their chunks, too

A response to an order in chunks of one byte took 835 ms (debug build) of the control loop's processor time before it was cut at 64 KB, and one handle of memory for each byte: its body was collected although only its head is used. It is read and dropped now, a chunk counts as at least 128 bytes. The bounds of heads already hold for orders.

--- a/crates/nickellead_gateway/src/order_client.rs
+++ b/crates/nickellead_gateway/src/order_client.rs
@@ -17,10 +17,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::RepeatClass;
 use crate::connections::{CloseMode, ConnectionPool, ReadyConnection, SharedPool};
+use crate::response_body::drain_body;
 
 /// Most bytes of a response body; only the head is used.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
@@ -117,7 +118,6 @@
         None => CallFailure::Broken,
     })?;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    body.map_err(|_| CallFailure::Broken)?;
+    drain_body(body, MAX_RESPONSE_BYTES).await.map_err(|_| CallFailure::Broken)?;
     Ok((head.status, head.headers))
 }
--- a/crates/nickellead_gateway/src/response_body.rs
+++ b/crates/nickellead_gateway/src/response_body.rs
@@ -108,20 +108,25 @@
 }
 
 /// Reads the body of a refusal and drops it; returns whether the connection can be used again.
-pub(crate) async fn drain_refusal(mut body: Incoming) -> bool {
-    let draining = async {
-        let mut bytes = 0;
-        while bytes <= MAX_REFUSAL_BYTES {
-            match next_chunk(&mut body).await {
-                Ok(Some(chunk)) => bytes += chunk.len().max(MIN_CHUNK_BYTES),
-                Ok(None) => return true,
-                // Only the connection is lost.
-                Err(_) => return false,
-            }
+pub(crate) async fn drain_refusal(body: Incoming) -> bool {
+    let draining = drain_body(body, MAX_REFUSAL_BYTES);
+    let drained = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, draining).await;
+    matches!(drained, Ok(Ok(())))
+}
+
+/// Reads a body and drops it.
+///
+/// # Errors
+/// It ended early or is larger than `max_bytes`.
+pub(crate) async fn drain_body(mut body: Incoming, max_bytes: usize) -> Result<(), LossReason> {
+    let mut cost = 0;
+    while let Some(chunk) = next_chunk(&mut body).await? {
+        cost += chunk.len().max(MIN_CHUNK_BYTES);
+        if cost > max_bytes {
+            return Err(LossReason::Malformed);
         }
-        false
-    };
-    tokio::time::timeout(REFUSAL_BODY_TIMEOUT, draining).await.unwrap_or(false)
+    }
+    Ok(())
 }
 
 /// The next bytes of a body; `None` after its end. Trailers are not forwarded.
