--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use nickellead_adapter_standin::TargetBehavior;
+use nickellead_adapter_standin::{OddAnswer, TargetBehavior};
 use nickellead_soak::{
     FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundReport, RoundSettings, SoakError,
     run_gateway_round, run_round,
@@ -14,7 +14,7 @@
 
 /// Range of the fraction of requests that targets refuse with --surplus.
 const REFUSED: std::ops::Range<f64> = 0.05..0.5;
-/// Range of the fraction of responses that they send twice.
+/// Range of the fraction of responses that they send twice, or in an unusual way with --odd.
 const REPEATED: std::ops::Range<f64> = 0.05..0.5;
 /// Exit code if a round could not run.
 const EXIT_NOT_RUN: u8 = 2;
@@ -49,6 +49,9 @@
     /// with --gateways: targets refuse some requests and send some responses twice; the seed tells how many
     #[argh(switch)]
     surplus: bool,
+    /// with --gateways: all targets send unusual responses of one kind; the seed tells which and how many
+    #[argh(switch)]
+    odd: bool,
     /// keep the logs of clean rounds too
     #[argh(switch)]
     keep: bool,
@@ -129,18 +132,23 @@
 }
 
 /// How targets handle requests while no fault changes it.
-fn target_behavior(surplus: bool, seed: u64) -> TargetBehavior {
+fn target_behavior(arguments: &SoakArguments, seed: u64) -> TargetBehavior {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut fraction = |range: std::ops::Range<f64>| {
         let fraction = range.start + (range.end - range.start) * rng.f64();
         // As many digits as are printed.
         (fraction * 1_000.0).round() / 1_000.0
     };
-    match surplus {
-        true => TargetBehavior::RespondTwice {
-            refused: fraction(REFUSED),
-            repeated: fraction(REPEATED),
-        },
+    let (refused, repeated) = (fraction(REFUSED), fraction(REPEATED));
+    if arguments.odd {
+        return TargetBehavior::Odd {
+            refused,
+            answer: OddAnswer::random(&mut rng),
+            fraction: repeated,
+        };
+    }
+    match arguments.surplus {
+        true => TargetBehavior::RespondTwice { refused, repeated },
         false => TargetBehavior::Serve,
     }
 }
@@ -157,7 +165,7 @@
         program: program.to_owned(),
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
-        target_behavior: target_behavior(arguments.surplus, seed),
+        target_behavior: target_behavior(arguments, seed),
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
     };
@@ -197,7 +205,7 @@
     let load = &report.load;
     println!(
         "seed={seed} clean={} targets={behavior:?} faults={} cycle={:?} sent={} served={} tries={} \
-         statuses={:?} broken_promises={} run_twice={} surplus={} odd={} endless={} most_bytes={}",
+         statuses={:?} broken_promises={} run_twice={} run_again={} surplus={} odd={} endless={} most_bytes={}",
         report.is_clean(),
         report.schedule.faults.len(),
         report.schedule.cycle.map(|cycle| cycle.period),
@@ -207,6 +215,7 @@
         load.statuses,
         load.broken_promises.len(),
         load.run_twice.len(),
+        load.run_again,
         report.surplus_responses,
         report.odd_answers.len(),
         report.endless_responses.len(),
