A switch of protocols is no response

Callers got 101, which they did not ask for, as the final response if a target sent it with the request's id. The HTTP client passes 101 on, unlike other informational heads. Such a head answers no request: 502, unknown.

a_switch_of_protocols_is_no_response: 101 before, 502 after.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -261,6 +261,10 @@
 /// Targets return the id of the request with every response, refusals included, and each request that is
 /// sent has an id, which the connection has not carried before.
 fn answers_request(names: &HeaderNames, outgoing: &OutgoingRequest, head: &Parts) -> bool {
+    // No request asks to switch protocols, and the HTTP client skips other informational heads.
+    if head.status.is_informational() {
+        return false;
+    }
     let mut ids = head.headers.get_all(names.request_id).iter();
     ids.next() == Some(&outgoing.request_id) && ids.next().is_none()
 }
--- a/crates/nickellead_gateway/tests/endless_responses.rs
+++ b/crates/nickellead_gateway/tests/endless_responses.rs
@@ -8,7 +8,10 @@
 use common::endless_target::{EndlessPart, EndlessResponse, EndlessTarget};
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
-use common::{TestGateway, declarations, declarations_with_large_responses, entry, wait_until};
+use common::{
+    TestGateway, declarations, declarations_with_large_responses, entry, gateway_with_targets,
+    wait_until,
+};
 
 /// Most bytes of a response without a declared length that a VM reads.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -138,6 +141,16 @@
     assert!(sent.duration < Duration::from_millis(1_500), "closed after {:?}", sent.duration);
 }
 
+/// Guards against passing on a switch of protocols, with the request's id, as the final response.
+#[test]
+fn a_switch_of_protocols_is_no_response() {
+    let target = TestTarget::start("t1", Behavior::Serve);
+    let (gateway, _store) = gateway_with_targets("vm-switch", &[&target]);
+    target.set_behavior(Behavior::Respond("101 Switching Protocols"));
+    let response = gateway.send("POST", "/write/", "");
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+}
+
 /// Guards against losing large responses together with those without end.
 #[test]
 fn large_responses_are_served_on_routes_that_have_them_or_with_a_declared_length() {
