--- a/crates/nickellead_gateway/tests/endless_responses.rs
+++ b/crates/nickellead_gateway/tests/endless_responses.rs
@@ -8,7 +8,10 @@
 use common::endless_target::{EndlessPart, EndlessResponse, EndlessTarget};
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
-use common::{TestGateway, declarations, declarations_with_large_responses, entry, wait_until};
+use common::{
+    TestGateway, declarations, declarations_with_large_responses, entry, gateway_with_targets,
+    wait_until,
+};
 
 /// Most bytes of a response without a declared length that a VM reads.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -138,6 +141,16 @@
     assert!(sent.duration < Duration::from_millis(1_500), "closed after {:?}", sent.duration);
 }
 
+/// Guards against passing on a switch of protocols, with the request's id, as the final response.
+#[test]
+fn a_switch_of_protocols_is_no_response() {
+    let target = TestTarget::start("t1", Behavior::Serve);
+    let (gateway, _store) = gateway_with_targets("vm-switch", &[&target]);
+    target.set_behavior(Behavior::Respond("101 Switching Protocols"));
+    let response = gateway.send("POST", "/write/", "");
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+}
+
 /// Guards against losing large responses together with those without end.
 #[test]
 fn large_responses_are_served_on_routes_that_have_them_or_with_a_declared_length() {
@@ -214,6 +227,16 @@
 /// the honest ones are refused, and that keep getting requests because nobody blames them.
 #[test]
 fn targets_without_end_do_not_harm_callers_of_others() {
+    check_callers_of_others("vm-endless-beside", EndlessPart::Body);
+}
+
+/// Guards against room that is held for bytes which a head declares, and which never come.
+#[test]
+fn targets_that_declare_long_bodies_do_not_harm_callers_of_others() {
+    check_callers_of_others("vm-declared-beside", EndlessPart::TricklingDeclaredBody);
+}
+
+fn check_callers_of_others(name: &str, part: EndlessPart) {
     let endless: Vec<_> = (0..ENDLESS_TARGETS)
         .map(|index| EndlessTarget::start(&format!("endless-{index}")))
         .collect();
@@ -224,13 +247,13 @@
     endless.iter().for_each(|target| store.list(entry(&target.id, "plain", target.address)));
     honest.iter().for_each(|target| store.list(entry(&target.id, "plain", target.address)));
     store.declare(declarations(1));
-    let gateway = TestGateway::start_as("vm-endless-beside", &store, |settings| {
+    let gateway = TestGateway::start_as(name, &store, |settings| {
         settings.memory_mb = Some(MEMORY_MB);
         settings.bounded_by_machine = true;
     });
     gateway.wait_ready();
     wait_until("the targets serve", || gateway.send("GET", "/read/", "").contains(" 200 "));
-    endless.iter().for_each(|target| target.set_part(Some(EndlessPart::Body)));
+    endless.iter().for_each(|target| target.set_part(Some(part)));
     let counts = call_for_a_while(&gateway);
     let requests: usize = endless.iter().map(|target| target.requests().len()).sum();
     let held = gateway.metric("nickellead_held_bytes");
