Soak: some VMs are cut off from targets, each by itself

Cause: no round handed requests to other VMs, since all VMs reach targets by the same loopback addresses, and VMs tell each other the list of targets, so that addresses of their own, given by the store's stand-in, would be replaced by those that the mandate's holder knows.

Change: `--cuts` loads a small library into the processes of up to eight VMs. It sends their connections to other ports, as a file says that the soak writes: links of the VM's own, or a port that refuses connections or lets them hang. The library is C, built by the `cc` that links Rust programs, because the workspace forbids unsafe code. Cuts overlap kills, restarts and pauses of the VMs that serve meanwhile. The lines of all logs about requests with a broken promise, two runs or an unpaid arrival are written to `traces`.

--- a/crates/nickellead_soak/src/gateway/processes.rs
+++ b/crates/nickellead_soak/src/gateway/processes.rs
@@ -30,10 +30,19 @@
     }
 }
 
+/// What a VM is started with.
+pub(super) struct VmFiles {
+    /// Its settings.
+    pub(super) settings: PathBuf,
+    /// Where its output goes.
+    pub(super) log: PathBuf,
+    /// Variables of its environment.
+    pub(super) variables: Vec<(&'static str, PathBuf)>,
+}
+
 /// One VM.
 struct VmProcess {
-    settings: PathBuf,
-    log: PathBuf,
+    files: VmFiles,
     process: Option<SoakProcess>,
     /// When the process is killed, if it was told to stop.
     stop_by: Option<Instant>,
@@ -61,13 +70,12 @@
     /// Creates the VMs of these settings and logs without starting them.
     pub(super) fn new(
         program: PathBuf,
-        files: Vec<(PathBuf, PathBuf)>,
+        files: Vec<VmFiles>,
         rng: &mut fastrand::Rng,
     ) -> Result<Self, SoakError> {
-        let vm = |(settings, log)| {
+        let vm = |files| {
             Mutex::new(VmProcess {
-                settings,
-                log,
+                files,
                 process: None,
                 stop_by: None,
                 stands_still: false,
@@ -91,9 +99,11 @@
         if known.process.is_some() {
             return Ok(());
         }
-        let settings = known.settings.display().to_string();
+        let VmFiles { settings, log, variables } = &known.files;
+        let settings = settings.display().to_string();
         let arguments = ["gateway", "--settings", &settings];
-        known.process = Some(SoakProcess::start(&self.program, &arguments, &known.log)?);
+        let process = SoakProcess::start_with(&self.program, &arguments, log, variables)?;
+        known.process = Some(process);
         known.stop_by = None;
         known.stands_still = false;
         Ok(())
@@ -155,7 +165,7 @@
 
     /// The logs of all VMs.
     pub(super) fn logs(&self) -> Vec<PathBuf> {
-        self.vms.iter().map(|vm| lock(vm).log.clone()).collect()
+        self.vms.iter().map(|vm| lock(vm).files.log.clone()).collect()
     }
 
     /// Number of VMs.
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -45,6 +45,9 @@
     /// with --gateways: targets refuse a tenth of the requests and send one response in 17 twice
     #[argh(switch)]
     surplus: bool,
+    /// with --gateways: some VMs are cut off from all targets, and VMs that serve for them fail
+    #[argh(switch)]
+    cuts: bool,
     /// keep the logs of clean rounds too
     #[argh(switch)]
     keep: bool,
@@ -140,6 +143,7 @@
             true => TargetBehavior::RespondTwice { refused: 0.1, repeated: 1.0 / 17.0 },
             false => TargetBehavior::Serve,
         },
+        cuts: arguments.cuts,
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
     };
@@ -150,6 +154,7 @@
     // The list only helps to trace a failed round.
     let _ = std::fs::write(folder.join("repeated"), repeated.join("\n"));
     let _ = std::fs::write(folder.join("unpaid"), format!("{:#?}", report.unpaid));
+    let _ = std::fs::write(folder.join("traces"), &report.traces);
     let load = &report.load;
     let broken = format!("{:#?}\n{:#?}", load.broken_promises, load.run_twice);
     let _ = std::fs::write(folder.join("broken"), broken);
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -20,6 +20,7 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         site: SITE,
         target_behavior,
+        cuts: false,
         fault_duration: FAULT_DURATION,
         seed,
     }
