Unmarked refusals end as unknown wherever the response came from

Cause: the check stood in the attempt loop, which a response from a VM that serves for this one does not pass; that VM may run an earlier version, or know the route as one whose requests may run again. Found by review, by reading; a test would need two versions. Change: the check stands at the one exit of serve().

--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -11,6 +11,7 @@
 use nickellead_time::BootClock;
 
 use super::dispatching::SendEnd;
+use super::outcome::is_repeatable;
 use super::{AttemptState, NextStep, RESPONSE_RETURN_RESERVE, RequestWorker};
 use crate::connections::ConnectFailure;
 use crate::exchange::{AttemptEnd, AttemptPlan, AttemptResult, TargetResponse, run_attempt};
@@ -35,7 +36,14 @@
             None => self.serve_attempts(incoming, &mut attempts).await,
         };
         self.give_back_token(incoming, &mut attempts);
-        served.or_else(|kind| attempts.finish(kind))
+        match served {
+            // Only the target can tell callers that the request did not run, and it did not.
+            Ok(response) if response.is_unmarked_refusal() && !is_repeatable(incoming) => {
+                Err(ErrorKind::AnswerAmbiguous)
+            }
+            Ok(response) => Ok(response),
+            Err(kind) => attempts.finish(kind),
+        }
     }
 
     /// Makes attempts until one succeeds.
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickellead_balance::TargetOutcome;
-use nickellead_core::{ErrorKind, Timestamp};
+use nickellead_core::Timestamp;
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
@@ -46,12 +46,6 @@
             log_retry(incoming, target, reason);
         }
         match result {
-            // Only the target can tell callers that the request did not run, and it did not.
-            AttemptResult::Responded(response)
-                if response.is_unmarked_refusal() && !is_repeatable(incoming) =>
-            {
-                NextStep::Fail(ErrorKind::AnswerAmbiguous)
-            }
             AttemptResult::Responded(response) if response.status.is_server_error() => {
                 after_failure(incoming, attempts, response)
             }
@@ -228,7 +222,7 @@
 }
 
 /// Whether the request may run more than once.
-fn is_repeatable(incoming: &IncomingRequest) -> bool {
+pub(super) fn is_repeatable(incoming: &IncomingRequest) -> bool {
     incoming.route.rule.repeat == RepeatClass::Safe
 }
 
