--- a/crates/nickellead_gateway/tests/requests.rs
+++ b/crates/nickellead_gateway/tests/requests.rs
@@ -316,3 +316,15 @@
         "{retry_delays:?}"
     );
 }
+
+/// Guards against a status by which a caller never repeats its request, 400, for a proper request whose
+/// body had not arrived completely by its deadline.
+#[test]
+fn a_request_whose_body_is_late_is_not_called_malformed() {
+    let target = TestTarget::start("t1", Behavior::Serve);
+    let (gateway, _store) = gateway_with_targets("vm-late-body", &[&target]);
+    let response = gateway.send("POST", "/write/", "transfer-encoding: chunked\r\n");
+    assert!(response.starts_with("HTTP/1.1 "), "{response}");
+    assert!(!response.starts_with("HTTP/1.1 400"), "{response}");
+    assert_eq!(target.requests().len(), 0, "{:?}", target.requests());
+}
