--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -1,6 +1,6 @@
 //! Gateways as real processes, and the stand-ins that they use.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -15,11 +15,10 @@
 
 use super::http_get::http_get;
 use super::metrics::VmMetrics;
-use super::processes::{DutyCycle, VmFiles, VmProcesses};
+use super::processes::{DutyCycle, VmProcesses};
 use super::round::GatewayRound;
 use super::schedule::GatewayFault;
 use super::site::GatewaySite;
-use super::target_paths::{TargetCut, TargetPaths};
 use crate::{FaultLink, LinkFault, LinkHost, SoakError, free_address};
 
 /// Time after which a VM that was told to stop is killed.
@@ -49,8 +48,6 @@
     store: StandinStore,
     ports: Vec<VmPorts>,
     links: BTreeMap<usize, FaultLink>,
-    /// Paths to targets that can be cut; `None` in rounds without cuts.
-    target_paths: Option<TargetPaths>,
     _link_host: LinkHost,
     processes: VmProcesses,
     load: watch::Sender<f64>,
@@ -74,17 +71,9 @@
         let link_host = LinkHost::start()?;
         let links = site.linked_vms().map(|vm| Ok((vm, link_host.open(ports[vm].dispatch)?)));
         let links = links.collect::<Result<BTreeMap<usize, FaultLink>, SoakError>>()?;
-        let target_paths = match round.cuts {
-            true => {
-                let targets = store.target_addresses();
-                Some(TargetPaths::open(folder, site.severable_vms(), &targets, &link_host)?)
-            }
-            false => None,
-        };
         let files = (0..site.vms).map(|vm| {
             let text = settings(site, vm, &ports[vm], links.get(&vm), store.address);
-            let variables = target_paths.as_ref().map(|paths| paths.variables(vm));
-            write_settings(folder, vm, &text, variables.unwrap_or_default())
+            write_settings(folder, vm, &text)
         });
         let files = files.collect::<Result<Vec<_>, SoakError>>()?;
         let processes = VmProcesses::new(program.clone(), files, &mut rng)?;
@@ -96,7 +85,6 @@
             store,
             ports,
             links,
-            target_paths,
             _link_host: link_host,
             processes,
             load: watch::channel(1.0).0,
@@ -150,7 +138,7 @@
     }
 
     /// Starts a fault.
-    pub(super) fn start_fault(&mut self, fault: &GatewayFault) -> Result<(), SoakError> {
+    pub(super) fn start_fault(&mut self, fault: &GatewayFault) {
         match fault {
             GatewayFault::Kill(vms) => {
                 self.keep_metrics(vms);
@@ -168,7 +156,6 @@
             GatewayFault::Links(vms, fault) => {
                 vms.iter().for_each(|vm| self.links[vm].set(*fault));
             }
-            GatewayFault::CutOff(vms, cut) => self.set_cut(vms, Some(*cut))?,
             GatewayFault::Targets(targets, behavior) => {
                 targets.iter().for_each(|target| self.targets.set_behavior(*target, *behavior));
             }
@@ -180,7 +167,6 @@
                 self.load.send_replace(*factor);
             }
         }
-        Ok(())
     }
 
     /// Ends a fault.
@@ -200,7 +186,6 @@
             GatewayFault::Links(vms, _) => {
                 vms.iter().for_each(|vm| self.links[vm].set(LinkFault::None));
             }
-            GatewayFault::CutOff(vms, _) => self.set_cut(vms, None)?,
             GatewayFault::Targets(targets, _) => {
                 let usual = self.target_behavior;
                 targets.iter().for_each(|target| self.targets.set_behavior(*target, usual));
@@ -213,11 +198,6 @@
         Ok(())
     }
 
-    fn set_cut(&self, vms: &[usize], cut: Option<TargetCut>) -> Result<(), SoakError> {
-        let Some(paths) = &self.target_paths else { return Ok(()) };
-        vms.iter().try_for_each(|vm| paths.set_cut(*vm, cut))
-    }
-
     /// Adds the metrics of VMs whose lives end to those of earlier ones.
     fn keep_metrics(&mut self, vms: &[usize]) {
         let started = vms.iter().filter(|vm| self.processes.is_started(**vm));
@@ -239,22 +219,6 @@
         Ok(counts)
     }
 
-    /// The lines of all logs about these requests, each after the name of its log.
-    pub(super) fn lines_about(&self, requests: &HashSet<&str>) -> Result<String, SoakError> {
-        let mut lines = String::new();
-        for log in self.processes.logs() {
-            let text = std::fs::read(&log).map_err(SoakError::system("a log file"))?;
-            let name = log.file_stem().unwrap_or_default().to_string_lossy();
-            for line in String::from_utf8_lossy(&text).lines() {
-                let mut words = line.split(' ').filter_map(|word| word.strip_prefix("request="));
-                if words.any(|id| requests.contains(id)) {
-                    lines.push_str(&format!("{name} {line}\n"));
-                }
-            }
-        }
-        Ok(lines)
-    }
-
     /// The metrics of all VMs and of the lives that have ended.
     pub(super) fn metrics(&self) -> VmMetrics {
         let addresses: Vec<_> = self.ports.iter().map(|ports| ports.readiness).collect();
@@ -325,15 +289,10 @@
     settings.to_string()
 }
 
-fn write_settings(
-    folder: &Path,
-    vm: usize,
-    text: &str,
-    variables: Vec<(&'static str, PathBuf)>,
-) -> Result<VmFiles, SoakError> {
-    let settings = folder.join(format!("vm-{vm}.json"));
-    std::fs::write(&settings, text).map_err(SoakError::system("a settings file"))?;
-    Ok(VmFiles { settings, log: folder.join(format!("vm-{vm}.log")), variables })
+fn write_settings(folder: &Path, vm: usize, text: &str) -> Result<(PathBuf, PathBuf), SoakError> {
+    let path = folder.join(format!("vm-{vm}.json"));
+    std::fs::write(&path, text).map_err(SoakError::system("a settings file"))?;
+    Ok((path, folder.join(format!("vm-{vm}.log"))))
 }
 
 /// Whether a VM says that it is ready.
--- a/crates/nickellead_soak/src/gateway/mod.rs
+++ b/crates/nickellead_soak/src/gateway/mod.rs
@@ -7,12 +7,8 @@
 mod round;
 mod schedule;
 mod site;
-mod target_paths;
 
 pub use metrics::VmMetrics;
 pub use round::{GatewayReport, GatewayRound, UnpaidArrival, run_gateway_round};
-pub use schedule::{
-    GatewayFault, GatewaySchedule, ScheduledGatewayFault, cut_schedule, gateway_schedule,
-};
+pub use schedule::{GatewayFault, GatewaySchedule, ScheduledGatewayFault, gateway_schedule};
 pub use site::GatewaySite;
-pub use target_paths::TargetCut;
--- a/crates/nickellead_soak/src/gateway/processes.rs
+++ b/crates/nickellead_soak/src/gateway/processes.rs
@@ -30,19 +30,10 @@
     }
 }
 
-/// What a VM is started with.
-pub(super) struct VmFiles {
-    /// Its settings.
-    pub(super) settings: PathBuf,
-    /// Where its output goes.
-    pub(super) log: PathBuf,
-    /// Variables of its environment.
-    pub(super) variables: Vec<(&'static str, PathBuf)>,
-}
-
 /// One VM.
 struct VmProcess {
-    files: VmFiles,
+    settings: PathBuf,
+    log: PathBuf,
     process: Option<SoakProcess>,
     /// When the process is killed, if it was told to stop.
     stop_by: Option<Instant>,
@@ -70,12 +61,13 @@
     /// Creates the VMs of these settings and logs without starting them.
     pub(super) fn new(
         program: PathBuf,
-        files: Vec<VmFiles>,
+        files: Vec<(PathBuf, PathBuf)>,
         rng: &mut fastrand::Rng,
     ) -> Result<Self, SoakError> {
-        let vm = |files| {
+        let vm = |(settings, log)| {
             Mutex::new(VmProcess {
-                files,
+                settings,
+                log,
                 process: None,
                 stop_by: None,
                 stands_still: false,
@@ -99,11 +91,9 @@
         if known.process.is_some() {
             return Ok(());
         }
-        let VmFiles { settings, log, variables } = &known.files;
-        let settings = settings.display().to_string();
+        let settings = known.settings.display().to_string();
         let arguments = ["gateway", "--settings", &settings];
-        let process = SoakProcess::start_with(&self.program, &arguments, log, variables)?;
-        known.process = Some(process);
+        known.process = Some(SoakProcess::start(&self.program, &arguments, &known.log)?);
         known.stop_by = None;
         known.stands_still = false;
         Ok(())
@@ -165,7 +155,7 @@
 
     /// The logs of all VMs.
     pub(super) fn logs(&self) -> Vec<PathBuf> {
-        self.vms.iter().map(|vm| lock(vm).files.log.clone()).collect()
+        self.vms.iter().map(|vm| lock(vm).log.clone()).collect()
     }
 
     /// Number of VMs.
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -10,7 +10,7 @@
 
 use super::fleet::GatewayFleet;
 use super::metrics::VmMetrics;
-use super::schedule::{GatewaySchedule, cut_schedule, gateway_schedule};
+use super::schedule::{GatewaySchedule, gateway_schedule};
 use super::site::GatewaySite;
 use crate::SoakError;
 
@@ -34,8 +34,6 @@
     pub site: GatewaySite,
     /// How targets handle requests while no fault changes it.
     pub target_behavior: TargetBehavior,
-    /// Whether some VMs are cut off from targets.
-    pub cuts: bool,
     /// Time within which all faults end.
     pub fault_duration: Duration,
     /// Seed of the deployment, the load and the faults.
@@ -75,8 +73,6 @@
     pub repeated: Vec<(Duration, String)>,
     /// Arrivals beyond the first of each request for which no VM has logged that it took a token.
     pub unpaid: Vec<UnpaidArrival>,
-    /// The lines of all logs about requests with a broken promise, two runs or an unpaid arrival.
-    pub traces: String,
     /// Metrics of all VMs over all lives.
     pub metrics: VmMetrics,
     /// The faults that were injected.
@@ -102,11 +98,7 @@
 pub fn run_gateway_round(round: &GatewayRound) -> Result<GatewayReport, SoakError> {
     let mut fleet = GatewayFleet::start(round)?;
     let targets = fleet.targets.count();
-    let mut schedule = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
-    if round.cuts {
-        schedule.faults.extend(cut_schedule(round.seed, round.site, round.fault_duration));
-        schedule.faults.sort_by_key(|fault| fault.start);
-    }
+    let schedule = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
     let load_duration = round.fault_duration + 2 * CALM_TIME;
     let (settings, factor) = fleet.callers(load_duration, round.seed);
     let ledger = fleet.ledger.clone();
@@ -122,10 +114,6 @@
     let load = callers.join().map_err(|_| SoakError::NotReached("load finished".to_owned()))?;
     let (repeated, metrics) = (fleet.ledger.repeated(), fleet.metrics());
     let paid = fleet.count_events(PAID_EVENT)?;
-    let unpaid = find_unpaid(&repeated, paid, &fleet.kills);
-    let wrong = load.broken_promises.iter().chain(&load.run_twice);
-    let wrong = wrong.chain(unpaid.iter().map(|arrival| &arrival.id));
-    let traces = fleet.lines_about(&wrong.map(String::as_str).collect())?;
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
@@ -134,8 +122,7 @@
         endless_responses: fleet.ledger.endless_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         lateness: fleet.ledger.lateness(),
-        unpaid,
-        traces,
+        unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
         metrics,
         schedule,
@@ -182,7 +169,7 @@
     for (at, is_start, fault) in edges {
         wait_until(at);
         match is_start {
-            true => fleet.start_fault(fault)?,
+            true => fleet.start_fault(fault),
             false => fleet.end_fault(fault)?,
         }
     }
--- a/crates/nickellead_soak/src/gateway/schedule.rs
+++ b/crates/nickellead_soak/src/gateway/schedule.rs
@@ -6,15 +6,10 @@
 
 use super::processes::DutyCycle;
 use super::site::GatewaySite;
-use super::target_paths::TargetCut;
 use crate::LinkFault;
 
 /// Range of the time between the starts of two faults: shorter than most faults, so that they overlap.
 const START_GAP_MS: std::ops::Range<u64> = 200..2_500;
-/// Range of the time between the starts of two cuts.
-const CUT_GAP_MS: std::ops::Range<u64> = 500..4_000;
-/// Range of the time from the start of a cut to a fault of VMs that serve for those that are cut off.
-const SERVING_FAULT_DELAY_MS: std::ops::Range<u64> = 300..3_000;
 /// Range of fault durations.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..6_000;
 /// Time between the kills of a series: both fall into one window of the budget.
@@ -38,8 +33,6 @@
     Reload(Vec<usize>),
     /// The links over which VMs send each other requests.
     Links(Vec<usize>, LinkFault),
-    /// VMs are cut off from all targets.
-    CutOff(Vec<usize>, TargetCut),
     /// Targets behave in another way.
     Targets(Vec<usize>, TargetBehavior),
     /// Targets end, and others of the next service start at their addresses at once.
@@ -110,67 +103,6 @@
     GatewaySchedule { cycle, faults }
 }
 
-/// Generates cuts between VMs and targets, and faults of the VMs that serve meanwhile for those that are
-/// cut off. All end within `duration`. The other faults of a seed are the same with cuts and without.
-#[must_use]
-pub fn cut_schedule(
-    seed: u64,
-    site: GatewaySite,
-    duration: Duration,
-) -> Vec<ScheduledGatewayFault> {
-    let mut rng = fastrand::Rng::with_seed(!seed);
-    let total_ms = duration.as_millis() as u64;
-    let mut faults = Vec::new();
-    let mut start_ms = rng.u64(CUT_GAP_MS);
-    while start_ms < total_ms {
-        let share = 0.3 + 0.7 * rng.f64();
-        let vms = random_part(&mut rng, site.severable_vms(), share);
-        let cut = random_cut(&mut rng);
-        let serving_ms = start_ms + rng.u64(SERVING_FAULT_DELAY_MS);
-        let serving_fault = random_serving_fault(&mut rng, site, &vms);
-        let cut = (start_ms, GatewayFault::CutOff(vms, cut));
-        for (start_ms, fault) in
-            std::iter::once(cut).chain(serving_fault.map(|fault| (serving_ms, fault)))
-        {
-            let end_ms = (start_ms + rng.u64(FAULT_DURATION_MS)).min(total_ms);
-            let (start, end) = (Duration::from_millis(start_ms), Duration::from_millis(end_ms));
-            if start < end {
-                faults.push(ScheduledGatewayFault { start, end, fault });
-            }
-        }
-        start_ms += rng.u64(CUT_GAP_MS);
-    }
-    faults.sort_by_key(|fault| fault.start);
-    faults
-}
-
-fn random_cut(rng: &mut fastrand::Rng) -> TargetCut {
-    match rng.u8(..8) {
-        0 | 1 => TargetCut::Reset,
-        2 => TargetCut::RefuseNew,
-        3 | 4 => TargetCut::Silent,
-        5 => TargetCut::ToTargets,
-        6 => TargetCut::FromTargets,
-        _ => TargetCut::Late(rng.u64(20..400)),
-    }
-}
-
-/// A fault of VMs that are not cut off; `None` for some cuts.
-fn random_serving_fault(
-    rng: &mut fastrand::Rng,
-    site: GatewaySite,
-    cut_off: &[usize],
-) -> Option<GatewayFault> {
-    let share = 0.1 + 0.3 * rng.f64();
-    let serving = random_part(rng, (0..site.vms).filter(|vm| !cut_off.contains(vm)), share);
-    match rng.u8(..4) {
-        0 => Some(GatewayFault::Kill(serving)),
-        1 => Some(GatewayFault::Restart(serving)),
-        2 => Some(GatewayFault::Pause(serving)),
-        _ => None,
-    }
-}
-
 /// A random part of `all`, at least one.
 fn random_part(
     rng: &mut fastrand::Rng,
--- a/crates/nickellead_soak/src/gateway/site.rs
+++ b/crates/nickellead_soak/src/gateway/site.rs
@@ -15,9 +15,6 @@
 const VMS_PER_LARGE_VM: usize = 10;
 /// One of so many VMs is reached through a link.
 const VMS_PER_LINK: usize = 3;
-/// One of so many VMs can be cut off from targets, and no more than this many.
-const VMS_PER_SEVERABLE_VM: usize = 3;
-const MAX_SEVERABLE_VMS: usize = 8;
 /// Allowed repeats as a fraction of the requests, and beyond it.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_EXTRA: f64 = 210.0;
@@ -100,12 +97,6 @@
         (0..self.vms).step_by(VMS_PER_LINK)
     }
 
-    /// The VMs that can be cut off from targets: a third of them, in all zones. Each of them needs a link
-    /// to each target, and the descriptors of a process suffice for a few VMs.
-    pub(super) fn severable_vms(self) -> impl Iterator<Item = usize> {
-        (0..self.vms).skip(1).step_by(VMS_PER_SEVERABLE_VM).take(MAX_SEVERABLE_VMS)
-    }
-
     pub(super) fn services(self) -> Vec<DeclaredService> {
         SERVICES.map(|(service, _)| service).to_vec()
     }
--- a/crates/nickellead_soak/src/lib.rs
+++ b/crates/nickellead_soak/src/lib.rs
@@ -23,7 +23,7 @@
 pub use fleet::{FleetSize, SoakFleet};
 pub use gateway::{
     GatewayFault, GatewayReport, GatewayRound, GatewaySchedule, GatewaySite, ScheduledGatewayFault,
-    TargetCut, UnpaidArrival, VmMetrics, cut_schedule, gateway_schedule, run_gateway_round,
+    UnpaidArrival, VmMetrics, gateway_schedule, run_gateway_round,
 };
 pub use link::{FaultLink, LinkFault, LinkHost};
 pub use process::SoakProcess;
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -52,9 +52,6 @@
     /// with --gateways: all targets send unusual responses of one kind; the seed tells which and how many
     #[argh(switch)]
     odd: bool,
-    /// with --gateways: some VMs are cut off from all targets, and VMs that serve for them fail
-    #[argh(switch)]
-    cuts: bool,
     /// keep the logs of clean rounds too
     #[argh(switch)]
     keep: bool,
@@ -169,7 +166,6 @@
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
         target_behavior: target_behavior(arguments, seed),
-        cuts: arguments.cuts,
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
     };
@@ -183,7 +179,6 @@
     let odd_answers: Vec<String> =
         report.odd_answers.iter().map(|(id, answer)| format!("{id} {answer:?}")).collect();
     let _ = std::fs::write(folder.join("odd"), odd_answers.join("\n"));
-    let _ = std::fs::write(folder.join("traces"), &report.traces);
     let load = &report.load;
     let broken = format!("{:#?}\n{:#?}", load.broken_promises, load.run_twice);
     let _ = std::fs::write(folder.join("broken"), broken);
--- a/crates/nickellead_soak/src/process.rs
+++ b/crates/nickellead_soak/src/process.rs
@@ -1,6 +1,6 @@
 //! Child processes of a round. A round signals and kills only these.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -23,24 +23,10 @@
     /// # Errors
     /// [`SoakError::Start`], or [`SoakError::System`] if the log file can't be opened.
     pub fn start(program: &Path, arguments: &[&str], log: &Path) -> Result<Self, SoakError> {
-        Self::start_with(program, arguments, log, &[])
-    }
-
-    /// Starts a program with these variables in its environment beside those of this process.
-    ///
-    /// # Errors
-    /// As of [`SoakProcess::start`].
-    pub fn start_with(
-        program: &Path,
-        arguments: &[&str],
-        log: &Path,
-        variables: &[(&str, PathBuf)],
-    ) -> Result<Self, SoakError> {
         let open = std::fs::OpenOptions::new().create(true).append(true).open(log);
         let output = open.map_err(SoakError::system("a log file"))?;
         let errors = output.try_clone().map_err(SoakError::system("a log file"))?;
         let mut command = Command::new(program);
-        command.envs(variables.iter().map(|(name, value)| (name, value)));
         command.args(arguments).stdin(Stdio::null()).stdout(output).stderr(errors);
         let child = command.spawn().map_err(|reason| SoakError::Start {
             program: program.display().to_string(),
