--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,31 +1,31 @@
 //! The cases. Each returns whether the rule was broken.
 
-mod memory;
-mod moved_store;
+mod idle;
 mod storm;
+mod watch;
 
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::gateway::{Gateway, Ports, wait_ready};
+use crate::gateway::{Gateway, Ports, Sheet, wait_ready};
 use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
 
 pub type Broken = Result<bool, String>;
 
-pub fn run(case: &str, folder: &str, trouble: bool) -> Broken {
+pub fn run(case: &str, path: &str, trouble: bool) -> Broken {
     let site = Site::new(trouble)?;
     let record = Arc::clone(&site.record);
     let broken = match case {
-        "memory" => memory::run(site, trouble),
-        "moved-store" => moved_store::run(site, trouble),
+        "idle" => idle::run(site, trouble),
+        "watch" => watch::run(site, trouble),
         "storm" => storm::run(site, trouble),
         other => Err(format!("no case {other}")),
     };
     record.say(&format!("broken: {broken:?}"));
-    record.save(&format!("{folder}/record.txt")).map_err(|error| error.to_string())?;
+    record.save(path).map_err(|error| error.to_string())?;
     broken
 }
 
@@ -59,6 +59,7 @@
         &self,
         count: u8,
         store: std::net::SocketAddr,
+        sheet: Sheet,
     ) -> Result<Vec<Gateway>, String> {
         let text = |error: std::io::Error| error.to_string();
         let ports = Ports::free().map_err(text)?;
@@ -66,7 +67,8 @@
         for index in 0..count {
             let zone = if index % 2 == 0 { "zone-a" } else { "zone-b" };
             let name = format!("front-{zone}-{index}");
-            let mut gateway = Gateway::new(&name, zone, &self.ip(10 + index), ports, &self.folder);
+            let mut gateway =
+                Gateway::new(&name, zone, &self.ip(10 + index), ports, sheet, &self.folder);
             gateway.write_settings(store).map_err(text)?;
             gateway.start().map_err(text)?;
             gateways.push(gateway);
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -11,7 +11,9 @@
 /// One run of a request at a backend.
 #[derive(Clone, Debug)]
 pub struct Run {
+    pub at: f64,
     pub service: String,
+    pub target: String,
 }
 
 pub struct Record {
@@ -42,7 +44,7 @@
     }
 
     pub fn ran(&self, id: &str, service: &str, target: &str, request: &Message) {
-        let run = Run { service: service.to_owned() };
+        let run = Run { at: self.now(), service: service.to_owned(), target: target.to_owned() };
         self.line(&format!(
             "run {id} at {target} of {service}: {} {} {} bytes",
             request.method(),
@@ -56,6 +58,11 @@
         self.runs.lock().unwrap().get(id).cloned().unwrap_or_default()
     }
 
+    /// All runs of all requests.
+    pub fn all_runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().values().flatten().cloned().collect()
+    }
+
     pub fn save(&self, path: &str) -> std::io::Result<()> {
         std::fs::File::create(path)?.write_all(self.lines.lock().unwrap().as_bytes())
     }
