Logs and metrics tell which call of the store failed and which entries are kept

Cause: store-lost told the error but not the call, so that a cut watch looked like a store that does not respond; nothing told that an entry which was gone from the store stayed listed.

Change: store-lost has call=; the event target-kept; the metrics store_failures (by call and result) and store_outages.

--- a/crates/nickellead_event/src/event.rs
+++ b/crates/nickellead_event/src/event.rs
@@ -63,6 +63,7 @@
     TargetRestarted, "target-restarted", Warn, ["zone", "target"], "a target returned as a new process";
     TargetLost, "target-lost", Warn, ["zone", "target", "shards"], "the lease of a target has certainly expired";
     TargetChanged, "target-changed", Info, ["target", "service", "state", "born", "cold_ms"], "the store reports that a target is listed, leaving or gone";
+    TargetKept, "target-kept", Info, ["target", "service", "kept_ms"], "the entry of this target is gone from the store but may only have expired during an outage: the target stays listed for this time unless its entry returns";
     TargetUnreadable, "target-unreadable", Warn, ["target"], "the entry of this name cannot be read; it is ignored, and so is its previous content";
     TargetLeaving, "target-leaving", Info, ["target"], "a response reports that this target is leaving: it gets no new requests except, for a short time, those for keys that it owns";
     OwnerLeaving, "owner-leaving", Info, ["target", "told_on"], "the mandate holder learned from the response to an order, or from a VM that received such a response to a request, that a target is leaving: the target is to own no more keys";
@@ -86,7 +87,7 @@
     DeclarationsUntold, "declarations-untold", Warn, ["version", "reason"], "the declarations cannot be sent to other VMs, which read them from the store instead";
     PartUntold, "part-untold", Warn, ["part", "reason"], "the full list of targets or ranges cannot be sent to other VMs, which read it from the store instead";
     RoutesBuilt, "routes-built", Info, ["version", "routes", "took_ms"], "a request thread has built its routing table and uses this version from now on";
-    StoreLost, "store-lost", Warn, ["reason"], "the store stopped responding to this VM";
+    StoreLost, "store-lost", Warn, ["call", "reason"], "the store stopped responding to this VM: kind and error of the first failed call";
     StoreRegained, "store-regained", Info, [], "the store responds to this VM again";
     ListOutdated, "list-outdated", Warn, ["read", "known"], "the store's list of targets has an older revision than the known state and is ignored; logged again only after a list was accepted";
     StoreOlder, "store-older", Warn, ["era", "before", "reached"], "the store was restored from an older copy and its revisions restarted in this era; the state up to the revision reached is kept until it is updated";
--- a/crates/nickellead_gateway/src/cluster_state/targets.rs
+++ b/crates/nickellead_gateway/src/cluster_state/targets.rs
@@ -128,7 +128,10 @@
                 let Some(entry) = self.list.get(&id) else { return };
                 match remove_at {
                     Some(until) if entry.state == TargetState::Ready => {
-                        self.expiring.entry(id).or_insert(until);
+                        if !self.expiring.contains_key(&id) {
+                            log_kept(entry, until);
+                            self.expiring.insert(id, until);
+                        }
                     }
                     _ => self.remove(&id, origin),
                 }
@@ -355,6 +358,14 @@
     log_event(EventName::TargetChanged, &pairs);
 }
 
+/// Logs that a target stays listed although its entry is gone from the store.
+fn log_kept(entry: &TargetEntry, until: Instant) {
+    let kept_for = until.saturating_duration_since(Instant::now()).as_millis();
+    let pairs: [(&str, &dyn std::fmt::Display); 3] =
+        [("target", &entry.id), ("service", &entry.service), ("kept_ms", &kept_for)];
+    log_event(EventName::TargetKept, &pairs);
+}
+
 fn log_target(id: &str, service: &str, state: &str) {
     let pairs: [(&str, &dyn std::fmt::Display); 3] =
         [("target", &id), ("service", &service), ("state", &state)];
--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -11,6 +11,7 @@
 
 use super::ControlLoop;
 use crate::relay::{SubscriptionEnd, UnavailableStorePolicy};
+use crate::store_call::StoreCall;
 use crate::{OrderPort, StoreError, StorePort, Stored};
 
 /// When a fleet starts for the first time, its VMs try to create the mandate spread over this time,
@@ -167,11 +168,11 @@
         let may_take = self.mandate.borrow().due_write(BootClock.now()).is_some()
             // The cached read is the cheapest call to detect that the store is available again.
             && !self.health.is_unavailable();
-        let read = match may_take {
-            true => self.store.mandate().await,
-            false => self.store.mandate_cached().await,
+        let (call, read) = match may_take {
+            true => (StoreCall::ReadMandate, self.store.mandate().await),
+            false => (StoreCall::ProbeMandate, self.store.mandate_cached().await),
         };
-        self.health.record(&read);
+        self.health.record(call, &read);
         match &read {
             Ok(_) => self.mandate.borrow_mut().observe_store_response(BootClock.now()),
             Err(_) => self.mandate.borrow_mut().observe_store_failure(BootClock.now()),
@@ -196,7 +197,7 @@
             tokio::time::sleep(PROBE_INTERVAL).await;
             let probe = tokio::time::timeout(PROBE_TIMEOUT, self.store.mandate_cached()).await;
             let probe = probe.unwrap_or(Err(StoreError::NoResponse("probe".to_owned())));
-            self.health.record(&probe);
+            self.health.record(StoreCall::ProbeMandate, &probe);
         }
         tokio::time::sleep_until(until.into()).await;
     }
@@ -218,7 +219,7 @@
         };
         let sent = BootClock.now();
         let response = self.store.write_mandate(write.expected, &write.record).await;
-        self.health.record(&response);
+        self.health.record(StoreCall::WriteMandate, &response);
         let taken = self.mandate.borrow_mut().apply_write(
             &write,
             response.as_ref().ok().copied(),
@@ -241,7 +242,7 @@
     /// Reads the mandate after a failed write, or after the store was restored from a copy.
     async fn reread_mandate(&self) {
         let read = self.store.mandate().await;
-        self.health.record(&read);
+        self.health.record(StoreCall::ReadMandate, &read);
         let Ok(read) = read else { return };
         let now = BootClock.now();
         let mut mandate = self.mandate.borrow_mut();
--- a/crates/nickellead_gateway/src/control/map_writes.rs
+++ b/crates/nickellead_gateway/src/control/map_writes.rs
@@ -6,6 +6,7 @@
 use nickellead_range::{RangeController, RangeMap, WriteOutcome, classify_write};
 
 use super::ControlLoop;
+use crate::store_call::StoreCall;
 use crate::{OrderPort, Revision, Snapshot, StoreError, StorePort, Stored};
 
 impl<S: StorePort, O: OrderPort> ControlLoop<S, O> {
@@ -19,7 +20,7 @@
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
             let response = control.store.write_ranges(expected, &map).await;
-            control.health.record(&response);
+            control.health.record(StoreCall::WriteRanges, &response);
             let writer = map.writer;
             match response {
                 Ok(revision) => control.record_map_written(revision, map, edit),
@@ -55,7 +56,7 @@
     async fn reread_map(&self, writer: u64, error: &StoreError) {
         self.health.backoff().await;
         let read = self.store.ranges().await;
-        self.health.record(&read);
+        self.health.record(StoreCall::ReadRanges, &read);
         if self.controller_writer() != Some(writer) {
             return;
         }
--- a/crates/nickellead_gateway/src/control/ranges.rs
+++ b/crates/nickellead_gateway/src/control/ranges.rs
@@ -12,6 +12,7 @@
 
 use super::{ControlLoop, random_id};
 use crate::metrics::ThreadStep;
+use crate::store_call::StoreCall;
 use crate::thread_turns::run_step;
 use crate::{OrderPort, OwnershipSettings, StorePort, Stored};
 
@@ -128,7 +129,7 @@
     /// Reads the map and creates a controller from it; returns whether that succeeded.
     async fn load_controller(&self) -> bool {
         let read = self.store.ranges().await;
-        self.health.record(&read);
+        self.health.record(StoreCall::ReadRanges, &read);
         let Ok(snapshot) = read else {
             self.health.backoff().await;
             return false;
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod settings;
 mod sorted_targets;
 mod state_channels;
+mod store_call;
 mod store_era;
 mod store_health;
 mod store_watch;
--- a/crates/nickellead_gateway/src/metrics/control.rs
+++ b/crates/nickellead_gateway/src/metrics/control.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::store_call::StoreCall;
 use crate::{StoreEra, StoreError};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -14,6 +15,12 @@
     answer: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreFailureLabels {
+    call: &'static str,
+    answer: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
     order: &'static str,
@@ -26,6 +33,9 @@
     /// 1 while this VM may order targets.
     pub(crate) mandate: Gauge,
     store_calls: Family<StoreCallLabels, Counter>,
+    store_failures: Family<StoreFailureLabels, Counter>,
+    /// Times that the store stopped responding.
+    pub(crate) store_outages: Counter,
     orders: Family<OrderLabels, Counter>,
     /// The newest known era of the store.
     store_era: Gauge,
@@ -39,6 +49,13 @@
         let mandate = self.mandate.clone();
         registry.register("mandate_held", "1 while this VM may order targets", mandate);
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register(
+            "store_failures",
+            "Failed calls to the store by kind of call and result",
+            self.store_failures.clone(),
+        );
+        let outages = self.store_outages.clone();
+        registry.register("store_outages", "Times that the store stopped responding", outages);
         let (era, invalid) = (self.store_era.clone(), self.store_invalid_eras.clone());
         registry.register(
             "store_era",
@@ -59,8 +76,8 @@
         self.store_invalid_eras.set(invalid as i64);
     }
 
-    /// Counts a call to the store by its result.
-    pub(crate) fn count_store_call<T>(&self, result: &Result<T, StoreError>) {
+    /// Counts a call to the store by its result, and a failed one by its kind as well.
+    pub(crate) fn count_store_call<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         let answer = match result {
             Ok(_) => "done",
             Err(StoreError::Conflict) => "conflict",
@@ -70,6 +87,10 @@
             Err(StoreError::Malformed(_)) => "malformed",
         };
         self.store_calls.get_or_create(&StoreCallLabels { answer }).inc();
+        if result.is_err() {
+            let labels = StoreFailureLabels { call: call.as_str(), answer };
+            self.store_failures.get_or_create(&labels).inc();
+        }
     }
 
     /// Counts an order to a target by kind and outcome.
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -8,6 +8,7 @@
 
 use crate::StoreError;
 use crate::metrics::ControlMetrics;
+use crate::store_call::StoreCall;
 
 /// Initial backoff after a failed call; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(120);
@@ -40,12 +41,15 @@
     }
 
     /// Records the result of a call.
-    pub(crate) fn record<T>(&self, result: &Result<T, StoreError>) {
-        self.metrics.count_store_call(result);
+    pub(crate) fn record<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
+        self.metrics.count_store_call(call, result);
         match result {
             Err(error @ (StoreError::NoResponse(_) | StoreError::Refused(_))) => {
                 if self.failures.get() == 0 {
-                    log_event(EventName::StoreLost, &[("reason", error)]);
+                    self.metrics.store_outages.inc();
+                    let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                        [("call", &call.as_str()), ("reason", error)];
+                    log_event(EventName::StoreLost, &pairs);
                 }
                 self.failures.set(self.failures.get().saturating_add(1));
             }
--- a/crates/nickellead_gateway/src/store_watch.rs
+++ b/crates/nickellead_gateway/src/store_watch.rs
@@ -13,6 +13,7 @@
 
 use crate::cluster_state::{ClusterState, EXPIRY_GRACE};
 use crate::relay::UpdateRelay;
+use crate::store_call::StoreCall;
 use crate::store_health::StoreHealth;
 use crate::{Declarations, Revision, Snapshot, StoreError, StorePort, Stored};
 
@@ -169,14 +170,14 @@
     async fn step_declarations(&self, read_all: bool) -> Result<WatchStep, StoreError> {
         let known = self.cluster_state.known().declarations.filter(|_| !read_all);
         let started = BootClock.now();
-        let result = match known {
-            None => self.store.declarations().await,
+        let (call, result) = match known {
+            None => (StoreCall::ReadDeclarations, self.store.declarations().await),
             Some(from) => match self.watch_declarations(from).await? {
-                Some(snapshot) => Ok(snapshot),
+                Some(snapshot) => (StoreCall::WatchDeclarations, Ok(snapshot)),
                 None => return Ok(WatchStep::Continue),
             },
         };
-        self.health.record(&result);
+        self.health.record(call, &result);
         let snapshot = result?;
         let changed = snapshot.value.is_some();
         self.cluster_state.apply_stored_declarations(snapshot.as_of, snapshot.value, started);
@@ -207,7 +208,7 @@
                 watched = &mut watching => return watched.map(Some),
                 checked = checking => checked,
             };
-            self.health.record(&read);
+            self.health.record(StoreCall::ReadDeclarations, &read);
             interval = self.declarations_check_interval();
             match read {
                 Ok(Snapshot { as_of, value }) => {
@@ -233,7 +234,7 @@
             }
             let started = BootClock.now();
             let read = self.store.declarations().await;
-            self.health.record(&read);
+            self.health.record(StoreCall::ReadDeclarations, &read);
             match read {
                 Ok(Snapshot { as_of, value }) => {
                     self.cluster_state.apply_stored_declarations(as_of, value, started);
@@ -250,7 +251,7 @@
         match self.cluster_state.known().targets.filter(|_| !read_all) {
             None => {
                 let result = self.store.targets().await;
-                self.health.record(&result);
+                self.health.record(StoreCall::ReadTargets, &result);
                 let list = result?;
                 self.cluster_state.apply_stored_targets(list.as_of, list.value, self.expiry_end());
                 Ok(WatchStep::After(self.targets_delay()))
@@ -266,7 +267,7 @@
                 Ok(result) => result,
                 Err(_) => return Ok(WatchStep::ReadAll),
             };
-        self.health.record(&result);
+        self.health.record(StoreCall::WatchTargets, &result);
         let changes = result?;
         if self.cluster_state.known().targets.is_some_and(|known| known != from) {
             // Another VM's update was faster: these changes may be older than what is known.
@@ -289,19 +290,19 @@
             return Ok(WatchStep::ReadAll);
         }
         let known = self.cluster_state.known().ranges.filter(|_| !read_all);
-        let result = match known {
-            None => self.store.ranges().await,
+        let (call, result) = match known {
+            None => (StoreCall::ReadRanges, self.store.ranges().await),
             Some(from) => {
                 let watching = self.store.watch_ranges(from, WATCH_TIMEOUT);
                 match tokio::time::timeout(self.check_interval(LISTS_CHECK_INTERVAL), watching)
                     .await
                 {
-                    Ok(result) => result,
+                    Ok(result) => (StoreCall::WatchRanges, result),
                     Err(_) => return Ok(WatchStep::ReadAll),
                 }
             }
         };
-        self.health.record(&result);
+        self.health.record(call, &result);
         let snapshot = result?;
         let changed = snapshot.value.is_some();
         self.cluster_state.apply_ranges(snapshot.as_of, snapshot.value);
@@ -314,14 +315,14 @@
             let watching = self.store.watch_evacuations(from, WATCH_TIMEOUT);
             let check = self.check_interval(EVACUATIONS_CHECK_INTERVAL);
             if let Ok(watched) = tokio::time::timeout(check, watching).await {
-                self.health.record(&watched);
+                self.health.record(StoreCall::WatchEvacuations, &watched);
                 if !watched?.value {
                     return Ok(WatchStep::Continue);
                 }
             }
         }
         let result = self.store.evacuations().await;
-        self.health.record(&result);
+        self.health.record(StoreCall::ReadEvacuations, &result);
         let Snapshot { as_of, value } = result?;
         self.cluster_state.apply_evacuations(Stored { revision: as_of, value });
         Ok(WatchStep::Continue)
