A watch that the store cuts is no outage of the store

Cause: StoreHealth counted each error without a response as an outage, whatever the call. The end of a watch that waits says nothing of the store; each false recovery allowed entries that go to be kept for 2.2 s, as if they had only expired.

All 38 outages in the log of the VM that watches began with a cut watch, and all 20 departures were kept by it, for 1.1 to 2.2 s; late learning and other VMs are ruled out as causes.

Change: the adapter tells a connection that ended (Disconnected) from one that did not open or answer in time. The kind of call decides what that means: a watch that ends tells nothing; the VM probes the store at once, the probe counts, and the watch is repeated from the same revision, at most once per 0.25 s. The watch of the declarations records its errors like the others. Why it works: nothing that is no outage starts the grace, which real outages still start.

New beside them: the table in store_health, and a_cut_watch_is_not_a_store_that_does_not_respond.

--- a/crates/nickellead_gateway/src/control/mandate.rs
+++ b/crates/nickellead_gateway/src/control/mandate.rs
@@ -12,6 +12,7 @@
 use super::ControlLoop;
 use crate::relay::{SubscriptionEnd, UnavailableStorePolicy};
 use crate::store_call::StoreCall;
+use crate::store_health::PROBE_TIMEOUT;
 use crate::{OrderPort, StoreError, StorePort, Stored};
 
 /// When a fleet starts for the first time, its VMs try to create the mandate spread over this time,
@@ -25,8 +26,6 @@
 const FALL_BACK_JITTER: Duration = Duration::from_millis(400);
 /// Interval between the mandate holder's probes of the store.
 const PROBE_INTERVAL: Duration = Duration::from_millis(330);
-/// Timeout of a probe; a healthy store responds within a fraction of this.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Mean interval between checks of a store that responds neither to this VM nor to the one at the
 /// root. It is long because each VM checks, and the first one to reach the store informs the
 /// others.
@@ -195,9 +194,7 @@
         let until = Instant::now() + wait;
         while Instant::now() + PROBE_INTERVAL < until {
             tokio::time::sleep(PROBE_INTERVAL).await;
-            let probe = tokio::time::timeout(PROBE_TIMEOUT, self.store.mandate_cached()).await;
-            let probe = probe.unwrap_or(Err(StoreError::NoResponse("probe".to_owned())));
-            self.health.record(StoreCall::ProbeMandate, &probe);
+            self.health.probe(&*self.store).await;
         }
         tokio::time::sleep_until(until.into()).await;
     }
--- a/crates/nickellead_gateway/src/metrics/control.rs
+++ b/crates/nickellead_gateway/src/metrics/control.rs
@@ -84,6 +84,7 @@
             Err(StoreError::Compacted) => "forgotten",
             Err(StoreError::Refused(_)) => "refused",
             Err(StoreError::NoResponse(_)) => "silent",
+            Err(StoreError::Disconnected(_)) => "disconnected",
             Err(StoreError::Malformed(_)) => "malformed",
         };
         self.store_calls.get_or_create(&StoreCallLabels { answer }).inc();
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -18,6 +18,10 @@
     /// No response in time: a write may have taken effect, or may still do so.
     #[error("the store did not respond: {0}")]
     NoResponse(String),
+    /// The connection ended before the response began: a write may have taken effect, or may still do
+    /// so. The store may end a watch that waits in this way at any time.
+    #[error("the store ended the connection without a response: {0}")]
+    Disconnected(String),
     /// The store refused the call, which had no effect.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
--- a/crates/nickellead_gateway/src/store_call.rs
+++ b/crates/nickellead_gateway/src/store_call.rs
@@ -30,6 +30,24 @@
 }
 
 impl StoreCall {
+    /// Whether the call waits for a change.
+    pub(crate) const fn is_watch(self) -> bool {
+        match self {
+            Self::WatchDeclarations
+            | Self::WatchTargets
+            | Self::WatchRanges
+            | Self::WatchEvacuations => true,
+            Self::ReadDeclarations
+            | Self::ReadTargets
+            | Self::ReadRanges
+            | Self::WriteRanges
+            | Self::ReadEvacuations
+            | Self::ReadMandate
+            | Self::ProbeMandate
+            | Self::WriteMandate => false,
+        }
+    }
+
     /// Name of the kind in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -6,9 +6,9 @@
 use nickellead_event::{EventName, log_event};
 use tokio::sync::Notify;
 
-use crate::StoreError;
 use crate::metrics::ControlMetrics;
 use crate::store_call::StoreCall;
+use crate::{StoreError, StorePort};
 
 /// Initial backoff after a failed call; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(120);
@@ -20,6 +20,36 @@
 /// once.
 const MIN_BACKOFF_FRACTION: f64 = 0.5;
 
+/// Timeout of a probe; a healthy store responds within a fraction of this.
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What the result of a call tells about the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreSign {
+    /// It responds to this VM.
+    Responding,
+    /// It does not respond to this VM, or refuses its calls.
+    Unavailable,
+    /// Nothing: the next call tells.
+    Inconclusive,
+}
+
+impl StoreSign {
+    fn of<T>(call: StoreCall, result: &Result<T, StoreError>) -> Self {
+        match result {
+            Ok(_)
+            | Err(StoreError::Conflict | StoreError::Compacted | StoreError::Malformed(_)) => {
+                Self::Responding
+            }
+            // A store that is well may end a watch that waits.
+            Err(StoreError::Disconnected(_)) if call.is_watch() => Self::Inconclusive,
+            Err(
+                StoreError::Disconnected(_) | StoreError::NoResponse(_) | StoreError::Refused(_),
+            ) => Self::Unavailable,
+        }
+    }
+}
+
 /// Failures and recoveries of the store, shared by everything on this VM that calls it.
 #[derive(Default)]
 pub(crate) struct StoreHealth {
@@ -43,27 +73,40 @@
     /// Records the result of a call.
     pub(crate) fn record<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         self.metrics.count_store_call(call, result);
-        match result {
-            Err(error @ (StoreError::NoResponse(_) | StoreError::Refused(_))) => {
-                if self.failures.get() == 0 {
-                    self.metrics.store_outages.inc();
-                    let pairs: [(&str, &dyn std::fmt::Display); 2] =
-                        [("call", &call.as_str()), ("reason", error)];
-                    log_event(EventName::StoreLost, &pairs);
-                }
-                self.failures.set(self.failures.get().saturating_add(1));
-            }
-            _ => {
-                self.last_response.set(Some(Instant::now()));
-                if self.failures.replace(0) > 0 {
-                    self.recovered_at.set(Some(Instant::now()));
-                    self.recovered.notify_waiters();
-                    log_event(EventName::StoreRegained, &[]);
-                }
-            }
+        match StoreSign::of(call, result) {
+            StoreSign::Responding => self.record_response(),
+            StoreSign::Unavailable => self.record_failure(call, result.as_ref().err()),
+            StoreSign::Inconclusive => {}
+        }
+    }
+
+    fn record_response(&self) {
+        self.last_response.set(Some(Instant::now()));
+        if self.failures.replace(0) > 0 {
+            self.recovered_at.set(Some(Instant::now()));
+            self.recovered.notify_waiters();
+            log_event(EventName::StoreRegained, &[]);
+        }
+    }
+
+    fn record_failure(&self, call: StoreCall, error: Option<&StoreError>) {
+        let failures = self.failures.get();
+        self.failures.set(failures.saturating_add(1));
+        if let Some(error) = error.filter(|_| failures == 0) {
+            self.metrics.store_outages.inc();
+            let pairs: [(&str, &dyn std::fmt::Display); 2] =
+                [("call", &call.as_str()), ("reason", error)];
+            log_event(EventName::StoreLost, &pairs);
         }
     }
 
+    /// Makes the cheapest call, to learn whether the store responds to this VM.
+    pub(crate) async fn probe(&self, store: &impl StorePort) {
+        let probe = tokio::time::timeout(PROBE_TIMEOUT, store.mandate_cached()).await;
+        let probe = probe.unwrap_or(Err(StoreError::NoResponse("probe".to_owned())));
+        self.record(StoreCall::ProbeMandate, &probe);
+    }
+
     /// Whether the last call failed.
     pub(crate) fn is_unavailable(&self) -> bool {
         self.failures.get() > 0
@@ -89,3 +132,6 @@
         .await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/nickellead_gateway/src/store_watch.rs
+++ b/crates/nickellead_gateway/src/store_watch.rs
@@ -1,8 +1,9 @@
 //! Watches of the store: declarations, targets, ranges and evacuated zones.
 //!
 //! Each kind of object is read once and then watched from the revision that is known. If that
-//! revision is compacted, everything is read again and compared, so that no removal is missed. When
-//! the store recovers from an outage, watches are restarted, because old ones may never get a
+//! revision is compacted, everything is read again and compared, so that no removal is missed. A watch
+//! that the store cuts is repeated from the same revision, if a probe shows that the store responds.
+//! When the store recovers from an outage, watches are restarted, because old ones may never get a
 //! response. The store is not watched while another VM sends updates.
 
 use std::future::Future;
@@ -32,6 +33,9 @@
 /// instead.
 const ANNOUNCED_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Least time between the starts of two watches of which the first one was cut.
+const MIN_CUT_WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval between two checks whether the store has recovered.
 const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Upper bound of the random delay before a VM uses a recovered store, which spreads the load.
@@ -131,6 +135,7 @@
             // hang.
             read_all |= self.relay.holds_mandate() && !was_leading;
             was_leading = self.relay.holds_mandate();
+            let started = Instant::now();
             let stepped = tokio::select! {
                 stepped = step(read_all) => stepped,
                 () = self.relay.wait_until_not_watching_store() => continue,
@@ -149,11 +154,25 @@
                         tokio::time::sleep(COMPACTED_DELAY).await;
                     }
                 }
+                // Only a watch ends in this way while the store is available.
+                Err(StoreError::Disconnected(_)) if !self.health.is_unavailable() => {
+                    self.wait_after_cut(started).await;
+                }
                 Err(_) => self.wait_for_store().await,
             }
         }
     }
 
+    /// Waits until a watch that began at `started` and was cut may be repeated. A probe tells whether
+    /// the store was lost, because the repeated watch would tell it only when its wait time is over.
+    async fn wait_after_cut(&self, started: Instant) {
+        self.health.probe(&*self.store).await;
+        if self.health.is_unavailable() {
+            return self.wait_for_store().await;
+        }
+        tokio::time::sleep_until((started + MIN_CUT_WATCH_INTERVAL).into()).await;
+    }
+
     /// Waits until the store has recovered, which the cheaper reads of the mandate detect.
     async fn wait_for_store(&self) {
         if !self.health.is_unavailable() {
@@ -172,8 +191,8 @@
         let started = BootClock.now();
         let (call, result) = match known {
             None => (StoreCall::ReadDeclarations, self.store.declarations().await),
-            Some(from) => match self.watch_declarations(from).await? {
-                Some(snapshot) => (StoreCall::WatchDeclarations, Ok(snapshot)),
+            Some(from) => match self.watch_declarations(from).await.transpose() {
+                Some(result) => (StoreCall::WatchDeclarations, result),
                 None => return Ok(WatchStep::Continue),
             },
         };
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -11,6 +11,8 @@
 };
 use nickellead_range::{OrderKind, OrderOutcome, RangeMap, RangeOrder};
 
+/// Reason in the error of a watch that was cut.
+const CUT: &str = "watch cut";
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// An object of the store whose reads a test can withhold.
@@ -73,6 +75,10 @@
     /// VMs whose calls fail.
     unavailable_to: BTreeSet<String>,
     stalled_watches: bool,
+    /// How long a watch may wait until it is cut; `None` for as long as it asks.
+    watch_limit: Option<Duration>,
+    /// Number of watches of targets that were cut.
+    cut_target_watches: u64,
     /// Whether every watch fails because its start revision is compacted.
     compacted: bool,
     /// VMs and objects whose reads and watches get no response.
@@ -202,6 +208,16 @@
         self.state().stalled_watches = stalled;
     }
 
+    /// Cuts each watch that waits for this long: it ends without a response.
+    pub fn set_watch_limit(&self, limit: Option<Duration>) {
+        self.state().watch_limit = limit;
+    }
+
+    /// Number of watches of targets that were cut.
+    pub fn cut_target_watch_count(&self) -> u64 {
+        self.state().cut_target_watches
+    }
+
     /// Makes every watch fail as compacted, so that its caller must read again.
     pub fn set_compacted(&self, compacted: bool) {
         self.state().compacted = compacted;
@@ -314,7 +330,7 @@
         empty: T,
     ) -> Result<Snapshot<T>, StoreError> {
         self.call_non_mandate_read(|_| ())?;
-        let end = Instant::now() + wait;
+        let started = Instant::now();
         loop {
             {
                 let state = self.state();
@@ -332,7 +348,10 @@
                 {
                     return Ok(Snapshot { as_of: state.content.current_revision(), value });
                 }
-                if Instant::now() >= end {
+                if state.watch_limit.is_some_and(|limit| started.elapsed() >= limit) {
+                    return Err(StoreError::Disconnected(CUT.to_owned()));
+                }
+                if started.elapsed() >= wait {
                     return Ok(Snapshot { as_of: from, value: empty });
                 }
             }
@@ -429,6 +448,9 @@
             (!new.is_empty()).then_some(new)
         };
         let result = self.watch(from, wait, read, Vec::new()).await;
+        if result == Err(StoreError::Disconnected(CUT.to_owned())) {
+            self.state().cut_target_watches += 1;
+        }
         self.wait_while_withheld(StoreObject::Targets).await;
         result
     }
