A watch that can't be read ends in a whole read

The loop watched again from the same revision, which tells as much or more, until the store had forgotten its history; the read at intervals beside the watch started its wait anew each time. Malformed counted as a response of the store besides.

A second whole read within 1.2 s waits 0.6 s. Malformed tells nothing of the store's health.

--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -37,10 +37,9 @@
 impl StoreSign {
     fn of<T>(call: StoreCall, result: &Result<T, StoreError>) -> Self {
         match result {
-            Ok(_)
-            | Err(StoreError::Conflict | StoreError::Compacted | StoreError::Malformed(_)) => {
-                Self::Responding
-            }
+            Ok(_) | Err(StoreError::Conflict | StoreError::Compacted) => Self::Responding,
+            // A VM that can't read the response is no more up to date than before.
+            Err(StoreError::Malformed(_)) => Self::Inconclusive,
             // A store that is well may end a watch that waits.
             Err(StoreError::Disconnected(_)) if call.is_watch() => Self::Inconclusive,
             Err(
--- a/crates/nickellead_gateway/src/store_health/tests.rs
+++ b/crates/nickellead_gateway/src/store_health/tests.rs
@@ -40,6 +40,7 @@
         (StoreError::Refused(503), Unavailable, Unavailable),
         (StoreError::Conflict, Responding, Responding),
         (StoreError::Compacted, Responding, Responding),
+        (StoreError::Malformed(text()), Inconclusive, Inconclusive),
     ];
     for (error, of_others, of_watches) in table {
         assert_eq!(signs(&error, &READS_AND_WRITES), [of_others], "{error}");
--- a/crates/nickellead_gateway/src/store_watch.rs
+++ b/crates/nickellead_gateway/src/store_watch.rs
@@ -1,10 +1,11 @@
 //! Watches of the store: declarations, targets, ranges and evacuated zones.
 //!
 //! Each kind of object is read once and then watched from the revision that is known. If that
-//! revision is compacted, everything is read again and compared, so that no removal is missed. A watch
-//! that the store cuts is repeated from the same revision, if a probe shows that the store responds.
-//! When the store recovers from an outage, watches are restarted, because old ones may never get a
-//! response. The store is not watched while another VM sends updates.
+//! revision is compacted, or the response to a watch can't be read, everything is read again and
+//! compared, so that no removal is missed. A watch that the store cuts is repeated from the same
+//! revision, if a probe shows that the store responds. When the store recovers from an outage,
+//! watches are restarted, because old ones may never get a response. The store is not watched while
+//! another VM sends updates.
 
 use std::future::Future;
 use std::rc::Rc;
@@ -53,8 +54,8 @@
 const KEY_CHECKS_PER_MAX_AGE: u32 = 4;
 /// Delay after a failed read of declarations on which the check of keys depends.
 const FAILED_CHECK_DELAY: Duration = Duration::from_millis(250);
-/// Delay before another full read if the revision of the last one is already compacted.
-const COMPACTED_DELAY: Duration = Duration::from_millis(600);
+/// Delay before another full read if the last one was needed a moment ago.
+const READ_ALL_DELAY: Duration = Duration::from_millis(600);
 /// Factor on the check intervals of a VM that is not the mandate holder and has no subscribers.
 const CHECK_FACTOR_WITHOUT_SUBSCRIBERS: f64 = 4.0;
 /// The same factor for a VM with subscribers, which leave an upstream without recent store
@@ -128,7 +129,7 @@
     {
         let mut read_all = false;
         let mut was_leading = false;
-        let mut last_compacted: Option<Instant> = None;
+        let mut last_read_all: Option<Instant> = None;
         loop {
             self.relay.wait_until_watching_store().await;
             // A new mandate holder serves all other VMs, and a watch from before an outage may
@@ -147,11 +148,12 @@
                 Ok(WatchStep::Continue) => {}
                 Ok(WatchStep::After(delay)) => tokio::time::sleep(delay).await,
                 Ok(WatchStep::ReadAll) => read_all = true,
-                Err(StoreError::Compacted) => {
+                // A watch from the same revision would get the same response.
+                Err(StoreError::Compacted | StoreError::Malformed(_)) => {
                     read_all = true;
-                    let last = last_compacted.replace(Instant::now());
-                    if last.is_some_and(|last| last.elapsed() < COMPACTED_DELAY * 2) {
-                        tokio::time::sleep(COMPACTED_DELAY).await;
+                    let last = last_read_all.replace(Instant::now());
+                    if last.is_some_and(|last| last.elapsed() < READ_ALL_DELAY * 2) {
+                        tokio::time::sleep(READ_ALL_DELAY).await;
                     }
                 }
                 // Only a watch ends in this way while the store is available.
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -75,6 +75,8 @@
     /// VMs whose calls fail.
     unavailable_to: BTreeSet<String>,
     stalled_watches: bool,
+    /// Whether a watch that has changes to report fails because its response is too large.
+    oversized_watches: bool,
     /// How long a watch may wait until it is cut; `None` for as long as it asks.
     watch_limit: Option<Duration>,
     /// Number of watches of targets that were cut.
@@ -208,6 +210,11 @@
         self.state().stalled_watches = stalled;
     }
 
+    /// Makes each watch with changes to report fail because its response is too large.
+    pub fn set_oversized_watches(&self, oversized: bool) {
+        self.state().oversized_watches = oversized;
+    }
+
     /// Cuts each watch that waits for this long: it ends without a response.
     pub fn set_watch_limit(&self, limit: Option<Duration>) {
         self.state().watch_limit = limit;
@@ -346,6 +353,9 @@
                     && !state.stalled_watches
                     && let Some(value) = read(&state)
                 {
+                    if state.oversized_watches {
+                        return Err(StoreError::Malformed("response too large".to_owned()));
+                    }
                     return Ok(Snapshot { as_of: state.content.current_revision(), value });
                 }
                 if state.watch_limit.is_some_and(|limit| started.elapsed() >= limit) {
