A call beyond the rate of the store is no outage

Cause: the same class as the cut watch. 429 says that all VMs together call too often; it counted as an outage, after which entries that go are kept, subscribers leave their upstream and call the store themselves, and every watch is restarted.

Change: StoreError::RateLimited. Of calls that count toward the rate it tells nothing; a VM whose watch gets it waits, longer each time, and then probes: cached reads are outside the rate, so that 429 of one of them is an outage, as before.

--- a/crates/nickellead_gateway/src/metrics/control.rs
+++ b/crates/nickellead_gateway/src/metrics/control.rs
@@ -83,6 +83,7 @@
             Err(StoreError::Conflict) => "conflict",
             Err(StoreError::Compacted) => "forgotten",
             Err(StoreError::Refused(_)) => "refused",
+            Err(StoreError::RateLimited) => "rate-limited",
             Err(StoreError::NoResponse(_)) => "silent",
             Err(StoreError::Disconnected(_)) => "disconnected",
             Err(StoreError::Malformed(_)) => "malformed",
--- a/crates/nickellead_gateway/src/port.rs
+++ b/crates/nickellead_gateway/src/port.rs
@@ -25,6 +25,9 @@
     /// The store refused the call, which had no effect.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
+    /// The store refused the call, which had no effect, because VMs make too many calls.
+    #[error("the store accepts no more calls at present")]
+    RateLimited,
     /// The object's revision differs from the expected one.
     #[error("the object has changed since it was read")]
     Conflict,
--- a/crates/nickellead_gateway/src/store_call.rs
+++ b/crates/nickellead_gateway/src/store_call.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether the store counts the call toward the rate that it accepts of all VMs together.
+    pub(crate) const fn counts_toward_rate(self) -> bool {
+        !matches!(self, Self::ProbeMandate)
+    }
+
     /// Name of the kind in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/nickellead_gateway/src/store_health.rs
+++ b/crates/nickellead_gateway/src/store_health.rs
@@ -10,7 +10,7 @@
 use crate::store_call::StoreCall;
 use crate::{StoreError, StorePort};
 
-/// Initial backoff after a failed call; it doubles with each further failure.
+/// Initial backoff after a failed call; it doubles with each further failure or refusal.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(120);
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(900);
@@ -40,10 +40,15 @@
             Ok(_) | Err(StoreError::Conflict | StoreError::Compacted) => Self::Responding,
             // A VM that can't read the response is no more up to date than before.
             Err(StoreError::Malformed(_)) => Self::Inconclusive,
+            // Of a store that is well, calls beyond the rate are refused.
+            Err(StoreError::RateLimited) if call.counts_toward_rate() => Self::Inconclusive,
             // A store that is well may end a watch that waits.
             Err(StoreError::Disconnected(_)) if call.is_watch() => Self::Inconclusive,
             Err(
-                StoreError::Disconnected(_) | StoreError::NoResponse(_) | StoreError::Refused(_),
+                StoreError::Disconnected(_)
+                | StoreError::NoResponse(_)
+                | StoreError::Refused(_)
+                | StoreError::RateLimited,
             ) => Self::Unavailable,
         }
     }
@@ -54,6 +59,8 @@
 pub(crate) struct StoreHealth {
     /// Consecutive failed calls.
     failures: Cell<u32>,
+    /// Consecutive calls that were refused because VMs make too many.
+    rate_limits: Cell<u32>,
     /// When the store last recovered.
     recovered_at: Cell<Option<Instant>>,
     /// When the store last responded.
@@ -72,6 +79,13 @@
     /// Records the result of a call.
     pub(crate) fn record<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         self.metrics.count_store_call(call, result);
+        match result {
+            Err(StoreError::RateLimited) => {
+                self.rate_limits.set(self.rate_limits.get().saturating_add(1));
+            }
+            _ if call.counts_toward_rate() => self.rate_limits.set(0),
+            _ => {}
+        }
         match StoreSign::of(call, result) {
             StoreSign::Responding => self.record_response(),
             StoreSign::Unavailable => self.record_failure(call, result.as_ref().err()),
@@ -123,7 +137,8 @@
 
     /// Waits before the next call, with exponential backoff and jitter.
     pub(crate) async fn backoff(&self) {
-        let doubled = INITIAL_BACKOFF * (1 << self.failures.get().min(MAX_BACKOFF_DOUBLINGS));
+        let failures = self.failures.get().max(self.rate_limits.get());
+        let doubled = INITIAL_BACKOFF * (1 << failures.min(MAX_BACKOFF_DOUBLINGS));
         let max = doubled.min(MAX_BACKOFF);
         tokio::time::sleep(
             max.mul_f64(MIN_BACKOFF_FRACTION + fastrand::f64() * (1.0 - MIN_BACKOFF_FRACTION)),
--- a/crates/nickellead_gateway/src/store_health/tests.rs
+++ b/crates/nickellead_gateway/src/store_health/tests.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// Guards against calls beyond the rate that count as an outage: only cached reads are outside the rate.
+#[test]
+fn a_refusal_beyond_the_rate_tells_nothing_but_of_cached_reads() {
+    let limited: Result<(), _> = Err(StoreError::RateLimited);
+    for call in READS_AND_WRITES.into_iter().chain(WATCHES) {
+        let is_cached = call == StoreCall::ProbeMandate;
+        let expected = if is_cached { StoreSign::Unavailable } else { StoreSign::Inconclusive };
+        assert_eq!(StoreSign::of(call, &limited), expected, "{call:?}");
+    }
+}
+
 /// Guards against a cut watch that starts an outage, or ends one that has begun.
 #[test]
 fn a_cut_watch_neither_begins_nor_ends_an_outage() {
--- a/crates/nickellead_gateway/src/store_watch.rs
+++ b/crates/nickellead_gateway/src/store_watch.rs
@@ -160,6 +160,11 @@
                 Err(StoreError::Disconnected(_)) if !self.health.is_unavailable() => {
                     self.wait_after_cut(started).await;
                 }
+                Err(StoreError::RateLimited) if !self.health.is_unavailable() => {
+                    self.health.backoff().await;
+                    // Only calls that don't count toward the rate tell whether the store is lost.
+                    self.health.probe(&*self.store).await;
+                }
                 Err(_) => self.wait_for_store().await,
             }
         }
--- a/crates/nickellead_gateway/tests/common/store.rs
+++ b/crates/nickellead_gateway/tests/common/store.rs
@@ -77,6 +77,8 @@
     stalled_watches: bool,
     /// Whether a watch that has changes to report fails because its response is too large.
     oversized_watches: bool,
+    /// Whether all calls but cached reads are refused because VMs make too many.
+    rate_limited: bool,
     /// How long a watch may wait until it is cut; `None` for as long as it asks.
     watch_limit: Option<Duration>,
     /// Number of watches of targets that were cut.
@@ -215,6 +217,11 @@
         self.state().oversized_watches = oversized;
     }
 
+    /// Refuses all calls that count toward the rate of calls, or accepts them again.
+    pub fn set_rate_limited(&self, limited: bool) {
+        self.state().rate_limited = limited;
+    }
+
     /// Cuts each watch that waits for this long: it ends without a response.
     pub fn set_watch_limit(&self, limit: Option<Duration>) {
         self.state().watch_limit = limit;
@@ -311,6 +318,15 @@
     }
 
     fn call<T>(&self, read: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
+        if self.state().rate_limited {
+            self.state().calls += 1;
+            return Err(StoreError::RateLimited);
+        }
+        self.call_cached(read)
+    }
+
+    /// A call that does not count toward the rate.
+    fn call_cached<T>(&self, read: impl FnOnce(&mut StoreState) -> T) -> Result<T, StoreError> {
         let mut state = self.state();
         state.calls += 1;
         if state.is_unavailable_to(&self.vm) {
@@ -501,7 +517,7 @@
     }
 
     async fn mandate_cached(&self) -> Result<Option<Stored<MandateRecord>>, StoreError> {
-        self.mandate().await
+        self.call_cached(|state| state.content.mandate.clone())
     }
 
     async fn mandate(&self) -> Result<Option<Stored<MandateRecord>>, StoreError> {
