--- a/crates/nickellead_gateway/src/cluster_state/targets.rs
+++ b/crates/nickellead_gateway/src/cluster_state/targets.rs
@@ -128,10 +128,10 @@
                 let Some(entry) = self.list.get(&id) else { return };
                 match remove_at {
                     Some(until) if entry.state == TargetState::Ready => {
-                        if !self.expiring.contains_key(&id) {
+                        self.expiring.entry(id).or_insert_with(|| {
                             log_kept(entry, until);
-                            self.expiring.insert(id, until);
-                        }
+                            until
+                        });
                     }
                     _ => self.remove(&id, origin),
                 }
