--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -29,6 +29,8 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a store that cuts watches lets them wait, in milliseconds.
+const WATCH_LIMITS_MS: std::ops::Range<u64> = 100..2_000;
 
 /// The addresses of one VM.
 struct VmPorts {
@@ -45,7 +47,7 @@
     pub(super) targets: StandinTargets,
     /// How targets handle requests while no fault changes it.
     target_behavior: TargetBehavior,
-    store: StandinStore,
+    pub(super) store: StandinStore,
     ports: Vec<VmPorts>,
     links: BTreeMap<usize, FaultLink>,
     _link_host: LinkHost,
@@ -66,6 +68,9 @@
         let mut rng = fastrand::Rng::with_seed(*seed);
         let ledger = Arc::new(RequestLedger::default());
         let (store, targets) = start_standins(site, target_behavior, &ledger, &mut rng)?;
+        if let Some(limit) = watch_limit(*seed) {
+            store.cut_watches_after(limit);
+        }
         let ports = (0..site.vms).map(|_| VmPorts::allocate());
         let ports = ports.collect::<Result<Vec<VmPorts>, SoakError>>()?;
         let link_host = LinkHost::start()?;
@@ -239,6 +244,14 @@
     }
 }
 
+/// How long the store lets watches wait in the round of this seed; in every other one as long as they
+/// ask.
+fn watch_limit(seed: u64) -> Option<Duration> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let limit = Duration::from_millis(rng.u64(WATCH_LIMITS_MS));
+    seed.is_multiple_of(2).then_some(limit)
+}
+
 /// Starts the store, with the declarations, and all targets, which are listed there.
 fn start_standins(
     site: GatewaySite,
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -69,6 +69,8 @@
     pub excess_work: ExcessWork,
     /// How late the threads of callers and targets ran.
     pub lateness: StandinLateness,
+    /// Watches that the store cut.
+    pub cut_watches: usize,
     /// Requests that arrived more than once, with the time of each further arrival.
     pub repeated: Vec<(Duration, String)>,
     /// Arrivals beyond the first of each request for which no VM has logged that it took a token.
@@ -122,6 +124,7 @@
         endless_responses: fleet.ledger.endless_responses(),
         excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
         lateness: fleet.ledger.lateness(),
+        cut_watches: fleet.store.cut_watches(),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
         repeated,
         metrics,
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -231,6 +231,7 @@
         );
     }
     println!("  {:?} {:?}", report.excess_work, report.lateness);
+    println!("  {} watches cut by the store", report.cut_watches);
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
     let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -52,4 +52,5 @@
     assert!(load.broken_promises.is_empty(), "{:?}, logs in {folder:?}", load.broken_promises);
     assert!(load.run_twice.is_empty(), "{:?}, logs in {folder:?}", load.run_twice);
     assert!(load.served() > 1_000 && report.surplus_responses > 300, "{load:?}");
+    assert!(report.cut_watches > 0, "the store cuts watches in rounds with even seeds");
 }
