--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -299,6 +299,18 @@
     }
 }
 
+/// Two ready gateways: the mandate holder, which watches the store, and a VM that subscribes to it.
+pub fn start_pair(store: &MemoryStore) -> [TestGateway; 2] {
+    let holder = TestGateway::start("vm-0", store);
+    wait_until("the first VM holds the mandate", || {
+        store.mandate_holder().as_deref() == Some("vm-0")
+    });
+    let subscriber = TestGateway::start("vm-1", store);
+    let gateways = [holder, subscriber];
+    gateways.iter().for_each(TestGateway::wait_ready);
+    gateways
+}
+
 /// A ready gateway that routes the service `plain` to these targets; requests sent so far are
 /// cleared.
 pub fn gateway_with_targets(name: &str, targets: &[&TestTarget]) -> (TestGateway, MemoryStore) {
--- a/crates/nickellead_gateway/tests/cut_watches.rs
+++ b/crates/nickellead_gateway/tests/cut_watches.rs
@@ -8,7 +8,7 @@
 
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
-use common::{TestGateway, declarations, entry, wait_until};
+use common::{declarations, entry, start_pair, wait_until};
 
 /// How long a watch waits until the store cuts it.
 const WATCH_LIMIT: Duration = Duration::from_millis(1_000);
@@ -26,18 +26,6 @@
 /// Fewer watches of targets than are cut within either test.
 const MIN_CUT_WATCHES: u64 = 3;
 
-/// The mandate holder, which watches the store, and a VM that subscribes to it.
-fn start_pair(store: &MemoryStore) -> [TestGateway; 2] {
-    let holder = TestGateway::start("vm-0", store);
-    wait_until("the first VM holds the mandate", || {
-        store.mandate_holder().as_deref() == Some("vm-0")
-    });
-    let subscriber = TestGateway::start("vm-1", store);
-    let gateways = [holder, subscriber];
-    gateways.iter().for_each(TestGateway::wait_ready);
-    gateways
-}
-
 /// Guards against requests to targets whose entries went long ago: a cut watch counted as an outage of
 /// the store, after which entries that go are kept as if they had only expired.
 #[test]
--- a/crates/nickellead_gateway/tests/oversized_watches.rs
+++ b/crates/nickellead_gateway/tests/oversized_watches.rs
@@ -7,7 +7,7 @@
 
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
-use common::{TestGateway, declarations, entry, wait_until};
+use common::{declarations, entry, start_pair, wait_until};
 
 /// Time within which every VM uses new declarations, and sends no request to a target that has gone.
 const MAX_DELAY: Duration = Duration::from_millis(2_000);
@@ -26,12 +26,7 @@
     let targets = ["t-0", "t-1"].map(|id| TestTarget::start(id, Behavior::Serve));
     targets.iter().for_each(|target| store.list(entry(&target.id, "plain", target.address)));
     store.declare(declarations(1));
-    let holder = TestGateway::start("vm-0", &store);
-    wait_until("the first VM holds the mandate", || {
-        store.mandate_holder().as_deref() == Some("vm-0")
-    });
-    let gateways = [holder, TestGateway::start("vm-1", &store)];
-    gateways.iter().for_each(TestGateway::wait_ready);
+    let gateways = start_pair(&store);
     std::thread::sleep(SETTLE_TIME);
     store.set_oversized_watches(true);
     for version in 2..5 {
