--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 
+use super::disturbances::VmDisturbances;
 use super::http_get::http_get;
 use super::metrics::VmMetrics;
 use super::processes::{DutyCycle, VmProcesses};
@@ -55,6 +56,7 @@
     load: watch::Sender<f64>,
     /// When VMs were killed.
     pub(super) kills: Vec<Duration>,
+    pub(super) disturbances: VmDisturbances,
     /// Metrics of lives that have ended.
     ended_metrics: VmMetrics,
 }
@@ -94,6 +96,7 @@
             processes,
             load: watch::channel(1.0).0,
             kills: Vec::new(),
+            disturbances: VmDisturbances::default(),
             ended_metrics: VmMetrics::default(),
         };
         (0..site.vms).try_for_each(|vm| fleet.processes.start(vm))?;
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    ExcessWork, LoadReport, OddAnswer, ServiceRepeats, StandinLateness, TargetBehavior, run_callers,
+    HandedTime, LoadReport, OddAnswer, ServiceRepeats, StandinLateness, TargetBehavior,
+    WidespreadWork, run_callers,
 };
 
 use super::fleet::GatewayFleet;
@@ -38,6 +39,19 @@
     pub fault_duration: Duration,
     /// Seed of the deployment, the load and the faults.
     pub seed: u64,
+    /// Which faults are injected.
+    pub faults: RoundFaults,
+}
+
+/// The faults of a round.
+#[derive(Clone, Debug)]
+pub enum RoundFaults {
+    /// Those of the seed.
+    Seeded,
+    /// None; small VMs are starved as the seed tells.
+    None,
+    /// These.
+    Given(GatewaySchedule),
 }
 
 /// An arrival beyond the first of its request for which no VM has logged that it took a token.
@@ -65,8 +79,13 @@
     pub odd_answers: Vec<(String, OddAnswer)>,
     /// Bytes sent of each response without end.
     pub endless_responses: Vec<usize>,
-    /// Work of targets beyond what callers wait for and routes allow.
-    pub excess_work: ExcessWork,
+    /// Requests at more targets at the same time than routes allow.
+    pub widespread_work: WidespreadWork,
+    /// What targets were told of the time that remains.
+    pub handed_time: HandedTime,
+    /// The same without requests whose VMs were not in touch. The VM that a caller sent a request to is
+    /// known, not the dispatcher that may have passed it on.
+    pub handed_in_touch: HandedTime,
     /// How late the threads of callers and targets ran.
     pub lateness: StandinLateness,
     /// Watches that the store cut.
@@ -86,7 +105,8 @@
     #[must_use]
     pub fn is_clean(&self) -> bool {
         let is_repeated_too_often = self.repeats.iter().any(ServiceRepeats::is_exceeded);
-        let within_budget = !is_repeated_too_often && !self.excess_work.is_exceeded();
+        let is_exceeded = self.widespread_work.is_exceeded() || self.handed_time.is_exceeded();
+        let within_budget = !is_repeated_too_often && !is_exceeded;
         let load = &self.load;
         let promises_kept = load.broken_promises.is_empty() && load.run_twice.is_empty();
         within_budget && promises_kept && self.unpaid.iter().all(|arrival| arrival.before_kill)
@@ -100,7 +120,16 @@
 pub fn run_gateway_round(round: &GatewayRound) -> Result<GatewayReport, SoakError> {
     let mut fleet = GatewayFleet::start(round)?;
     let targets = fleet.targets.count();
-    let schedule = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
+    let schedule = match &round.faults {
+        RoundFaults::Given(schedule) => schedule.clone(),
+        RoundFaults::Seeded => {
+            gateway_schedule(round.seed, round.site, targets, round.fault_duration)
+        }
+        RoundFaults::None => {
+            let seeded = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
+            GatewaySchedule { cycle: seeded.cycle, faults: Vec::new() }
+        }
+    };
     let load_duration = round.fault_duration + 2 * CALM_TIME;
     let (settings, factor) = fleet.callers(load_duration, round.seed);
     let ledger = fleet.ledger.clone();
@@ -116,13 +145,18 @@
     let load = callers.join().map_err(|_| SoakError::NotReached("load finished".to_owned()))?;
     let (repeated, metrics) = (fleet.ledger.repeated(), fleet.metrics());
     let paid = fleet.count_events(PAID_EVENT)?;
+    let handed_time = fleet.ledger.handed_time();
+    let handed_in_touch = handed_time
+        .filtered(|one| one.vm.is_none_or(|vm| fleet.disturbances.is_in_touch(vm, one.at)));
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
         surplus_responses: fleet.ledger.surplus_responses(),
         odd_answers: fleet.ledger.odd_answers(),
         endless_responses: fleet.ledger.endless_responses(),
-        excess_work: fleet.ledger.excess_work(GatewaySite::ATTEMPTS),
+        widespread_work: fleet.ledger.widespread_work(GatewaySite::ATTEMPTS),
+        handed_time,
+        handed_in_touch,
         lateness: fleet.ledger.lateness(),
         cut_watches: fleet.store.cut_watches(),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
@@ -159,9 +193,9 @@
     schedule: &GatewaySchedule,
     duration: Duration,
 ) -> Result<(), SoakError> {
-    let started = Instant::now();
-    let starts = schedule.faults.iter().map(|fault| (fault.start, true, &fault.fault));
-    let ends = schedule.faults.iter().map(|fault| (fault.end, false, &fault.fault));
+    let (started, started_at) = (Instant::now(), fleet.ledger.now());
+    let starts = schedule.faults.iter().map(|fault| (fault.start, true, fault));
+    let ends = schedule.faults.iter().map(|fault| (fault.end, false, fault));
     let mut edges: Vec<_> = starts.chain(ends).collect();
     edges.sort_by_key(|(at, _, _)| *at);
     let wait_until = |at: Duration| {
@@ -169,12 +203,15 @@
             std::thread::sleep(POLL_INTERVAL);
         }
     };
-    for (at, is_start, fault) in edges {
+    for (at, is_start, scheduled) in edges {
         wait_until(at);
-        match is_start {
-            true => fleet.start_fault(fault),
-            false => fleet.end_fault(fault)?,
+        if is_start {
+            fleet.start_fault(&scheduled.fault);
+            continue;
         }
+        fleet.end_fault(&scheduled.fault)?;
+        let (start, end) = (started_at + scheduled.start, fleet.ledger.now());
+        fleet.disturbances.record(&scheduled.fault, start, end);
     }
     wait_until(duration);
     Ok(())
--- a/crates/nickellead_soak/src/lib.rs
+++ b/crates/nickellead_soak/src/lib.rs
@@ -22,8 +22,9 @@
 pub use error::SoakError;
 pub use fleet::{FleetSize, SoakFleet};
 pub use gateway::{
-    GatewayFault, GatewayReport, GatewayRound, GatewaySchedule, GatewaySite, ScheduledGatewayFault,
-    UnpaidArrival, VmMetrics, gateway_schedule, run_gateway_round,
+    DutyCycle, GatewayFault, GatewayReport, GatewayRound, GatewaySchedule, GatewaySite,
+    RoundFaults, ScheduledGatewayFault, UnpaidArrival, VmMetrics, gateway_schedule,
+    run_gateway_round,
 };
 pub use link::{FaultLink, LinkFault, LinkHost};
 pub use process::SoakProcess;
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use nickellead_adapter_standin::{OddAnswer, TargetBehavior};
+use nickellead_adapter_standin::{HandedTime, OddAnswer, TargetBehavior};
 use nickellead_soak::{
-    FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundReport, RoundSettings, SoakError,
-    run_gateway_round, run_round,
+    FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundFaults, RoundReport, RoundSettings,
+    SoakError, run_gateway_round, run_round,
 };
 
 /// Range of the fraction of requests that targets refuse with --surplus.
@@ -52,6 +52,9 @@
     /// with --gateways: all targets send unusual responses of one kind; the seed tells which and how many
     #[argh(switch)]
     odd: bool,
+    /// with --gateways: inject no faults; small VMs are starved as the seed tells
+    #[argh(switch)]
+    no_faults: bool,
     /// keep the logs of clean rounds too
     #[argh(switch)]
     keep: bool,
@@ -168,6 +171,7 @@
         target_behavior: target_behavior(arguments, seed),
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
+        faults: if arguments.no_faults { RoundFaults::None } else { RoundFaults::Seeded },
     };
     let report = run_gateway_round(&round)?;
     print_gateways(seed, round.target_behavior, &report);
@@ -179,6 +183,7 @@
     let odd_answers: Vec<String> =
         report.odd_answers.iter().map(|(id, answer)| format!("{id} {answer:?}")).collect();
     let _ = std::fs::write(folder.join("odd"), odd_answers.join("\n"));
+    let _ = std::fs::write(folder.join("noted"), format!("{:#?}", report.handed_time.noted));
     let load = &report.load;
     let broken = format!("{:#?}\n{:#?}", load.broken_promises, load.run_twice);
     let _ = std::fs::write(folder.join("broken"), broken);
@@ -201,6 +206,18 @@
     );
 }
 
+fn print_handed_time(label: &str, handed: &HandedTime) {
+    println!(
+        "  time handed on, {label}: exceeded={} arrivals={} overlong={} {:?} late_repeats={} overlong_repeats={}",
+        handed.is_exceeded(),
+        handed.arrivals,
+        handed.overlong(),
+        handed.overlong_by_route(),
+        handed.late_repeats(),
+        handed.overlong_repeats(),
+    );
+}
+
 fn print_gateways(seed: u64, behavior: TargetBehavior, report: &GatewayReport) {
     let load = &report.load;
     println!(
@@ -230,7 +247,9 @@
             one.service, one.sent, one.repeats, one.worst, one.allowed
         );
     }
-    println!("  {:?} {:?}", report.excess_work, report.lateness);
+    println!("  {:?} {:?}", report.widespread_work, report.lateness);
+    print_handed_time("all", &report.handed_time);
+    print_handed_time("in touch", &report.handed_in_touch);
     println!("  {} watches cut by the store", report.cut_watches);
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use nickellead_adapter_standin::TargetBehavior;
-use nickellead_soak::{GatewayRound, GatewaySite, run_gateway_round};
+use nickellead_soak::{GatewayRound, GatewaySite, RoundFaults, run_gateway_round};
 
 /// Long enough for several faults to overlap.
 const FAULT_DURATION: Duration = Duration::from_secs(10);
@@ -22,6 +22,7 @@
         target_behavior,
         fault_duration: FAULT_DURATION,
         seed,
+        faults: RoundFaults::Seeded,
     }
 }
 
