Logs and metrics tell how long requests lay unread

Change: nickellead_proxy has the system note when bytes arrive on callers' connections (SO_TIMESTAMPNS, read by recvmsg) and takes the difference at the read, bounded by the time since the connection was last empty; times that are impossible show that the clock was set, and none is used for 10 s after one. nickellead_peer's calls tell when they were sent by a clock of their process; the server takes the excess over the fastest call of that process. New: nickellead_unread_seconds{from}, event request-read-late. No deadline changes yet. Result: unit tests of both, and the_handler_is_told_how_late_a_call_is (350 ms of a busy server are told as 200 to 400 ms).

--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,7 +10,7 @@
 use nickellead_dispatch::TicketId;
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::{ByteBudget, HeldBytes, SizeEstimate};
-use nickellead_peer::serve_calls;
+use nickellead_peer::{CallArrival, serve_calls};
 use nickellead_time::BootClock;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
@@ -33,7 +32,7 @@
     AttemptEnd, AttemptPlan, AttemptResult, OutgoingRequest, SendPermission, run_attempt,
 };
 use crate::log_sample::is_logged;
-use crate::metrics::GatewayMetrics;
+use crate::metrics::{GatewayMetrics, RequestSender};
 use crate::registered_target::RegisteredTarget;
 use crate::response_body::ResponseScale;
 use crate::response_signals::ResponseSignals;
@@ -75,10 +74,10 @@
 
 /// Serves the messages of other VMs for as long as the thread's runtime runs.
 pub(crate) async fn serve_dispatch(listener: TcpListener, server: Rc<DispatchServer>) {
-    let handler = move |call: DispatchCall, _: SocketAddr| {
+    let handler = move |call: DispatchCall, arrival: CallArrival| {
         let server = Rc::clone(&server);
         let answering: std::pin::Pin<Box<dyn Future<Output = DispatchReply>>> =
-            Box::pin(async move { server.answer(call).await });
+            Box::pin(async move { server.answer(call, arrival).await });
         answering
     };
     serve_calls(listener, DISPATCH_PATH, Rc::new(handler)).await;
@@ -150,7 +149,8 @@
         self.context.metrics.dispatch.set_gauges(groups.len(), waiting);
     }
 
-    async fn answer(self: Rc<Self>, call: DispatchCall) -> DispatchReply {
+    async fn answer(self: Rc<Self>, call: DispatchCall, arrival: CallArrival) -> DispatchReply {
+        self.record_unread(&call, arrival.delay);
         match call {
             DispatchCall::Acquire(call) => self.acquire(&call).await,
             DispatchCall::Forward(call) => self.forward(*call).await,
@@ -170,6 +170,20 @@
         }
     }
 
+    /// Records for how much longer than usual a message was under way.
+    fn record_unread(&self, call: &DispatchCall, delay: Duration) {
+        let (metrics, sender) = (&self.context.metrics.unread, RequestSender::Vm);
+        let request = match call {
+            DispatchCall::Forward(call) => &call.request,
+            DispatchCall::Assist(call) => &call.request,
+            DispatchCall::Acquire(_)
+            | DispatchCall::Release(_)
+            | DispatchCall::ZoneReport(_)
+            | DispatchCall::ProbeAssist => return metrics.record(sender, delay),
+        };
+        metrics.record_request(sender, request.id(&self.context.names), delay);
+    }
+
     /// Serves a request of a VM that reaches no target.
     async fn assist(&self, call: AssistCall) -> DispatchReply {
         let (Some(worker), Some(assisted)) = (self.worker(), call.into_assisted()) else {
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -100,6 +100,12 @@
 }
 
 impl WireRequest {
+    /// The id of the request; empty if it has none.
+    pub(super) fn id(&self, names: &HeaderNames) -> &[u8] {
+        let line = self.headers.iter().find(|line| line.name == names.request_id);
+        line.map_or(&[], |line| &line.value)
+    }
+
     /// The request to send to a target; `None` if it is not valid.
     pub(super) fn into_outgoing(self, names: &HeaderNames) -> Option<OutgoingRequest> {
         let headers = header_map(self.headers)?;
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -9,8 +9,10 @@
 mod requests;
 mod retries;
 mod threads;
+mod unread;
 
 pub(crate) use control::ControlMetrics;
 pub(crate) use requests::GatewayMetrics;
 pub(crate) use retries::RetryMetrics;
 pub(crate) use threads::{ThreadMetrics, ThreadStep, VmThread};
+pub(crate) use unread::RequestSender;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -14,6 +14,7 @@
 use super::dispatch::DispatchMetrics;
 use super::reach::ReachMetrics;
 use super::retries::RetryMetrics;
+use super::unread::UnreadMetrics;
 use crate::response_signals::{LimitSignal, LoadSignal, ResponseSignals};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -62,6 +63,7 @@
     pub(crate) dispatch: DispatchMetrics,
     pub(crate) reach: ReachMetrics,
     pub(crate) repeats: RetryMetrics,
+    pub(crate) unread: UnreadMetrics,
 }
 
 impl GatewayMetrics {
@@ -90,6 +92,7 @@
             dispatch: DispatchMetrics::register(registry),
             reach: ReachMetrics::register(registry),
             repeats: RetryMetrics::register(registry),
+            unread: UnreadMetrics::register(registry),
         };
         registry.register("requests", "Requests of callers", metrics.requests.clone());
         registry.register(
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -34,7 +34,7 @@
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_event::{EventName, log_event};
 use nickellead_limit::{ByteBudget, RetryBudget, RetryLimits, WaitQueue};
-use nickellead_proxy::ServeState;
+use nickellead_proxy::{ServeState, arrival_of};
 use nickellead_range::RangeMap;
 use nickellead_time::BootClock;
 use tokio::sync::Notify;
@@ -54,7 +54,7 @@
 use crate::incoming::{IncomingRequest, read_request};
 use crate::listed_targets::ListedTargets;
 use crate::load_counter::{LoadCounter, VmId};
-use crate::metrics::GatewayMetrics;
+use crate::metrics::{GatewayMetrics, RequestSender};
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
 use crate::route_table::RouteTable;
@@ -444,6 +444,8 @@
     pub(crate) async fn handle(&self, request: Request) -> Response<BoxBody> {
         self.metrics.requests.inc();
         let id = self.request_id(&request);
+        let unread = arrival_of(&request).elapsed();
+        self.metrics.unread.record_request(RequestSender::Caller, id.as_bytes(), unread);
         let known = self.state.borrow().version.is_some();
         if !known && !self.wait_for_declarations(&request).await {
             return self.refuse(ErrorKind::NotConfigured, &id, None);
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::call_delay::stamp_call;
 use crate::codec::{MAX_MESSAGE_BYTES, PeerError, decode, encode};
 use crate::message::{PeerReply, PeerRequest};
 
@@ -161,8 +162,9 @@
     path: &str,
     body: Bytes,
 ) -> Result<ResponseFuture, PeerError> {
-    let request =
+    let mut request =
         Request::post(format!("http://{address}{path}")).body(()).map_err(connection_error)?;
+    stamp_call(request.headers_mut());
     let (response, mut stream) = sender.send_request(request, false).map_err(connection_error)?;
     stream.send_data(body, true).map_err(connection_error)?;
     Ok(response)
--- a/crates/nickellead_peer/src/lib.rs
+++ b/crates/nickellead_peer/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each exchange is one h2 stream: a POST with a [`PeerRequest`] and a response with a
 //! [`PeerReply`]. Other pairs of messages use paths of their own. The path contains the version of
 //! the protocol. [`PeerClient`] makes one call at a time; [`PeerChannel`] makes many at once on one
-//! connection, and [`serve_calls`] acknowledges each before it is handled.
+//! connection, and [`serve_calls`] acknowledges each before it is handled, and knows for how much longer
+//! than usual it was under way.
 
 mod arrived;
+mod call_delay;
 mod call_server;
 mod channel;
 mod client;
@@ -16,7 +18,7 @@
 mod message;
 mod server;
 
-pub use call_server::serve_calls;
+pub use call_server::{CallArrival, CallHandler, serve_calls};
 pub use channel::{Acknowledgement, PeerChannel, PendingCall};
 pub use client::{ExchangeProgress, PeerClient};
 pub use codec::{MAX_MESSAGE_BYTES, PeerError, decode, encode};
--- a/crates/nickellead_peer/tests/concurrent_calls.rs
+++ b/crates/nickellead_peer/tests/concurrent_calls.rs
@@ -9,7 +9,7 @@
 
 use bincode::{Decode, Encode};
 use futures_util::FutureExt;
-use nickellead_peer::{PeerChannel, PeerError, PeerHandler, serve_calls};
+use nickellead_peer::{CallArrival, CallHandler, PeerChannel, PeerError, serve_calls};
 use tokio::sync::oneshot;
 
 const PATH: &str = "/job/1";
@@ -32,6 +32,8 @@
 struct JobResult {
     /// The caller's port, which identifies the connection.
     port: u16,
+    /// For how much longer than usual the call was under way, in milliseconds.
+    delay_ms: u64,
     bytes: Vec<u8>,
 }
 
@@ -49,7 +51,7 @@
     }
 }
 
-async fn run(job: Job, from: SocketAddr, log: JobLog) -> JobResult {
+async fn run(job: Job, arrival: CallArrival, log: JobLog) -> JobResult {
     log.lock().unwrap().push((job, "begun"));
     let mut guard = JobGuard(job, log, false);
     let size = match job {
@@ -64,7 +66,8 @@
         Job::Bytes(size) => size,
     };
     guard.2 = true;
-    JobResult { port: from.port(), bytes: vec![7; size] }
+    let delay_ms = u64::try_from(arrival.delay.as_millis()).unwrap();
+    JobResult { port: arrival.from.port(), delay_ms, bytes: vec![7; size] }
 }
 
 /// A server on a thread of its own.
@@ -84,8 +87,8 @@
         let log = JobLog::default();
         let handler_log = Arc::clone(&log);
         let serve = || async move {
-            let handler: PeerHandler<Job, JobResult> =
-                Rc::new(move |job, from| Box::pin(run(job, from, Arc::clone(&handler_log))));
+            let handler: CallHandler<Job, JobResult> =
+                Rc::new(move |job, arrival| Box::pin(run(job, arrival, Arc::clone(&handler_log))));
             let listener = tokio::net::TcpListener::from_std(listener).unwrap();
             tokio::select! {
                 () = serve_calls(listener, PATH, handler) => {}
@@ -286,3 +289,24 @@
     assert!(!server.has_logged((Job::Wait(0), "begun")));
     server.stop();
 }
+
+/// Guards requests against time that is counted twice, because a message lay unread at a VM that stood
+/// still.
+#[actix_rt::test]
+async fn the_handler_is_told_how_late_a_call_is() {
+    let server = TestServer::start("127.0.0.1:0");
+    let channel = JobChannel::new(server.address, PATH);
+    for _ in 0..3 {
+        let quick = call(&channel, Job::Wait(0)).await.unwrap();
+        assert!(quick.delay_ms < 100, "{}", quick.delay_ms);
+    }
+    let blocking = call(&channel, Job::Block(350));
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        call(&channel, Job::Wait(0)).await
+    };
+    let (_, late) = tokio::join!(blocking, late);
+    let delay_ms = late.unwrap().delay_ms;
+    assert!((200..400).contains(&delay_ms), "{delay_ms}");
+    server.stop();
+}
--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -1,4 +1,5 @@
-//! Connection of a caller that counts as blocked while the socket's send buffer is full.
+//! Connection of a caller that counts as blocked while the socket's send buffer is full, and knows when
+//! the bytes that it delivers had arrived.
 //!
 //! The system transmits bytes in the send buffer even after the process has ended. Bytes that did
 //! not fit are lost with the process.
@@ -6,18 +7,24 @@
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::{Instant, SystemTime};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use crate::arrival::{ArrivalClock, ReadArrival, control_buffer, receive};
 use crate::connection_end::ConnectionEnd;
 use crate::held_response::UnsentBytes;
 use crate::serve::ServeState;
 
+/// Maximum number of bytes per read.
+const MAX_READ_BYTES: usize = 16 * 1024;
+
 /// Connection of a caller, counted while its last write is pending.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
@@ -31,14 +38,74 @@
     unsent: Option<UnsentBytes>,
     /// Whether the caller still reads responses; `None` for HTTP/2.
     end: Option<ConnectionEnd>,
+    arrival: ReadArrival,
+    clock: Rc<ArrivalClock>,
+    /// When the connection was last known to hold no unread bytes.
+    empty_at: Instant,
+    /// What the system tells beside the bytes of a read.
+    control: Vec<u8>,
 }
 
 impl CallerStream {
-    /// Wraps a connection that is not blocked.
-    pub(crate) fn new(stream: TcpStream, state: Arc<ServeState>, is_http1: bool) -> Self {
-        let unsent = is_http1.then(UnsentBytes::default);
-        let end = is_http1.then(ConnectionEnd::default);
-        Self { stream, state, is_blocked: false, stall_timer: None, unsent, end }
+    /// Wraps a connection that is not blocked, and was not open before `opened_after`.
+    pub(crate) fn new(
+        stream: TcpStream,
+        state: Arc<ServeState>,
+        is_http1: bool,
+        clock: Rc<ArrivalClock>,
+        opened_after: Instant,
+    ) -> Self {
+        Self {
+            stream,
+            state,
+            is_blocked: false,
+            stall_timer: None,
+            unsent: is_http1.then(UnsentBytes::default),
+            end: is_http1.then(ConnectionEnd::default),
+            arrival: ReadArrival::new(),
+            clock,
+            empty_at: opened_after,
+            control: control_buffer(),
+        }
+    }
+
+    /// When the bytes that were last read had arrived.
+    pub(crate) fn arrival(&self) -> &ReadArrival {
+        &self.arrival
+    }
+
+    /// Reads what has arrived, and records when it did.
+    fn poll_receive(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let size = buffer.remaining().min(MAX_READ_BYTES);
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            let (stream, control) = (&self.stream, &mut self.control);
+            let unfilled = buffer.initialize_unfilled_to(size);
+            let received = stream.try_io(Interest::READABLE, || receive(stream, unfilled, control));
+            match received {
+                Ok(received) => {
+                    buffer.advance(received.length);
+                    self.record_arrival(received.arrived);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.empty_at = Instant::now();
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    fn record_arrival(&self, arrived: Option<SystemTime>) {
+        let now = Instant::now();
+        let empty_for = now.saturating_duration_since(self.empty_at);
+        let unread = arrived
+            .map(|arrived| self.clock.unread_time(now, SystemTime::now(), arrived, empty_for));
+        self.arrival.set(now.checked_sub(unread.unwrap_or_default()).unwrap_or(now));
     }
 
     /// Bytes in the connection's write buffer; `None` for HTTP/2.
@@ -114,7 +181,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let polled = self.poll_receive(context, buffer);
         let has_left = match &polled {
             Poll::Pending => false,
             Poll::Ready(Ok(())) => buffer.filled().len() == filled_before,
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each [`ProxyWorker`] runs on one thread with its own routing table, which is updated through a
 //! bounded ring. Workers share only counters.
 
+mod arrival;
 mod caller_stream;
 mod connection_end;
 mod deadline;
@@ -17,6 +18,7 @@
 mod transport;
 mod worker;
 
+pub use arrival::arrival_of;
 pub use error_response::error_response;
 pub use exchange::REFUSAL_HEADER;
 pub use headers::{
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -1,12 +1,13 @@
 //! HTTP/1.1 and HTTP/2 server on one thread.
 
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
@@ -17,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use crate::arrival::{ArrivalClock, note_arrivals};
 use crate::caller_stream::CallerStream;
 use crate::connection_end::ConnectionEnd;
 use crate::error_response::error_response;
@@ -164,6 +166,7 @@
         // A caller that closes its side has disconnected, so its request is cancelled.
         .h1_allow_half_closed(false)
         .on_connect_ext(|stream: &CallerStream, data| {
+            data.insert(stream.arrival().clone());
             if let Some(unsent) = stream.unsent() {
                 data.insert(unsent.clone());
             }
@@ -187,6 +190,7 @@
             }
         }));
     // This only fails outside a runtime, and this function runs inside one.
+    note_arrivals(&listener);
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
         return;
     };
@@ -194,10 +198,13 @@
         return;
     };
     let service = Rc::new(service);
+    let clock = Rc::new(ArrivalClock::default());
+    // When no connection waited to be accepted.
+    let none_waited_at = Cell::new(Instant::now());
     let mut stopping = state.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = watch_pending(listener.accept(), &none_waited_at) => accepted,
             // The sender can't be dropped, because this function holds the state.
             _ = stopping.wait_for(|stopping| *stopping) => return,
         };
@@ -216,6 +223,7 @@
             let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         }
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
+        let (clock, opened_after) = (Rc::clone(&clock), none_waited_at.get());
         state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
             if let Ok(protocol) = read_protocol(&stream).await {
@@ -223,7 +231,8 @@
                 tokio::task::yield_now().await;
                 let caller = stream.peer_addr().ok();
                 let is_http1 = protocol == actix_http::Protocol::Http1;
-                let stream = CallerStream::new(stream, Arc::clone(&state), is_http1);
+                let shared = Arc::clone(&state);
+                let stream = CallerStream::new(stream, shared, is_http1, clock, opened_after);
                 // The caller observes a lost connection itself.
                 let _ = service.call((stream, protocol, caller)).await;
             }
@@ -232,6 +241,19 @@
     }
 }
 
+/// Waits for `future`, and records when it was last polled in vain.
+async fn watch_pending<F: Future>(future: F, pending_at: &Cell<Instant>) -> F::Output {
+    let mut future = std::pin::pin!(future);
+    poll_fn(|context| {
+        let polled = future.as_mut().poll(context);
+        if polled.is_pending() {
+            pending_at.set(Instant::now());
+        }
+        polled
+    })
+    .await
+}
+
 /// Detects a caller's protocol by the first bytes that it sends.
 async fn read_protocol(stream: &TcpStream) -> std::io::Result<actix_http::Protocol> {
     let mut start = [0; HTTP2_PREFACE_START.len()];
