Times of arrival hold for new connections and before a connection's end

Cause: that no connection waited was noted whenever the accepting task was polled in vain, also when the runtime had not asked the system since the pause. A read that finds the connection's end set the arrival to now. Change: CallerListener notes it only directly after connections were accepted, when the runtime has asked; before the first one there is no bound. Reads without bytes don't count.

--- a/crates/nickellead_proxy/src/arrival.rs
+++ b/crates/nickellead_proxy/src/arrival.rs
@@ -96,17 +96,18 @@
 
 impl ArrivalClock {
     /// How long bytes lay unread that are read `now` and arrived at `arrived`, by the wall clock at
-    /// `wall_now`, from a connection that was empty `empty_for` ago.
+    /// `wall_now`, from a connection that was empty `empty_for` ago, if that is known.
     pub(crate) fn unread_time(
         &self,
         now: Instant,
         wall_now: SystemTime,
         arrived: SystemTime,
-        empty_for: Duration,
+        empty_for: Option<Duration>,
     ) -> Duration {
+        let longest = empty_for.unwrap_or(Duration::MAX);
         let unread = wall_now.duration_since(arrived);
         let is_possible = match &unread {
-            Ok(unread) => *unread <= empty_for + CLOCK_TOLERANCE,
+            Ok(unread) => *unread <= longest.saturating_add(CLOCK_TOLERANCE),
             Err(ahead) => ahead.duration() <= CLOCK_TOLERANCE,
         };
         if !is_possible {
@@ -114,7 +115,7 @@
         }
         let is_settled = |at: Instant| now.saturating_duration_since(at) >= CLOCK_SETTLE_TIME;
         match self.contradicted_at.get().is_none_or(is_settled) {
-            true => unread.unwrap_or_default().min(empty_for),
+            true => unread.unwrap_or_default().min(longest),
             false => Duration::ZERO,
         }
     }
--- a/crates/nickellead_proxy/src/arrival/tests.rs
+++ b/crates/nickellead_proxy/src/arrival/tests.rs
@@ -8,8 +8,9 @@
 #[test]
 fn bytes_lay_unread_since_they_arrived() {
     let (clock, now, wall) = (ArrivalClock::default(), Instant::now(), SystemTime::now());
-    assert_eq!(clock.unread_time(now, wall, wall - TENTH, SECOND), TENTH);
-    assert_eq!(clock.unread_time(now, wall, wall, SECOND), Duration::ZERO);
+    assert_eq!(clock.unread_time(now, wall, wall - TENTH, Some(SECOND)), TENTH);
+    assert_eq!(clock.unread_time(now, wall, wall, Some(SECOND)), Duration::ZERO);
+    assert_eq!(clock.unread_time(now, wall, wall - TENTH, None), TENTH);
 }
 
 /// Guards callers against deadlines that are shortened because the wall clock was set.
@@ -21,8 +22,8 @@
             true => wall - Duration::from_secs_f64(-arrived),
             false => wall + Duration::from_secs_f64(arrived),
         };
-        assert_eq!(clock.unread_time(now, wall, arrived, empty_for), Duration::ZERO);
-        let plausible = |now: Instant| clock.unread_time(now, wall, wall - TENTH, SECOND);
+        assert_eq!(clock.unread_time(now, wall, arrived, Some(empty_for)), Duration::ZERO);
+        let plausible = |now: Instant| clock.unread_time(now, wall, wall - TENTH, Some(SECOND));
         assert_eq!(plausible(now + SECOND), Duration::ZERO, "the clock may still be off");
         assert_eq!(plausible(now + CLOCK_SETTLE_TIME), TENTH);
     }
@@ -32,10 +33,10 @@
 fn the_clocks_may_differ_a_little() {
     let (clock, now, wall) = (ArrivalClock::default(), Instant::now(), SystemTime::now());
     let arrived = wall - TENTH - CLOCK_TOLERANCE;
-    assert_eq!(clock.unread_time(now, wall, arrived, TENTH), TENTH);
+    assert_eq!(clock.unread_time(now, wall, arrived, Some(TENTH)), TENTH);
     let arrived = wall + CLOCK_TOLERANCE;
-    assert_eq!(clock.unread_time(now, wall, arrived, SECOND), Duration::ZERO);
-    assert_eq!(clock.unread_time(now, wall, wall - TENTH, SECOND), TENTH);
+    assert_eq!(clock.unread_time(now, wall, arrived, Some(SECOND)), Duration::ZERO);
+    assert_eq!(clock.unread_time(now, wall, wall - TENTH, Some(SECOND)), TENTH);
 }
 
 #[test]
--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -40,20 +40,21 @@
     end: Option<ConnectionEnd>,
     arrival: ReadArrival,
     clock: Rc<ArrivalClock>,
-    /// When the connection was last known to hold no unread bytes.
-    empty_at: Instant,
+    /// When the system last said that the connection holds no unread bytes.
+    empty_at: Option<Instant>,
     /// What the system tells beside the bytes of a read.
     control: Vec<u8>,
 }
 
 impl CallerStream {
-    /// Wraps a connection that is not blocked, and was not open before `opened_after`.
+    /// Wraps a connection that is not blocked, and was not open before `opened_after`, if that is
+    /// known.
     pub(crate) fn new(
         stream: TcpStream,
         state: Arc<ServeState>,
         is_http1: bool,
         clock: Rc<ArrivalClock>,
-        opened_after: Instant,
+        opened_after: Option<Instant>,
     ) -> Self {
         Self {
             stream,
@@ -89,11 +90,14 @@
             match received {
                 Ok(received) => {
                     buffer.advance(received.length);
-                    self.record_arrival(received.arrived);
+                    // The end of a connection says nothing of the requests before it.
+                    if received.length > 0 {
+                        self.record_arrival(received.arrived);
+                    }
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.empty_at = Instant::now();
+                    self.empty_at = Some(Instant::now());
                 }
                 Err(error) => return Poll::Ready(Err(error)),
             }
@@ -102,7 +106,7 @@
 
     fn record_arrival(&self, arrived: Option<SystemTime>) {
         let now = Instant::now();
-        let empty_for = now.saturating_duration_since(self.empty_at);
+        let empty_for = self.empty_at.map(|at| now.saturating_duration_since(at));
         let unread = arrived
             .map(|arrived| self.clock.unread_time(now, SystemTime::now(), arrived, empty_for));
         self.arrival.set(now.checked_sub(unread.unwrap_or_default()).unwrap_or(now));
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! bounded ring. Workers share only counters.
 
 mod arrival;
+mod caller_listener;
 mod caller_stream;
 mod connection_end;
 mod deadline;
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -1,13 +1,12 @@
 //! HTTP/1.1 and HTTP/2 server on one thread.
 
-use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
@@ -18,7 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::arrival::{ArrivalClock, note_arrivals};
+use crate::arrival::ArrivalClock;
+use crate::caller_listener::{AcceptedStream, CallerListener};
 use crate::caller_stream::CallerStream;
 use crate::connection_end::ConnectionEnd;
 use crate::error_response::error_response;
@@ -190,8 +190,7 @@
             }
         }));
     // This only fails outside a runtime, and this function runs inside one.
-    note_arrivals(&listener);
-    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+    let Ok(listener) = CallerListener::new(listener) else {
         return;
     };
     let Ok(service) = factory.new_service(()).await else {
@@ -199,16 +198,14 @@
     };
     let service = Rc::new(service);
     let clock = Rc::new(ArrivalClock::default());
-    // When no connection waited to be accepted.
-    let none_waited_at = Cell::new(Instant::now());
     let mut stopping = state.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
-            accepted = watch_pending(listener.accept(), &none_waited_at) => accepted,
+            accepted = listener.accept() => accepted,
             // The sender can't be dropped, because this function holds the state.
             _ = stopping.wait_for(|stopping| *stopping) => return,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok(AcceptedStream { stream, opened_after }) = accepted else {
             // Typically out of file descriptors: wait until other connections close.
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
@@ -223,7 +220,7 @@
             let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         }
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
-        let (clock, opened_after) = (Rc::clone(&clock), none_waited_at.get());
+        let clock = Rc::clone(&clock);
         state.open.fetch_add(1, Ordering::Relaxed);
         actix_rt::spawn(async move {
             if let Ok(protocol) = read_protocol(&stream).await {
@@ -241,19 +238,6 @@
     }
 }
 
-/// Waits for `future`, and records when it was last polled in vain.
-async fn watch_pending<F: Future>(future: F, pending_at: &Cell<Instant>) -> F::Output {
-    let mut future = std::pin::pin!(future);
-    poll_fn(|context| {
-        let polled = future.as_mut().poll(context);
-        if polled.is_pending() {
-            pending_at.set(Instant::now());
-        }
-        polled
-    })
-    .await
-}
-
 /// Detects a caller's protocol by the first bytes that it sends.
 async fn read_protocol(stream: &TcpStream) -> std::io::Result<actix_http::Protocol> {
     let mut start = [0; HTTP2_PREFACE_START.len()];
