A request's time counts from when it arrives, not from when it is read

Cause: read_request took the time at which the head had been parsed, and trusted the caller's milliseconds from there on. What a request lay in the listener's queue and in the socket of a VM that stands still, is starved or is behind was given to the target once more. Requests that wait for a VM's first declarations were counted from the end of that wait too. Change: arrived_at is the time at which the request's bytes arrived, as the system tells it. A request whose caller has stopped waiting by then is refused at once, and not handed to any other VM. Why it works: what lay unread is known for each read, so no standstill of this VM is counted twice.

--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use nickellead_core::ErrorKind;
 use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes};
-use nickellead_proxy::is_connection_header;
+use nickellead_proxy::{arrival_of, is_connection_header};
 
 use crate::authentication::Credential;
 use crate::exchange::OutgoingRequest;
@@ -39,6 +39,7 @@
     pub(crate) _held: HeldBytes,
     /// The shard key, if the caller sent one.
     pub(crate) key: Option<u16>,
+    /// When it arrived at this VM, which may have read it later.
     pub(crate) arrived_at: Instant,
     /// Time since the caller's first attempt, estimated from its deadline.
     pub(crate) caller_age: Duration,
@@ -80,7 +81,7 @@
     budget: &ByteBudget,
     identify: impl Fn(&RouteRule, Credential) -> Result<Option<Rc<WorkspaceEntry>>, ErrorKind>,
 ) -> Result<IncomingRequest, ErrorKind> {
-    let arrived_at = Instant::now();
+    let arrived_at = arrival_of(&request);
     check_head(&request, limits)?;
     let host = read_host(&request)?;
     let route = table.find(&host, request.path()).ok_or(ErrorKind::UnknownRoute)?;
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -30,6 +30,10 @@
         &self,
         incoming: &IncomingRequest,
     ) -> Result<TargetResponse, ErrorKind> {
+        // It may have lain unread until its caller stopped waiting.
+        if incoming.remaining() <= RESPONSE_RETURN_RESERVE {
+            return Err(ErrorKind::Overloaded);
+        }
         let mut attempts = AttemptState::default();
         let served = match self.hand_over(incoming, &mut attempts).await {
             Some(served) => served,
