What a message was under way is taken off the durations in it

Cause: messages between VMs tell times as durations, and the dispatcher or the assistant counted deadline_in anew from when it read the message; the second dispatcher that was asked got the durations of the first one; an assistant got those from before its connection was opened. Change: DispatchCall::pass_time takes passed time off every duration of a message (and adds it to ages). The receiver passes the delay that nickellead_peer tells, the asker what passed since it wrote the message. The delay counts from when the message was written, so it includes the wait for a connection. Why it works: the excess over the fastest call needs no common clock, and holds for standstills of either VM and for the link.

--- a/crates/nickellead_gateway/src/dispatch/assist.rs
+++ b/crates/nickellead_gateway/src/dispatch/assist.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::HeldBytes;
@@ -169,6 +169,7 @@
         request: &OutgoingRequest,
         held: HeldBytes,
     ) -> AssistEnd {
+        let asked = Instant::now();
         let assistant = self.peer(address);
         if !assistant.peer.may_ask() {
             assistant.decline();
@@ -181,19 +182,22 @@
             assistant.decline();
             return AssistEnd::Declined;
         }
-        let call = DispatchCall::Assist(Box::new(AssistCall {
+        let mut call = DispatchCall::Assist(Box::new(AssistCall {
             version: facts.version,
             attempts_made: facts.attempts_made,
             caller_age_ms: millis(facts.caller_age),
             deadline_in_ms: millis(facts.deadline_in),
             request: request.into(),
         }));
+        let passed = asked.elapsed();
+        call.pass_time(passed);
+        let left = facts.deadline_in.saturating_sub(passed);
         // A request that may run only once can't be handed to another VM after it was sent.
         let ack_timeout = match facts.repeat {
             RepeatClass::Safe => ACK_TIMEOUT,
-            RepeatClass::Unsafe => facts.deadline_in,
+            RepeatClass::Unsafe => left,
         };
-        match assistant.peer.call_within(&call, ack_timeout, facts.deadline_in).await {
+        match assistant.peer.call_within(&call, ack_timeout, left).await {
             Ok(reply) => self.apply_reply(&assistant, reply, held),
             Err(error) if error.is_unhandled() => {
                 assistant.decline();
--- a/crates/nickellead_gateway/src/dispatch/client.rs
+++ b/crates/nickellead_gateway/src/dispatch/client.rs
@@ -132,9 +132,12 @@
     /// Asks for a permit.
     pub(crate) async fn acquire(&self, group: &TargetGroup, facts: RequestFacts) -> AcquireAnswer {
         let asked = Instant::now();
-        let call = facts.into_call(group);
+        let mut call = facts.into_call(group);
+        let mut passed = Duration::ZERO;
         for address in group.dispatchers.into_iter().flatten() {
-            let Some((reply, issuer)) = self.ask(address, &call, asked).await else { continue };
+            let elapsed = asked.elapsed();
+            call.pass_time(elapsed.saturating_sub(std::mem::replace(&mut passed, elapsed)));
+            let Some((reply, issuer)) = self.ask(address, &call).await else { continue };
             match reply {
                 DispatchReply::Granted { permit, target } => {
                     self.record_wait(group, asked.elapsed());
@@ -161,7 +164,6 @@
         &self,
         address: SocketAddr,
         call: &AcquireCall,
-        asked: Instant,
     ) -> Option<(DispatchReply, PermitIssuer)> {
         if address == self.own_address {
             let issuer = PermitIssuer::Local(Rc::clone(&self.server));
@@ -171,7 +173,7 @@
         if !peer.is_usable() {
             return None;
         }
-        let left = duration(call.deadline_in_ms).saturating_sub(asked.elapsed());
+        let left = duration(call.deadline_in_ms);
         let reply = peer.call(&DispatchCall::Acquire(call.clone()), left).await;
         reply.ok().map(|reply| (reply, PermitIssuer::Remote(peer)))
     }
@@ -190,10 +192,13 @@
         let asked = Instant::now();
         let time = facts.deadline_in;
         let call = ForwardCall { acquire: facts.into_call(group), request: request.into() };
-        let call = DispatchCall::Forward(Box::new(call));
+        let mut call = DispatchCall::Forward(Box::new(call));
+        let mut passed = Duration::ZERO;
         for address in group.dispatchers.into_iter().flatten() {
-            let time = time.saturating_sub(asked.elapsed());
-            let reply = match self.hand_over(address, &call, time, may_repeat).await {
+            let elapsed = asked.elapsed();
+            call.pass_time(elapsed.saturating_sub(std::mem::replace(&mut passed, elapsed)));
+            let left = time.saturating_sub(elapsed);
+            let reply = match self.hand_over(address, &call, left, may_repeat).await {
                 HandOverEnd::Replied(reply) => reply,
                 HandOverEnd::NotTaken => continue,
                 HandOverEnd::Unknown(reason) => return ForwardAnswer::Lost(reason),
--- a/crates/nickellead_gateway/src/dispatch/mod.rs
+++ b/crates/nickellead_gateway/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatch between VMs: one VM decides for the targets of a group.
 //!
-//! See `docs/design/dispatch.md`. `messages` defines the protocol and `wire` converts its types.
+//! See `docs/design/dispatch.md`. `messages` defines the protocol, `wire` converts its types, and `passed_time`
+//! corrects the durations in it.
 //! `groups` divides the targets; `server` and `group_state` decide, and `client` asks the VMs of `peer`.
 //! `assist` hands requests to other VMs while this VM reaches no target. `reports` decides what VMs of
 //! one zone tell each other about other zones.
@@ -10,6 +11,7 @@
 mod group_state;
 mod groups;
 mod messages;
+mod passed_time;
 mod peer;
 mod peer_health;
 mod permit;
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -149,8 +149,9 @@
         self.context.metrics.dispatch.set_gauges(groups.len(), waiting);
     }
 
-    async fn answer(self: Rc<Self>, call: DispatchCall, arrival: CallArrival) -> DispatchReply {
+    async fn answer(self: Rc<Self>, mut call: DispatchCall, arrival: CallArrival) -> DispatchReply {
         self.record_unread(&call, arrival.delay);
+        call.pass_time(arrival.delay);
         match call {
             DispatchCall::Acquire(call) => self.acquire(&call).await,
             DispatchCall::Forward(call) => self.forward(*call).await,
--- a/crates/nickellead_gateway/tests/common/link.rs
+++ b/crates/nickellead_gateway/tests/common/link.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy in front of a VM that limits the rate of what the VM sends.
 //!
 //! All connections to the VM share the rate, as they share its network link. Traffic to the VM is
-//! not limited. What the VM sends can also be delayed.
+//! not limited. What the VM sends and what it receives can also be delayed.
 
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
@@ -34,6 +34,8 @@
     cut: AtomicBool,
     /// Time in milliseconds by which bytes from the VM arrive later.
     delay_ms: AtomicU64,
+    /// Time in milliseconds by which bytes to the VM arrive later.
+    delay_to_vm_ms: AtomicU64,
 }
 
 /// A proxy from a listening address to a VM.
@@ -74,6 +76,11 @@
         self.state.delay_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Delays what the VM receives from now on by this time.
+    pub fn set_delay_to_vm(&self, delay: Duration) {
+        self.state.delay_to_vm_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Connections accepted so far.
     pub fn connections(&self) -> u64 {
         self.state.connections.load(Ordering::Relaxed)
@@ -123,14 +130,30 @@
         stream.set_nodelay(true).unwrap();
         SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
-    let (mut peer_read, peer_write) = peer_stream.into_split();
-    let (vm_read, mut vm_write) = vm_stream.into_split();
+    let (peer_read, peer_write) = peer_stream.into_split();
+    let (vm_read, vm_write) = vm_stream.into_split();
     tokio::select! {
-        _ = tokio::io::copy(&mut peer_read, &mut vm_write) => {}
+        () = forward_to_vm(peer_read, vm_write, &state) => {}
         () = forward_from_vm(vm_read, peer_write, &pacer, &state) => {}
     }
 }
 
+/// Forwards, delayed, what the VM receives.
+async fn forward_to_vm(
+    mut peer_stream: OwnedReadHalf,
+    mut vm_stream: OwnedWriteHalf,
+    state: &LinkState,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(read @ 1..) = peer_stream.read(&mut chunk).await {
+        let delay = Duration::from_millis(state.delay_to_vm_ms.load(Ordering::Relaxed));
+        tokio::time::sleep(delay).await;
+        if vm_stream.write_all(&chunk[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Forwards at the link's rate, and delayed, what the VM sends.
 async fn forward_from_vm(
     mut vm_stream: OwnedReadHalf,
--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -170,3 +170,30 @@
         assert_eq!(gateway.metric(metric), 0.0, "{metric}");
     }
 }
+
+/// Guards targets against work for callers that have left: the time for which a request was under way to
+/// its dispatcher has passed.
+#[test]
+fn dispatchers_tell_targets_no_more_time_than_remains() {
+    /// Below the time after which a request that may not be repeated is given up.
+    const UNDER_WAY: Duration = Duration::from_millis(250);
+    /// What remains of the deadline of a request, at most, and a margin.
+    const MOST_REMAINING_MS: u64 = 1_000 - 200;
+    let owner = TestTarget::start("t5", Behavior::Serve);
+    let store = store_with("keyed", &owner);
+    let fleet = DispatchFleet::start_with("told", &store, "/key/", FORWARDED, |settings| {
+        settings.retry_ratio = 0.0;
+        settings.retry_extra = Some(0.0);
+    });
+    let dispatcher = fleet.dispatcher();
+    fleet.links.iter().for_each(|link| link.set_delay_to_vm(UNDER_WAY));
+    owner.clear_requests();
+    let answers = fleet.send_all(fleet.gateways.len(), "/key/", 1);
+    let told =
+        |request: &String| -> u64 { header(request, "x-deadline-ms").unwrap().parse().unwrap() };
+    let told: Vec<u64> = owner.requests().iter().map(told).collect();
+    let (own, forwarded): (Vec<u64>, Vec<u64>) =
+        told.iter().partition(|told| **told > MOST_REMAINING_MS);
+    assert_eq!(own.len(), 1, "{told:?}, {answers:?}, VM {dispatcher} is the dispatcher");
+    assert_eq!(forwarded.len(), 2, "{told:?}, {answers:?}");
+}
--- a/crates/nickellead_peer/src/call_delay.rs
+++ b/crates/nickellead_peer/src/call_delay.rs
@@ -1,9 +1,9 @@
 //! How much longer than usual a message was under way to this VM.
 //!
-//! Each call tells when it was sent, by a clock of the calling process. The two clocks are unrelated, but
+//! Each call tells when its message was written, by a clock of the calling process. The two clocks are unrelated, but
 //! of all calls of one process the fastest one shows how they differ at most: any other call was under
 //! way for as much longer as its difference is larger. That includes the time for which the message lay
-//! unread in a socket of either VM or was held up by the link.
+//! unread in a socket of either VM, waited for a connection or was held up by the link.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -33,17 +33,18 @@
     CLOCK.get_or_init(|| SendClock { id: fastrand::u64(..), started: Instant::now() })
 }
 
-/// Adds when a call is sent to its headers.
-pub(crate) fn stamp_call(headers: &mut HeaderMap) {
+/// Adds to the headers of a call when its message was written.
+pub(crate) fn stamp_call(headers: &mut HeaderMap, written: Instant) {
     let clock = send_clock();
     if let Ok(id) = HeaderValue::from_str(&format!("{:x}", clock.id)) {
         headers.insert(CLOCK_HEADER, id);
     }
-    let sent = u64::try_from(clock.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let sent = written.saturating_duration_since(clock.started).as_micros();
+    let sent = u64::try_from(sent).unwrap_or(u64::MAX);
     headers.insert(SENT_HEADER, HeaderValue::from(sent));
 }
 
-/// When a call was sent.
+/// When the message of a call was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SendTime {
     clock: u64,
--- a/crates/nickellead_peer/src/call_delay/tests.rs
+++ b/crates/nickellead_peer/src/call_delay/tests.rs
@@ -66,9 +66,9 @@
 fn headers_tell_when_a_call_was_sent() {
     let mut headers = HeaderMap::new();
     assert_eq!(SendTime::read(&headers), None);
-    stamp_call(&mut headers);
+    stamp_call(&mut headers, Instant::now());
     let first = SendTime::read(&headers).unwrap();
-    stamp_call(&mut headers);
+    stamp_call(&mut headers, Instant::now());
     let second = SendTime::read(&headers).unwrap();
     assert!(first.clock == second.clock && first.micros <= second.micros);
     headers.insert(SENT_HEADER, HeaderValue::from_static("soon"));
--- a/crates/nickellead_peer/src/channel.rs
+++ b/crates/nickellead_peer/src/channel.rs
@@ -116,6 +116,8 @@
         message: &Q,
         until: Instant,
     ) -> Result<PendingCall<'_, Q, R>, PeerError> {
+        // What passes until a connection is free counts as a delay of the call.
+        let written = std::time::Instant::now();
         let message = Bytes::from(encode(message)?);
         let free = timeout_at(until, self.free_calls.acquire()).await;
         let Ok(Ok(call)) = free else { return Err(PeerError::NotSent) };
@@ -123,8 +125,9 @@
         let connected = timeout_at(until, self.connect()).await;
         let Ok(Ok(mut connection)) = connected else { return Err(PeerError::NotSent) };
         // The VM handles complete messages only.
-        let response = start_request(&mut connection.sender, self.address, self.path, message)
-            .map_err(|_| PeerError::NotSent)?;
+        let response =
+            start_request(&mut connection.sender, self.address, self.path, message, written)
+                .map_err(|_| PeerError::NotSent)?;
         let state = CallState::Sent(Box::pin(begin_body(response)));
         Ok(PendingCall { channel: self, connection: connection.number, state, _call: call })
     }
--- a/crates/nickellead_proxy/tests/arrivals.rs
+++ b/crates/nickellead_proxy/tests/arrivals.rs
@@ -1,7 +1,7 @@
 //! When requests arrived that lay unread while the server's thread was busy.
 #![allow(clippy::unwrap_used)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
