Times of arrival are noted from when a listener is opened

Cause: the option that has the system note times of arrival was set when the VM began to serve; connections made before have none, and counted from when they were read. Change: bind_listener sets it before it listens. Result: a_request_lay_unread_since_before_the_server_began_to_serve failed before (0 ms of 400, 1 of 1), passes now.

--- a/crates/nickellead_proxy/src/caller_listener.rs
+++ b/crates/nickellead_proxy/src/caller_listener.rs
@@ -8,8 +8,6 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::arrival::note_arrivals;
-
 /// Connections accepted one after the other above which the runtime may make the task wait although
 /// more of them wait.
 const MAX_ACCEPTED_IN_A_ROW: u32 = 32;
@@ -36,7 +34,6 @@
     /// # Errors
     /// The error of the operating system, if the runtime can't watch the listener.
     pub(crate) fn new(listener: std::net::TcpListener) -> io::Result<Self> {
-        note_arrivals(&listener);
         Ok(Self {
             listener: TcpListener::from_std(listener)?,
             none_waited_at: Cell::default(),
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::arrival::ArrivalClock;
+use crate::arrival::{ArrivalClock, note_arrivals};
 use crate::caller_listener::{AcceptedStream, CallerListener};
 use crate::caller_stream::CallerStream;
 use crate::connection_end::ConnectionEnd;
@@ -145,6 +145,7 @@
     socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
+    note_arrivals(&socket);
     socket.listen(BACKLOG)?;
     Ok(socket.into())
 }
--- a/crates/nickellead_proxy/tests/arrivals.rs
+++ b/crates/nickellead_proxy/tests/arrivals.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,8 +20,21 @@
 /// Starts a server that responds with for how many milliseconds a request lay unread; its thread is busy
 /// after a request for `/busy`.
 fn start_server() -> SocketAddr {
+    let (listener, address) = open_listener();
+    serve(listener);
+    assert!(exchange(&connect(address), "/") < MOST_UNREAD_MILLIS);
+    address
+}
+
+fn open_listener() -> (TcpListener, SocketAddr) {
     let listener = bind_listener("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap();
+    // The system begins to note times of arrival a moment after it was asked to.
+    std::thread::sleep(HEAD_START);
+    (listener, address)
+}
+
+fn serve(listener: TcpListener) {
     let handler = |request: Request| {
         let unread = arrival_of(&request).elapsed();
         let is_busy = request.path() == "/busy";
@@ -37,10 +50,6 @@
         let serving = serve_http(listener, 100, state, handler);
         actix_rt::Runtime::new().unwrap().block_on(serving);
     });
-    // The system begins to note times of arrival a moment after the server has asked for it.
-    let _ = exchange(&connect(address), "/");
-    std::thread::sleep(HEAD_START);
-    address
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
@@ -114,6 +123,18 @@
     }
 }
 
+/// Guards callers of a VM that is stopped while it starts.
+#[test]
+fn a_request_lay_unread_since_before_the_server_began_to_serve() {
+    let (listener, address) = open_listener();
+    let mut stream = connect(address);
+    stream.write_all(head("/").as_bytes()).unwrap();
+    std::thread::sleep(BUSY);
+    serve(listener);
+    let millis = read_millis(&mut BufReader::new(&stream));
+    assert!((400..1_000).contains(&millis), "{millis} ms");
+}
+
 #[test]
 fn a_request_on_a_kept_connection_lay_unread_while_the_thread_was_busy() {
     let address = start_server();
