A request whose time has passed is not sent to a target

Cause: an attempt took an idle connection, and sent the request over it, without looking whether the deadline had passed meanwhile; only waits ended there. Change: run_attempt sends nothing once nothing of the time is left; the request is refused as not run by this attempt. Evidence: dispatchers_send_no_request_whose_time_has_passed failed before, 2 of 2 (2 arrivals, 1 wanted), passes now, 2 of 2. Why it works: each send of the gateway, a dispatcher's and an assistant's too, goes through run_attempt.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -185,10 +185,12 @@
             Ok(connection) => connection,
             Err(failure) => return AttemptResult::NotSent(failure).into(),
         };
+        let left = remaining(plan.deadline);
         let permission = match (plan.permit)() {
-            Ok(permission) => permission,
-            Err(kind) => {
+            Ok(permission) if !left.is_zero() => permission,
+            refused => {
                 pool.put(connection, None);
+                let kind = refused.err().unwrap_or(ErrorKind::Overloaded);
                 return AttemptResult::Forbidden(kind).into();
             }
         };
@@ -197,7 +199,7 @@
             pool.put(connection, None);
             return AttemptResult::Withheld.into();
         }
-        let request = build_request(names, outgoing, plan, permission, remaining(plan.deadline));
+        let request = build_request(names, outgoing, plan, permission, left);
         connection.record_sent(id);
         let sending = connection.send(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
--- a/crates/nickellead_gateway/tests/dispatch.rs
+++ b/crates/nickellead_gateway/tests/dispatch.rs
@@ -8,6 +8,7 @@
 use common::dispatch_fleet::{DispatchFleet, FORWARDED, GRANTED, store_with};
 use common::target::{Behavior, BoundedWork, TestTarget, header};
 use common::{TestGateway, entry, wait_until};
+use nickellead_gateway::GatewaySettings;
 
 /// A target that closes the connections of requests beyond twice its slots.
 const WORK: BoundedWork = BoundedWork { slots: 4, queue: 4, duration: Duration::from_millis(50) };
@@ -171,6 +172,12 @@
     }
 }
 
+/// No request may be sent to targets a second time.
+fn without_retries(settings: &mut GatewaySettings) {
+    settings.retry_ratio = 0.0;
+    settings.retry_extra = Some(0.0);
+}
+
 /// Guards targets against work for callers that have left: the time for which a request was under way to
 /// its dispatcher has passed.
 #[test]
@@ -181,10 +188,7 @@
     const MOST_REMAINING_MS: u64 = 1_000 - 200;
     let owner = TestTarget::start("t5", Behavior::Serve);
     let store = store_with("keyed", &owner);
-    let fleet = DispatchFleet::start_with("told", &store, "/key/", FORWARDED, |settings| {
-        settings.retry_ratio = 0.0;
-        settings.retry_extra = Some(0.0);
-    });
+    let fleet = DispatchFleet::start_with("told", &store, "/key/", FORWARDED, without_retries);
     let dispatcher = fleet.dispatcher();
     fleet.links.iter().for_each(|link| link.set_delay_to_vm(UNDER_WAY));
     owner.clear_requests();
@@ -197,3 +201,26 @@
     assert_eq!(own.len(), 1, "{told:?}, {answers:?}, VM {dispatcher} is the dispatcher");
     assert_eq!(forwarded.len(), 2, "{told:?}, {answers:?}");
 }
+
+/// Guards targets against requests that reach their dispatcher after their callers have left.
+#[test]
+fn dispatchers_send_no_request_whose_time_has_passed() {
+    /// Above the deadline of requests.
+    const UNDER_WAY: Duration = Duration::from_millis(1_200);
+    let owner = TestTarget::start("t6", Behavior::Serve);
+    let store = store_with("keyed", &owner);
+    let fleet = DispatchFleet::start_with("passed", &store, "/key/", FORWARDED, without_retries);
+    fleet.links.iter().for_each(|link| link.set_delay_to_vm(UNDER_WAY));
+    owner.clear_requests();
+    let answers = fleet.send_all(fleet.gateways.len(), "/key/", 1);
+    let unread = |le: &str| {
+        fleet.count(&format!("nickellead_unread_seconds_bucket{{le=\"{le}\",from=\"vm\"}}"))
+    };
+    wait_until("the dispatcher has read both requests of other VMs", || {
+        unread("+Inf") >= unread("1.0") + 2
+    });
+    // A request that is sent arrives within much less.
+    std::thread::sleep(Duration::from_millis(100));
+    let arrived = owner.requests().len();
+    assert_eq!(arrived, 1, "only the dispatcher's own request was in time: {answers:?}");
+}
