--- a/crates/nickellead_proxy/src/deadline.rs
+++ b/crates/nickellead_proxy/src/deadline.rs
@@ -2,13 +2,18 @@
 
 use std::time::{Duration, Instant};
 
+use actix_http::Request;
+
+use crate::arrival::arrival_of;
+
 /// Deadline of a request on the monotonic clock of this machine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Deadline(Instant);
 
 impl Deadline {
-    pub(crate) fn after(duration: Duration) -> Self {
-        Self(Instant::now() + duration)
+    /// Returns the deadline of a request that may take this long from its arrival.
+    pub(crate) fn of(request: &Request, duration: Duration) -> Self {
+        Self(arrival_of(request) + duration)
     }
 
     /// Returns the earlier of this deadline and the one after `duration`.
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -165,7 +165,7 @@
             return Err(ErrorKind::NotConfigured);
         }
         let incoming = IncomingRequest::read(&request, &self.table.borrow())?;
-        let deadline = Deadline::after(incoming.deadline);
+        let deadline = Deadline::of(&request, incoming.deadline);
         let body = match request.take_payload() {
             Payload::None => Bytes::new(),
             payload => {
--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -10,6 +10,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use actix_http::Request;
 use nickellead_api::{DeclaredConfig, DeclaredService, DeclaredTarget};
 use nickellead_core::{Epoch, Name, ServiceKey, ShardIndex, TargetKey, Version};
 use nickellead_lease::{RouteChange, ShardOwner};
@@ -17,6 +18,11 @@
     ProxyLimits, ProxyMetrics, ProxyWorker, ServeState, WorkerUpdate, bind_listener, serve_http,
 };
 
+/// Path of a request that keeps the thread of a worker busy.
+const BUSY_PATH: &str = "/busy";
+/// For how long: above the deadline of all operations.
+const BUSY: Duration = Duration::from_millis(700);
+
 /// Behavior of a raw target on one connection, given the request that it read.
 type Script = Box<dyn Fn(&mut TcpStream, &str) + Send>;
 
@@ -91,6 +97,9 @@
             updates.iter().for_each(|update| worker.update(update));
             let handler = move |request| {
                 let worker = std::rc::Rc::clone(&worker);
+                if Request::path(&request) == BUSY_PATH {
+                    std::thread::sleep(BUSY);
+                }
                 async move { worker.handle(request).await }
             };
             serve_http(listener, 100, Arc::new(ServeState::default()), handler).await;
@@ -495,3 +504,23 @@
     assert!(response.starts_with("HTTP/1.1 502"), "{response}");
     assert!(!is_not_run(&response), "{response}");
 }
+
+/// Guards targets against work for callers that have left: the time for which a request lay unread has
+/// passed.
+#[test]
+fn a_request_that_lay_unread_until_its_deadline_is_not_sent() {
+    let (target, requests) = raw_target(Box::new(|stream, request| {
+        stream.write_all(complete_response(request).as_bytes()).unwrap();
+    }));
+    let router = router(target);
+    let response = book(router);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    requests.recv().unwrap();
+    let mut busy = TcpStream::connect(router).unwrap();
+    busy.write_all(format!("GET {BUSY_PATH} HTTP/1.1\r\nhost: t\r\n\r\n").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let response = book(router);
+    assert!(response.starts_with("HTTP/1.1 504"), "{response}");
+    assert!(response.contains("deadline-too-short") && is_not_run(&response), "{response}");
+    assert!(requests.try_recv().is_err(), "the target got the request");
+}
