--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -83,8 +83,8 @@
     pub widespread_work: WidespreadWork,
     /// What targets were told of the time that remains.
     pub handed_time: HandedTime,
-    /// The same without requests whose VMs were not in touch. The VM that a caller sent a request to is
-    /// known, not the dispatcher that may have passed it on.
+    /// The same without requests whose VMs were not in touch, which the rule does not bind. The VM that a
+    /// caller sent a request to is known, not the dispatcher that may have passed it on.
     pub handed_in_touch: HandedTime,
     /// How late the threads of callers and targets ran.
     pub lateness: StandinLateness,
@@ -105,7 +105,7 @@
     #[must_use]
     pub fn is_clean(&self) -> bool {
         let is_repeated_too_often = self.repeats.iter().any(ServiceRepeats::is_exceeded);
-        let is_exceeded = self.widespread_work.is_exceeded() || self.handed_time.is_exceeded();
+        let is_exceeded = self.widespread_work.is_exceeded() || self.handed_in_touch.is_exceeded();
         let within_budget = !is_repeated_too_often && !is_exceeded;
         let load = &self.load;
         let promises_kept = load.broken_promises.is_empty() && load.run_twice.is_empty();
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -253,6 +253,8 @@
     println!("  {} watches cut by the store", report.cut_watches);
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
+    let errors: Vec<_> = report.metrics.labels("nickellead_errors_total").collect();
+    println!("  errors of VMs: {errors:?}");
     let causes: Vec<_> = report.metrics.labels("nickellead_repeats_total").collect();
     println!(
         "  unpaid={} before_kill={} paid={} retries={} unacknowledged={} forwarded={} handed_over={} assisted={} \
