--- a/crates/nickellead_gateway/src/dispatch/peer.rs
+++ b/crates/nickellead_gateway/src/dispatch/peer.rs
@@ -15,9 +15,9 @@
 /// Longest time until a dispatcher acknowledges a message: several round trips between VMs with a
 /// tenth of a core.
 pub(super) const ACK_TIMEOUT: Duration = Duration::from_millis(120);
-/// Longest time until a dispatcher acknowledges a request that may not be repeated. A dispatcher that
-/// stood still counts the time of the request from when it reads it, and the request must not run
-/// much longer than its caller waits.
+/// Longest time until a dispatcher acknowledges a request that may not be repeated. A dispatcher knows
+/// nothing of the delay of the first message that it gets of a VM, and the request must not run much
+/// longer than its caller waits.
 const MAX_ACK_TIME: Duration = Duration::from_millis(450);
 /// Longest time that the release of a permit takes; the permit expires by itself otherwise.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
