Rig: the faults of a round are chosen in one place

The seeded schedule was asked for in two arms of a match inside the round; it is one method of GatewayRound now.

--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -43,6 +43,18 @@
     pub faults: RoundFaults,
 }
 
+impl GatewayRound {
+    /// The faults to inject, of which some concern this many targets.
+    fn schedule(&self, targets: usize) -> GatewaySchedule {
+        let seeded = || gateway_schedule(self.seed, self.site, targets, self.fault_duration);
+        match &self.faults {
+            RoundFaults::Seeded => seeded(),
+            RoundFaults::None => GatewaySchedule { faults: Vec::new(), ..seeded() },
+            RoundFaults::Given(schedule) => schedule.clone(),
+        }
+    }
+}
+
 /// The faults of a round.
 #[derive(Clone, Debug)]
 pub enum RoundFaults {
@@ -120,16 +132,7 @@
 pub fn run_gateway_round(round: &GatewayRound) -> Result<GatewayReport, SoakError> {
     let mut fleet = GatewayFleet::start(round)?;
     let targets = fleet.targets.count();
-    let schedule = match &round.faults {
-        RoundFaults::Given(schedule) => schedule.clone(),
-        RoundFaults::Seeded => {
-            gateway_schedule(round.seed, round.site, targets, round.fault_duration)
-        }
-        RoundFaults::None => {
-            let seeded = gateway_schedule(round.seed, round.site, targets, round.fault_duration);
-            GatewaySchedule { cycle: seeded.cycle, faults: Vec::new() }
-        }
-    };
+    let schedule = round.schedule(targets);
     let load_duration = round.fault_duration + 2 * CALM_TIME;
     let (settings, factor) = fleet.callers(load_duration, round.seed);
     let ledger = fleet.ledger.clone();
