Updates between VMs bear no send times

The two headers that tell when a message was written were added to every request between VMs, ordinary updates too, whose servers never read them: bytes between zones for nothing. Only calls are stamped now. Found in the last read of the change; calls are as before.

--- a/crates/nickellead_peer/src/channel.rs
+++ b/crates/nickellead_peer/src/channel.rs
@@ -117,7 +117,7 @@
         until: Instant,
     ) -> Result<PendingCall<'_, Q, R>, PeerError> {
         // What passes until a connection is free counts as a delay of the call.
-        let written = std::time::Instant::now();
+        let written = Some(std::time::Instant::now());
         let message = Bytes::from(encode(message)?);
         let free = timeout_at(until, self.free_calls.acquire()).await;
         let Ok(Ok(call)) = free else { return Err(PeerError::NotSent) };
--- a/crates/nickellead_peer/src/client.rs
+++ b/crates/nickellead_peer/src/client.rs
@@ -110,8 +110,7 @@
         let body = encode(message)?;
         let sender = self.connect().await?;
         let mut sender = sender.ready().await.map_err(connection_error)?;
-        let response =
-            start_request(&mut sender, self.address, self.path, body.into(), Instant::now())?;
+        let response = start_request(&mut sender, self.address, self.path, body.into(), None)?;
         begin_body(response).await
     }
 
@@ -156,17 +155,19 @@
     Ok(sender)
 }
 
-/// Starts a request whose message is `body`, which was written at `written`.
+/// Starts a request whose message is `body`; `written` tells when, if the other VM is to know how late it is.
 pub(crate) fn start_request(
     sender: &mut SendRequest<Bytes>,
     address: SocketAddr,
     path: &str,
     body: Bytes,
-    written: Instant,
+    written: Option<Instant>,
 ) -> Result<ResponseFuture, PeerError> {
     let mut request =
         Request::post(format!("http://{address}{path}")).body(()).map_err(connection_error)?;
-    stamp_call(request.headers_mut(), written);
+    if let Some(written) = written {
+        stamp_call(request.headers_mut(), written);
+    }
     let (response, mut stream) = sender.send_request(request, false).map_err(connection_error)?;
     stream.send_data(body, true).map_err(connection_error)?;
     Ok(response)
