Logs and metrics tell which requests a target had when it fell

New: the event target-fell (target, request, mark, evidence, waits), target_falls{evidence}, requests_at_falls. A mark names requests with the same content (workspace, host, method, path with query, body) under any id; nickellead_quarantine has it and the requests whose connections broke.

A fall is a connection that broke with the request at work, and then nobody listens or the entry is gone; a target that answers a later request, or takes a connection, has not fallen. For that a VM connects 30 ms after a break (up to four times while it gets no answer) and keeps the connection for requests. The time of sending is now also known of attempts that were lost.

--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::HeldBytes;
+use nickellead_quarantine::{RequestContent, RequestMark};
 use nickellead_time::BootClock;
 
 use crate::connections::{ConnectFailure, IdDigest, ReadyConnection, SendFailure, SharedPool};
@@ -26,6 +27,20 @@
     pub(crate) request_id: HeaderValue,
 }
 
+impl OutgoingRequest {
+    /// The mark of all requests with the same content from this workspace.
+    pub(crate) fn mark(&self, workspace: Option<&str>) -> RequestMark {
+        let host = self.headers.get(http::header::HOST);
+        RequestMark::of(&RequestContent {
+            workspace,
+            host: host.map_or(&[], |host| host.as_bytes()),
+            method: self.method.as_str(),
+            path_and_query: &self.path_and_query,
+            body: &self.body,
+        })
+    }
+}
+
 /// Parameters of one attempt.
 pub(crate) struct AttemptPlan<'a> {
     pub(crate) target: &'a RegisteredTarget,
@@ -117,12 +132,20 @@
 pub(crate) struct AttemptEnd {
     pub(crate) result: AttemptResult,
     pub(crate) signals: ResponseSignals,
-    /// When the request was last sent; zero if no response was received.
+    /// When the request was last sent; zero if it was not.
     pub(crate) sent_at: Timestamp,
 }
 
+impl AttemptEnd {
+    /// An attempt that was sent and got no response.
+    fn lost(reason: LossReason, sent_at: Timestamp) -> Self {
+        let result = AttemptResult::Lost(reason);
+        Self { result, signals: ResponseSignals::default(), sent_at }
+    }
+}
+
 impl From<AttemptResult> for AttemptEnd {
-    /// An attempt without signals of the target.
+    /// An attempt that was not sent.
     fn from(result: AttemptResult) -> Self {
         Self { result, signals: ResponseSignals::default(), sent_at: Timestamp::ZERO }
     }
@@ -204,7 +227,7 @@
         let sending = connection.send(request);
         let sent = tokio::time::timeout(remaining(plan.deadline), sending).await;
         match sent {
-            Err(_) => return AttemptResult::Lost(LossReason::Late).into(),
+            Err(_) => return AttemptEnd::lost(LossReason::Late, sent_at),
             Ok(Ok(response)) => {
                 let (result, signals) =
                     read_response(names, outgoing, plan, connection, response, held).await;
@@ -212,7 +235,7 @@
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
-                    return AttemptResult::Lost(failure_reason(&connection, &error)).into();
+                    return AttemptEnd::lost(failure_reason(&connection, &error), sent_at);
                 }
                 plan.target.return_token(BootClock.now());
                 // The idle connection was already closed and nothing was sent: use another one.
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -1,6 +1,6 @@
 //! Parsing a caller's request: route, key, deadline, headers, body.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,7 @@
 use nickellead_core::ErrorKind;
 use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes};
 use nickellead_proxy::{arrival_of, is_connection_header};
+use nickellead_quarantine::RequestMark;
 
 use crate::authentication::Credential;
 use crate::exchange::OutgoingRequest;
@@ -35,6 +36,8 @@
     /// Whether another VM received the request from its caller.
     pub(crate) assisted: bool,
     pub(crate) outgoing: OutgoingRequest,
+    /// Names all requests with the same content, once it was needed.
+    pub(crate) mark: OnceCell<RequestMark>,
     /// The bytes of the body, held until the request ends.
     pub(crate) _held: HeldBytes,
     /// The shard key, if the caller sent one.
@@ -48,6 +51,12 @@
 }
 
 impl IncomingRequest {
+    /// The mark of all requests with the same content.
+    pub(crate) fn mark(&self) -> RequestMark {
+        let workspace = self.workspace.as_ref().map(|workspace| workspace.name.as_str());
+        *self.mark.get_or_init(|| self.outgoing.mark(workspace))
+    }
+
     /// The service that metrics attribute the request to: the first one of the route's split.
     pub(crate) fn main_service(&self) -> &str {
         self.route.rule.split.first().map_or("-", |first| &first.service)
@@ -117,6 +126,7 @@
         attempts_made: 0,
         assisted: false,
         outgoing,
+        mark: OnceCell::new(),
         _held: held,
         key,
         arrived_at,
--- a/crates/nickellead_gateway/src/metrics/mod.rs
+++ b/crates/nickellead_gateway/src/metrics/mod.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod control;
+mod crashes;
 mod dispatch;
 mod reach;
 mod requests;
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use super::attempts::AttemptMetrics;
+use super::crashes::CrashMetrics;
 use super::dispatch::DispatchMetrics;
 use super::reach::ReachMetrics;
 use super::retries::RetryMetrics;
@@ -60,6 +61,7 @@
     outcomes: Family<OutcomeLabels, Counter>,
     signals: Family<SignalLabel, Counter>,
     pub(crate) attempts: AttemptMetrics,
+    pub(crate) crashes: CrashMetrics,
     pub(crate) dispatch: DispatchMetrics,
     pub(crate) reach: ReachMetrics,
     pub(crate) repeats: RetryMetrics,
@@ -89,6 +91,7 @@
             outcomes: Family::default(),
             signals: Family::default(),
             attempts: AttemptMetrics::register(registry),
+            crashes: CrashMetrics::register(registry),
             dispatch: DispatchMetrics::register(registry),
             reach: ReachMetrics::register(registry),
             repeats: RetryMetrics::register(registry),
--- a/crates/nickellead_gateway/src/registered_target.rs
+++ b/crates/nickellead_gateway/src/registered_target.rs
@@ -8,6 +8,7 @@
 use nickellead_balance::{ReportedLimit, TargetOutcome, TargetScore, TargetSignals};
 use nickellead_core::Timestamp;
 use nickellead_limit::{AdaptiveLimit, ColdLimiter, InFlightBytes, RateLimiter, WaitQueue};
+use nickellead_quarantine::BrokenRequests;
 use nickellead_range::TargetInstance;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -71,6 +72,8 @@
     /// Requests that can only be served by this target.
     pub(crate) wait_queue: WaitQueue,
     pub(crate) pool: SharedPool,
+    /// Requests that it had when connections to it broke, while it is not known whether it fell.
+    pub(crate) broken: RefCell<BrokenRequests>,
 }
 
 /// Counts a request as in flight at a target until it is dropped.
@@ -120,6 +123,7 @@
             request_bytes: InFlightBytes::new(MAX_REQUEST_BYTES),
             wait_queue: WaitQueue::default(),
             pool: SharedPool::default(),
+            broken: RefCell::default(),
         }
     }
 
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -221,6 +221,7 @@
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.update_when_targets_warm().await });
     actix_rt::spawn(Rc::clone(worker).run_reach_checks());
+    actix_rt::spawn(Rc::clone(worker).run_fall_checks());
     let updated = Rc::clone(worker);
     actix_rt::spawn(async move { updated.apply_zone_reports().await });
     let updated = Rc::clone(worker);
--- a/crates/nickellead_gateway/src/target_registry.rs
+++ b/crates/nickellead_gateway/src/target_registry.rs
@@ -105,6 +105,8 @@
     services: HashMap<String, ServiceTargets>,
     /// Number of listed targets by availability zone.
     zone_counts: HashMap<String, usize>,
+    /// Targets that are no longer listed, until they are taken.
+    retired: Vec<Rc<RegisteredTarget>>,
     /// Signals of instances that are not listed now but may be listed again.
     unlisted_signals: HashMap<TargetInstance, SharedSignals>,
     /// Number of VMs that share the targets; 0 while unknown.
@@ -123,6 +125,7 @@
             by_id: HashMap::new(),
             services: HashMap::new(),
             zone_counts: HashMap::new(),
+            retired: Vec::new(),
             unlisted_signals: HashMap::new(),
             sharing_vms: Rc::default(),
             has_cold_rules: false,
@@ -221,7 +224,7 @@
             self.count_in_zone(&known.zone, false);
         }
         let Some(entry) = new else {
-            return known.into_iter().for_each(|target| self.retire(&target));
+            return known.into_iter().for_each(|target| self.retire(target));
         };
         let stays = known.as_ref().filter(|target| target.is_of(entry)).map(Rc::clone);
         let target = match stays {
@@ -230,7 +233,7 @@
                 target
             }
             None => {
-                known.into_iter().for_each(|target| self.retire(&target));
+                known.into_iter().for_each(|target| self.retire(target));
                 let signals = self.unlisted_signals.get(&entry.instance()).cloned();
                 let rank = self.vm.rank(&entry.id);
                 let signals = signals.unwrap_or_default();
@@ -242,9 +245,15 @@
     }
 
     /// Closes the idle connections of a target that is no longer listed, and keeps its signals.
-    fn retire(&mut self, target: &RegisteredTarget) {
+    fn retire(&mut self, target: Rc<RegisteredTarget>) {
         target.pool.clear();
         self.unlisted_signals.insert(target.instance(), Rc::clone(&target.signals));
+        self.retired.push(target);
+    }
+
+    /// Takes the targets that are no longer listed since this was last called.
+    pub(crate) fn take_retired(&mut self) -> Vec<Rc<RegisteredTarget>> {
+        std::mem::take(&mut self.retired)
     }
 
     /// Forgets signals of unlisted instances that have ended.
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -4,7 +4,8 @@
 //! there, until a response is accepted or no further attempt is allowed.
 //!
 //! This module holds the worker and its cached state. `access` checks keys and regions, `attempts`
-//! is the attempt loop, `selection` selects targets, `dispatching` has dispatchers select them,
+//! is the attempt loop, `crashes` finds out which requests targets had when they fell, `selection`
+//! selects targets, `dispatching` has dispatchers select them,
 //! `vm_reach` checks whether this VM reaches any target, and `assisting` has requests served by other
 //! VMs while it does not. `outcome` evaluates attempts, `repeat_cause` names why a request is sent
 //! again, `reach` applies changes of the zones in reach, `responses` builds what the caller receives,
@@ -13,6 +14,7 @@
 mod access;
 mod assisting;
 mod attempts;
+mod crashes;
 mod dispatching;
 mod gauges;
 mod outcome;
@@ -40,6 +42,7 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::assisting::{AssistFailure, AssistedRequest};
+use self::crashes::FallChecks;
 use self::gauges::gauge_value;
 use self::repeat_cause::RepeatCause;
 use self::responses::forward_response;
@@ -177,6 +180,7 @@
     load_counter: LoadCounter,
     /// Wait queues of services, for requests that any target of the service can take.
     queues: RefCell<HashMap<String, Rc<WaitQueue>>>,
+    fall_checks: FallChecks,
     reachability: Rc<ZoneReachability>,
     /// Notified when a zone goes out of reach or returns.
     reach_changed: Notify,
@@ -281,6 +285,7 @@
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
             queues: RefCell::default(),
+            fall_checks: FallChecks::default(),
             reachability: context.reachability,
             reach_changed: Notify::new(),
             last_response: Cell::new(BootClock.now()),
@@ -373,6 +378,7 @@
         let mut state = self.state.borrow_mut();
         let (registry, rules) = state.registry_with_rules(self.cold_settings);
         let changed = registry.apply_list(list, &rules);
+        let retired = registry.take_retired();
         if self.dispatch.is_some() {
             let (fleet, zones) = (&state.fleet, &state.zones);
             let groups = state.groups.with_changes(&changed, &state.registry, fleet, zones);
@@ -380,6 +386,8 @@
         }
         self.reachability.set_targets(&state.registry.count_by_zone());
         state.updated.targets = Instant::now();
+        drop(state);
+        self.record_retired(&retired);
         self.changed.notify_waiters();
     }
 
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -31,10 +31,11 @@
         end: AttemptEnd,
         latency: Duration,
     ) -> NextStep {
-        let (result, signals) = (end.result, end.signals);
+        let AttemptEnd { result, signals, sent_at } = end;
         self.metrics.attempts.count(result.as_str(), incoming.route.rule.repeat);
         log_unmarked_refusal(incoming, target, &result);
         self.record_outcome(incoming, target, &result, signals, latency);
+        self.observe_fall(incoming, target, &result, sent_at);
         count_attempt(attempts, target, &result);
         if result.may_have_run() {
             attempts.token = None;
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Gateways under test: an in-memory store and targets on loopback sockets.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+pub mod crashing_target;
 pub mod cut_fleet;
 pub mod dispatch_fleet;
 pub mod endless_target;
