A request that made three targets fall, one after the other, is refused by all VMs

Cause: nothing counted falls by request; a try was a new request to every VM, and its own repeat took the next target.

Change: each VM counts falls by mark (nickellead_quarantine). Three falls at two moments or more put a mark into quarantine, for ten minutes, doubled with each further fall: 503, not run, with the time that is left, on arrival and again directly before sending, at dispatchers as well. Falls of one moment (a failure of many targets) are one; any target's answer clears a mark, which a request that fells its targets never gets. A request that two targets broke under is not repeated by the VM itself. VMs exchange reports over the tree of updates by a call of its own, which needs no store and no mandate; all reports merge in any order. First falls are told after 250 ms without an answer, so that a failure of many targets does not flood links. Policy switch "quarantine". /relay/11: VMs of an earlier version watch the store instead, as at each change of the protocol.

Why it works: such a request can never be told innocent by an answer, and each of its tries adds a fall that all VMs learn; an innocent one is answered by any target that lives.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -118,6 +118,7 @@
     TargetLimited, "target-limited", 503, NotRun, Some(250), Info, "every target that could serve the request named how many requests a second it takes from all VMs, and this VM has sent its part";
     TargetRefused, "target-refused", 503, NotRun, Some(100), Info, "the target refused the request before running it: ownership changed";
     TargetUnreachable, "target-unreachable", 503, NotRun, Some(500), Warn, "no connection to the owning target could be made";
+    RequestQuarantined, "request-quarantined", 503, NotRun, Some(1_000), Info, "requests with the same method, path and body made at least three targets fall, one after the other, and no target has answered one since: no VM sends such a request to a target until the quarantine ends";
     DeadlineTooShort, "deadline-too-short", 504, NotRun, None, Info, "the deadline passed before the request was sent to a target";
     AnswerLate, "answer-late", 504, Unknown, None, Warn, "the target did not answer before the deadline";
     AnswerLost, "answer-lost", 502, Unknown, None, Warn, "the connection to the target broke after the request was sent";
--- a/crates/nickellead_gateway/src/cluster_state/mod.rs
+++ b/crates/nickellead_gateway/src/cluster_state/mod.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Number that distinguishes this process from others of the VM.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// The store's revisions up to which parts of the state are known.
     pub(crate) fn known(&self) -> KnownRevisions {
         self.known.get()
--- a/crates/nickellead_gateway/src/control/mod.rs
+++ b/crates/nickellead_gateway/src/control/mod.rs
@@ -41,8 +41,9 @@
 use crate::evacuation::ZoneStates;
 use crate::load_counter::{LoadCounter, VmId, VmReport};
 use crate::metrics::{ControlMetrics, ThreadMetrics, VmThread};
+use crate::quarantine::SharedQuarantine;
 use crate::quota::TokenRequest;
-use crate::relay::{UpdateRelay, serve_updates};
+use crate::relay::{RelayContext, UpdateRelay, serve_updates};
 use crate::state_channels::StateSenders;
 use crate::store_health::StoreHealth;
 use crate::store_watch::StoreWatcher;
@@ -77,6 +78,7 @@
     pub(crate) ownership: OwnershipSettings,
     pub(crate) senders: StateSenders,
     pub(crate) load_counter: LoadCounter,
+    pub(crate) quarantine: SharedQuarantine,
     pub(crate) metrics: ControlMetrics,
     pub(crate) thread_metrics: ThreadMetrics,
     pub(crate) policy: PolicySettings,
@@ -161,15 +163,16 @@
             vm: VmId::new(&context.vm, &context.zone),
             dispatch_address: context.dispatch_address,
         };
-        let relay = UpdateRelay::new(
-            context.zone,
+        let relay = UpdateRelay::new(RelayContext {
+            zone: context.zone,
             address,
-            Rc::clone(&cluster),
-            Rc::clone(&health),
-            context.load_counter.clone(),
+            cluster: Rc::clone(&cluster),
+            health: Rc::clone(&health),
+            load_counter: context.load_counter.clone(),
+            quarantine: context.quarantine,
             own_report,
-            context.thread_metrics.clone(),
-        );
+            thread_metrics: context.thread_metrics.clone(),
+        });
         let takeover_delay = takeover_delay(context.cpu_share, context.link_mbps);
         let mandate =
             MandateState::new(context.vm.clone(), address, context.incarnation, takeover_delay);
@@ -219,6 +222,7 @@
         if let Ok(listener) = tokio::net::TcpListener::from_std(peers) {
             actix_rt::spawn(serve_updates(Rc::clone(&self.relay), listener));
         }
+        actix_rt::spawn(Rc::clone(&self.relay).exchange_crash_reports());
         let follower = StoreWatcher {
             store: Rc::clone(&self.store),
             health: Rc::clone(&self.health),
--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -36,7 +36,7 @@
 use crate::registered_target::RegisteredTarget;
 use crate::response_body::ResponseScale;
 use crate::response_signals::ResponseSignals;
-use crate::worker::RequestWorker;
+use crate::worker::{RequestWorker, SentRequest};
 
 /// How long the state of a group is kept after the last request for it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -251,7 +251,7 @@
             return DispatchReply::Unavailable;
         };
         let started = Instant::now();
-        let end = self.send(&registered, &outgoing, deadline, room).await;
+        let end = self.send(&registered, &outgoing, (arrived, deadline), room).await;
         if let AttemptResult::Responded(response) = &end.result {
             self.response_size.record(response.body.len());
         }
@@ -346,13 +346,18 @@
     /// Sends a forwarded request to its target.
     async fn send(
         &self,
-        target: &RegisteredTarget,
+        target: &Rc<RegisteredTarget>,
         outgoing: &OutgoingRequest,
-        deadline: Instant,
+        (arrived_at, deadline): (Instant, Instant),
         room: HeldBytes,
     ) -> AttemptEnd {
-        // Requests of workspaces are not dispatched, so there is nothing to check.
-        let permit = || Ok(SendPermission { workspace: None, hides_key: false });
+        let worker = self.worker();
+        // Requests of workspaces are not dispatched.
+        let mark = || outgoing.mark(None);
+        let permit = || {
+            worker.as_ref().map_or(Ok(()), |worker| worker.check_mark(mark))?;
+            Ok(SendPermission { workspace: None, hides_key: false })
+        };
         let plan = AttemptPlan {
             target,
             repeat: RepeatClass::Safe,
@@ -366,6 +371,10 @@
         if matches!(end.result, AttemptResult::NotSent(ConnectFailure::Refused)) {
             target.mark_down(BootClock.now());
         }
+        if let Some(worker) = &worker {
+            let sent = SentRequest { outgoing, mark: &mark, arrived_at };
+            worker.observe_fall(&sent, target, &end.result, end.sent_at);
+        }
         end
     }
 }
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod packed;
 mod policy;
 mod port;
+mod quarantine;
 mod quota;
 mod regions;
 mod registered_target;
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -14,6 +14,7 @@
 use crate::drain::DrainState;
 use crate::load_counter::LoadCounter;
 use crate::metrics::{ControlMetrics, ThreadMetrics};
+use crate::quarantine::SharedQuarantine;
 use crate::quota::MAX_QUEUED_REQUESTS;
 use crate::regions::RegionMap;
 use crate::requests::{self, DispatchSettings, RequestContext};
@@ -97,6 +98,7 @@
     let listeners = GatewayListeners::bind(&settings)?;
     let (senders, receivers) = state_channels();
     let load_counter = LoadCounter::default();
+    let quarantine = SharedQuarantine::default();
     let stall_timeout = settings.max_held_bytes().map(|_| CALLER_STALL_TIMEOUT);
     let serve_state = Arc::new(ServeState::with_stall_timeout(stall_timeout));
     let drain = Arc::new(DrainState::default());
@@ -123,6 +125,7 @@
         thread_metrics: thread_metrics.clone(),
         receivers,
         load_counter: load_counter.clone(),
+        quarantine: quarantine.clone(),
         serve_state: Arc::clone(&serve_state),
         drain: Arc::clone(&drain),
         policy: settings.policy,
@@ -147,6 +150,7 @@
         ownership: settings.ownership,
         senders,
         load_counter,
+        quarantine,
         metrics,
         thread_metrics,
         policy: settings.policy,
--- a/crates/nickellead_gateway/src/policy.rs
+++ b/crates/nickellead_gateway/src/policy.rs
@@ -62,6 +62,8 @@
     pub measured_speeds: PolicySwitch,
     /// A VM that reaches no target has its requests served by other VMs.
     pub assistance: PolicySwitch,
+    /// Requests that made several targets fall are refused.
+    pub quarantine: PolicySwitch,
     /// One VM decides for the targets of a group, where settings and declarations call for it.
     pub dispatch: PolicySwitch,
 }
--- a/crates/nickellead_gateway/src/registered_target.rs
+++ b/crates/nickellead_gateway/src/registered_target.rs
@@ -74,6 +74,8 @@
     pub(crate) pool: SharedPool,
     /// Requests that it had when connections to it broke, while it is not known whether it fell.
     pub(crate) broken: RefCell<BrokenRequests>,
+    /// Whether a check is under way that shows whether it fell.
+    pub(crate) fall_checked: Cell<bool>,
 }
 
 /// Counts a request as in flight at a target until it is dropped.
@@ -124,6 +126,7 @@
             wait_queue: WaitQueue::default(),
             pool: SharedPool::default(),
             broken: RefCell::default(),
+            fall_checked: Cell::new(false),
         }
     }
 
--- a/crates/nickellead_gateway/src/relay/messages.rs
+++ b/crates/nickellead_gateway/src/relay/messages.rs
@@ -6,6 +6,7 @@
 
 use bincode::{Decode, Encode};
 use nickellead_limit::{TokenDemand, TokenGrant};
+use nickellead_quarantine::CrashReport;
 
 use crate::cluster_state::{DeclarationsUpdate, StateCursor, StateUpdate};
 use crate::load_counter::LoadCounts;
@@ -13,7 +14,7 @@
 
 /// HTTP path of the protocol; it ends in the protocol version. VMs of different versions watch the
 /// store instead of each other.
-pub(super) const RELAY_PATH: &str = "/relay/10";
+pub(super) const RELAY_PATH: &str = "/relay/11";
 
 /// A request of one VM to another.
 #[derive(Clone, Debug, Encode, Decode)]
@@ -26,6 +27,20 @@
     Declarations(Option<DeclaredState>),
     /// Requests tokens, by workspace.
     Tokens(BTreeMap<String, WireDemand>),
+    /// Tells of requests that make targets fall, and asks for news of them.
+    Crashes(CrashExchange),
+}
+
+/// What one VM tells another one of requests that make targets fall.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(super) struct CrashExchange {
+    /// Incarnation of the upstream's process; 0 before its first response.
+    pub(super) incarnation: u64,
+    /// Number of the upstream's last change that the subscriber knows with this message.
+    pub(super) known: u64,
+    /// Whether the response waits until there is something new.
+    pub(super) waits: bool,
+    pub(super) reports: Vec<CrashReport>,
 }
 
 /// A long poll for updates from a cursor.
@@ -99,6 +114,8 @@
     Declarations(Option<DeclarationsUpdate>),
     /// Granted tokens, by workspace; workspaces without an answer are missing.
     Tokens(BTreeMap<String, WireGrant>),
+    /// What the subscriber does not know of requests that make targets fall.
+    Crashes(CrashExchange),
     /// Another VM to poll instead.
     Redirect(SocketAddr),
     /// This VM has no fresh state itself.
--- a/crates/nickellead_gateway/src/relay/mod.rs
+++ b/crates/nickellead_gateway/src/relay/mod.rs
@@ -6,8 +6,10 @@
 //! watches the store until it finds an upstream again.
 //!
 //! This module tracks the VM's upstream. `messages` defines the protocol, `subscribing` polls an
-//! upstream, `publishing` responds to subscribers, and `tokens` requests tokens for quotas.
+//! upstream, `publishing` responds to subscribers, `tokens` requests tokens for quotas, and
+//! `crash_reports` exchanges what VMs know of requests that make targets fall.
 
+mod crash_reports;
 mod messages;
 mod publishing;
 mod subscribing;
@@ -28,6 +30,7 @@
 use crate::cluster_state::ClusterState;
 use crate::load_counter::{LoadCounter, VmReport};
 use crate::metrics::ThreadMetrics;
+use crate::quarantine::SharedQuarantine;
 use crate::quota::TokenQueue;
 use crate::store_health::StoreHealth;
 use crate::waiting::wait_for;
@@ -75,6 +78,8 @@
     cluster: Rc<ClusterState>,
     health: Rc<StoreHealth>,
     upstream: Cell<UpdateUpstream>,
+    /// The last VM that was the upstream.
+    last_upstream: Cell<Option<SocketAddr>>,
     /// When the store last responded to the VM at the root, as far as updates have reported it.
     root_contact: Cell<Option<Instant>>,
     /// Whether the upstream last reported that the store does not respond to the VM at the root.
@@ -86,6 +91,7 @@
     last_poll: Cell<Option<Instant>>,
     load_counter: LoadCounter,
     token_queue: TokenQueue,
+    quarantine: SharedQuarantine,
     /// This VM in its load reports.
     own_report: VmReport,
     thread_metrics: ThreadMetrics,
@@ -93,31 +99,39 @@
     changed: Notify,
 }
 
+/// Settings and shared dependencies of a VM's part in the distribution of updates.
+pub(crate) struct RelayContext {
+    pub(crate) zone: String,
+    /// Address at which other VMs reach this one.
+    pub(crate) address: SocketAddr,
+    pub(crate) cluster: Rc<ClusterState>,
+    pub(crate) health: Rc<StoreHealth>,
+    pub(crate) load_counter: LoadCounter,
+    pub(crate) quarantine: SharedQuarantine,
+    /// This VM in its load reports.
+    pub(crate) own_report: VmReport,
+    pub(crate) thread_metrics: ThreadMetrics,
+}
+
 impl UpdateRelay {
-    pub(crate) fn new(
-        zone: String,
-        address: SocketAddr,
-        cluster: Rc<ClusterState>,
-        health: Rc<StoreHealth>,
-        load_counter: LoadCounter,
-        own_report: VmReport,
-        thread_metrics: ThreadMetrics,
-    ) -> Rc<Self> {
+    pub(crate) fn new(context: RelayContext) -> Rc<Self> {
         Rc::new(Self {
-            zone,
-            address,
-            cluster,
-            health,
+            zone: context.zone,
+            address: context.address,
+            cluster: context.cluster,
+            health: context.health,
             upstream: Cell::new(UpdateUpstream::Seeking),
+            last_upstream: Cell::new(None),
             root_contact: Cell::new(None),
             root_store_unavailable: Cell::new(false),
             holds_mandate: Cell::new(false),
             subscribers: RefCell::default(),
             last_poll: Cell::new(None),
-            load_counter,
+            load_counter: context.load_counter,
             token_queue: TokenQueue::default(),
-            own_report,
-            thread_metrics,
+            quarantine: context.quarantine,
+            own_report: context.own_report,
+            thread_metrics: context.thread_metrics,
             changed: Notify::new(),
         })
     }
@@ -137,6 +151,9 @@
     }
 
     fn set_upstream(&self, upstream: UpdateUpstream) {
+        if let UpdateUpstream::Vm(address) = upstream {
+            self.last_upstream.set(Some(address));
+        }
         if self.upstream.replace(upstream) != upstream {
             let text = match upstream {
                 UpdateUpstream::Store => "store".to_owned(),
--- a/crates/nickellead_gateway/src/relay/publishing.rs
+++ b/crates/nickellead_gateway/src/relay/publishing.rs
@@ -98,6 +98,7 @@
             RelayRequest::Updates(request) => self.respond_updates(*request).await,
             RelayRequest::Declarations(known) => self.respond_declarations(known).await,
             RelayRequest::Tokens(wanted) => self.respond_tokens(wanted).await,
+            RelayRequest::Crashes(exchange) => self.respond_crashes(exchange).await,
         }
     }
 
--- a/crates/nickellead_gateway/src/relay/subscribing.rs
+++ b/crates/nickellead_gateway/src/relay/subscribing.rs
@@ -177,7 +177,11 @@
                 Ok(RelayResponse::Disconnected) => {
                     return PollEnd::Lost(UpstreamLoss::Disconnected);
                 }
-                Ok(RelayResponse::Declarations(_) | RelayResponse::Tokens(_)) => {
+                Ok(
+                    RelayResponse::Declarations(_)
+                    | RelayResponse::Tokens(_)
+                    | RelayResponse::Crashes(_),
+                ) => {
                     return PollEnd::Lost(UpstreamLoss::Unusable);
                 }
                 Err(_) => return PollEnd::Lost(UpstreamLoss::NoResponse),
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -20,6 +20,7 @@
 use crate::drain::DrainState;
 use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::{ControlMetrics, GatewayMetrics, ThreadMetrics, ThreadStep, VmThread};
+use crate::quarantine::SharedQuarantine;
 use crate::quota::{QuotaClient, TokenRequest};
 use crate::regions::RegionMap;
 use crate::state_channels::StateReceivers;
@@ -57,6 +58,7 @@
     pub(crate) thread_metrics: ThreadMetrics,
     pub(crate) receivers: StateReceivers,
     pub(crate) load_counter: LoadCounter,
+    pub(crate) quarantine: SharedQuarantine,
     pub(crate) serve_state: Arc<ServeState>,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) policy: PolicySettings,
@@ -105,12 +107,14 @@
     };
     let own_id = VmId::new(&context.vm, &context.zone);
     let dispatch = context.dispatch.and_then(|settings| start_dispatch(settings, own_id, server));
+    let quarantine = context.quarantine;
     let worker = RequestWorker::new(WorkerContext {
         header_names: context.names,
         vm: context.vm,
         zone: context.zone,
         retry_limits: context.retry_limits,
         load_counter: context.load_counter,
+        quarantine: quarantine.clone(),
         drain: Arc::clone(&context.drain),
         metrics,
         policy: context.policy,
@@ -127,6 +131,7 @@
         reach_signal: context.reach_signal,
     });
     worker.accept_assisted();
+    actix_rt::spawn(quarantine.release_reports());
     forward_state(&worker, &context.receivers, &context.thread_metrics);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
         serve_readiness(listener, &worker, &registry, context.receivers.clone(), &context.drain);
--- a/crates/nickellead_gateway/src/worker/attempts.rs
+++ b/crates/nickellead_gateway/src/worker/attempts.rs
@@ -34,6 +34,7 @@
         if incoming.remaining() <= RESPONSE_RETURN_RESERVE {
             return Err(ErrorKind::Overloaded);
         }
+        self.check_mark(|| incoming.mark())?;
         let mut attempts = AttemptState::default();
         let served = match self.hand_over(incoming, &mut attempts).await {
             Some(served) => served,
@@ -195,6 +196,9 @@
         if attempts.sent == 0 {
             return true;
         }
+        if !self.may_risk_target(incoming, attempts) {
+            return false;
+        }
         let taken = self.policy.retries.is_on() && self.retry_budget.borrow_mut().try_take(service);
         let cause = attempts.repeat_cause.as_str();
         match taken {
@@ -207,14 +211,15 @@
         taken
     }
 
-    /// Whether a request could be sent again after `sent` attempts that may have reached a target.
+    /// Whether a request could be sent again after one more attempt that may have reached a target.
     pub(super) fn may_repeat_sent(
         &self,
         incoming: &IncomingRequest,
         service: &str,
-        sent: u32,
+        attempts: &AttemptState,
     ) -> bool {
-        has_attempt_left(incoming, sent)
+        has_attempt_left(incoming, attempts.sent + 1)
+            && self.may_risk_target(incoming, attempts)
             && self.policy.retries.is_on()
             && self.retry_budget.borrow().has_token(service)
     }
@@ -239,6 +244,8 @@
         let connecting = Cell::new(true);
         let permit = || {
             connecting.set(false);
+            // It may have waited while it was found to make targets fall.
+            self.check_mark(|| incoming.mark())?;
             self.permit_sending(incoming, &target.zone)
         };
         let plan = AttemptPlan {
--- a/crates/nickellead_gateway/src/worker/crashes.rs
+++ b/crates/nickellead_gateway/src/worker/crashes.rs
@@ -1,19 +1,19 @@
-//! Finds out which requests targets had when they fell.
+//! Finds out which requests targets had when they fell, and refuses those that made several fall.
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use nickellead_core::Timestamp;
+use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_event::{EventName, log_event};
-use nickellead_quarantine::{BrokenRequest, FallEvidence};
+use nickellead_quarantine::{BrokenRequest, FallEvidence, RequestMark, RequestVerdict};
 use nickellead_time::BootClock;
 
 use tokio::sync::Notify;
 
-use super::RequestWorker;
+use super::{AttemptState, RequestWorker};
 use crate::connections::ConnectFailure;
-use crate::exchange::{AttemptResult, LossReason};
+use crate::exchange::{AttemptResult, LossReason, OutgoingRequest};
 use crate::incoming::IncomingRequest;
 use crate::registered_target::RegisteredTarget;
 
@@ -25,6 +25,8 @@
     Duration::from_millis(750),
     Duration::from_millis(1_500),
 ];
+/// Targets that one request may make fall before it is no longer sent to another one by this VM itself.
+const MAX_RISKED_TARGETS: usize = 2;
 /// Longest time until such a connection is open.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -37,12 +39,74 @@
 
 impl FallChecks {
     fn add(&self, target: &Rc<RegisteredTarget>) {
-        self.due.borrow_mut().push(Rc::clone(target));
-        self.added.notify_one();
+        if !target.fall_checked.replace(true) {
+            self.due.borrow_mut().push(Rc::clone(target));
+            self.added.notify_one();
+        }
+    }
+}
+
+/// What the fall of a target is to be known by, of the request that it had.
+pub(crate) struct SentRequest<'a> {
+    pub(crate) outgoing: &'a OutgoingRequest,
+    /// Most requests end without a need for their mark.
+    pub(crate) mark: &'a dyn Fn() -> RequestMark,
+    /// When it arrived at this VM.
+    pub(crate) arrived_at: Instant,
+}
+
+impl SentRequest<'_> {
+    fn broken(&self, sent: Timestamp) -> BrokenRequest {
+        let now = BootClock.now();
+        BrokenRequest {
+            mark: (self.mark)(),
+            id: String::from_utf8_lossy(self.outgoing.request_id.as_bytes()).into_owned(),
+            sent,
+            broke: now,
+            waited: self.arrived_at.elapsed().saturating_sub(now.since(sent)),
+        }
     }
 }
 
 impl RequestWorker {
+    /// Refuses a request that made several targets fall.
+    ///
+    /// # Errors
+    /// [`ErrorKind::RequestQuarantined`] if it did.
+    pub(crate) fn check_mark(&self, mark: impl FnOnce() -> RequestMark) -> Result<(), ErrorKind> {
+        let verdict = match self.is_suspicious() {
+            true => self.quarantine.verdict(mark()),
+            false => RequestVerdict::Unsuspected,
+        };
+        match verdict {
+            RequestVerdict::Quarantined { .. } => Err(ErrorKind::RequestQuarantined),
+            RequestVerdict::Unsuspected | RequestVerdict::Suspected { .. } => Ok(()),
+        }
+    }
+
+    /// Whether any request is known to have made a target fall.
+    fn is_suspicious(&self) -> bool {
+        self.policy.quarantine.is_on() && self.quarantine.has_marks()
+    }
+
+    /// Whether a request may be sent once more as far as falls are concerned: not if two targets fell with
+    /// it, or broke its connections and may have fallen.
+    pub(super) fn may_risk_target(
+        &self,
+        incoming: &IncomingRequest,
+        attempts: &AttemptState,
+    ) -> bool {
+        let elsewhere = match self.is_suspicious() && attempts.broken > 0 {
+            true => self.quarantine.count_falls(incoming.mark(), &attempts.tried),
+            false => 0,
+        };
+        let may_risk = elsewhere + attempts.broken < MAX_RISKED_TARGETS;
+        if !may_risk {
+            self.metrics.crashes.repeats_withheld.inc();
+        }
+        may_risk || !self.policy.quarantine.is_on()
+    }
+
     /// Checks each target to which a connection broke, for as long as the runtime runs.
     pub(crate) async fn run_fall_checks(self: Rc<Self>) {
         loop {
@@ -55,6 +119,11 @@
 
     /// Connects to a target until that shows whether it fell. A connection that is made is kept for requests.
     async fn check_fall(self: Rc<Self>, target: Rc<RegisteredTarget>) {
+        self.find_fall(&target).await;
+        target.fall_checked.set(false);
+    }
+
+    async fn find_fall(&self, target: &RegisteredTarget) {
         for delay in CHECK_DELAYS {
             tokio::time::sleep(delay).await;
             if target.broken.borrow().is_empty() {
@@ -63,7 +132,7 @@
             match target.pool.check(target.address, CHECK_TIMEOUT).await {
                 Ok(()) => return target.broken.borrow_mut().clear(),
                 Err(ConnectFailure::Refused) => {
-                    return self.record_fall(&target, FallEvidence::Refused);
+                    return self.record_fall(target, FallEvidence::Refused);
                 }
                 // A target that lost its power, or a cut path.
                 Err(_) => {}
@@ -72,22 +141,24 @@
     }
 
     /// Draws conclusions from the end of an attempt that was sent at `sent`.
-    pub(super) fn observe_fall(
+    pub(crate) fn observe_fall(
         &self,
-        incoming: &IncomingRequest,
+        request: &SentRequest<'_>,
         target: &Rc<RegisteredTarget>,
         result: &AttemptResult,
         sent: Timestamp,
     ) {
         match result {
-            AttemptResult::Responded(_) | AttemptResult::Shed => {
+            AttemptResult::Responded(_) => {
                 target.broken.borrow_mut().observe_answer(sent);
+                if self.quarantine.has_marks() {
+                    self.quarantine.record_answer((request.mark)());
+                }
             }
+            AttemptResult::Shed => target.broken.borrow_mut().observe_answer(sent),
             AttemptResult::Lost(LossReason::Broken) => {
-                let broken = broken_request(incoming, sent);
-                if target.broken.borrow_mut().record(broken) {
-                    self.fall_checks.add(target);
-                }
+                target.broken.borrow_mut().record(request.broken(sent));
+                self.fall_checks.add(target);
             }
             AttemptResult::NotSent(ConnectFailure::Refused) => {
                 self.record_fall(target, FallEvidence::Refused);
@@ -117,19 +188,10 @@
             return;
         }
         self.metrics.crashes.count_fall(evidence, fallen.len());
-        fallen.iter().for_each(|request| log_fall(target, request, evidence, now));
-    }
-}
-
-fn broken_request(incoming: &IncomingRequest, sent: Timestamp) -> BrokenRequest {
-    let now = BootClock.now();
-    let total = incoming.arrived_at.elapsed();
-    BrokenRequest {
-        mark: incoming.mark(),
-        id: String::from_utf8_lossy(incoming.outgoing.request_id.as_bytes()).into_owned(),
-        sent,
-        broke: now,
-        waited: total.saturating_sub(now.since(sent)),
+        for request in &fallen {
+            log_fall(target, request, evidence, now);
+            self.quarantine.record_fall(&target.id, request);
+        }
     }
 }
 
--- a/crates/nickellead_gateway/src/worker/dispatching.rs
+++ b/crates/nickellead_gateway/src/worker/dispatching.rs
@@ -331,7 +331,7 @@
         };
         let since = Instant::now();
         let facts = request_facts(incoming, Some(owner.id.clone()), Vec::new());
-        let may_repeat = || self.may_repeat_sent(incoming, service, attempts.sent + 1);
+        let may_repeat = || self.may_repeat_sent(incoming, service, attempts);
         match client.forward(group, facts, &incoming.outgoing, held, &may_repeat).await {
             ForwardAnswer::Ended(end, latency) => match end.result {
                 // The dispatcher can't reach the owner; this VM may.
--- a/crates/nickellead_gateway/src/worker/gauges.rs
+++ b/crates/nickellead_gateway/src/worker/gauges.rs
@@ -28,6 +28,7 @@
         metrics.held_bytes.set(gauge_value(self.memory.held()));
         metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
         metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
+        metrics.crashes.set_marks(self.quarantine.counts());
         let version = state.version.unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
             dispatch.client.server().refresh_gauges();
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -43,6 +43,7 @@
 
 pub(crate) use self::assisting::{AssistFailure, AssistedRequest};
 use self::crashes::FallChecks;
+pub(crate) use self::crashes::SentRequest;
 use self::gauges::gauge_value;
 use self::repeat_cause::RepeatCause;
 use self::responses::forward_response;
@@ -58,6 +59,7 @@
 use crate::listed_targets::ListedTargets;
 use crate::load_counter::{LoadCounter, VmId};
 use crate::metrics::{GatewayMetrics, RequestSender};
+use crate::quarantine::SharedQuarantine;
 use crate::quota::{QuotaClient, QuotaToken};
 use crate::regions::RegionMap;
 use crate::route_table::RouteTable;
@@ -149,6 +151,7 @@
     pub(crate) zone: String,
     pub(crate) retry_limits: RetryLimits,
     pub(crate) load_counter: LoadCounter,
+    pub(crate) quarantine: SharedQuarantine,
     pub(crate) drain: Arc<DrainState>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) policy: PolicySettings,
@@ -178,6 +181,8 @@
     retry_budget: RefCell<RetryBudget>,
     rng: RefCell<fastrand::Rng>,
     load_counter: LoadCounter,
+    /// Requests that make targets fall.
+    quarantine: SharedQuarantine,
     /// Wait queues of services, for requests that any target of the service can take.
     queues: RefCell<HashMap<String, Rc<WaitQueue>>>,
     fall_checks: FallChecks,
@@ -221,6 +226,8 @@
     tried: Vec<String>,
     /// Targets that reported that they do not own the key.
     misdirected: Vec<String>,
+    /// Targets that broke the connection while they had the request.
+    broken: usize,
     /// Attempts that failed while connecting.
     unconnected: Vec<UnconnectedAttempt>,
     /// How the last attempt that may have reached a target ended.
@@ -284,6 +291,7 @@
             retry_budget: RefCell::new(RetryBudget::new(context.retry_limits, fastrand::f64())),
             rng: RefCell::new(fastrand::Rng::new()),
             load_counter: context.load_counter,
+            quarantine: context.quarantine,
             queues: RefCell::default(),
             fall_checks: FallChecks::default(),
             reachability: context.reachability,
--- a/crates/nickellead_gateway/src/worker/outcome.rs
+++ b/crates/nickellead_gateway/src/worker/outcome.rs
@@ -8,6 +8,7 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_time::BootClock;
 
+use super::crashes::SentRequest;
 use super::repeat_cause::RepeatCause;
 use super::{AttemptState, NextStep, RequestWorker, UnconnectedAttempt};
 use crate::RepeatClass;
@@ -35,7 +36,9 @@
         self.metrics.attempts.count(result.as_str(), incoming.route.rule.repeat);
         log_unmarked_refusal(incoming, target, &result);
         self.record_outcome(incoming, target, &result, signals, latency);
-        self.observe_fall(incoming, target, &result, sent_at);
+        let IncomingRequest { outgoing, arrived_at, .. } = incoming;
+        let sent = SentRequest { outgoing, mark: &|| incoming.mark(), arrived_at: *arrived_at };
+        self.observe_fall(&sent, target, &result, sent_at);
         count_attempt(attempts, target, &result);
         if result.may_have_run() {
             attempts.token = None;
@@ -203,9 +206,10 @@
             attempts.unconnected.push(UnconnectedAttempt { target, zone, failure: *failure });
         }
         AttemptResult::Withheld | AttemptResult::Forbidden(_) => attempts.unsent += 1,
-        AttemptResult::Lost(_) => {
+        AttemptResult::Lost(reason) => {
             attempts.sent += 1;
             attempts.may_have_run = true;
+            attempts.broken += usize::from(*reason == LossReason::Broken);
         }
     }
 }
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -126,6 +126,11 @@
                     .div_f64(1.0 - RETRY_JITTER_FRACTION / 2.0),
             );
         }
+        if kind == ErrorKind::RequestQuarantined {
+            // An earlier retry would be refused again.
+            let left = self.quarantine.time_left(incoming.mark());
+            return Some(left.max(default_delay).div_f64(1.0 - RETRY_JITTER_FRACTION / 2.0));
+        }
         if kind == ErrorKind::QuotaExceeded {
             // An earlier retry would be refused again.
             let delay = incoming.quota_retry_after.get().max(MIN_QUOTA_RETRY_DELAY);
@@ -171,6 +176,13 @@
             ("targets_age_ms", &ages[1]),
             ("keys_age_ms", &keys_age),
         ];
+        let crashes = (kind == ErrorKind::RequestQuarantined).then(|| {
+            let mark = incoming.mark();
+            (mark, self.quarantine.describe_falls(mark))
+        });
+        if let Some((mark, fallen)) = &crashes {
+            pairs.extend([("mark", mark as &dyn std::fmt::Display), ("fallen", fallen)]);
+        }
         if let Some(workspace) = &incoming.workspace {
             pairs.push(("workspace", &workspace.name));
         }
--- a/crates/nickellead_quarantine/src/broken.rs
+++ b/crates/nickellead_quarantine/src/broken.rs
@@ -53,14 +53,12 @@
 pub struct BrokenRequests(Vec<BrokenRequest>);
 
 impl BrokenRequests {
-    /// Adds a request; returns whether it is the only one.
-    pub fn record(&mut self, request: BrokenRequest) -> bool {
+    /// Adds a request.
+    pub fn record(&mut self, request: BrokenRequest) {
         self.forget_old(request.broke);
-        let is_first = self.0.is_empty();
         if self.0.len() < MAX_BROKEN {
             self.0.push(request);
         }
-        is_first
     }
 
     /// Removes the requests that broke before the target was sent a request that it answered, and so
