--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    CallerSettings, RequestLedger, StandinStore, StandinTargets, TargetBehavior, TargetSettings,
-    VmAddress,
+    CallerSettings, CrashingLoad, RequestLedger, StandinStore, StandinTargets, TargetBehavior,
+    TargetSettings, VmAddress,
 };
 use serde_json::json;
 use tokio::sync::watch;
@@ -48,6 +48,7 @@
     pub(super) targets: StandinTargets,
     /// How targets handle requests while no fault changes it.
     target_behavior: TargetBehavior,
+    crashing: Option<CrashingLoad>,
     pub(super) store: StandinStore,
     ports: Vec<VmPorts>,
     links: BTreeMap<usize, FaultLink>,
@@ -89,6 +90,7 @@
             ledger,
             targets,
             target_behavior,
+            crashing: round.crashing,
             store,
             ports,
             links,
@@ -133,6 +135,7 @@
             services: self.site.services(),
             routes: self.site.routes(),
             loads: self.site.loads(),
+            crashing: self.crashing,
             duration,
             seed,
         };
--- a/crates/nickellead_soak/src/gateway/round.rs
+++ b/crates/nickellead_soak/src/gateway/round.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use nickellead_adapter_standin::{
-    HandedTime, LoadReport, OddAnswer, ServiceRepeats, StandinLateness, TargetBehavior,
-    WidespreadWork, run_callers,
+    CrashingLoad, CrashingRequests, HandedTime, LoadReport, OddAnswer, ServiceRepeats,
+    StandinLateness, TargetBehavior, WidespreadWork, run_callers,
 };
 
 use super::fleet::GatewayFleet;
@@ -35,6 +35,8 @@
     pub site: GatewaySite,
     /// How targets handle requests while no fault changes it.
     pub target_behavior: TargetBehavior,
+    /// Requests that make targets fall.
+    pub crashing: Option<CrashingLoad>,
     /// Time within which all faults end.
     pub fault_duration: Duration,
     /// Seed of the deployment, the load and the faults.
@@ -98,6 +100,12 @@
     /// The same without requests whose VMs were not in touch, which the rule does not bind. The VM that a
     /// caller sent a request to is known, not the dispatcher that may have passed it on.
     pub handed_in_touch: HandedTime,
+    /// Requests that make targets fall.
+    pub crashing: CrashingRequests,
+    /// Whether they reached targets too often by way of VMs in touch.
+    pub crashing_exceeded: bool,
+    /// Late arrivals of the worst of them, by way of all VMs.
+    pub most_late_crashing: usize,
     /// How late the threads of callers and targets ran.
     pub lateness: StandinLateness,
     /// Watches that the store cut.
@@ -118,7 +126,7 @@
     pub fn is_clean(&self) -> bool {
         let is_repeated_too_often = self.repeats.iter().any(ServiceRepeats::is_exceeded);
         let is_exceeded = self.widespread_work.is_exceeded() || self.handed_in_touch.is_exceeded();
-        let within_budget = !is_repeated_too_often && !is_exceeded;
+        let within_budget = !is_repeated_too_often && !is_exceeded && !self.crashing_exceeded;
         let load = &self.load;
         let promises_kept = load.broken_promises.is_empty() && load.run_twice.is_empty();
         within_budget && promises_kept && self.unpaid.iter().all(|arrival| arrival.before_kill)
@@ -151,6 +159,8 @@
     let handed_time = fleet.ledger.handed_time();
     let handed_in_touch = handed_time
         .filtered(|one| one.vm.is_none_or(|vm| fleet.disturbances.is_in_touch(vm, one.at)));
+    let crashing = fleet.ledger.crashing_requests();
+    let most_late = crashing.iter().map(|(_, request)| request.late_arrivals(|_, _| true)).max();
     Ok(GatewayReport {
         load,
         repeats: fleet.ledger.judge(round.site.budget()),
@@ -160,6 +170,9 @@
         widespread_work: fleet.ledger.widespread_work(GatewaySite::ATTEMPTS),
         handed_time,
         handed_in_touch,
+        crashing_exceeded: crashing.is_exceeded(|vm, at| fleet.disturbances.is_in_touch(vm, at)),
+        most_late_crashing: most_late.unwrap_or(0),
+        crashing,
         lateness: fleet.ledger.lateness(),
         cut_watches: fleet.store.cut_watches(),
         unpaid: find_unpaid(&repeated, paid, &fleet.kills),
--- a/crates/nickellead_soak/src/main.rs
+++ b/crates/nickellead_soak/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use nickellead_adapter_standin::{HandedTime, OddAnswer, TargetBehavior};
+use nickellead_adapter_standin::{CrashingLoad, HandedTime, OddAnswer, TargetBehavior};
 use nickellead_soak::{
     FleetSize, GatewayReport, GatewayRound, GatewaySite, RoundFaults, RoundReport, RoundSettings,
     SoakError, run_gateway_round, run_round,
@@ -16,6 +16,8 @@
 const REFUSED: std::ops::Range<f64> = 0.05..0.5;
 /// Range of the fraction of responses that they send twice, or in an unusual way with --odd.
 const REPEATED: std::ops::Range<f64> = 0.05..0.5;
+/// Interval between two tries of one request that makes targets fall.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(900);
 /// Exit code if a round could not run.
 const EXIT_NOT_RUN: u8 = 2;
 
@@ -52,6 +54,10 @@
     /// with --gateways: all targets send unusual responses of one kind; the seed tells which and how many
     #[argh(switch)]
     odd: bool,
+    /// with --gateways: this many requests make the targets fall that run them, and come again and again
+    /// (default 0)
+    #[argh(option, default = "0")]
+    crashing: usize,
     /// with --gateways: inject no faults; small VMs are starved as the seed tells
     #[argh(switch)]
     no_faults: bool,
@@ -169,6 +175,8 @@
         folder: folder.to_owned(),
         site: GatewaySite { vms: vms.max(1), load: arguments.load },
         target_behavior: target_behavior(arguments, seed),
+        crashing: (arguments.crashing > 0)
+            .then_some(CrashingLoad { requests: arguments.crashing, interval: CRASHING_INTERVAL }),
         fault_duration: Duration::from_secs(arguments.seconds),
         seed,
         faults: if arguments.no_faults { RoundFaults::None } else { RoundFaults::Seeded },
@@ -251,6 +259,18 @@
     print_handed_time("all", &report.handed_time);
     print_handed_time("in touch", &report.handed_in_touch);
     println!("  {} watches cut by the store", report.cut_watches);
+    for (path, request) in report.crashing.iter() {
+        println!(
+            "  {path} arrivals={} falls={} late={}",
+            request.arrivals.len(),
+            request.falls.len(),
+            request.late_arrivals(|_, _| true)
+        );
+    }
+    println!(
+        "  crashing requests late: {} exceeded={}",
+        report.most_late_crashing, report.crashing_exceeded
+    );
     let sum = |name: &str| report.metrics.sum(name);
     let before_kill = report.unpaid.iter().filter(|arrival| arrival.before_kill).count();
     let errors: Vec<_> = report.metrics.labels("nickellead_errors_total").collect();
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use nickellead_adapter_standin::TargetBehavior;
+use nickellead_adapter_standin::{CrashingLoad, TargetBehavior};
 use nickellead_soak::{GatewayRound, GatewaySite, RoundFaults, run_gateway_round};
 
 /// Long enough for several faults to overlap.
@@ -20,6 +20,7 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         site: SITE,
         target_behavior,
+        crashing: None,
         fault_duration: FAULT_DURATION,
         seed,
         faults: RoundFaults::Seeded,
@@ -55,3 +56,20 @@
     assert!(load.served() > 1_000 && report.surplus_responses > 300, "{load:?}");
     assert!(report.cut_watches > 0, "the store cuts watches in rounds with even seeds");
 }
+
+/// Guards targets against requests that make each of them fall, and that come again at any VM, on all kinds
+/// of routes.
+#[test]
+fn requests_that_crash_their_targets_are_held_back() {
+    let crashing = CrashingLoad { requests: 5, interval: Duration::from_millis(500) };
+    let round = GatewayRound {
+        crashing: Some(crashing),
+        faults: RoundFaults::None,
+        ..round(5, TargetBehavior::Serve)
+    };
+    let report = run_gateway_round(&round).unwrap();
+    let (crashing, folder) = (&report.crashing, &round.folder);
+    let fell = crashing.iter().filter(|(_, request)| request.falls.len() >= 3).count();
+    assert!(!report.crashing_exceeded, "{crashing:?}, logs in {folder:?}");
+    assert!(fell >= 2 && report.load.served() > 1_000, "{crashing:?}, {:?}", report.load);
+}
--- a/tests/handed_time.rs
+++ b/tests/handed_time.rs
@@ -23,6 +23,7 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         site: SITE,
         target_behavior: TargetBehavior::Serve,
+        crashing: None,
         fault_duration,
         seed: 1,
         faults: RoundFaults::Given(schedule),
