An entry with an impossible number is unreadable, and no slots cost memory or time

Reported by another operator: one odd entry among those of the targets ended the machines that read the list, again and again. It happens here: 4,000,000,000 slots ended each VM that dispatches ("memory allocation of bytes failed"), u32::MAX wrapped a sum and the queue counted to four thousand million for each decision. The entry stays in the store, so a VM that starts again ends again.

Cause: Slots was taken as stated, and used as a size. Sums of slots are u64, the dispatch queue holds no memory for slots, looks at eight free ones at most (as many as it ever kept), and its sums saturate.

--- a/crates/nickellead_balance/src/subset.rs
+++ b/crates/nickellead_balance/src/subset.rs
@@ -13,8 +13,8 @@
 /// `min` keeps a VM from depending on a single target. `max` keeps a VM from spreading its requests
 /// so thinly that targets close its idle connections before their next use.
 #[must_use]
-pub fn subset_size(slots: u32, vms: usize, targets: usize, min: usize, max: usize) -> usize {
-    let size = (f64::from(slots) * REQUESTS_PER_SLOT / vms.max(1) as f64).ceil();
+pub fn subset_size(slots: u64, vms: usize, targets: usize, min: usize, max: usize) -> usize {
+    let size = (slots as f64 * REQUESTS_PER_SLOT / vms.max(1) as f64).ceil();
     (size as usize).clamp(min, max).min(targets)
 }
 
--- a/crates/nickellead_balance/tests/subset.rs
+++ b/crates/nickellead_balance/tests/subset.rs
@@ -4,7 +4,7 @@
 use nickellead_balance::{even_subset, subset_size};
 use quickcheck::quickcheck;
 
-const SLOTS: u32 = 3;
+const SLOTS: u64 = 3;
 const QUEUE: usize = 12;
 const MIN_SIZE: usize = 2;
 const MAX_SIZE: usize = 8;
@@ -22,7 +22,7 @@
 fn one_request_of_each_vm_that_uses_a_target_fits_its_slots_and_queue() {
     for targets in [3, 11, 22] {
         let vms = 25;
-        let size = subset_size(SLOTS * targets as u32, vms, targets, MIN_SIZE, MAX_SIZE);
+        let size = subset_size(SLOTS * targets as u64, vms, targets, MIN_SIZE, MAX_SIZE);
         let max = users(vms, targets, size).into_iter().max().unwrap_or_default();
         assert!(max <= SLOTS as usize + QUEUE + 2, "{max} requests at each of {targets} targets");
         // A fixed subset of twelve targets would put more requests on each of them.
--- a/crates/nickellead_dispatch/src/target_outlook.rs
+++ b/crates/nickellead_dispatch/src/target_outlook.rs
@@ -58,7 +58,8 @@
     pub(crate) fn new(ends_ms: impl Iterator<Item = f64>, taken: u32, free: u32) -> Self {
         let mut times_ms = [f64::INFINITY; MAX_KNOWN_STARTS + 1];
         let mut count = 0;
-        for end_ms in std::iter::repeat_n(0.0, free as usize).chain(ends_ms) {
+        let free = (free as usize).min(MAX_KNOWN_STARTS);
+        for end_ms in std::iter::repeat_n(0.0, free).chain(ends_ms) {
             insert_sorted(&mut times_ms, end_ms);
             count += 1;
         }
--- a/crates/nickellead_dispatch/src/target_state.rs
+++ b/crates/nickellead_dispatch/src/target_state.rs
@@ -79,7 +79,7 @@
             return_times: ReturnTimes::default(),
             declared_slots: slots,
             reported_slots: None,
-            permits: Vec::with_capacity((slots + EXTRA_PERMITS) as usize),
+            permits: Vec::new(),
             foreign: ForeignLoad::default(),
             factor: TargetFactor::default(),
             slowness: None,
@@ -116,7 +116,7 @@
 
     /// What to expect of the target now.
     pub(crate) fn outlook(&self, now: Timestamp) -> TargetOutlook {
-        let running = self.permits.len() as u32 + self.foreign.requests(now);
+        let running = (self.permits.len() as u32).saturating_add(self.foreign.requests(now));
         let free = self.slots().saturating_sub(running);
         let taken = running.saturating_sub(self.slots());
         let starts = SlotStarts::new(self.ends_ms(now), taken, free);
@@ -149,7 +149,7 @@
             TargetRoom::Full
         } else if running < self.slots() {
             TargetRoom::Free
-        } else if running < self.slots() + EXTRA_PERMITS {
+        } else if running < self.slots().saturating_add(EXTRA_PERMITS) {
             TargetRoom::Extra
         } else {
             TargetRoom::Full
--- a/crates/nickellead_gateway/src/cluster_state/tests.rs
+++ b/crates/nickellead_gateway/src/cluster_state/tests.rs
@@ -9,7 +9,7 @@
 use super::updates::TargetsPayload;
 use super::*;
 use crate::state_channels::state_channels;
-use crate::{TargetList, TargetState};
+use crate::{SlotCount, TargetList, TargetState};
 
 fn state(incarnation: u64) -> ClusterState {
     ClusterState::new(incarnation, state_channels().0)
@@ -26,7 +26,7 @@
         service: "plain".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 1 + number)),
         zone: "zone-a".to_owned(),
-        slots: 4,
+        slots: SlotCount::new(4).unwrap(),
         state: TargetState::Ready,
         cold_left: Duration::ZERO,
     }
--- a/crates/nickellead_gateway/src/control/admission.rs
+++ b/crates/nickellead_gateway/src/control/admission.rs
@@ -219,7 +219,7 @@
         let (Some(known), Some(target)) = (stats.get_mut(owner), targets.get(owner)) else {
             return Vec::new();
         };
-        if self.count_vms() <= MAX_UNLIMITED_VMS_PER_SLOT * target.slots as usize {
+        if self.count_vms() <= MAX_UNLIMITED_VMS_PER_SLOT * target.slots.get() as usize {
             return Vec::new();
         }
         let counts = ranges.iter().flat_map(|range| load.counts(range.first, range.last));
@@ -227,7 +227,7 @@
             counts.map(|(key, count)| (key, count / RECENT_LOAD_WINDOW_S)).collect();
         let demand = demands.iter().map(|(_, demand)| demand).sum();
         let previous_rate = known.admission.rate();
-        known.admission.update(&known.report(target.slots, demand), BALANCE_INTERVAL);
+        known.admission.update(&known.report(target.slots.get(), demand), BALANCE_INTERVAL);
         let rate = known.admission.rate();
         if previous_rate.is_some() != rate.is_some() {
             log_limit(owner, rate, demand, known);
--- a/crates/nickellead_gateway/src/control/candidates.rs
+++ b/crates/nickellead_gateway/src/control/candidates.rs
@@ -146,7 +146,7 @@
         let candidate = |target: &&TargetEntry| {
             let instance = target.instance();
             let max_load = self.max_load(&instance);
-            let capacity = f64::from(target.slots.max(1)) * factor(target);
+            let capacity = f64::from(target.slots.get()) * factor(target);
             OwnerCandidate { target: instance, capacity, max_load }
         };
         usable.iter().map(candidate).collect()
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -80,5 +80,5 @@
 };
 pub use store_era::EraMonitor;
 pub use targets::{
-    EvacuatedZones, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
+    EvacuatedZones, SlotCount, TargetChange, TargetEntry, TargetList, TargetListing, TargetState,
 };
--- a/crates/nickellead_gateway/src/listed_targets.rs
+++ b/crates/nickellead_gateway/src/listed_targets.rs
@@ -115,7 +115,7 @@
     }
     let is_ready = entry.state == TargetState::Ready;
     let born = [u64::from(entry.born.is_some()), entry.born.unwrap_or_default()];
-    for number in born.into_iter().chain([entry.slots.into(), is_ready.into()]) {
+    for number in born.into_iter().chain([entry.slots.get().into(), is_ready.into()]) {
         hasher.update(&number.to_le_bytes());
     }
     hasher.digest()
--- a/crates/nickellead_gateway/src/registered_target.rs
+++ b/crates/nickellead_gateway/src/registered_target.rs
@@ -106,7 +106,7 @@
             born: entry.born,
             address: entry.address,
             zone: entry.zone.clone(),
-            slots: entry.slots,
+            slots: entry.slots.get(),
             state: Cell::new(entry.state),
             sharded: Cell::new(false),
             listed_cold: Cell::new(entry.cold_left),
@@ -120,7 +120,7 @@
             score: RefCell::new(TargetScore::new(DEFAULT_LATENCY)),
             concurrency_limit: Cell::new(AdaptiveLimit::new(
                 INITIAL_CONCURRENCY_LIMIT,
-                entry.slots * MAX_REQUESTS_PER_SLOT,
+                entry.slots.get() * MAX_REQUESTS_PER_SLOT,
             )),
             request_bytes: InFlightBytes::new(MAX_REQUEST_BYTES),
             wait_queue: WaitQueue::default(),
@@ -205,7 +205,7 @@
         self.born == entry.born
             && self.address == entry.address
             && self.zone == entry.zone
-            && self.slots == entry.slots
+            && self.slots == entry.slots.get()
     }
 
     /// The identity of this instance.
--- a/crates/nickellead_gateway/src/sorted_targets.rs
+++ b/crates/nickellead_gateway/src/sorted_targets.rs
@@ -10,7 +10,7 @@
 pub(crate) struct SortedTargets {
     targets: Vec<Rc<RegisteredTarget>>,
     /// Sum of their slots.
-    slots: u32,
+    slots: u64,
 }
 
 impl SortedTargets {
@@ -27,20 +27,20 @@
     }
 
     /// Sum of the targets' slots.
-    pub(crate) fn slots(&self) -> u32 {
+    pub(crate) fn slots(&self) -> u64 {
         self.slots
     }
 
     pub(crate) fn insert(&mut self, target: &Rc<RegisteredTarget>) {
         let index = self.targets.partition_point(|one| one.order() < target.order());
         self.targets.insert(index, Rc::clone(target));
-        self.slots += target.slots;
+        self.slots += u64::from(target.slots);
     }
 
     pub(crate) fn remove(&mut self, target: &RegisteredTarget) {
         if let Ok(index) = self.targets.binary_search_by(|one| one.order().cmp(&target.order())) {
             self.targets.remove(index);
-            self.slots -= target.slots;
+            self.slots -= u64::from(target.slots);
         }
     }
 }
@@ -49,7 +49,7 @@
     fn from_iter<I: IntoIterator<Item = Rc<RegisteredTarget>>>(targets: I) -> Self {
         let mut targets: Vec<_> = targets.into_iter().collect();
         targets.sort_unstable_by(|one, other| one.order().cmp(&other.order()));
-        let slots = targets.iter().map(|target| target.slots).sum();
+        let slots = targets.iter().map(|target| u64::from(target.slots)).sum();
         Self { targets, slots }
     }
 }
--- a/crates/nickellead_gateway/src/target_registry/tests.rs
+++ b/crates/nickellead_gateway/src/target_registry/tests.rs
@@ -7,6 +7,7 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 use super::*;
+use crate::SlotCount;
 use crate::dispatch::{GroupTable, TargetGroup};
 
 const SERVICES: [&str; 2] = ["keyed", "plain"];
@@ -39,7 +40,7 @@
         service: pick(random, &SERVICES),
         address: SocketAddr::from(([10, 0, 0, 1], 1 + u16::arbitrary(random) % 2)),
         zone: pick(random, &ZONES),
-        slots: 1 + u32::arbitrary(random) % 4,
+        slots: SlotCount::new(1 + u64::arbitrary(random) % 4).unwrap(),
         state: *random.choose(&[TargetState::Ready, TargetState::Draining]).unwrap(),
         cold_left: *random.choose(&[Duration::ZERO, COLD_TIME]).unwrap(),
     }
--- a/crates/nickellead_gateway/src/targets.rs
+++ b/crates/nickellead_gateway/src/targets.rs
@@ -16,6 +16,29 @@
     Draining,
 }
 
+/// Number of requests that a target runs concurrently, at least 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct SlotCount(u16);
+
+impl SlotCount {
+    /// More slots than any target has.
+    pub const MAX: u16 = 10_000;
+
+    /// The slots that an entry states, of which none counts as one; `None` if there are more than
+    /// [`Self::MAX`].
+    #[must_use]
+    pub fn new(stated: u64) -> Option<Self> {
+        let slots = u16::try_from(stated).ok().filter(|slots| *slots <= Self::MAX)?;
+        Some(Self(slots.max(1)))
+    }
+
+    /// The number.
+    #[must_use]
+    pub fn get(self) -> u32 {
+        u32::from(self.0)
+    }
+}
+
 /// The entry of one target instance.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct TargetEntry {
@@ -31,7 +54,7 @@
     /// Its availability zone.
     pub zone: String,
     /// Number of requests that it runs concurrently.
-    pub slots: u32,
+    pub slots: SlotCount,
     /// State that the target reports.
     pub state: TargetState,
     /// Remaining time during which it is cold after its start.
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -22,7 +22,7 @@
 use nickellead_gateway::{
     Declarations, DispatchScope, GatewayHandle, GatewaySettings, HeaderNames, LoadHeader,
     OwnershipSettings, PolicySettings, QuotaSettings, RepeatClass, ReportedLoad, RouteRule,
-    ServiceRule, SharedRoute, TargetEntry, TargetState, WeightedService, start_gateway,
+    ServiceRule, SharedRoute, SlotCount, TargetEntry, TargetState, WeightedService, start_gateway,
 };
 
 use link::PacedLink;
@@ -109,7 +109,7 @@
         service: service.to_owned(),
         address,
         zone: "zone-a".to_owned(),
-        slots: 4,
+        slots: SlotCount::new(4).unwrap(),
         state: TargetState::Ready,
         cold_left: Duration::ZERO,
     }
--- a/crates/nickellead_gateway/tests/overloaded_owner.rs
+++ b/crates/nickellead_gateway/tests/overloaded_owner.rs
@@ -12,7 +12,7 @@
 use common::store::MemoryStore;
 use common::target::{Behavior, BoundedWork, TestTarget};
 use common::{TestGateway, declarations, entry, wait_until};
-use nickellead_gateway::{PolicySwitch, TargetEntry};
+use nickellead_gateway::{PolicySwitch, SlotCount, TargetEntry};
 
 const VMS: usize = 8;
 const CALLERS_PER_VM: usize = 4;
@@ -60,7 +60,10 @@
 fn measure_load(name: &str, admission: PolicySwitch) -> LoadCounts {
     let owner = TestTarget::start("hot", Behavior::Bounded(WORK));
     let store = MemoryStore::default();
-    store.list(TargetEntry { slots: WORK.slots as u32, ..entry("hot", "keyed", owner.address) });
+    store.list(TargetEntry {
+        slots: SlotCount::new(WORK.slots as u64).unwrap(),
+        ..entry("hot", "keyed", owner.address)
+    });
     store.declare(declarations(1));
     let start = |number| {
         TestGateway::start_as(&format!("{name}-{number}"), &store, |settings| {
--- a/crates/nickellead_gateway/tests/quotas.rs
+++ b/crates/nickellead_gateway/tests/quotas.rs
@@ -11,7 +11,8 @@
 use common::target::{Behavior, TestTarget};
 use common::{TestGateway, declarations, entry, wait_until};
 use nickellead_gateway::{
-    Declarations, KeyDigest, QuotaSettings, WorkspaceQuota, WorkspaceRule, WorkspaceRules,
+    Declarations, KeyDigest, QuotaSettings, SlotCount, WorkspaceQuota, WorkspaceRule,
+    WorkspaceRules,
 };
 
 const QUOTA: QuotaSettings = QuotaSettings { window_s: 2.0, overage: 0.1, slack: 5.0 };
@@ -43,7 +44,7 @@
         let store = MemoryStore::default();
         let target = TestTarget::start("t1", Behavior::Serve);
         let mut listed = entry(&target.id, "plain", target.address);
-        listed.slots = 64;
+        listed.slots = SlotCount::new(64).unwrap();
         store.list(listed);
         store.declare(with_quota(1, LIMITED));
         let start = |vm| {
--- a/crates/nickellead_gateway/tests/target_signals.rs
+++ b/crates/nickellead_gateway/tests/target_signals.rs
@@ -11,7 +11,7 @@
 use common::store::MemoryStore;
 use common::target::{Behavior, TestTarget};
 use common::{TestGateway, declarations, entry, gateway_with_targets, wait_until};
-use nickellead_gateway::{PolicySwitch, TargetEntry};
+use nickellead_gateway::{PolicySwitch, SlotCount, TargetEntry};
 
 /// Time after a response with the leaving signal after which the VM sends no more requests to the
 /// target.
@@ -138,7 +138,8 @@
     leaving.set_signals(LEAVING);
     wait_until("the target has signaled that it leaves", || send().contains("x-leaving"));
     leaving.clear_requests();
-    let changed = TargetEntry { slots: 5, ..entry("t1", "plain", leaving.address) };
+    let changed =
+        TargetEntry { slots: SlotCount::new(5).unwrap(), ..entry("t1", "plain", leaving.address) };
     store.list(changed);
     let responses = send_repeatedly(MAX_DRAIN_TIME, send);
     assert!(responses.iter().all(|response| response.ends_with("t2")), "{responses:?}");
