--- a/benches/gateway_speed.rs
+++ b/benches/gateway_speed.rs
@@ -20,7 +20,7 @@
 use common::store::MemoryStore;
 use common::{NAMES, TestGateway, declarations, entry, wait_until};
 use load::{LoadPath, LoadRound, bare_proxy, half_of_slowest, measure, start, target_standin};
-use nickellead_gateway::Declarations;
+use nickellead_gateway::{Declarations, SlotCount};
 use nickellead_range::RangeMap;
 use serde::Serialize;
 
@@ -29,7 +29,7 @@
 /// Numbers of routes of a small and a large deployment.
 const ROUTE_COUNTS: [usize; 2] = [5, 4_300];
 /// Slots of the target stand-in: more than the senders' connections, so that no request is queued.
-const TARGET_SLOTS: u32 = 64;
+const TARGET_SLOTS: u64 = 64;
 /// One of this many unused routes has the host of the requests.
 const UNUSED_ROUTES_PER_SHARED_HOST: usize = 2;
 /// Host header of the requests.
@@ -129,7 +129,7 @@
     let store = MemoryStore::default();
     for (id, service) in [("plain-0", "plain"), ("keyed-0", "keyed")] {
         let mut target_entry = entry(id, service, target);
-        target_entry.slots = TARGET_SLOTS;
+        target_entry.slots = SlotCount::new(TARGET_SLOTS).unwrap();
         store.list(target_entry);
     }
     let declared = declare(routes);
--- a/crates/nickellead_gateway/tests/store_restore.rs
+++ b/crates/nickellead_gateway/tests/store_restore.rs
@@ -13,7 +13,7 @@
 use common::store::{MemoryStore, StoreBackup};
 use common::target::{Behavior, TestTarget};
 use common::{TestGateway, declarations, entry, route, wait_until};
-use nickellead_gateway::{RepeatClass, TargetEntry, TargetState};
+use nickellead_gateway::{RepeatClass, SlotCount, TargetEntry, TargetState};
 use nickellead_range::RangeMap;
 
 /// Shorter than the TTL of the mandate, so that its holder keeps it.
@@ -49,7 +49,7 @@
 fn write_unrelated_changes(store: &MemoryStore) {
     for change in 0..LOST_CHANGES {
         let mut unrelated = entry("other", "unused", ([127, 0, 0, 1], 9).into());
-        unrelated.slots = 1 + change as u32 % 2;
+        unrelated.slots = SlotCount::new(1 + change % 2).unwrap();
         store.list(unrelated);
     }
 }
