--- a/crates/nickellead_gateway/tests/common/target.rs
+++ b/crates/nickellead_gateway/tests/common/target.rs
@@ -280,7 +280,7 @@
     })
 }
 
-pub(super) fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
     let mut buffer = [0; 4_096];
     loop {
