Idle connections of callers are closed after the declared time, and make room for new ones

Cause: IdleTimeoutS of the declarations was decoded and not used; idle connections stayed for 60 s, one that never sent a byte for ever, and each new one was dropped while as many as may be were open.

Now each connection knows when bytes last moved and whether a request or a write is in progress. It is closed after the declared time without any; at the limit a new connection takes the place of the one that was idle for longest, for at least a second; and a VM that dropped a connection within the last second, because all are in use, says that it is not ready.

--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -191,7 +191,8 @@
     let handler = move |request: Request| {
         let has_state =
             receivers.declarations.borrow().is_some() && !receivers.targets.borrow().is_empty();
-        let may_serve = worker.can_check_keys() && !worker.is_isolated();
+        let may_serve =
+            worker.can_check_keys() && !worker.is_isolated() && worker.takes_connections();
         let ready = has_state && !drain.is_draining() && may_serve;
         let response = readiness_response(&request, ready, &registry, &worker);
         async move { response }
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -351,6 +351,7 @@
             self.apply_registry_rules(&mut state);
         }
         state.limits = declarations.limits;
+        self.serve_state.set_idle_timeout(declarations.limits.idle_timeout);
         state.workspaces = declarations.workspaces.as_ref().map(WorkspaceTable::build);
         state.large_responses = declarations.routes.iter().any(|route| route.large_responses);
         self.set_reach_rules(&state);
@@ -456,6 +457,11 @@
         state.admissions = CachedAdmission::new(admissions);
     }
 
+    /// Whether this VM takes new connections of callers.
+    pub(crate) fn takes_connections(&self) -> bool {
+        !self.serve_state.is_full()
+    }
+
     /// Handles one request of a caller.
     pub(crate) async fn handle(&self, request: Request) -> Response<BoxBody> {
         self.metrics.requests.inc();
--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Sleep, sleep};
 
 use crate::arrival::{ArrivalClock, ReadArrival, control_buffer, receive};
+use crate::connection_activity::ConnectionActivity;
 use crate::connection_end::ConnectionEnd;
 use crate::held_response::UnsentBytes;
 use crate::serve::ServeState;
@@ -38,6 +39,7 @@
     unsent: Option<UnsentBytes>,
     /// Whether the caller still reads responses; `None` for HTTP/2.
     end: Option<ConnectionEnd>,
+    activity: ConnectionActivity,
     arrival: ReadArrival,
     clock: Rc<ArrivalClock>,
     /// When the system last said that the connection holds no unread bytes.
@@ -53,6 +55,7 @@
         stream: TcpStream,
         state: Arc<ServeState>,
         is_http1: bool,
+        activity: ConnectionActivity,
         clock: Rc<ArrivalClock>,
         opened_after: Option<Instant>,
     ) -> Self {
@@ -63,6 +66,7 @@
             stall_timer: None,
             unsent: is_http1.then(UnsentBytes::default),
             end: is_http1.then(ConnectionEnd::default),
+            activity,
             arrival: ReadArrival::new(),
             clock,
             empty_at: opened_after,
@@ -70,6 +74,11 @@
         }
     }
 
+    /// What happens on the connection.
+    pub(crate) fn activity(&self) -> &ConnectionActivity {
+        &self.activity
+    }
+
     /// When the bytes that were last read had arrived.
     pub(crate) fn arrival(&self) -> &ReadArrival {
         &self.arrival
@@ -92,6 +101,7 @@
                     buffer.advance(received.length);
                     // The end of a connection says nothing of the requests before it.
                     if received.length > 0 {
+                        self.activity.record_bytes();
                         self.record_arrival(received.arrived);
                     }
                     return Poll::Ready(Ok(()));
@@ -127,6 +137,7 @@
             return;
         }
         self.is_blocked = is_blocked;
+        self.activity.set_blocked(is_blocked);
         match is_blocked {
             true => self.state.blocked.fetch_add(1, Ordering::Relaxed),
             false => self.state.blocked.fetch_sub(1, Ordering::Relaxed),
@@ -144,6 +155,7 @@
         let is_cut = match &polled {
             Poll::Pending => self.is_stalled(context) || self.must_give_way(),
             Poll::Ready(written) => {
+                self.activity.record_bytes();
                 self.stall_timer = None;
                 if written.as_ref().is_ok_and(|written| *written == length) {
                     self.unsent.iter().for_each(UnsentBytes::clear);
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -6,6 +6,7 @@
 mod arrival;
 mod caller_listener;
 mod caller_stream;
+mod connection_activity;
 mod connection_end;
 mod deadline;
 mod error_response;
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -4,9 +4,9 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
@@ -20,6 +20,7 @@
 use crate::arrival::{ArrivalClock, note_arrivals};
 use crate::caller_listener::{AcceptedStream, CallerListener};
 use crate::caller_stream::CallerStream;
+use crate::connection_activity::{ConnectionActivity, OpenConnections};
 use crate::connection_end::ConnectionEnd;
 use crate::error_response::error_response;
 use crate::held_response::{UnsentBytes, count_held};
@@ -28,8 +29,14 @@
 const BACKLOG: i32 = 1_024;
 /// Maximum time to receive the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which an idle connection is closed, unless another one is set.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a listener counts as full after it dropped a connection.
+const FULL_PERIOD: Duration = Duration::from_secs(1);
+/// Least time after which an idle connection is closed.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longer than any idle timeout that may be set, which this module applies itself.
+const LIBRARY_IDLE_TIMEOUT: Duration = Duration::from_secs(7 * 24 * 3_600);
 /// Unsent bytes of a connection that the operating system takes while stalled callers are cut.
 ///
 /// With more, a write stays pending although the caller reads: the system accepts bytes again only
@@ -48,6 +55,10 @@
     draining: AtomicBool,
     running: AtomicUsize,
     open: AtomicUsize,
+    /// When a connection was last dropped because there were too many.
+    dropped_at: Mutex<Option<Instant>>,
+    /// Time after which an idle connection is closed, in milliseconds.
+    idle_timeout_ms: AtomicU64,
     /// Number of connections with pending writes.
     pub(crate) blocked: AtomicUsize,
     /// How long a write may be pending; `None` for no limit.
@@ -63,6 +74,8 @@
             draining: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
+            dropped_at: Mutex::default(),
+            idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT.as_millis() as u64),
             blocked: AtomicUsize::new(0),
             stall_timeout: None,
             stalled: AtomicUsize::new(0),
@@ -94,6 +107,29 @@
         *self.stopping.borrow()
     }
 
+    /// Sets the time after which an idle connection is closed, at least a second. It applies to open
+    /// connections as well.
+    pub fn set_idle_timeout(&self, timeout: Duration) {
+        let millis = timeout.max(MIN_IDLE_TIMEOUT).as_millis();
+        self.idle_timeout_ms.store(millis as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+    }
+
+    /// Whether a connection was dropped within the last second, because there were too many and none of them
+    /// was idle.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.dropped_at().is_some_and(|dropped| dropped.elapsed() < FULL_PERIOD)
+    }
+
+    /// Locks the time; a poisoned lock is ignored, because each change is a single assignment.
+    fn dropped_at(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.dropped_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Number of open connections of callers.
     #[must_use]
     pub fn open_connections(&self) -> usize {
@@ -162,12 +198,13 @@
 {
     let shared = Arc::clone(&state);
     let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
+        .keep_alive(KeepAlive::Timeout(LIBRARY_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
         // A caller that closes its side has disconnected, so its request is cancelled.
         .h1_allow_half_closed(false)
         .on_connect_ext(|stream: &CallerStream, data| {
             data.insert(stream.arrival().clone());
+            data.insert(stream.activity().clone());
             if let Some(unsent) = stream.unsent() {
                 data.insert(unsent.clone());
             }
@@ -176,6 +213,8 @@
             }
         })
         .finish(fn_service(move |request: Request| {
+            let in_progress =
+                request.conn_data::<ConnectionActivity>().map(ConnectionActivity::begin_request);
             let unsent = request.conn_data::<UnsentBytes>().cloned();
             let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
             let is_last = request.head().connection_type() == ConnectionType::Close;
@@ -184,6 +223,7 @@
             async move {
                 let Some(response) = response else { return Ok(refuse_after_end()) };
                 let response = respond(response, unsent, &state).await;
+                drop(in_progress);
                 if is_last || response.head().connection_type() == ConnectionType::Close {
                     end.record();
                 }
@@ -199,6 +239,7 @@
     };
     let service = Rc::new(service);
     let clock = Rc::new(ArrivalClock::default());
+    let connections = OpenConnections::default();
     let mut stopping = state.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -211,7 +252,9 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if state.open_connections() >= max_connections {
+        let has_room = state.open_connections() < max_connections || connections.close_idlest();
+        if !has_room {
+            *state.dropped_at() = Some(Instant::now());
             continue;
         }
         // Nagle's algorithm would delay small responses; a failure only adds latency.
@@ -223,17 +266,26 @@
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
         let clock = Rc::clone(&clock);
         state.open.fetch_add(1, Ordering::Relaxed);
+        let connections = connections.clone();
         actix_rt::spawn(async move {
-            if let Ok(protocol) = read_protocol(&stream).await {
+            let activity = connections.open();
+            let serving = async {
+                let Ok(protocol) = read_protocol(&stream).await else { return };
                 // The end of a connection is only seen once its events were taken from the system.
                 tokio::task::yield_now().await;
                 let caller = stream.peer_addr().ok();
                 let is_http1 = protocol == actix_http::Protocol::Http1;
-                let shared = Arc::clone(&state);
-                let stream = CallerStream::new(stream, shared, is_http1, clock, opened_after);
+                let (shared, activity) = (Arc::clone(&state), activity.clone());
+                let stream =
+                    CallerStream::new(stream, shared, is_http1, activity, clock, opened_after);
                 // The caller observes a lost connection itself.
                 let _ = service.call((stream, protocol, caller)).await;
+            };
+            tokio::select! {
+                () = serving => {}
+                () = activity.wait_until_closed(&state) => {}
             }
+            connections.remove(&activity);
             state.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
