--- a/crates/nickellead_quarantine/tests/broken.rs
+++ b/crates/nickellead_quarantine/tests/broken.rs
@@ -55,6 +55,7 @@
     assert!(requests.take_fallen(late).is_empty());
 }
 
+/// Guards innocent requests against sharing the mark of one that makes targets fall.
 #[test]
 fn marks_differ_in_each_part_of_the_content() {
     let other = [
