Reports of crashing requests: answers are told on, and times don't wander

Found by the random test of the same name in a whole run: a VM that knew no falls of a mark kept another VM's report of an answer to itself, so that a VM behind it could go on suspecting, or refusing, what is innocent. And a time that two VMs told each other back and forth might wander by a millisecond each time, and be told anew. Now an answer is told on if it is news, and a time is replaced only by one that is earlier by more than 5 ms.

an_answer_is_told_on_by_a_vm_that_knew_no_falls failed before by the random test's case; 80,000 random cases pass.

--- a/crates/nickellead_quarantine/src/record.rs
+++ b/crates/nickellead_quarantine/src/record.rs
@@ -38,8 +38,10 @@
 const QUARANTINE_MOMENTS: usize = 2;
 /// A fall belongs to the moment of an earlier one unless its request was sent this long after it.
 const MOMENT_GAP: Duration = Duration::from_millis(100);
-/// Falls of one target that are reported with times closer than this are the same.
-const SAME_FALL: Duration = Duration::from_secs(1);
+/// Falls of one target, and answers, that are reported with times closer than this are the same.
+const SAME_EVENT: Duration = Duration::from_secs(1);
+/// Most error of a time that VMs tell each other back and forth.
+const TIME_ERROR: Duration = Duration::from_millis(5);
 /// First length of a quarantine; it doubles with each further fall, up to [`MAX_DOUBLINGS`] times.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 const MAX_DOUBLINGS: usize = 4;
@@ -75,11 +77,11 @@
         }
         let is_same = |known: &TargetFall| {
             let apart = known.fell.since(fall.fell).max(fall.fell.since(known.fell));
-            known.target == fall.target && apart < SAME_FALL
+            known.target == fall.target && apart < SAME_EVENT
         };
         let Some(index) = self.falls.iter().position(is_same) else { return self.insert(fall) };
         // The earliest report, so that all VMs keep the same one.
-        let is_earlier = (fall.fell, fall.sent) < (self.falls[index].fell, self.falls[index].sent);
+        let is_earlier = fall.fell + TIME_ERROR < self.falls[index].fell;
         if is_earlier {
             self.falls[index] = fall;
             self.falls.sort_by_key(|fall| fall.fell);
@@ -101,8 +103,8 @@
         true
     }
 
-    /// Records an answer to such a request, which clears it of all falls before; returns whether there
-    /// were any.
+    /// Records an answer to such a request, which clears it of all falls before; returns whether it cleared
+    /// any.
     pub(crate) fn add_answer(&mut self, answered: Timestamp) -> bool {
         self.answered = self.answered.max(Some(answered));
         let before = self.falls.len();
@@ -110,6 +112,13 @@
         self.falls.len() < before
     }
 
+    /// Records an answer that another VM told; returns whether that is news to be told on. Others may know
+    /// falls that this record does not.
+    pub(crate) fn add_told_answer(&mut self, answered: Timestamp) -> bool {
+        let is_later = self.answered.is_none_or(|known| answered > known + SAME_EVENT);
+        self.add_answer(answered) || is_later
+    }
+
     pub(crate) fn verdict(&self, now: Timestamp) -> RequestVerdict {
         match self.quarantine_end() {
             Some(until) if now < until => RequestVerdict::Quarantined { until },
--- a/crates/nickellead_quarantine/src/table.rs
+++ b/crates/nickellead_quarantine/src/table.rs
@@ -140,7 +140,7 @@
             let record = &mut known.record;
             let mut is_news = false;
             if let Some(answered) = report.answered_ago_ms.map(ago) {
-                is_news |= record.add_answer(answered);
+                is_news |= record.add_told_answer(answered);
             }
             for ReportedFall { target, sent_ago_ms, fell_ago_ms } in report.falls {
                 let (sent, fell) = (ago(sent_ago_ms), ago(fell_ago_ms));
