--- a/crates/nickellead_gateway/src/worker/crashes.rs
+++ b/crates/nickellead_gateway/src/worker/crashes.rs
@@ -8,7 +8,6 @@
 use nickellead_event::{EventName, log_event};
 use nickellead_quarantine::{BrokenRequest, FallEvidence, RequestMark, RequestVerdict};
 use nickellead_time::BootClock;
-
 use tokio::sync::Notify;
 
 use super::{AttemptState, RequestWorker};
@@ -25,10 +24,10 @@
     Duration::from_millis(750),
     Duration::from_millis(1_500),
 ];
-/// Targets that one request may make fall before it is no longer sent to another one by this VM itself.
-const MAX_RISKED_TARGETS: usize = 2;
 /// Longest time until such a connection is open.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Targets that one request may make fall before it is no longer sent to another one by this VM itself.
+const MAX_RISKED_TARGETS: usize = 2;
 
 /// Targets to which connections broke, and of which it is to be found out whether they fell.
 #[derive(Default)]
