--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,11 @@
 //! Helpers for tests that run the program as processes, which are killed when dropped.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
+pub mod crowd;
 pub mod fleet;
+pub mod http2_caller;
+pub mod raw_http2;
+pub mod small_vm;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
