The memory of a machine is divided: requests and responses, connections, one single body

Cause: the budget of bytes had one bound, a third of the memory, for bodies alone.

Change: MemoryBounds divides the memory (a third, a quarter, four fifths together). Large bodies get half of the third, so that small ones find room; one body that fits nowhere may take what is left of the whole. Nothing uses it yet. Ruled out: one larger bound for all bodies, which large ones fill.

--- a/crates/nickellead_limit/src/lib.rs
+++ b/crates/nickellead_limit/src/lib.rs
@@ -16,6 +16,7 @@
 mod admission;
 mod bytes;
 mod cold;
+mod memory_bounds;
 mod queue;
 mod quota;
 mod rate;
@@ -24,8 +25,11 @@
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionFractions, OwnerAdmission, OwnerReport, allocate_rate};
-pub use bytes::{ByteBudget, BytePurpose, HeldBytes, InFlightBytes, NoRoom, SizeEstimate};
+pub use bytes::{
+    ByteBudget, BytePurpose, HeldBytes, HeldConnection, InFlightBytes, NoRoom, SizeEstimate,
+};
 pub use cold::{COLD_SENDERS, ColdBounds, ColdLimiter, ColdQuota, is_cold_sender};
+pub use memory_bounds::{MemoryBounds, machine_memory};
 pub use queue::{QueueTicket, WaitQueue};
 pub use quota::{QuotaLimit, QuotaTolerance, TokenBucket, TokenDemand, TokenGrant};
 pub use rate::{RateLimiter, sustainable_rate};
