Bodies of requests are held in parts, counted before they are taken; a late body is not malformed

What callers saw: a request whose body was not complete at its deadline got 400 body-truncated, after which no caller repeats. A VM with a bound held more than it counted: a buffer that doubles holds up to twice its length, and old and new while it grows.

Cause: read_body (which stood twice) grew one buffer and counted its length; its time-out had the error of a body that ended early.

Change: RequestBody is a list of parts of 64 KiB; each is counted before it is allocated, and an announced body takes exactly its length. Targets get the parts as they are, so nothing is copied. body-late (408, not run) is for a body that is late. The mark of a request is the same for any parts. One read_body serves the gateway and run.

Why it works: what is counted is the capacity of the parts, which is what is allocated.

--- a/crates/nickellead_core/src/error.rs
+++ b/crates/nickellead_core/src/error.rs
@@ -109,6 +109,7 @@
     RequestMalformed, "request-malformed", 400, NotRun, None, Debug, "a header of the request can't be read: check deadline and length";
     BodyTooLarge, "body-too-large", 413, NotRun, None, Debug, "the body is larger than the service allows";
     BodyTruncated, "body-truncated", 400, NotRun, None, Debug, "the body ended before its declared length";
+    BodyLate, "body-late", 408, NotRun, None, Debug, "the body was not complete before the deadline, or nothing of it arrived for too long";
     OwnerUnknown, "owner-unknown", 503, NotRun, Some(500), Warn, "no target owns the key now: its target was lost or its zone is silent";
     MoveTooLong, "move-too-long", 503, NotRun, Some(200), Info, "the key is moving and the bounded wait for its new owner ended";
     MemoryFull, "memory-full", 503, NotRun, Some(250), Warn, "this VM holds as many bytes of requests and responses as its memory allows: callers or targets read slowly, or there is too much load";
--- a/crates/nickellead_gateway/src/connections.rs
+++ b/crates/nickellead_gateway/src/connections.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
@@ -16,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::RepeatClass;
+use crate::sent_body::SentBody;
 
 mod carried_ids;
 mod leading_bytes;
@@ -25,10 +24,10 @@
 use leading_bytes::{BoundedStream, LeadingBytes, MAX_HEAD_BYTES};
 
 /// Sends requests over one connection.
-type RequestSender = http1::SendRequest<Full<Bytes>>;
+type RequestSender = http1::SendRequest<SentBody>;
 
 /// A failed request; the request itself if not a byte of it was sent.
-pub(crate) type SendFailure = TrySendError<Request<Full<Bytes>>>;
+pub(crate) type SendFailure = TrySendError<Request<SentBody>>;
 
 /// Longest time that a connection stays idle in the pool, below the usual idle timeout of targets.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(8_500);
@@ -64,7 +63,7 @@
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<SentBody>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.stream.leading.start();
         let response = self.stream.sender.try_send_request(request).await?;
--- a/crates/nickellead_gateway/src/dispatch/wire.rs
+++ b/crates/nickellead_gateway/src/dispatch/wire.rs
@@ -114,7 +114,7 @@
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
             path_and_query: self.path_and_query,
             headers,
-            body: Bytes::from(self.body),
+            body: Bytes::from(self.body).into(),
             request_id,
         })
     }
--- a/crates/nickellead_gateway/src/exchange.rs
+++ b/crates/nickellead_gateway/src/exchange.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use nickellead_core::{ErrorKind, Timestamp};
 use nickellead_limit::HeldBytes;
+use nickellead_proxy::RequestBody;
 use nickellead_quarantine::{RequestContent, RequestMark};
 use nickellead_time::BootClock;
 
@@ -16,6 +16,7 @@
 use crate::registered_target::RegisteredTarget;
 use crate::response_body::{ResponseScale, drain_refusal, read_response_body};
 use crate::response_signals::ResponseSignals;
+use crate::sent_body::SentBody;
 use crate::{HeaderNames, RepeatClass};
 
 /// The part of a request that is the same for all attempts.
@@ -23,7 +24,7 @@
     pub(crate) method: http::Method,
     pub(crate) path_and_query: String,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) request_id: HeaderValue,
 }
 
@@ -31,12 +32,13 @@
     /// The mark of all requests with the same content from this workspace.
     pub(crate) fn mark(&self, workspace: Option<&str>) -> RequestMark {
         let host = self.headers.get(http::header::HOST);
+        let body: Vec<&[u8]> = self.body.parts().collect();
         RequestMark::of(&RequestContent {
             workspace,
             host: host.map_or(&[], |host| host.as_bytes()),
             method: self.method.as_str(),
             path_and_query: &self.path_and_query,
-            body: &self.body,
+            body: &body,
         })
     }
 }
@@ -261,8 +263,8 @@
     plan: &AttemptPlan<'_>,
     permission: SendPermission,
     remaining: Duration,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
+) -> Request<SentBody> {
+    let mut request = Request::new(SentBody(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     // The caller's path was parsed before, so this does not fail; if it did, the target would
     // refuse the root path.
--- a/crates/nickellead_gateway/src/incoming.rs
+++ b/crates/nickellead_gateway/src/incoming.rs
@@ -4,13 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{HttpMessage, Payload, Request};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_http::{HttpMessage, Request};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use nickellead_core::ErrorKind;
-use nickellead_limit::{ByteBudget, BytePurpose, HeldBytes};
-use nickellead_proxy::{arrival_of, is_connection_header};
+use nickellead_limit::{ByteBudget, HeldBytes};
+use nickellead_proxy::{arrival_of, is_connection_header, read_body};
 use nickellead_quarantine::RequestMark;
 
 use crate::authentication::Credential;
@@ -109,12 +107,13 @@
         .map_err(|_| ErrorKind::RequestMalformed)?;
     let path_and_query =
         request.uri().path_and_query().map_or("/", |whole| whole.as_str()).to_owned();
-    let length = content_length(&request).unwrap_or(0) as usize;
-    let mut held = budget.admit(length).map_err(|_| ErrorKind::MemoryFull)?;
-    let reading = read_body(request.take_payload(), limits.body_bytes, &mut held);
+    let length = content_length(&request).and_then(|length| usize::try_from(length).ok());
+    let held = budget.admit_body(length.unwrap_or(0));
+    let mut held = held.map_err(|_| ErrorKind::MemoryFull)?;
+    let reading = read_body(request.take_payload(), length, limits.body_bytes, &mut held);
     let remaining = deadline.saturating_duration_since(Instant::now());
     let read = tokio::time::timeout(remaining, reading).await;
-    let body = read.unwrap_or(Err(ErrorKind::BodyTruncated))?;
+    let body = read.unwrap_or(Err(ErrorKind::BodyLate))?;
     let outgoing = OutgoingRequest { method, path_and_query, headers, body, request_id };
     Ok(IncomingRequest {
         route,
@@ -209,25 +208,3 @@
     let number = value.to_str().ok().and_then(|value| value.trim().parse().ok());
     number.map(Some).ok_or(ErrorKind::RequestMalformed)
 }
-
-/// Reads a body of at most `limit` bytes, for which `held` grows if the caller stated no length.
-async fn read_body(
-    mut payload: Payload,
-    limit: usize,
-    held: &mut HeldBytes,
-) -> Result<Bytes, ErrorKind> {
-    if matches!(payload, Payload::None) {
-        return Ok(Bytes::new());
-    }
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| ErrorKind::BodyTruncated)?;
-        if body.len() + chunk.len() > limit {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        let length = held.bytes().max(body.len() + chunk.len());
-        held.resize(length, BytePurpose::Admission).map_err(|_| ErrorKind::MemoryFull)?;
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
--- a/crates/nickellead_gateway/src/lib.rs
+++ b/crates/nickellead_gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod response_body;
 mod response_signals;
 mod route_table;
+mod sent_body;
 mod service_targets;
 mod settings;
 mod sorted_targets;
--- a/crates/nickellead_gateway/src/order_client.rs
+++ b/crates/nickellead_gateway/src/order_client.rs
@@ -17,11 +17,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::Full;
 
 use crate::RepeatClass;
 use crate::connections::{CloseMode, ConnectionPool, ReadyConnection, SharedPool};
 use crate::response_body::drain_body;
+use crate::sent_body::SentBody;
 
 /// Most bytes of a response body; only the head is used.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
@@ -76,7 +76,7 @@
             ConnectionUse::Shared => pool.take(address, timeout, RepeatClass::Safe, None).await,
         };
         let mut connection = connecting.map_err(|_| CallFailure::NotSent)?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
+        let mut request = Request::new(SentBody(Bytes::from(body).into()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().map_err(|_| CallFailure::NotSent)?;
         *request.headers_mut() = headers;
@@ -110,7 +110,7 @@
 /// Sends a request, reads the complete response and returns its head.
 async fn call(
     connection: &mut ReadyConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<SentBody>,
 ) -> Result<(StatusCode, HeaderMap), CallFailure> {
     let sent = connection.send(request).await;
     let response = sent.map_err(|mut error| match error.take_message() {
--- a/crates/nickellead_gateway/src/worker/responses.rs
+++ b/crates/nickellead_gateway/src/worker/responses.rs
@@ -53,6 +53,7 @@
                 | ErrorKind::HeadTooLarge
                 | ErrorKind::BodyTooLarge
                 | ErrorKind::BodyTruncated
+                | ErrorKind::BodyLate
                 | ErrorKind::MemoryFull
         ) {
             response.head_mut().set_connection_type(ConnectionType::Close);
--- a/crates/nickellead_proxy/src/exchange.rs
+++ b/crates/nickellead_proxy/src/exchange.rs
@@ -6,7 +6,6 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode, Version, header};
 use awc::{Client, ClientResponse};
-use bytes::Bytes;
 use nickellead_core::{Epoch, ErrorKind, ShardIndex};
 use nickellead_route::TargetRoute;
 
@@ -14,6 +13,7 @@
 use crate::headers::{
     DEADLINE_HEADER, EPOCH_HEADER, REQUEST_ID_HEADER, SHARD_HEADER, is_forwarded,
 };
+use crate::request_body::RequestBody;
 use crate::transport::{ConnectionHandle, observe_connection};
 
 /// Header with which a target refuses a request that it did not run; its value is the reason.
@@ -38,7 +38,7 @@
 pub(crate) async fn exchange(
     client: &Client,
     head: &RequestHead,
-    body: Bytes,
+    body: RequestBody,
     plan: ExchangePlan<'_>,
 ) -> Result<ClientResponse, ErrorKind> {
     let remaining = plan.deadline.remaining();
--- a/crates/nickellead_proxy/src/incoming.rs
+++ b/crates/nickellead_proxy/src/incoming.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use actix_http::{HttpMessage, Payload, Request};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_http::{HttpMessage, Request};
 use nickellead_api::{KeySource, OperationSpec, RepeatRule, UrgencyClass};
 use nickellead_core::{ErrorKind, MAX_KEY_BYTES, ServiceKey};
 use nickellead_route::{RouteDecision, RoutingTable, ServiceRoute};
@@ -92,16 +90,3 @@
     };
     Ok(Duration::from_millis(requested_ms.min(max_ms)))
 }
-
-/// Reads a whole body, so that the request can be sent again.
-pub(crate) async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ErrorKind> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| ErrorKind::BodyTruncated)?;
-        if body.len() + chunk.len() > limit {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod held_response;
 mod incoming;
 mod metrics;
+mod request_body;
 mod response_body;
 mod serve;
 mod transport;
@@ -29,5 +30,6 @@
 };
 pub use held_response::hold_until_sent;
 pub use metrics::ProxyMetrics;
+pub use request_body::{RequestBody, read_body};
 pub use serve::{ListenError, ServeState, bind_listener, serve_http};
 pub use worker::{ProxyLimits, ProxyWorker, WorkerUpdate};
--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use actix_http::body::{BodySize, BodyStream, BoxBody, SizedStream};
-use actix_http::{Payload, Request, RequestHead, Response};
+use actix_http::{ConnectionType, HttpMessage, Request, RequestHead, Response};
 use awc::{Client, ClientResponse};
-use bytes::Bytes;
 use nickellead_api::{DeclaredConfig, RepeatRule};
 use nickellead_core::{Epoch, ErrorKind, OutcomeClass, ShardIndex, TargetKey};
 use nickellead_lease::RouteChange;
+use nickellead_limit::ByteBudget;
 use nickellead_route::{
     ConcurrencyLimiter, ConcurrencyPermit, OwnerRoute, RetryBudget, RoutingTable, TargetRoute,
     backoff,
@@ -23,9 +23,10 @@
 use crate::deadline::Deadline;
 use crate::error_response::error_response;
 use crate::exchange::{ExchangePlan, exchange};
-use crate::headers::is_forwarded;
-use crate::incoming::{IncomingRequest, read_body};
+use crate::headers::{is_forwarded, parse_number};
+use crate::incoming::IncomingRequest;
 use crate::metrics::ProxyMetrics;
+use crate::request_body::{RequestBody, read_body};
 use crate::response_body::ResponseBody;
 use crate::transport::observed_connector;
 
@@ -77,6 +78,7 @@
     rng: RefCell<fastrand::Rng>,
     move_waiters: Cell<u32>,
     next_id: Cell<u64>,
+    memory: ByteBudget,
     client: Client,
     metrics: ProxyMetrics,
 }
@@ -85,7 +87,7 @@
 struct RequestState<'a> {
     incoming: IncomingRequest,
     head: &'a RequestHead,
-    body: Bytes,
+    body: RequestBody,
     deadline: Deadline,
     /// Deadline of waiting for a move.
     move_deadline: Deadline,
@@ -124,6 +126,7 @@
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             move_waiters: Cell::new(0),
             next_id: Cell::new(seed << 20),
+            memory: ByteBudget::new(None),
             client: client.finish(),
             metrics,
         })
@@ -155,7 +158,7 @@
             }
             Err(kind) => {
                 self.metrics.count_error(kind);
-                error_response(kind)
+                refuse(kind)
             }
         }
     }
@@ -166,14 +169,16 @@
         }
         let incoming = IncomingRequest::read(&request, &self.table.borrow())?;
         let deadline = Deadline::of(&request, incoming.deadline);
-        let body = match request.take_payload() {
-            Payload::None => Bytes::new(),
-            payload => {
-                let reading =
-                    timeout(deadline.remaining(), read_body(payload, incoming.body_limit));
-                reading.await.unwrap_or(Err(ErrorKind::BodyTruncated))?
-            }
-        };
+        let length = request.headers().get("content-length").and_then(parse_number);
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        if length.is_some_and(|length| length > incoming.body_limit) {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        let held = self.memory.admit_body(length.unwrap_or(0));
+        let mut held = held.map_err(|_| ErrorKind::MemoryFull)?;
+        let reading = read_body(request.take_payload(), length, incoming.body_limit, &mut held);
+        let reading = timeout(deadline.remaining(), reading);
+        let body = reading.await.unwrap_or(Err(ErrorKind::BodyLate))?;
         let move_deadline = deadline.or_after(self.limits.move_timeout);
         let state = RequestState { incoming, head: request.head(), body, deadline, move_deadline };
         self.budget.borrow_mut().record_request();
@@ -336,6 +341,22 @@
     }
 }
 
+/// Refuses a request. Closes the connection where the rest of its body need not be read.
+fn refuse(kind: ErrorKind) -> Response<BoxBody> {
+    let mut response = error_response(kind);
+    let is_unread = matches!(
+        kind,
+        ErrorKind::BodyTooLarge
+            | ErrorKind::BodyTruncated
+            | ErrorKind::BodyLate
+            | ErrorKind::MemoryFull
+    );
+    if is_unread {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
 /// Forwards a target's response and streams its body; a truncated body stays truncated.
 fn forward(target_response: TargetResponse) -> Response<BoxBody> {
     let TargetResponse { response, permit, deadline } = target_response;
--- a/crates/nickellead_quarantine/src/mark.rs
+++ b/crates/nickellead_quarantine/src/mark.rs
@@ -21,8 +21,8 @@
     pub method: &'a str,
     /// Path and query.
     pub path_and_query: &'a str,
-    /// The body.
-    pub body: &'a [u8],
+    /// The body in parts, whose number and lengths don't matter.
+    pub body: &'a [&'a [u8]],
 }
 
 /// Hash of a [`RequestContent`].
@@ -37,11 +37,14 @@
         let mut hasher = Xxh3::with_seed(MARK_SEED);
         hasher.update(&[u8::from(workspace.is_some())]);
         let workspace = workspace.unwrap_or_default().as_bytes();
-        for part in [workspace, host, method.as_bytes(), path_and_query.as_bytes(), body] {
+        for part in [workspace, host, method.as_bytes(), path_and_query.as_bytes()] {
             // The length keeps the end of one part from counting as the start of the next.
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        let length: usize = body.iter().map(|part| part.len()).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        body.iter().for_each(|part| hasher.update(part));
         Self(hasher.digest())
     }
 }
--- a/crates/nickellead_quarantine/tests/broken.rs
+++ b/crates/nickellead_quarantine/tests/broken.rs
@@ -22,7 +22,7 @@
     host: b"board.example",
     method: "GET",
     path_and_query: "/a/b",
-    body: b"",
+    body: &[],
 };
 
 /// Guards innocent requests: a target that answers what was sent after the break has not fallen.
@@ -64,8 +64,8 @@
         RequestContent { host: b"other.example", ..CONTENT },
         RequestContent { method: "PUT", ..CONTENT },
         RequestContent { path_and_query: "/a/b?c", ..CONTENT },
-        RequestContent { path_and_query: "/a/", body: b"b", ..CONTENT },
-        RequestContent { body: b"x", ..CONTENT },
+        RequestContent { path_and_query: "/a/", body: &[b"b"], ..CONTENT },
+        RequestContent { body: &[b"x"], ..CONTENT },
     ];
     let marks = other.map(|content| RequestMark::of(&content));
     assert!(marks.iter().all(|mark| *mark != RequestMark::of(&CONTENT)));
