HTTP/1 callers: one request at a time is read, and of its body only what is wanted

What callers saw: while 500 callers sent 6,900 requests each behind the one in progress, no ordinary request was served within 60 s. A refusal in the middle of a chunked body said 'connection: close' and left the connection open; one of an announced body could be lost, because closing with unread bytes resets.

Cause: the HTTP library reads up to 128 KiB of a connection and parses all requests in it before anything else runs; parts of a body queue by the bytes of their data, 32 bytes and more beside each. It drains a chunked body that nobody reads for as long as its caller likes. The time for a head applied to the first one only.

Change: the stream under the library hands on one head, then the bytes of its body as the request asks for them, 32 KiB at most in a turn, and goes on with the next head once the response is taken (BlankLineScanner finds where a head or a chunked body may end; an announced body is counted). The first 4 KiB behind it are read, which shows a caller that leaves. Each head has 6 s (the first one 5, with a 408 by the library). A body of which nothing arrives for the time of a stalled response fails as late. After a response that ends its connection, what still comes is read and dropped for a second, then the connection closes. A connection counts with 32 KiB in the budget of its listener, and with what a long head takes; listeners have no bound yet. The state of a request is allocated when it begins, not with its connection.

Why it works: nothing is parsed that would have to wait, so there is nothing to queue.

--- a/crates/nickellead_proxy/src/held_response.rs
+++ b/crates/nickellead_proxy/src/held_response.rs
@@ -11,6 +11,8 @@
 use bytes::Bytes;
 use nickellead_limit::HeldBytes;
 
+use crate::connection_activity::RequestInProgress;
+
 /// Bytes in the write buffer of one HTTP/1 connection.
 ///
 /// The server copies a whole body into the connection's buffer before it writes any of it.
@@ -65,6 +67,39 @@
     }
 }
 
+/// Has a request count as in progress until the body of its response was taken by the connection.
+pub(crate) fn end_with_body(
+    response: Response<BoxBody>,
+    in_progress: Option<RequestInProgress>,
+) -> Response<BoxBody> {
+    match response.body().size() {
+        BodySize::None | BodySize::Sized(0) => response,
+        _ => response
+            .map_body(|_, body| BoxBody::new(BodyInProgress { body, _in_progress: in_progress })),
+    }
+}
+
+/// A body that is part of a request in progress.
+struct BodyInProgress {
+    body: BoxBody,
+    _in_progress: Option<RequestInProgress>,
+}
+
+impl MessageBody for BodyInProgress {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
+    }
+}
+
 /// A body whose bytes are held.
 struct HeldBody {
     body: BoxBody,
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -4,6 +4,8 @@
 //! bounded ring. Workers share only counters.
 
 mod arrival;
+mod blank_line;
+mod caller_body;
 mod caller_listener;
 mod caller_stream;
 mod connection_activity;
@@ -31,5 +33,5 @@
 pub use held_response::hold_until_sent;
 pub use metrics::ProxyMetrics;
 pub use request_body::{RequestBody, read_body};
-pub use serve::{ListenError, ServeState, bind_listener, serve_http};
+pub use serve::{ListenError, ServeBounds, ServeState, bind_listener, serve_http};
 pub use worker::{ProxyLimits, ProxyWorker, WorkerUpdate};
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -9,26 +9,31 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, HttpMessage, HttpService, KeepAlive, Payload, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
+use futures_util::future::LocalBoxFuture;
 use nickellead_core::ErrorKind;
+use nickellead_limit::{ByteBudget, HeldConnection};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::arrival::{ArrivalClock, note_arrivals};
+use crate::caller_body::CallerBody;
 use crate::caller_listener::{AcceptedStream, CallerListener};
-use crate::caller_stream::CallerStream;
-use crate::connection_activity::{ConnectionActivity, OpenConnections};
+use crate::caller_stream::{CONNECTION_BYTES, CallerStream};
+use crate::connection_activity::{ConnectionActivity, OpenConnections, ReadPhase};
 use crate::connection_end::ConnectionEnd;
 use crate::error_response::error_response;
-use crate::held_response::{UnsentBytes, count_held};
+use crate::held_response::{UnsentBytes, count_held, end_with_body};
 
 /// Maximum number of connections in the listen backlog.
 const BACKLOG: i32 = 1_024;
 /// Maximum time to receive the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long what a caller still sends is read and dropped after the last response of its connection.
+pub(crate) const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Time after which an idle connection is closed, unless another one is set.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a listener counts as full after it dropped a connection.
@@ -48,6 +53,30 @@
 /// Error of opening a listener.
 pub type ListenError = std::io::Error;
 
+/// Bounds on what callers of one listener make a process hold.
+#[derive(Clone, Debug)]
+pub struct ServeBounds {
+    /// Connections that are open at the same time.
+    pub connections: usize,
+    /// Memory that connections count in.
+    pub memory: ByteBudget,
+}
+
+impl ServeBounds {
+    /// A number of connections that count in this memory.
+    #[must_use]
+    pub const fn new(connections: usize, memory: ByteBudget) -> Self {
+        Self { connections, memory }
+    }
+}
+
+impl From<usize> for ServeBounds {
+    /// A number of connections whose memory is not bounded.
+    fn from(connections: usize) -> Self {
+        Self::new(connections, ByteBudget::new(None))
+    }
+}
+
 /// State of the listeners of a process, by which they are stopped and observed.
 #[derive(Debug)]
 pub struct ServeState {
@@ -65,6 +94,8 @@
     pub(crate) stall_timeout: Option<Duration>,
     /// Number of connections closed because of `stall_timeout`.
     pub(crate) stalled: AtomicUsize,
+    /// Number of connections closed because the memory had no room for a head.
+    pub(crate) cut_heads: AtomicUsize,
 }
 
 impl Default for ServeState {
@@ -79,6 +110,7 @@
             blocked: AtomicUsize::new(0),
             stall_timeout: None,
             stalled: AtomicUsize::new(0),
+            cut_heads: AtomicUsize::new(0),
         }
     }
 }
@@ -155,6 +187,14 @@
     }
 }
 
+impl ServeState {
+    /// Number of connections that were closed because there was no memory for a long head.
+    #[must_use]
+    pub fn cut_heads(&self) -> usize {
+        self.cut_heads.load(Ordering::Relaxed)
+    }
+}
+
 /// Counts a request until its response is ready or its caller has disconnected.
 struct RunningRequest<'a>(&'a AtomicUsize);
 
@@ -189,47 +229,15 @@
 /// Serves requests on a listener until [`ServeState::stop`] is called.
 pub async fn serve_http<H, F>(
     listener: TcpListener,
-    max_connections: usize,
+    bounds: impl Into<ServeBounds>,
     state: Arc<ServeState>,
     handler: H,
 ) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
-    let shared = Arc::clone(&state);
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(LIBRARY_IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
-        // A caller that closes its side has disconnected, so its request is cancelled.
-        .h1_allow_half_closed(false)
-        .on_connect_ext(|stream: &CallerStream, data| {
-            data.insert(stream.arrival().clone());
-            data.insert(stream.activity().clone());
-            if let Some(unsent) = stream.unsent() {
-                data.insert(unsent.clone());
-            }
-            if let Some(end) = stream.end() {
-                data.insert(end.clone());
-            }
-        })
-        .finish(fn_service(move |request: Request| {
-            let in_progress =
-                request.conn_data::<ConnectionActivity>().map(ConnectionActivity::begin_request);
-            let unsent = request.conn_data::<UnsentBytes>().cloned();
-            let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
-            let is_last = request.head().connection_type() == ConnectionType::Close;
-            let response = (!end.is_known()).then(|| handler(request));
-            let state = Arc::clone(&shared);
-            async move {
-                let Some(response) = response else { return Ok(refuse_after_end()) };
-                let response = respond(response, unsent, &state).await;
-                drop(in_progress);
-                if is_last || response.head().connection_type() == ConnectionType::Close {
-                    end.record();
-                }
-                Ok::<_, Infallible>(response)
-            }
-        }));
+    let bounds = bounds.into();
+    let factory = http_service(Arc::clone(&state), handler);
     // This only fails outside a runtime, and this function runs inside one.
     let Ok(listener) = CallerListener::new(listener) else {
         return;
@@ -252,11 +260,12 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let has_room = state.open_connections() < max_connections || connections.close_idlest();
-        if !has_room {
+        let has_room = state.open_connections() < bounds.connections || connections.close_idlest();
+        let held = has_room.then(|| hold_connection(&bounds.memory, &connections)).flatten();
+        let Some(held) = held else {
             *state.dropped_at() = Some(Instant::now());
             continue;
-        }
+        };
         // Nagle's algorithm would delay small responses; a failure only adds latency.
         let _ = stream.set_nodelay(true);
         if state.stall_timeout.is_some() {
@@ -276,13 +285,20 @@
                 let caller = stream.peer_addr().ok();
                 let is_http1 = protocol == actix_http::Protocol::Http1;
                 let (shared, activity) = (Arc::clone(&state), activity.clone());
-                let stream =
-                    CallerStream::new(stream, shared, is_http1, activity, clock, opened_after);
+                let stream = CallerStream::new(
+                    stream,
+                    shared,
+                    is_http1,
+                    activity,
+                    clock,
+                    opened_after,
+                    held,
+                );
                 // The caller observes a lost connection itself.
                 let _ = service.call((stream, protocol, caller)).await;
             };
             tokio::select! {
-                () = serving => {}
+                () = Box::pin(serving) => {}
                 () = activity.wait_until_closed(&state) => {}
             }
             connections.remove(&activity);
@@ -291,6 +307,36 @@
     }
 }
 
+/// Takes room for a connection, if need be in place of an idle one, which is closed.
+fn hold_connection(memory: &ByteBudget, connections: &OpenConnections) -> Option<HeldConnection> {
+    let held = memory.hold_connection(CONNECTION_BYTES);
+    if held.is_err() {
+        // Its room is free once its task has ended.
+        connections.close_idlest();
+    }
+    held.ok()
+}
+
+/// Has the body of a request fail when nothing arrives of it for too long.
+fn watch_body(request: &mut Request, activity: Option<ConnectionActivity>, state: &ServeState) {
+    let payload = request.take_payload();
+    if !matches!(payload, Payload::None) {
+        let body = CallerBody::new(payload, activity, state.stall_timeout);
+        *request.payload() = Payload::Stream { payload: Box::pin(body) };
+    }
+}
+
+/// What follows the head of an HTTP/1 request.
+fn phase_after(request: &mut Request) -> ReadPhase {
+    if matches!(request.payload(), Payload::None) {
+        return ReadPhase::Later;
+    }
+    let is_chunked = request.headers().contains_key("transfer-encoding");
+    let length = request.headers().get("content-length").filter(|_| !is_chunked);
+    let length = length.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    length.map_or(ReadPhase::UndeclaredBody, ReadPhase::DeclaredBody)
+}
+
 /// Detects a caller's protocol by the first bytes that it sends.
 async fn read_protocol(stream: &TcpStream) -> std::io::Result<actix_http::Protocol> {
     let mut start = [0; HTTP2_PREFACE_START.len()];
@@ -301,6 +347,61 @@
     })
 }
 
+/// The server of connections.
+fn http_service<H, F>(
+    state: Arc<ServeState>,
+    handler: H,
+) -> impl ServiceFactory<
+    (CallerStream, actix_http::Protocol, Option<SocketAddr>),
+    Config = (),
+    Response = (),
+    Error = actix_http::error::DispatchError,
+    InitError = (),
+>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    HttpService::build()
+        .keep_alive(KeepAlive::Timeout(LIBRARY_IDLE_TIMEOUT))
+        .client_request_timeout(HEAD_TIMEOUT)
+        // Closing a connection with unread bytes resets it, and the caller would lose the response.
+        .client_disconnect_timeout(LINGER_TIME)
+        // A caller that closes its side has disconnected, so its request is cancelled.
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CallerStream, data| {
+            data.insert(stream.arrival().clone());
+            data.insert(stream.activity().clone());
+            if let Some(unsent) = stream.unsent() {
+                data.insert(unsent.clone());
+            }
+            if let Some(end) = stream.end() {
+                data.insert(end.clone());
+            }
+        })
+        .finish(fn_service(move |mut request: Request| {
+            let activity = request.conn_data::<ConnectionActivity>().cloned();
+            let phase = phase_after(&mut request);
+            let in_progress = activity.as_ref().map(|activity| activity.begin_request(phase));
+            watch_body(&mut request, activity, &state);
+            let unsent = request.conn_data::<UnsentBytes>().cloned();
+            let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
+            let is_last = request.head().connection_type() == ConnectionType::Close;
+            let response = (!end.is_known()).then(|| handler(request));
+            let state = Arc::clone(&state);
+            // A connection without a request in progress does not keep room for one.
+            let handled: LocalBoxFuture<'static, _> = Box::pin(async move {
+                let Some(response) = response else { return Ok(refuse_after_end()) };
+                let response = respond(response, unsent, &state).await;
+                if is_last || response.head().connection_type() == ConnectionType::Close {
+                    end.record();
+                }
+                Ok::<_, Infallible>(end_with_body(response, in_progress))
+            });
+            handled
+        }))
+}
+
 /// Refuses a request that was read behind the end of its connection.
 fn refuse_after_end() -> Response<BoxBody> {
     let mut response = error_response(ErrorKind::Stopping);
