HTTP/2 callers: limits on streams, headers, windows and unread responses

Requests of streams that were reset went on.

Cause: the HTTP library serves HTTP/2 with the defaults of h2: any number of streams, 16 MB of headers, a task for each stream that waits for its caller's window without end and does not end with its stream. It gives no way to set any of them.

Change: http2.rs serves HTTP/2 connections with h2 itself: 100 streams (the least that RFC 9113 recommends; callers are told, and streams beyond are refused as not processed), 64 KiB of headers, windows of 64 KiB for a stream and a connection, 16 KiB queued for a stream. A stream whose response is not taken for the time of a stalled one is reset; a request ends with its stream or its connection. A connection counts with 192 KiB. What h2 bounds by itself: resets in series, CONTINUATION frames beyond the header list, one answer to a ping or to settings at a time; a turn of 32 KiB bounds frames of one byte and empty ones.

Why it works: all that one connection holds follows from these limits.

--- a/crates/nickellead_proxy/src/arrival.rs
+++ b/crates/nickellead_proxy/src/arrival.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use actix_http::Request;
+use actix_http::{HttpMessage, Request};
 use nix::cmsg_space;
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
 use nix::sys::time::TimeSpec;
@@ -39,7 +39,9 @@
 /// When a request that was just read arrived; now, if its connection does not tell.
 #[must_use]
 pub fn arrival_of(request: &Request) -> Instant {
-    request.conn_data::<ReadArrival>().map_or_else(Instant::now, |arrival| arrival.0.get())
+    let extensions = request.extensions();
+    let arrival = request.conn_data::<ReadArrival>().or_else(|| extensions.get());
+    arrival.map_or_else(Instant::now, |arrival| arrival.0.get())
 }
 
 /// Has the system note when bytes arrive on the connections of a listener.
--- a/crates/nickellead_proxy/src/lib.rs
+++ b/crates/nickellead_proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod headers;
 mod held_response;
+mod http2;
 mod incoming;
 mod metrics;
 mod request_body;
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -27,9 +27,12 @@
 use crate::connection_end::ConnectionEnd;
 use crate::error_response::error_response;
 use crate::held_response::{UnsentBytes, count_held, end_with_body};
+use crate::http2::{self, Http2Limits};
 
 /// Maximum number of connections in the listen backlog.
 const BACKLOG: i32 = 1_024;
+/// HTTP/2 streams that one connection may have open, which RFC 9113 recommends as the least limit.
+const MAX_STREAMS: u32 = 100;
 /// Maximum time to receive the head of a request.
 pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long what a caller still sends is read and dropped after the last response of its connection.
@@ -58,15 +61,17 @@
 pub struct ServeBounds {
     /// Connections that are open at the same time.
     pub connections: usize,
+    /// HTTP/2 streams that one connection may have open.
+    pub streams: u32,
     /// Memory that connections count in.
     pub memory: ByteBudget,
 }
 
 impl ServeBounds {
-    /// A number of connections that count in this memory.
+    /// Bounds with the usual number of streams.
     #[must_use]
     pub const fn new(connections: usize, memory: ByteBudget) -> Self {
-        Self { connections, memory }
+        Self { connections, streams: MAX_STREAMS, memory }
     }
 }
 
@@ -237,7 +242,8 @@
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let bounds = bounds.into();
-    let factory = http_service(Arc::clone(&state), handler);
+    let http2_handler = Rc::new(http2_handler(Arc::clone(&state), handler.clone()));
+    let factory = http1_service(Arc::clone(&state), handler);
     // This only fails outside a runtime, and this function runs inside one.
     let Ok(listener) = CallerListener::new(listener) else {
         return;
@@ -273,9 +279,10 @@
             let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         }
         let (service, state) = (Rc::clone(&service), Arc::clone(&state));
-        let clock = Rc::clone(&clock);
+        let (clock, http2_handler) = (Rc::clone(&clock), Rc::clone(&http2_handler));
         state.open.fetch_add(1, Ordering::Relaxed);
         let connections = connections.clone();
+        let limits = Http2Limits { streams: bounds.streams, stall_timeout: state.stall_timeout };
         actix_rt::spawn(async move {
             let activity = connections.open();
             let serving = async {
@@ -284,18 +291,35 @@
                 tokio::task::yield_now().await;
                 let caller = stream.peer_addr().ok();
                 let is_http1 = protocol == actix_http::Protocol::Http1;
+                let mut held = held;
+                if !is_http1 && held.resize(http2::CONNECTION_BYTES).is_err() {
+                    return;
+                }
                 let (shared, activity) = (Arc::clone(&state), activity.clone());
                 let stream = CallerStream::new(
                     stream,
                     shared,
                     is_http1,
-                    activity,
+                    activity.clone(),
                     clock,
                     opened_after,
                     held,
                 );
-                // The caller observes a lost connection itself.
-                let _ = service.call((stream, protocol, caller)).await;
+                if is_http1 {
+                    // The caller observes a lost connection itself.
+                    let _ = service.call((stream, protocol, caller)).await;
+                } else {
+                    let handler = move |request| {
+                        let in_progress = activity.begin_request(ReadPhase::Later);
+                        let handled = http2_handler(request);
+                        async move {
+                            let response = handled.await;
+                            drop(in_progress);
+                            response
+                        }
+                    };
+                    http2::serve_connection(stream, caller, limits, Rc::new(handler)).await;
+                }
             };
             tokio::select! {
                 () = Box::pin(serving) => {}
@@ -317,6 +341,23 @@
     held.ok()
 }
 
+/// Hands requests of HTTP/2 callers to the handler.
+fn http2_handler<H, F>(
+    state: Arc<ServeState>,
+    handler: H,
+) -> impl Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    move |mut request| {
+        watch_body(&mut request, None, &state);
+        let response = handler(request);
+        let state = Arc::clone(&state);
+        Box::pin(async move { respond(response, None, &state).await })
+    }
+}
+
 /// Has the body of a request fail when nothing arrives of it for too long.
 fn watch_body(request: &mut Request, activity: Option<ConnectionActivity>, state: &ServeState) {
     let payload = request.take_payload();
@@ -347,8 +388,8 @@
     })
 }
 
-/// The server of connections.
-fn http_service<H, F>(
+/// The server of HTTP/1 connections.
+fn http1_service<H, F>(
     state: Arc<ServeState>,
     handler: H,
 ) -> impl ServiceFactory<
