The machine's memory bounds what callers make a gateway hold, on every deployment

Cause: the bound was in force only where the contracts have "pressure" (bounded_by_machine), and knew bodies only.

Change: bounded_by_machine is gone; memory_mb always bounds, and without it what the operating system tells. Callers' connections, the state of requests (16 KiB each, before it is allocated), bodies, responses, heads beyond a connection's share and the texts of metrics count in one budget; the ports for readiness and metrics count in it too, with 4 streams a connection. The body of a request that a dispatcher forwards is counted there. Callers that take nothing are cut on every deployment. max_fds always bounds the connections. New gauges: connection_bytes, heads_cut.

Ruled out: turning the old bound on everywhere.

Why it works: the sum of all that is counted stays under four fifths of the memory, and each thing is counted before it is taken.

Two tests of settings said that nothing is bounded unless the settings or the terms call for it, which is the fault. They are replaced by tests that the memory bounds on all terms and without settings, and check the parts as well.

--- a/crates/nickellead_gateway/src/dispatch/server.rs
+++ b/crates/nickellead_gateway/src/dispatch/server.rs
@@ -226,6 +226,9 @@
             return DispatchReply::NotServing;
         }
         let arrived = Instant::now();
+        let Ok(_body) = self.context.memory.admit_body(call.request.body.len()) else {
+            return DispatchReply::Unavailable;
+        };
         let group = call.acquire.group.clone();
         let deadline = arrived + duration(call.acquire.deadline_in_ms);
         let (permit, target) = match self.acquire(&call.acquire).await {
--- a/crates/nickellead_gateway/src/machine_limits.rs
+++ b/crates/nickellead_gateway/src/machine_limits.rs
@@ -1,12 +1,9 @@
 //! What a process may hold, derived from the memory and the descriptors of its machine.
 
-/// Part of the memory for bodies of requests and responses.
-///
-/// The rest is for code and cluster state, for the buffers of connections, and for bytes that the
-/// operating system has received and the process has not read.
-const HELD_FRACTION: f64 = 1.0 / 3.0;
+use nickellead_limit::{MemoryBounds, machine_memory};
+
 /// Bytes of one MB.
-const BYTES_PER_MB: f64 = 1e6;
+const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Most connections of callers, whatever the number of descriptors.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -17,9 +14,11 @@
 /// A caller's connection needs at most one connection to a target at a time.
 const DESCRIPTORS_PER_CALLER: u64 = 2;
 
-/// Most bytes of requests and responses that the process holds.
-pub(crate) fn max_held_bytes(memory_mb: u64) -> usize {
-    (memory_mb as f64 * BYTES_PER_MB * HELD_FRACTION) as usize
+/// Most bytes that the process holds for callers, on a machine with so much memory; `None` for what the
+/// operating system tells.
+pub(crate) fn memory_bounds(memory_mb: Option<u64>) -> MemoryBounds {
+    let bytes = memory_mb.map_or_else(machine_memory, |mb| mb.saturating_mul(BYTES_PER_MB));
+    MemoryBounds::of_machine(bytes)
 }
 
 /// Most connections of callers of a process with so many descriptors; `None` if unknown.
--- a/crates/nickellead_gateway/src/metrics/requests.rs
+++ b/crates/nickellead_gateway/src/metrics/requests.rs
@@ -52,6 +52,8 @@
     pub(crate) held_bytes: Gauge,
     pub(crate) held_bytes_limit: Gauge,
     pub(crate) callers_cut: Gauge,
+    pub(crate) connection_bytes: Gauge,
+    pub(crate) heads_cut: Gauge,
     pub(crate) config_version: Gauge,
     pub(crate) config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     pub(crate) targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -82,6 +84,8 @@
             held_bytes: Gauge::default(),
             held_bytes_limit: Gauge::default(),
             callers_cut: Gauge::default(),
+            connection_bytes: Gauge::default(),
+            heads_cut: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             targets_age: Gauge::default(),
@@ -117,12 +121,17 @@
         registry.register("targets_limited", help, metrics.limited.clone());
         let help = "Availability zones that this VM can't reach";
         registry.register("zones_out_of_reach", help, metrics.zones_out_of_reach.clone());
-        let help = "Bytes of request and response bodies that this VM holds";
+        let help = "Bytes of requests and responses that this VM holds";
         registry.register("held_bytes", help, metrics.held_bytes.clone());
-        let help = "Most bytes of request and response bodies that this VM holds, 0 for no bound";
+        let help =
+            "Most bytes of requests and responses that this VM holds beside a single large body";
         registry.register("held_bytes_limit", help, metrics.held_bytes_limit.clone());
         let help = "Connections closed because their callers took nothing of a response";
         registry.register("callers_cut", help, metrics.callers_cut.clone());
+        let help = "Bytes that connections of callers are counted with";
+        registry.register("connection_bytes", help, metrics.connection_bytes.clone());
+        let help = "Connections closed because there was no memory for a long head";
+        registry.register("heads_cut", help, metrics.heads_cut.clone());
         let version = metrics.config_version.clone();
         registry.register("config_version", "Version of the active declarations", version);
         let age = metrics.config_age.clone();
--- a/crates/nickellead_gateway/src/node.rs
+++ b/crates/nickellead_gateway/src/node.rs
@@ -99,8 +99,7 @@
     let (senders, receivers) = state_channels();
     let load_counter = LoadCounter::default();
     let quarantine = SharedQuarantine::default();
-    let stall_timeout = settings.max_held_bytes().map(|_| CALLER_STALL_TIMEOUT);
-    let serve_state = Arc::new(ServeState::with_stall_timeout(stall_timeout));
+    let serve_state = Arc::new(ServeState::with_stall_timeout(Some(CALLER_STALL_TIMEOUT)));
     let drain = Arc::new(DrainState::default());
     let (stopping, stopped) = watch::channel(false);
     let incarnation = control::random_id();
@@ -134,7 +133,7 @@
         max_key_age: settings.max_key_age(),
         token_requests: requests_sender,
         quota_tolerance: settings.quota.into(),
-        max_held_bytes: settings.max_held_bytes(),
+        memory_bounds: settings.memory_bounds(),
         reach_signal: reach_signal.clone(),
         regions: RegionMap { own: settings.region.clone(), zones: settings.zone_regions.clone() },
         dispatch,
--- a/crates/nickellead_gateway/src/requests.rs
+++ b/crates/nickellead_gateway/src/requests.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response};
+use actix_http::{Request, Response, StatusCode};
 use nickellead_balance::ZoneReachability;
-use nickellead_limit::{ByteBudget, QuotaTolerance, RetryLimits};
-use nickellead_proxy::{ServeState, serve_http};
+use nickellead_core::ErrorKind;
+use nickellead_limit::{ByteBudget, MemoryBounds, QuotaTolerance, RetryLimits};
+use nickellead_proxy::{ServeBounds, ServeState, error_response, hold_until_sent, serve_http};
 use prometheus_client::registry::Registry;
 use tokio::sync::{mpsc, watch};
 
@@ -31,6 +32,12 @@
 
 /// Most connections to the readiness and metrics address.
 const READINESS_CONNECTIONS: usize = 64;
+/// HTTP/2 streams that one of them may have open.
+const READINESS_STREAMS: u32 = 4;
+/// How long a caller of them may take nothing of a response.
+const READINESS_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
 /// Interval between two checks whether the last requests have finished.
 const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for finished connections to close before the runtime ends.
@@ -70,7 +77,7 @@
     pub(crate) quota_tolerance: QuotaTolerance,
     /// `None` if the VM does not take part in dispatch.
     pub(crate) dispatch: Option<DispatchSettings>,
-    pub(crate) max_held_bytes: Option<usize>,
+    pub(crate) memory_bounds: MemoryBounds,
     pub(crate) reach_signal: ReachSignal,
 }
 
@@ -96,7 +103,7 @@
     let reachability = Rc::new(ZoneReachability::default());
     let zone_reports = ZoneReports::new(&context.vm, &context.zone, Rc::clone(&reachability));
     let zone_reports = Rc::new(zone_reports);
-    let memory = ByteBudget::new(context.max_held_bytes);
+    let memory = ByteBudget::with_bounds(context.memory_bounds);
     let server = ServerContext {
         names: context.names,
         leaving_window: context.leaving_window,
@@ -126,7 +133,7 @@
         dispatch,
         reachability,
         zone_reports,
-        memory,
+        memory: memory.clone(),
         serve_state: Arc::clone(&context.serve_state),
         reach_signal: context.reach_signal,
     });
@@ -134,7 +141,9 @@
     actix_rt::spawn(quarantine.release_reports());
     forward_state(&worker, &context.receivers, &context.thread_metrics);
     for listener in std::iter::once(context.readiness).chain(context.metrics) {
-        serve_readiness(listener, &worker, &registry, context.receivers.clone(), &context.drain);
+        let bounds = readiness_bounds(&memory);
+        let receivers = context.receivers.clone();
+        serve_readiness(listener, bounds, &worker, &registry, receivers, &context.drain);
     }
     let state = Arc::clone(&context.serve_state);
     let handler = move |request| {
@@ -147,8 +156,8 @@
             }
         }
     };
-    serve_http(context.callers, context.connections, Arc::clone(&context.serve_state), handler)
-        .await;
+    let bounds = ServeBounds::new(context.connections, memory);
+    serve_http(context.callers, bounds, Arc::clone(&context.serve_state), handler).await;
     wait_for_responses(&context.serve_state).await;
     tokio::time::sleep(FLUSH_DELAY).await;
     // Requests that arrived meanwhile were refused; their responses may still be buffered.
@@ -179,26 +188,40 @@
     }
 }
 
+/// Bounds of the ports for readiness checks and metrics.
+fn readiness_bounds(memory: &ByteBudget) -> ServeBounds {
+    ServeBounds {
+        connections: READINESS_CONNECTIONS,
+        streams: READINESS_STREAMS,
+        memory: memory.clone(),
+    }
+}
+
 /// Serves readiness checks and metrics for as long as the runtime lives.
 fn serve_readiness(
     listener: TcpListener,
+    bounds: ServeBounds,
     worker: &Rc<RequestWorker>,
     registry: &Rc<Registry>,
     receivers: StateReceivers,
     drain: &Arc<DrainState>,
 ) {
     let (worker, registry, drain) = (Rc::clone(worker), Rc::clone(registry), Arc::clone(drain));
+    let memory = bounds.memory.clone();
     let handler = move |request: Request| {
         let has_state =
             receivers.declarations.borrow().is_some() && !receivers.targets.borrow().is_empty();
         let may_serve =
             worker.can_check_keys() && !worker.is_isolated() && worker.takes_connections();
         let ready = has_state && !drain.is_draining() && may_serve;
-        let response = readiness_response(&request, ready, &registry, &worker);
+        let response = match request.path() == METRICS_PATH {
+            true => metrics_response(&registry, &worker, &memory),
+            false => readiness_response(ready),
+        };
         async move { response }
     };
-    let state = Arc::new(ServeState::default());
-    actix_rt::spawn(serve_http(listener, READINESS_CONNECTIONS, state, handler));
+    let state = Arc::new(ServeState::with_stall_timeout(Some(READINESS_STALL_TIMEOUT)));
+    actix_rt::spawn(serve_http(listener, bounds, state, handler));
 }
 
 /// Forwards each state change to the worker, and starts the worker's own tasks.
@@ -258,25 +281,29 @@
     }
 }
 
-fn readiness_response(
-    request: &Request,
-    ready: bool,
+/// The text of all metrics, whose bytes are held until they are sent.
+fn metrics_response(
     registry: &Registry,
     worker: &RequestWorker,
+    memory: &ByteBudget,
 ) -> Response<BoxBody> {
-    if request.path() == "/metrics" {
-        worker.refresh_gauges();
-        let mut text = String::new();
-        if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
-            return Response::internal_server_error().map_into_boxed_body();
-        }
-        return Response::build(actix_http::StatusCode::OK).body(text).map_into_boxed_body();
+    worker.refresh_gauges();
+    let mut text = String::new();
+    if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
+        return Response::internal_server_error().map_into_boxed_body();
     }
-    let status = match ready {
-        true => actix_http::StatusCode::OK,
-        false => actix_http::StatusCode::SERVICE_UNAVAILABLE,
+    let Ok(held) = memory.admit(text.len()) else {
+        return error_response(ErrorKind::MemoryFull);
+    };
+    let mut response = Response::build(StatusCode::OK).body(text).map_into_boxed_body();
+    hold_until_sent(&mut response, held);
+    response
+}
+
+fn readiness_response(ready: bool) -> Response<BoxBody> {
+    let (status, text) = match ready {
+        true => (StatusCode::OK, "ready\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     };
-    Response::build(status)
-        .body(if ready { "ready\n" } else { "not ready\n" })
-        .map_into_boxed_body()
+    Response::build(status).body(text).map_into_boxed_body()
 }
--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nickellead_limit::{QuotaTolerance, RetryLimits};
+use nickellead_limit::{MemoryBounds, QuotaTolerance, RetryLimits};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::PolicySettings;
-use crate::machine_limits::{max_connections, max_held_bytes};
+use crate::machine_limits::{max_connections, memory_bounds};
 
 /// Most age of the declarations with which keys may be checked, as a fraction of the time after
 /// which a key that was taken away may not be served. The rest covers clocks of different speeds.
@@ -82,15 +82,13 @@
     /// machine.
     #[serde(default)]
     pub connections: Option<usize>,
-    /// Memory of the machine in MB (1,000,000 bytes), beyond which the process is killed.
+    /// Memory of the machine in MB (1,000,000 bytes), beyond which the process is killed; `None` for what
+    /// the operating system tells. It bounds what callers make the process hold.
     #[serde(default)]
     pub memory_mb: Option<u64>,
-    /// Most file descriptors of the process.
+    /// Most file descriptors of the process, if known. They bound the connections of callers.
     #[serde(default)]
     pub max_fds: Option<u64>,
-    /// Whether held bytes and connections are bounded by `memory_mb` and `max_fds`.
-    #[serde(default)]
-    pub bounded_by_machine: bool,
     /// Capacity of the retry budget of each service on this VM, in retries.
     #[serde(default = "default_retry_burst")]
     pub retry_burst: f64,
@@ -238,18 +236,21 @@
         self.revocation_s.map(|time| Duration::from_secs_f64(time * KEY_AGE_FRACTION))
     }
 
-    /// Most bytes of requests and responses that the process holds; `None` for no bound.
+    /// Most bytes that the process holds for callers.
     #[must_use]
-    pub fn max_held_bytes(&self) -> Option<usize> {
-        let memory = self.memory_mb.filter(|_| self.bounded_by_machine)?;
-        Some(max_held_bytes(memory))
+    pub fn memory_bounds(&self) -> MemoryBounds {
+        let bounds = memory_bounds(self.memory_mb);
+        match self.connections {
+            // Whoever sets their number accounts for their memory.
+            Some(_) => MemoryBounds { connections: bounds.total, ..bounds },
+            None => bounds,
+        }
     }
 
     /// Most connections of callers that are open at the same time.
     #[must_use]
     pub fn max_connections(&self) -> usize {
-        let descriptors = self.max_fds.filter(|_| self.bounded_by_machine);
-        self.connections.unwrap_or_else(|| max_connections(descriptors))
+        self.connections.unwrap_or_else(|| max_connections(self.max_fds))
     }
 
     /// Bounds on the retries of this VM.
--- a/crates/nickellead_gateway/src/worker/gauges.rs
+++ b/crates/nickellead_gateway/src/worker/gauges.rs
@@ -28,6 +28,8 @@
         metrics.held_bytes.set(gauge_value(self.memory.held()));
         metrics.held_bytes_limit.set(gauge_value(self.memory.bound().unwrap_or(0)));
         metrics.callers_cut.set(gauge_value(self.serve_state.stalled_connections()));
+        metrics.connection_bytes.set(gauge_value(self.memory.held_by_connections()));
+        metrics.heads_cut.set(gauge_value(self.serve_state.cut_heads()));
         metrics.crashes.set_marks(self.quarantine.counts());
         let version = state.version.unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
--- a/crates/nickellead_gateway/src/worker/mod.rs
+++ b/crates/nickellead_gateway/src/worker/mod.rs
@@ -72,6 +72,8 @@
     HeaderNames, PolicySettings, RouteRule, ServiceRule, StateConfirmation,
 };
 
+/// Memory that a request takes while it is in progress, without its body: its state and its head.
+const REQUEST_BYTES: usize = 16 * 1024;
 /// Part of the caller's deadline that is reserved for returning the response.
 const RESPONSE_RETURN_RESERVE: Duration = Duration::from_millis(4);
 /// Maximum time that a request waits for the first declarations of a VM that has just started. If
@@ -462,10 +464,17 @@
         !self.serve_state.is_full()
     }
 
-    /// Handles one request of a caller.
+    /// Handles one request of a caller, if the memory has room for its state.
     pub(crate) async fn handle(&self, request: Request) -> Response<BoxBody> {
         self.metrics.requests.inc();
         let id = self.request_id(&request);
+        match self.memory.admit(REQUEST_BYTES) {
+            Ok(_held) => Box::pin(self.handle_admitted(request, id)).await,
+            Err(_) => self.refuse_unread(ErrorKind::MemoryFull, &id),
+        }
+    }
+
+    async fn handle_admitted(&self, request: Request, id: String) -> Response<BoxBody> {
         let unread = arrival_of(&request).elapsed();
         self.metrics.unread.record_request(RequestSender::Caller, id.as_bytes(), unread);
         let known = self.state.borrow().version.is_some();
--- a/crates/nickellead_gateway/tests/common/mod.rs
+++ b/crates/nickellead_gateway/tests/common/mod.rs
@@ -153,7 +153,6 @@
             connections: Some(100),
             memory_mb: None,
             max_fds: None,
-            bounded_by_machine: false,
             retry_burst: 5.0,
             retry_ratio: 0.2,
             retry_extra: None,
--- a/crates/nickellead_gateway/tests/endless_responses.rs
+++ b/crates/nickellead_gateway/tests/endless_responses.rs
@@ -249,7 +249,6 @@
     store.declare(declarations(1));
     let gateway = TestGateway::start_as(name, &store, |settings| {
         settings.memory_mb = Some(MEMORY_MB);
-        settings.bounded_by_machine = true;
     });
     gateway.wait_ready();
     wait_until("the targets serve", || gateway.send("GET", "/read/", "").contains(" 200 "));
--- a/crates/nickellead_gateway/tests/settings.rs
+++ b/crates/nickellead_gateway/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nickellead_gateway::{GatewaySettings, SettingsError};
+use nickellead_limit::{MemoryBounds, machine_memory};
 
 /// The required settings with `extra` lines, each of which ends with a comma.
 fn read(extra: &str) -> Result<GatewaySettings, SettingsError> {
@@ -15,23 +16,25 @@
     GatewaySettings::read(text.as_bytes())
 }
 
+/// Guards against a VM that nothing bounds because its settings don't tell its memory.
 #[test]
-fn without_bounds_of_the_machine_nothing_is_bounded_by_it() {
+fn without_settings_of_the_machine_its_own_memory_bounds_what_is_held() {
     let settings = read("").unwrap();
-    assert_eq!((settings.max_held_bytes(), settings.max_connections()), (None, 2_000));
-    let known = read(r#""memory_mb": 120, "max_fds": 3075,"#).unwrap();
-    assert_eq!((known.max_held_bytes(), known.max_connections()), (None, 2_000));
+    assert_eq!(settings.memory_bounds(), MemoryBounds::of_machine(machine_memory()));
+    assert!(settings.memory_bounds().total < usize::MAX / 2);
+    assert_eq!(settings.max_connections(), 2_000);
 }
 
 #[test]
-fn bounds_follow_from_the_machine_where_the_settings_call_for_it() {
-    let bounded = |limits: &str| read(&format!(r#""bounded_by_machine": true, {limits}"#)).unwrap();
+fn bounds_follow_from_the_machine() {
+    let bounded = |limits: &str| read(limits).unwrap();
     let small = bounded(r#""memory_mb": 120, "max_fds": 3075,"#);
-    assert_eq!((small.max_held_bytes(), small.max_connections()), (Some(40_000_000), 1_309));
+    assert_eq!((small.memory_bounds().shared, small.max_connections()), (40_000_000, 1_309));
+    assert_eq!(small.memory_bounds().total, 96_000_000);
+    assert_eq!(small.memory_bounds().connections, 30_000_000);
     let large = bounded(r#""memory_mb": 512, "max_fds": 10250,"#);
-    assert_eq!((large.max_held_bytes(), large.max_connections()), (Some(170_666_666), 2_000));
+    assert_eq!((large.memory_bounds().shared, large.max_connections()), (170_666_666, 2_000));
     assert_eq!(bounded(r#""max_fds": 3075, "connections": 2500,"#).max_connections(), 2_500);
-    assert_eq!(bounded("").max_held_bytes(), None);
 }
 
 #[test]
--- a/crates/nickellead_gateway/tests/slow_readers.rs
+++ b/crates/nickellead_gateway/tests/slow_readers.rs
@@ -32,7 +32,6 @@
     let gateway = TestGateway::start_as(name, &store, |settings| {
         settings.connections = Some(2 * SLOW_CALLERS);
         settings.memory_mb = Some(MEMORY_MB);
-        settings.bounded_by_machine = true;
     });
     gateway.wait_ready();
     (gateway, store)
--- a/crates/nickellead_soak/src/gateway/fleet.rs
+++ b/crates/nickellead_soak/src/gateway/fleet.rs
@@ -293,7 +293,6 @@
         "dispatch_address": ports.dispatch,
         "dispatch_announced": link.map(|link| link.address),
         "dispatch_scope": "always",
-        "bounded_by_machine": true,
         "cpu_share": if is_large { 0.5 } else { 0.1 },
         "memory_mb": if is_large { 512 } else { 160 },
         "max_fds": if is_large { 8_192 } else { 4_100 },
