run: the machine's memory bounds what callers and operators make it hold

What callers saw: the same as of a gateway, from nickellead run, which holds bodies whole and had no budget; its port for operators took any number of HTTP/2 streams.

Change: memory_mb in the settings (without it what the operating system tells), an equal part for each thread that serves callers or for operators. Bodies, requests in progress and connections count in it; what doesn't fit is refused as memory-full, and refusals of unread bodies close the connection. The operators' port reads bodies by the same code; a body that broke off was taken as complete there. Callers that take nothing for 10 s are cut.

--- a/crates/nickellead_proxy/src/worker.rs
+++ b/crates/nickellead_proxy/src/worker.rs
@@ -12,7 +12,7 @@
 use nickellead_api::{DeclaredConfig, RepeatRule};
 use nickellead_core::{Epoch, ErrorKind, OutcomeClass, ShardIndex, TargetKey};
 use nickellead_lease::RouteChange;
-use nickellead_limit::ByteBudget;
+use nickellead_limit::{ByteBudget, MemoryBounds};
 use nickellead_route::{
     ConcurrencyLimiter, ConcurrencyPermit, OwnerRoute, RetryBudget, RoutingTable, TargetRoute,
     backoff,
@@ -28,8 +28,12 @@
 use crate::metrics::ProxyMetrics;
 use crate::request_body::{RequestBody, read_body};
 use crate::response_body::ResponseBody;
+use crate::serve::ServeBounds;
 use crate::transport::observed_connector;
 
+/// Memory that a request takes while it is in progress, without its body: its state and its head.
+const REQUEST_BYTES: usize = 16 * 1024;
+
 /// Update that a worker receives through its ring.
 #[derive(Clone, Debug)]
 pub enum WorkerUpdate {
@@ -52,6 +56,8 @@
     pub move_timeout: Duration,
     /// Maximum number of connections from callers.
     pub connections: usize,
+    /// Most bytes that the worker holds for callers.
+    pub memory: MemoryBounds,
 }
 
 impl Default for ProxyLimits {
@@ -62,6 +68,7 @@
             move_waiters: 1_024,
             move_timeout: Duration::from_millis(1_000),
             connections: 4_096,
+            memory: MemoryBounds::NONE,
         }
     }
 }
@@ -126,7 +133,7 @@
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             move_waiters: Cell::new(0),
             next_id: Cell::new(seed << 20),
-            memory: ByteBudget::new(None),
+            memory: ByteBudget::with_bounds(limits.memory),
             client: client.finish(),
             metrics,
         })
@@ -151,7 +158,11 @@
     pub async fn handle(&self, request: Request) -> Response<BoxBody> {
         self.metrics.requests.inc();
         let _in_flight = InFlightGuard::new(&self.metrics);
-        match self.serve(request).await {
+        let served = match self.memory.admit(REQUEST_BYTES) {
+            Ok(_held) => Box::pin(self.serve(request)).await,
+            Err(_) => Err(ErrorKind::MemoryFull),
+        };
+        match served {
             Ok(response) => {
                 self.metrics.forwarded.inc();
                 forward(response)
@@ -163,6 +174,12 @@
         }
     }
 
+    /// Bounds on the connections of callers, which count in the worker's memory.
+    #[must_use]
+    pub fn serve_bounds(&self) -> ServeBounds {
+        ServeBounds::new(self.limits.connections, self.memory.clone())
+    }
+
     async fn serve(&self, mut request: Request) -> Result<TargetResponse, ErrorKind> {
         if !self.configured.get() {
             return Err(ErrorKind::NotConfigured);
--- a/crates/nickellead_run/src/node.rs
+++ b/crates/nickellead_run/src/node.rs
@@ -31,6 +31,8 @@
 const MAX_STANDBYS: usize = 2;
 /// Maximum number of a service's shards in planned moves at a time.
 const MAX_CONCURRENT_MOVES: usize = 64;
+/// How long a caller may take nothing of its response.
+const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why a VM can't start.
 #[derive(Debug, Error)]
@@ -85,8 +87,8 @@
     let metrics = ProxyMetrics::default();
     let mut registry = Registry::with_prefix("nickellead");
     metrics.register(&mut registry);
-    let callers_state = Arc::new(ServeState::default());
-    let operators_state = Arc::new(ServeState::default());
+    let serve_state = || Arc::new(ServeState::with_stall_timeout(Some(CALLER_STALL_TIMEOUT)));
+    let (callers_state, operators_state) = (serve_state(), serve_state());
     let readiness = Arc::new(Readiness::with_workers(settings.workers));
 
     let mut worker_threads = Vec::new();
@@ -102,7 +104,7 @@
         worker_threads.push(requests::build(
             updates,
             listen("callers_address", settings.callers_address)?,
-            settings.limits.to_limits(settings.workers),
+            settings.worker_limits(),
             incarnation.0.wrapping_add(u64::from(index)),
             metrics.clone(),
             Arc::clone(&callers_state),
@@ -152,6 +154,7 @@
         peers,
         readiness: Arc::clone(&readiness),
         state: Arc::clone(&operators_state),
+        memory: settings.memory_bounds(),
     })?;
     let timer = start_ticks(to_coordination.clone())?;
     log_event(EventName::NodeStarted, &[("vm", &settings.vm), ("zone", &settings.zone)]);
--- a/crates/nickellead_run/src/operators.rs
+++ b/crates/nickellead_run/src/operators.rs
@@ -9,9 +9,10 @@
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use nickellead_api::{FieldError, ObjectKind, ResourceObject, ServiceSpec, TargetSpec, read_json};
-use nickellead_core::{Name, Version};
+use nickellead_core::{ErrorKind, Name, Version};
+use nickellead_limit::{ByteBudget, HeldBytes, MemoryBounds};
 use nickellead_platform::{CallCounter, PlatformClient, PlatformError};
-use nickellead_proxy::{ServeState, serve_http};
+use nickellead_proxy::{ServeBounds, ServeState, error_response, read_body, serve_http};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
@@ -45,6 +46,8 @@
     pub(crate) peers: ChannelSender<PeerMessage>,
     pub(crate) readiness: Arc<Readiness>,
     pub(crate) state: Arc<ServeState>,
+    /// Most bytes that this thread holds for operators.
+    pub(crate) memory: MemoryBounds,
 }
 
 /// Starts the operators' thread.
@@ -65,12 +68,14 @@
     let Ok(listener) = context.listener.try_clone() else {
         return;
     };
-    let api = Rc::new(OperatorApi { context, client });
+    let memory = ByteBudget::with_bounds(context.memory);
+    let bounds = ServeBounds::new(MAX_CONNECTIONS, memory.clone());
+    let api = Rc::new(OperatorApi { context, client, memory });
     let handler = move |request| {
         let api = Rc::clone(&api);
         async move { api.respond(request).await.unwrap_or_else(ApiError::into_response) }
     };
-    serve_http(listener, MAX_CONNECTIONS, state, handler).await;
+    serve_http(listener, bounds, state, handler).await;
 }
 
 /// Reason why the API rejects a request.
@@ -81,6 +86,7 @@
     Field(FieldError),
     Platform(PlatformError),
     TooLarge,
+    Unread(ErrorKind),
 }
 
 impl ApiError {
@@ -94,6 +100,7 @@
             Self::TooLarge => {
                 error(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "the request body exceeds 1 MiB")
             }
+            Self::Unread(kind) => error_response(kind),
             Self::Field(field) => reply(
                 StatusCode::UNPROCESSABLE_ENTITY,
                 &json!({"error": "invalid", "field": field.field, "reason": field.reason}),
@@ -129,6 +136,7 @@
 struct OperatorApi {
     context: OperatorContext,
     client: PlatformClient,
+    memory: ByteBudget,
 }
 
 impl OperatorApi {
@@ -151,7 +159,7 @@
                 let kind = ObjectKind::from_name(kind).ok_or(ApiError::NotFound)?;
                 let name =
                     Name::new(name).map_err(|error| FieldError::new("name", error.to_string()))?;
-                let body = read_body(&mut request).await?;
+                let (body, _held) = read_whole_body(&mut request, &self.memory).await?;
                 let query = request.uri().query().unwrap_or_default().to_owned();
                 self.handle_object(method, kind, &name, &query, &body).await
             }
@@ -352,17 +360,20 @@
     serde_json::to_value(spec).unwrap_or_default()
 }
 
-async fn read_body(request: &mut Request) -> Result<Vec<u8>, ApiError> {
-    use futures_util::StreamExt;
-    let mut payload = request.take_payload();
-    let mut body = Vec::new();
-    while let Some(Ok(chunk)) = payload.next().await {
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(ApiError::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body)
+/// Reads a whole body; what it takes is held until the request ends.
+async fn read_whole_body(
+    request: &mut Request,
+    memory: &ByteBudget,
+) -> Result<(Vec<u8>, HeldBytes), ApiError> {
+    let refuse = |kind| match kind {
+        ErrorKind::BodyTooLarge => ApiError::TooLarge,
+        kind => ApiError::Unread(kind),
+    };
+    let held = memory.admit_body(0);
+    let mut held = held.map_err(|_| ApiError::Unread(ErrorKind::MemoryFull))?;
+    let reading = read_body(request.take_payload(), None, MAX_BODY_BYTES, &mut held);
+    let body = reading.await.map_err(refuse)?;
+    Ok((body.to_vec(), held))
 }
 
 fn query_number(query: &str, name: &str) -> Option<u64> {
--- a/crates/nickellead_run/src/requests.rs
+++ b/crates/nickellead_run/src/requests.rs
@@ -36,7 +36,7 @@
     std::thread::Builder::new().name(format!("requests-{index}")).spawn(move || {
         if let Ok(runtime) = actix_rt::Runtime::new() {
             let worker = ProxyWorker::new(limits, seed, metrics);
-            runtime.block_on(run(worker, listener, limits, updates, state));
+            runtime.block_on(run(worker, listener, updates, state));
         }
     })
 }
@@ -70,16 +70,16 @@
 async fn run(
     worker: Rc<ProxyWorker>,
     listener: TcpListener,
-    limits: ProxyLimits,
     updates: WorkerUpdates,
     state: Arc<ServeState>,
 ) {
     actix_rt::spawn(updates.apply_all(Rc::clone(&worker)));
+    let bounds = worker.serve_bounds();
     let handler = move |request| {
         let worker = Rc::clone(&worker);
         async move { worker.handle(request).await }
     };
-    serve_http(listener, limits.connections, Arc::clone(&state), handler).await;
+    serve_http(listener, bounds, Arc::clone(&state), handler).await;
     while state.running_requests() > 0 {
         tokio::time::sleep(std::time::Duration::from_millis(10)).await;
     }
--- a/crates/nickellead_run/src/settings.rs
+++ b/crates/nickellead_run/src/settings.rs
@@ -6,11 +6,14 @@
 use nickellead_api::{FieldError, read_json};
 use nickellead_core::Name;
 use nickellead_lease::LeaseTimings;
+use nickellead_limit::{MemoryBounds, machine_memory};
 use nickellead_proxy::ProxyLimits;
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of request workers of one VM.
 const MAX_WORKERS: u16 = 64;
+/// Bytes of one MB.
+const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Settings of one entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +37,10 @@
     /// Number of threads that serve callers.
     #[serde(default = "default_workers")]
     pub workers: u16,
+    /// Memory of the machine in MB (1,000,000 bytes); `None` for what the operating system tells. It bounds
+    /// what callers make the process hold.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Timings of leases.
     #[serde(default)]
     pub lease: LeaseSettings,
@@ -168,11 +175,26 @@
             move_waiters: self.movers,
             move_timeout: Duration::from_millis(u64::from(self.move_wait_ms)),
             connections: self.connections as usize,
+            ..ProxyLimits::default()
         }
     }
 }
 
 impl NodeSettings {
+    /// Most bytes that one of the threads holds that serve callers or operators.
+    #[must_use]
+    pub fn memory_bounds(&self) -> MemoryBounds {
+        let bytes =
+            self.memory_mb.map_or_else(machine_memory, |mb| mb.saturating_mul(BYTES_PER_MB));
+        MemoryBounds::of_machine(bytes).divided_by(usize::from(self.workers) + 1)
+    }
+
+    /// Limits of one worker.
+    #[must_use]
+    pub fn worker_limits(&self) -> ProxyLimits {
+        ProxyLimits { memory: self.memory_bounds(), ..self.limits.to_limits(self.workers) }
+    }
+
     /// Parses and validates settings.
     ///
     /// # Errors
@@ -192,6 +214,9 @@
             let reason = format!("must be from 1 to {MAX_WORKERS}");
             return Err(FieldError::new("workers", reason));
         }
+        if self.memory_mb == Some(0) {
+            return Err(FieldError::new("memory_mb", "must be at least 1"));
+        }
         self.check_addresses()?;
         self.check_limits()?;
         if self.stop_limit_ms <= self.stop_linger_ms {
--- a/crates/nickellead_trial/src/deployment.rs
+++ b/crates/nickellead_trial/src/deployment.rs
@@ -161,6 +161,7 @@
         peers_address: vm.address,
         platform_address,
         peers: listed.iter().map(peer).collect(),
+        memory_mb: None,
         workers: 1,
         lease: LeaseSettings::default(),
         limits: LimitSettings { vms: VM_COUNT as u32, ..LimitSettings::default() },
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -29,6 +29,10 @@
     pub service_us: u32,
     /// Number of request workers per VM.
     pub workers: u16,
+    /// Memory of each VM; `None` for that of this machine.
+    pub memory_mb: Option<u64>,
+    /// Most bytes of a request's body.
+    pub body_limit: usize,
 }
 
 impl Default for FleetSpec {
@@ -41,6 +45,8 @@
             shards: 64,
             service_us: 300,
             workers: 1,
+            memory_mb: None,
+            body_limit: 64 * 1024,
         }
     }
 }
@@ -153,8 +159,9 @@
             r#"{{"vm": "{name}", "zone": "{zone}", "callers_address": "{callers}",
                 "operators_address": "{operators}", "peers_address": "{peers}",
                 "platform_address": "{platform}", "limits": {{"vms": {count}}},
-                "stop_linger_ms": 300, "workers": {}}}"#,
-            self.spec.workers
+                "stop_linger_ms": 300, "workers": {}{}}}"#,
+            self.spec.workers,
+            self.spec.memory_mb.map(|mb| format!(r#", "memory_mb": {mb}"#)).unwrap_or_default()
         );
         let settings = write_file(&format!("{}-{name}.json", self.spec.label), &settings);
         self.vms.push(FleetVm { name, zone, process: None, callers, operators, peers, settings });
@@ -174,11 +181,13 @@
             (0..self.spec.zones).map(|zone| format!("{:?}", zone_name(zone))).collect();
         let mut objects = vec![format!(
             r#"{{"kind": "service", "name": "boards", "spec": {{"zones": [{}], "shards": {},
+                "body_limit": {},
                 "key": {{"from": "path", "segment": 2}},
                 "operations": [{{"name": "book", "method": "POST", "repeat": "once"}},
                                {{"name": "look", "method": "GET", "repeat": "repeatable"}}]}}}}"#,
             zones.join(","),
-            self.spec.shards
+            self.spec.shards,
+            self.spec.body_limit
         )];
         for number in 0..self.targets.len() {
             objects.push(self.declaration(number, "active"));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod crowd;
 pub mod fleet;
 pub mod http2_caller;
+pub mod process_limits;
 pub mod raw_http2;
 pub mod small_vm;
 
--- a/tests/common/small_vm.rs
+++ b/tests/common/small_vm.rs
@@ -1,6 +1,5 @@
 //! A gateway process on a machine with little memory, with stand-ins of its platform.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -11,15 +10,13 @@
     TargetBehavior, TargetPlan, TargetSettings,
 };
 
-use super::{exchange, free_address, spawn, write_file};
+use super::{exchange, free_address, process_limits, spawn, write_file};
 
 /// Timeout of the route for uploads.
 const UPLOAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long an ordinary caller retries.
 const RETRY_TIME: Duration = Duration::from_secs(60);
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
-/// Bytes of one MB.
-const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Memory and limits of a [`SmallVm`].
 #[derive(Clone, Copy, Debug)]
@@ -103,7 +100,7 @@
             std::thread::sleep(RETRY_INTERVAL);
         }
         vm.assert_serves("at first");
-        vm.descriptors_at_start = vm.descriptors();
+        vm.descriptors_at_start = process_limits::descriptors(vm.child.id());
         vm
     }
 
@@ -116,30 +113,13 @@
             .contains(" 200 ")
     }
 
-    /// Number of open descriptors of the gateway.
-    pub fn descriptors(&self) -> usize {
-        let folder = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
-        folder.map_or(0, Iterator::count)
-    }
-
-    /// Most resident memory of the gateway so far, in bytes; `None` once it has ended.
-    pub fn peak_memory(&self) -> Option<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
-        Some(kibibytes * 1_024)
-    }
-
     /// Asserts that the gateway runs within the memory of its machine, and that its descriptors are
     /// those of this many connections of callers and to targets.
     pub fn assert_within_limits(&mut self, connections: usize) {
         assert!(self.child.try_wait().unwrap().is_none(), "the gateway has ended");
-        let peak = self.peak_memory().unwrap();
-        let most = self.spec.memory_mb * BYTES_PER_MB;
-        eprintln!("{}: {peak} of {most} bytes", self.spec.label);
-        assert!(peak <= most, "{peak} bytes of {most} were resident");
-        let (open, allowed) = (self.descriptors(), self.descriptors_at_start + connections);
-        assert!(open <= allowed, "{open} descriptors are open, {allowed} allowed");
+        let most_descriptors = self.descriptors_at_start + connections;
+        let VmSpec { label, memory_mb, .. } = self.spec;
+        process_limits::assert_within(label, self.child.id(), memory_mb, most_descriptors);
     }
 
     /// Asserts that an ordinary request is served; its caller retries like any other.
@@ -153,30 +133,36 @@
     }
 
     fn assert_served(&self, method: &str, path: &str, length: usize, when: &str) {
-        let until = Instant::now() + RETRY_TIME;
-        loop {
-            let id = fastrand::u64(..);
-            let body = "x".repeat(length);
-            let request = format!(
-                "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nnickellead-request-id: {id:x}\r\n\
-                 content-length: {length}\r\nconnection: close\r\n\r\n{body}"
-            );
-            let response = try_exchange(self.callers, &request);
-            if response.starts_with("HTTP/1.1 200") {
-                return;
-            }
-            assert!(Instant::now() < until, "{when}, {length} bytes were not served: {response}");
-            std::thread::sleep(RETRY_INTERVAL);
+        let id = fastrand::u64(..);
+        let body = "x".repeat(length);
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nnickellead-request-id: {id:x}\r\n\
+             content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        assert_served(self.callers, request.as_bytes(), when);
+    }
+}
+
+/// Asserts that a request is served by one of many tries, each on a connection of its own.
+pub fn assert_served(callers: SocketAddr, request: &[u8], when: &str) {
+    let until = Instant::now() + RETRY_TIME;
+    loop {
+        let response = try_exchange(callers, request);
+        if response.starts_with("HTTP/1.1 200") {
+            return;
         }
+        let length = request.len();
+        assert!(Instant::now() < until, "{when}, {length} bytes were not served: {response}");
+        std::thread::sleep(RETRY_INTERVAL);
     }
 }
 
 /// Like [`exchange`], but a request that is not read completely is no error.
-fn try_exchange(address: SocketAddr, request: &str) -> String {
+fn try_exchange(address: SocketAddr, request: &[u8]) -> String {
     use std::io::{Read, Write};
     let Ok(mut stream) = std::net::TcpStream::connect(address) else { return String::new() };
     stream.set_read_timeout(Some(UPLOAD_TIMEOUT)).unwrap();
-    let _ = stream.write_all(request.as_bytes());
+    let _ = stream.write_all(request);
     let mut response = Vec::new();
     let _ = stream.read_to_end(&mut response);
     String::from_utf8_lossy(&response).into_owned()
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -12,6 +12,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use common::crowd::{CrowdBody, Framing, connect, gather, send_short_of_end};
+use common::fleet::{Fleet, FleetSpec};
+use common::process_limits;
 use common::raw_http2::{END_HEADERS, END_STREAM, FrameKind, PREFACE, push_frame, request_head};
 use common::small_vm::{SmallVm, VmSpec};
 
@@ -303,3 +305,78 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     vm.assert_within_limits(16);
 }
+
+/// Plays a crowd of bodies that stop short of their end against a VM of the product's own interface.
+fn play_bodies_of_run(label: &'static str, framing: Framing) {
+    let _alone = run_alone();
+    let mut fleet = Fleet::start(FleetSpec {
+        label,
+        vms_per_zone: 1,
+        targets_per_zone: 1,
+        memory_mb: Some(MEMORY_MB),
+        body_limit: BODY_BYTES,
+        ..FleetSpec::default()
+    });
+    let (process, callers) = (fleet.vms[0].process.as_ref().unwrap().id(), fleet.vms[0].callers);
+    let descriptors = process_limits::descriptors(process) + DESCRIPTORS;
+    let body = CrowdBody { framing, length: BODY_BYTES };
+    let path = "/boards/book/key-1";
+    let crowd =
+        gather(CROWD, |number| send_short_of_end(callers, path, &format!("u{number}"), body));
+    process_limits::assert_within(label, process, MEMORY_MB, descriptors);
+    let look = "GET /boards/look/key-1 HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n";
+    common::small_vm::assert_served(callers, look.as_bytes(), "beside the crowd");
+    drop(crowd);
+    let head = format!("POST {path} HTTP/1.1\r\nhost: t\r\nconnection: close\r\n");
+    let mut largest = format!("{head}content-length: {BODY_BYTES}\r\n\r\n").into_bytes();
+    largest.resize(largest.len() + BODY_BYTES, b'x');
+    common::small_vm::assert_served(callers, &largest, "after the crowd");
+    process_limits::assert_within(label, process, MEMORY_MB, descriptors);
+    fleet.vms.clear();
+}
+
+/// Guards against the sum of announced bodies.
+#[test]
+fn a_crowd_of_announced_bodies_at_run_stays_within_memory() {
+    play_bodies_of_run("run-announced", Framing::Announced);
+}
+
+/// Guards against the sum of chunked bodies.
+#[test]
+fn a_crowd_of_chunked_bodies_at_run_stays_within_memory() {
+    play_bodies_of_run("run-chunked", Framing::Chunks(MIB));
+}
+
+/// Guards against HTTP/2 streams at the port for operators.
+#[test]
+fn a_crowd_at_the_port_for_operators_stays_within_memory() {
+    let _alone = run_alone();
+    let label = "run-operators";
+    let fleet = Fleet::start(FleetSpec {
+        label,
+        vms_per_zone: 1,
+        targets_per_zone: 1,
+        memory_mb: Some(MEMORY_MB),
+        ..FleetSpec::default()
+    });
+    let vm = &fleet.vms[0];
+    let (process, callers) = (vm.process.as_ref().unwrap().id(), vm.callers);
+    let descriptors = process_limits::descriptors(process) + DESCRIPTORS;
+    let operators = vm.operators;
+    let crowd = gather(CROWD, |_| {
+        let mut stream = connect(operators);
+        let mut bytes = PREFACE.to_vec();
+        for number in 0..STREAMS {
+            let head = request_head("GET", "/metrics", "m");
+            let flags = END_HEADERS | END_STREAM;
+            push_frame(&mut bytes, FrameKind::Headers, flags, 2 * number + 1, &head);
+        }
+        let _ = stream.write_all(&bytes);
+        stream
+    });
+    process_limits::assert_within(label, process, MEMORY_MB, descriptors);
+    let look = "GET /boards/look/key-1 HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n";
+    common::small_vm::assert_served(callers, look.as_bytes(), "beside the crowd");
+    drop(crowd);
+    process_limits::assert_within(label, process, MEMORY_MB, descriptors);
+}
