--- a/crates/nickellead_proxy/tests/exchange.rs
+++ b/crates/nickellead_proxy/tests/exchange.rs
@@ -250,6 +250,40 @@
     assert!(response.contains("nickellead-outcome: unknown"), "{response}");
 }
 
+/// Guards against a caller that gets a status that no response can have, such as 000, as an answer.
+#[test]
+fn an_impossible_status_from_a_target_is_no_answer() {
+    let lines = [
+        "000 Odd",
+        "000",
+        "099 Odd",
+        "0 Odd",
+        "20 Odd",
+        "0200 OK",
+        "2000 OK",
+        "-200 OK",
+        "+200 OK",
+        "20x OK",
+        "100 Continue",
+        "101 Switching Protocols",
+        "102 Processing",
+        "103 Early Hints",
+        "199 Odd",
+    ];
+    for line in lines {
+        let (target, _requests) = raw_target(Box::new(move |stream, request| {
+            let response = complete_response(request);
+            let (_, rest) = response.split_once("\r\n").unwrap();
+            let _ = stream.write_all(format!("HTTP/1.1 {line}\r\n{rest}").as_bytes());
+        }));
+        let response = book(router(target));
+        let is_error =
+            ["502", "504"].iter().any(|one| response.contains(&format!("HTTP/1.1 {one} ")));
+        assert!(is_error, "{line}: {response}");
+        assert!(response.contains("nickellead-outcome: unknown"), "{line}: {response}");
+    }
+}
+
 #[test]
 fn a_refusal_is_not_run_and_internal_headers_are_not_forwarded() {
     let (target, requests) = raw_target(Box::new(|stream, request| {
