A connection counts with one head at a time, and what follows its last response with none

A caller whose requests are answered at once (refusals) was charged for all their heads together, and in the end its connection was closed. Bytes that are read and dropped after a last response counted as a head too.

Cause: a head counted as ended when the next read met a request in progress; a request that was answered within the same poll was never met.

Change: connections count the requests whose heads were read. After the last response bytes are dropped uncounted. A response to a request whose body was not read says that the connection closes, for chunked bodies as for announced ones: what is left of them could be of any length.

--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -77,6 +77,8 @@
     turn_bytes: usize,
     /// Bytes of the head that is being read.
     head_bytes: usize,
+    /// Number of heads that were read before it.
+    heads_ended: u64,
     /// Ends when the head is late; exists while it is incomplete.
     head_timer: Option<Pin<Box<Sleep>>>,
     /// Ends when a connection is closed that the last response ended; exists from then on.
@@ -131,6 +133,7 @@
             is_paused: false,
             turn_bytes: 0,
             head_bytes: 0,
+            heads_ended: 0,
             head_timer: None,
             linger_timer: None,
             held,
@@ -186,9 +189,13 @@
             Some(_) => self.activity.phase(),
             None => return self.poll_receive(context, bytes),
         };
-        if phase != ReadPhase::Head {
+        if self.activity.begun() != self.heads_ended {
+            self.heads_ended = self.activity.begun();
             self.end_head();
         }
+        if phase == ReadPhase::Head && self.is_over() {
+            return self.poll_receive(context, bytes);
+        }
         let most = match phase {
             ReadPhase::Head => MAX_HEAD_READ_BYTES,
             ReadPhase::DeclaredBody(left) => {
@@ -306,11 +313,15 @@
         timer.as_mut().poll(context).is_ready()
     }
 
+    /// Whether the last response of the connection was given, so that nothing more of it is served.
+    fn is_over(&self) -> bool {
+        self.end.as_ref().is_some_and(ConnectionEnd::is_known)
+    }
+
     /// Whether the caller has had enough time to read the last response of the connection, while it still
     /// sends what nobody reads.
     fn has_lingered(&mut self, context: &mut Context<'_>) -> bool {
-        let is_over = self.end.as_ref().is_some_and(ConnectionEnd::is_known);
-        if !is_over || self.activity.phase() != ReadPhase::Head {
+        if !self.is_over() || self.activity.phase() != ReadPhase::Head {
             return false;
         }
         let timer = self.linger_timer.get_or_insert_with(|| Box::pin(sleep(LINGER_TIME)));
--- a/crates/nickellead_proxy/src/connection_activity.rs
+++ b/crates/nickellead_proxy/src/connection_activity.rs
@@ -40,6 +40,8 @@
     last_bytes: Cell<Instant>,
     /// Requests without a response.
     running: Cell<usize>,
+    /// Requests whose heads were read.
+    begun: Cell<u64>,
     /// Whether a write is pending.
     is_blocked: Cell<bool>,
     phase: Cell<ReadPhase>,
@@ -56,6 +58,7 @@
         Self(Rc::new(ActivityState {
             last_bytes: Cell::new(Instant::now()),
             running: Cell::new(0),
+            begun: Cell::new(0),
             is_blocked: Cell::new(false),
             phase: Cell::new(ReadPhase::Head),
             wanted: Cell::new(0),
@@ -80,11 +83,22 @@
     /// Counts a request until the returned guard is dropped; `phase` is what follows its head.
     pub(crate) fn begin_request(&self, phase: ReadPhase) -> RequestInProgress {
         self.0.running.set(self.0.running.get() + 1);
+        self.0.begun.set(self.0.begun.get() + 1);
         self.0.phase.set(phase);
         self.0.wanted.set(0);
         RequestInProgress(self.clone())
     }
 
+    /// Number of requests whose heads were read.
+    pub(crate) fn begun(&self) -> u64 {
+        self.0.begun.get()
+    }
+
+    /// Whether a part of the body of the request in progress was not read.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        matches!(self.0.phase.get(), ReadPhase::DeclaredBody(_) | ReadPhase::UndeclaredBody)
+    }
+
     /// What the next bytes belong to.
     pub(crate) fn phase(&self) -> ReadPhase {
         match self.0.phase.get() {
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -424,7 +424,7 @@
             let activity = request.conn_data::<ConnectionActivity>().cloned();
             let phase = phase_after(&mut request);
             let in_progress = activity.as_ref().map(|activity| activity.begin_request(phase));
-            watch_body(&mut request, activity, &state);
+            watch_body(&mut request, activity.clone(), &state);
             let unsent = request.conn_data::<UnsentBytes>().cloned();
             let end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
             let is_last = request.head().connection_type() == ConnectionType::Close;
@@ -433,7 +433,11 @@
             // A connection without a request in progress does not keep room for one.
             let handled: LocalBoxFuture<'static, _> = Box::pin(async move {
                 let Some(response) = response else { return Ok(refuse_after_end()) };
-                let response = respond(response, unsent, &state).await;
+                let mut response = respond(response, unsent, &state).await;
+                if activity.is_some_and(|activity| activity.has_unread_body()) {
+                    // What is left of it could be of any length.
+                    response.head_mut().set_connection_type(ConnectionType::Close);
+                }
                 if is_last || response.head().connection_type() == ConnectionType::Close {
                     end.record();
                 }
--- a/crates/nickellead_proxy/tests/one_request_at_a_time.rs
+++ b/crates/nickellead_proxy/tests/one_request_at_a_time.rs
@@ -8,12 +8,21 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{ConnectionType, Request, Response, StatusCode};
-use nickellead_limit::ByteBudget;
-use nickellead_proxy::{ServeState, bind_listener, error_response, read_body, serve_http};
+use nickellead_limit::{ByteBudget, MemoryBounds};
+use nickellead_proxy::{
+    ServeBounds, ServeState, bind_listener, error_response, read_body, serve_http,
+};
 
 const BODY_LIMIT: usize = 1_000_000;
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 const SEED: u64 = 89;
+/// Room for a few connections, and for bodies of the limit.
+const BOUNDS: MemoryBounds = MemoryBounds {
+    shared: 8_000_000,
+    single: 8_000_000,
+    connections: 256 * 1024,
+    total: 16_000_000,
+};
 
 /// Counts a request until its handler is dropped.
 struct Running(Arc<AtomicUsize>);
@@ -33,7 +42,8 @@
     let counted = Arc::clone(&running);
     std::thread::spawn(move || {
         actix_rt::Runtime::new().unwrap().block_on(async move {
-            let memory = ByteBudget::new(None);
+            let memory = ByteBudget::with_bounds(BOUNDS);
+            let bounds = ServeBounds::new(100, memory.clone());
             let handler = move |mut request: Request| {
                 counted.fetch_add(1, Ordering::SeqCst);
                 let guard = Running(Arc::clone(&counted));
@@ -59,7 +69,7 @@
                 }
             };
             let state = Arc::new(ServeState::with_stall_timeout(Some(STALL_TIMEOUT)));
-            serve_http(listener, 100, state, handler).await;
+            serve_http(listener, bounds, state, handler).await;
         });
     });
     (address, running)
@@ -173,6 +183,61 @@
     wait_until(|| running.load(Ordering::SeqCst) == 0);
 }
 
+/// Guards against a connection that is charged for the heads of earlier requests, or closed for them while it
+/// is idle.
+#[test]
+fn a_connection_may_carry_any_number_of_requests_and_rest_between_them() {
+    let (address, _) = start_server();
+    let mut stream = connect(address);
+    for round in 0..2 {
+        for _ in 0..200 {
+            let request =
+                format!("GET /fast HTTP/1.1\r\nhost: a\r\nx-long: {}\r\n\r\n", "x".repeat(900));
+            stream.write_all(request.as_bytes()).unwrap();
+            let mut response = Vec::new();
+            while !response.ends_with(b"/fast=;") {
+                let mut bytes = [0; 1_000];
+                let length = stream.read(&mut bytes).unwrap();
+                assert!(length > 0, "the connection was closed");
+                response.extend_from_slice(&bytes[..length]);
+            }
+        }
+        if round == 0 {
+            // Longer than a head may take.
+            std::thread::sleep(Duration::from_millis(6_500));
+        }
+    }
+}
+
+/// Guards against a refusal that its caller never sees because it is still sending, and against a connection
+/// that stays open for a body without end.
+#[test]
+fn a_caller_that_still_sends_gets_its_refusal_and_the_connection_ends() {
+    let (address, _) = start_server();
+    for framing in ["content-length: 90000000", "transfer-encoding: chunked"] {
+        let mut stream = connect(address);
+        let head = format!("POST /large HTTP/1.1\r\nhost: a\r\n{framing}\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut chunk = b"186a0\r\n".to_vec();
+        chunk.resize(chunk.len() + 100_000, b'x');
+        chunk.extend_from_slice(b"\r\n");
+        // The refusal comes after a million bytes; the other side ends the connection some time later.
+        let mut sent = 0;
+        while sent < 30 && stream.write_all(&chunk).is_ok() {
+            sent += 1;
+        }
+        assert_eq!(sent, 30, "{framing}: the connection ended at once");
+        let mut response = vec![0; 100];
+        let length = stream.read(&mut response).unwrap();
+        let response = String::from_utf8_lossy(&response[..length]).into_owned();
+        assert!(response.starts_with("HTTP/1.1 413"), "{framing}: {response}");
+        let end = Instant::now() + Duration::from_secs(5);
+        while stream.write_all(&chunk).is_ok() {
+            assert!(Instant::now() < end, "{framing}: the connection stays open");
+        }
+    }
+}
+
 /// Guards against bodies that stop arriving and hold memory for as long as their callers like.
 #[test]
 fn a_body_of_which_nothing_arrives_is_refused_as_late() {
