An idle connection makes room in the memory for a new one at once

What callers saw: nothing yet; found by reading before the landing. Where the memory for connections was used up, a new one was closed and the VM said for a second that it takes none, although an idle one was closed in its favor.

Cause: the room of the idle connection is returned by its task, which had not run yet.

Change: the listener lets the task run, and asks again.

Result: an_idle_connection_makes_room_for_a_new_one failed before (1 of 1 runs), passes now.

--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -267,7 +267,10 @@
             continue;
         };
         let has_room = state.open_connections() < bounds.connections || connections.close_idlest();
-        let held = has_room.then(|| hold_connection(&bounds.memory, &connections)).flatten();
+        let held = match has_room {
+            true => hold_connection(&bounds.memory, &connections).await,
+            false => None,
+        };
         let Some(held) = held else {
             *state.dropped_at() = Some(Instant::now());
             continue;
@@ -332,13 +335,17 @@
 }
 
 /// Takes room for a connection, if need be in place of an idle one, which is closed.
-fn hold_connection(memory: &ByteBudget, connections: &OpenConnections) -> Option<HeldConnection> {
-    let held = memory.hold_connection(CONNECTION_BYTES);
-    if held.is_err() {
-        // Its room is free once its task has ended.
-        connections.close_idlest();
+async fn hold_connection(
+    memory: &ByteBudget,
+    connections: &OpenConnections,
+) -> Option<HeldConnection> {
+    if let Ok(held) = memory.hold_connection(CONNECTION_BYTES) {
+        return Some(held);
     }
-    held.ok()
+    connections.close_idlest().then_some(())?;
+    // The task of the idle connection returns its room.
+    tokio::task::yield_now().await;
+    memory.hold_connection(CONNECTION_BYTES).ok()
 }
 
 /// Hands requests of HTTP/2 callers to the handler.
--- a/crates/nickellead_proxy/tests/one_request_at_a_time.rs
+++ b/crates/nickellead_proxy/tests/one_request_at_a_time.rs
@@ -209,6 +209,28 @@
     }
 }
 
+/// Connections for which [`BOUNDS`] has room.
+const MOST_CONNECTIONS: usize = 8;
+
+/// Guards against new callers that are turned away while idle connections take the memory.
+#[test]
+fn an_idle_connection_makes_room_for_a_new_one() {
+    let (address, _) = start_server();
+    let exchange = |mut stream: &TcpStream| {
+        stream.write_all(b"GET /fast HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        let mut bytes = [0; 1_000];
+        stream.read(&mut bytes).unwrap()
+    };
+    let mut idle: Vec<TcpStream> = (0..MOST_CONNECTIONS).map(|_| connect(address)).collect();
+    assert!(idle.iter().all(|stream| exchange(stream) > 0));
+    // A connection counts as idle after a second.
+    std::thread::sleep(Duration::from_millis(1_100));
+    let later: Vec<TcpStream> = (0..MOST_CONNECTIONS).map(|_| connect(address)).collect();
+    assert!(later.iter().all(|stream| exchange(stream) > 0));
+    let closed = idle.iter_mut().filter_map(|stream| stream.read(&mut [0; 10]).ok());
+    assert_eq!(closed.filter(|length| *length == 0).count(), MOST_CONNECTIONS);
+}
+
 /// Guards against a refusal that its caller never sees because it is still sending, and against a connection
 /// that stays open for a body without end.
 #[test]
