Callers that never rest give way to those that are turned away

Cause: all connections were in use, none was idle for a second, and those that go on sending kept theirs.

Change: for the second in which a listener counts as full, because a new connection found no room, each response says that its connection closes. Callers come back in any order, so those that wait have a turn.

Ruled out: closing connections with a request in progress (it may have run); a bound for each caller (they are not told apart).

--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -441,8 +441,10 @@
             let handled: LocalBoxFuture<'static, _> = Box::pin(async move {
                 let Some(response) = response else { return Ok(refuse_after_end()) };
                 let mut response = respond(response, unsent, &state).await;
-                if activity.is_some_and(|activity| activity.has_unread_body()) {
-                    // What is left of it could be of any length.
+                // What is left of a body that was not read could be of any length.
+                let has_unread = activity.is_some_and(|activity| activity.has_unread_body());
+                // Callers that are turned away get a turn, too.
+                if has_unread || state.is_full() {
                     response.head_mut().set_connection_type(ConnectionType::Close);
                 }
                 if is_last || response.head().connection_type() == ConnectionType::Close {
--- a/crates/nickellead_proxy/tests/idle_connections.rs
+++ b/crates/nickellead_proxy/tests/idle_connections.rs
@@ -126,3 +126,32 @@
     std::thread::sleep(Duration::from_millis(1_000));
     assert!(!state.is_full(), "callers are to come back");
 }
+
+/// Guards against callers that keep all connections by sending one request after the other.
+#[test]
+fn callers_that_never_rest_give_way_to_a_new_one() {
+    let (address, _state) = start_server();
+    let restless: Vec<TcpStream> = (0..MAX_CONNECTIONS).map(|_| connect(address)).collect();
+    assert!(restless.iter().all(exchange));
+    let callers: Vec<_> = restless
+        .into_iter()
+        .map(|stream| {
+            std::thread::spawn(move || {
+                let end = Instant::now() + Duration::from_secs(4);
+                while Instant::now() < end && is_still_served(&stream) {}
+            })
+        })
+        .collect();
+    // Each connection without room is closed at once.
+    let is_served = (0..20).any(|_| {
+        std::thread::sleep(Duration::from_millis(50));
+        is_still_served(&connect(address))
+    });
+    callers.into_iter().for_each(|caller| caller.join().unwrap());
+    assert!(is_served);
+}
+
+/// Like [`exchange`], on a connection that may be closed.
+fn is_still_served(mut stream: &TcpStream) -> bool {
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").is_ok() && is_answered(stream)
+}
