--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -104,6 +104,11 @@
 /// Number of callers whose heads or pipelined requests are small.
 const LARGE_CROWD: usize = 500;
 
+/// Connects many callers, one after the other.
+fn connect_all(address: SocketAddr) -> Vec<TcpStream> {
+    (0..LARGE_CROWD).map(|_| connect(address)).collect()
+}
+
 /// Guards against the sum of heads that don't end.
 #[test]
 fn a_crowd_of_heads_that_do_not_end_stays_within_memory() {
@@ -111,8 +116,7 @@
     let mut vm = start_vm("heads");
     let head = format!("GET /look/a HTTP/1.1\r\nhost: a\r\nx-long: {}", "x".repeat(125_000));
     play(&mut vm, 1, 2 * LARGE_CROWD + 16, |address, _| {
-        let callers = (0..LARGE_CROWD).map(|_| connect(address));
-        let mut callers: Vec<TcpStream> = callers.collect();
+        let mut callers = connect_all(address);
         // The other side may close the connection at any time.
         callers.iter_mut().for_each(|caller| drop(caller.write_all(head.as_bytes())));
         callers
@@ -129,8 +133,7 @@
         format!("GET /nowhere/a HTTP/1.1\r\nhost: {host}\r\nnickellead-request-id: f\r\n\r\n");
     let head = format!("GET /look/a HTTP/1.1\r\nhost: a\r\nx-long: {}", "x".repeat(125_000));
     play(&mut vm, 1, 2 * LARGE_CROWD + 16, |address, _| {
-        let callers = (0..LARGE_CROWD).map(|_| connect(address));
-        let mut callers: Vec<TcpStream> = callers.collect();
+        let mut callers = connect_all(address);
         for caller in &mut callers {
             let _ = caller.write_all(first.as_bytes());
             let _ = caller.write_all(head.as_bytes());
@@ -151,8 +154,7 @@
     );
     let rest = format!("x{}", "GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(200_000 / 29));
     play(&mut vm, 1, 2 * LARGE_CROWD + 16, |address, _| {
-        let callers = (0..LARGE_CROWD).map(|_| connect(address));
-        let mut callers: Vec<TcpStream> = callers.collect();
+        let mut callers = connect_all(address);
         for caller in &mut callers {
             let _ = caller.set_nonblocking(true);
             let _ = caller.write_all(first.as_bytes());
@@ -176,20 +178,32 @@
 /// Streams that one HTTP/2 caller opens.
 const STREAMS: u32 = 5_000;
 
+/// Opens an HTTP/2 connection and sends these frames; returns the open connection, whether or not the other
+/// side has taken them.
+fn send_frames(address: SocketAddr, push_frames: impl Fn(&mut Vec<u8>)) -> TcpStream {
+    let mut stream = connect(address);
+    let mut bytes = PREFACE.to_vec();
+    push_frames(&mut bytes);
+    // The other side may close the connection at any time.
+    let _ = stream.write_all(&bytes);
+    stream
+}
+
+/// The frames of many requests without bodies for one path.
+fn push_requests(bytes: &mut Vec<u8>, path: &str) {
+    for number in 0..STREAMS {
+        let head = request_head("GET", path, &format!("s{number}"));
+        let flags = END_HEADERS | END_STREAM;
+        push_frame(bytes, FrameKind::Headers, flags, 2 * number + 1, &head);
+    }
+}
+
 /// Guards against the number of requests on one HTTP/2 connection.
 #[test]
 fn a_crowd_of_http2_connections_with_many_streams_stays_within_memory() {
     let _alone = run_alone();
     play(&mut start_vm("http2-streams"), CROWD, 64 * CROWD + 16, |address, _| {
-        let mut stream = connect(address);
-        let mut bytes = PREFACE.to_vec();
-        for number in 0..STREAMS {
-            let head = request_head("GET", "/look/a", &format!("s{number}"));
-            let flags = END_HEADERS | END_STREAM;
-            push_frame(&mut bytes, FrameKind::Headers, flags, 2 * number + 1, &head);
-        }
-        let _ = stream.write_all(&bytes);
-        stream
+        send_frames(address, |bytes| push_requests(bytes, "/look/a"))
     });
 }
 
@@ -198,16 +212,14 @@
 fn a_crowd_of_http2_connections_with_many_unfinished_requests_stays_within_memory() {
     let _alone = run_alone();
     play(&mut start_vm("http2-unfinished"), CROWD, 64 * CROWD + 16, |address, _| {
-        let mut stream = connect(address);
-        let mut bytes = PREFACE.to_vec();
-        for number in 0..STREAMS {
-            let head = request_head("POST", "/upload/a", &format!("s{number}"));
-            let id = 2 * number + 1;
-            push_frame(&mut bytes, FrameKind::Headers, END_HEADERS, id, &head);
-            push_frame(&mut bytes, FrameKind::Data, 0, id, b"x");
-        }
-        let _ = stream.write_all(&bytes);
-        stream
+        send_frames(address, |bytes| {
+            for number in 0..STREAMS {
+                let head = request_head("POST", "/upload/a", &format!("s{number}"));
+                let id = 2 * number + 1;
+                push_frame(bytes, FrameKind::Headers, END_HEADERS, id, &head);
+                push_frame(bytes, FrameKind::Data, 0, id, b"x");
+            }
+        })
     });
 }
 
@@ -216,11 +228,10 @@
 fn a_crowd_of_http2_heads_that_go_on_stays_within_memory() {
     let _alone = run_alone();
     play(&mut start_vm("http2-heads"), CROWD, DESCRIPTORS, |address, _| {
-        let mut stream = connect(address);
-        let mut bytes = PREFACE.to_vec();
-        let head = request_head("GET", "/look/a", "h");
-        push_frame(&mut bytes, FrameKind::Headers, END_STREAM, 1, &head);
-        let _ = stream.write_all(&bytes);
+        let mut stream = send_frames(address, |bytes| {
+            let head = request_head("GET", "/look/a", "h");
+            push_frame(bytes, FrameKind::Headers, END_STREAM, 1, &head);
+        });
         let value = "v".repeat(15_000);
         for number in 0..1_000 {
             let name = format!("x-{number}");
@@ -240,15 +251,13 @@
 fn a_crowd_of_http2_bodies_in_tiny_frames_stays_within_memory() {
     let _alone = run_alone();
     play(&mut start_vm("http2-tiny"), CROWD, DESCRIPTORS, |address, _| {
-        let mut stream = connect(address);
-        let mut bytes = PREFACE.to_vec();
-        let head = request_head("POST", "/upload/a", "t");
-        push_frame(&mut bytes, FrameKind::Headers, END_HEADERS, 1, &head);
-        // As many as the initial window of a connection allows.
-        (0..60_000).for_each(|_| push_frame(&mut bytes, FrameKind::Data, 0, 1, b"x"));
-        (0..200_000).for_each(|_| push_frame(&mut bytes, FrameKind::Data, 0, 1, b""));
-        let _ = stream.write_all(&bytes);
-        stream
+        send_frames(address, |bytes| {
+            let head = request_head("POST", "/upload/a", "t");
+            push_frame(bytes, FrameKind::Headers, END_HEADERS, 1, &head);
+            // As many as the initial window of a connection allows.
+            (0..60_000).for_each(|_| push_frame(bytes, FrameKind::Data, 0, 1, b"x"));
+            (0..200_000).for_each(|_| push_frame(bytes, FrameKind::Data, 0, 1, b""));
+        })
     });
 }
 
@@ -257,11 +266,9 @@
 fn a_crowd_of_http2_pings_stays_within_memory() {
     let _alone = run_alone();
     play(&mut start_vm("http2-pings"), CROWD, DESCRIPTORS, |address, _| {
-        let mut stream = connect(address);
-        let mut bytes = PREFACE.to_vec();
-        (0..500_000).for_each(|_| push_frame(&mut bytes, FrameKind::Ping, 0, 0, &[0; 8]));
-        let _ = stream.write_all(&bytes);
-        stream
+        send_frames(address, |bytes| {
+            (0..500_000).for_each(|_| push_frame(bytes, FrameKind::Ping, 0, 0, &[0; 8]));
+        })
     });
 }
 
@@ -272,15 +279,7 @@
     let mut vm = start_vm("readiness");
     let readiness = vm.readiness;
     play(&mut vm, CROWD, DESCRIPTORS, |_, _| {
-        let mut stream = connect(readiness);
-        let mut bytes = PREFACE.to_vec();
-        for number in 0..STREAMS {
-            let head = request_head("GET", "/metrics", "m");
-            let flags = END_HEADERS | END_STREAM;
-            push_frame(&mut bytes, FrameKind::Headers, flags, 2 * number + 1, &head);
-        }
-        let _ = stream.write_all(&bytes);
-        stream
+        send_frames(readiness, |bytes| push_requests(bytes, "/metrics"))
     });
 }
 
@@ -363,17 +362,7 @@
     let (process, callers) = (vm.process.as_ref().unwrap().id(), vm.callers);
     let descriptors = process_limits::descriptors(process) + DESCRIPTORS;
     let operators = vm.operators;
-    let crowd = gather(CROWD, |_| {
-        let mut stream = connect(operators);
-        let mut bytes = PREFACE.to_vec();
-        for number in 0..STREAMS {
-            let head = request_head("GET", "/metrics", "m");
-            let flags = END_HEADERS | END_STREAM;
-            push_frame(&mut bytes, FrameKind::Headers, flags, 2 * number + 1, &head);
-        }
-        let _ = stream.write_all(&bytes);
-        stream
-    });
+    let crowd = gather(CROWD, |_| send_frames(operators, |bytes| push_requests(bytes, "/metrics")));
     process_limits::assert_within(label, process, MEMORY_MB, descriptors);
     let look = "GET /boards/look/key-1 HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n";
     common::small_vm::assert_served(callers, look.as_bytes(), "beside the crowd");
