The memory of the settings becomes bounds in one place

Read once more: MB of the settings, or else what the operating system tells, became bounds in the gateway and in run by the same lines and the same constant. MemoryBounds::of_settings serves both. ServeState has one impl, and a head is counted without asking once more whether the connection is HTTP/1: only HTTP/1 comes there.

No behaviour changes.

--- a/crates/nickellead_gateway/src/settings.rs
+++ b/crates/nickellead_gateway/src/settings.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use crate::PolicySettings;
-use crate::machine_limits::{max_connections, memory_bounds};
+use crate::machine_limits::max_connections;
 
 /// Most age of the declarations with which keys may be checked, as a fraction of the time after
 /// which a key that was taken away may not be served. The rest covers clocks of different speeds.
@@ -239,7 +239,7 @@
     /// Most bytes that the process holds for callers.
     #[must_use]
     pub fn memory_bounds(&self) -> MemoryBounds {
-        let bounds = memory_bounds(self.memory_mb);
+        let bounds = MemoryBounds::of_settings(self.memory_mb);
         match self.connections {
             // Whoever sets their number accounts for their memory.
             Some(_) => MemoryBounds { connections: bounds.total, ..bounds },
--- a/crates/nickellead_limit/src/memory_bounds.rs
+++ b/crates/nickellead_limit/src/memory_bounds.rs
@@ -2,6 +2,8 @@
 
 use std::fs;
 
+/// Bytes of one MB, the unit of settings.
+const BYTES_PER_MB: u64 = 1_000_000;
 /// Bytes of a kibibyte, the unit of the operating system's figures.
 const KIBIBYTE: u64 = 1_024;
 /// Assumed memory of a machine that does not tell how much it has, in bytes.
@@ -53,6 +55,14 @@
         }
     }
 
+    /// Bounds of a process whose settings tell the memory in MB; `None` for what the operating system tells.
+    #[must_use]
+    pub fn of_settings(memory_mb: Option<u64>) -> Self {
+        Self::of_machine(
+            memory_mb.map_or_else(machine_memory, |mb| mb.saturating_mul(BYTES_PER_MB)),
+        )
+    }
+
     /// An equal part for each of several threads.
     #[must_use]
     pub fn divided_by(self, threads: usize) -> Self {
--- a/crates/nickellead_proxy/src/caller_stream.rs
+++ b/crates/nickellead_proxy/src/caller_stream.rs
@@ -287,7 +287,7 @@
         let added =
             self.head_bytes.saturating_sub(HEAD_SHARE_BYTES).next_multiple_of(HEAD_STEP_BYTES);
         let needed = CONNECTION_BYTES + HEAD_COPIES * added;
-        if self.gate.is_some() && added > 0 && self.held.resize(needed).is_err() {
+        if added > 0 && self.held.resize(needed).is_err() {
             self.state.cut_heads.fetch_add(1, Ordering::Relaxed);
             return Err(io::ErrorKind::OutOfMemory.into());
         }
--- a/crates/nickellead_proxy/src/serve.rs
+++ b/crates/nickellead_proxy/src/serve.rs
@@ -190,9 +190,7 @@
     pub fn stalled_connections(&self) -> usize {
         self.stalled.load(Ordering::Relaxed)
     }
-}
 
-impl ServeState {
     /// Number of connections that were closed because there was no memory for a long head.
     #[must_use]
     pub fn cut_heads(&self) -> usize {
--- a/crates/nickellead_run/src/settings.rs
+++ b/crates/nickellead_run/src/settings.rs
@@ -6,14 +6,12 @@
 use nickellead_api::{FieldError, read_json};
 use nickellead_core::Name;
 use nickellead_lease::LeaseTimings;
-use nickellead_limit::{MemoryBounds, machine_memory};
+use nickellead_limit::MemoryBounds;
 use nickellead_proxy::ProxyLimits;
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of request workers of one VM.
 const MAX_WORKERS: u16 = 64;
-/// Bytes of one MB.
-const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Settings of one entry VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -184,9 +182,7 @@
     /// Most bytes that one of the threads holds that serve callers or operators.
     #[must_use]
     pub fn memory_bounds(&self) -> MemoryBounds {
-        let bytes =
-            self.memory_mb.map_or_else(machine_memory, |mb| mb.saturating_mul(BYTES_PER_MB));
-        MemoryBounds::of_machine(bytes).divided_by(usize::from(self.workers) + 1)
+        MemoryBounds::of_settings(self.memory_mb).divided_by(usize::from(self.workers) + 1)
     }
 
     /// Limits of one worker.
